--- /dev/null
+++ b/cmd/pathtally/main.go
@@ -0,0 +1,11 @@
+// Command pathtally runs a node and is the operator's command line; run it
+// with -h for the subcommands.
+package main
+
+import (
+	"os"
+
+	"github.com/pathtally/pathtally/internal/command"
+)
+
+func main() { os.Exit(int(command.Run(os.Args[1:], os.Stdout, os.Stderr))) }
--- /dev/null
+++ b/internal/command/get.go
@@ -0,0 +1,113 @@
+package command
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"k8s.io/apimachinery/pkg/labels"
+	"sigs.k8s.io/yaml"
+
+	v1 "github.com/pathtally/pathtally/api/v1"
+	"github.com/pathtally/pathtally/internal/configwriter"
+)
+
+// Output forms of get and status.
+const (
+	formTable = "table"
+	formYAML  = "yaml"
+	formJSON  = "json"
+)
+
+func runGet(context *invocation) error {
+	platform := context.flags.String("platform", defaultPlatform, "address of the object API")
+	selector := context.flags.String("l", "", "label selector")
+	form := context.flags.String("o", formTable, "yaml, json or table")
+	words, err := context.parse()
+	if err != nil {
+		return usageError(err)
+	}
+	if len(words) == 0 || len(words) > 2 {
+		return &UsageError{Message: "expected KIND [NAME]"}
+	}
+	kind, err := kindOf(words[0])
+	if err != nil {
+		return err
+	}
+	parsed, err := labels.Parse(*selector)
+	if err != nil {
+		return &UsageError{Message: "selector: " + err.Error()}
+	}
+	writer, err := configwriter.NewBlocking(*platform)
+	if err != nil {
+		return err
+	}
+	defer writer.Close()
+	set, _, err := writer.Read()
+	if err != nil {
+		return err
+	}
+	var found []v1.Object
+	for _, key := range set.Keys() {
+		object := set.Get(key)
+		if key.Kind == kind && (len(words) == 1 || key.Name == words[1]) && parsed.Matches(labels.Set(object.Head().Metadata.Labels)) {
+			found = append(found, object)
+		}
+	}
+	if len(words) == 2 && len(found) == 0 {
+		return &NotFoundError{Key: v1.Key{Kind: kind, Name: words[1]}}
+	}
+	return printObjects(context.stdout, *form, found)
+}
+
+// NotFoundError is an object or a node that does not exist.
+type NotFoundError struct{ Key v1.Key }
+
+// Error names what was looked for.
+func (e *NotFoundError) Error() string { return fmt.Sprintf("%s not found", e.Key) }
+
+// kindOf accepts a kind in any case, singular or plural.
+func kindOf(word string) (v1.Kind, error) {
+	for _, kind := range v1.Kinds {
+		name := strings.ToLower(string(kind))
+		if lower := strings.ToLower(word); lower == name || lower == name+"s" {
+			return kind, nil
+		}
+	}
+	return "", &UsageError{Message: fmt.Sprintf("no kind %q; the kinds are %v", word, v1.Kinds)}
+}
+
+func printObjects(writer io.Writer, form string, objects []v1.Object) error {
+	switch form {
+	case formJSON:
+		data, err := json.MarshalIndent(objects, "", "  ")
+		if err != nil {
+			return err
+		}
+		fmt.Fprintln(writer, string(data))
+	case formYAML:
+		for i, object := range objects {
+			data, err := yaml.Marshal(object)
+			if err != nil {
+				return err
+			}
+			if i > 0 {
+				fmt.Fprintln(writer, "---")
+			}
+			fmt.Fprint(writer, string(data))
+		}
+	case formTable:
+		table := tabwriter.NewWriter(writer, 0, 4, 2, ' ', 0)
+		fmt.Fprintln(table, "KIND\tNAME\tLABELS")
+		for _, object := range objects {
+			head := object.Head()
+			fmt.Fprintf(table, "%s\t%s\t%s\n", head.Kind, head.Metadata.Name, labels.Set(head.Metadata.Labels))
+		}
+		return table.Flush()
+	default:
+		return &UsageError{Message: fmt.Sprintf("-o %q: expected yaml, json or table", form)}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/command/node.go
@@ -0,0 +1,60 @@
+package command
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/pathtally/pathtally/internal/process"
+	"github.com/pathtally/pathtally/internal/settings"
+)
+
+// runNode runs a node until a signal: SIGTERM and SIGINT begin the planned
+// stop, a second one ends it at once.
+func runNode(context *invocation) error {
+	var given settings.Settings
+	given.Register(context.flags)
+	path := context.flags.String("settings", "", "settings file (YAML); each setting is also a flag, which goes first")
+	check := context.flags.Bool("check", false, "check the settings and exit")
+	verbose := context.flags.Bool("v", false, "log more")
+	words, err := context.parse()
+	if err != nil {
+		return usageError(err)
+	}
+	if len(words) > 0 {
+		return &UsageError{Message: fmt.Sprintf("unexpected %q", words[0])}
+	}
+	loaded, err := settings.Load(*path, given)
+	if err != nil {
+		return err
+	}
+	if *check {
+		fmt.Fprintln(context.stdout, "settings are valid")
+		return nil
+	}
+	level := slog.LevelInfo
+	if *verbose {
+		level = slog.LevelDebug
+	}
+	process.SetupLogging(context.stderr, level)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	running, err := process.Start(loaded, nil)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(context.stdout, "node %s: peer %s http %s\n", running.Name(), running.PeerAddress(), running.HTTPAddress())
+	select {
+	case <-signals:
+		go running.Stop()
+	case <-running.Drained():
+		return nil
+	}
+	select {
+	case <-signals:
+	case <-running.Drained():
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/groups.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/pathtally/pathtally/internal/admission"
+	"github.com/pathtally/pathtally/internal/routing"
+)
+
+// groupState is what this node counts for one traffic group. It outlives
+// snapshots.
+type groupState struct {
+	gate    *admission.Gate
+	retries *admission.RetryBudget
+}
+
+// groupStates finds the state of a group without locks; a new snapshot's
+// limits are applied once, when it is first seen.
+type groupStates struct {
+	current  atomic.Pointer[map[string]*groupState]
+	applied  atomic.Pointer[routing.Snapshot]
+	mutex    sync.Mutex
+	stopping bool
+}
+
+func newGroupStates() *groupStates {
+	states := &groupStates{}
+	states.current.Store(&map[string]*groupState{})
+	return states
+}
+
+func (g *groupStates) get(snapshot *routing.Snapshot, name string) *groupState {
+	if g.applied.Load() != snapshot {
+		g.apply(snapshot)
+	}
+	return (*g.current.Load())[name]
+}
+
+func (g *groupStates) apply(snapshot *routing.Snapshot) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	standing := *g.current.Load()
+	next := make(map[string]*groupState, len(snapshot.Groups))
+	for name, plan := range snapshot.Groups {
+		spec := plan.Limit.Spec
+		bounds := admission.Bounds{RequestsPerSecond: spec.RequestsPerSecond, Burst: spec.Burst, MaxInFlight: spec.MaxInFlight, MaxQueue: spec.MaxQueue}
+		state := standing[name]
+		if state == nil {
+			state = &groupState{gate: admission.NewGate(bounds), retries: admission.NewRetryBudget(spec.RetryBudgetPercent)}
+		}
+		state.gate.SetBounds(bounds)
+		state.retries.SetPercent(spec.RetryBudgetPercent)
+		if g.stopping {
+			state.gate.Stop()
+		}
+		next[name] = state
+	}
+	g.current.Store(&next)
+	g.applied.Store(snapshot)
+}
+
+// stop refuses all new requests from now on.
+func (g *groupStates) stop() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.stopping = true
+	for _, state := range *g.current.Load() {
+		state.gate.Stop()
+	}
+}
--- /dev/null
+++ b/internal/gateway/server.go
@@ -0,0 +1,233 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/common/expfmt"
+	"github.com/valyala/fasthttp"
+
+	"github.com/pathtally/pathtally/internal/engine"
+	"github.com/pathtally/pathtally/internal/quorum"
+	"github.com/pathtally/pathtally/internal/rollout"
+	"github.com/pathtally/pathtally/internal/routing"
+)
+
+const (
+	// hardBodyLimit bounds any body before a model's own limit is known.
+	hardBodyLimit = 64 << 20
+	// readTimeout ends connections that send a request too slowly, and
+	// idleTimeout those that send none.
+	readTimeout = 15 * time.Second
+	idleTimeout = 60 * time.Second
+	// writeTimeout ends answers that the caller does not read.
+	writeTimeout = 15 * time.Second
+)
+
+// Claims records the dispatch of requests that are unsafe to repeat. Its
+// callbacks may run on any goroutine.
+type Claims interface {
+	Grant(claim quorum.Claim, done func(quorum.GrantResult, error))
+	Complete(claim quorum.Claim, outcome uint8, answer []byte)
+	Withdraw(claim quorum.Claim)
+}
+
+// Trainers are the steps of trainers. Its callbacks may run on any goroutine.
+type Trainers interface {
+	Submit(trainer string, request rollout.StepRequest, done func(error))
+	Fetch(trainer string, step uint64, trainVersion int64, done func([]byte, error)) (cancel func())
+	Acknowledge(trainer string, step uint64, done func(error))
+}
+
+// Config is what a Server needs.
+type Config struct {
+	Node        string
+	Zone        string
+	Incarnation uint64
+	Snapshot    func() *routing.Snapshot
+	Engines     engine.Client
+	Claims      Claims
+	Trainers    Trainers
+	Ready       func() bool
+	// Status returns the body of GET /status.
+	Status func() any
+	// Drain begins a planned stop of the node.
+	Drain   func()
+	Metrics *Metrics
+	// Log is told the end of each request.
+	Log func(entry RequestLog)
+}
+
+// RequestLog is what is logged of a request.
+type RequestLog struct {
+	ID         string
+	Group      string
+	Model      string
+	Outcome    string
+	Code       string
+	Tokens     int
+	Generation uint64
+	Elapsed    time.Duration
+}
+
+// Server serves a node's HTTP interface.
+type Server struct {
+	config   Config
+	groups   *groupStates
+	server   *fasthttp.Server
+	sequence atomic.Uint64
+	open     atomic.Int64
+}
+
+// NewServer returns a server that does not listen yet.
+func NewServer(config Config) *Server {
+	server := &Server{config: config, groups: newGroupStates()}
+	server.server = &fasthttp.Server{
+		Handler:               server.handle,
+		MaxRequestBodySize:    hardBodyLimit,
+		ReadTimeout:           readTimeout,
+		IdleTimeout:           idleTimeout,
+		WriteTimeout:          0,
+		NoDefaultServerHeader: true,
+		CloseOnShutdown:       true,
+		ErrorHandler:          server.badRequest,
+		Logger:                silentLogger{},
+	}
+	return server
+}
+
+// silentLogger drops the library's own lines; requests are logged as JSON.
+type silentLogger struct{}
+
+// Printf implements fasthttp.Logger.
+func (silentLogger) Printf(string, ...any) {}
+
+// Serve accepts connections until Shutdown.
+func (s *Server) Serve(listener net.Listener) error {
+	return s.server.Serve(deadlineListener{Listener: listener})
+}
+
+// Stop refuses new completions from now on; those under way go on.
+func (s *Server) Stop() { s.groups.stop() }
+
+// InFlight is the number of requests under way.
+func (s *Server) InFlight() int { return int(s.open.Load()) }
+
+// Shutdown closes the listener and idle connections.
+func (s *Server) Shutdown() error { return s.server.Shutdown() }
+
+func (s *Server) badRequest(ctx *fasthttp.RequestCtx, err error) {
+	status, code := fasthttp.StatusBadRequest, codeInvalidValue
+	if strings.Contains(err.Error(), "body size exceeds") {
+		status, code = fasthttp.StatusRequestEntityTooLarge, codeBodyTooLarge
+	}
+	s.writeFailure(ctx, failureOf(&InputError{Status: status, Code: code, Message: err.Error()}), OutcomeNotRun)
+}
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	s.open.Add(1)
+	streaming := false
+	defer func() {
+		if !streaming {
+			s.open.Add(-1)
+		}
+	}()
+	path := string(ctx.Path())
+	switch {
+	case path == "/v1/completions" && ctx.IsPost():
+		streaming = s.completion(ctx, false)
+	case path == "/v1/chat/completions" && ctx.IsPost():
+		streaming = s.completion(ctx, true)
+	case path == "/v1/models" && ctx.IsGet():
+		s.models(ctx)
+	case strings.HasPrefix(path, trainerPrefix):
+		s.trainer(ctx, strings.TrimPrefix(path, trainerPrefix))
+	case path == "/healthz":
+		ctx.SetBodyString("ok\n")
+	case path == "/readyz":
+		s.ready(ctx)
+	case path == "/metrics":
+		s.metrics(ctx)
+	case path == "/status":
+		s.writeJSON(ctx, fasthttp.StatusOK, s.config.Status())
+	case path == "/drain" && ctx.IsPost():
+		s.config.Drain()
+		ctx.SetBodyString("draining\n")
+	default:
+		s.writeFailure(ctx, failureOf(&InputError{Status: fasthttp.StatusNotFound, Code: codeNotFound, Message: "no such path: " + path}), OutcomeNotRun)
+	}
+}
+
+func (s *Server) ready(ctx *fasthttp.RequestCtx) {
+	if !s.config.Ready() {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		ctx.SetBodyString("not ready\n")
+		return
+	}
+	ctx.SetBodyString("ready\n")
+}
+
+func (s *Server) metrics(ctx *fasthttp.RequestCtx) {
+	families, err := s.config.Metrics.Registry.Gather()
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	var body bytes.Buffer
+	for _, family := range families {
+		if _, err := expfmt.MetricFamilyToText(&body, family); err != nil {
+			ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+			return
+		}
+	}
+	ctx.SetContentType("text/plain; version=0.0.4")
+	ctx.SetBody(body.Bytes())
+}
+
+func (s *Server) models(ctx *fasthttp.RequestCtx) {
+	list := modelList{Object: "list", Data: []modelItem{}}
+	if snapshot := s.config.Snapshot(); snapshot != nil {
+		for _, name := range sortedNames(snapshot.Models) {
+			list.Data = append(list.Data, modelItem{ID: name, Object: "model", OwnedBy: "pathtally"})
+		}
+	}
+	s.writeJSON(ctx, fasthttp.StatusOK, list)
+}
+
+func (s *Server) writeJSON(ctx *fasthttp.RequestCtx, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(data)
+}
+
+func (s *Server) writeFailure(ctx *fasthttp.RequestCtx, found failure, outcome string) {
+	s.config.Metrics.refused.WithLabelValues(found.code).Inc()
+	ctx.Response.Header.Set(HeaderOutcome, outcome)
+	setRetryAfter(&ctx.Response.Header, found.retryAfter)
+	s.writeJSON(ctx, found.status, errorAnswer{Error: errorBody{Message: found.message, Type: found.kind, Code: found.code, Param: found.param}})
+}
+
+// setRetryAfter writes whole seconds, rounded up, and milliseconds.
+func setRetryAfter(header *fasthttp.ResponseHeader, after time.Duration) {
+	if after <= 0 {
+		return
+	}
+	header.Set(HeaderRetryAfter, strconv.Itoa(int((after+time.Second-1)/time.Second)))
+	header.Set(HeaderRetryAfterMs, strconv.FormatInt(max(1, after.Milliseconds()), 10))
+}
+
+// nextID names a request uniquely over nodes and restarts.
+func (s *Server) nextID() string {
+	return fmt.Sprintf("%s-%s-%d", s.config.Node, strconv.FormatUint(s.config.Incarnation, 36), s.sequence.Add(1))
+}
--- /dev/null
+++ b/internal/node/config.go
@@ -0,0 +1,36 @@
+package node
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/pathtally/pathtally/internal/engine"
+	"github.com/pathtally/pathtally/internal/environment"
+	"github.com/pathtally/pathtally/internal/rollout"
+	"github.com/pathtally/pathtally/internal/samplestore"
+	"github.com/pathtally/pathtally/internal/wire"
+)
+
+// Config is what a Core needs.
+type Config struct {
+	Self     wire.Member
+	Seeds    []string
+	Clock    environment.Clock
+	Random   *rand.Rand
+	Peers    environment.Peers
+	Objects  environment.Objects
+	Machines environment.Machines
+	Engines  engine.Client
+	Scorer   rollout.Scorer
+	// Store is nil on a node without a data folder.
+	Store *samplestore.Store
+	// LeaseTerm and ProbePeriod override the defaults.
+	LeaseTerm   time.Duration
+	ProbePeriod time.Duration
+	// Policy overrides the policy that suits each trainer.
+	Policy rollout.Policy
+	// ChunkTokens overrides how many tokens of a sample come together.
+	ChunkTokens int
+	// OnConfiguration is told each generation that comes into force here.
+	OnConfiguration func(generation uint64)
+}
--- /dev/null
+++ b/internal/node/core.go
@@ -0,0 +1,264 @@
+package node
+
+import (
+	"encoding/json"
+	"sync/atomic"
+	"time"
+
+	v1 "github.com/pathtally/pathtally/api/v1"
+	"github.com/pathtally/pathtally/internal/environment"
+	"github.com/pathtally/pathtally/internal/fleet"
+	"github.com/pathtally/pathtally/internal/lease"
+	"github.com/pathtally/pathtally/internal/membership"
+	"github.com/pathtally/pathtally/internal/poller"
+	"github.com/pathtally/pathtally/internal/quorum"
+	"github.com/pathtally/pathtally/internal/reader"
+	"github.com/pathtally/pathtally/internal/relay"
+	"github.com/pathtally/pathtally/internal/rollout"
+	"github.com/pathtally/pathtally/internal/routing"
+	"github.com/pathtally/pathtally/internal/weights"
+	"github.com/pathtally/pathtally/internal/wire"
+)
+
+const (
+	// upkeepPeriod is the time between looks at silence and expiry.
+	upkeepPeriod = 250 * time.Millisecond
+	// confirmationsNeeded is how many peers a starting node asks before it
+	// trusts that its configuration is not an old one.
+	confirmationsNeeded = 2
+	// confirmationWait and maxConfirmationWait bound the time between a
+	// starting node's questions to the object API.
+	confirmationWait    = time.Second
+	maxConfirmationWait = 10 * time.Second
+	// enginePatience is how long a starting node waits for the first report
+	// of every engine.
+	enginePatience = 3 * time.Second
+	// expiryRounds is how many upkeep rounds pass between two expiries.
+	expiryRounds = 40
+)
+
+// Core is a node without its sockets.
+type Core struct {
+	config  Config
+	table   *membership.Table
+	relay   *relay.Store
+	leases  *lease.Manager
+	reader  *reader.Reader
+	fleet   *fleet.Table
+	poller  *poller.Poller
+	builder *routing.Builder
+
+	member      *quorum.Member
+	quorum      *quorum.Client
+	coordinator *quorum.Coordinator
+
+	schedulers map[string]*rollout.Scheduler
+	weights    map[string]*weights.Coordinator
+
+	set        *v1.Set
+	generation uint64
+	// configuredSince is when the first configuration came into force.
+	configuredSince time.Time
+	snapshot        atomic.Pointer[routing.Snapshot]
+	followed        map[string]time.Duration
+	stopping        bool
+	stopped         bool
+	upkeeps         int
+}
+
+// NewCore returns a node that has not started.
+func NewCore(config Config) *Core {
+	core := &Core{
+		config:     config,
+		fleet:      fleet.NewTable(config.Clock),
+		builder:    routing.NewBuilder(config.Self.Zone),
+		schedulers: map[string]*rollout.Scheduler{},
+		weights:    map[string]*weights.Coordinator{},
+		followed:   map[string]time.Duration{},
+	}
+	core.relay = relay.NewStore(relay.Config{Peers: config.Peers, OnChange: core.documentChanged})
+	core.table = membership.New(membership.Config{
+		Self: config.Self, Seeds: config.Seeds, Clock: config.Clock, Random: config.Random, Peers: config.Peers, Period: config.ProbePeriod,
+		Documents:   core.relay.Versions,
+		OnDocuments: core.relay.Observe,
+	})
+	core.member = quorum.NewMember(quorum.MemberConfig{ID: config.Self.ID, Incarnation: config.Self.Incarnation, Clock: config.Clock, Peers: config.Peers})
+	core.quorum = quorum.NewClient(config.Clock, config.Peers)
+	core.coordinator = quorum.NewCoordinator(quorum.CoordinatorConfig{Clock: config.Clock, Peers: config.Peers, Objects: config.Objects, Members: core.table, OnView: core.publishView})
+	core.reader = reader.New(reader.Config{
+		Clock: config.Clock, Random: config.Random, Objects: config.Objects, Machines: config.Machines,
+		Names:   map[string]func(environment.Object) (*relay.Document, error){quorum.DocumentName: viewDocument},
+		Publish: func(document *relay.Document) { core.relay.Publish(document) },
+	})
+	core.leases = lease.NewManager(lease.Config{
+		Self: core.processName(), Clock: config.Clock, Random: config.Random, Objects: config.Objects, Term: config.LeaseTerm,
+		Rank: core.leaseRank, OnAcquire: core.acquired, OnLose: core.lost,
+	})
+	core.poller = poller.New(poller.Config{
+		Self: config.Self.ID, Clock: config.Clock, Random: config.Random, Peers: config.Peers, Engines: config.Engines,
+		ZoneMates: func() []wire.Member { return core.table.InZone(config.Self.Zone) },
+		Observe:   core.observeLoad,
+	})
+	return core
+}
+
+// Start joins the other nodes and takes up duties.
+func (c *Core) Start() {
+	c.table.Start()
+	c.poller.Start()
+	c.confirm(confirmationWait)
+	c.leases.Want(c.wantedLeases())
+	c.upkeep()
+}
+
+// confirm asks the object API for the configuration only when the peers could
+// not vouch for it, so that a restart of many nodes does not fall on it.
+func (c *Core) confirm(wait time.Duration) {
+	if len(c.config.Seeds) == 0 && wait == confirmationWait {
+		wait = 0
+	}
+	c.config.Clock.AfterFunc(wait, func() {
+		if c.stopped || c.Ready() {
+			return
+		}
+		c.reader.ReadOnce(func(error) {})
+		c.confirm(min(2*wait+confirmationWait, maxConfirmationWait))
+	})
+}
+
+// Kill ends all activity at once, as a crash does.
+func (c *Core) Kill() {
+	c.stopped = true
+	c.table.Stop()
+	c.poller.Stop()
+	c.reader.Stop()
+	c.coordinator.Stop()
+	for _, scheduler := range c.schedulers {
+		scheduler.Stop()
+	}
+	for _, coordinator := range c.weights {
+		coordinator.Stop()
+	}
+	c.leases.Stop(func() {})
+}
+
+// Snapshot returns what the request path reads, or nil before the first
+// configuration. Any goroutine may call it.
+func (c *Core) Snapshot() *routing.Snapshot { return c.snapshot.Load() }
+
+// Generation is the configuration generation in force here, 0 for none.
+func (c *Core) Generation() uint64 { return c.generation }
+
+// Ready tells whether the node may serve: a configuration is in force, and
+// either the object API or enough peers have been asked whether it is the
+// newest.
+func (c *Core) Ready() bool {
+	if c.generation == 0 || c.stopping {
+		return false
+	}
+	if !c.enginesKnown() {
+		return false
+	}
+	needed := min(confirmationsNeeded, len(c.config.Seeds))
+	return c.reader.Confirmed() || (needed > 0 && c.table.Answered() >= needed)
+}
+
+// enginesKnown tells whether every engine that the node follows has been
+// reported, or has had the time to be.
+func (c *Core) enginesKnown() bool {
+	if c.config.Clock.Now().Sub(c.configuredSince) > enginePatience {
+		return true
+	}
+	for name := range c.followed {
+		if _, known := c.fleet.Load(name); !known {
+			return false
+		}
+	}
+	return true
+}
+
+// Quorum returns the client for claims.
+func (c *Core) Quorum() *quorum.Client { return c.quorum }
+
+// Members returns the usable members.
+func (c *Core) Members() []wire.Member { return c.table.Usable() }
+
+// processName is unique to this process, so that a node which starts again
+// does not take its predecessor's lease for its own.
+func (c *Core) processName() string {
+	return c.config.Self.ID + "@" + formatIncarnation(c.config.Self.Incarnation)
+}
+
+// documentChanged reacts to a relayed document that comes into force.
+func (c *Core) documentChanged(document *relay.Document) {
+	switch document.Name {
+	case reader.ConfigurationDocument:
+		c.applyConfiguration(document)
+	case quorum.DocumentName:
+		if view, err := quorum.ViewFromEntries(document.Entries); err == nil {
+			c.quorum.SetView(view)
+			c.member.SetView(view)
+		}
+	case reader.MachinesDocument:
+		c.applyMachines(document)
+	}
+	if c.table != nil {
+		c.table.Nudge()
+	}
+}
+
+func (c *Core) applyConfiguration(document *relay.Document) {
+	set, err := v1.FromEntries(document.Entries)
+	if err != nil {
+		return
+	}
+	if c.generation == 0 {
+		c.configuredSince = c.config.Clock.Now()
+	}
+	c.set, c.generation = set, document.Version
+	c.rebuild()
+	c.leases.Want(c.wantedLeases())
+	if c.config.OnConfiguration != nil {
+		c.config.OnConfiguration(c.generation)
+	}
+}
+
+func (c *Core) applyMachines(document *relay.Document) {
+	machines := make(map[string]environment.Machine, len(document.Entries))
+	for address, data := range document.Entries {
+		var machine environment.Machine
+		if json.Unmarshal(data, &machine) == nil {
+			machines[address] = machine
+		}
+	}
+	c.fleet.SetMachines(machines)
+	c.refreshViews()
+}
+
+func (c *Core) publishView(view *quorum.View) {
+	entries, err := view.Entries()
+	if err == nil {
+		c.relay.Publish(relay.NewDocument(quorum.DocumentName, view.Epoch, entries))
+	}
+}
+
+func viewDocument(object environment.Object) (*relay.Document, error) {
+	view := &quorum.View{}
+	if err := json.Unmarshal(object.Data, view); err != nil {
+		return nil, err
+	}
+	entries, err := view.Entries()
+	return relay.NewDocument(quorum.DocumentName, view.Epoch, entries), err
+}
+
+func (c *Core) upkeep() {
+	if c.stopped {
+		return
+	}
+	c.refreshViews()
+	c.upkeeps++
+	if c.upkeeps%expiryRounds == 0 {
+		c.member.Expire()
+	}
+	c.config.Clock.AfterFunc(upkeepPeriod, c.upkeep)
+}
--- /dev/null
+++ b/internal/node/duties.go
@@ -0,0 +1,164 @@
+package node
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+
+	v1 "github.com/pathtally/pathtally/api/v1"
+	"github.com/pathtally/pathtally/internal/quorum"
+	"github.com/pathtally/pathtally/internal/rendezvous"
+	"github.com/pathtally/pathtally/internal/rollout"
+	"github.com/pathtally/pathtally/internal/routing"
+	"github.com/pathtally/pathtally/internal/weights"
+	"github.com/pathtally/pathtally/internal/wire"
+)
+
+const (
+	readerPrefix    = "reader/"
+	schedulerPrefix = "scheduler/"
+	weightsPrefix   = "weights/"
+	// readersPerRegion is how many nodes of a region watch the object API.
+	readersPerRegion = 2
+	// singleCopy and replicatedCopies are how many stores keep a sample.
+	singleCopy       = 1
+	replicatedCopies = 2
+)
+
+func schedulerLease(trainer string) string { return schedulerPrefix + trainer }
+
+func weightsLease(model, region string) string { return weightsPrefix + model + "/" + region }
+
+func formatIncarnation(incarnation uint64) string { return strconv.FormatUint(incarnation, 36) }
+
+// wantedLeases are the duties for which this node is a candidate.
+func (c *Core) wantedLeases() []string {
+	names := []string{quorum.LeaseName}
+	for i := range readersPerRegion {
+		names = append(names, readerPrefix+c.config.Self.Region+"/"+strconv.Itoa(i))
+	}
+	if c.set == nil {
+		return names
+	}
+	for _, trainer := range v1.All[*v1.Trainer](c.set) {
+		names = append(names, schedulerLease(trainer.Metadata.Name))
+	}
+	for _, declared := range v1.All[*v1.Engine](c.set) {
+		name := weightsLease(declared.Spec.Model, declared.Spec.Region)
+		if declared.Spec.Region == c.config.Self.Region && !slices.Contains(names, name) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// leaseRank is this node's place among the candidates for a lease. The first
+// few are in different zones, so that the loss of one zone leaves others.
+func (c *Core) leaseRank(name string) int {
+	if c.stopping {
+		return -1
+	}
+	candidates := c.table.Candidates()
+	if strings.HasPrefix(name, readerPrefix) || strings.HasPrefix(name, weightsPrefix) {
+		candidates = slices.DeleteFunc(candidates, func(candidate rendezvous.Candidate) bool {
+			member, _ := c.table.Get(candidate.ID)
+			return member.Region != c.config.Self.Region
+		})
+	}
+	return slices.IndexFunc(rendezvous.RankAcrossZones(name, candidates), func(candidate rendezvous.Candidate) bool {
+		return candidate.ID == c.config.Self.ID
+	})
+}
+
+// acquired takes up the duty of a lease.
+func (c *Core) acquired(name string, token uint64) {
+	if c.stopped {
+		return
+	}
+	switch {
+	case name == quorum.LeaseName:
+		c.coordinator.Start()
+	case strings.HasPrefix(name, readerPrefix):
+		c.reader.Start()
+	case strings.HasPrefix(name, schedulerPrefix):
+		c.startScheduler(name, token)
+	case strings.HasPrefix(name, weightsPrefix):
+		c.startWeights(name, token)
+	}
+	c.table.Announce(wire.LeaseNote{Name: name, Holder: c.config.Self.ID, Token: token})
+}
+
+// lost lays down the duty of a lease.
+func (c *Core) lost(name string) {
+	switch {
+	case name == quorum.LeaseName:
+		c.coordinator.Stop()
+	case strings.HasPrefix(name, readerPrefix):
+		if !c.holdsReader() {
+			c.reader.Stop()
+		}
+	case strings.HasPrefix(name, schedulerPrefix):
+		if scheduler := c.schedulers[name]; scheduler != nil {
+			delete(c.schedulers, name)
+			scheduler.Stop()
+		}
+	case strings.HasPrefix(name, weightsPrefix):
+		if coordinator := c.weights[name]; coordinator != nil {
+			coordinator.Stop()
+			delete(c.weights, name)
+		}
+	}
+	c.rebuild()
+}
+
+func (c *Core) holdsReader() bool {
+	return slices.ContainsFunc(c.leases.HeldNames(), func(name string) bool { return strings.HasPrefix(name, readerPrefix) })
+}
+
+func (c *Core) startScheduler(name string, token uint64) {
+	trainer := strings.TrimPrefix(name, schedulerPrefix)
+	scheduler := rollout.NewScheduler(rollout.Config{
+		Trainer:     trainer,
+		Token:       token,
+		Node:        c.config.Self.ID,
+		Zone:        c.config.Self.Zone,
+		Clock:       c.config.Clock,
+		Random:      c.config.Random,
+		Peers:       c.config.Peers,
+		Engines:     c.config.Engines,
+		Registers:   c.quorum,
+		Scorer:      c.config.Scorer,
+		Stores:      storeDirectory{table: c.table},
+		Policy:      c.config.Policy,
+		ChunkTokens: c.config.ChunkTokens,
+		Plan:        func() *routing.TrainerPlan { return c.trainerPlan(trainer) },
+	})
+	c.schedulers[name] = scheduler
+	c.rebuild()
+	scheduler.Start()
+}
+
+func (c *Core) trainerPlan(trainer string) *routing.TrainerPlan {
+	snapshot := c.snapshot.Load()
+	if snapshot == nil {
+		return nil
+	}
+	return snapshot.Trainers[trainer]
+}
+
+func (c *Core) startWeights(name string, token uint64) {
+	model, region, _ := strings.Cut(strings.TrimPrefix(name, weightsPrefix), "/")
+	coordinator := weights.NewCoordinator(weights.Config{
+		Model:    model,
+		Scope:    name,
+		Token:    token,
+		Clock:    c.config.Clock,
+		Engines:  c.config.Engines,
+		Declared: func() *v1.Set { return c.set },
+		Targets:  func() []weights.Target { return c.weightTargets(model, region) },
+		Observed: c.observeStatus,
+	})
+	c.weights[name] = coordinator
+	c.rebuild()
+	coordinator.Start()
+}
--- /dev/null
+++ b/internal/node/stores.go
@@ -0,0 +1,26 @@
+package node
+
+import (
+	"slices"
+
+	"github.com/pathtally/pathtally/internal/membership"
+	"github.com/pathtally/pathtally/internal/wire"
+)
+
+// storeDirectory finds the sample stores in the membership table.
+type storeDirectory struct{ table *membership.Table }
+
+// Usable implements rollout.Stores. A store that is leaving still answers,
+// but gets no new samples.
+func (d storeDirectory) Usable() []wire.Member {
+	return slices.DeleteFunc(d.table.Usable(), func(member wire.Member) bool { return !member.Storage })
+}
+
+// Copies implements rollout.Stores. Two zones keep each sample as soon as
+// more than one store has ever been seen.
+func (d storeDirectory) Copies() int {
+	if d.table.StoragesKnown() > singleCopy {
+		return replicatedCopies
+	}
+	return singleCopy
+}
--- /dev/null
+++ b/internal/poller/poller.go
@@ -0,0 +1,220 @@
+// Package poller measures engines. Each engine that a zone follows is polled
+// by two nodes of the zone, which send the loads in batches to the rest of
+// the zone, so that the cost to a node does not grow with the fleet.
+package poller
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/pathtally/pathtally/internal/engine"
+	"github.com/pathtally/pathtally/internal/environment"
+	"github.com/pathtally/pathtally/internal/rendezvous"
+	"github.com/pathtally/pathtally/internal/wire"
+)
+
+const (
+	// Period is the time between two polls of an engine.
+	Period = time.Second
+	// SlowPeriod is that of a duty that follows many engines.
+	SlowPeriod = 5 * time.Second
+	// batchPeriod is how long loads wait for others before they are sent.
+	batchPeriod = 250 * time.Millisecond
+	// pollersPerEngine is how many nodes of a zone poll an engine.
+	pollersPerEngine = 2
+	// Slice is how many engines of other zones a zone follows.
+	Slice = 16
+	// smallFleet is up to how many engines every zone follows all.
+	smallFleet = 64
+)
+
+// Target is an engine to be polled.
+type Target struct {
+	Name    string
+	Address string
+	Zone    string
+}
+
+// Followed returns the engines that a zone follows: its own and a slice of
+// the others, chosen by rendezvous so that zones choose differently.
+func Followed(zone string, engines []Target) []Target {
+	if len(engines) <= smallFleet {
+		return engines
+	}
+	var own, others []Target
+	byName := map[string]Target{}
+	var candidates []rendezvous.Candidate
+	for _, engine := range engines {
+		if engine.Zone == zone {
+			own = append(own, engine)
+			continue
+		}
+		byName[engine.Name] = engine
+		candidates = append(candidates, rendezvous.Candidate{ID: engine.Name, Zone: engine.Zone})
+	}
+	for i, candidate := range rendezvous.RankAcrossZones("slice/"+zone, candidates) {
+		if i == Slice {
+			break
+		}
+		others = append(others, byName[candidate.ID])
+	}
+	return append(own, others...)
+}
+
+// Config is what a Poller needs.
+type Config struct {
+	Self    string
+	Clock   environment.Clock
+	Random  *rand.Rand
+	Peers   environment.Peers
+	Engines engine.Client
+	// ZoneMates returns the usable members of the zone, this node among them.
+	ZoneMates func() []wire.Member
+	// Observe takes in a load measured here.
+	Observe func(load wire.EngineLoad, period time.Duration)
+}
+
+// Poller polls this node's share of engines. It belongs to one goroutine.
+type Poller struct {
+	config  Config
+	zone    []Target
+	duty    []Target
+	polling map[string]bool
+	batch   []wire.EngineLoad
+	stopped bool
+	beat    int
+}
+
+// New returns a poller without targets.
+func New(config Config) *Poller { return &Poller{config: config, polling: map[string]bool{}} }
+
+// SetTargets replaces the engines that the zone follows and those that this
+// node's duties need besides.
+func (p *Poller) SetTargets(zone, duty []Target) { p.zone, p.duty = zone, duty }
+
+// Start begins polling.
+func (p *Poller) Start() {
+	if p.stopped {
+		return
+	}
+	p.round()
+	p.beat++
+	jitter := time.Duration(p.config.Random.Int64N(int64(Period) / 5))
+	p.config.Clock.AfterFunc(Period-Period/10+jitter, p.Start)
+}
+
+// Stop ends polling.
+func (p *Poller) Stop() { p.stopped = true }
+
+// round plans the polls of one period, spread over it.
+func (p *Poller) round() {
+	mine := p.assigned()
+	seen := map[string]bool{}
+	for _, target := range mine {
+		seen[target.Name] = true
+		p.plan(target, Period, true)
+	}
+	slow := len(p.duty) > smallFleet
+	for _, target := range p.duty {
+		if seen[target.Name] {
+			continue
+		}
+		if !slow {
+			p.plan(target, Period, false)
+			continue
+		}
+		if int(rendezvous.Hash(target.Name)%uint64(SlowPeriod/Period)) == p.beat%int(SlowPeriod/Period) {
+			p.plan(target, SlowPeriod, false)
+		}
+	}
+}
+
+// assigned is this node's share of the zone's engines.
+func (p *Poller) assigned() []Target {
+	mates := p.config.ZoneMates()
+	self := rendezvous.Hash(p.config.Self)
+	hashes := make([]uint64, 0, len(mates))
+	for _, mate := range mates {
+		if mate.ID != p.config.Self {
+			hashes = append(hashes, rendezvous.Hash(mate.ID))
+		}
+	}
+	var mine []Target
+	for _, target := range p.zone {
+		key := rendezvous.Hash("poll/" + target.Name)
+		own, ahead := rendezvous.Weight(key, self), 0
+		for _, other := range hashes {
+			if rendezvous.Weight(key, other) > own {
+				ahead++
+			}
+		}
+		if ahead < pollersPerEngine {
+			mine = append(mine, target)
+		}
+	}
+	return mine
+}
+
+func (p *Poller) plan(target Target, period time.Duration, share bool) {
+	offset := time.Duration(p.config.Random.Int64N(int64(Period) * 3 / 4))
+	p.config.Clock.AfterFunc(offset, func() {
+		if !p.stopped {
+			p.Poll(target, period, share)
+		}
+	})
+}
+
+// Poll measures one engine now.
+func (p *Poller) Poll(target Target, period time.Duration, share bool) {
+	if p.polling[target.Name] {
+		return
+	}
+	p.polling[target.Name] = true
+	p.config.Engines.Status(target.Address, func(status engine.Status, err error) {
+		delete(p.polling, target.Name)
+		if p.stopped {
+			return
+		}
+		load := LoadOf(target.Name, status, err == nil)
+		p.config.Observe(load, period)
+		if share {
+			p.add(load)
+		}
+	})
+}
+
+// LoadOf makes a load report of an engine's status.
+func LoadOf(name string, status engine.Status, healthy bool) wire.EngineLoad {
+	load := wire.EngineLoad{
+		Engine:  name,
+		Running: uint32(max(0, status.Running)),
+		Waiting: uint32(max(0, status.Waiting)),
+		Version: status.Version,
+		Staged:  status.Staged,
+	}
+	if healthy {
+		load.Flags |= wire.EngineHealthy
+	}
+	if status.Draining {
+		load.Flags |= wire.EngineDraining
+	}
+	return load
+}
+
+func (p *Poller) add(load wire.EngineLoad) {
+	p.batch = append(p.batch, load)
+	if len(p.batch) > 1 {
+		return
+	}
+	p.config.Clock.AfterFunc(batchPeriod, p.flush)
+}
+
+func (p *Poller) flush() {
+	report := &wire.LoadReport{Loads: p.batch}
+	p.batch = nil
+	for _, mate := range p.config.ZoneMates() {
+		if mate.ID != p.config.Self {
+			p.config.Peers.Send(mate.Address, report)
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/process.go
@@ -0,0 +1,272 @@
+package process
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pathtally/pathtally/internal/engine"
+	"github.com/pathtally/pathtally/internal/gateway"
+	"github.com/pathtally/pathtally/internal/loop"
+	"github.com/pathtally/pathtally/internal/node"
+	"github.com/pathtally/pathtally/internal/objectapi"
+	"github.com/pathtally/pathtally/internal/rendezvous"
+	"github.com/pathtally/pathtally/internal/rollout"
+	"github.com/pathtally/pathtally/internal/samplestore"
+	"github.com/pathtally/pathtally/internal/scorer"
+	"github.com/pathtally/pathtally/internal/settings"
+	"github.com/pathtally/pathtally/internal/transport"
+	"github.com/pathtally/pathtally/internal/wire"
+)
+
+// drainLook is the time between looks at the requests in progress.
+const drainLook = 20 * time.Millisecond
+
+// ListenError is an address that cannot be listened on.
+type ListenError struct {
+	Setting string
+	Address string
+	Cause   error
+}
+
+// Error names the setting, the address and the cause.
+func (e *ListenError) Error() string {
+	return fmt.Sprintf("cannot listen on %s (setting %s): %v", e.Address, e.Setting, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Cause }
+
+// Process is one running node.
+type Process struct {
+	settings  settings.Settings
+	loop      *loop.Loop
+	transport *transport.Transport
+	core      *node.Core
+	server    *gateway.Server
+	engines   *engine.HTTPClient
+	objects   *objectapi.Client
+	scorer    *scorer.Client
+	log       *samplestore.FileLog
+	logger    klog.Logger
+	drained   chan struct{}
+	stopOnce  sync.Once
+	served    chan struct{}
+}
+
+// Start opens the addresses of the settings and starts the node. An address
+// with port 0 lets the system choose; see PeerAddress and HTTPAddress.
+func Start(configured settings.Settings, policy rollout.Policy) (*Process, error) {
+	peerListener, err := net.Listen("tcp", configured.Peer)
+	if err != nil {
+		return nil, &ListenError{Setting: "peer", Address: configured.Peer, Cause: err}
+	}
+	httpListener, err := net.Listen("tcp", configured.HTTP)
+	if err != nil {
+		peerListener.Close()
+		return nil, &ListenError{Setting: "http", Address: configured.HTTP, Cause: err}
+	}
+	configured.Peer, configured.HTTP = peerListener.Addr().String(), httpListener.Addr().String()
+	process := &Process{
+		settings: configured,
+		loop:     loop.New(),
+		logger:   nodeLogger(configured.Node, configured.Zone),
+		drained:  make(chan struct{}),
+		served:   make(chan struct{}),
+	}
+	if err := process.assemble(peerListener, policy); err != nil {
+		peerListener.Close()
+		httpListener.Close()
+		return nil, err
+	}
+	go func() {
+		defer close(process.served)
+		if err := process.server.Serve(httpListener); err != nil {
+			process.logger.Error(err, "HTTP interface ended")
+		}
+	}()
+	process.run(process.core.Start)
+	process.logger.Info("node started", "peer", configured.Peer, "http", configured.HTTP)
+	return process, nil
+}
+
+func (p *Process) assemble(peerListener net.Listener, policy rollout.Policy) error {
+	incarnation := uint64(time.Now().UnixMilli())
+	self := wire.Member{
+		ID: p.settings.Node, Address: p.settings.Peer, HTTP: p.settings.HTTP, Zone: p.settings.Zone, Region: p.settings.Region,
+		Incarnation: incarnation, Storage: p.settings.DataFolder != "",
+	}
+	var err error
+	if p.engines, err = engine.NewHTTPClient(); err != nil {
+		return err
+	}
+	if p.objects, err = objectapi.NewClient(p.settings.Platform, p.loop.Post); err != nil {
+		return err
+	}
+	if p.scorer, err = scorer.NewClient(p.loop.Post); err != nil {
+		return err
+	}
+	store, err := p.openStore()
+	if err != nil {
+		return err
+	}
+	started := make(chan struct{})
+	p.transport = transport.Listen(peerListener, transport.Config{
+		Hello: wire.Hello{Protocol: wire.ProtocolVersion, Node: self.ID, Address: self.Address, Incarnation: incarnation},
+		Post:  p.loop.Post,
+		Handler: func(from string, message wire.Message, reply func(wire.Message)) {
+			<-started
+			p.core.HandleMessage(from, message, reply)
+		},
+	})
+	p.core = node.NewCore(node.Config{
+		Self: self, Seeds: p.settings.Seeds, Clock: p.loop, Peers: p.transport, Objects: p.objects, Machines: p.objects,
+		Random:  rand.New(rand.NewPCG(incarnation, rendezvous.Hash(self.ID))),
+		Engines: engine.NewPosted(p.engines, p.loop.Post), Scorer: p.scorer, Store: store, Policy: policy,
+		OnConfiguration: func(generation uint64) { p.logger.Info("configuration in force", "generation", generation) },
+	})
+	close(started)
+	p.assembleServer(incarnation)
+	return nil
+}
+
+func (p *Process) assembleServer(incarnation uint64) {
+	metrics := gateway.NewMetrics()
+	p.server = gateway.NewServer(gateway.Config{
+		Node: p.settings.Node, Zone: p.settings.Zone, Incarnation: incarnation,
+		Snapshot: p.core.Snapshot,
+		Engines:  p.engines,
+		Claims:   loopClaims{process: p},
+		Trainers: loopTrainers{process: p},
+		Ready:    p.Ready,
+		Status:   func() any { return p.Status() },
+		Drain:    func() { go p.Stop() },
+		Metrics:  metrics,
+		Log: func(entry gateway.RequestLog) {
+			p.logger.Info("request", "request", entry.ID, "group", entry.Group, "model", entry.Model, "outcome", entry.Outcome,
+				"code", entry.Code, "tokens", entry.Tokens, "generation", entry.Generation, "ms", entry.Elapsed.Milliseconds())
+		},
+	})
+	registerGauges(p, metrics)
+}
+
+func (p *Process) openStore() (*samplestore.Store, error) {
+	if p.settings.DataFolder == "" {
+		return nil, nil
+	}
+	log, err := samplestore.OpenFileLog(p.settings.DataFolder, p.loop.Post)
+	if err != nil {
+		return nil, err
+	}
+	p.log = log
+	return samplestore.Open(log)
+}
+
+// run executes a call on the loop and waits for it.
+func (p *Process) run(call func()) {
+	done := make(chan struct{})
+	p.loop.Post(func() {
+		call()
+		close(done)
+	})
+	<-done
+}
+
+// PeerAddress, HTTPAddress and Name identify the node.
+func (p *Process) PeerAddress() string { return p.settings.Peer }
+
+// HTTPAddress is where callers reach the node.
+func (p *Process) HTTPAddress() string { return p.settings.HTTP }
+
+// Name is the node's name.
+func (p *Process) Name() string { return p.settings.Node }
+
+// Ready tells whether the node may serve.
+func (p *Process) Ready() bool {
+	ready := false
+	p.run(func() { ready = p.core.Ready() })
+	return ready
+}
+
+// Generation is the configuration in force on the node.
+func (p *Process) Generation() uint64 {
+	if snapshot := p.core.Snapshot(); snapshot != nil {
+		return snapshot.Generation
+	}
+	return 0
+}
+
+// Drained is closed when a planned stop has ended.
+func (p *Process) Drained() <-chan struct{} { return p.drained }
+
+// Stop is the planned stop: the node hands over its duties, then refuses new
+// requests while those in progress end, at most for the grace of its settings,
+// and closes.
+func (p *Process) Stop() {
+	p.stopOnce.Do(func() {
+		p.logger.Info("planned stop begun")
+		handed := make(chan struct{})
+		p.loop.Post(func() { p.core.Stop(func() { close(handed) }) })
+		limit := time.Now().Add(p.settings.Grace.Std())
+		p.server.Stop()
+		<-handed
+		for p.server.InFlight() > 0 && time.Now().Before(limit) {
+			time.Sleep(drainLook)
+		}
+		p.logger.Info("planned stop ended", "cut", p.server.InFlight())
+		p.close()
+	})
+}
+
+// Kill ends the node at once, as a crash does.
+func (p *Process) Kill() { p.stopOnce.Do(p.close) }
+
+func (p *Process) close() {
+	p.run(p.core.Kill)
+	p.transport.Close()
+	if err := p.server.Shutdown(); err != nil {
+		p.logger.Error(err, "HTTP shutdown")
+	}
+	<-p.served
+	if p.log != nil {
+		p.log.Close()
+	}
+	p.loop.Close()
+	p.engines.Close()
+	p.objects.Close()
+	p.scorer.Close()
+	close(p.drained)
+}
+
+// WaitReady polls until the node is ready, for tests and the development
+// command; it tells whether that was so within the limit.
+func (p *Process) WaitReady(limit time.Duration) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(drainLook) {
+		if p.Ready() {
+			return true
+		}
+	}
+	return false
+}
+
+// PortOf returns the port of an address, for messages.
+func PortOf(address string) int {
+	_, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return 0
+	}
+	number, err := strconv.Atoi(port)
+	if err != nil {
+		return 0
+	}
+	return number
+}
+
+// processID is shown on the status page.
+var processID = os.Getpid()
--- /dev/null
+++ b/internal/quorum/claims.go
@@ -0,0 +1,108 @@
+package quorum
+
+import (
+	"slices"
+
+	"github.com/pathtally/pathtally/internal/wire"
+)
+
+// HandleClaim grants, completes or withdraws a claim. Completing and
+// withdrawing are safe in any epoch, since neither lets anything run.
+func (m *Member) HandleClaim(request *wire.ClaimRequest) *wire.ClaimReply {
+	switch request.Operation {
+	case wire.ClaimComplete:
+		return m.complete(request)
+	case wire.ClaimWithdraw:
+		return m.withdraw(request)
+	}
+	if !m.serves(request.Epoch) {
+		return &wire.ClaimReply{Status: wire.ClaimWrongEpoch, Epoch: m.serving}
+	}
+	return m.grant(request)
+}
+
+func (m *Member) grant(request *wire.ClaimRequest) *wire.ClaimReply {
+	record := m.record(request.Key)
+	if slices.Contains(record.Withdrawn, request.Attempt) {
+		return m.reply(wire.ClaimWithdrawn, record)
+	}
+	if record.Attempt == "" {
+		record.Attempt = request.Attempt
+		record.Fingerprint = request.Fingerprint
+	}
+	if record.Attempt != request.Attempt || record.Outcome != wire.OutcomePending {
+		return m.reply(wire.ClaimHeld, record)
+	}
+	return m.reply(wire.ClaimGranted, record)
+}
+
+func (m *Member) complete(request *wire.ClaimRequest) *wire.ClaimReply {
+	record := m.record(request.Key)
+	if record.Attempt == "" {
+		record.Attempt = request.Attempt
+		record.Fingerprint = request.Fingerprint
+	}
+	if record.Attempt == request.Attempt {
+		record.Outcome = request.Outcome
+		record.Answer = request.Answer
+	}
+	return m.reply(wire.ClaimHeld, record)
+}
+
+// withdraw frees a key from an attempt that will never be dispatched, and
+// remembers the attempt, since its request may still be on the way.
+func (m *Member) withdraw(request *wire.ClaimRequest) *wire.ClaimReply {
+	record := m.record(request.Key)
+	if !slices.Contains(record.Withdrawn, request.Attempt) {
+		record.Withdrawn = append(record.Withdrawn, request.Attempt)
+		record.Withdrawn = record.Withdrawn[max(0, len(record.Withdrawn)-maxWithdrawn):]
+	}
+	if record.Attempt == request.Attempt && record.Outcome == wire.OutcomePending {
+		record.Attempt = ""
+	}
+	return m.reply(wire.ClaimWithdrawn, record)
+}
+
+func (m *Member) record(key string) *wire.ClaimRecord {
+	record := m.claims[key]
+	if record == nil {
+		record = &wire.ClaimRecord{Key: key, Created: m.config.Clock.Now().UnixMilli()}
+		m.claims[key] = record
+	}
+	return record
+}
+
+func (m *Member) reply(status uint8, record *wire.ClaimRecord) *wire.ClaimReply {
+	return &wire.ClaimReply{
+		Status:      status,
+		Attempt:     record.Attempt,
+		Fingerprint: record.Fingerprint,
+		Outcome:     record.Outcome,
+		Answer:      record.Answer,
+		Epoch:       m.serving,
+	}
+}
+
+// mergeClaim joins a copied claim with the one held. Where two attempts stand
+// for one key, neither had a majority unless one is complete; the attempt kept
+// is then only a reason to refuse, so either choice is safe.
+func (m *Member) mergeClaim(copied wire.ClaimRecord) {
+	held := m.claims[copied.Key]
+	if held == nil {
+		m.claims[copied.Key] = &copied
+		return
+	}
+	for _, attempt := range copied.Withdrawn {
+		if !slices.Contains(held.Withdrawn, attempt) {
+			held.Withdrawn = append(held.Withdrawn, attempt)
+		}
+	}
+	if copied.Attempt != "" && (held.Attempt == "" || copied.Outcome != wire.OutcomePending) {
+		held.Attempt, held.Fingerprint = copied.Attempt, copied.Fingerprint
+		held.Outcome, held.Answer = copied.Outcome, copied.Answer
+	}
+	if held.Outcome == wire.OutcomePending && slices.Contains(held.Withdrawn, held.Attempt) {
+		held.Attempt = ""
+	}
+	held.Created = max(held.Created, copied.Created)
+}
--- /dev/null
+++ b/internal/quorum/doc.go
@@ -0,0 +1,13 @@
+// Package quorum keeps two small replicated tables on a few member nodes in
+// different zones: claims, which let a request marked unsafe to repeat be
+// dispatched at most once, and registers, which decide one value for ever.
+// Both need a majority of the members of a view. Views are numbered by
+// epochs, decided by a conditional write to the object API.
+//
+// Invariant: a member serves epoch e+1 only after it has sealed a majority of
+// the members of epoch e and copied what they hold. A sealed member grants
+// nothing in an older epoch, so whatever a majority granted in epoch e is
+// known to every member that serves e+1. A member is a process, not a place:
+// a machine that comes back empty has another incarnation, is in no view, and
+// does not vote.
+package quorum
--- /dev/null
+++ b/internal/rendezvous/rendezvous.go
@@ -0,0 +1,69 @@
+// Package rendezvous ranks candidates for a key by highest-random-weight
+// hashing, so that each key moves only when its own candidate goes.
+package rendezvous
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// mixer is the multiplier of the splitmix64 finalizer.
+const mixer = 0xbf58476d1ce4e5b9
+
+// Hash returns the hash of a text.
+func Hash(text string) uint64 { return xxhash.Sum64String(text) }
+
+// Weight joins the hashes of a key and of a candidate.
+func Weight(key, candidate uint64) uint64 {
+	mixed := key ^ candidate
+	mixed ^= mixed >> 30
+	mixed *= mixer
+	mixed ^= mixed >> 27
+	return mixed * mixer
+}
+
+// Candidate is something that can be ranked.
+type Candidate struct {
+	ID   string
+	Zone string
+}
+
+// Rank orders candidates by weight for a key, the greatest first.
+func Rank(key string, candidates []Candidate) []Candidate {
+	keyHash := Hash(key)
+	ranked := slices.Clone(candidates)
+	slices.SortFunc(ranked, func(a, b Candidate) int {
+		weightA, weightB := Weight(keyHash, Hash(a.ID)), Weight(keyHash, Hash(b.ID))
+		if weightA != weightB {
+			if weightA > weightB {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(a.ID, b.ID)
+	})
+	return ranked
+}
+
+// RankAcrossZones orders candidates as Rank does, but takes one of each zone
+// before the second of any, so that the first few share no zone.
+func RankAcrossZones(key string, candidates []Candidate) []Candidate {
+	ranked := Rank(key, candidates)
+	spread := make([]Candidate, 0, len(ranked))
+	for len(ranked) > 0 {
+		seen := map[string]bool{}
+		rest := ranked[:0:0]
+		for _, candidate := range ranked {
+			if seen[candidate.Zone] {
+				rest = append(rest, candidate)
+				continue
+			}
+			seen[candidate.Zone] = true
+			spread = append(spread, candidate)
+		}
+		ranked = rest
+	}
+	return spread
+}
--- /dev/null
+++ b/internal/rollout/attempt.go
@@ -0,0 +1,288 @@
+package rollout
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pathtally/pathtally/internal/engine"
+	"github.com/pathtally/pathtally/internal/request"
+	"github.com/pathtally/pathtally/internal/routing"
+	"github.com/pathtally/pathtally/internal/stream"
+)
+
+// attempt is one run at filling a slot. Attempts of a slot may race; the
+// first that ends wins.
+type attempt struct {
+	slot     *slot
+	machine  *request.Machine
+	endpoint *routing.Endpoint
+	id       string
+	cancel   func()
+	// dispatch numbers the streams, so that late events of an older one are
+	// told apart.
+	dispatch int
+	parked   *request.Dispatch
+	started  time.Time
+	moves    int
+	moving   bool
+	ended    bool
+}
+
+// pump dispatches waiting samples while engines have room.
+func (s *Scheduler) pump() {
+	plan := s.plan()
+	if s.stopped || plan == nil {
+		return
+	}
+	s.pumpParked()
+	policy := s.policy()
+	ahead := policy.StepsAhead(plan.Trainer)
+	place := 0
+	for _, step := range s.openSteps() {
+		if place > ahead {
+			return
+		}
+		if step.phase == phaseGenerating && !s.pumpStep(step, plan, policy, place) {
+			return
+		}
+		place++
+	}
+}
+
+// pumpStep dispatches the waiting samples of one step; false means that no
+// engine has room.
+func (s *Scheduler) pumpStep(step *stepState, plan *routing.TrainerPlan, policy Policy, place int) bool {
+	now := s.config.Clock.Now()
+	queue := step.pending
+	step.pending = nil
+	var waiting []*slot
+	room := true
+	for _, next := range queue {
+		if !room || next.notBefore.After(now) {
+			waiting = append(waiting, next)
+			continue
+		}
+		endpoint, err := plan.Plan.Pick(s.query(next, ""))
+		if err != nil {
+			room = false
+			waiting = append(waiting, next)
+			continue
+		}
+		s.start(next, endpoint, policy.Priority(place))
+	}
+	// An attempt that failed at once has put its slot back meanwhile.
+	step.pending = append(waiting, step.pending...)
+	return room
+}
+
+func (s *Scheduler) query(next *slot, avoid string) *routing.Query {
+	return &routing.Query{
+		Zone:         s.config.Zone,
+		PrefixHash:   xxhash.Sum64String(next.prompt),
+		MinVersion:   s.bound(next.step),
+		Avoid:        avoid,
+		Random:       s.config.Random.Uint64(),
+		Rollout:      true,
+		MaxLoadShare: fullLoadShare,
+	}
+}
+
+func (s *Scheduler) start(next *slot, endpoint *routing.Endpoint, priority int) {
+	next.attempt++
+	next.state = slotRunning
+	step := next.step
+	plan := s.plan()
+	id := fmt.Sprintf("%s/%d/%d/%d.%d", s.config.Trainer, step.request.Step, next.index, s.config.Token, next.attempt)
+	begun := &attempt{slot: next, id: id, started: s.config.Clock.Now()}
+	begun.machine = request.New(request.Config{
+		Attempts: sampleAttempts,
+		Request: engine.Request{
+			ID:          id,
+			Model:       plan.Trainer.Spec.Model,
+			Prompt:      next.prompt,
+			MaxTokens:   step.request.MaxTokens,
+			Seed:        step.request.Seed ^ uint64(next.index),
+			Priority:    priority,
+			ChunkTokens: s.config.ChunkTokens,
+		},
+	})
+	next.attempts = append(next.attempts, begun)
+	s.act(begun, begun.machine.Handle(request.Begin{}), endpoint)
+}
+
+// act carries out the machine's next action. The endpoint is used for a
+// dispatch if given; otherwise one is picked.
+func (s *Scheduler) act(running *attempt, action request.Action, endpoint *routing.Endpoint) {
+	switch typed := action.(type) {
+	case request.Dispatch:
+		s.dispatch(running, typed, endpoint)
+	case request.Forward:
+		s.checkAge(running)
+	case request.Finish:
+		s.finished(running, typed.Result)
+	}
+}
+
+func (s *Scheduler) dispatch(running *attempt, dispatch request.Dispatch, endpoint *routing.Endpoint) {
+	if endpoint == nil {
+		avoid := ""
+		if running.endpoint != nil {
+			avoid = running.endpoint.Name
+		}
+		running.endpoint = nil
+		picked, err := s.plan().Plan.Pick(s.query(running.slot, avoid))
+		if err != nil {
+			// The tokens so far are kept until an engine has room.
+			running.parked = &dispatch
+			s.parked = append(s.parked, running)
+			return
+		}
+		endpoint = picked
+	}
+	running.endpoint = endpoint
+	running.dispatch++
+	running.moving = false
+	endpoint.State.InFlight.Add(1)
+	s.counters.Dispatched++
+	dispatch.Request.Deadline = s.config.Clock.Now().Add(sampleDeadline)
+	number, open := running.dispatch, true
+	closeStream := func() {
+		if open {
+			open = false
+			endpoint.State.InFlight.Add(-1)
+		}
+	}
+	cancel := s.config.Engines.Start(endpoint.Address, dispatch.Request, func(event engine.Event) {
+		if _, isChunk := event.(engine.Chunk); !isChunk {
+			closeStream()
+			s.countFailure(endpoint, event)
+		}
+		if !running.ended && !s.stopped && number == running.dispatch {
+			s.act(running, running.machine.Handle(event), nil)
+		}
+	})
+	running.cancel = func() {
+		closeStream()
+		cancel()
+	}
+}
+
+func (s *Scheduler) countFailure(endpoint *routing.Endpoint, event engine.Event) {
+	if _, failed := event.(*engine.Error); failed {
+		endpoint.State.Failures.Add(1)
+		return
+	}
+	endpoint.State.Failures.Store(0)
+}
+
+func (s *Scheduler) pumpParked() {
+	parked := s.parked
+	s.parked = nil
+	for _, waiting := range parked {
+		if waiting.ended || waiting.parked == nil {
+			continue
+		}
+		dispatch := *waiting.parked
+		waiting.parked = nil
+		s.dispatch(waiting, dispatch, nil)
+	}
+}
+
+// checkAge gives up a sample whose first tokens are already too old for the
+// step, instead of generating the rest in vain.
+func (s *Scheduler) checkAge(running *attempt) {
+	oldest := stream.OldestVersion(running.machine.Segments())
+	if oldest >= s.bound(running.slot.step) {
+		return
+	}
+	s.counters.StaleReplaced++
+	s.abandon(running)
+}
+
+// abandon ends an attempt without a result and has its slot tried again.
+func (s *Scheduler) abandon(running *attempt) {
+	s.counters.TokensWasted += int64(running.machine.Tokens())
+	s.cancelAttempt(running)
+	if len(running.slot.attempts) == 0 && running.slot.state == slotRunning {
+		s.requeue(running.slot)
+	}
+}
+
+func (s *Scheduler) cancelAttempt(running *attempt) {
+	running.ended = true
+	if running.cancel != nil {
+		running.cancel()
+	}
+	running.slot.attempts = slices.DeleteFunc(running.slot.attempts, func(held *attempt) bool { return held == running })
+}
+
+func (s *Scheduler) cancelAttempts(ended *slot) {
+	for _, running := range slices.Clone(ended.attempts) {
+		s.counters.TokensWasted += int64(running.machine.Tokens())
+		s.cancelAttempt(running)
+	}
+}
+
+// finished takes in the result of an attempt.
+func (s *Scheduler) finished(running *attempt, result request.Result) {
+	filled := running.slot
+	if !result.Done() {
+		s.abandon(running)
+		return
+	}
+	s.cancelAttempt(running)
+	s.cancelAttempts(filled)
+	if filled.state != slotRunning {
+		return
+	}
+	s.predictor.Observe(filled.prompt, result.Tokens)
+	filled.step.durations = append(filled.step.durations, s.config.Clock.Now().Sub(running.started))
+	s.counters.Finished++
+	if stream.OldestVersion(result.Segments) < s.bound(filled.step) {
+		s.counters.StaleReplaced++
+		s.requeue(filled)
+		return
+	}
+	sample := Sample{
+		Trainer:  s.config.Trainer,
+		Step:     filled.step.request.Step,
+		Slot:     filled.index,
+		Prompt:   filled.prompt,
+		Text:     result.Text,
+		Tokens:   result.Tokens,
+		Reason:   result.Reason,
+		Segments: result.Segments,
+	}
+	s.score(filled, sample)
+	s.pump()
+}
+
+// score has a sample judged, as often as it takes.
+func (s *Scheduler) score(filled *slot, sample Sample) {
+	filled.state = slotScoring
+	data, err := json.Marshal(sample)
+	if err != nil {
+		s.requeue(filled)
+		return
+	}
+	plan := s.plan()
+	s.config.Scorer.Score(plan.Trainer.Spec.Scorer, data, func(score float64, err error) {
+		if s.stopped || filled.state != slotScoring {
+			return
+		}
+		if err != nil {
+			s.config.Clock.AfterFunc(slotRetry, func() {
+				if !s.stopped && filled.state == slotScoring {
+					s.score(filled, sample)
+				}
+			})
+			return
+		}
+		sample.Score = score
+		s.keep(filled, sample)
+	})
+}
--- /dev/null
+++ b/internal/rollout/config.go
@@ -0,0 +1,84 @@
+package rollout
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/pathtally/pathtally/internal/engine"
+	"github.com/pathtally/pathtally/internal/environment"
+	"github.com/pathtally/pathtally/internal/routing"
+	"github.com/pathtally/pathtally/internal/wire"
+)
+
+const (
+	// pumpPeriod is the time between looks at waiting samples and tails.
+	pumpPeriod = 50 * time.Millisecond
+	// slotRetry is the wait after an attempt that failed.
+	slotRetry = 200 * time.Millisecond
+	// sealRetry is the wait after the quorum could not decide.
+	sealRetry = 500 * time.Millisecond
+	// storeTimeout bounds one message to a sample store.
+	storeTimeout = 3 * time.Second
+	// sampleAttempts bounds the dispatches of one attempt.
+	sampleAttempts = 64
+	// sampleDeadline bounds one dispatch of a sample.
+	sampleDeadline = 8 * time.Minute
+	// keptAcked is how many acknowledged steps stay in memory.
+	keptAcked = 2
+	// defaultChunkTokens is how many tokens a sample reports together.
+	defaultChunkTokens = 16
+	// fullLoadShare stops dispatching to an engine whose slots are taken.
+	fullLoadShare = 1.0
+)
+
+// Registers decides the manifests.
+type Registers interface {
+	Propose(register string, ballot uint64, value []byte, done func([]byte, error))
+	Read(register string, ballot uint64, done func([]byte, error))
+}
+
+// Scorer judges a sample before it counts as finished.
+type Scorer interface {
+	Score(url string, sample []byte, done func(float64, error))
+}
+
+// Stores tells where samples are kept.
+type Stores interface {
+	// Usable returns the nodes with a data folder that can be reached.
+	Usable() []wire.Member
+	// Copies is how many stores must hold a sample.
+	Copies() int
+}
+
+// Config is what a Scheduler needs.
+type Config struct {
+	Trainer   string
+	Token     uint64
+	Node      string
+	Zone      string
+	Clock     environment.Clock
+	Random    *rand.Rand
+	Peers     environment.Peers
+	Engines   engine.Client
+	Registers Registers
+	Scorer    Scorer
+	Stores    Stores
+	// Plan returns the trainer and its engines as they are now, or nil.
+	Plan func() *routing.TrainerPlan
+	// Policy overrides the one that suits the trainer.
+	Policy Policy
+	// OnSuperseded is told when another holder's ballot was seen.
+	OnSuperseded func()
+	// ChunkTokens overrides how many tokens are reported together.
+	ChunkTokens int
+}
+
+// Counters are what a Scheduler has done, for the metrics.
+type Counters struct {
+	Dispatched    int64
+	Finished      int64
+	StaleReplaced int64
+	Moved         int64
+	Raced         int64
+	TokensWasted  int64
+}
--- /dev/null
+++ b/internal/rollout/keep.go
@@ -0,0 +1,120 @@
+package rollout
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pathtally/pathtally/internal/rendezvous"
+	"github.com/pathtally/pathtally/internal/stream"
+	"github.com/pathtally/pathtally/internal/wire"
+)
+
+// manifestSlot is the slot number under which the stores keep a copy of the
+// manifest.
+const manifestSlot = ^uint32(0)
+
+// keep stores a sample; the slot is filled when enough stores have it.
+func (s *Scheduler) keep(filled *slot, sample Sample) {
+	data, err := json.Marshal(sample)
+	if err != nil {
+		s.requeue(filled)
+		return
+	}
+	filled.state = slotStoring
+	filled.data = data
+	filled.digest = xxhash.Sum64(data)
+	filled.oldest = stream.OldestVersion(sample.Segments)
+	s.replicate(filled)
+}
+
+// storesFor ranks the stores for a slot, alternating zones.
+func (s *Scheduler) storesFor(step uint64, slotIndex uint32) []wire.Member {
+	usable := s.usableStores()
+	byID := make(map[string]wire.Member, len(usable))
+	candidates := make([]rendezvous.Candidate, len(usable))
+	for i, member := range usable {
+		byID[member.ID] = member
+		candidates[i] = rendezvous.Candidate{ID: member.ID, Zone: member.Zone}
+	}
+	key := fmt.Sprintf("%s/%d/%d", s.config.Trainer, step, slotIndex)
+	ranked := make([]wire.Member, 0, len(usable))
+	for _, candidate := range rendezvous.RankAcrossZones(key, candidates) {
+		ranked = append(ranked, byID[candidate.ID])
+	}
+	return ranked
+}
+
+// replicate puts a slot's sample on as many more stores as it needs.
+func (s *Scheduler) replicate(filled *slot) {
+	if s.stopped || filled.state != slotStoring {
+		return
+	}
+	missing := s.config.Stores.Copies() - len(filled.copies)
+	if missing <= 0 {
+		s.filled(filled)
+		return
+	}
+	digest, waiting := filled.digest, 0
+	for _, store := range s.storesFor(filled.step.request.Step, filled.index) {
+		if missing == 0 {
+			break
+		}
+		if filled.copies[store.ID] {
+			continue
+		}
+		missing--
+		waiting++
+		s.put(store, filled.step.request.Step, filled.index, filled.digest, filled.data, func(stored bool) {
+			waiting--
+			if s.stopped || filled.digest != digest || filled.state != slotStoring {
+				return
+			}
+			if stored {
+				filled.copies[store.ID] = true
+			}
+			if len(filled.copies) >= s.config.Stores.Copies() {
+				s.filled(filled)
+				return
+			}
+			if waiting == 0 {
+				s.config.Clock.AfterFunc(slotRetry, func() { s.replicate(filled) })
+			}
+		})
+	}
+	if waiting == 0 {
+		s.config.Clock.AfterFunc(slotRetry, func() { s.replicate(filled) })
+	}
+}
+
+func (s *Scheduler) put(store wire.Member, step uint64, index uint32, digest uint64, data []byte, done func(bool)) {
+	put := &wire.SamplePut{Trainer: s.config.Trainer, Step: step, Slot: index, Digest: digest, Data: data, Token: s.config.Token}
+	s.config.Peers.Call(store.Address, put, storeTimeout, func(message wire.Message, err error) {
+		if remote, refused := asRemote(err); refused && remote.Code == wire.CodeStaleToken {
+			s.superseded()
+			return
+		}
+		_, stored := message.(*wire.Done)
+		done(err == nil && stored)
+	})
+}
+
+func (s *Scheduler) filled(filled *slot) {
+	filled.state = slotFilled
+	filled.step.unfilled--
+	if filled.step.unfilled == 0 && filled.step.phase == phaseGenerating {
+		s.seal(filled.step)
+	}
+}
+
+// superseded ends this scheduler: another holder has a greater token.
+func (s *Scheduler) superseded() {
+	if s.stopped {
+		return
+	}
+	s.Stop()
+	if s.config.OnSuperseded != nil {
+		s.config.OnSuperseded()
+	}
+}
--- /dev/null
+++ b/internal/rollout/policy.go
@@ -0,0 +1,148 @@
+package rollout
+
+import (
+	"slices"
+	"time"
+
+	v1 "github.com/pathtally/pathtally/api/v1"
+)
+
+// Policy decides the order, urgency and look-ahead of samples.
+type Policy interface {
+	Name() string
+	// StepsAhead is how many steps beyond the oldest open one may run.
+	StepsAhead(trainer *v1.Trainer) int
+	// Order sorts slots that wait for dispatch; the first goes first.
+	Order(slots []Prediction)
+	// Priority is the engine priority of a sample; place 0 is the oldest
+	// open step.
+	Priority(place int) int
+	// Tail says what to do about a sample of a step's tail.
+	Tail(view TailView) TailAction
+}
+
+// Prediction is a waiting slot with the length expected of it in tokens.
+type Prediction struct {
+	Slot   uint32
+	Tokens float64
+}
+
+// TailView is what a policy knows of a running sample late in its step.
+type TailView struct {
+	// Remaining and Total count the step's samples unfinished and in all.
+	Remaining int
+	Total     int
+	// Elapsed is the age of the attempt, Median that of finished ones.
+	Elapsed time.Duration
+	Median  time.Duration
+	// Load is that of the sample's engine over its slots, Quietest that of
+	// the best other engine.
+	Load     float64
+	Quietest float64
+	// Attempts is how many attempts of the sample are running, and Moves how
+	// often this one has been moved.
+	Attempts int
+	Moves    int
+}
+
+// TailAction is what to do about a sample of the tail.
+type TailAction int
+
+// The actions about a sample of the tail.
+const (
+	TailNothing TailAction = iota
+	TailMove
+	TailRace
+)
+
+const (
+	rolloutPriority = 10
+	// priorityStep is between two successive open steps.
+	priorityStep = 5
+	// tailShare is the part of a step that counts as its tail.
+	tailShare = 0.15
+	// moveGain is how much quieter another engine must be.
+	moveGain = 0.35
+	maxMoves = 2
+	// raceFactor times the median is when a second attempt starts.
+	raceFactor = 6
+	raceShare  = 0.02
+)
+
+// Baseline is first come, first served, one step at a time.
+type Baseline struct{}
+
+// Name implements Policy.
+func (Baseline) Name() string { return "baseline" }
+
+// StepsAhead implements Policy.
+func (Baseline) StepsAhead(*v1.Trainer) int { return 0 }
+
+// Order implements Policy.
+func (Baseline) Order([]Prediction) {}
+
+// Priority implements Policy.
+func (Baseline) Priority(int) int { return rolloutPriority }
+
+// Tail implements Policy.
+func (Baseline) Tail(TailView) TailAction { return TailNothing }
+
+// TailControl runs the longest samples first, and moves or races the last.
+type TailControl struct{}
+
+// Name implements Policy.
+func (TailControl) Name() string { return "tail" }
+
+// StepsAhead implements Policy.
+func (TailControl) StepsAhead(*v1.Trainer) int { return 0 }
+
+// Order implements Policy.
+func (TailControl) Order(slots []Prediction) {
+	slices.SortStableFunc(slots, func(a, b Prediction) int {
+		if a.Tokens > b.Tokens {
+			return -1
+		}
+		if a.Tokens < b.Tokens {
+			return 1
+		}
+		return 0
+	})
+}
+
+// Priority implements Policy.
+func (TailControl) Priority(place int) int {
+	return max(1, rolloutPriority+2*priorityStep-place*priorityStep)
+}
+
+// Tail implements Policy.
+func (TailControl) Tail(view TailView) TailAction {
+	share := float64(view.Remaining) / float64(view.Total)
+	if share > tailShare {
+		return TailNothing
+	}
+	if view.Load-view.Quietest > moveGain && view.Moves < maxMoves && view.Attempts == 1 {
+		return TailMove
+	}
+	if share <= raceShare && view.Attempts == 1 && view.Median > 0 && view.Elapsed > raceFactor*view.Median && view.Load > 1 {
+		return TailRace
+	}
+	return TailNothing
+}
+
+// Overlap is TailControl that starts the next steps within the trainer's
+// look-ahead.
+type Overlap struct{ TailControl }
+
+// Name implements Policy.
+func (Overlap) Name() string { return "overlap" }
+
+// StepsAhead implements Policy.
+func (Overlap) StepsAhead(trainer *v1.Trainer) int { return trainer.Spec.StepsAhead }
+
+// PolicyFor returns the policy that suits what a trainer prizes.
+func PolicyFor(trainer *v1.Trainer) Policy {
+	if trainer.Spec.Prizes == v1.PrizeStaleness {
+		return TailControl{}
+	}
+	return Overlap{}
+}
--- /dev/null
+++ b/internal/rollout/recover.go
@@ -0,0 +1,180 @@
+package rollout
+
+import (
+	"encoding/json"
+	"errors"
+	"maps"
+	"slices"
+
+	"github.com/pathtally/pathtally/internal/quorum"
+	"github.com/pathtally/pathtally/internal/stream"
+	"github.com/pathtally/pathtally/internal/wire"
+)
+
+// recover finds out what an earlier holder has done for a step: a manifest
+// that was decided, or samples that are stored.
+func (s *Scheduler) recover(step *stepState) {
+	step.phase = phaseRecovering
+	s.readManifest(step, 0, nil)
+}
+
+// readManifest looks for the newest decided revision.
+func (s *Scheduler) readManifest(step *stepState, revision int, newest []byte) {
+	name := registerName(s.config.Trainer, step.request.Step, revision)
+	s.config.Registers.Read(name, s.config.Token, func(value []byte, err error) {
+		switch {
+		case s.stopped:
+		case errors.Is(err, quorum.ErrSuperseded):
+			s.superseded()
+		case err != nil:
+			s.config.Clock.AfterFunc(sealRetry, func() {
+				if !s.stopped {
+					s.readManifest(step, revision, newest)
+				}
+			})
+		case value != nil:
+			s.readManifest(step, revision+1, value)
+		case newest != nil:
+			s.adopt(step, newest)
+		default:
+			s.listSamples(step)
+		}
+	})
+}
+
+// listSamples asks the stores which samples of the step they hold.
+func (s *Scheduler) listSamples(step *stepState) {
+	stores := s.usableStores()
+	waiting, answered := len(stores), 0
+	holders := map[wire.SampleReference]map[string]bool{}
+	if waiting == 0 {
+		s.retryList(step)
+		return
+	}
+	request := &wire.SampleList{Trainer: s.config.Trainer, Step: step.request.Step}
+	for _, store := range stores {
+		s.config.Peers.Call(store.Address, request, storeTimeout, func(message wire.Message, err error) {
+			waiting--
+			if found, ok := message.(*wire.Samples); err == nil && ok {
+				answered++
+				for _, sample := range found.Samples {
+					reference := wire.SampleReference{Slot: sample.Slot, Digest: sample.Digest}
+					if holders[reference] == nil {
+						holders[reference] = map[string]bool{}
+					}
+					holders[reference][store.ID] = true
+				}
+			}
+			if waiting > 0 || s.stopped {
+				return
+			}
+			if answered == 0 {
+				s.retryList(step)
+				return
+			}
+			s.fetchListed(step, holders)
+		})
+	}
+}
+
+func (s *Scheduler) retryList(step *stepState) {
+	s.config.Clock.AfterFunc(sealRetry, func() {
+		if !s.stopped {
+			s.listSamples(step)
+		}
+	})
+}
+
+// fetchListed reads the samples found, so that their versions are known, and
+// then generates what is missing. For each slot the sample with the most
+// copies is taken.
+func (s *Scheduler) fetchListed(step *stepState, holders map[wire.SampleReference]map[string]bool) {
+	var references []wire.SampleReference
+	for _, reference := range sortedReferences(holders) {
+		if int(reference.Slot) >= len(step.slots) {
+			continue
+		}
+		held := step.slots[reference.Slot]
+		if len(holders[reference]) > len(held.copies) {
+			held.digest = reference.Digest
+			held.copies = maps.Clone(holders[reference])
+		}
+	}
+	for _, held := range step.slots {
+		if held.digest != 0 {
+			references = append(references, wire.SampleReference{Slot: held.index, Digest: held.digest})
+		}
+	}
+	if len(references) == 0 {
+		s.generate(step)
+		return
+	}
+	stores := s.usableStores()
+	waiting := len(stores)
+	request := &wire.SampleGet{Trainer: s.config.Trainer, Step: step.request.Step, References: references}
+	for _, store := range stores {
+		s.config.Peers.Call(store.Address, request, storeTimeout, func(message wire.Message, err error) {
+			waiting--
+			if found, ok := message.(*wire.Samples); err == nil && ok {
+				takeSamples(step, found)
+			}
+			if waiting == 0 && !s.stopped {
+				s.generate(step)
+			}
+		})
+	}
+	if waiting == 0 {
+		s.generate(step)
+	}
+}
+
+func sortedReferences(holders map[wire.SampleReference]map[string]bool) []wire.SampleReference {
+	references := slices.Collect(maps.Keys(holders))
+	slices.SortFunc(references, func(a, b wire.SampleReference) int {
+		if a.Slot != b.Slot {
+			return int(a.Slot) - int(b.Slot)
+		}
+		if a.Digest < b.Digest {
+			return -1
+		}
+		return 1
+	})
+	return references
+}
+
+// generate queues every slot for which nothing usable was found.
+func (s *Scheduler) generate(step *stepState) {
+	step.phase = phaseGenerating
+	var found []*slot
+	for _, held := range step.slots {
+		var sample Sample
+		if held.data != nil && json.Unmarshal(held.data, &sample) == nil {
+			held.oldest = stream.OldestVersion(sample.Segments)
+		}
+		if held.oldest >= s.bound(step) && held.oldest > 0 {
+			held.state = slotStoring
+			found = append(found, held)
+			continue
+		}
+		held.digest, held.data, held.oldest = 0, nil, 0
+		held.copies = map[string]bool{}
+		step.pending = append(step.pending, held)
+	}
+	s.orderPending(step)
+	for _, held := range found {
+		s.replicate(held)
+	}
+	s.pump()
+}
+
+// orderPending sorts the waiting slots as the policy wants them.
+func (s *Scheduler) orderPending(step *stepState) {
+	predictions := make([]Prediction, len(step.pending))
+	for i, waiting := range step.pending {
+		predictions[i] = Prediction{Slot: waiting.index, Tokens: s.predictor.Predict(waiting.prompt)}
+	}
+	s.policy().Order(predictions)
+	for i, prediction := range predictions {
+		step.pending[i] = step.slots[prediction.Slot]
+	}
+}
--- /dev/null
+++ b/internal/rollout/seal.go
@@ -0,0 +1,207 @@
+package rollout
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pathtally/pathtally/internal/quorum"
+	"github.com/pathtally/pathtally/internal/wire"
+)
+
+func asRemote(err error) (*wire.RemoteError, bool) {
+	var remote *wire.RemoteError
+	found := errors.As(err, &remote)
+	return remote, found
+}
+
+func registerName(trainer string, step uint64, revision int) string {
+	return fmt.Sprintf("manifest/%s/%d/%d", trainer, step, revision)
+}
+
+// seal proposes the manifest of the filled slots. Whatever the register
+// decides stands, be it this proposal or that of an earlier holder.
+func (s *Scheduler) seal(step *stepState) {
+	step.phase = phaseSealing
+	manifest := &Manifest{Trainer: s.config.Trainer, Step: step.request.Step, Revision: step.revision, TrainVersion: step.request.TrainVersion}
+	for _, filled := range step.slots {
+		manifest.Samples = append(manifest.Samples, ManifestEntry{Slot: filled.index, Digest: filled.digest, Oldest: filled.oldest})
+	}
+	value, err := json.Marshal(manifest)
+	if err != nil {
+		s.answer(step, nil, merry.Wrap(err))
+		return
+	}
+	s.propose(step, value)
+}
+
+func (s *Scheduler) propose(step *stepState, value []byte) {
+	name := registerName(s.config.Trainer, step.request.Step, step.revision)
+	s.config.Registers.Propose(name, s.config.Token, value, func(decided []byte, err error) {
+		if s.stopped {
+			return
+		}
+		if errors.Is(err, quorum.ErrSuperseded) {
+			s.superseded()
+			return
+		}
+		if err != nil {
+			s.config.Clock.AfterFunc(sealRetry, func() {
+				if !s.stopped {
+					s.propose(step, value)
+				}
+			})
+			return
+		}
+		s.copyManifest(step, decided)
+		s.adopt(step, decided)
+	})
+}
+
+// copyManifest leaves a copy with the stores, for the case that the quorum
+// is lost as a whole.
+func (s *Scheduler) copyManifest(step *stepState, value []byte) {
+	for i, store := range s.storesFor(step.request.Step, manifestSlot) {
+		if i == s.config.Stores.Copies() {
+			return
+		}
+		s.put(store, step.request.Step, manifestSlot, xxhash.Sum64(value), value, func(bool) {})
+	}
+}
+
+// adopt takes a decided manifest as the step's content and fetches whatever
+// samples of it are not in memory.
+func (s *Scheduler) adopt(step *stepState, value []byte) {
+	manifest := &Manifest{}
+	if err := json.Unmarshal(value, manifest); err != nil || len(manifest.Samples) != len(step.slots) {
+		s.answer(step, nil, merry.Wrap(ErrStepConflict))
+		return
+	}
+	step.manifest = manifest
+	step.revision = manifest.Revision
+	step.phase = phaseSealing
+	step.pending = nil
+	var missing []wire.SampleReference
+	for i, entry := range manifest.Samples {
+		held := step.slots[i]
+		s.cancelAttempts(held)
+		if held.digest != entry.Digest || held.data == nil {
+			missing = append(missing, wire.SampleReference{Slot: entry.Slot, Digest: entry.Digest})
+			held.data = nil
+		}
+		held.state, held.digest, held.oldest = slotFilled, entry.Digest, entry.Oldest
+	}
+	step.unfilled = 0
+	if len(missing) == 0 {
+		s.sealed(step)
+		return
+	}
+	s.gather(step, missing)
+}
+
+// gather asks every store for samples, and goes on asking while any is
+// missing: a store that is away may come back.
+func (s *Scheduler) gather(step *stepState, missing []wire.SampleReference) {
+	stores := s.usableStores()
+	waiting := len(stores)
+	retry := func() {
+		s.config.Clock.AfterFunc(sealRetry, func() {
+			if !s.stopped {
+				s.gather(step, missing)
+			}
+		})
+	}
+	if waiting == 0 {
+		retry()
+		return
+	}
+	request := &wire.SampleGet{Trainer: s.config.Trainer, Step: step.request.Step, References: missing}
+	for _, store := range stores {
+		s.config.Peers.Call(store.Address, request, storeTimeout, func(message wire.Message, err error) {
+			waiting--
+			if found, ok := message.(*wire.Samples); err == nil && ok {
+				takeSamples(step, found)
+			}
+			if waiting > 0 || s.stopped || step.phase != phaseSealing {
+				return
+			}
+			for _, held := range step.slots {
+				if held.data == nil {
+					s.answer(step, nil, merry.Wrap(ErrSampleLost))
+					retry()
+					return
+				}
+			}
+			s.sealed(step)
+		})
+	}
+}
+
+// takeSamples puts samples that stores returned into their slots.
+func takeSamples(step *stepState, found *wire.Samples) {
+	for _, sample := range found.Samples {
+		if int(sample.Slot) >= len(step.slots) {
+			continue
+		}
+		held := step.slots[sample.Slot]
+		if held.digest == sample.Digest && xxhash.Sum64(sample.Data) == sample.Digest {
+			held.data = sample.Data
+		}
+	}
+}
+
+func (s *Scheduler) sealed(step *stepState) {
+	step.phase = phaseSealed
+	s.handOver(step)
+	s.pump()
+}
+
+// handOver answers the waiting trainer. A sample that has become too old for
+// the version that the trainer will train is not delivered but replaced, in a
+// new revision; a step that was acknowledged stays as it was.
+func (s *Scheduler) handOver(step *stepState) {
+	if len(step.waiters) == 0 {
+		return
+	}
+	bound := s.bound(step)
+	var stale []*slot
+	for _, held := range step.slots {
+		if held.oldest < bound {
+			stale = append(stale, held)
+		}
+	}
+	if len(stale) > 0 && !step.acked {
+		step.phase = phaseGenerating
+		step.revision++
+		step.manifest = nil
+		for _, replaced := range stale {
+			s.counters.StaleReplaced++
+			s.requeue(replaced)
+		}
+		s.pump()
+		return
+	}
+	body, err := stepBody(step)
+	s.answer(step, body, err)
+}
+
+// stepBody is the manifest and the samples as JSON lines, the same bytes for
+// the same manifest.
+func stepBody(step *stepState) ([]byte, error) {
+	header, err := json.Marshal(step.manifest)
+	if err != nil {
+		return nil, merry.Wrap(err)
+	}
+	var body bytes.Buffer
+	body.Write(header)
+	body.WriteByte('\n')
+	for _, held := range step.slots {
+		body.Write(held.data)
+		body.WriteByte('\n')
+	}
+	return body.Bytes(), nil
+}
--- /dev/null
+++ b/internal/routing/endpoint.go
@@ -0,0 +1,88 @@
+package routing
+
+import (
+	"sync/atomic"
+
+	"github.com/pathtally/pathtally/internal/admission"
+	"github.com/pathtally/pathtally/internal/rendezvous"
+)
+
+// targetRetryPercent is the share of an engine's successes that may be spent
+// on retries to it.
+const targetRetryPercent = 20
+
+// Endpoint is one engine as a plan sees it. It is immutable but for State.
+type Endpoint struct {
+	Name    string
+	Address string
+	Zone    string
+	Model   string
+	Slots   int
+	Hash    uint64
+	// Serves and Rollouts follow the engine's declared role.
+	Serves   bool
+	Rollouts bool
+	// Cordoned follows the declaration.
+	Cordoned bool
+	State    *EndpointState
+}
+
+// EngineView is what is known of an engine besides its declaration. It is
+// immutable; a new report replaces it.
+type EngineView struct {
+	// Excluded means that the engine takes no new work: it is leaving,
+	// unhealthy or silent.
+	Excluded bool
+	Running  int
+	Waiting  int
+	Version  int64
+}
+
+// EndpointState is what changes about an engine between configurations. It
+// outlives snapshots and is shared by all workers.
+type EndpointState struct {
+	// InFlight counts this node's open dispatches.
+	InFlight atomic.Int64
+	// Failures counts dispatches that failed in a row.
+	Failures atomic.Int64
+	// Retries bounds the retries sent to the engine.
+	Retries *admission.RetryBudget
+
+	view atomic.Pointer[EngineView]
+	// reportedInFlight is InFlight at the time of the newest view, so that
+	// the dispatches that the report includes are not counted twice.
+	reportedInFlight atomic.Int64
+}
+
+// newEndpointState returns the state of an engine of which nothing is known,
+// so that it gets no work before its first report.
+func newEndpointState() *EndpointState {
+	state := &EndpointState{Retries: admission.NewRetryBudget(targetRetryPercent)}
+	state.view.Store(&EngineView{Excluded: true})
+	return state
+}
+
+// SetView replaces what is known of the engine.
+func (s *EndpointState) SetView(view EngineView) {
+	s.reportedInFlight.Store(s.InFlight.Load())
+	s.view.Store(&view)
+}
+
+// View returns what is known of the engine.
+func (s *EndpointState) View() *EngineView { return s.view.Load() }
+
+// Excluded tells whether the engine gets no new work.
+func (e *Endpoint) Excluded() bool { return e.Cordoned || e.State.View().Excluded }
+
+// Version is the weight version last reported.
+func (e *Endpoint) Version() int64 { return e.State.View().Version }
+
+// Load estimates the engine's sequences now: those reported plus what this
+// node has changed since.
+func (e *Endpoint) Load() int64 {
+	view := e.State.View()
+	since := e.State.InFlight.Load() - e.State.reportedInFlight.Load()
+	return max(0, int64(view.Running+view.Waiting)+since)
+}
+
+func hashOf(name string) uint64 { return rendezvous.Hash(name) }
--- /dev/null
+++ b/internal/routing/filter.go
@@ -0,0 +1,60 @@
+package routing
+
+// Query is what a pick has to know of a request.
+type Query struct {
+	// Zone is where the picking node is.
+	Zone string
+	// PrefixHash is the hash of the prompt's beginning.
+	PrefixHash uint64
+	// MinVersion is the least weight version allowed, 0 for any.
+	MinVersion int64
+	// Avoid names an engine that has just failed the request.
+	Avoid string
+	// Random is a random number of the caller's.
+	Random uint64
+	// Rollout is true for samples, false for live requests.
+	Rollout bool
+	// MaxLoadShare bounds the load of an engine as a multiple of its slots,
+	// 0 for no bound.
+	MaxLoadShare float64
+}
+
+// Filter decides whether an engine may be picked.
+type Filter interface {
+	Allow(query *Query, endpoint *Endpoint) bool
+}
+
+// RoleFilter keeps rollouts and live requests to engines of their role.
+type RoleFilter struct{}
+
+// Allow implements Filter.
+func (RoleFilter) Allow(query *Query, endpoint *Endpoint) bool {
+	if query.Rollout {
+		return endpoint.Rollouts
+	}
+	return endpoint.Serves
+}
+
+// AvailableFilter refuses engines that leave or do not answer.
+type AvailableFilter struct{}
+
+// Allow implements Filter.
+func (AvailableFilter) Allow(query *Query, endpoint *Endpoint) bool {
+	return !endpoint.Excluded() && endpoint.Name != query.Avoid
+}
+
+// VersionFilter refuses engines on weights older than the request allows.
+type VersionFilter struct{}
+
+// Allow implements Filter.
+func (VersionFilter) Allow(query *Query, endpoint *Endpoint) bool {
+	return endpoint.Version() >= query.MinVersion
+}
+
+// CapacityFilter refuses engines whose load is at the bound.
+type CapacityFilter struct{}
+
+// Allow implements Filter.
+func (CapacityFilter) Allow(query *Query, endpoint *Endpoint) bool {
+	return query.MaxLoadShare == 0 || float64(endpoint.Load()) < query.MaxLoadShare*float64(endpoint.Slots)
+}
--- /dev/null
+++ b/internal/routing/plan.go
@@ -0,0 +1,149 @@
+package routing
+
+import (
+	"github.com/ansel1/merry/v2"
+
+	"github.com/pathtally/pathtally/internal/rendezvous"
+)
+
+// Errors of Pick.
+var (
+	// ErrNoEngineDeclared means that no rule allows any engine.
+	ErrNoEngineDeclared = merry.Sentinel("no engine is declared for the request")
+	// ErrNoEngineAvailable means that every engine allowed is leaving, silent,
+	// full or on other weights.
+	ErrNoEngineAvailable = merry.Sentinel("no engine is available for the request")
+)
+
+const (
+	// nearDraws and anyDraws are how many candidates are drawn at random.
+	nearDraws = 2
+	anyDraws  = 2
+)
+
+// Plan is the engines allowed to one traffic group or trainer. It is
+// immutable.
+type Plan struct {
+	// endpoints has those of the node's own zone first.
+	endpoints []*Endpoint
+	near      int
+	filters   []Filter
+	scorers   []Scorer
+}
+
+// NewPlan returns a plan for a node in a zone.
+func NewPlan(zone string, endpoints []*Endpoint) *Plan {
+	plan := &Plan{
+		filters: []Filter{RoleFilter{}, AvailableFilter{}, VersionFilter{}, CapacityFilter{}},
+		scorers: []Scorer{LoadScorer{}, ZoneScorer{}, FailureScorer{}},
+	}
+	for _, endpoint := range endpoints {
+		if endpoint.Zone == zone {
+			plan.endpoints = append(plan.endpoints, endpoint)
+		}
+	}
+	plan.near = len(plan.endpoints)
+	for _, endpoint := range endpoints {
+		if endpoint.Zone != zone {
+			plan.endpoints = append(plan.endpoints, endpoint)
+		}
+	}
+	return plan
+}
+
+// Endpoints lists the engines of the plan.
+func (p *Plan) Endpoints() []*Endpoint { return p.endpoints }
+
+// Pick returns the best of a few candidates; only when none of them will do
+// does it look at all.
+func (p *Plan) Pick(query *Query) (*Endpoint, error) {
+	if len(p.endpoints) == 0 {
+		return nil, ErrNoEngineDeclared
+	}
+	best := p.draw(query)
+	if best == nil {
+		best = p.scan(query)
+	}
+	if best == nil {
+		return nil, ErrNoEngineAvailable
+	}
+	return best, nil
+}
+
+func (p *Plan) draw(query *Query) *Endpoint {
+	var best *Endpoint
+	bestScore := 0.0
+	consider := func(endpoint *Endpoint, bonus float64) {
+		if !p.allowed(query, endpoint) {
+			return
+		}
+		score := p.score(query, endpoint) + bonus
+		if best == nil || score > bestScore {
+			best, bestScore = endpoint, score
+		}
+	}
+	if query.PrefixHash != 0 {
+		consider(p.home(query.PrefixHash), affinityWeight)
+	}
+	random := query.Random
+	for range nearDraws {
+		if p.near > 0 {
+			random = rendezvous.Weight(random, hashStep)
+			consider(p.endpoints[random%uint64(p.near)], 0)
+		}
+	}
+	for range anyDraws {
+		random = rendezvous.Weight(random, hashStep)
+		consider(p.endpoints[random%uint64(len(p.endpoints))], 0)
+	}
+	return best
+}
+
+// hashStep advances the caller's random number.
+const hashStep = 0x9e3779b97f4a7c15
+
+// home is the engine whose prefix cache should hold a prompt's beginning.
+// Rendezvous hashing moves few prompts when an engine comes or goes.
+func (p *Plan) home(prefix uint64) *Endpoint {
+	home := p.endpoints[0]
+	greatest := uint64(0)
+	for _, endpoint := range p.endpoints {
+		weight := rendezvous.Weight(prefix, endpoint.Hash)
+		if weight >= greatest {
+			home, greatest = endpoint, weight
+		}
+	}
+	return home
+}
+
+func (p *Plan) scan(query *Query) *Endpoint {
+	var best *Endpoint
+	bestScore := 0.0
+	for _, endpoint := range p.endpoints {
+		if !p.allowed(query, endpoint) {
+			continue
+		}
+		score := p.score(query, endpoint)
+		if best == nil || score > bestScore {
+			best, bestScore = endpoint, score
+		}
+	}
+	return best
+}
+
+func (p *Plan) allowed(query *Query, endpoint *Endpoint) bool {
+	for _, filter := range p.filters {
+		if !filter.Allow(query, endpoint) {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *Plan) score(query *Query, endpoint *Endpoint) float64 {
+	total := 0.0
+	for _, scorer := range p.scorers {
+		total += scorer.Score(query, endpoint)
+	}
+	return total
+}
--- /dev/null
+++ b/internal/routing/score.go
@@ -0,0 +1,40 @@
+package routing
+
+// Scorer rates an engine for a request; greater is better.
+type Scorer interface {
+	Score(query *Query, endpoint *Endpoint) float64
+}
+
+// Weights of the scores against one full batch of load.
+const (
+	zoneWeight     = 0.15
+	affinityWeight = 0.4
+	failureWeight  = 0.5
+)
+
+// LoadScorer prefers engines with free slots.
+type LoadScorer struct{}
+
+// Score implements Scorer.
+func (LoadScorer) Score(_ *Query, endpoint *Endpoint) float64 {
+	return -float64(endpoint.Load()) / float64(endpoint.Slots)
+}
+
+// ZoneScorer prefers engines of the node's own zone.
+type ZoneScorer struct{}
+
+// Score implements Scorer.
+func (ZoneScorer) Score(query *Query, endpoint *Endpoint) float64 {
+	if endpoint.Zone == query.Zone {
+		return zoneWeight
+	}
+	return 0
+}
+
+// FailureScorer avoids engines that have failed this node lately.
+type FailureScorer struct{}
+
+// Score implements Scorer.
+func (FailureScorer) Score(_ *Query, endpoint *Endpoint) float64 {
+	return -failureWeight * float64(endpoint.State.Failures.Load())
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,155 @@
+// Package settings reads and checks what a node is told at its start: its
+// name, place, addresses and data folder, from a YAML file or from flags.
+package settings
+
+import (
+	"flag"
+	"fmt"
+	"net/netip"
+	"os"
+	"regexp"
+	"strings"
+	"time"
+
+	"sigs.k8s.io/yaml"
+
+	v1 "github.com/pathtally/pathtally/api/v1"
+)
+
+const defaultGrace = v1.Duration(30 * time.Second)
+
+// Settings are those of one node.
+type Settings struct {
+	// Node is the node's name, unique in the deployment.
+	Node   string `json:"node"`
+	Zone   string `json:"zone"`
+	Region string `json:"region"`
+	// Peer is the address on which other nodes reach this one, and HTTP the
+	// one for callers, trainers and operators.
+	Peer string `json:"peer"`
+	HTTP string `json:"http"`
+	// Seeds are peer addresses of nodes to join through.
+	Seeds []string `json:"seeds"`
+	// Platform is the address of the object API and the machine list.
+	Platform string `json:"platform"`
+	// DataFolder makes the node a sample store; empty keeps nothing.
+	DataFolder string `json:"dataFolder"`
+	// Grace bounds how long a planned stop waits for requests in progress.
+	Grace v1.Duration `json:"grace"`
+}
+
+// Error is a setting that cannot be used.
+type Error struct {
+	Setting string
+	Found   string
+	Allowed string
+}
+
+// Error names the setting, what was found and what is allowed.
+func (e *Error) Error() string {
+	return fmt.Sprintf("setting %s: found %q, allowed: %s", e.Setting, e.Found, e.Allowed)
+}
+
+// Errors are all findings of one check.
+type Errors []*Error
+
+// Error gives one finding a line.
+func (e Errors) Error() string {
+	lines := make([]string, len(e))
+	for i, finding := range e {
+		lines[i] = finding.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Register adds a flag for each setting; a flag goes before the file.
+func (s *Settings) Register(flags *flag.FlagSet) {
+	flags.StringVar(&s.Node, "node", "", "name of the node")
+	flags.StringVar(&s.Zone, "zone", "", "zone that the node is in")
+	flags.StringVar(&s.Region, "region", "", "region that the node is in")
+	flags.StringVar(&s.Peer, "peer", "", "address for other nodes, IP and port")
+	flags.StringVar(&s.HTTP, "http", "", "address for callers, IP and port")
+	flags.Func("seeds", "peer addresses to join through, separated by commas", func(text string) error {
+		s.Seeds = strings.Split(text, ",")
+		return nil
+	})
+	flags.StringVar(&s.Platform, "platform", "", "address of the object API, IP and port")
+	flags.StringVar(&s.DataFolder, "data-folder", "", "folder for samples; empty keeps none")
+	flags.Func("grace", "how long a planned stop waits for requests", func(text string) error {
+		span, err := time.ParseDuration(text)
+		s.Grace = v1.Duration(span)
+		return err
+	})
+}
+
+// Load reads a file and lays the flags that were given over it.
+func Load(path string, given Settings) (Settings, error) {
+	loaded := Settings{}
+	if path != "" {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return loaded, &Error{Setting: "(file)", Found: path, Allowed: "a readable settings file: " + err.Error()}
+		}
+		if err := Parse(data, &loaded); err != nil {
+			return loaded, err
+		}
+	}
+	loaded.overlay(given)
+	if loaded.Grace == 0 {
+		loaded.Grace = defaultGrace
+	}
+	if findings := loaded.Check(); len(findings) > 0 {
+		return loaded, findings
+	}
+	return loaded, nil
+}
+
+// Parse reads settings from YAML; unknown names are refused.
+func Parse(data []byte, into *Settings) error {
+	if err := yaml.UnmarshalStrict(data, into); err != nil {
+		return &Error{Setting: "(file)", Found: err.Error(), Allowed: "YAML with the documented settings only"}
+	}
+	return nil
+}
+
+func (s *Settings) overlay(given Settings) {
+	for _, pair := range []struct{ into, from *string }{
+		{&s.Node, &given.Node}, {&s.Zone, &given.Zone}, {&s.Region, &given.Region}, {&s.Peer, &given.Peer},
+		{&s.HTTP, &given.HTTP}, {&s.Platform, &given.Platform}, {&s.DataFolder, &given.DataFolder},
+	} {
+		if *pair.from != "" {
+			*pair.into = *pair.from
+		}
+	}
+	if given.Seeds != nil {
+		s.Seeds = given.Seeds
+	}
+	if given.Grace != 0 {
+		s.Grace = given.Grace
+	}
+}
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,62}[a-z0-9])?$`)
+
+// Check returns everything that is wrong with the settings.
+func (s *Settings) Check() Errors {
+	var findings Errors
+	for _, name := range []struct{ setting, value string }{{"node", s.Node}, {"zone", s.Zone}, {"region", s.Region}} {
+		if !namePattern.MatchString(name.value) {
+			findings = append(findings, &Error{Setting: name.setting, Found: name.value, Allowed: "1 to 64 lower-case letters, digits, dots and dashes"})
+		}
+	}
+	addresses := []struct{ setting, value string }{{"peer", s.Peer}, {"http", s.HTTP}, {"platform", s.Platform}}
+	for _, seed := range s.Seeds {
+		addresses = append(addresses, struct{ setting, value string }{"seeds", seed})
+	}
+	for _, address := range addresses {
+		if _, err := netip.ParseAddrPort(address.value); err != nil {
+			findings = append(findings, &Error{Setting: address.setting, Found: address.value, Allowed: "an IP address and a port, such as 127.0.0.1:7001"})
+		}
+	}
+	if s.Grace < 0 {
+		findings = append(findings, &Error{Setting: "grace", Found: s.Grace.Std().String(), Allowed: "a duration of 0 or more"})
+	}
+	return findings
+}
--- /dev/null
+++ b/internal/wire/frame_test.go
@@ -0,0 +1,70 @@
+package wire
+
+import (
+	"bytes"
+	"errors"
+	"reflect"
+	"testing"
+)
+
+func sampleFrames() []Frame {
+	member := Member{ID: "node-1", Address: "127.0.0.1:1", HTTP: "127.0.0.1:2", Zone: "a", Region: "r", Incarnation: 7, Sequence: 2, State: MemberLeaving, Storage: true}
+	records := Records{Members: []Member{member}, Leases: []LeaseNote{{Name: "reader", Holder: "node-1", Token: 3}}}
+	return []Frame{
+		{Correlation: 1, Deadline: 5, Message: &Ping{Target: "x", Summary: 9, Records: records, Documents: []DocumentVersion{{Name: "configuration", Version: 4}}}},
+		{Correlation: 1, Reply: true, Message: &Ack{Summary: 8, Records: Records{}}},
+		{Message: &DocumentReply{Name: "d", Version: 3, Base: 2, Upserts: []Entry{{Key: "k", Data: []byte("v")}}, Removed: []string{"gone"}, Digest: 11}},
+		{Message: &ClaimSnapshot{Epoch: 2, Records: []ClaimRecord{{Key: "k", Attempt: "a", Answer: []byte{1}, Withdrawn: []string{"b"}}}}},
+		{Message: &LoadReport{Loads: []EngineLoad{{Engine: "e", Running: 1, Version: -2, Flags: EngineHealthy}}}},
+		{Message: &Done{}},
+	}
+}
+
+func TestFrameRoundTrip(t *testing.T) {
+	for _, want := range sampleFrames() {
+		encoded, err := Encode(want)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := Read(bytes.NewReader(encoded))
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := Encode(got)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !bytes.Equal(encoded, again) || reflect.TypeOf(got.Message) != reflect.TypeOf(want.Message) {
+			t.Errorf("round trip changed %+v into %+v", want, got)
+		}
+	}
+}
+
+func TestReadRefusesOversizedFrame(t *testing.T) {
+	_, err := Read(bytes.NewReader([]byte{0xff, 0xff, 0xff, 0xff}))
+	var frameError *FrameError
+	if !errors.As(err, &frameError) {
+		t.Fatalf("got %v, want a FrameError", err)
+	}
+}
+
+// FuzzDecode checks that no input makes the decoder panic, and that whatever
+// it accepts can be encoded again.
+func FuzzDecode(f *testing.F) {
+	for _, frame := range sampleFrames() {
+		encoded, err := Encode(frame)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(encoded[lengthBytes:])
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		frame, err := Decode(body)
+		if err != nil {
+			return
+		}
+		if _, err := Encode(frame); err != nil {
+			t.Errorf("accepted a frame that cannot be encoded: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/wire/messages.go
@@ -0,0 +1,232 @@
+package wire
+
+// Message is any payload of a Frame.
+type Message interface{ attach(*frame) }
+
+// Hello opens a connection.
+type Hello struct {
+	Protocol    uint16
+	Node        string
+	Address     string
+	Incarnation uint64
+}
+
+// Failure is the typed refusal of a request.
+type Failure struct {
+	Code   uint16
+	Detail string
+}
+
+// Done is an empty success.
+type Done struct{}
+
+// Member is what is known of one node.
+type Member struct {
+	ID          string `capnp:"id"`
+	Address     string
+	HTTP        string `capnp:"http"`
+	Zone        string
+	Region      string
+	Incarnation uint64
+	Sequence    uint64
+	State       uint8
+	Storage     bool
+}
+
+// LeaseNote announces who holds a lease.
+type LeaseNote struct {
+	Name   string
+	Holder string
+	Token  uint64
+}
+
+// DocumentVersion names a relayed document and its version.
+type DocumentVersion struct {
+	Name    string
+	Version uint64
+}
+
+// Records are membership facts on their way.
+type Records struct {
+	Members []Member
+	Leases  []LeaseNote
+}
+
+// Ping probes a member and carries records.
+type Ping struct {
+	Target    string
+	Summary   uint64
+	Records   Records
+	Documents []DocumentVersion
+}
+
+// Ack answers a Ping.
+type Ack struct {
+	Summary   uint64
+	Records   Records
+	Documents []DocumentVersion
+}
+
+// RecordVersion is the version of one record, for anti-entropy.
+type RecordVersion struct {
+	Key         string
+	Incarnation uint64
+	Sequence    uint64
+}
+
+// Sync lists all record versions that the sender holds; the answer is a
+// Records with everything newer.
+type Sync struct{ Versions []RecordVersion }
+
+// DocumentPull asks for what changed in a document since a version.
+type DocumentPull struct {
+	Name string
+	Have uint64
+}
+
+// Entry is one keyed part of a document.
+type Entry struct {
+	Key  string
+	Data []byte
+}
+
+// DocumentReply carries a document or the changes since Base.
+type DocumentReply struct {
+	Name    string
+	Version uint64
+	Base    uint64
+	Upserts []Entry
+	Removed []string
+	Digest  uint64
+}
+
+// EngineLoad is one engine's state as a node measured it.
+type EngineLoad struct {
+	Engine  string
+	Running uint32
+	Waiting uint32
+	Version int64
+	Staged  int64
+	Flags   uint8
+}
+
+// LoadReport is a batch of engine loads.
+type LoadReport struct{ Loads []EngineLoad }
+
+// ClaimRequest asks a claim member to grant, look up, complete or withdraw.
+type ClaimRequest struct {
+	Epoch       uint64
+	Key         string
+	Attempt     string
+	Fingerprint uint64
+	Operation   uint8
+	Outcome     uint8
+	Answer      []byte
+}
+
+// ClaimReply is a member's answer to a ClaimRequest.
+type ClaimReply struct {
+	Status      uint8
+	Attempt     string
+	Fingerprint uint64
+	Outcome     uint8
+	Answer      []byte
+	Epoch       uint64
+}
+
+// ClaimRecord is one key's claim as a member keeps it.
+type ClaimRecord struct {
+	Key         string
+	Attempt     string
+	Fingerprint uint64
+	Outcome     uint8
+	Answer      []byte
+	Created     int64
+	Withdrawn   []string
+}
+
+// RegisterRecord is one register as a member keeps it.
+type RegisterRecord struct {
+	Register       string
+	Promised       uint64
+	AcceptedBallot uint64
+	Value          []byte
+	Created        int64
+}
+
+// ClaimSeal ends a member's service of views older than Epoch and asks for a
+// page of what it holds.
+type ClaimSeal struct {
+	Epoch uint64
+	After string
+}
+
+// ClaimSnapshot answers a ClaimSeal.
+type ClaimSnapshot struct {
+	Epoch     uint64
+	Records   []ClaimRecord
+	Registers []RegisterRecord
+	More      bool
+}
+
+// SamplePut stores one finished sample.
+type SamplePut struct {
+	Trainer string
+	Step    uint64
+	Slot    uint32
+	Digest  uint64
+	Data    []byte
+	Token   uint64
+}
+
+// SampleList asks for all samples of a step that a store holds.
+type SampleList struct {
+	Trainer string
+	Step    uint64
+}
+
+// SampleReference names one stored sample of a step.
+type SampleReference struct {
+	Slot   uint32
+	Digest uint64
+}
+
+// SampleGet asks for some samples of a step.
+type SampleGet struct {
+	Trainer    string
+	Step       uint64
+	References []SampleReference
+}
+
+// Sample is one stored sample; Data is empty in answers to SampleList.
+type Sample struct {
+	Slot   uint32
+	Digest uint64
+	Data   []byte
+}
+
+// Samples answers SampleList and SampleGet.
+type Samples struct{ Samples []Sample }
+
+// RegisterPrepare is the first phase of writing a register.
+type RegisterPrepare struct {
+	Register string
+	Ballot   uint64
+	Epoch    uint64
+}
+
+// RegisterAccept is the second phase of writing a register.
+type RegisterAccept struct {
+	Register string
+	Ballot   uint64
+	Value    []byte
+	Epoch    uint64
+}
+
+// RegisterReply answers both phases.
+type RegisterReply struct {
+	Granted        bool
+	Promised       uint64
+	AcceptedBallot uint64
+	Value          []byte
+}
--- /dev/null
+++ b/internal/wire/schema/peer.capnp
@@ -0,0 +1,236 @@
+# The protocol between the nodes of one deployment. A connection starts with
+# a Hello from each side; every later Frame carries one message.
+@0xb1f6a7c95e0d4c21;
+
+using Go = import "/go.capnp";
+$Go.package("schema");
+$Go.import("github.com/pathtally/pathtally/internal/wire/schema");
+
+struct Frame {
+  correlation @0 :UInt64;   # joins a reply to its request; 0 on a one-way message
+  reply @1 :Bool;           # true on the answer to a request
+  deadline @2 :Int64;       # Unix time in nanoseconds after which no answer is wanted; 0 for none
+  union {
+    none @3 :Void;
+    hello @4 :Hello;
+    failure @5 :Failure;
+    ping @6 :Ping;
+    ack @7 :Ack;
+    sync @8 :Sync;
+    records @9 :Records;
+    documentPull @10 :DocumentPull;
+    documentReply @11 :DocumentReply;
+    loadReport @12 :LoadReport;
+    claimRequest @13 :ClaimRequest;
+    claimReply @14 :ClaimReply;
+    claimSeal @15 :ClaimSeal;
+    claimSnapshot @16 :ClaimSnapshot;
+    samplePut @17 :SamplePut;
+    sampleList @18 :SampleList;
+    sampleGet @19 :SampleGet;
+    samples @20 :Samples;
+    registerPrepare @21 :RegisterPrepare;
+    registerAccept @22 :RegisterAccept;
+    registerReply @23 :RegisterReply;
+    done @24 :Void;
+  }
+}
+
+struct Hello {
+  protocol @0 :UInt16;      # version of this schema's meaning
+  node @1 :Text;            # node id of the sender
+  address @2 :Text;         # peer address at which the sender listens
+  incarnation @3 :UInt64;   # Unix time in milliseconds at which the sender started
+}
+
+struct Failure {
+  code @0 :UInt16;          # a wire.FailureCode
+  detail @1 :Text;
+}
+
+struct Member {
+  id @0 :Text;
+  address @1 :Text;         # peer protocol, IP and port
+  http @2 :Text;            # callers' HTTP, IP and port
+  zone @3 :Text;
+  region @4 :Text;
+  incarnation @5 :UInt64;   # greater wins: the process started later
+  sequence @6 :UInt64;      # within an incarnation; raised by the member itself
+  state @7 :UInt8;          # 0 alive, 1 suspect, 2 leaving, 3 dead; greater wins within a sequence
+  storage @8 :Bool;         # has a data folder
+}
+
+struct LeaseNote {
+  name @0 :Text;
+  holder @1 :Text;          # node id
+  token @2 :UInt64;         # fencing token; greater wins
+}
+
+struct DocumentVersion {
+  name @0 :Text;
+  version @1 :UInt64;
+}
+
+struct Records {
+  members @0 :List(Member);
+  leases @1 :List(LeaseNote);
+}
+
+struct Ping {
+  target @0 :Text;          # empty: the receiver itself; else probe this address for the sender
+  summary @1 :UInt64;       # hash over all records that the sender holds
+  records @2 :Records;
+  documents @3 :List(DocumentVersion);
+}
+
+struct Ack {
+  summary @0 :UInt64;
+  records @1 :Records;
+  documents @2 :List(DocumentVersion);
+}
+
+struct RecordVersion {
+  key @0 :Text;
+  incarnation @1 :UInt64;
+  sequence @2 :UInt64;      # sequence * 4 + state for members, token for leases
+}
+
+struct Sync {
+  versions @0 :List(RecordVersion);
+}
+
+struct DocumentPull {
+  name @0 :Text;
+  have @1 :UInt64;          # version that the asker holds; 0 for none
+}
+
+struct Entry {
+  key @0 :Text;
+  data @1 :Data;
+}
+
+struct DocumentReply {
+  name @0 :Text;
+  version @1 :UInt64;
+  base @2 :UInt64;          # 0: upserts are the whole; else changes since this version
+  upserts @3 :List(Entry);
+  removed @4 :List(Text);
+  digest @5 :UInt64;        # hash over the whole document at this version
+}
+
+struct EngineLoad {
+  engine @0 :Text;
+  running @1 :UInt32;
+  waiting @2 :UInt32;
+  version @3 :Int64;        # active weight version
+  staged @4 :Int64;         # staged weight version, 0 for none
+  flags @5 :UInt8;          # bit 0 healthy, bit 1 draining
+}
+
+struct LoadReport {
+  loads @0 :List(EngineLoad);
+}
+
+struct ClaimRequest {
+  epoch @0 :UInt64;         # of the claim view
+  key @1 :Text;             # idempotency key with its traffic group
+  attempt @2 :Text;         # names the one dispatch that may run
+  fingerprint @3 :UInt64;   # hash of the request's body
+  operation @4 :UInt8;      # a wire.ClaimOperation
+  outcome @5 :UInt8;        # with complete: a wire.Outcome
+  answer @6 :Data;          # with complete
+}
+
+struct ClaimReply {
+  status @0 :UInt8;         # a wire.ClaimStatus
+  attempt @1 :Text;         # the attempt that holds the claim
+  fingerprint @2 :UInt64;
+  outcome @3 :UInt8;
+  answer @4 :Data;
+  epoch @5 :UInt64;         # the view that the member serves
+}
+
+struct ClaimRecord {
+  key @0 :Text;
+  attempt @1 :Text;
+  fingerprint @2 :UInt64;
+  outcome @3 :UInt8;
+  answer @4 :Data;
+  created @5 :Int64;        # Unix time in milliseconds
+  withdrawn @6 :List(Text); # attempts that may never be granted
+}
+
+struct RegisterRecord {
+  register @0 :Text;
+  promised @1 :UInt64;
+  acceptedBallot @2 :UInt64;
+  value @3 :Data;
+  created @4 :Int64;        # Unix time in milliseconds
+}
+
+struct ClaimSeal {
+  epoch @0 :UInt64;         # serve no view older than this any more
+  after @1 :Text;           # return claim records with greater keys; empty for the first page
+}
+
+struct ClaimSnapshot {
+  epoch @0 :UInt64;         # the view that the member has served; 0 for none
+  records @1 :List(ClaimRecord);
+  registers @2 :List(RegisterRecord); # on the first page only
+  more @3 :Bool;            # ask again after the last record's key
+}
+
+struct SamplePut {
+  trainer @0 :Text;
+  step @1 :UInt64;
+  slot @2 :UInt32;
+  digest @3 :UInt64;
+  data @4 :Data;            # the sample as a JSON line
+  token @5 :UInt64;         # fencing token of the scheduler
+}
+
+struct SampleList {
+  trainer @0 :Text;
+  step @1 :UInt64;
+}
+
+struct SampleReference {
+  slot @0 :UInt32;
+  digest @1 :UInt64;
+}
+
+struct SampleGet {
+  trainer @0 :Text;
+  step @1 :UInt64;
+  references @2 :List(SampleReference);
+}
+
+struct Sample {
+  slot @0 :UInt32;
+  digest @1 :UInt64;
+  data @2 :Data;
+}
+
+struct Samples {
+  samples @0 :List(Sample);
+}
+
+struct RegisterPrepare {
+  register @0 :Text;
+  ballot @1 :UInt64;        # fencing token of the proposer
+  epoch @2 :UInt64;         # of the quorum view
+}
+
+struct RegisterAccept {
+  register @0 :Text;
+  ballot @1 :UInt64;
+  value @2 :Data;
+  epoch @3 :UInt64;         # of the quorum view
+}
+
+struct RegisterReply {
+  granted @0 :Bool;
+  promised @1 :UInt64;
+  acceptedBallot @2 :UInt64; # 0: nothing accepted
+  value @3 :Data;
+}
--- /dev/null
+++ b/standin/engine/server.go
@@ -0,0 +1,392 @@
+package engine
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fasthttp"
+
+	protocol "github.com/pathtally/pathtally/internal/engine"
+	"github.com/pathtally/pathtally/internal/enginemodel"
+)
+
+// Paths besides those of the engine protocol.
+const (
+	PathFaults = "/faults"
+	PathDrain  = "/drain"
+	PathRuns   = "/runs"
+)
+
+const (
+	statusLag      = 150 * time.Millisecond
+	truncateTokens = 3
+	fullComeBack   = 200 * time.Millisecond
+	importTimeout  = time.Second
+	idleTimeout    = 30 * time.Second
+)
+
+// Config is what a Server needs.
+type Config struct {
+	Parameters enginemodel.Parameters
+	Lengths    enginemodel.Lengths
+	Version    int64
+	// WeightStore is the address of the weight store; empty loads at once.
+	WeightStore string
+}
+
+// Server is a running engine.
+type Server struct {
+	config  Config
+	address string
+	server  *fasthttp.Server
+	client  *fasthttp.Client
+	wake    chan struct{}
+	closed  chan struct{}
+	once    sync.Once
+
+	mutex    sync.Mutex
+	model    *enginemodel.Model
+	streams  map[string]*outStream
+	exports  map[string]enginemodel.Sequence
+	tokens   map[string]uint64
+	staged   int64
+	started  int64
+	lagging  protocol.Status
+	lagUntil time.Time
+	faults   Faults
+	runs     map[uint64]int
+	produced int64
+}
+
+// Start listens on an address; port 0 lets the system choose.
+func Start(address string, config Config) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, &net.OpError{Op: "listen", Net: "tcp", Err: err}
+	}
+	engine := &Server{
+		config:  config,
+		address: listener.Addr().String(),
+		client:  &fasthttp.Client{},
+		wake:    make(chan struct{}, 1),
+		closed:  make(chan struct{}),
+		model:   enginemodel.New(config.Parameters, config.Version),
+		streams: map[string]*outStream{},
+		exports: map[string]enginemodel.Sequence{},
+		tokens:  map[string]uint64{},
+		staged:  config.Version,
+		started: time.Now().UnixMilli(),
+		runs:    map[uint64]int{},
+	}
+	engine.server = &fasthttp.Server{Handler: engine.handle, NoDefaultServerHeader: true, CloseOnShutdown: true, IdleTimeout: idleTimeout, MaxRequestBodySize: 64 << 20}
+	go func() { _ = engine.server.Serve(listener) }()
+	go engine.run()
+	return engine, nil
+}
+
+// Address is where the engine listens.
+func (s *Server) Address() string { return s.address }
+
+// Close ends the engine at once, as a crash does.
+func (s *Server) Close() {
+	s.once.Do(func() {
+		close(s.closed)
+		s.mutex.Lock()
+		for _, stream := range s.streams {
+			stream.abort()
+		}
+		s.mutex.Unlock()
+		_ = s.server.Shutdown()
+	})
+}
+
+// Runs is how often a prompt was admitted anew; resumed streams do not count.
+func (s *Server) Runs(prompt string) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.runs[xxhash.Sum64String(prompt)]
+}
+
+// Produced is the number of tokens sent.
+func (s *Server) Produced() int64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.produced
+}
+
+// SetFaults makes the engine fail.
+func (s *Server) SetFaults(faults Faults) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.faults = faults
+}
+
+// Drain refuses new work and, after the grace, hands every stream over.
+func (s *Server) Drain(grace time.Duration) {
+	s.mutex.Lock()
+	s.model.SetDraining(true)
+	s.lagUntil = time.Time{}
+	s.mutex.Unlock()
+	limit := time.Now().Add(grace)
+	for time.Now().Before(limit) && s.open() > 0 {
+		time.Sleep(statusLag / 10)
+	}
+	s.mutex.Lock()
+	for _, id := range s.model.IDs() {
+		s.export(id)
+	}
+	s.mutex.Unlock()
+	s.signal()
+	for range 100 {
+		if s.open() == 0 {
+			return
+		}
+		time.Sleep(statusLag / 10)
+	}
+}
+
+func (s *Server) open() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.streams)
+}
+
+// run advances the model by the wall clock.
+func (s *Server) run() {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		s.mutex.Lock()
+		s.model.Advance(time.Now())
+		s.distribute()
+		next, busy := s.model.Next()
+		s.mutex.Unlock()
+		wait := time.Hour
+		if busy {
+			wait = max(0, time.Until(next))
+		}
+		timer.Reset(wait)
+		select {
+		case <-timer.C:
+		case <-s.wake:
+		case <-s.closed:
+			return
+		}
+	}
+}
+
+func (s *Server) signal() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// distribute hands the model's outputs to their streams.
+func (s *Server) distribute() {
+	for _, output := range s.model.Take() {
+		stream := s.streams[output.ID]
+		if stream == nil {
+			continue
+		}
+		s.produced += int64(output.Count)
+		stream.add(output)
+		if output.Ended {
+			delete(s.streams, output.ID)
+		}
+	}
+}
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case protocol.PathCompletions:
+		s.complete(ctx)
+	case protocol.PathStatus:
+		s.mutex.Lock()
+		status := s.laggedStatus()
+		s.mutex.Unlock()
+		writeJSON(ctx, status)
+	case protocol.PathOrders:
+		s.order(ctx)
+	case protocol.PathCancel:
+		s.named(ctx, s.cancel)
+	case protocol.PathExport:
+		s.named(ctx, func(id string) { s.export(id) })
+	case protocol.PathImport:
+		s.handOver(ctx)
+	case PathFaults:
+		var faults Faults
+		if err := json.Unmarshal(ctx.PostBody(), &faults); err == nil {
+			s.SetFaults(faults)
+		}
+	case PathRuns:
+		writeJSON(ctx, s.Runs(string(ctx.QueryArgs().Peek("prompt"))))
+	case PathDrain:
+		go s.Drain(0)
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+// laggedStatus is the status as it was a little while ago.
+func (s *Server) laggedStatus() protocol.Status {
+	now := time.Now()
+	if now.After(s.lagUntil) {
+		s.lagging = s.status()
+		s.lagUntil = now.Add(statusLag)
+	}
+	return s.lagging
+}
+
+func (s *Server) status() protocol.Status {
+	return protocol.Status{
+		Running: s.model.Running(), Waiting: s.model.Waiting(), Version: s.model.Version(),
+		Staged: s.staged, Draining: s.model.Draining(), Started: s.started,
+	}
+}
+
+func (s *Server) named(ctx *fasthttp.RequestCtx, act func(string)) {
+	var body protocol.NameBody
+	if err := json.Unmarshal(ctx.PostBody(), &body); err != nil {
+		refuse(ctx, fasthttp.StatusBadRequest, err.Error(), 0)
+		return
+	}
+	s.mutex.Lock()
+	act(body.ID)
+	s.mutex.Unlock()
+	s.signal()
+}
+
+func (s *Server) cancel(id string) {
+	s.model.Cancel(id)
+	s.distribute()
+	if stream := s.streams[id]; stream != nil {
+		delete(s.streams, id)
+		stream.abort()
+	}
+}
+
+// export takes a sequence out of the batch, keeps it for whoever imports it,
+// and ends its stream with the place where it is kept.
+func (s *Server) export(id string) {
+	sequence, found := s.model.Export(id)
+	s.distribute()
+	stream := s.streams[id]
+	if !found || stream == nil {
+		return
+	}
+	delete(s.streams, id)
+	s.exports[id] = sequence
+	stream.move(s.address, id)
+}
+
+// handOver gives an exported sequence to the engine that asks for it, once.
+func (s *Server) handOver(ctx *fasthttp.RequestCtx) {
+	handle := string(ctx.QueryArgs().Peek("handle"))
+	s.mutex.Lock()
+	_, found := s.exports[handle]
+	delete(s.exports, handle)
+	s.mutex.Unlock()
+	if !found {
+		refuse(ctx, fasthttp.StatusNotFound, "no such export", 0)
+		return
+	}
+	writeJSON(ctx, struct{}{})
+}
+
+func refuse(ctx *fasthttp.RequestCtx, status int, reason string, comeBack time.Duration) {
+	ctx.SetStatusCode(status)
+	writeJSON(ctx, protocol.ErrorBody{Reason: reason, RetryAfterMillis: comeBack.Milliseconds()})
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(data)
+}
+
+// complete admits a request and streams its answer.
+func (s *Server) complete(ctx *fasthttp.RequestCtx) {
+	var body protocol.CompletionBody
+	if err := json.Unmarshal(ctx.PostBody(), &body); err != nil {
+		refuse(ctx, fasthttp.StatusBadRequest, err.Error(), 0)
+		return
+	}
+	now := time.Now()
+	if body.DeadlineMillis > 0 && now.UnixMilli() > body.DeadlineMillis {
+		refuse(ctx, fasthttp.StatusGatewayTimeout, "deadline passed", 0)
+		return
+	}
+	imported := body.KVHandle != "" && s.fetchExport(body.KVSource, body.KVHandle)
+	stream, reason := s.admit(now, body, imported)
+	if stream == nil {
+		refuse(ctx, fasthttp.StatusServiceUnavailable, reason.Error(), fullComeBack)
+		return
+	}
+	s.signal()
+	if stream.loseAdmission {
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(net.Conn) {})
+		return
+	}
+	ctx.SetContentType("text/event-stream")
+	ctx.SetBodyStreamWriter(func(writer *bufio.Writer) {
+		if !stream.write(writer) {
+			s.mutex.Lock()
+			s.cancel(stream.id)
+			s.mutex.Unlock()
+		}
+	})
+}
+
+func (s *Server) admit(now time.Time, body protocol.CompletionBody, imported bool) (*outStream, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	natural := s.config.Lengths.Draw(xxhash.Sum64String(body.Prompt) ^ body.Seed)
+	stream := newOutStream(body, min(natural, body.MaxTokens), natural > body.MaxTokens)
+	if s.streams[stream.id] != nil {
+		return nil, errors.ErrUnsupported
+	}
+	err := s.model.Submit(now, enginemodel.Sequence{
+		ID: stream.id, PromptTokens: enginemodel.PromptTokens(body.Prompt), PrefixHash: xxhash.Sum64String(body.Prompt),
+		Produced: body.ResumeTokens, Target: max(stream.target, body.ResumeTokens), Priority: body.Priority, ChunkTokens: body.ChunkTokens, Imported: imported,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if body.ResumeTokens == 0 {
+		s.runs[xxhash.Sum64String(body.Prompt)]++
+	}
+	s.applyFaults(stream)
+	s.streams[stream.id] = stream
+	return stream, nil
+}
+
+func (s *Server) applyFaults(stream *outStream) {
+	if s.faults.Truncate > 0 {
+		s.faults.Truncate--
+		stream.truncateAt = truncateTokens
+	}
+	if s.faults.LoseAdmission > 0 {
+		s.faults.LoseAdmission--
+		stream.loseAdmission = true
+	}
+	if s.faults.Unversioned > 0 {
+		s.faults.Unversioned--
+		stream.unversioned = true
+	}
+}
+
+func (s *Server) fetchExport(source, handle string) bool {
+	status, _, err := s.client.GetTimeout(nil, "http://"+source+protocol.PathImport+"?handle="+handle, importTimeout)
+	return err == nil && status == fasthttp.StatusOK
+}
