--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -17,6 +17,9 @@
 	DefaultTerm = 10 * time.Second
 	// renewShare is the part of the term after which a holder renews.
 	renewShare = 3
+	// yieldRenewals is how many renewals in a row a holder that is not the
+	// first candidate waits before it gives the lease to that one.
+	yieldRenewals = 4
 	// rankGrowth stretches the time between looks of each further candidate,
 	// so that all candidates together read a bounded amount.
 	rankGrowth = 1.5
@@ -45,6 +48,9 @@
 	// Rank is this node's place among the candidates, from 0; negative means
 	// that it is none.
 	Rank func(name string) int
+	// MayYield tells whether a lease may be given to the first candidate when
+	// this node is not it; nil means never.
+	MayYield func(name string) bool
 	// OnAcquire and OnLose tell of this node's leases.
 	OnAcquire func(name string, token uint64)
 	OnLose    func(name string)
@@ -66,6 +72,8 @@
 	observed time.Time
 	timer    environment.Timer
 	busy     bool
+	// outranked counts the renewals made while not the first candidate.
+	outranked int
 }
 
 // NewManager returns a manager that wants nothing yet.
@@ -173,6 +181,11 @@
 		m.scheduleNext(name)
 		return
 	}
+	if state.held && m.shouldYield(name) {
+		m.release(name, func() {})
+		m.scheduleNext(name)
+		return
+	}
 	if state.held {
 		record := state.record
 		record.Renewals++
@@ -189,6 +202,19 @@
 	})
 }
 
+// shouldYield tells whether the first candidate has been another node for
+// long enough, so that duties spread again after the nodes have come up one
+// by one.
+func (m *Manager) shouldYield(name string) bool {
+	state := m.states[name]
+	if m.config.MayYield == nil || !m.config.MayYield(name) || m.config.Rank(name) == 0 {
+		state.outranked = 0
+		return false
+	}
+	state.outranked++
+	return state.outranked > yieldRenewals
+}
+
 // observe decides what a candidate does about the lease as it stands.
 func (m *Manager) observe(name string, object environment.Object, err error) {
 	state := m.states[name]
@@ -278,6 +304,7 @@
 
 func (m *Manager) lose(name string) {
 	m.states[name].held = false
+	m.states[name].outranked = 0
 	m.config.OnLose(name)
 }
 
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -127,7 +127,7 @@
 		return
 	}
 	for _, zone := range t.otherZones() {
-		members := t.InZone(zone)
+		members := t.reachableIn(zone)
 		if len(members) == 0 {
 			continue
 		}
@@ -154,7 +154,7 @@
 }
 
 func (t *Table) isDelegate() bool {
-	for _, member := range delegatesOf(t.self.Zone, t.InZone(t.self.Zone)) {
+	for _, member := range delegatesOf(t.self.Zone, t.reachableIn(t.self.Zone)) {
 		if member.ID == t.self.ID {
 			return true
 		}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -101,6 +101,14 @@
 	return slices.DeleteFunc(t.Usable(), func(member wire.Member) bool { return member.Zone != zone })
 }
 
+// reachableIn returns the members of a zone that still answer, by id: those
+// that are leaving go on talking until they are gone.
+func (t *Table) reachableIn(zone string) []wire.Member {
+	return slices.DeleteFunc(t.All(), func(member wire.Member) bool {
+		return member.Zone != zone || member.State == wire.MemberDead
+	})
+}
+
 // Candidates returns the usable members in the form that rendezvous ranks.
 func (t *Table) Candidates() []rendezvous.Candidate {
 	usable := t.Usable()
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -65,11 +65,33 @@
 			return member.Region != c.config.Self.Region
 		})
 	}
-	return slices.IndexFunc(rendezvous.RankAcrossZones(name, candidates), func(candidate rendezvous.Candidate) bool {
+	key, turn := name, 0
+	if index, isReader := readerIndex(name); isReader {
+		// The readers of a region share one order, so that they differ.
+		key, turn = readerPrefix, index
+	}
+	place := slices.IndexFunc(rendezvous.RankAcrossZones(key, candidates), func(candidate rendezvous.Candidate) bool {
 		return candidate.ID == c.config.Self.ID
 	})
+	if place < 0 {
+		return place
+	}
+	return (place - turn + len(candidates)) % len(candidates)
+}
+
+// readerIndex returns which of a region's readers a lease is for.
+func readerIndex(name string) (int, bool) {
+	if !strings.HasPrefix(name, readerPrefix) {
+		return 0, false
+	}
+	index, err := strconv.Atoi(name[strings.LastIndexByte(name, '/')+1:])
+	return index, err == nil
 }
 
+// mayYield tells which duties move back to their first candidate. A trainer's
+// scheduler does not: its samples under way would be lost.
+func mayYield(name string) bool { return !strings.HasPrefix(name, schedulerPrefix) }
+
 // acquired takes up the duty of a lease.
 func (c *Core) acquired(name string, token uint64) {
 	if c.stopped {
--- a/internal/quorum/coordinator.go
+++ b/internal/quorum/coordinator.go
@@ -23,7 +23,7 @@
 	absencePatience = 4 * time.Second
 	// lastKey sorts behind every claim, so that a seal of epoch 0 with it only
 	// asks which view a member serves.
-	lastKey = "\xff"
+	lastKey = "\U0010FFFF"
 )
 
 // Members is what the coordinator needs of the membership table.
--- a/internal/quorum/member.go
+++ b/internal/quorum/member.go
@@ -115,7 +115,7 @@
 	seal := &wire.ClaimSeal{Epoch: view.Epoch, After: after}
 	m.config.Peers.Call(seat.Address, seal, callTimeout, func(message wire.Message, err error) {
 		snapshot, ok := message.(*wire.ClaimSnapshot)
-		if err != nil || !ok || snapshot.Epoch != view.Epoch-1 {
+		if err != nil || !ok || snapshot.Epoch < view.Epoch-1 {
 			// A member that never served the previous view cannot vouch for it.
 			finished(false)
 			return
--- a/internal/weights/coordinator.go
+++ b/internal/weights/coordinator.go
@@ -13,6 +13,8 @@
 const (
 	// reconcilePeriod is the time between two looks at all engines.
 	reconcilePeriod = 200 * time.Millisecond
+	// followPeriod is the time between questions to a staging engine.
+	followPeriod = 200 * time.Millisecond
 	// orderPatience is how long an order may stay without effect before it
 	// is given again.
 	orderPatience = 5 * time.Second
@@ -221,13 +223,41 @@
 			return
 		}
 		c.config.Observed(name, status)
-		if !c.stopped {
-			c.Reconcile()
+		if c.stopped {
+			return
+		}
+		c.Reconcile()
+		if action == engine.ActionStage {
+			c.follow(target, order)
 		}
 	})
 	return true
 }
 
+// follow asks an engine that is staging until it has the weights, so that the
+// activation need not wait for the next load report.
+func (c *Coordinator) follow(target Target, order *openOrder) {
+	name := target.Engine.Metadata.Name
+	c.config.Clock.AfterFunc(followPeriod, func() {
+		if c.stopped || c.orders[name] != order || c.config.Clock.Now().Sub(order.given) > orderPatience {
+			return
+		}
+		c.config.Engines.Status(target.Engine.Spec.Address, func(status engine.Status, err error) {
+			if c.stopped {
+				return
+			}
+			if err == nil {
+				c.config.Observed(name, status)
+				if status.Staged >= order.version {
+					c.Reconcile()
+					return
+				}
+			}
+			c.follow(target, order)
+		})
+	})
+}
+
 func (c *Coordinator) forgetGone(targets []Target) {
 	standing := map[string]bool{}
 	for _, target := range targets {
