--- /dev/null
+++ b/internal/bench/run.go
@@ -0,0 +1,57 @@
+// Package bench is the command line of the measuring tool.
+package bench
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+)
+
+const (
+	exitDone = iota
+	exitFailed
+	exitUsage
+)
+
+const usageText = `pathtally-bench measures.
+
+  pathtally-bench sim -seeds 1000 [-from N] [-trace]
+        random faults on a virtual clock; checks every promise
+
+Each has -h. Exit codes: 0 done, 1 failed or a promise was broken, 2 usage.
+`
+
+// FailedError means that a run ended but found something broken.
+type FailedError struct{ What string }
+
+// Error says what was found.
+func (e *FailedError) Error() string { return e.What }
+
+// invocation is one call of a subcommand.
+type invocation struct {
+	flags  *flag.FlagSet
+	args   []string
+	stdout io.Writer
+	stderr io.Writer
+}
+
+// Run executes a command line.
+func Run(args []string, stdout, stderr io.Writer) int {
+	commands := map[string]func(*invocation) error{"sim": runSim}
+	if len(args) == 0 || commands[args[0]] == nil {
+		fmt.Fprint(stderr, usageText)
+		return exitUsage
+	}
+	flags := flag.NewFlagSet(args[0], flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	err := commands[args[0]](&invocation{flags: flags, args: args[1:], stdout: stdout, stderr: stderr})
+	if errors.Is(err, flag.ErrHelp) {
+		return exitDone
+	}
+	if err != nil {
+		fmt.Fprintf(stderr, "pathtally-bench %s: %v\n", args[0], err)
+		return exitFailed
+	}
+	return exitDone
+}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -6,6 +6,7 @@
 
 	"github.com/pathtally/pathtally/internal/engine"
 	"github.com/pathtally/pathtally/internal/environment"
+	"github.com/pathtally/pathtally/internal/quorum"
 	"github.com/pathtally/pathtally/internal/rollout"
 	"github.com/pathtally/pathtally/internal/samplestore"
 	"github.com/pathtally/pathtally/internal/wire"
@@ -24,6 +25,9 @@
 	Scorer   rollout.Scorer
 	// Store is nil on a node without a data folder.
 	Store *samplestore.Store
+	// Journal keeps the node's quorum seat; nil on a node without a data
+	// folder.
+	Journal *quorum.Journal
 	// LeaseTerm and ProbePeriod override the defaults.
 	LeaseTerm   time.Duration
 	ProbePeriod time.Duration
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -68,6 +68,10 @@
 
 // NewCore returns a node that has not started.
 func NewCore(config Config) *Core {
+	config.Self.Identity = config.Self.Incarnation
+	if config.Journal != nil {
+		config.Self.Identity = config.Journal.Identity()
+	}
 	core := &Core{
 		config:     config,
 		fleet:      fleet.NewTable(config.Clock),
@@ -82,7 +86,7 @@
 		Documents:   core.relay.Versions,
 		OnDocuments: core.relay.Observe,
 	})
-	core.member = quorum.NewMember(quorum.MemberConfig{ID: config.Self.ID, Incarnation: config.Self.Incarnation, Clock: config.Clock, Peers: config.Peers})
+	core.member = quorum.NewMember(quorum.MemberConfig{ID: config.Self.ID, Identity: config.Self.Identity, Clock: config.Clock, Peers: config.Peers, Journal: config.Journal})
 	core.quorum = quorum.NewClient(config.Clock, config.Peers)
 	core.coordinator = quorum.NewCoordinator(quorum.CoordinatorConfig{Clock: config.Clock, Peers: config.Peers, Objects: config.Objects, Members: core.table, OnView: core.publishView})
 	core.reader = reader.New(reader.Config{
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -22,13 +22,13 @@
 			c.observeLoad(load, poller.Period)
 		}
 	case *wire.ClaimRequest:
-		reply(c.member.HandleClaim(typed))
+		c.member.HandleClaim(typed, reply)
 	case *wire.ClaimSeal:
-		reply(c.member.HandleSeal(typed))
+		c.member.HandleSeal(typed, reply)
 	case *wire.RegisterPrepare:
-		reply(c.member.HandlePrepare(typed))
+		c.member.HandlePrepare(typed, reply)
 	case *wire.RegisterAccept:
-		reply(c.member.HandleAccept(typed))
+		c.member.HandleAccept(typed, reply)
 	case *wire.SamplePut, *wire.SampleList, *wire.SampleGet:
 		c.handleSample(message, reply)
 	default:
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -28,7 +28,7 @@
 
 func (c *Core) awaitHandover(limit time.Time, done func()) {
 	view := c.quorum.View()
-	seated := view != nil && view.Has(c.config.Self.ID, c.config.Self.Incarnation)
+	seated := view != nil && view.Has(c.config.Self.ID, c.config.Self.Identity)
 	if !seated || !c.othersUsable() || c.config.Clock.Now().After(limit) {
 		c.announceAbsence(done)
 		return
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -16,6 +16,8 @@
 	"github.com/pathtally/pathtally/internal/loop"
 	"github.com/pathtally/pathtally/internal/node"
 	"github.com/pathtally/pathtally/internal/objectapi"
+	"github.com/pathtally/pathtally/internal/quorum"
+	"github.com/pathtally/pathtally/internal/recordlog"
 	"github.com/pathtally/pathtally/internal/rendezvous"
 	"github.com/pathtally/pathtally/internal/rollout"
 	"github.com/pathtally/pathtally/internal/samplestore"
@@ -53,7 +55,7 @@
 	engines   *engine.HTTPClient
 	objects   *objectapi.Client
 	scorer    *scorer.Client
-	log       *samplestore.FileLog
+	log       *recordlog.FileLog
 	logger    klog.Logger
 	drained   chan struct{}
 	stopOnce  sync.Once
@@ -112,7 +114,8 @@
 	if p.scorer, err = scorer.NewClient(p.loop.Post); err != nil {
 		return err
 	}
-	store, err := p.openStore()
+	random := rand.New(rand.NewPCG(incarnation, rendezvous.Hash(self.ID)))
+	store, journal, err := p.openData(random)
 	if err != nil {
 		return err
 	}
@@ -127,8 +130,8 @@
 	})
 	p.core = node.NewCore(node.Config{
 		Self: self, Seeds: p.settings.Seeds, Clock: p.loop, Peers: p.transport, Objects: p.objects, Machines: p.objects,
-		Random:  rand.New(rand.NewPCG(incarnation, rendezvous.Hash(self.ID))),
-		Engines: engine.NewPosted(p.engines, p.loop.Post), Scorer: p.scorer, Store: store, Policy: policy,
+		Random:  random,
+		Engines: engine.NewPosted(p.engines, p.loop.Post), Scorer: p.scorer, Store: store, Journal: journal, Policy: policy,
 		OnConfiguration: func(generation uint64) { p.logger.Info("configuration in force", "generation", generation) },
 	})
 	close(started)
@@ -156,16 +159,22 @@
 	registerGauges(p, metrics)
 }
 
-func (p *Process) openStore() (*samplestore.Store, error) {
+// openData opens what the data folder holds, if there is one.
+func (p *Process) openData(random *rand.Rand) (*samplestore.Store, *quorum.Journal, error) {
 	if p.settings.DataFolder == "" {
-		return nil, nil
+		return nil, nil, nil
 	}
-	log, err := samplestore.OpenFileLog(p.settings.DataFolder, p.loop.Post)
+	log, err := recordlog.OpenFileLog(p.settings.DataFolder, p.loop.Post)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	p.log = log
-	return samplestore.Open(log)
+	store, err := samplestore.Open(log)
+	if err != nil {
+		return nil, nil, err
+	}
+	journal, err := quorum.OpenJournal(log, random)
+	return store, journal, err
 }
 
 // run executes a call on the loop and waits for it.
--- a/internal/quorum/claims.go
+++ b/internal/quorum/claims.go
@@ -6,18 +6,29 @@
 	"github.com/pathtally/pathtally/internal/wire"
 )
 
-// HandleClaim grants, completes or withdraws a claim. Completing and
-// withdrawing are safe in any epoch, since neither lets anything run.
-func (m *Member) HandleClaim(request *wire.ClaimRequest) *wire.ClaimReply {
+// HandleClaim grants, completes or withdraws a claim, and answers once that is
+// durable. Completing and withdrawing are safe in any epoch, since neither
+// lets anything run.
+func (m *Member) HandleClaim(request *wire.ClaimRequest, reply func(wire.Message)) {
+	if request.Operation == wire.ClaimGrant && !m.servesClaims(request.Epoch) {
+		reply(&wire.ClaimReply{Status: wire.ClaimWrongEpoch, Epoch: m.serving})
+		return
+	}
+	answer := m.apply(request)
+	if answer.Status == wire.ClaimHeld && request.Operation == wire.ClaimGrant {
+		reply(answer)
+		return
+	}
+	m.persistClaim(m.claims[request.Key], func() { reply(answer) })
+}
+
+func (m *Member) apply(request *wire.ClaimRequest) *wire.ClaimReply {
 	switch request.Operation {
 	case wire.ClaimComplete:
 		return m.complete(request)
 	case wire.ClaimWithdraw:
 		return m.withdraw(request)
 	}
-	if !m.serves(request.Epoch) {
-		return &wire.ClaimReply{Status: wire.ClaimWrongEpoch, Epoch: m.serving}
-	}
 	return m.grant(request)
 }
 
--- a/internal/quorum/coordinator.go
+++ b/internal/quorum/coordinator.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/pathtally/pathtally/internal/environment"
@@ -144,15 +145,41 @@
 }
 
 func (c *Coordinator) firstView() *View {
-	return &View{Epoch: 1, Seats: c.fill(nil)}
+	return &View{Epoch: 1, Seats: c.choose(nil)}
 }
 
-// nextView returns the view that replaces absent members, or nil while all
-// are there or a majority is not, since then nothing could be copied.
+// nextView returns the view that replaces absent members or spreads over more
+// zones, or nil while there is nothing to change or a majority is not there,
+// since then nothing could be copied.
 func (c *Coordinator) nextView(view *View) *View {
+	present, overdue := c.present(view)
+	seats := c.choose(present)
+	if !c.majorityAnswers(view) {
+		return c.freshView(view, seats)
+	}
+	c.lostSince = time.Time{}
+	if !overdue && !better(seats, view.Seats) {
+		return nil
+	}
+	return &View{Epoch: view.Epoch + 1, Seats: seats, Previous: view.Seats, ClaimsFrom: view.ClaimsFrom}
+}
+
+// better tells whether seats are worth a change of view: more of them, over
+// more zones, or with more data folders.
+func better(seats, standing []Seat) bool {
+	if len(seats) != len(standing) {
+		return len(seats) > len(standing)
+	}
+	if zones(seats) != zones(standing) {
+		return zones(seats) > zones(standing)
+	}
+	return durable(seats) > durable(standing)
+}
+
+// present returns the seats whose members are there, and whether one of the
+// others has been missing for too long or is leaving.
+func (c *Coordinator) present(view *View) (present []Seat, overdue bool) {
 	now := c.config.Clock.Now()
-	var present []Seat
-	overdue := false
 	for _, seat := range view.Seats {
 		if c.isPresent(seat) {
 			delete(c.missing, seat.ID)
@@ -165,34 +192,33 @@
 		}
 		overdue = overdue || (noted && now.Sub(since) >= absencePatience) || c.isLeaving(seat)
 	}
-	target := oddSeats(len(c.config.Members.Usable()))
-	grown := len(present) == len(view.Seats) && target > len(view.Seats)
-	if !overdue && !grown {
-		return nil
-	}
-	seats := c.fill(present)
-	if !c.majorityAnswers(view) {
-		return c.freshView(view, seats)
-	}
-	c.lostSince = time.Time{}
-	if len(seats) < min(target, len(view.Seats)) {
-		return nil
-	}
-	return &View{Epoch: view.Epoch + 1, Seats: seats, Previous: view.Seats}
+	return present, overdue
 }
 
-// freshView starts over without copying, once a majority has been gone for
-// longer than any claim is kept.
+// freshView starts over without copying once a majority is gone for good:
+// either later processes have taken their places, or they have been silent
+// for longer than anything is kept. Registers are served at once, because the
+// stores keep copies of the manifests; claims only after their retention.
 func (c *Coordinator) freshView(view *View, seats []Seat) *View {
 	now := c.config.Clock.Now()
 	if c.lostSince.IsZero() {
 		c.lostSince = now
 	}
-	if now.Sub(c.lostSince) < Retention {
+	fresh := &View{Epoch: view.Epoch + 1, Seats: seats}
+	if now.Sub(c.lostSince) >= Retention {
+		return fresh
+	}
+	replaced := 0
+	for _, seat := range view.Seats {
+		if member, known := c.config.Members.Get(seat.ID); known && member.Identity != seat.Identity && member.State <= wire.MemberSuspect {
+			replaced++
+		}
+	}
+	if replaced < view.Majority() {
 		return nil
 	}
-	c.lostSince = time.Time{}
-	return &View{Epoch: view.Epoch + 1, Seats: seats}
+	fresh.ClaimsFrom = now.Add(Retention).UnixMilli()
+	return fresh
 }
 
 // majorityAnswers tells whether a majority is there, counting members that
@@ -209,16 +235,22 @@
 
 func (c *Coordinator) isPresent(seat Seat) bool {
 	member, known := c.config.Members.Get(seat.ID)
-	return known && member.Incarnation == seat.Incarnation && member.State <= wire.MemberSuspect
+	return known && member.Identity == seat.Identity && member.State <= wire.MemberSuspect
 }
 
 func (c *Coordinator) isLeaving(seat Seat) bool {
 	member, known := c.config.Members.Get(seat.ID)
-	return known && member.Incarnation == seat.Incarnation && member.State == wire.MemberLeaving
+	return known && member.Identity == seat.Identity && member.State == wire.MemberLeaving
+}
+
+func seatOf(member wire.Member) Seat {
+	return Seat{ID: member.ID, Identity: member.Identity, Address: member.Address, Zone: member.Zone, Durable: member.Storage}
 }
 
-// fill adds members, from zones not yet seated first, up to an odd number.
-func (c *Coordinator) fill(seats []Seat) []Seat {
+// choose returns an odd number of seats: one of each zone first, and of those
+// that could sit in a zone, members with a data folder and then those that
+// have a seat already.
+func (c *Coordinator) choose(present []Seat) []Seat {
 	usable := c.config.Members.Usable()
 	byID := make(map[string]wire.Member, len(usable))
 	candidates := make([]rendezvous.Candidate, 0, len(usable))
@@ -226,20 +258,31 @@
 		byID[member.ID] = member
 		candidates = append(candidates, rendezvous.Candidate{ID: member.ID, Zone: member.Zone})
 	}
-	seated, zones := map[string]bool{}, map[string]bool{}
-	for _, seat := range seats {
-		seated[seat.ID], zones[seat.Zone] = true, true
+	standing := slices.Clone(present)
+	var newcomers []Seat
+	for _, candidate := range rendezvous.RankAcrossZones(LeaseName, candidates) {
+		newcomers = append(newcomers, seatOf(byID[candidate.ID]))
 	}
+	pool := slices.Concat(standing, newcomers)
+	slices.SortStableFunc(pool, func(a, b Seat) int {
+		if a.Durable == b.Durable {
+			return 0
+		}
+		if a.Durable {
+			return -1
+		}
+		return 1
+	})
 	target := oddSeats(len(usable))
-	ranked := rendezvous.RankAcrossZones(LeaseName, candidates)
+	var seats []Seat
+	seated, zoned := map[string]bool{}, map[string]bool{}
 	for _, freshZoneOnly := range []bool{true, false} {
-		for _, candidate := range ranked {
-			if len(seats) >= target || seated[candidate.ID] || (freshZoneOnly && zones[candidate.Zone]) {
+		for _, candidate := range pool {
+			if len(seats) >= target || seated[candidate.ID] || (freshZoneOnly && zoned[candidate.Zone]) {
 				continue
 			}
-			member := byID[candidate.ID]
-			seats = append(seats, Seat{ID: member.ID, Incarnation: member.Incarnation, Address: member.Address, Zone: member.Zone})
-			seated[candidate.ID], zones[candidate.Zone] = true, true
+			seats = append(seats, candidate)
+			seated[candidate.ID], zoned[candidate.Zone] = true, true
 		}
 	}
 	return seats
--- a/internal/quorum/doc.go
+++ b/internal/quorum/doc.go
@@ -7,7 +7,8 @@
 // Invariant: a member serves epoch e+1 only after it has sealed a majority of
 // the members of epoch e and copied what they hold. A sealed member grants
 // nothing in an older epoch, so whatever a majority granted in epoch e is
-// known to every member that serves e+1. A member is a process, not a place:
-// a machine that comes back empty has another incarnation, is in no view, and
-// does not vote.
+// known to every member that serves e+1. A seat belongs to a memory, not to a
+// place: a data folder keeps its identity over restarts, and a member without
+// one has the identity of its process. A machine that comes back empty has
+// another identity, is in no view, and does not vote.
 package quorum
--- /dev/null
+++ b/internal/quorum/durable.go
@@ -0,0 +1,81 @@
+package quorum
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/pathtally/pathtally/internal/wire"
+)
+
+// restore brings back what the journal holds.
+func (m *Member) restore(journal *Journal) {
+	for _, entry := range journal.restored {
+		if entry.View != nil {
+			m.view = entry.View
+		}
+		m.serving = max(m.serving, entry.Serving)
+		m.sealed = max(m.sealed, entry.Sealed)
+		if entry.Claim != nil {
+			m.claims[entry.Claim.Key] = entry.Claim
+		}
+		if entry.Register != nil {
+			m.registers[entry.Register.Register] = entry.Register
+		}
+	}
+	journal.restored = nil
+}
+
+// persist makes a change durable and then calls done. A failed write is not
+// answered at all: the member must not vouch for what it may forget.
+func (m *Member) persist(entry journalEntry, done func()) {
+	journal := m.config.Journal
+	if journal == nil {
+		done()
+		return
+	}
+	journal.append(entry, func(err error) {
+		if err == nil {
+			done()
+		}
+	})
+	if journal.entries > compactAfter {
+		journal.compact(m.state())
+	}
+}
+
+func (m *Member) persistClaim(record *wire.ClaimRecord, done func()) {
+	copied := *record
+	copied.Withdrawn = slices.Clone(record.Withdrawn)
+	m.persist(journalEntry{Claim: &copied}, done)
+}
+
+func (m *Member) persistRegister(record *wire.RegisterRecord, done func()) {
+	copied := *record
+	m.persist(journalEntry{Register: &copied}, done)
+}
+
+// persistAll makes everything held durable, as after a copy.
+func (m *Member) persistAll(done func()) {
+	state := m.state()
+	for _, entry := range state[:len(state)-1] {
+		m.persist(entry, func() {})
+	}
+	m.persist(state[len(state)-1], done)
+}
+
+// state is everything held, as entries; the last one is never absent.
+func (m *Member) state() []journalEntry {
+	var entries []journalEntry
+	if m.config.Journal != nil {
+		entries = append(entries, journalEntry{Identity: m.config.Journal.identity})
+	}
+	for _, key := range slices.Sorted(maps.Keys(m.claims)) {
+		copied := *m.claims[key]
+		entries = append(entries, journalEntry{Claim: &copied})
+	}
+	for _, name := range slices.Sorted(maps.Keys(m.registers)) {
+		copied := *m.registers[name]
+		entries = append(entries, journalEntry{Register: &copied})
+	}
+	return append(entries, journalEntry{View: m.view, Serving: m.serving, Sealed: m.sealed})
+}
--- a/internal/quorum/member.go
+++ b/internal/quorum/member.go
@@ -27,10 +27,13 @@
 
 // MemberConfig is what a Member needs.
 type MemberConfig struct {
-	ID          string
-	Incarnation uint64
-	Clock       environment.Clock
-	Peers       environment.Peers
+	ID string
+	// Identity is that of the process, or of the journal's data folder.
+	Identity uint64
+	Clock    environment.Clock
+	Peers    environment.Peers
+	// Journal keeps the state; nil keeps it in memory only.
+	Journal *Journal
 }
 
 // Member holds this process's share of the tables. It belongs to one
@@ -44,13 +47,17 @@
 	registers map[string]*wire.RegisterRecord
 }
 
-// NewMember returns a member that serves no view.
+// NewMember returns a member that serves the view of its journal, or none.
 func NewMember(config MemberConfig) *Member {
-	return &Member{
+	member := &Member{
 		config:    config,
 		claims:    map[string]*wire.ClaimRecord{},
 		registers: map[string]*wire.RegisterRecord{},
 	}
+	if config.Journal != nil {
+		member.restore(config.Journal)
+	}
+	return member
 }
 
 // Serving returns the epoch served, or 0.
@@ -62,36 +69,49 @@
 // SetView tells of a newer view. A member with a seat in it copies what the
 // previous view decided and then serves it.
 func (m *Member) SetView(view *View) {
-	if m.view != nil && view.Epoch <= m.view.Epoch {
+	if m.view != nil && (view.Epoch < m.view.Epoch || view.Epoch == m.serving) {
 		return
 	}
 	m.view = view
 	m.sealed = max(m.sealed, view.Epoch)
-	if !view.Has(m.config.ID, m.config.Incarnation) {
+	if !view.Has(m.config.ID, m.config.Identity) {
 		return
 	}
 	if len(view.Previous) == 0 {
-		m.serving = view.Epoch
+		m.serve(view)
 		return
 	}
 	m.copyFrom(view)
 }
 
+// serve begins to serve a view once that is durable.
+func (m *Member) serve(view *View) {
+	m.persistAll(func() {
+		if m.view != view {
+			return
+		}
+		m.serving = view.Epoch
+		m.persist(journalEntry{View: view, Serving: view.Epoch, Sealed: m.sealed}, func() {})
+	})
+}
+
 // copyFrom seals the previous seats and serves the view once a majority of
 // them has handed over everything.
 func (m *Member) copyFrom(view *View) {
 	copied := 0
 	remaining := len(view.Previous)
+	served := false
 	finished := func(complete bool) {
 		remaining--
 		if complete {
 			copied++
 		}
-		if m.view != view || m.serving == view.Epoch {
+		if m.view != view || served {
 			return
 		}
 		if copied >= majority(view.Previous) {
-			m.serving = view.Epoch
+			served = true
+			m.serve(view)
 			return
 		}
 		if remaining == 0 {
@@ -103,7 +123,7 @@
 		}
 	}
 	for _, seat := range view.Previous {
-		if seat.ID == m.config.ID && seat.Incarnation == m.config.Incarnation {
+		if seat.is(m.config.ID, m.config.Identity) {
 			finished(m.serving == view.Epoch-1)
 			continue
 		}
@@ -131,11 +151,20 @@
 
 // HandleSeal stops service of older views and hands over a page of claims. A
 // process that served none of them has nothing to vouch for and refuses.
-func (m *Member) HandleSeal(seal *wire.ClaimSeal) wire.Message {
+func (m *Member) HandleSeal(seal *wire.ClaimSeal, reply func(wire.Message)) {
 	if m.serving == 0 {
-		return &wire.Failure{Code: uint16(wire.CodeNotServing), Detail: "no view served"}
+		reply(&wire.Failure{Code: uint16(wire.CodeNotServing), Detail: "no view served"})
+		return
+	}
+	if seal.Epoch <= m.sealed {
+		reply(m.snapshot(seal))
+		return
 	}
-	m.sealed = max(m.sealed, seal.Epoch)
+	m.sealed = seal.Epoch
+	m.persist(journalEntry{Sealed: m.sealed}, func() { reply(m.snapshot(seal)) })
+}
+
+func (m *Member) snapshot(seal *wire.ClaimSeal) *wire.ClaimSnapshot {
 	snapshot := &wire.ClaimSnapshot{Epoch: m.serving}
 	for _, key := range slices.Sorted(maps.Keys(m.claims)) {
 		if key <= seal.After {
@@ -169,6 +198,12 @@
 	return epoch != 0 && epoch == m.serving && m.sealed <= epoch
 }
 
+// servesClaims tells whether claims, too, may be granted: not yet where a view
+// has started over without those of the one before.
+func (m *Member) servesClaims(epoch uint64) bool {
+	return m.serves(epoch) && m.config.Clock.Now().UnixMilli() >= m.view.ClaimsFrom
+}
+
 // Expire forgets claims and registers past their retention.
 func (m *Member) Expire() {
 	limit := m.config.Clock.Now().Add(-Retention).UnixMilli()
--- a/internal/quorum/registers.go
+++ b/internal/quorum/registers.go
@@ -4,22 +4,25 @@
 
 // HandlePrepare promises to accept nothing from an older ballot, and tells
 // what has been accepted.
-func (m *Member) HandlePrepare(request *wire.RegisterPrepare) *wire.RegisterReply {
+func (m *Member) HandlePrepare(request *wire.RegisterPrepare, reply func(wire.Message)) {
 	if !m.serves(request.Epoch) {
-		return &wire.RegisterReply{}
+		reply(&wire.RegisterReply{})
+		return
 	}
 	register := m.register(request.Register)
 	granted := request.Ballot >= register.Promised
 	if granted {
 		register.Promised = request.Ballot
 	}
-	return registerReply(granted, register)
+	answer := registerReply(granted, register)
+	m.persistRegister(register, func() { reply(answer) })
 }
 
 // HandleAccept accepts a value unless a newer ballot was promised.
-func (m *Member) HandleAccept(request *wire.RegisterAccept) *wire.RegisterReply {
+func (m *Member) HandleAccept(request *wire.RegisterAccept, reply func(wire.Message)) {
 	if !m.serves(request.Epoch) {
-		return &wire.RegisterReply{}
+		reply(&wire.RegisterReply{})
+		return
 	}
 	register := m.register(request.Register)
 	granted := request.Ballot >= register.Promised
@@ -28,7 +31,8 @@
 		register.AcceptedBallot = request.Ballot
 		register.Value = request.Value
 	}
-	return registerReply(granted, register)
+	answer := registerReply(granted, register)
+	m.persistRegister(register, func() { reply(answer) })
 }
 
 func (m *Member) register(name string) *wire.RegisterRecord {
--- a/internal/quorum/view.go
+++ b/internal/quorum/view.go
@@ -14,10 +14,13 @@
 
 // Seat is one member of a view.
 type Seat struct {
-	ID          string `json:"id"`
-	Incarnation uint64 `json:"incarnation"`
-	Address     string `json:"address"`
-	Zone        string `json:"zone"`
+	ID string `json:"id"`
+	// Identity is that of the member's memory; see wire.Member.
+	Identity uint64 `json:"identity"`
+	Address  string `json:"address"`
+	Zone     string `json:"zone"`
+	// Durable seats keep their tables in a data folder.
+	Durable bool `json:"durable"`
 }
 
 // View is the set of members in one epoch.
@@ -25,6 +28,19 @@
 	Epoch    uint64 `json:"epoch"`
 	Seats    []Seat `json:"seats"`
 	Previous []Seat `json:"previous,omitempty"`
+	// ClaimsFrom is the Unix time in milliseconds from which claims are
+	// granted. It is set when a view starts over after the loss of a majority:
+	// until every lost claim would have expired, a key may have been used.
+	ClaimsFrom int64 `json:"claimsFrom,omitempty"`
+}
+
+// zones counts the different zones of some seats.
+func zones(seats []Seat) int {
+	seen := map[string]bool{}
+	for _, seat := range seats {
+		seen[seat.Zone] = true
+	}
+	return len(seen)
 }
 
 // Majority is how many seats must agree.
@@ -32,11 +48,22 @@
 
 func majority(seats []Seat) int { return len(seats)/2 + 1 }
 
-// Has tells whether a process holds a seat.
-func (v *View) Has(id string, incarnation uint64) bool {
-	return slices.ContainsFunc(v.Seats, func(seat Seat) bool {
-		return seat.ID == id && seat.Incarnation == incarnation
-	})
+// Has tells whether a member with this memory holds a seat.
+func (v *View) Has(id string, identity uint64) bool {
+	return slices.ContainsFunc(v.Seats, func(seat Seat) bool { return seat.is(id, identity) })
+}
+
+func (s Seat) is(id string, identity uint64) bool { return s.ID == id && s.Identity == identity }
+
+// durable counts the seats with a data folder.
+func durable(seats []Seat) int {
+	count := 0
+	for _, seat := range seats {
+		if seat.Durable {
+			count++
+		}
+	}
+	return count
 }
 
 // Entries returns the view as entries of a relayed document.
--- a/internal/samplestore/filelog.go
+++ b/internal/recordlog/filelog.go
@@ -1,4 +1,4 @@
-package samplestore
+package recordlog
 
 import (
 	"encoding/binary"
@@ -29,7 +29,7 @@
 }
 
 // Error names the file and the cause.
-func (e *LogError) Error() string { return fmt.Sprintf("sample log %s: %v", e.Path, e.Cause) }
+func (e *LogError) Error() string { return fmt.Sprintf("record log %s: %v", e.Path, e.Cause) }
 
 // Unwrap returns the cause.
 func (e *LogError) Unwrap() error { return e.Cause }
@@ -54,7 +54,7 @@
 }
 
 // OpenFileLog opens a folder, making it if need be. The function post runs a
-// call on the goroutine of the store.
+// call on the goroutine of the duty.
 func OpenFileLog(folder string, post func(func())) (*FileLog, error) {
 	if err := os.MkdirAll(folder, 0o755); err != nil {
 		return nil, &LogError{Path: folder, Cause: err}
--- a/internal/samplestore/log.go
+++ b/internal/recordlog/log.go
@@ -1,9 +1,9 @@
-package samplestore
+package recordlog
 
-// Log is the durable storage under a Store: named segments of records.
+// Log is durable storage in named segments of records.
 type Log interface {
 	// Append makes a record durable and then calls done on the goroutine of
-	// the store.
+	// the duty that owns the log.
 	Append(segment string, record []byte, done func(error))
 	// Remove deletes a segment.
 	Remove(segment string)
--- a/internal/rollout/config.go
+++ b/internal/rollout/config.go
@@ -19,6 +19,9 @@
 	sealRetry = 500 * time.Millisecond
 	// storeTimeout bounds one message to a sample store.
 	storeTimeout = 3 * time.Second
+	// lossPatience is how long the samples of a manifest are looked for before
+	// those that no store has are generated anew.
+	lossPatience = 15 * time.Second
 	// sampleAttempts bounds the dispatches of one attempt.
 	sampleAttempts = 64
 	// sampleDeadline bounds one dispatch of a sample.
--- a/internal/rollout/keep.go
+++ b/internal/rollout/keep.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -29,6 +30,11 @@
 	s.replicate(filled)
 }
 
+// copyName names one store's memory: a store that lost its disk is another.
+func copyName(store wire.Member) string {
+	return store.ID + "@" + strconv.FormatUint(store.Identity, 36)
+}
+
 // storesFor ranks the stores for a slot, alternating zones.
 func (s *Scheduler) storesFor(step uint64, slotIndex uint32) []wire.Member {
 	usable := s.usableStores()
@@ -61,7 +67,7 @@
 		if missing == 0 {
 			break
 		}
-		if filled.copies[store.ID] {
+		if filled.copies[copyName(store)] {
 			continue
 		}
 		missing--
@@ -72,7 +78,7 @@
 				return
 			}
 			if stored {
-				filled.copies[store.ID] = true
+				filled.copies[copyName(store)] = true
 			}
 			if len(filled.copies) >= s.config.Stores.Copies() {
 				s.filled(filled)
--- a/internal/rollout/recover.go
+++ b/internal/rollout/recover.go
@@ -62,7 +62,7 @@
 					if holders[reference] == nil {
 						holders[reference] = map[string]bool{}
 					}
-					holders[reference][store.ID] = true
+					holders[reference][copyName(store)] = true
 				}
 			}
 			if waiting > 0 || s.stopped {
@@ -91,6 +91,12 @@
 func (s *Scheduler) fetchListed(step *stepState, holders map[wire.SampleReference]map[string]bool) {
 	var references []wire.SampleReference
 	for _, reference := range sortedReferences(holders) {
+		if reference.Slot == manifestSlot {
+			// The registers know of no manifest, but one was decided before
+			// they were lost.
+			references = append(references, reference)
+			continue
+		}
 		if int(reference.Slot) >= len(step.slots) {
 			continue
 		}
@@ -111,21 +117,60 @@
 	}
 	stores := s.usableStores()
 	waiting := len(stores)
+	var newest []byte
+	finished := func() {
+		if newest == nil {
+			s.generate(step)
+			return
+		}
+		s.repropose(step, newest)
+	}
 	request := &wire.SampleGet{Trainer: s.config.Trainer, Step: step.request.Step, References: references}
 	for _, store := range stores {
 		s.config.Peers.Call(store.Address, request, storeTimeout, func(message wire.Message, err error) {
 			waiting--
 			if found, ok := message.(*wire.Samples); err == nil && ok {
 				takeSamples(step, found)
+				newest = newestManifest(newest, found)
 			}
 			if waiting == 0 && !s.stopped {
-				s.generate(step)
+				finished()
 			}
 		})
 	}
 	if waiting == 0 {
-		s.generate(step)
+		finished()
+	}
+}
+
+// newestManifest returns the manifest of the greatest revision among one known
+// and those that a store returned.
+func newestManifest(known []byte, found *wire.Samples) []byte {
+	newest, revision := known, -1
+	if known != nil {
+		revision = revisionOf(known)
 	}
+	for _, sample := range found.Samples {
+		if sample.Slot == manifestSlot && revisionOf(sample.Data) > revision {
+			newest, revision = sample.Data, revisionOf(sample.Data)
+		}
+	}
+	return newest
+}
+
+func revisionOf(value []byte) int {
+	var manifest Manifest
+	if json.Unmarshal(value, &manifest) != nil {
+		return -1
+	}
+	return manifest.Revision
+}
+
+// repropose puts a manifest that the stores kept back into its register.
+func (s *Scheduler) repropose(step *stepState, value []byte) {
+	step.phase = phaseSealing
+	step.revision = revisionOf(value)
+	s.propose(step, value)
 }
 
 func sortedReferences(holders map[wire.SampleReference]map[string]bool) []wire.SampleReference {
--- /dev/null
+++ b/internal/rollout/repair.go
@@ -0,0 +1,60 @@
+package rollout
+
+import "github.com/pathtally/pathtally/internal/wire"
+
+// repair puts the samples of open steps on further stores after a store has
+// gone or has lost its disk, so that a second loss does not lose them.
+func (s *Scheduler) repair() {
+	stores := s.usableStores()
+	standing := map[string]bool{}
+	for _, store := range stores {
+		standing[copyName(store)] = true
+	}
+	if !s.storesChanged(standing) {
+		return
+	}
+	for _, step := range s.openSteps() {
+		for _, held := range step.slots {
+			if held.state == slotFilled && held.data != nil {
+				s.repairSlot(held, standing)
+			}
+		}
+	}
+}
+
+func (s *Scheduler) storesChanged(standing map[string]bool) bool {
+	changed := len(standing) != len(s.standingStores)
+	for name := range standing {
+		changed = changed || !s.standingStores[name]
+	}
+	s.standingStores = standing
+	return changed
+}
+
+func (s *Scheduler) repairSlot(held *slot, standing map[string]bool) {
+	count := 0
+	for name := range held.copies {
+		if standing[name] {
+			count++
+		}
+	}
+	digest, index := held.digest, held.index
+	for _, store := range s.storesFor(held.step.request.Step, index) {
+		if count >= s.config.Stores.Copies() {
+			return
+		}
+		if held.copies[copyName(store)] {
+			continue
+		}
+		count++
+		s.repairOn(store, held, digest)
+	}
+}
+
+func (s *Scheduler) repairOn(store wire.Member, held *slot, digest uint64) {
+	s.put(store, held.step.request.Step, held.index, digest, held.data, func(stored bool) {
+		if stored && held.digest == digest {
+			held.copies[copyName(store)] = true
+		}
+	})
+}
--- a/internal/rollout/scheduler.go
+++ b/internal/rollout/scheduler.go
@@ -21,7 +21,9 @@
 	stopped   bool
 	parked    []*attempt
 	lastPlan  *routing.TrainerPlan
-	timer     environment.Timer
+	// standingStores are the stores at the last look, by copyName.
+	standingStores map[string]bool
+	timer          environment.Timer
 }
 
 // NewScheduler returns a scheduler without steps.
@@ -39,6 +41,7 @@
 	}
 	s.pump()
 	s.watchTails()
+	s.repair()
 	s.timer = s.config.Clock.AfterFunc(pumpPeriod, s.Start)
 }
 
--- a/internal/rollout/seal.go
+++ b/internal/rollout/seal.go
@@ -57,20 +57,55 @@
 			})
 			return
 		}
-		s.copyManifest(step, decided)
-		s.adopt(step, decided)
+		s.copyManifest(step, decided, func() { s.adopt(step, decided) })
 	})
 }
 
-// copyManifest leaves a copy with the stores, for the case that the quorum
-// is lost as a whole.
-func (s *Scheduler) copyManifest(step *stepState, value []byte) {
-	for i, store := range s.storesFor(step.request.Step, manifestSlot) {
-		if i == s.config.Stores.Copies() {
-			return
+// copyManifest leaves copies with the stores before the step is handed over,
+// so that the same manifest is found again if the quorum is lost as a whole.
+func (s *Scheduler) copyManifest(step *stepState, value []byte, done func()) {
+	digest := xxhash.Sum64(value)
+	holders := map[string]bool{}
+	var round func()
+	round = func() {
+		missing := s.config.Stores.Copies() - len(holders)
+		waiting := 0
+		again := func() {
+			s.config.Clock.AfterFunc(slotRetry, func() {
+				if !s.stopped {
+					round()
+				}
+			})
+		}
+		for _, store := range s.storesFor(step.request.Step, manifestSlot) {
+			if missing == 0 {
+				break
+			}
+			if holders[copyName(store)] {
+				continue
+			}
+			missing--
+			waiting++
+			s.put(store, step.request.Step, manifestSlot, digest, value, func(stored bool) {
+				waiting--
+				if stored {
+					holders[copyName(store)] = true
+				}
+				if waiting > 0 || s.stopped {
+					return
+				}
+				if len(holders) >= s.config.Stores.Copies() {
+					done()
+					return
+				}
+				again()
+			})
+		}
+		if waiting == 0 {
+			again()
 		}
-		s.put(store, step.request.Step, manifestSlot, xxhash.Sum64(value), value, func(bool) {})
 	}
+	round()
 }
 
 // adopt takes a decided manifest as the step's content and fetches whatever
@@ -100,9 +135,33 @@
 		s.sealed(step)
 		return
 	}
+	step.gathering = s.config.Clock.Now()
 	s.gather(step, missing)
 }
 
+// lostSlots lists the slots of a manifest whose sample no store has returned.
+func lostSlots(step *stepState) []*slot {
+	var lost []*slot
+	for _, held := range step.slots {
+		if held.data == nil {
+			lost = append(lost, held)
+		}
+	}
+	return lost
+}
+
+// replace generates some slots of a decided manifest anew, for the next
+// revision of the step.
+func (s *Scheduler) replace(step *stepState, slots []*slot) {
+	step.phase = phaseGenerating
+	step.revision++
+	step.manifest = nil
+	for _, replaced := range slots {
+		s.requeue(replaced)
+	}
+	s.pump()
+}
+
 // gather asks every store for samples, and goes on asking while any is
 // missing: a store that is away may come back.
 func (s *Scheduler) gather(step *stepState, missing []wire.SampleReference) {
@@ -129,14 +188,17 @@
 			if waiting > 0 || s.stopped || step.phase != phaseSealing {
 				return
 			}
-			for _, held := range step.slots {
-				if held.data == nil {
-					s.answer(step, nil, merry.Wrap(ErrSampleLost))
-					retry()
-					return
-				}
+			lost := lostSlots(step)
+			if len(lost) == 0 {
+				s.sealed(step)
+				return
 			}
-			s.sealed(step)
+			if s.config.Clock.Now().Sub(step.gathering) > lossPatience {
+				s.replace(step, lost)
+				return
+			}
+			s.answer(step, nil, merry.Wrap(ErrSampleLost))
+			retry()
 		})
 	}
 }
@@ -175,14 +237,8 @@
 		}
 	}
 	if len(stale) > 0 && !step.acked {
-		step.phase = phaseGenerating
-		step.revision++
-		step.manifest = nil
-		for _, replaced := range stale {
-			s.counters.StaleReplaced++
-			s.requeue(replaced)
-		}
-		s.pump()
+		s.counters.StaleReplaced += int64(len(stale))
+		s.replace(step, stale)
 		return
 	}
 	body, err := stepBody(step)
--- a/internal/rollout/step.go
+++ b/internal/rollout/step.go
@@ -85,6 +85,8 @@
 	waiters  []*waiter
 	acked    bool
 	opened   time.Time
+	// gathering is since when samples of the manifest are looked for.
+	gathering time.Time
 	// durations are of the finished attempts, for telling the tail.
 	durations []time.Duration
 }
--- a/internal/samplestore/store.go
+++ b/internal/samplestore/store.go
@@ -5,16 +5,21 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
+	"github.com/pathtally/pathtally/internal/recordlog"
 	"github.com/pathtally/pathtally/internal/wire"
 )
 
+// segmentPrefix is put before the names of the store's segments.
+const segmentPrefix = "samples-"
+
 // KeptSteps is how many steps of a trainer are kept, counted from the newest.
 const KeptSteps = 16
 
-// Store is the index over a Log. It belongs to one goroutine.
+// Store is the index over a record log. It belongs to one goroutine.
 type Store struct {
-	log      Log
+	log      recordlog.Log
 	trainers map[string]*trainerState
 }
 
@@ -33,13 +38,16 @@
 }
 
 // Open reads the log and returns the store over it.
-func Open(log Log) (*Store, error) {
+func Open(log recordlog.Log) (*Store, error) {
 	store := &Store{log: log, trainers: map[string]*trainerState{}}
 	records, err := log.Recover()
 	if err != nil {
 		return nil, err
 	}
 	for _, record := range records {
+		if !strings.HasPrefix(record.Segment, segmentPrefix) {
+			continue
+		}
 		var found entry
 		if json.Unmarshal(record.Data, &found) == nil {
 			store.index(found)
@@ -48,7 +56,9 @@
 	return store, nil
 }
 
-func segmentName(trainer string, step uint64) string { return fmt.Sprintf("%s-%08d", trainer, step) }
+func segmentName(trainer string, step uint64) string {
+	return fmt.Sprintf("%s%s-%08d", segmentPrefix, trainer, step)
+}
 
 func (s *Store) trainer(name string) *trainerState {
 	state := s.trainers[name]
--- /dev/null
+++ b/internal/sim/callers.go
@@ -0,0 +1,108 @@
+package sim
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pathtally/pathtally/internal/enginemodel"
+	"github.com/pathtally/pathtally/internal/wire"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	callerName     = "caller"
+	callerDeadline = 8 * time.Second
+	// callerPatience is how long after its deadline a caller still listens.
+	callerPatience = 3 * time.Second
+	callerRetry    = time.Second
+	callerTries    = 5
+	liveTokens     = 24
+	// burstShare of the unsafe requests are sent through three nodes at once.
+	burstShare = 0.4
+)
+
+// Callers send requests to nodes, and repeat the unsafe ones until they know.
+type Callers struct {
+	world  *World
+	host   *Host
+	number int
+	// stopped ends new arrivals.
+	stopped bool
+}
+
+func newCallers(world *World) *Callers {
+	host := NewHost(world.Scheduler, callerName, "outside")
+	host.start()
+	world.Network.Add(host)
+	return &Callers{world: world, host: host}
+}
+
+// start begins arrivals of a group at a rate a second.
+func (c *Callers) start(group string, perSecond, unsafeShare float64) {
+	random := c.world.Scheduler.Random
+	var arrive func()
+	arrive = func() {
+		if c.stopped {
+			return
+		}
+		c.number++
+		asked := CallerRequest{Group: group, Prompt: fmt.Sprintf("%s asks %d", group, c.number), MaxTokens: liveTokens}
+		if random.Float64() < unsafeShare {
+			asked.Key = fmt.Sprintf("key-%d", c.number)
+		}
+		copies := 1
+		if asked.Key != "" && random.Float64() < burstShare {
+			copies = 3
+		}
+		for i := range copies {
+			c.ask(asked, random.IntN(len(c.world.Nodes))+i, 0)
+		}
+		c.world.Scheduler.After(time.Duration(random.ExpFloat64()/perSecond*float64(time.Second)), arrive)
+	}
+	c.world.Scheduler.After(0, arrive)
+}
+
+// ask sends a request to a node and judges what comes of it.
+func (c *Callers) ask(asked CallerRequest, place, tries int) {
+	target := c.world.Nodes[place%len(c.world.Nodes)]
+	asked.Deadline = c.world.Scheduler.Now().Add(callerDeadline)
+	network := c.world.Network
+	ended := false
+	end := func(answer *CallerAnswer) {
+		if ended {
+			return
+		}
+		ended = true
+		c.ended(asked, answer, place, tries)
+	}
+	if !target.host.alive {
+		c.world.Scheduler.After(sameZone, func() { end(nil) })
+		return
+	}
+	c.world.History.asked(asked)
+	c.world.Scheduler.After(callerDeadline+callerPatience, func() { end(nil) })
+	target.onDeath(func() { c.world.Scheduler.After(resetTime, func() { end(nil) }) })
+	c.world.Scheduler.After(network.delay(callerName, target.host.Name), target.host.bind(func() {
+		target.gateway.submit(asked, func(answer CallerAnswer) {
+			c.world.Scheduler.After(network.delay(target.host.Name, callerName), func() { end(&answer) })
+		})
+	}))
+}
+
+// ended records the outcome; an unsafe request whose outcome is not known is
+// sent again with its key, and a refused one when it was told to come back.
+func (c *Callers) ended(asked CallerRequest, answer *CallerAnswer, place, tries int) {
+	c.world.History.ended(asked, answer)
+	done := answer != nil && answer.Outcome == wire.OutcomeDone
+	if done || asked.Key == "" || tries+1 >= callerTries || c.stopped {
+		return
+	}
+	c.world.Scheduler.After(callerRetry, func() { c.ask(asked, place+1, tries+1) })
+}
+
+// expectedText is the one right answer to a request.
+func (w *World) expectedText(prompt string, seed uint64, maxTokens int) string {
+	natural := w.config.Lengths.Draw(xxhash.Sum64String(prompt) ^ seed)
+	return enginemodel.Text(prompt, 0, min(natural, maxTokens))
+}
--- /dev/null
+++ b/internal/sim/host.go
@@ -0,0 +1,86 @@
+package sim
+
+import (
+	"time"
+
+	"github.com/pathtally/pathtally/internal/environment"
+)
+
+// Host is a process that can be killed and paused. Calls meant for a killed
+// life of it are dropped; those for a paused one wait until it wakes.
+type Host struct {
+	scheduler *Scheduler
+	Name      string
+	Zone      string
+	life      int
+	alive     bool
+	paused    bool
+	deferred  []func()
+}
+
+// NewHost returns a host that is not alive yet.
+func NewHost(scheduler *Scheduler, name, zone string) *Host {
+	return &Host{scheduler: scheduler, Name: name, Zone: zone}
+}
+
+// Alive tells whether the host runs, paused or not.
+func (h *Host) Alive() bool { return h.alive }
+
+func (h *Host) start() {
+	h.life++
+	h.alive = true
+	h.paused = false
+	h.deferred = nil
+}
+
+func (h *Host) kill() {
+	h.alive = false
+	h.deferred = nil
+}
+
+func (h *Host) pause() { h.paused = true }
+
+func (h *Host) resume() {
+	h.paused = false
+	waiting := h.deferred
+	h.deferred = nil
+	for _, call := range waiting {
+		h.scheduler.After(0, call)
+	}
+}
+
+// bind returns a call that runs in this life of the host only.
+func (h *Host) bind(call func()) func() {
+	life := h.life
+	var bound func()
+	bound = func() {
+		if !h.alive || h.life != life {
+			return
+		}
+		if h.paused {
+			h.deferred = append(h.deferred, bound)
+			return
+		}
+		call()
+	}
+	return bound
+}
+
+// Now implements environment.Clock.
+func (h *Host) Now() time.Time { return h.scheduler.Now() }
+
+// AfterFunc implements environment.Clock.
+func (h *Host) AfterFunc(delay time.Duration, call func()) environment.Timer {
+	stopped := &hostTimer{}
+	h.scheduler.After(delay, h.bind(func() {
+		if !stopped.stopped {
+			call()
+		}
+	}))
+	return stopped
+}
+
+type hostTimer struct{ stopped bool }
+
+// Stop implements environment.Timer.
+func (t *hostTimer) Stop() { t.stopped = true }
--- /dev/null
+++ b/internal/sim/trainer.go
@@ -0,0 +1,182 @@
+package sim
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/pathtally/pathtally/internal/configwriter"
+	"github.com/pathtally/pathtally/internal/devcluster"
+	"github.com/pathtally/pathtally/internal/environment"
+	"github.com/pathtally/pathtally/internal/node"
+	"github.com/pathtally/pathtally/internal/rollout"
+)
+
+const (
+	trainerRetry  = 300 * time.Millisecond
+	trainerFetch  = 10 * time.Second
+	trainTime     = 2 * time.Second
+	trainerPool   = 64
+	sampleTokens  = 160
+	stepPrompts   = 4
+	stepSamples   = 3
+	trainerWriter = "trainer"
+)
+
+// Trainer trains step after step through whatever node answers. What it has
+// trained outlives its crashes.
+type Trainer struct {
+	world  *World
+	host   *Host
+	name   string
+	model  string
+	step   uint64
+	ahead  int
+	place  int
+	writer *configwriter.Writer
+	// Idle is the time spent waiting for samples.
+	Idle     time.Duration
+	Trained  int
+	finished bool
+}
+
+func newTrainer(world *World, name, model string, ahead int) *Trainer {
+	simulated := &Trainer{world: world, host: NewHost(world.Scheduler, "trainer-"+name, "outside"), name: name, model: model, step: 1, ahead: ahead}
+	world.Network.Add(simulated.host)
+	return simulated
+}
+
+// Start begins a life of the trainer with the first step not yet trained.
+func (t *Trainer) Start() {
+	t.host.start()
+	t.writer = configwriter.New(configwriter.Config{
+		Clock: t.host, Random: rand.New(rand.NewPCG(t.world.Scheduler.Random.Uint64(), 1)), Objects: t.world.Platform.Client(t.host),
+	})
+	t.publish(int64(t.step))
+	t.fetch(t.host.Now())
+}
+
+// Crash ends the trainer's process.
+func (t *Trainer) Crash() { t.host.kill() }
+
+func (t *Trainer) request(step uint64) rollout.StepRequest {
+	request := rollout.StepRequest{Step: step, TrainVersion: int64(step), SamplesPerPrompt: stepSamples, MaxTokens: sampleTokens, Seed: step * 7919}
+	for i := range stepPrompts {
+		request.Prompts = append(request.Prompts, fmt.Sprintf("%s rollout %d", t.name, (int(step)*stepPrompts+i)%trainerPool))
+	}
+	return request
+}
+
+// call runs an exchange at a node's core; a redirect is followed.
+func (t *Trainer) call(exchange func(core *node.Core, answer func(error)), done func(error)) {
+	target := t.world.Nodes[t.place%len(t.world.Nodes)]
+	ended := false
+	end := t.host.bind(func() {
+		if !ended {
+			ended = true
+			t.place++
+			done(merry.Wrap(environment.ErrPeerUnreachable))
+		}
+	})
+	t.world.Scheduler.After(trainerFetch+trainerRetry, end)
+	if !target.host.alive {
+		t.world.Scheduler.After(trainerRetry, end)
+		return
+	}
+	target.onDeath(func() { t.world.Scheduler.After(resetTime, end) })
+	network := t.world.Network
+	life := t.host.life
+	t.world.Scheduler.After(network.delay(t.host.Name, target.host.Name), target.host.bind(func() {
+		exchange(target.core, func(err error) {
+			t.world.Scheduler.After(network.delay(target.host.Name, t.host.Name), t.host.bind(func() {
+				if ended || t.host.life != life {
+					return
+				}
+				ended = true
+				var redirect *node.RedirectError
+				if errors.As(err, &redirect) {
+					t.place = t.world.placeOf(redirect.Address)
+				} else if err != nil {
+					t.place++
+				}
+				done(err)
+			}))
+		})
+	}))
+}
+
+func (t *Trainer) submit(step uint64, done func(error)) {
+	t.call(func(core *node.Core, answer func(error)) { answer(core.SubmitStep(t.name, t.request(step))) }, done)
+}
+
+// fetch submits the step, waits for it and goes on with it.
+func (t *Trainer) fetch(since time.Time) {
+	if t.finished {
+		return
+	}
+	step := t.step
+	again := func() { t.host.AfterFunc(trainerRetry, func() { t.fetch(since) }) }
+	t.submit(step, func(err error) {
+		if err != nil {
+			again()
+			return
+		}
+		var body []byte
+		var answeredBy string
+		t.call(func(core *node.Core, answer func(error)) {
+			by := t.world.Nodes[t.place%len(t.world.Nodes)].host
+			cancel := core.FetchStep(t.name, step, int64(step), func(found []byte, err error) {
+				body, answeredBy = found, by.Name
+				answer(err)
+			})
+			by.AfterFunc(trainerFetch, cancel)
+		}, func(err error) {
+			if err != nil || step != t.step {
+				again()
+				return
+			}
+			t.Idle += t.host.Now().Sub(since)
+			t.world.History.delivered(t, step, body, answeredBy)
+			t.train(step)
+		})
+	})
+}
+
+// train acknowledges the step, opens the next, trains and publishes.
+func (t *Trainer) train(step uint64) {
+	t.acknowledge(step, 0)
+	for next := step + 1; next <= step+uint64(t.ahead); next++ {
+		t.host.AfterFunc(trainerRetry, func() { t.submit(next, func(error) {}) })
+	}
+	t.host.AfterFunc(trainTime, func() {
+		t.step = step + 1
+		t.Trained++
+		t.world.History.trained(t.name, step)
+		t.publish(int64(t.step))
+		t.fetch(t.host.Now())
+	})
+}
+
+func (t *Trainer) acknowledge(step uint64, tries int) {
+	t.call(func(core *node.Core, answer func(error)) { answer(core.AcknowledgeStep(t.name, step)) }, func(err error) {
+		if err != nil && tries < callerTries {
+			t.host.AfterFunc(trainerRetry, func() { t.acknowledge(step, tries+1) })
+		}
+	})
+}
+
+// publish declares the next weights, as often as it takes.
+func (t *Trainer) publish(version int64) {
+	t.writer.WriteRebased(devcluster.AddVersion(t.model, version), func(_ configwriter.Result, err error) {
+		if err != nil {
+			t.host.AfterFunc(trainerRetry, func() {
+				if version == int64(t.step) {
+					t.publish(version)
+				}
+			})
+		}
+	})
+}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -31,6 +31,9 @@
 	Sequence    uint64
 	State       uint8
 	Storage     bool
+	// Identity names the memory behind the member's quorum seat: it lasts as
+	// long as the data folder, or else as long as the process.
+	Identity uint64
 }
 
 // LeaseNote announces who holds a lease.
--- a/internal/wire/schema/peer.capnp
+++ b/internal/wire/schema/peer.capnp
@@ -58,6 +58,7 @@
   sequence @6 :UInt64;      # within an incarnation; raised by the member itself
   state @7 :UInt8;          # 0 alive, 1 suspect, 2 leaving, 3 dead; greater wins within a sequence
   storage @8 :Bool;         # has a data folder
+  identity @9 :UInt64;      # of the memory behind its quorum seat: the data folder's, else the incarnation
 }
 
 struct LeaseNote {
