A quorum view that nobody can serve starts over; stale samples are never handed over again

Change: the coordinator starts a view over when the current one is not served and its predecessor is lost; the hand-over check holds for acknowledged steps too; the checker compares places in the history.

--- a/internal/quorum/coordinator.go
+++ b/internal/quorum/coordinator.go
@@ -53,6 +53,8 @@
 	busy    bool
 	// lostSince is when a majority of the view was last found missing.
 	lostSince time.Time
+	// servedEpoch is the newest view known to be served by a majority.
+	servedEpoch uint64
 }
 
 // NewCoordinator returns an idle coordinator.
@@ -98,16 +100,19 @@
 			return
 		}
 		c.config.OnView(view)
-		if next := c.nextView(view); next != nil {
+		next := c.nextView(view)
+		if next != nil || (view.Epoch != c.servedEpoch && c.isHopeless(view.Previous)) {
 			c.writeIfServed(view, next, object.Version)
 		}
 	})
 }
 
-// writeIfServed writes the next view once a majority of the current one
-// serves it; before that there is nobody whose claims could be copied.
+// writeIfServed writes the next view, if there is one, once a majority of the
+// current one serves it; before that there is nobody whose claims could be
+// copied. Where the current view can never be served, because a majority of
+// the one before was lost meanwhile, it starts over.
 func (c *Coordinator) writeIfServed(current, next *View, version uint64) {
-	if len(next.Previous) == 0 {
+	if next != nil && len(next.Previous) == 0 {
 		c.write(next, version)
 		return
 	}
@@ -123,8 +128,16 @@
 				return
 			}
 			c.busy = false
-			if c.active && served >= current.Majority() {
-				c.write(next, version)
+			switch {
+			case !c.active:
+			case served >= current.Majority():
+				c.servedEpoch = current.Epoch
+				if next != nil {
+					c.write(next, version)
+				}
+			case c.isHopeless(current.Previous):
+				present, _ := c.present(current)
+				c.write(c.startOver(current, c.choose(present)), version)
 			}
 		})
 	}
@@ -204,21 +217,30 @@
 	if c.lostSince.IsZero() {
 		c.lostSince = now
 	}
-	fresh := &View{Epoch: view.Epoch + 1, Seats: seats}
 	if now.Sub(c.lostSince) >= Retention {
-		return fresh
+		return &View{Epoch: view.Epoch + 1, Seats: seats}
 	}
+	if !c.isHopeless(view.Seats) {
+		return nil
+	}
+	return c.startOver(view, seats)
+}
+
+// startOver is the view after one whose tables are lost.
+func (c *Coordinator) startOver(view *View, seats []Seat) *View {
+	return &View{Epoch: view.Epoch + 1, Seats: seats, ClaimsFrom: c.config.Clock.Now().Add(Retention).UnixMilli()}
+}
+
+// isHopeless tells whether so many seats belong to memories that have been
+// replaced that no majority of them can ever answer again.
+func (c *Coordinator) isHopeless(seats []Seat) bool {
 	replaced := 0
-	for _, seat := range view.Seats {
+	for _, seat := range seats {
 		if member, known := c.config.Members.Get(seat.ID); known && member.Identity != seat.Identity && member.State <= wire.MemberSuspect {
 			replaced++
 		}
 	}
-	if replaced < view.Majority() {
-		return nil
-	}
-	fresh.ClaimsFrom = now.Add(Retention).UnixMilli()
-	return fresh
+	return len(seats) > 0 && len(seats)-replaced < majority(seats)
 }
 
 // majorityAnswers tells whether a majority is there, counting members that
--- a/internal/rollout/seal.go
+++ b/internal/rollout/seal.go
@@ -224,7 +224,8 @@
 
 // handOver answers the waiting trainer. A sample that has become too old for
 // the version that the trainer will train is not delivered but replaced, in a
-// new revision; a step that was acknowledged stays as it was.
+// new revision. That holds for an acknowledged step too: a trainer that asks
+// for one again has not trained it.
 func (s *Scheduler) handOver(step *stepState) {
 	if len(step.waiters) == 0 {
 		return
@@ -236,7 +237,8 @@
 			stale = append(stale, held)
 		}
 	}
-	if len(stale) > 0 && !step.acked {
+	if len(stale) > 0 {
+		step.acked = false
 		s.counters.StaleReplaced += int64(len(stale))
 		s.replace(step, stale)
 		return
--- a/internal/sim/check.go
+++ b/internal/sim/check.go
@@ -246,7 +246,7 @@
 	everywhere := uint64(0)
 	next := 0
 	for _, serving := range h.servings {
-		for next < len(h.applies) && h.applies[next].At <= serving.At {
+		for next < len(h.applies) && h.applies[next].Order < serving.Order {
 			current[h.applies[next].Node] = h.applies[next].Generation
 			next++
 			everywhere = max(everywhere, leastOf(current, len(h.world.Nodes)))
--- a/internal/sim/history.go
+++ b/internal/sim/history.go
@@ -69,7 +69,7 @@
 	Body     []byte
 	Manifest rollout.Manifest
 	Samples  []rollout.Sample
-	// Bound is the staleness bound in force at the node that answered.
+	// Bound is the staleness bound in force at the node when it answered.
 	Bound int64
 	At    time.Duration
 }
@@ -89,7 +89,9 @@
 	Node       string
 	Life       int
 	Generation uint64
-	At         time.Duration
+	// Order is the place among all that was applied or served.
+	Order int
+	At    time.Duration
 }
 
 // Sign is the earliest moment at which an engine is known to leave.
@@ -152,8 +154,8 @@
 	h.world.Trace("engine %s runs version %d", name, version)
 }
 
-func (h *History) delivered(trainer *Trainer, step uint64, body []byte, node string) {
-	delivery := Delivery{Step: step, Body: body, At: h.at(), Bound: h.boundAt(node)}
+func (h *History) delivered(trainer *Trainer, step uint64, body []byte, bound int64) {
+	delivery := Delivery{Step: step, Body: body, At: h.at(), Bound: bound}
 	lines := bytes.Split(bytes.TrimSpace(body), []byte("\n"))
 	_ = json.Unmarshal(lines[0], &delivery.Manifest)
 	for _, line := range lines[1:] {
@@ -162,7 +164,7 @@
 		delivery.Samples = append(delivery.Samples, sample)
 	}
 	h.deliveries = append(h.deliveries, delivery)
-	h.world.Trace("trainer %s got step %d revision %d from %s", trainer.name, step, delivery.Manifest.Revision, node)
+	h.world.Trace("trainer %s got step %d revision %d", trainer.name, step, delivery.Manifest.Revision)
 }
 
 // boundAt is the trainer's bound in the generation that a node applied last.
@@ -212,12 +214,12 @@
 }
 
 func (h *History) applied(node string, life int, generation uint64) {
-	h.applies = append(h.applies, Applied{Node: node, Life: life, Generation: generation, At: h.at()})
+	h.applies = append(h.applies, Applied{Node: node, Life: life, Generation: generation, Order: len(h.applies) + len(h.servings), At: h.at()})
 	h.world.Trace("node %s applied generation %d", node, generation)
 }
 
 func (h *History) served(node string, generation uint64) {
-	h.servings = append(h.servings, Applied{Node: node, Generation: generation, At: h.at()})
+	h.servings = append(h.servings, Applied{Node: node, Generation: generation, Order: len(h.applies) + len(h.servings), At: h.at()})
 }
 
 func (h *History) signed(engine string) {
--- a/internal/sim/trainer.go
+++ b/internal/sim/trainer.go
@@ -125,11 +125,11 @@
 			return
 		}
 		var body []byte
-		var answeredBy string
+		var bound int64
 		t.call(func(core *node.Core, answer func(error)) {
 			by := t.world.Nodes[t.place%len(t.world.Nodes)].host
 			cancel := core.FetchStep(t.name, step, int64(step), func(found []byte, err error) {
-				body, answeredBy = found, by.Name
+				body, bound = found, t.world.History.boundAt(by.Name)
 				answer(err)
 			})
 			by.AfterFunc(trainerFetch, cancel)
@@ -139,7 +139,7 @@
 				return
 			}
 			t.Idle += t.host.Now().Sub(since)
-			t.world.History.delivered(t, step, body, answeredBy)
+			t.world.History.delivered(t, step, body, bound)
 			t.train(step)
 		})
 	})
