--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -28,6 +28,9 @@
 	// one for callers, trainers and operators.
 	Peer string `json:"peer"`
 	HTTP string `json:"http"`
+	// PeerAdvertised is the address that other nodes are told, where it differs
+	// from Peer, as behind a forwarder.
+	PeerAdvertised string `json:"peerAdvertised"`
 	// Seeds are peer addresses of nodes to join through.
 	Seeds []string `json:"seeds"`
 	// Platform is the address of the object API and the machine list.
@@ -68,6 +71,7 @@
 	flags.StringVar(&s.Zone, "zone", "", "zone that the node is in")
 	flags.StringVar(&s.Region, "region", "", "region that the node is in")
 	flags.StringVar(&s.Peer, "peer", "", "address for other nodes, IP and port")
+	flags.StringVar(&s.PeerAdvertised, "peer-advertised", "", "address that other nodes are told, if it differs from -peer")
 	flags.StringVar(&s.HTTP, "http", "", "address for callers, IP and port")
 	flags.Func("seeds", "peer addresses to join through, separated by commas", func(text string) error {
 		s.Seeds = strings.Split(text, ",")
@@ -115,7 +119,7 @@
 func (s *Settings) overlay(given Settings) {
 	for _, pair := range []struct{ into, from *string }{
 		{&s.Node, &given.Node}, {&s.Zone, &given.Zone}, {&s.Region, &given.Region}, {&s.Peer, &given.Peer},
-		{&s.HTTP, &given.HTTP}, {&s.Platform, &given.Platform}, {&s.DataFolder, &given.DataFolder},
+		{&s.HTTP, &given.HTTP}, {&s.PeerAdvertised, &given.PeerAdvertised}, {&s.Platform, &given.Platform}, {&s.DataFolder, &given.DataFolder},
 	} {
 		if *pair.from != "" {
 			*pair.into = *pair.from
@@ -140,6 +144,9 @@
 		}
 	}
 	addresses := []struct{ setting, value string }{{"peer", s.Peer}, {"http", s.HTTP}, {"platform", s.Platform}}
+	if s.PeerAdvertised != "" {
+		addresses = append(addresses, struct{ setting, value string }{"peerAdvertised", s.PeerAdvertised})
+	}
 	for _, seed := range s.Seeds {
 		addresses = append(addresses, struct{ setting, value string }{"seeds", seed})
 	}
--- a/internal/sim/callers.go
+++ b/internal/sim/callers.go
@@ -68,32 +68,32 @@
 	target := c.world.Nodes[place%len(c.world.Nodes)]
 	asked.Deadline = c.world.Scheduler.Now().Add(callerDeadline)
 	network := c.world.Network
-	ended := false
+	ended, reached := false, false
 	end := func(answer *CallerAnswer) {
 		if ended {
 			return
 		}
 		ended = true
-		c.ended(asked, answer, place, tries)
+		c.world.History.ended(asked, answer, reached)
+		c.again(asked, answer, place, tries)
 	}
 	if !target.host.alive {
 		c.world.Scheduler.After(sameZone, func() { end(nil) })
 		return
 	}
-	c.world.History.asked(asked)
 	c.world.Scheduler.After(callerDeadline+callerPatience, func() { end(nil) })
 	target.onDeath(func() { c.world.Scheduler.After(resetTime, func() { end(nil) }) })
 	c.world.Scheduler.After(network.delay(callerName, target.host.Name), target.host.bind(func() {
+		reached = true
 		target.gateway.submit(asked, func(answer CallerAnswer) {
 			c.world.Scheduler.After(network.delay(target.host.Name, callerName), func() { end(&answer) })
 		})
 	}))
 }
 
-// ended records the outcome; an unsafe request whose outcome is not known is
-// sent again with its key, and a refused one when it was told to come back.
-func (c *Callers) ended(asked CallerRequest, answer *CallerAnswer, place, tries int) {
-	c.world.History.ended(asked, answer)
+// again sends an unsafe request whose outcome is not known, or that was
+// refused, once more with its key.
+func (c *Callers) again(asked CallerRequest, answer *CallerAnswer, place, tries int) {
 	done := answer != nil && answer.Outcome == wire.OutcomeDone
 	if done || asked.Key == "" || tries+1 >= callerTries || c.stopped {
 		return
--- a/internal/sim/history.go
+++ b/internal/sim/history.go
@@ -26,6 +26,7 @@
 	trainings  map[uint64]int
 	puts       map[uint64]*v1.Set
 	marks      map[string]int
+	written    map[uint64]time.Duration
 	writes     []Write
 	applies    []Applied
 	servings   []Applied
@@ -39,6 +40,8 @@
 	Asked CallerRequest
 	// Answer is nil when the caller got none.
 	Answer *CallerAnswer
+	// Reached is false when no node accepted the connection.
+	Reached bool
 	// Expected is the right text.
 	Expected string
 	At       time.Duration
@@ -116,16 +119,14 @@
 func newHistory(world *World) *History {
 	return &History{
 		world: world, runs: map[string]int{}, tokens: map[string][]VersionRun{}, trainings: map[uint64]int{},
-		puts: map[uint64]*v1.Set{}, marks: map[string]int{},
+		puts: map[uint64]*v1.Set{}, marks: map[string]int{}, written: map[uint64]time.Duration{},
 	}
 }
 
 func (h *History) at() time.Duration { return h.world.Scheduler.Elapsed() }
 
-func (h *History) asked(CallerRequest) {}
-
-func (h *History) ended(asked CallerRequest, answer *CallerAnswer) {
-	end := RequestEnd{Asked: asked, Answer: answer, Expected: h.world.expectedText(asked.Prompt, 0, asked.MaxTokens), At: h.at()}
+func (h *History) ended(asked CallerRequest, answer *CallerAnswer, reached bool) {
+	end := RequestEnd{Asked: asked, Answer: answer, Reached: reached, Expected: h.world.expectedText(asked.Prompt, 0, asked.MaxTokens), At: h.at()}
 	h.requests = append(h.requests, end)
 	if answer == nil {
 		h.world.Trace("caller got no answer to %q", asked.Prompt)
@@ -187,6 +188,7 @@
 
 func (h *History) put(generation uint64, set *v1.Set) {
 	h.puts[generation] = set
+	h.written[generation] = h.at()
 	for _, limit := range v1.All[*v1.Limit](set) {
 		if mark := limit.Metadata.Labels[markLabel]; mark != "" {
 			if previous := h.puts[generation-1]; previous != nil && markOf(previous) == mark {
--- /dev/null
+++ b/internal/sim/scenarios_test.go
@@ -0,0 +1,60 @@
+package sim
+
+import (
+	"testing"
+	"time"
+)
+
+func report(t *testing.T, result Result) {
+	t.Helper()
+	for _, found := range result.Violations {
+		t.Error(found)
+	}
+	t.Logf("%d requests, %d answered, %d steps", result.Requests, result.Answered, result.Steps)
+}
+
+func TestRollingStopCutsNothing(t *testing.T) {
+	t.Parallel()
+	report(t, RollingStop(DefaultConfig(1)))
+}
+
+func TestLeavingEnginesGetNoWork(t *testing.T) {
+	t.Parallel()
+	report(t, Leaving(DefaultConfig(1)))
+}
+
+func TestManyChangesAreInForceSoon(t *testing.T) {
+	t.Parallel()
+	result := ManyChanges(DefaultConfig(1), 100)
+	report(t, result.Result)
+	t.Logf("%d generations, slowest %s of virtual time", result.Generations, result.Slowest)
+	if result.Slowest > 5*time.Second {
+		t.Errorf("a generation took %s of virtual time to be in force everywhere", result.Slowest)
+	}
+}
+
+func TestOutageOfAnHour(t *testing.T) {
+	t.Parallel()
+	config := DefaultConfig(1)
+	config.RequestsPerSecond = 1
+	result := Outage(config, time.Hour)
+	report(t, result.Result)
+	t.Logf("in the outage: %d answered, %d steps; calls before %d, after %d", result.AnsweredInOutage, result.StepsInOutage, result.RequestsBefore, result.RequestsAfter)
+	if result.AnsweredInOutage == 0 || result.StepsInOutage == 0 {
+		t.Error("nothing went on during the outage")
+	}
+	if result.RequestsAfter > 3*result.RequestsBefore {
+		t.Errorf("%d calls met the object API after the outage, %d before it", result.RequestsAfter, result.RequestsBefore)
+	}
+}
+
+func TestSameSeedSameTrace(t *testing.T) {
+	t.Parallel()
+	first, second, other := Chaos(DefaultConfig(7)), Chaos(DefaultConfig(7)), Chaos(DefaultConfig(8))
+	if first.Hash != second.Hash {
+		t.Errorf("the same seed gave traces %x and %x", first.Hash, second.Hash)
+	}
+	if first.Hash == other.Hash {
+		t.Error("two seeds gave the same trace")
+	}
+}
--- /dev/null
+++ b/test/faults_test.go
@@ -0,0 +1,128 @@
+package test
+
+import (
+	"bytes"
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/pathtally/pathtally/internal/loadgen"
+)
+
+func TestKilledNodeKeepsPromises(t *testing.T) {
+	d := deploy(t)
+	stop := d.load(40, 0.6, d.addresses)
+	time.Sleep(time.Second)
+	d.nodes[1].signal(syscall.SIGKILL)
+	<-d.nodes[1].exited
+	time.Sleep(time.Second)
+	d.run(d.nodes[1])
+	d.waitReady(d.nodes[1])
+	time.Sleep(time.Second)
+	generator := stop()
+	counts := generator.Counts()
+	if counts.Wrong > 0 || counts.Answered == 0 {
+		t.Errorf("callers saw %+v", counts)
+	}
+	d.checkRuns(generator)
+	checkCounts(t, d.train("2"), 2)
+}
+
+func TestPausedNodeDispatchesNothingTwice(t *testing.T) {
+	d := deploy(t)
+	stop := d.load(40, 0.8, d.addresses)
+	for range 2 {
+		d.nodes[2].signal(syscall.SIGSTOP)
+		time.Sleep(1500 * time.Millisecond)
+		d.nodes[2].signal(syscall.SIGCONT)
+		time.Sleep(500 * time.Millisecond)
+	}
+	generator := stop()
+	if counts := generator.Counts(); counts.Wrong+counts.Truncated > 0 || counts.Answered == 0 {
+		t.Errorf("callers saw %+v", counts)
+	}
+	d.checkRuns(generator)
+}
+
+func TestSchedulerKilledBetweenStepsLosesNothing(t *testing.T) {
+	d := deploy(t)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		checkCounts(t, d.train("6"), 6)
+	}()
+	time.Sleep(700 * time.Millisecond)
+	for _, n := range d.nodes {
+		_, body, err := fasthttp.GetTimeout(nil, "http://"+n.http+"/status", time.Second)
+		if err == nil && bytes.Contains(body, []byte(`"scheduler/trainer"`)) {
+			n.signal(syscall.SIGKILL)
+			<-n.exited
+			d.run(n)
+			break
+		}
+	}
+	<-done
+}
+
+func TestEngineLinksCutInTheMiddleOfStreams(t *testing.T) {
+	modes := map[string]func(p *proxy){
+		"cut":         func(p *proxy) { p.set(proxyCut) },
+		"freeze":      func(p *proxy) { p.set(proxyFreeze) },
+		"one-way":     func(p *proxy) { p.set(proxyOneWay) },
+		"reset after": func(p *proxy) { p.resetAfter.Store(700) },
+	}
+	d := deploy(t)
+	for name, inject := range modes {
+		t.Run(name, func(t *testing.T) {
+			stop := d.load(40, 0.3, d.addresses)
+			time.Sleep(300 * time.Millisecond)
+			inject(d.engineProxies[0])
+			time.Sleep(1200 * time.Millisecond)
+			d.engineProxies[0].resetAfter.Store(0)
+			d.engineProxies[0].set(proxyPass)
+			time.Sleep(300 * time.Millisecond)
+			generator := stop()
+			if counts := generator.Counts(); counts.Wrong+counts.Truncated+counts.Unreachable > 0 || counts.Answered == 0 {
+				t.Errorf("callers saw %+v, codes %v", counts, generator.Codes())
+			}
+			d.checkRuns(generator)
+		})
+	}
+}
+
+func TestPlatformOutageKeepsServing(t *testing.T) {
+	d := deploy(t)
+	d.platformProxy.set(proxyCut)
+	d.nodes[2].signal(syscall.SIGKILL)
+	<-d.nodes[2].exited
+	d.run(d.nodes[2])
+	d.waitReady(d.nodes[2])
+	client := loadgen.NewClient()
+	for i := range 5 {
+		verdict, _ := loadgen.Do(client, d.nodes[2].http, loadgen.Request{
+			Model: "m", Group: "live", Prompt: fmt.Sprint("in the outage ", i), MaxTokens: 8, Key: fmt.Sprint("outage-", i), Deadline: 5 * time.Second,
+		})
+		if verdict.Kind != loadgen.Answered {
+			t.Errorf("request %d in the outage: %+v", i, verdict)
+		}
+	}
+	d.platformProxy.set(proxyPass)
+	d.pathtally(0, "apply", "-f", d.folder, "-platform", d.platform.address(0), "-wait", "-node-address", d.nodes[0].http)
+}
+
+func TestSlowCallerDoesNotHoldOthers(t *testing.T) {
+	d := deploy(t)
+	slow := newProxy(t, d.nodes[0].http)
+	slow.set(proxyFreeze)
+	go func() {
+		_, _ = loadgen.Do(loadgen.NewClient(), slow.address(), loadgen.Request{Model: "m", Group: "live", Prompt: "slow", MaxTokens: 60, Stream: true, Deadline: 5 * time.Second})
+	}()
+	stop := d.load(30, 0, d.addresses)
+	time.Sleep(time.Second)
+	if counts := stop().Counts(); counts.Answered == 0 || counts.Wrong+counts.Truncated+counts.Unknown+counts.Unreachable > 0 {
+		t.Errorf("callers saw %+v", counts)
+	}
+}
--- /dev/null
+++ b/test/path_test.go
@@ -0,0 +1,139 @@
+package test
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/pathtally/pathtally/internal/loadgen"
+	"github.com/pathtally/pathtally/standin/trainer"
+)
+
+func (d *deployment) train(steps string) trainer.Counts {
+	d.t.Helper()
+	p := start(d.t, 1, "pathtally-standin", "trainer", "-name", "trainer", "-model", "m", "-nodes", strings.Join(d.addresses(), ","),
+		"-platform", d.platform.address(0), "-steps", steps, "-train-time", "200ms", "-max-tokens", "120")
+	var counts trainer.Counts
+	if err := json.Unmarshal([]byte(p.lines[0]), &counts); err != nil {
+		d.t.Fatal(err)
+	}
+	return counts
+}
+
+func checkCounts(t *testing.T, counts trainer.Counts, steps int) {
+	t.Helper()
+	if counts.Steps != steps || counts.Delivered != steps*32 || counts.Duplicate+counts.Lost+counts.Stale+counts.Unversioned+counts.Wrong > 0 {
+		t.Errorf("the trainer saw %+v", counts)
+	}
+}
+
+func TestWholePathThroughProcesses(t *testing.T) {
+	d := deploy(t)
+	stop := d.load(30, 0.3, d.addresses)
+	checkCounts(t, d.train("3"), 3)
+	generator := stop()
+	counts := generator.Counts()
+	if counts.Answered == 0 || counts.Wrong+counts.Truncated+counts.Unreachable > 0 {
+		t.Errorf("callers saw %+v", counts)
+	}
+	d.checkRuns(generator)
+	if output := d.pathtally(0, "status", "-node-address", d.nodes[0].http); !strings.Contains(output, "node-2") {
+		t.Errorf("status does not show every node: %s", output)
+	}
+	d.pathtally(0, "get", "Engine", "engine-1", "-platform", d.platform.address(0), "-o", "yaml")
+	d.pathtally(1, "get", "Engine", "none", "-platform", d.platform.address(0))
+	d.pathtally(2, "get", "Nonsense", "-platform", d.platform.address(0))
+	d.pathtally(0, "diff", "-f", d.folder, "-platform", d.platform.address(0))
+	d.pathtally(1, "node", "-node", "n", "-zone", "z", "-region", "r", "-peer", d.nodes[0].peer, "-http", "127.0.0.1:0", "-platform", d.platform.address(0))
+}
+
+func TestRivalAppliesHaveOneWinner(t *testing.T) {
+	d := deploy(t)
+	platform := d.platform.address(0)
+	type end struct {
+		output string
+		code   int
+	}
+	conflicts := 0
+	for round := range 6 {
+		ends := make(chan end, 2)
+		for rival := range 2 {
+			folder := t.TempDir()
+			object := "apiVersion: pathtally.dev/v1\nkind: Limit\nmetadata: {name: shared}\nspec: {groups: urgency=live, maxQueue: " + string(rune('1'+round)) + string(rune('1'+rival)) + "}\n"
+			data, err := os.ReadFile(filepath.Join(d.folder, "objects.yaml"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := os.WriteFile(filepath.Join(folder, "o.yaml"), []byte(string(data)+"---\n"+object), 0o644); err != nil {
+				t.Fatal(err)
+			}
+			go func() {
+				output, code := runCommand("apply", "-f", folder, "-platform", platform)
+				ends <- end{output, code}
+			}()
+		}
+		for range 2 {
+			switch e := <-ends; e.code {
+			case 0:
+			case 3:
+				conflicts++
+				if !strings.Contains(e.output, "Limit/shared") {
+					t.Errorf("the conflict does not name what changed: %s", e.output)
+				}
+			default:
+				t.Errorf("exit code %d: %s", e.code, e.output)
+			}
+		}
+	}
+	t.Logf("%d of 6 races ended in a conflict", conflicts)
+}
+
+func TestLostAnswerOfApplyIsSettled(t *testing.T) {
+	d := deploy(t)
+	platform := d.platform.address(0)
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	request.SetRequestURI("http://" + platform + "/switches")
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.SetBodyString(`{"loseAnswers": 1}`)
+	if err := fasthttp.Do(request, response); err != nil {
+		t.Fatal(err)
+	}
+	data, err := os.ReadFile(filepath.Join(d.folder, "objects.yaml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	changed := strings.Replace(string(data), "priority: 80", "priority: 81", 1)
+	if err := os.WriteFile(filepath.Join(d.folder, "objects.yaml"), []byte(changed), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	d.pathtally(0, "apply", "-f", d.folder, "-platform", platform, "-wait", "-node-address", d.nodes[0].http)
+	output := d.pathtally(0, "get", "TrafficGroup", "live", "-platform", platform, "-o", "yaml")
+	if !strings.Contains(output, "priority: 81") {
+		t.Errorf("the change is not in force: %s", output)
+	}
+}
+
+func TestPlannedStopCutsNothing(t *testing.T) {
+	d := deploy(t)
+	stop := d.load(60, 0.2, func() []string { return d.addresses()[1:] })
+	onlyStopped := d.load(30, 0.2, func() []string { return d.addresses()[:1] })
+	time.Sleep(time.Second)
+	d.nodes[0].signal(15)
+	<-d.nodes[0].exited
+	stopped, others := onlyStopped(), stop()
+	for _, generator := range []*loadgen.Generator{stopped, others} {
+		counts := generator.Counts()
+		if counts.Wrong+counts.Truncated > 0 || counts.Answered == 0 {
+			t.Errorf("callers saw %+v, codes %v", counts, generator.Codes())
+		}
+		d.checkRuns(generator)
+	}
+	if unknown := stopped.Codes()["engine_failed"]; unknown > 0 {
+		t.Errorf("%d requests failed at the stopping node", unknown)
+	}
+}
--- /dev/null
+++ b/test/proxy_test.go
@@ -0,0 +1,158 @@
+package test
+
+import (
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// proxyMode is what a proxy does to the bytes that pass.
+type proxyMode int32
+
+const (
+	proxyPass proxyMode = iota
+	// proxyCut refuses and resets connections.
+	proxyCut
+	// proxyFreeze keeps connections open and passes nothing.
+	proxyFreeze
+	// proxyOneWay passes requests and drops answers.
+	proxyOneWay
+)
+
+const (
+	proxyLook   = 5 * time.Millisecond
+	proxyBuffer = 4 << 10
+)
+
+// proxy forwards TCP connections to a target and injects faults.
+type proxy struct {
+	listener net.Listener
+	target   string
+	mode     atomic.Int32
+	// resetAfter, when above 0, resets each connection once so many bytes of
+	// answers have passed.
+	resetAfter atomic.Int64
+	delay      atomic.Int64
+	mutex      sync.Mutex
+	open       map[net.Conn]bool
+}
+
+func newProxy(t *testing.T, target string) *proxy {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &proxy{listener: listener, target: target, open: map[net.Conn]bool{}}
+	go p.accept()
+	t.Cleanup(func() {
+		listener.Close()
+		p.set(proxyCut)
+	})
+	return p
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+// set changes the mode; a cut also resets what is open.
+func (p *proxy) set(mode proxyMode) {
+	p.mode.Store(int32(mode))
+	if mode == proxyCut {
+		p.resetOpen()
+	}
+}
+
+func (p *proxy) resetOpen() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for connection := range p.open {
+		reset(connection)
+	}
+}
+
+func reset(connection net.Conn) {
+	if tcp, ok := connection.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
+	}
+	connection.Close()
+}
+
+func (p *proxy) accept() {
+	for {
+		connection, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		if proxyMode(p.mode.Load()) == proxyCut {
+			reset(connection)
+			continue
+		}
+		go p.serve(connection)
+	}
+}
+
+func (p *proxy) serve(client net.Conn) {
+	server, err := net.Dial("tcp", p.target)
+	if err != nil {
+		reset(client)
+		return
+	}
+	p.mutex.Lock()
+	p.open[client], p.open[server] = true, true
+	p.mutex.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { p.copy(server, client, false) })
+	both.Go(func() { p.copy(client, server, true) })
+	both.Wait()
+	p.mutex.Lock()
+	delete(p.open, client)
+	delete(p.open, server)
+	p.mutex.Unlock()
+}
+
+func (p *proxy) copy(to, from net.Conn, answers bool) {
+	defer to.Close()
+	defer from.Close()
+	buffer := make([]byte, proxyBuffer)
+	passed := int64(0)
+	for {
+		count, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		time.Sleep(time.Duration(p.delay.Load()))
+		for proxyMode(p.mode.Load()) == proxyFreeze {
+			time.Sleep(proxyLook)
+		}
+		if answers && proxyMode(p.mode.Load()) == proxyOneWay {
+			continue
+		}
+		if limit := p.resetAfter.Load(); answers && limit > 0 && passed+int64(count) > limit {
+			io.Copy(to, io.LimitReader(bytesOf(buffer[:count]), limit-passed))
+			reset(to)
+			reset(from)
+			return
+		}
+		passed += int64(count)
+		if _, err := to.Write(buffer[:count]); err != nil {
+			return
+		}
+	}
+}
+
+// bytesOf is a reader over some bytes.
+func bytesOf(data []byte) io.Reader { return &byteReader{data: data} }
+
+type byteReader struct{ data []byte }
+
+func (r *byteReader) Read(buffer []byte) (int, error) {
+	if len(r.data) == 0 {
+		return 0, io.EOF
+	}
+	count := copy(buffer, r.data)
+	r.data = r.data[count:]
+	return count, nil
+}
