Copies of a claim keep every attempt

Two attempts raced; one had the majority and was dispatched. A new quorum member copied the loser first and kept only that; when the loser withdrew, the key became free there and a repeat won a majority. The comment that either attempt could be kept was wrong. Ruled out: a dispatch after the deadline, amnesia (both members had journals). Change: a copied claim keeps all attempts; the key is free only when each has been withdrawn, and an attempt that completes wins over its rivals.

--- a/internal/quorum/claims.go
+++ b/internal/quorum/claims.go
@@ -53,6 +53,10 @@
 		record.Attempt = request.Attempt
 		record.Fingerprint = request.Fingerprint
 	}
+	if slices.Contains(record.Rivals, request.Attempt) && record.Outcome == wire.OutcomePending {
+		// This attempt ran, so it had the majority and the rivals had none.
+		record.Attempt, record.Fingerprint, record.Rivals = request.Attempt, request.Fingerprint, nil
+	}
 	if record.Attempt == request.Attempt {
 		record.Outcome = request.Outcome
 		record.Answer = request.Answer
@@ -68,9 +72,7 @@
 		record.Withdrawn = append(record.Withdrawn, request.Attempt)
 		record.Withdrawn = record.Withdrawn[max(0, len(record.Withdrawn)-maxWithdrawn):]
 	}
-	if record.Attempt == request.Attempt && record.Outcome == wire.OutcomePending {
-		record.Attempt = ""
-	}
+	dropWithdrawn(record)
 	return m.reply(wire.ClaimWithdrawn, record)
 }
 
@@ -94,9 +96,24 @@
 	}
 }
 
-// mergeClaim joins a copied claim with the one held. Where two attempts stand
-// for one key, neither had a majority unless one is complete; the attempt kept
-// is then only a reason to refuse, so either choice is safe.
+// dropWithdrawn takes the withdrawn attempts off a claim. The key is free only
+// when no attempt is left.
+func dropWithdrawn(record *wire.ClaimRecord) {
+	withdrawn := func(attempt string) bool { return slices.Contains(record.Withdrawn, attempt) }
+	record.Rivals = slices.DeleteFunc(record.Rivals, withdrawn)
+	if record.Outcome != wire.OutcomePending || !withdrawn(record.Attempt) {
+		return
+	}
+	record.Attempt = ""
+	if len(record.Rivals) > 0 {
+		record.Attempt = record.Rivals[0]
+		record.Rivals = record.Rivals[1:]
+	}
+}
+
+// mergeClaim joins a copied claim with the one held. Where copies hold
+// different attempts, any of them may have had the majority, so all are kept:
+// the key stays refused until each is withdrawn or one is complete.
 func (m *Member) mergeClaim(copied wire.ClaimRecord) {
 	held := m.claims[copied.Key]
 	if held == nil {
@@ -108,12 +125,18 @@
 			held.Withdrawn = append(held.Withdrawn, attempt)
 		}
 	}
-	if copied.Attempt != "" && (held.Attempt == "" || copied.Outcome != wire.OutcomePending) {
+	switch {
+	case held.Outcome != wire.OutcomePending:
+	case copied.Outcome != wire.OutcomePending || held.Attempt == "":
 		held.Attempt, held.Fingerprint = copied.Attempt, copied.Fingerprint
-		held.Outcome, held.Answer = copied.Outcome, copied.Answer
-	}
-	if held.Outcome == wire.OutcomePending && slices.Contains(held.Withdrawn, held.Attempt) {
-		held.Attempt = ""
+		held.Outcome, held.Answer, held.Rivals = copied.Outcome, copied.Answer, copied.Rivals
+	default:
+		for _, attempt := range append([]string{copied.Attempt}, copied.Rivals...) {
+			if attempt != "" && attempt != held.Attempt && !slices.Contains(held.Rivals, attempt) {
+				held.Rivals = append(held.Rivals, attempt)
+			}
+		}
 	}
+	dropWithdrawn(held)
 	held.Created = max(held.Created, copied.Created)
 }
--- a/internal/quorum/durable.go
+++ b/internal/quorum/durable.go
@@ -46,6 +46,7 @@
 func (m *Member) persistClaim(record *wire.ClaimRecord, done func()) {
 	copied := *record
 	copied.Withdrawn = slices.Clone(record.Withdrawn)
+	copied.Rivals = slices.Clone(record.Rivals)
 	m.persist(journalEntry{Claim: &copied}, done)
 }
 
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -146,6 +146,9 @@
 	Answer      []byte
 	Created     int64
 	Withdrawn   []string
+	// Rivals are further attempts that copies of the record hold; any of them
+	// may have had a majority, so the key is free only without them.
+	Rivals []string
 }
 
 // RegisterRecord is one register as a member keeps it.
--- a/internal/wire/schema/peer.capnp
+++ b/internal/wire/schema/peer.capnp
@@ -159,6 +159,7 @@
   answer @4 :Data;
   created @5 :Int64;        # Unix time in milliseconds
   withdrawn @6 :List(Text); # attempts that may never be granted
+  rivals @7 :List(Text);    # further attempts that copies of the record hold
 }
 
 struct RegisterRecord {
