--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -6,6 +6,9 @@
 	"flag"
 	"fmt"
 	"io"
+	"log/slog"
+
+	"github.com/pathtally/pathtally/internal/process"
 )
 
 const (
@@ -18,6 +21,10 @@
 
   pathtally-bench sim -seeds 1000 [-from N] [-trace]
         random faults on a virtual clock; checks every promise
+  pathtally-bench rollout -deployment examples/kotuku -policy baseline,tail,overlap,fresh,none -steps 50 -seeds 10 -out out/rollout
+        rollout policies side by side on the same seeded work
+  pathtally-bench scale -nodes 20,60,180,350 -replicas 600 -out out/scale
+        hollow nodes at several sizes, beside three real ones
 
 Each has -h. Exit codes: 0 done, 1 failed or a promise was broken, 2 usage.
 `
@@ -38,11 +45,12 @@
 
 // Run executes a command line.
 func Run(args []string, stdout, stderr io.Writer) int {
-	commands := map[string]func(*invocation) error{"sim": runSim}
+	commands := map[string]func(*invocation) error{"sim": runSim, "scale": runScale, "rollout": runRollout}
 	if len(args) == 0 || commands[args[0]] == nil {
 		fmt.Fprint(stderr, usageText)
 		return exitUsage
 	}
+	process.SetupLogging(io.Discard, slog.LevelInfo)
 	flags := flag.NewFlagSet(args[0], flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	err := commands[args[0]](&invocation{flags: flags, args: args[1:], stdout: stdout, stderr: stderr})
--- a/internal/devcluster/cluster.go
+++ b/internal/devcluster/cluster.go
@@ -32,6 +32,7 @@
 	defaultSigma  = 0.8
 	defaultMedian = 40
 	defaultMax    = 600
+	defaultShare  = 0.5
 )
 
 // Config is what a Cluster needs.
@@ -89,7 +90,7 @@
 
 // DefaultLengths are those of the development runs.
 func DefaultLengths() enginemodel.Lengths {
-	return enginemodel.Lengths{Median: defaultMedian, Sigma: defaultSigma, Max: defaultMax}
+	return enginemodel.Lengths{Median: defaultMedian, Sigma: defaultSigma, Max: defaultMax, PromptShare: defaultShare}
 }
 
 // Start brings a deployment up and returns when every node is ready.
--- a/internal/environment/objects.go
+++ b/internal/environment/objects.go
@@ -34,7 +34,8 @@
 	// Put writes if the object is still at ifVersion; 0 means that it must
 	// not exist yet.
 	Put(name string, data []byte, ifVersion uint64, done func(Object, error))
-	// Watch answers with the objects that changed after a store version, or
-	// with none when wait has passed. The number is the version to go on from.
-	Watch(from uint64, wait time.Duration, done func([]Object, uint64, error))
+	// Watch answers with those of the named objects that changed after a store
+	// version, or with none when wait has passed. The number is the version to
+	// go on from.
+	Watch(names []string, from uint64, wait time.Duration, done func([]Object, uint64, error))
 }
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -23,6 +23,10 @@
 	// rankGrowth stretches the time between looks of each further candidate,
 	// so that all candidates together read a bounded amount.
 	rankGrowth = 1.5
+	// maxRank bounds the growth, and with it the wait of the last candidate.
+	maxRank = 16
+	// promptDelay is how soon a candidate looks when it has a reason to.
+	promptDelay = 50 * time.Millisecond
 	// objectPrefix is put before a lease's name in the object API.
 	objectPrefix = "leases/"
 )
@@ -105,6 +109,16 @@
 	}
 }
 
+// Prompt has a candidate look at a lease soon, because its holder seems to be
+// gone. It takes over only if the lease has expired all the same.
+func (m *Manager) Prompt(name string) {
+	state := m.states[name]
+	if m.stopped || state == nil || !state.wanted || state.held || state.busy {
+		return
+	}
+	m.schedule(name, promptDelay+time.Duration(m.config.Random.Int64N(int64(promptDelay))))
+}
+
 // Held returns the token of a lease held here.
 func (m *Manager) Held(name string) (uint64, bool) {
 	state := m.states[name]
@@ -162,10 +176,9 @@
 
 func (m *Manager) scheduleNext(name string) {
 	period := m.config.Term / renewShare
-	rank := m.config.Rank(name)
 	state := m.states[name]
-	if !state.held && rank > 0 {
-		period = time.Duration(float64(period) * math.Pow(rankGrowth, float64(min(rank, 24))))
+	if rank := m.config.Rank(name); !state.held && rank != 0 {
+		period = time.Duration(float64(m.config.Term) * math.Pow(rankGrowth, float64(min(max(rank, 1)-1, maxRank))))
 	}
 	jitter := time.Duration(m.config.Random.Int64N(int64(period)/5 + 1))
 	m.schedule(name, period+jitter-period/10)
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -61,9 +61,13 @@
 	configuredSince time.Time
 	snapshot        atomic.Pointer[routing.Snapshot]
 	followed        map[string]time.Duration
-	stopping        bool
-	stopped         bool
-	upkeeps         int
+	// wanted are the leases competed for, and prompted the tokens of those
+	// that were looked at because their holder was gone.
+	wanted   []string
+	prompted map[string]uint64
+	stopping bool
+	stopped  bool
+	upkeeps  int
 }
 
 // NewCore returns a node that has not started.
@@ -79,12 +83,14 @@
 		schedulers: map[string]*rollout.Scheduler{},
 		weights:    map[string]*weights.Coordinator{},
 		followed:   map[string]time.Duration{},
+		prompted:   map[string]uint64{},
 	}
 	core.relay = relay.NewStore(relay.Config{Peers: config.Peers, OnChange: core.documentChanged})
 	core.table = membership.New(membership.Config{
 		Self: config.Self, Seeds: config.Seeds, Clock: config.Clock, Random: config.Random, Peers: config.Peers, Period: config.ProbePeriod,
 		Documents:   core.relay.Versions,
 		OnDocuments: core.relay.Observe,
+		OnChange:    core.membersChanged,
 	})
 	core.member = quorum.NewMember(quorum.MemberConfig{ID: config.Self.ID, Identity: config.Self.Identity, Clock: config.Clock, Peers: config.Peers, Journal: config.Journal})
 	core.quorum = quorum.NewClient(config.Clock, config.Peers)
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -33,6 +33,11 @@
 
 // wantedLeases are the duties for which this node is a candidate.
 func (c *Core) wantedLeases() []string {
+	c.wanted = c.leaseNames()
+	return c.wanted
+}
+
+func (c *Core) leaseNames() []string {
 	names := []string{quorum.LeaseName}
 	for i := range readersPerRegion {
 		names = append(names, readerPrefix+c.config.Self.Region+"/"+strconv.Itoa(i))
@@ -92,6 +97,29 @@
 // scheduler does not: its samples under way would be lost.
 func mayYield(name string) bool { return !strings.HasPrefix(name, schedulerPrefix) }
 
+// promptRank is up to which place candidates look at once when a holder is
+// gone.
+const promptRank = 2
+
+// membersChanged has the first candidates look at the leases whose holder is
+// gone or leaving.
+func (c *Core) membersChanged() {
+	if c.table == nil || c.leases == nil {
+		return
+	}
+	for _, name := range c.wanted {
+		note, known := c.table.Lease(name)
+		if !known {
+			continue
+		}
+		holder, found := c.table.Get(note.Holder)
+		if (!found || holder.State > wire.MemberSuspect) && c.prompted[name] != note.Token && c.leaseRank(name) <= promptRank {
+			c.prompted[name] = note.Token
+			c.leases.Prompt(name)
+		}
+	}
+}
+
 // acquired takes up the duty of a lease.
 func (c *Core) acquired(name string, token uint64) {
 	if c.stopped {
@@ -133,6 +161,9 @@
 	c.rebuild()
 }
 
+// IsReader tells whether this node watches the object API.
+func (c *Core) IsReader() bool { return c.holdsReader() }
+
 func (c *Core) holdsReader() bool {
 	return slices.ContainsFunc(c.leases.HeldNames(), func(name string) bool { return strings.HasPrefix(name, readerPrefix) })
 }
--- a/internal/objectapi/client.go
+++ b/internal/objectapi/client.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -65,8 +66,8 @@
 }
 
 // Watch implements environment.Objects.
-func (c *Client) Watch(from uint64, wait time.Duration, done func([]environment.Object, uint64, error)) {
-	path := fmt.Sprintf("%s?%s=%d&%s=%d", PathWatch, ParamFrom, from, ParamWaitMs, wait.Milliseconds())
+func (c *Client) Watch(names []string, from uint64, wait time.Duration, done func([]environment.Object, uint64, error)) {
+	path := fmt.Sprintf("%s?%s=%d&%s=%d&%s=%s", PathWatch, ParamFrom, from, ParamWaitMs, wait.Milliseconds(), ParamNames, strings.Join(names, ","))
 	c.submit(func() {
 		var body WatchBody
 		err := c.call(fasthttp.MethodGet, path, nil, wait+watchGrace, &body)
--- a/internal/objectapi/protocol.go
+++ b/internal/objectapi/protocol.go
@@ -10,6 +10,8 @@
 	ParamIfVersion = "ifVersion"
 	ParamFrom      = "from"
 	ParamWaitMs    = "waitMs"
+	// ParamNames are the watched names, separated by commas.
+	ParamNames = "names"
 )
 
 // ObjectBody is one object in an answer.
--- a/internal/poller/poller.go
+++ b/internal/poller/poller.go
@@ -18,8 +18,10 @@
 	Period = time.Second
 	// SlowPeriod is that of a duty that follows many engines.
 	SlowPeriod = 5 * time.Second
-	// batchPeriod is how long loads wait for others before they are sent.
-	batchPeriod = 250 * time.Millisecond
+	// batchPeriod is how long loads wait for others before they are sent, and
+	// urgentPeriod how long those do that show an engine changed.
+	batchPeriod  = time.Second
+	urgentPeriod = 20 * time.Millisecond
 	// pollersPerEngine is how many nodes of a zone poll an engine.
 	pollersPerEngine = 2
 	// Slice is how many engines of other zones a zone follows.
@@ -81,12 +83,18 @@
 	duty    []Target
 	polling map[string]bool
 	batch   []wire.EngineLoad
+	// flushAt is when the batch is sent, and sent what was last sent of each
+	// engine.
+	flushAt time.Time
+	sent    map[string]wire.EngineLoad
 	stopped bool
 	beat    int
 }
 
 // New returns a poller without targets.
-func New(config Config) *Poller { return &Poller{config: config, polling: map[string]bool{}} }
+func New(config Config) *Poller {
+	return &Poller{config: config, polling: map[string]bool{}, sent: map[string]wire.EngineLoad{}}
+}
 
 // SetTargets replaces the engines that the zone follows and those that this
 // node's duties need besides.
@@ -201,20 +209,36 @@
 	return load
 }
 
+// add puts a load into the batch. What shows that an engine has changed its
+// weights or leaves is sent almost at once.
 func (p *Poller) add(load wire.EngineLoad) {
+	last := p.sent[load.Engine]
+	wait := batchPeriod
+	if last.Flags != load.Flags || last.Version != load.Version {
+		wait = urgentPeriod
+	}
+	p.sent[load.Engine] = load
 	p.batch = append(p.batch, load)
-	if len(p.batch) > 1 {
+	at := p.config.Clock.Now().Add(wait)
+	if len(p.batch) > 1 && !at.Before(p.flushAt) {
 		return
 	}
-	p.config.Clock.AfterFunc(batchPeriod, p.flush)
+	p.flushAt = at
+	p.config.Clock.AfterFunc(wait, func() {
+		if len(p.batch) > 0 && !p.config.Clock.Now().Before(p.flushAt) {
+			p.flush()
+		}
+	})
 }
 
 func (p *Poller) flush() {
 	report := &wire.LoadReport{Loads: p.batch}
 	p.batch = nil
+	var addresses []string
 	for _, mate := range p.config.ZoneMates() {
 		if mate.ID != p.config.Self {
-			p.config.Peers.Send(mate.Address, report)
+			addresses = append(addresses, mate.Address)
 		}
 	}
+	p.config.Peers.Broadcast(addresses, report)
 }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -215,6 +215,9 @@
 	return 0
 }
 
+// PeerCounts are the totals of the peer protocol.
+func (p *Process) PeerCounts() *transport.Counts { return p.transport.Counts() }
+
 // Drained is closed when a planned stop has ended.
 func (p *Process) Drained() <-chan struct{} { return p.drained }
 
--- a/internal/reader/reader.go
+++ b/internal/reader/reader.go
@@ -8,7 +8,9 @@
 import (
 	"encoding/json"
 	"errors"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pathtally/pathtally/internal/environment"
@@ -101,10 +103,7 @@
 // names lists the objects to read, the configuration first.
 func (r *Reader) names() []string {
 	names := []string{ConfigurationDocument}
-	for name := range r.config.Names {
-		names = append(names, name)
-	}
-	return names
+	return append(names, slices.Sorted(maps.Keys(r.config.Names))...)
 }
 
 // readAll reads every object and gives the version from which to watch.
@@ -147,7 +146,7 @@
 }
 
 func (r *Reader) watch(round int, from uint64) {
-	r.config.Objects.Watch(from, watchWait, func(objects []environment.Object, next uint64, err error) {
+	r.config.Objects.Watch(r.names(), from, watchWait, func(objects []environment.Object, next uint64, err error) {
 		if round != r.round {
 			return
 		}
--- a/internal/rollout/attempt.go
+++ b/internal/rollout/attempt.go
@@ -41,6 +41,7 @@
 	s.pumpParked()
 	policy := s.policy()
 	ahead := policy.StepsAhead(plan.Trainer)
+	defer func() { s.reorder = false }()
 	place := 0
 	for _, step := range s.openSteps() {
 		if place > ahead {
@@ -57,6 +58,9 @@
 // engine has room.
 func (s *Scheduler) pumpStep(step *stepState, plan *routing.TrainerPlan, policy Policy, place int) bool {
 	now := s.config.Clock.Now()
+	if s.reorder {
+		s.orderPending(step)
+	}
 	queue := step.pending
 	step.pending = nil
 	var waiting []*slot
@@ -80,10 +84,16 @@
 }
 
 func (s *Scheduler) query(next *slot, avoid string) *routing.Query {
+	// A sample under way is moved within the bound; only its start has to be
+	// as fresh as the policy wants.
+	oldest := s.bound(next.step)
+	if avoid == "" {
+		oldest = max(oldest, s.policy().OldestVersion(next.step.request.TrainVersion, s.plan().Trainer.Spec.MaxStaleness))
+	}
 	return &routing.Query{
 		Zone:         s.config.Zone,
 		PrefixHash:   xxhash.Sum64String(next.prompt),
-		MinVersion:   s.bound(next.step),
+		MinVersion:   oldest,
 		Avoid:        avoid,
 		Random:       s.config.Random.Uint64(),
 		Rollout:      true,
@@ -240,6 +250,7 @@
 		return
 	}
 	s.predictor.Observe(filled.prompt, result.Tokens)
+	s.reorder = true
 	filled.step.durations = append(filled.step.durations, s.config.Clock.Now().Sub(running.started))
 	s.counters.Finished++
 	if stream.OldestVersion(result.Segments) < s.bound(filled.step) {
--- a/internal/rollout/policy.go
+++ b/internal/rollout/policy.go
@@ -12,6 +12,9 @@
 	Name() string
 	// StepsAhead is how many steps beyond the oldest open one may run.
 	StepsAhead(trainer *v1.Trainer) int
+	// OldestVersion is the least weight version of an engine that may start a
+	// sample of a step that trains trainVersion.
+	OldestVersion(trainVersion, maxStaleness int64) int64
 	// Order sorts slots that wait for dispatch; the first goes first.
 	Order(slots []Prediction)
 	// Priority is the engine priority of a sample; place 0 is the oldest
@@ -25,6 +28,9 @@
 type Prediction struct {
 	Slot   uint32
 	Tokens float64
+	// Sample is the place among the samples of the slot's prompt. The first
+	// ones show how long the others will be.
+	Sample int
 }
 
 // TailView is what a policy knows of a running sample late in its step.
@@ -78,6 +84,11 @@
 // StepsAhead implements Policy.
 func (Baseline) StepsAhead(*v1.Trainer) int { return 0 }
 
+// OldestVersion implements Policy.
+func (Baseline) OldestVersion(trainVersion, maxStaleness int64) int64 {
+	return trainVersion - maxStaleness
+}
+
 // Order implements Policy.
 func (Baseline) Order([]Prediction) {}
 
@@ -96,6 +107,11 @@
 // StepsAhead implements Policy.
 func (TailControl) StepsAhead(*v1.Trainer) int { return 0 }
 
+// OldestVersion implements Policy.
+func (TailControl) OldestVersion(trainVersion, maxStaleness int64) int64 {
+	return trainVersion - maxStaleness
+}
+
 // Order implements Policy.
 func (TailControl) Order(slots []Prediction) {
 	slices.SortStableFunc(slots, func(a, b Prediction) int {
@@ -105,7 +121,7 @@
 		if a.Tokens < b.Tokens {
 			return 1
 		}
-		return 0
+		return a.Sample - b.Sample
 	})
 }
 
@@ -139,10 +155,24 @@
 // StepsAhead implements Policy.
 func (Overlap) StepsAhead(trainer *v1.Trainer) int { return trainer.Spec.StepsAhead }
 
+// Fresh is Overlap that starts samples only on engines which already run the
+// newest weights that there can be: those from which the step before is being
+// trained.
+type Fresh struct{ Overlap }
+
+// Name implements Policy.
+func (Fresh) Name() string { return "fresh" }
+
+// OldestVersion implements Policy.
+func (Fresh) OldestVersion(trainVersion, _ int64) int64 { return trainVersion - 1 }
+
 // PolicyFor returns the policy that suits what a trainer prizes.
 func PolicyFor(trainer *v1.Trainer) Policy {
 	if trainer.Spec.Prizes == v1.PrizeStaleness {
-		return TailControl{}
+		return Fresh{}
 	}
 	return Overlap{}
 }
+
+// Policies lists all policies by name.
+func Policies() []Policy { return []Policy{Baseline{}, TailControl{}, Overlap{}, Fresh{}} }
--- a/internal/rollout/recover.go
+++ b/internal/rollout/recover.go
@@ -212,11 +212,25 @@
 	s.pump()
 }
 
+// expected is the length expected of a waiting sample: at least what running
+// samples of the same prompt have reached.
+func (s *Scheduler) expected(waiting *slot) float64 {
+	tokens := s.predictor.Predict(waiting.prompt)
+	group := waiting.step.request.SamplesPerPrompt
+	first := int(waiting.index) / group * group
+	for _, mate := range waiting.step.slots[first : first+group] {
+		for _, running := range mate.attempts {
+			tokens = max(tokens, float64(running.machine.Tokens()))
+		}
+	}
+	return tokens
+}
+
 // orderPending sorts the waiting slots as the policy wants them.
 func (s *Scheduler) orderPending(step *stepState) {
 	predictions := make([]Prediction, len(step.pending))
 	for i, waiting := range step.pending {
-		predictions[i] = Prediction{Slot: waiting.index, Tokens: s.predictor.Predict(waiting.prompt)}
+		predictions[i] = Prediction{Slot: waiting.index, Tokens: s.expected(waiting), Sample: int(waiting.index) % step.request.SamplesPerPrompt}
 	}
 	s.policy().Order(predictions)
 	for i, prediction := range predictions {
--- a/internal/rollout/scheduler.go
+++ b/internal/rollout/scheduler.go
@@ -20,7 +20,9 @@
 	counters  Counters
 	stopped   bool
 	parked    []*attempt
-	lastPlan  *routing.TrainerPlan
+	// reorder is set when what is known of the waiting samples has changed.
+	reorder  bool
+	lastPlan *routing.TrainerPlan
 	// standingStores are the stores at the last look, by copyName.
 	standingStores map[string]bool
 	timer          environment.Timer
--- a/internal/sim/callers.go
+++ b/internal/sim/callers.go
@@ -17,7 +17,6 @@
 	callerPatience = 3 * time.Second
 	callerRetry    = time.Second
 	callerTries    = 5
-	liveTokens     = 24
 	// burstShare of the unsafe requests are sent through three nodes at once.
 	burstShare = 0.4
 )
@@ -29,17 +28,21 @@
 	number int
 	// stopped ends new arrivals.
 	stopped bool
+	// Latencies are the times to whole answers, and Late counts requests that
+	// got none within their deadline.
+	Latencies []time.Duration
+	Late      int
 }
 
 func newCallers(world *World) *Callers {
-	host := NewHost(world.Scheduler, callerName, "outside")
+	host := NewHost(world.Scheduler, callerName, outside)
 	host.start()
 	world.Network.Add(host)
 	return &Callers{world: world, host: host}
 }
 
-// start begins arrivals of a group at a rate a second.
-func (c *Callers) start(group string, perSecond, unsafeShare float64) {
+// Start begins arrivals of a group at a rate a second.
+func (c *Callers) Start(group string, perSecond, unsafeShare float64) {
 	random := c.world.Scheduler.Random
 	var arrive func()
 	arrive = func() {
@@ -47,7 +50,7 @@
 			return
 		}
 		c.number++
-		asked := CallerRequest{Group: group, Prompt: fmt.Sprintf("%s asks %d", group, c.number), MaxTokens: liveTokens}
+		asked := CallerRequest{Group: group, Prompt: fmt.Sprintf("%s asks %d", group, c.number), MaxTokens: c.world.config.LiveTokens}
 		if random.Float64() < unsafeShare {
 			asked.Key = fmt.Sprintf("key-%d", c.number)
 		}
@@ -69,11 +72,13 @@
 	asked.Deadline = c.world.Scheduler.Now().Add(callerDeadline)
 	network := c.world.Network
 	ended, reached := false, false
+	begun := c.world.Scheduler.Now()
 	end := func(answer *CallerAnswer) {
 		if ended {
 			return
 		}
 		ended = true
+		c.measure(answer, begun)
 		c.world.History.ended(asked, answer, reached)
 		c.again(asked, answer, place, tries)
 	}
@@ -91,6 +96,14 @@
 	}))
 }
 
+func (c *Callers) measure(answer *CallerAnswer, begun time.Time) {
+	if answer == nil || answer.Outcome != wire.OutcomeDone {
+		c.Late++
+		return
+	}
+	c.Latencies = append(c.Latencies, c.world.Scheduler.Now().Sub(begun))
+}
+
 // again sends an unsafe request whose outcome is not known, or that was
 // refused, once more with its key.
 func (c *Callers) again(asked CallerRequest, answer *CallerAnswer, place, tries int) {
@@ -103,6 +116,10 @@
 
 // expectedText is the one right answer to a request.
 func (w *World) expectedText(prompt string, seed uint64, maxTokens int) string {
-	natural := w.config.Lengths.Draw(xxhash.Sum64String(prompt) ^ seed)
-	return enginemodel.Text(prompt, 0, min(natural, maxTokens))
+	return enginemodel.Text(prompt, 0, min(w.lengthOf(prompt, seed), maxTokens))
+}
+
+// lengthOf is how long the answer to a prompt would be without a bound.
+func (w *World) lengthOf(prompt string, seed uint64) int {
+	return w.config.Lengths.Draw(xxhash.Sum64String(prompt), seed)
 }
--- a/internal/sim/check.go
+++ b/internal/sim/check.go
@@ -136,10 +136,10 @@
 			}
 			seen[sample.Slot] = true
 		}
-		if len(seen) != stepPrompts*stepSamples {
+		if len(seen) != delivery.Expected {
 			found = append(found, violation(PromiseOnce, "step %d has %d samples", delivery.Step, len(seen)))
 		}
-		key := fmt.Sprintf("%d/%d", delivery.Step, delivery.Manifest.Revision)
+		key := fmt.Sprintf("%s/%d/%d", delivery.Trainer, delivery.Step, delivery.Manifest.Revision)
 		if earlier, stood := bodies[key]; stood && !bytes.Equal(earlier, delivery.Body) {
 			found = append(found, violation(PromiseOnce, "step %d revision %d was delivered with other bytes", delivery.Step, delivery.Manifest.Revision))
 		}
@@ -147,7 +147,7 @@
 	}
 	for step, count := range h.trainings {
 		if count != 1 {
-			found = append(found, violation(PromiseOnce, "step %d was trained %d times", step, count))
+			found = append(found, violation(PromiseOnce, "step %s was trained %d times", step, count))
 		}
 	}
 	return found
--- a/internal/sim/check_test.go
+++ b/internal/sim/check_test.go
@@ -17,7 +17,7 @@
 
 func goodHistory() *History {
 	h := newHistory(&World{Nodes: make([]*Node, 1)})
-	delivery := Delivery{Step: 3, Bound: 1, Body: []byte("step"), Manifest: rollout.Manifest{Step: 3}}
+	delivery := Delivery{Step: 3, Expected: stepPrompts * stepSamples, Bound: 1, Body: []byte("step"), Manifest: rollout.Manifest{Step: 3}}
 	for slot := range uint32(stepPrompts * stepSamples) {
 		sample := goodSample(slot)
 		delivery.Samples = append(delivery.Samples, sample)
@@ -28,7 +28,7 @@
 		h.tokens[id] = []VersionRun{{ID: id, First: 0, Count: 4, Version: 3}}
 	}
 	h.deliveries = []Delivery{delivery}
-	h.trainings[3] = 1
+	h.trainings["trainer/3"] = 1
 	h.requests = []RequestEnd{
 		{Asked: CallerRequest{Prompt: "a", Key: "k"}, Answer: &CallerAnswer{RequestID: "n-1", Outcome: wire.OutcomeDone, Text: "x"}, Expected: "x"},
 		{Asked: CallerRequest{Prompt: "b"}, Answer: &CallerAnswer{RequestID: "n-2", Outcome: wire.OutcomeNotRun, RetryAfter: time.Second}},
@@ -67,7 +67,7 @@
 			again.Body = []byte("other")
 			h.deliveries = append(h.deliveries, again)
 		}},
-		{"step trained twice", CheckOnce, func(h *History) { h.trainings[3] = 2 }},
+		{"step trained twice", CheckOnce, func(h *History) { h.trainings["trainer/3"] = 2 }},
 		{"answer cut short", CheckAnswers, func(h *History) { h.requests[0].Answer.Text = "" }},
 		{"not run but ran", CheckNotRun, func(h *History) { h.admissions = append(h.admissions, Admission{ID: "n-2.1"}) }},
 		{"refusal without a time", CheckNotRun, func(h *History) { h.requests[1].Answer.RetryAfter = 0 }},
--- a/internal/sim/engine.go
+++ b/internal/sim/engine.go
@@ -53,8 +53,8 @@
 	broken bool
 }
 
-func newEngine(world *World, name, zone string) *Engine {
-	simulated := &Engine{world: world, host: NewHost(world.Scheduler, name, zone), parameters: world.config.Parameters}
+func newEngine(world *World, name string, where Place) *Engine {
+	simulated := &Engine{world: world, host: NewHost(world.Scheduler, name, where), parameters: world.config.Parameters}
 	world.Network.Add(simulated.host)
 	return simulated
 }
@@ -164,7 +164,7 @@
 		text := enginemodel.Text(stream.request.Prompt, output.First, output.Count)
 		stream.digest.WriteString(text)
 		if output.Count > 0 {
-			e.world.History.produced(output, stream.request)
+			e.world.History.produced(output)
 			e.send(stream, engine.Chunk{First: output.First, Count: output.Count, Text: text, Version: output.Version})
 		}
 		if output.Ended {
@@ -182,7 +182,7 @@
 		e.send(stream, &engine.Error{Kind: engine.Refused, Address: e.host.Name, Detail: "deadline passed"})
 		return
 	}
-	natural := e.world.config.Lengths.Draw(xxhash.Sum64String(request.Prompt) ^ request.Seed)
+	natural := e.world.config.Lengths.Draw(xxhash.Sum64String(request.Prompt), request.Seed)
 	stream.target = min(natural, request.MaxTokens)
 	if natural > request.MaxTokens {
 		stream.reason = "length"
--- a/internal/sim/history.go
+++ b/internal/sim/history.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"time"
 
 	v1 "github.com/pathtally/pathtally/api/v1"
@@ -23,7 +24,7 @@
 	runs       map[string]int
 	tokens     map[string][]VersionRun
 	deliveries []Delivery
-	trainings  map[uint64]int
+	trainings  map[string]int
 	puts       map[uint64]*v1.Set
 	marks      map[string]int
 	written    map[uint64]time.Duration
@@ -68,10 +69,13 @@
 
 // Delivery is a step that reached the trainer.
 type Delivery struct {
+	Trainer  string
 	Step     uint64
 	Body     []byte
 	Manifest rollout.Manifest
 	Samples  []rollout.Sample
+	// Expected is how many samples the step has.
+	Expected int
 	// Bound is the staleness bound in force at the node when it answered.
 	Bound int64
 	At    time.Duration
@@ -118,7 +122,7 @@
 
 func newHistory(world *World) *History {
 	return &History{
-		world: world, runs: map[string]int{}, tokens: map[string][]VersionRun{}, trainings: map[uint64]int{},
+		world: world, runs: map[string]int{}, tokens: map[string][]VersionRun{}, trainings: map[string]int{},
 		puts: map[uint64]*v1.Set{}, marks: map[string]int{}, written: map[uint64]time.Duration{},
 	}
 }
@@ -147,7 +151,10 @@
 	h.world.Trace("engine %s admitted %s", name, request.ID)
 }
 
-func (h *History) produced(output enginemodel.Output, _ engine.Request) {
+func (h *History) produced(output enginemodel.Output) {
+	if h.world.config.Lean {
+		return
+	}
 	h.tokens[output.ID] = append(h.tokens[output.ID], VersionRun{ID: output.ID, First: output.First, Count: output.Count, Version: output.Version})
 }
 
@@ -156,7 +163,7 @@
 }
 
 func (h *History) delivered(trainer *Trainer, step uint64, body []byte, bound int64) {
-	delivery := Delivery{Step: step, Body: body, At: h.at(), Bound: bound}
+	delivery := Delivery{Trainer: trainer.config.Name, Step: step, Expected: trainer.config.Prompts * trainer.config.Samples, Body: body, At: h.at(), Bound: bound}
 	lines := bytes.Split(bytes.TrimSpace(body), []byte("\n"))
 	_ = json.Unmarshal(lines[0], &delivery.Manifest)
 	for _, line := range lines[1:] {
@@ -165,7 +172,7 @@
 		delivery.Samples = append(delivery.Samples, sample)
 	}
 	h.deliveries = append(h.deliveries, delivery)
-	h.world.Trace("trainer %s got step %d revision %d", trainer.name, step, delivery.Manifest.Revision)
+	h.world.Trace("trainer %s got step %d revision %d", trainer.config.Name, step, delivery.Manifest.Revision)
 }
 
 // boundAt is the trainer's bound in the generation that a node applied last.
@@ -181,8 +188,8 @@
 	return 0
 }
 
-func (h *History) trained(_ string, step uint64) {
-	h.trainings[step]++
+func (h *History) trained(name string, step uint64) {
+	h.trainings[fmt.Sprintf("%s/%d", name, step)]++
 	h.world.Trace("trainer trained step %d", step)
 }
 
--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -6,12 +6,19 @@
 	"github.com/pathtally/pathtally/internal/environment"
 )
 
+// Place is a zone of a region.
+type Place struct{ Zone, Region string }
+
+// outside is where callers, trainers and operators are.
+var outside = Place{Zone: "outside", Region: "outside"}
+
 // Host is a process that can be killed and paused. Calls meant for a killed
 // life of it are dropped; those for a paused one wait until it wakes.
 type Host struct {
 	scheduler *Scheduler
 	Name      string
 	Zone      string
+	Region    string
 	life      int
 	alive     bool
 	paused    bool
@@ -19,8 +26,8 @@
 }
 
 // NewHost returns a host that is not alive yet.
-func NewHost(scheduler *Scheduler, name, zone string) *Host {
-	return &Host{scheduler: scheduler, Name: name, Zone: zone}
+func NewHost(scheduler *Scheduler, name string, where Place) *Host {
+	return &Host{scheduler: scheduler, Name: name, Zone: where.Zone, Region: where.Region}
 }
 
 // Alive tells whether the host runs, paused or not.
--- a/internal/sim/network.go
+++ b/internal/sim/network.go
@@ -13,6 +13,8 @@
 const (
 	sameZone  = 200 * time.Microsecond
 	crossZone = 1500 * time.Microsecond
+	// crossRegion is between nodes of different regions.
+	crossRegion = 30 * time.Millisecond
 )
 
 // link is an ordered pair of hosts.
@@ -32,8 +34,9 @@
 	SlowBy    time.Duration
 	// checkEvery encodes and decodes every so manieth message, so that the
 	// wire form is exercised too.
-	checkEvery int
-	count      int
+	checkEvery  int
+	count       int
+	zoneLatency time.Duration
 	// Messages and Bytes count what was sent, by host, when measuring.
 	Measure func(from, to string, message wire.Message)
 }
@@ -41,7 +44,7 @@
 // NewNetwork returns a network without hosts.
 func NewNetwork(scheduler *Scheduler) *Network {
 	return &Network{
-		scheduler: scheduler, hosts: map[string]*Host{}, cut: map[link]int{}, checkEvery: 50,
+		scheduler: scheduler, hosts: map[string]*Host{}, cut: map[link]int{}, checkEvery: 50, zoneLatency: crossZone,
 		handlers: map[string]func(string, wire.Message, func(wire.Message)){},
 	}
 }
@@ -67,8 +70,8 @@
 // delay is the latency of one message.
 func (n *Network) delay(from, to string) time.Duration {
 	base := crossZone
-	if n.hosts[from] != nil && n.hosts[to] != nil && n.hosts[from].Zone == n.hosts[to].Zone {
-		base = sameZone
+	if sender, receiver := n.hosts[from], n.hosts[to]; sender != nil && receiver != nil {
+		base = n.latencyBetween(sender, receiver)
 	}
 	delay := base + time.Duration(n.scheduler.Random.Int64N(int64(base)/2+1))
 	if n.Slow > 0 && n.scheduler.Random.Float64() < n.Slow {
@@ -77,6 +80,16 @@
 	return delay
 }
 
+func (n *Network) latencyBetween(a, b *Host) time.Duration {
+	switch {
+	case a.Zone == b.Zone:
+		return sameZone
+	case a.Region == b.Region || a.Region == outside.Region || b.Region == outside.Region:
+		return n.zoneLatency
+	}
+	return crossRegion
+}
+
 // deliver runs a call on the receiving host after the link's latency, once,
 // twice or not at all.
 func (n *Network) deliver(from, to string, call func()) {
@@ -127,6 +140,13 @@
 	})
 }
 
+// Broadcast implements environment.Peers.
+func (p *simPeers) Broadcast(addresses []string, message wire.Message) {
+	for _, address := range addresses {
+		p.Send(address, message)
+	}
+}
+
 // Call implements environment.Peers.
 func (p *simPeers) Call(address string, message wire.Message, timeout time.Duration, done func(wire.Message, error)) {
 	n := p.network
--- a/internal/sim/node.go
+++ b/internal/sim/node.go
@@ -16,7 +16,6 @@
 	// than any request's deadline.
 	stopGrace = 30 * time.Second
 	stopLook  = 50 * time.Millisecond
-	simRegion = "region"
 )
 
 // Node is a simulated node: the real Core on a simulated host.
@@ -35,8 +34,8 @@
 // onDeath registers a call for the end of the node's life.
 func (n *Node) onDeath(call func()) { n.watchers = append(n.watchers, call) }
 
-func newNode(world *World, name, zone string, storage bool) *Node {
-	simulated := &Node{world: world, host: NewHost(world.Scheduler, name, zone)}
+func newNode(world *World, name string, where Place, storage bool) *Node {
+	simulated := &Node{world: world, host: NewHost(world.Scheduler, name, where)}
 	if storage {
 		simulated.disk = &Disk{}
 	}
@@ -51,7 +50,7 @@
 	n.stopping = false
 	now := n.world.Scheduler.Now()
 	n.member = wire.Member{
-		ID: n.host.Name, Address: n.host.Name, HTTP: n.host.Name, Zone: n.host.Zone, Region: simRegion,
+		ID: n.host.Name, Address: n.host.Name, HTTP: n.host.Name, Zone: n.host.Zone, Region: n.host.Region,
 		Incarnation: uint64(now.UnixMilli()), Storage: n.disk != nil,
 	}
 	store, journal := n.openDisk()
@@ -62,6 +61,7 @@
 		Peers:  n.world.Network.Peers(n.host), Objects: platform, Machines: platform,
 		Engines: &engineClient{world: n.world, host: n.host}, Scorer: &simScorer{world: n.world, host: n.host}, Store: store, Journal: journal,
 		Policy:          n.world.config.Policy,
+		ChunkTokens:     n.world.config.ChunkTokens,
 		OnConfiguration: func(generation uint64) { n.world.History.applied(n.host.Name, n.host.life, generation) },
 	})
 	n.gateway = newGateway(n)
--- a/internal/sim/objects.go
+++ b/internal/sim/objects.go
@@ -12,7 +12,7 @@
 const (
 	objectLatency = 4 * time.Millisecond
 	objectTimeout = 2 * time.Second
-	watchPoll     = 20 * time.Millisecond
+	watchPoll     = 50 * time.Millisecond
 )
 
 // Platform is the simulated object API and machine list.
@@ -129,7 +129,7 @@
 }
 
 // Watch implements environment.Objects.
-func (c *PlatformClient) Watch(from uint64, wait time.Duration, done func([]environment.Object, uint64, error)) {
+func (c *PlatformClient) Watch(names []string, from uint64, wait time.Duration, done func([]environment.Object, uint64, error)) {
 	p := c.platform
 	limit := p.scheduler.Now().Add(wait)
 	var look func()
@@ -138,7 +138,7 @@
 			done(nil, 0, unavailable())
 			return
 		}
-		found, next, reaches := p.store.Since(from)
+		found, next, reaches := p.store.Since(names, from)
 		switch {
 		case !reaches:
 			done(nil, 0, merry.Wrap(environment.ErrVersionTooOld))
--- a/internal/sim/operators.go
+++ b/internal/sim/operators.go
@@ -21,7 +21,7 @@
 }
 
 func newOperator(world *World, name string) *Operator {
-	operator := &Operator{world: world, host: NewHost(world.Scheduler, name, "outside")}
+	operator := &Operator{world: world, host: NewHost(world.Scheduler, name, outside)}
 	operator.host.start()
 	world.Network.Add(operator.host)
 	operator.writer = configwriter.New(configwriter.Config{
--- a/internal/sim/trainer.go
+++ b/internal/sim/trainer.go
@@ -16,35 +16,59 @@
 )
 
 const (
-	trainerRetry  = 300 * time.Millisecond
-	trainerFetch  = 10 * time.Second
-	trainTime     = 2 * time.Second
-	trainerPool   = 64
-	sampleTokens  = 160
-	stepPrompts   = 4
-	stepSamples   = 3
-	trainerWriter = "trainer"
+	trainerRetry = 300 * time.Millisecond
+	trainerFetch = 10 * time.Second
+	sampleTokens = 160
+	stepPrompts  = 4
+	stepSamples  = 3
 )
 
+// TrainerConfig describes a simulated trainer.
+type TrainerConfig struct {
+	Name  string
+	Model string
+	// Prompts and Samples make a step; Pool is after how many prompts they
+	// come again.
+	Prompts   int
+	Samples   int
+	Pool      int
+	MaxTokens int
+	// Ahead is how many steps are submitted before the last is trained.
+	Ahead     int
+	TrainTime time.Duration
+	// MaxSteps ends the training; 0 goes on.
+	MaxSteps int
+}
+
+// defaultTrainer is the small one of the chaos runs.
+func defaultTrainer(ahead int) TrainerConfig {
+	return TrainerConfig{
+		Name: trainerName, Model: modelName, Prompts: stepPrompts, Samples: stepSamples, Pool: 64, MaxTokens: sampleTokens, Ahead: ahead, TrainTime: 2 * time.Second,
+	}
+}
+
 // Trainer trains step after step through whatever node answers. What it has
 // trained outlives its crashes.
 type Trainer struct {
 	world  *World
 	host   *Host
-	name   string
-	model  string
+	config TrainerConfig
 	step   uint64
-	ahead  int
 	place  int
 	writer *configwriter.Writer
 	// Idle is the time spent waiting for samples.
 	Idle     time.Duration
 	Trained  int
 	finished bool
+	// IdleOf and StepOf are, for each trained step, the time waited and the
+	// time since the step before.
+	IdleOf   []time.Duration
+	StepOf   []time.Duration
+	lastStep time.Time
 }
 
-func newTrainer(world *World, name, model string, ahead int) *Trainer {
-	simulated := &Trainer{world: world, host: NewHost(world.Scheduler, "trainer-"+name, "outside"), name: name, model: model, step: 1, ahead: ahead}
+func newTrainer(world *World, config TrainerConfig) *Trainer {
+	simulated := &Trainer{world: world, host: NewHost(world.Scheduler, "trainer-"+config.Name, outside), config: config, step: 1}
 	world.Network.Add(simulated.host)
 	return simulated
 }
@@ -52,6 +76,7 @@
 // Start begins a life of the trainer with the first step not yet trained.
 func (t *Trainer) Start() {
 	t.host.start()
+	t.lastStep = t.host.Now()
 	t.writer = configwriter.New(configwriter.Config{
 		Clock: t.host, Random: rand.New(rand.NewPCG(t.world.Scheduler.Random.Uint64(), 1)), Objects: t.world.Platform.Client(t.host),
 	})
@@ -63,9 +88,9 @@
 func (t *Trainer) Crash() { t.host.kill() }
 
 func (t *Trainer) request(step uint64) rollout.StepRequest {
-	request := rollout.StepRequest{Step: step, TrainVersion: int64(step), SamplesPerPrompt: stepSamples, MaxTokens: sampleTokens, Seed: step * 7919}
-	for i := range stepPrompts {
-		request.Prompts = append(request.Prompts, fmt.Sprintf("%s rollout %d", t.name, (int(step)*stepPrompts+i)%trainerPool))
+	request := rollout.StepRequest{Step: step, TrainVersion: int64(step), SamplesPerPrompt: t.config.Samples, MaxTokens: t.config.MaxTokens, Seed: step * 7919}
+	for i := range t.config.Prompts {
+		request.Prompts = append(request.Prompts, fmt.Sprintf("%s rollout %d", t.config.Name, (int(step)*t.config.Prompts+i)%t.config.Pool))
 	}
 	return request
 }
@@ -109,7 +134,7 @@
 }
 
 func (t *Trainer) submit(step uint64, done func(error)) {
-	t.call(func(core *node.Core, answer func(error)) { answer(core.SubmitStep(t.name, t.request(step))) }, done)
+	t.call(func(core *node.Core, answer func(error)) { answer(core.SubmitStep(t.config.Name, t.request(step))) }, done)
 }
 
 // fetch submits the step, waits for it and goes on with it.
@@ -124,11 +149,12 @@
 			again()
 			return
 		}
+		t.submitAhead(step)
 		var body []byte
 		var bound int64
 		t.call(func(core *node.Core, answer func(error)) {
 			by := t.world.Nodes[t.place%len(t.world.Nodes)].host
-			cancel := core.FetchStep(t.name, step, int64(step), func(found []byte, err error) {
+			cancel := core.FetchStep(t.config.Name, step, int64(step), func(found []byte, err error) {
 				body, bound = found, t.world.History.boundAt(by.Name)
 				answer(err)
 			})
@@ -138,30 +164,47 @@
 				again()
 				return
 			}
-			t.Idle += t.host.Now().Sub(since)
+			idle := t.host.Now().Sub(since)
+			t.Idle += idle
+			t.IdleOf = append(t.IdleOf, idle)
 			t.world.History.delivered(t, step, body, bound)
 			t.train(step)
 		})
 	})
 }
 
+// submitAhead opens the steps after one, while that one is still generated.
+func (t *Trainer) submitAhead(step uint64) {
+	for next := step + 1; next <= step+uint64(t.config.Ahead); next++ {
+		if t.config.MaxSteps == 0 || next <= uint64(t.config.MaxSteps) {
+			t.submit(next, func(error) {})
+		}
+	}
+}
+
 // train acknowledges the step, opens the next, trains and publishes.
 func (t *Trainer) train(step uint64) {
 	t.acknowledge(step, 0)
-	for next := step + 1; next <= step+uint64(t.ahead); next++ {
-		t.host.AfterFunc(trainerRetry, func() { t.submit(next, func(error) {}) })
+	if t.config.Ahead > 0 {
+		t.host.AfterFunc(trainerRetry, func() { t.submitAhead(step + 1) })
 	}
-	t.host.AfterFunc(trainTime, func() {
+	t.host.AfterFunc(t.config.TrainTime, func() {
 		t.step = step + 1
 		t.Trained++
-		t.world.History.trained(t.name, step)
+		t.StepOf = append(t.StepOf, t.host.Now().Sub(t.lastStep))
+		t.lastStep = t.host.Now()
+		t.world.History.trained(t.config.Name, step)
+		if t.config.MaxSteps > 0 && t.Trained >= t.config.MaxSteps {
+			t.finished = true
+			return
+		}
 		t.publish(int64(t.step))
 		t.fetch(t.host.Now())
 	})
 }
 
 func (t *Trainer) acknowledge(step uint64, tries int) {
-	t.call(func(core *node.Core, answer func(error)) { answer(core.AcknowledgeStep(t.name, step)) }, func(err error) {
+	t.call(func(core *node.Core, answer func(error)) { answer(core.AcknowledgeStep(t.config.Name, step)) }, func(err error) {
 		if err != nil && tries < callerTries {
 			t.host.AfterFunc(trainerRetry, func() { t.acknowledge(step, tries+1) })
 		}
@@ -170,7 +213,7 @@
 
 // publish declares the next weights, as often as it takes.
 func (t *Trainer) publish(version int64) {
-	t.writer.WriteRebased(devcluster.AddVersion(t.model, version), func(_ configwriter.Result, err error) {
+	t.writer.WriteRebased(devcluster.AddVersion(t.config.Model, version), func(_ configwriter.Result, err error) {
 		if err != nil {
 			t.host.AfterFunc(trainerRetry, func() {
 				if version == int64(t.step) {
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -27,18 +28,32 @@
 // Config describes a World.
 type Config struct {
 	Seed uint64
-	// Nodes and Engines are spread over three zones.
+	// Nodes and Engines are spread over the places; the first node of each has
+	// a data folder.
 	Nodes   int
 	Engines int
+	Places  []Place
+	// Models is how many models the engines are shared among.
+	Models int
 	// StepsAhead and Bound are the trainer's.
 	StepsAhead int
 	Bound      int64
 	// RequestsPerSecond and UnsafeShare describe the callers.
 	RequestsPerSecond float64
 	UnsafeShare       float64
-	Parameters        enginemodel.Parameters
-	Lengths           enginemodel.Lengths
-	Policy            rollout.Policy
+	// LiveTokens bounds the answers of callers.
+	LiveTokens int
+	Parameters enginemodel.Parameters
+	Lengths    enginemodel.Lengths
+	Policy     rollout.Policy
+	// Set overrides the declared objects; engines and places are then its.
+	Set *v1.Set
+	// ZoneLatency overrides the latency between zones, one way.
+	ZoneLatency time.Duration
+	// Lean leaves out of the history what only the checkers need.
+	Lean bool
+	// ChunkTokens overrides how many tokens of a sample come together.
+	ChunkTokens int
 	// Print receives the readable trace, if set.
 	Print func(string)
 }
@@ -51,8 +66,8 @@
 	parameters.StepBase = v1.Duration(12 * time.Millisecond)
 	parameters.StepPerSequence = v1.Duration(time.Millisecond)
 	return Config{
-		Seed: seed, Nodes: 5, Engines: 6, StepsAhead: 1, Bound: 2, RequestsPerSecond: 6, UnsafeShare: 0.4,
-		Parameters: parameters, Lengths: enginemodel.Lengths{Median: 40, Sigma: 0.8, Max: 400},
+		Seed: seed, Nodes: 5, Engines: 6, Models: 1, Places: []Place{{"zone-a", "region"}, {"zone-b", "region"}, {"zone-c", "region"}}, StepsAhead: 1, Bound: 2, RequestsPerSecond: 6, UnsafeShare: 0.4, LiveTokens: 24,
+		Parameters: parameters, Lengths: enginemodel.Lengths{Median: 40, Sigma: 0.8, Max: 400, PromptShare: 0.5},
 	}
 }
 
@@ -71,6 +86,7 @@
 	History *History
 	trace   *xxhash.Digest
 	quiet   bool
+	polls   int
 	lossy   float64
 	// boundChanges numbers the operators that change the staleness bound.
 	boundChanges int
@@ -80,27 +96,58 @@
 
 // NewWorld builds a deployment; nothing runs before Start.
 func NewWorld(config Config) *World {
+	if config.Set != nil {
+		config.Places = placesOf(config.Set)
+	}
 	world := &World{
 		config: config, Scheduler: NewScheduler(config.Seed), Engines: map[string]*Engine{}, trace: xxhash.New(), Faults: map[string]int{},
 	}
 	world.Network = NewNetwork(world.Scheduler)
 	world.Platform = NewPlatform(world.Scheduler)
 	world.History = newHistory(world)
-	zones := []string{"zone-a", "zone-b", "zone-c"}
 	for i := range config.Nodes {
-		world.Nodes = append(world.Nodes, newNode(world, fmt.Sprintf("node-%d", i+1), zones[i%len(zones)], i < len(zones)))
+		storage := i < len(config.Places)
+		world.Nodes = append(world.Nodes, newNode(world, fmt.Sprintf("node-%d", i+1), config.Places[i%len(config.Places)], storage))
+	}
+	if config.Set == nil {
+		for i := range config.Engines {
+			world.addEngine(fmt.Sprintf("127.0.0.1:%d", i+1), config.Places[i%len(config.Places)], config.Parameters.Slots)
+		}
+	} else {
+		for _, declared := range v1.All[*v1.Engine](config.Set) {
+			world.addEngine(declared.Spec.Address, Place{declared.Spec.Zone, declared.Spec.Region}, declared.Spec.Slots)
+		}
 	}
-	for i := range config.Engines {
-		name := fmt.Sprintf("127.0.0.1:%d", i+1)
-		world.Engines[name] = newEngine(world, name, zones[i%len(zones)])
-		world.order = append(world.order, name)
+	if config.ZoneLatency > 0 {
+		world.Network.zoneLatency = config.ZoneLatency
 	}
-	world.Trainer = newTrainer(world, trainerName, modelName, config.StepsAhead)
+	world.Trainer = newTrainer(world, defaultTrainer(config.StepsAhead))
 	world.Callers = newCallers(world)
 	world.Platform.OnPut = world.put
 	return world
 }
 
+func (w *World) addEngine(address string, where Place, slots int) {
+	added := newEngine(w, address, where)
+	added.parameters.Slots = slots
+	w.Engines[address] = added
+	w.order = append(w.order, address)
+}
+
+// AddTrainer adds a trainer, which has not started.
+func (w *World) AddTrainer(config TrainerConfig) *Trainer { return newTrainer(w, config) }
+
+// placesOf lists the places of the declared engines.
+func placesOf(set *v1.Set) []Place {
+	var places []Place
+	for _, declared := range v1.All[*v1.Engine](set) {
+		if found := (Place{declared.Spec.Zone, declared.Spec.Region}); !slices.Contains(places, found) {
+			places = append(places, found)
+		}
+	}
+	return places
+}
+
 // put records what is written to the object API.
 func (w *World) put(object objects.Object) {
 	if object.Name != reader.ConfigurationDocument {
@@ -119,21 +166,30 @@
 
 // declared is the configuration of the world.
 func (w *World) declared() *v1.Set {
+	if w.config.Set != nil {
+		return w.config.Set
+	}
 	header := func(kind v1.Kind, name string, labels map[string]string) v1.Header {
 		return v1.Header{APIVersion: v1.APIVersion, Kind: kind, Metadata: v1.Metadata{Name: name, Labels: labels}}
 	}
-	all := []v1.Object{
-		&v1.Model{Header: header(v1.KindModel, modelName, nil)},
-		&v1.TrafficGroup{Header: header(v1.KindTrafficGroup, groupName, map[string]string{"urgency": "live"}), Spec: v1.TrafficGroupSpec{Model: modelName, Priority: 80}},
+	var all []v1.Object
+	for i := range w.config.Models {
+		all = append(all,
+			&v1.Model{Header: header(v1.KindModel, nth(modelName, i), nil)},
+			&v1.TrafficGroup{Header: header(v1.KindTrafficGroup, nth(groupName, i), map[string]string{"urgency": "live"}), Spec: v1.TrafficGroupSpec{Model: nth(modelName, i), Priority: 80}},
+			&v1.Trainer{Header: header(v1.KindTrainer, nth(trainerName, i), nil), Spec: v1.TrainerSpec{
+				Model: nth(modelName, i), Engines: "kind=gpu", Scorer: "http://127.0.0.1:1/score", MaxStaleness: w.config.Bound, StepsAhead: w.config.StepsAhead,
+			}},
+		)
+	}
+	all = append(all,
 		&v1.RoutingRule{Header: header(v1.KindRoutingRule, "rule", nil), Spec: v1.RoutingRuleSpec{Groups: "urgency=live", Engines: "kind=gpu"}},
 		&v1.Limit{Header: header(v1.KindLimit, limitName, nil), Spec: v1.LimitSpec{Groups: "urgency=live"}},
-		&v1.Trainer{Header: header(v1.KindTrainer, trainerName, nil), Spec: v1.TrainerSpec{
-			Model: modelName, Engines: "kind=gpu", Scorer: "http://127.0.0.1:1/score", MaxStaleness: w.config.Bound, StepsAhead: w.config.StepsAhead,
-		}},
-	}
+	)
 	for i, name := range w.order {
+		where := w.Engines[name].host
 		all = append(all, &v1.Engine{Header: header(v1.KindEngine, fmt.Sprintf("engine-%d", i+1), map[string]string{"kind": "gpu"}), Spec: v1.EngineSpec{
-			Address: name, Model: modelName, Zone: w.Engines[name].host.Zone, Region: simRegion, Slots: w.config.Parameters.Slots,
+			Address: name, Model: nth(modelName, i%w.config.Models), Zone: where.Zone, Region: where.Region, Slots: w.config.Parameters.Slots,
 		}})
 	}
 	for _, object := range all {
@@ -142,8 +198,24 @@
 	return v1.NewSet(all...)
 }
 
-// Start brings everything up with the configuration in place.
+// nth names the objects of the first model plainly and numbers the others.
+func nth(name string, index int) string {
+	if index == 0 {
+		return name
+	}
+	return fmt.Sprintf("%s-%d", name, index+1)
+}
+
+// Start brings everything up, with load from callers and a trainer.
 func (w *World) Start() {
+	w.StartQuiet()
+	w.Scheduler.Run(3 * time.Second)
+	w.Trainer.Start()
+	w.Callers.Start(groupName, w.config.RequestsPerSecond, w.config.UnsafeShare)
+}
+
+// StartQuiet brings everything up with the configuration in place and no load.
+func (w *World) StartQuiet() {
 	set := w.declared()
 	if findings := set.Validate(); len(findings) > 0 {
 		panic(findings)
@@ -169,13 +241,13 @@
 	for _, started := range w.Nodes {
 		started.Start()
 	}
-	w.Scheduler.Run(3 * time.Second)
-	w.Trainer.Start()
-	w.Callers.start(groupName, w.config.RequestsPerSecond, w.config.UnsafeShare)
 }
 
 // Trace adds a line to the trace of the run.
 func (w *World) Trace(format string, values ...any) {
+	if w.config.Lean {
+		return
+	}
 	line := fmt.Sprintf("%10.4f ", w.Scheduler.Elapsed().Seconds()) + fmt.Sprintf(format, values...)
 	w.trace.WriteString(line)
 	if w.config.Print != nil {
@@ -186,11 +258,14 @@
 // TraceHash is the hash of the trace so far.
 func (w *World) TraceHash() uint64 { return w.trace.Sum64() }
 
-// seeds are the peers that a node joins through: all others.
+// maxSeeds bounds the peers that a node's settings name.
+const maxSeeds = 5
+
+// seeds are the peers that a node joins through.
 func (w *World) seeds(except string) []string {
 	var seeds []string
 	for _, other := range w.Nodes {
-		if other.host.Name != except {
+		if other.host.Name != except && len(seeds) < maxSeeds {
 			seeds = append(seeds, other.host.Name)
 		}
 	}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -82,13 +82,20 @@
 
 // Send implements environment.Peers.
 func (t *Transport) Send(address string, message wire.Message) {
+	t.Broadcast([]string{address}, message)
+}
+
+// Broadcast implements environment.Peers.
+func (t *Transport) Broadcast(addresses []string, message wire.Message) {
 	encoded, err := wire.Encode(wire.Frame{Message: message})
 	if err != nil {
-		t.counts.FramesDropped.Add(1)
+		t.counts.FramesDropped.Add(int64(len(addresses)))
 		return
 	}
-	if peer := t.peer(address); peer != nil {
-		peer.enqueue(encoded)
+	for _, address := range addresses {
+		if peer := t.peer(address); peer != nil {
+			peer.enqueue(encoded)
+		}
 	}
 }
 
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -33,10 +33,8 @@
 	if err != nil {
 		return nil, &FrameError{Detail: "allocate root", Cause: err}
 	}
-	flat := frame{Correlation: f.Correlation, Reply: f.Reply, Deadline: f.Deadline}
-	f.Message.attach(&flat)
-	if err := pogs.Insert(schema.Frame_TypeID, capnp.Struct(root), &flat); err != nil {
-		return nil, &FrameError{Detail: "insert", Cause: err}
+	if err := encodeInto(root, f); err != nil {
+		return nil, err
 	}
 	body, err := message.MarshalPacked()
 	if err != nil {
@@ -50,6 +48,21 @@
 	return append(framed, body...), nil
 }
 
+func encodeInto(root schema.Frame, f Frame) error {
+	if report, isReport := f.Message.(*LoadReport); isReport {
+		root.SetCorrelation(f.Correlation)
+		root.SetReply(f.Reply)
+		root.SetDeadline(f.Deadline)
+		return encodeLoadReport(root, report)
+	}
+	flat := frame{Correlation: f.Correlation, Reply: f.Reply, Deadline: f.Deadline}
+	f.Message.attach(&flat)
+	if err := pogs.Insert(schema.Frame_TypeID, capnp.Struct(root), &flat); err != nil {
+		return &FrameError{Detail: "insert", Cause: err}
+	}
+	return nil
+}
+
 // Decode reads a frame's body, without its length prefix.
 func Decode(body []byte) (Frame, error) {
 	message, err := capnp.UnmarshalPacked(body)
@@ -60,6 +73,10 @@
 	if err != nil {
 		return Frame{}, &FrameError{Detail: "root", Cause: err}
 	}
+	if root.Which() == schema.Frame_Which_loadReport {
+		report, err := decodeLoadReport(root)
+		return Frame{Correlation: root.Correlation(), Reply: root.Reply(), Deadline: root.Deadline(), Message: report}, err
+	}
 	var flat frame
 	if err := pogs.Extract(&flat, schema.Frame_TypeID, capnp.Struct(root)); err != nil {
 		return Frame{}, &FrameError{Detail: "extract", Cause: err}
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -351,7 +351,7 @@
 func (s *Server) admit(now time.Time, body protocol.CompletionBody, imported bool) (*outStream, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	natural := s.config.Lengths.Draw(xxhash.Sum64String(body.Prompt) ^ body.Seed)
+	natural := s.config.Lengths.Draw(xxhash.Sum64String(body.Prompt), body.Seed)
 	stream := newOutStream(body, min(natural, body.MaxTokens), natural > body.MaxTokens)
 	if s.streams[stream.id] != nil {
 		return nil, errors.ErrUnsupported
--- a/standin/objects/store.go
+++ b/standin/objects/store.go
@@ -3,7 +3,10 @@
 // of changes for watches.
 package objects
 
-import "sync"
+import (
+	"slices"
+	"sync"
+)
 
 // historyLength is how many changes a watch can reach back.
 const historyLength = 1024
@@ -59,9 +62,10 @@
 	return object, true
 }
 
-// Since returns the changes after a version and the version to go on from;
-// false means that the history does not reach back so far.
-func (s *Store) Since(from uint64) ([]Object, uint64, bool) {
+// Since returns the changes of the named objects after a version and the
+// version to go on from; false means that the history does not reach back so
+// far.
+func (s *Store) Since(names []string, from uint64) ([]Object, uint64, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if from < s.dropped {
@@ -69,7 +73,7 @@
 	}
 	var found []Object
 	for _, object := range s.history {
-		if object.Version > from {
+		if object.Version > from && slices.Contains(names, object.Name) {
 			found = append(found, object)
 		}
 	}
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -222,12 +222,13 @@
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
+	names := strings.Split(string(ctx.QueryArgs().Peek(objectapi.ParamNames)), ",")
 	waitMs := ctx.QueryArgs().GetUintOrZero(objectapi.ParamWaitMs)
 	timer := time.NewTimer(min(time.Duration(waitMs)*time.Millisecond, maxWatchWait))
 	defer timer.Stop()
 	for {
 		changed := s.store.Changed()
-		found, next, reaches := s.store.Since(from)
+		found, next, reaches := s.store.Since(names, from)
 		if !reaches {
 			ctx.SetStatusCode(fasthttp.StatusGone)
 			return
--- a/standin/trainer/trainer.go
+++ b/standin/trainer/trainer.go
@@ -84,7 +84,10 @@
 		idle := time.Since(begun)
 		t.check(step, body)
 		t.acknowledge(ctx, step)
-		t.submitAhead(ctx, step)
+		if t.config.StepsAhead > 0 {
+			t.submit(ctx, step+1)
+			t.submitAhead(ctx, step+1)
+		}
 		trained := time.Now()
 		sleep(ctx, t.config.TrainTime)
 		if ctx.Err() == nil && t.config.Publish != nil {
@@ -156,6 +159,7 @@
 func (t *Trainer) await(ctx context.Context, step uint64) ([]byte, bool) {
 	for ctx.Err() == nil {
 		t.submit(ctx, step)
+		t.submitAhead(ctx, step)
 		path := fmt.Sprintf("%s?wait=%s&train_version=%d", t.path(step), fetchWait, step)
 		status, body, err := t.call(ctx, fasthttp.MethodGet, path, nil)
 		switch {
