--- a/internal/rollout/attempt.go
+++ b/internal/rollout/attempt.go
@@ -97,7 +97,7 @@
 		Avoid:        avoid,
 		Random:       s.config.Random.Uint64(),
 		Rollout:      true,
-		MaxLoadShare: fullLoadShare,
+		MaxLoadShare: s.policy().LoadShare(),
 	}
 }
 
--- a/internal/rollout/policy.go
+++ b/internal/rollout/policy.go
@@ -15,6 +15,9 @@
 	// OldestVersion is the least weight version of an engine that may start a
 	// sample of a step that trains trainVersion.
 	OldestVersion(trainVersion, maxStaleness int64) int64
+	// LoadShare is up to which part of its slots an engine gets samples; the
+	// rest is left to live callers, and every sample decodes faster.
+	LoadShare() float64
 	// Order sorts slots that wait for dispatch; the first goes first.
 	Order(slots []Prediction)
 	// Priority is the engine priority of a sample; place 0 is the oldest
@@ -73,6 +76,11 @@
 	// raceFactor times the median is when a second attempt starts.
 	raceFactor = 6
 	raceShare  = 0.02
+	// overlapShare is the part of an engine's slots that overlapping steps
+	// fill. Measured on Kotuku, 40 steps, two seeds: 1.0 wasted 55,000 tokens
+	// on preempted and raced samples at 26.3 percent idle, 0.85 wasted 1,000 at
+	// 25.6, 0.7 none at 25.9, 0.5 none at 30.5.
+	overlapShare = 0.8
 )
 
 // Baseline is first come, first served, one step at a time.
@@ -89,6 +97,9 @@
 	return trainVersion - maxStaleness
 }
 
+// LoadShare implements Policy.
+func (Baseline) LoadShare() float64 { return fullLoadShare }
+
 // Order implements Policy.
 func (Baseline) Order([]Prediction) {}
 
@@ -112,6 +123,9 @@
 	return trainVersion - maxStaleness
 }
 
+// LoadShare implements Policy.
+func (TailControl) LoadShare() float64 { return fullLoadShare }
+
 // Order implements Policy.
 func (TailControl) Order(slots []Prediction) {
 	slices.SortStableFunc(slots, func(a, b Prediction) int {
@@ -155,6 +169,9 @@
 // StepsAhead implements Policy.
 func (Overlap) StepsAhead(trainer *v1.Trainer) int { return trainer.Spec.StepsAhead }
 
+// LoadShare implements Policy.
+func (Overlap) LoadShare() float64 { return overlapShare }
+
 // Fresh is Overlap that starts samples only on engines which already run the
 // newest weights that there can be: those from which the step before is being
 // trained.
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -306,8 +305,3 @@
 		w.Scheduler.After(resetTime, engine.host.bind(func() { engine.dropStreams(host) }))
 	}
 }
-
-// summaryLine is one line on the run, for reports.
-func (w *World) summaryLine() string {
-	return strings.TrimSpace(fmt.Sprintf("requests %d answered %d steps %d", len(w.History.requests), w.History.answered, w.Trainer.Trained))
-}
