--- a/internal/process/status.go
+++ b/internal/process/status.go
@@ -1,6 +1,9 @@
 package process
 
 import (
+	"syscall"
+	"time"
+
 	"github.com/pathtally/pathtally/internal/gateway"
 	"github.com/pathtally/pathtally/internal/node"
 	"github.com/pathtally/pathtally/internal/wire"
@@ -85,9 +88,18 @@
 	metrics.Gauge("pathtally_peer_bytes_sent", "Bytes sent to peers.", func() float64 { return float64(counts.BytesSent.Load()) })
 	metrics.Gauge("pathtally_peer_bytes_received", "Bytes received from peers.", func() float64 { return float64(counts.BytesReceived.Load()) })
 	metrics.Gauge("pathtally_peer_frames_dropped", "Frames dropped at a full queue.", func() float64 { return float64(counts.FramesDropped.Load()) })
+	metrics.Gauge("pathtally_process_cpu_seconds", "Processor time of the process.", cpuSeconds)
 	metrics.Gauge("pathtally_members_usable", "Nodes neither leaving nor dead.", func() float64 {
 		count := 0
 		p.run(func() { count = len(p.core.Members()) })
 		return float64(count)
 	})
 }
+
+func cpuSeconds() float64 {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano()).Seconds()
+}
--- a/internal/sim/meter.go
+++ b/internal/sim/meter.go
@@ -10,7 +10,7 @@
 
 // sampleEvery is how many messages of a type pass between two that are encoded
 // to measure their size and the cost of the codec.
-const sampleEvery = 64
+const sampleEvery = 16
 
 // Traffic is a number of messages and their bytes.
 type Traffic struct {
@@ -24,7 +24,7 @@
 }
 
 // Meter counts the control messages of a world. Sizes and codec times come
-// from one message in sixty-four of each type, which is encoded and decoded.
+// from one message in sixteen of each type, which is encoded and decoded.
 type Meter struct {
 	ByNode map[string]*Traffic
 	ByType map[string]*Traffic
@@ -39,14 +39,16 @@
 
 // NewMeter counts the messages of a network from now on.
 func NewMeter(network *Network) *Meter {
-	meter := &Meter{seen: map[string]int{}, samples: map[string]float64{}, size: map[string]float64{}, cost: map[string]float64{}}
+	meter := &Meter{}
 	meter.Reset()
 	network.Measure = meter.measure
 	return meter
 }
 
-// Reset sets all counts to zero; known sizes stay.
+// Reset sets all counts to zero and forgets the sizes seen.
 func (m *Meter) Reset() {
+	m.seen, m.samples = map[string]int{}, map[string]float64{}
+	m.size, m.cost = map[string]float64{}, map[string]float64{}
 	m.ByNode, m.ByType, m.CodecSeconds = map[string]*Traffic{}, map[string]*Traffic{}, 0
 }
 
