--- a/api/v1/shape.go
+++ b/api/v1/shape.go
@@ -62,7 +62,7 @@
 
 func (c *shapeChecker) checkScalar(node *yaml.Node, want reflect.Type, path string) {
 	if node.Kind != yaml.ScalarNode {
-		c.add(node, path, "a nested value", "a "+want.Kind().String())
+		c.add(node, path, "a nested value", describe(want))
 		return
 	}
 	value := reflect.New(want)
@@ -78,10 +78,23 @@
 		return
 	}
 	if err := node.Decode(value.Interface()); err != nil {
-		c.add(node, path, node.Value, "a "+want.Kind().String())
+		c.add(node, path, node.Value, describe(want))
 	}
 }
 
+// describe says in words what values a type takes.
+func describe(want reflect.Type) string {
+	switch want.Kind() {
+	case reflect.Int, reflect.Int64:
+		return "a whole number"
+	case reflect.Float64:
+		return "a number"
+	case reflect.Bool:
+		return "true or false"
+	}
+	return "a " + want.Kind().String()
+}
+
 func (c *shapeChecker) add(node *yaml.Node, path, found, allowed string) {
 	c.findings = append(c.findings, &FieldError{File: c.file, Line: node.Line, Object: c.object, Path: path, Found: found, Allowed: allowed})
 }
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -62,6 +62,9 @@
 	loads    atomic.Int64
 	server   *fasthttp.Server
 	address  string
+	// closed ends the watches that are open when the platform closes.
+	closed chan struct{}
+	once   sync.Once
 }
 
 // Start listens on an address; port 0 lets the system choose.
@@ -84,6 +87,7 @@
 		shown:    map[string]environment.Machine{},
 		version:  1,
 		address:  listener.Addr().String(),
+		closed:   make(chan struct{}),
 	}
 	platform.server = &fasthttp.Server{Handler: platform.handle, NoDefaultServerHeader: true, CloseOnShutdown: true, MaxRequestBodySize: 64 << 20}
 	go func() { _ = platform.server.Serve(listener) }()
@@ -94,7 +98,10 @@
 func (s *Server) Address() string { return s.address }
 
 // Close ends the platform.
-func (s *Server) Close() { _ = s.server.Shutdown() }
+func (s *Server) Close() {
+	s.once.Do(func() { close(s.closed) })
+	_ = s.server.Shutdown()
+}
 
 // SetSwitches makes the platform fail, or ends that.
 func (s *Server) SetSwitches(switches Switches) {
@@ -239,6 +246,9 @@
 		}
 		select {
 		case <-changed:
+		case <-s.closed:
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+			return
 		case <-timer.C:
 			s.writeWatch(ctx, nil, next)
 			return
