--- a/test/faults_test.go
+++ b/test/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -126,3 +127,96 @@
 		t.Errorf("callers saw %+v", counts)
 	}
 }
+
+// TestDispatchCutAtEveryByte cuts the request to each engine after a growing
+// number of bytes. Whatever the node says, it must be true.
+func TestDispatchCutAtEveryByte(t *testing.T) {
+	const step, longest = 7, 700
+	d := deploy(t)
+	client := loadgen.NewClient()
+	outcomes := map[loadgen.Kind]int{}
+	for limit := int64(0); limit < longest; limit += step {
+		for _, p := range d.engineProxies {
+			p.cutRequestAt.Store(limit)
+			p.resetOpen()
+		}
+		request := loadgen.Request{Model: "m", Group: "live", Prompt: fmt.Sprint("cut at ", limit), MaxTokens: 4, Deadline: 5 * time.Second}
+		if limit%(2*step) == 0 {
+			request.Key = fmt.Sprint("cut-", limit)
+		}
+		verdict, _ := loadgen.Do(client, d.nodes[0].http, request)
+		outcomes[verdict.Kind]++
+		runs := d.runs(request.Prompt)
+		if verdict.Kind == loadgen.RefusedNotRun && runs > 0 {
+			t.Errorf("cut at %d: said to be not run, ran %d times", limit, runs)
+		}
+		if request.Key != "" && runs > 1 {
+			t.Errorf("cut at %d: an unsafe request ran %d times", limit, runs)
+		}
+		if verdict.Kind == loadgen.Wrong || verdict.Kind == loadgen.Truncated {
+			t.Errorf("cut at %d: %+v", limit, verdict)
+		}
+	}
+	t.Logf("answered %d, not run %d, unknown %d", outcomes[loadgen.Answered], outcomes[loadgen.RefusedNotRun], outcomes[loadgen.Unknown])
+	if outcomes[loadgen.Unknown] == 0 {
+		t.Error("no cut was late enough for an unknown outcome")
+	}
+}
+
+// TestDrainedEngineMovesItsStreams drains an engine that is in the middle of
+// streams; they go on at another one.
+func TestDrainedEngineMovesItsStreams(t *testing.T) {
+	d := deploy(t)
+	stop := d.load(60, 0.3, d.addresses)
+	time.Sleep(time.Second)
+	if code, _, err := fasthttp.Post(nil, "http://"+d.engines.address(0)+"/drain", nil); err != nil || code != fasthttp.StatusOK {
+		t.Fatalf("drain: %d, %v", code, err)
+	}
+	time.Sleep(1500 * time.Millisecond)
+	generator := stop()
+	if counts := generator.Counts(); counts.Wrong+counts.Truncated+counts.Unreachable > 0 || generator.Codes()["engine_failed"] > 0 {
+		t.Errorf("callers saw %+v, codes %v", counts, generator.Codes())
+	}
+	d.checkRuns(generator)
+	moved := 0.0
+	for _, n := range d.nodes {
+		moved += d.metric(n, "pathtally_streams_moved_total")
+	}
+	if moved == 0 {
+		t.Error("no stream was moved")
+	}
+	t.Logf("%.0f streams moved", moved)
+}
+
+// TestRollingStopOfAllNodes stops and replaces every node in turn under load.
+func TestRollingStopOfAllNodes(t *testing.T) {
+	d := deploy(t)
+	var stopping atomic.Int32
+	stopping.Store(-1)
+	others := func() []string {
+		var addresses []string
+		for i, n := range d.addresses() {
+			if int32(i) != stopping.Load() {
+				addresses = append(addresses, n)
+			}
+		}
+		return addresses
+	}
+	stop := d.load(40, 0.4, others)
+	for i, n := range d.nodes {
+		stopping.Store(int32(i))
+		time.Sleep(200 * time.Millisecond)
+		n.signal(syscall.SIGTERM)
+		<-n.exited
+		d.run(n)
+		d.waitReady(n)
+		stopping.Store(-1)
+		time.Sleep(300 * time.Millisecond)
+	}
+	generator := stop()
+	if counts := generator.Counts(); counts.Wrong+counts.Truncated+counts.Unreachable > 0 || generator.Codes()["engine_failed"] > 0 {
+		t.Errorf("callers saw %+v, codes %v", counts, generator.Codes())
+	}
+	d.checkRuns(generator)
+	checkCounts(t, d.train("2"), 2)
+}
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -324,3 +324,20 @@
 		}
 	}
 }
+
+// metric reads one metric of a node.
+func (d *deployment) metric(n *node, name string) float64 {
+	d.t.Helper()
+	_, body, err := fasthttp.GetTimeout(nil, "http://"+n.http+"/metrics", time.Second)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	for _, line := range strings.Split(string(body), "\n") {
+		if value, found := strings.CutPrefix(line, name+" "); found {
+			var number float64
+			fmt.Sscan(value, &number)
+			return number
+		}
+	}
+	return 0
+}
--- a/test/proxy_test.go
+++ b/test/proxy_test.go
@@ -1,7 +1,6 @@
 package test
 
 import (
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -35,9 +34,12 @@
 	// resetAfter, when above 0, resets each connection once so many bytes of
 	// answers have passed.
 	resetAfter atomic.Int64
-	delay      atomic.Int64
-	mutex      sync.Mutex
-	open       map[net.Conn]bool
+	// cutRequestAt, when not below 0, resets each connection once so many
+	// bytes of requests have passed.
+	cutRequestAt atomic.Int64
+	delay        atomic.Int64
+	mutex        sync.Mutex
+	open         map[net.Conn]bool
 }
 
 func newProxy(t *testing.T, target string) *proxy {
@@ -47,6 +49,7 @@
 		t.Fatal(err)
 	}
 	p := &proxy{listener: listener, target: target, open: map[net.Conn]bool{}}
+	p.cutRequestAt.Store(-1)
 	go p.accept()
 	t.Cleanup(func() {
 		listener.Close()
@@ -130,8 +133,9 @@
 		if answers && proxyMode(p.mode.Load()) == proxyOneWay {
 			continue
 		}
-		if limit := p.resetAfter.Load(); answers && limit > 0 && passed+int64(count) > limit {
-			io.Copy(to, io.LimitReader(bytesOf(buffer[:count]), limit-passed))
+		limit, limited := p.limit(answers)
+		if limited && passed+int64(count) > limit {
+			to.Write(buffer[:max(0, limit-passed)])
 			reset(to)
 			reset(from)
 			return
@@ -143,16 +147,12 @@
 	}
 }
 
-// bytesOf is a reader over some bytes.
-func bytesOf(data []byte) io.Reader { return &byteReader{data: data} }
-
-type byteReader struct{ data []byte }
-
-func (r *byteReader) Read(buffer []byte) (int, error) {
-	if len(r.data) == 0 {
-		return 0, io.EOF
+// limit is how many bytes of a direction pass before the connection is reset.
+func (p *proxy) limit(answers bool) (int64, bool) {
+	if answers {
+		limit := p.resetAfter.Load()
+		return limit, limit > 0
 	}
-	count := copy(buffer, r.data)
-	r.data = r.data[count:]
-	return count, nil
+	limit := p.cutRequestAt.Load()
+	return limit, limit >= 0
 }
