Membership records stop circulating once a peer has them all

Cause: at 180 nodes the busiest node used 35 KB a second a minute after the start; 23,121 records travelled on 3,218 acknowledgements in ten seconds, each passed on 24 times because the count followed the whole fleet, not the zone. Ruled out: message sizes from the start (reset made no difference: 44 KB at 350 nodes), and load reports (2.6 KB). Change: the count follows the zone's size, and an equal summary counts as one passing on of everything; duties poll their engines every 10 s; polls are counted for the node that makes them.

--- a/internal/bench/scale.go
+++ b/internal/bench/scale.go
@@ -148,6 +148,7 @@
 type scaleRun struct {
 	world    *sim.World
 	meter    *sim.Meter
+	polls    map[string]int
 	operator *sim.Operator
 	point    scalePoint
 }
@@ -181,28 +182,46 @@
 
 // during measures a span of virtual time.
 func (r *scaleRun) during(span time.Duration) (requests int, cpu float64) {
-	r.meter.Reset()
+	r.reset()
 	requests, cpu = r.world.Platform.Requests, processSeconds()
 	r.world.Scheduler.Run(span)
 	return r.world.Platform.Requests - requests, processSeconds() - cpu
 }
 
+// reset begins a new count of messages and polls.
+func (r *scaleRun) reset() {
+	r.meter.Reset()
+	r.polls = r.world.Polls()
+}
+
+// pollsSince returns the polls that each node has made since reset.
+func (r *scaleRun) pollsSince() (byNode map[string]int, total int) {
+	byNode = r.world.Polls()
+	for node, count := range r.polls {
+		byNode[node] -= count
+	}
+	for _, count := range byNode {
+		total += count
+	}
+	return byNode, total
+}
+
 func (r *scaleRun) busiestKB(span time.Duration) float64 {
-	_, busiest := r.meter.Busiest()
-	return busiest.Bytes / kilobyte / span.Seconds()
+	polls, _ := r.pollsSince()
+	return r.meter.Busiest(polls, statusBytes) / kilobyte / span.Seconds()
 }
 
 func (r *scaleRun) steady() {
 	p := &r.point
-	polls := r.world.Polls()
 	requests, cpu := r.during(scaleSteady)
+	_, polls := r.pollsSince()
 	nodeSeconds := scaleSteady.Seconds() * float64(p.Nodes)
 	total := r.meter.Total()
-	p.PollsPerNode = float64(r.world.Polls()-polls) / nodeSeconds
+	p.PollsPerNode = float64(polls) / nodeSeconds
 	// Each message is sent by one node and received by another.
 	p.MessagesPerNode = 2 * total.Messages / nodeSeconds
 	p.KBPerNode = 2*total.Bytes/kilobyte/nodeSeconds + p.PollsPerNode*statusBytes/kilobyte
-	p.BusiestKB = r.busiestKB(scaleSteady) + p.PollsPerNode*statusBytes/kilobyte
+	p.BusiestKB = r.busiestKB(scaleSteady)
 	p.CodecPercent = 100 * r.meter.CodecSeconds / nodeSeconds
 	p.CPUPercent = 100*cpu/nodeSeconds + p.CodecPercent
 	p.APIPerSecond = float64(requests) / scaleSteady.Seconds()
@@ -216,7 +235,7 @@
 func (r *scaleRun) changes() {
 	steady := r.point.KBPerNode - r.point.PollsPerNode*statusBytes/kilobyte
 	for range changesTimed {
-		r.meter.Reset()
+		r.reset()
 		took := r.world.ChangeOnce(r.operator, nil, changeLimit)
 		r.point.ConfigSeconds = max(r.point.ConfigSeconds, took.Seconds())
 		r.world.Scheduler.Run(scaleSettle / 10)
@@ -227,7 +246,7 @@
 }
 
 func (r *scaleRun) claims() {
-	r.meter.Reset()
+	r.reset()
 	r.point.ClaimsGranted = r.world.ClaimLoad(claimsRate, claimsSpan)
 	messages, bytes := 0.0, 0.0
 	for _, name := range []string{"ClaimRequest", "ClaimReply"} {
@@ -256,7 +275,7 @@
 	r.operator.Change(nil)
 	r.world.Scheduler.Run(regionCutSpan)
 	heal()
-	r.meter.Reset()
+	r.reset()
 	begun := r.world.Scheduler.Now()
 	for r.world.Scheduler.Now().Sub(begun) < convergeLimit && !r.world.Converged() {
 		r.world.Scheduler.Run(convergeLook)
--- a/internal/membership/handle.go
+++ b/internal/membership/handle.go
@@ -52,8 +52,12 @@
 // compare starts an exchange of versions when the other side's records still
 // differ after this side has nothing left to pass on.
 func (t *Table) compare(address string, summary uint64) {
+	if summary == t.summary {
+		t.local.known()
+		return
+	}
 	now := t.config.Clock.Now()
-	if summary == t.summary || len(t.local) > 0 || now.Before(t.nextSync) {
+	if len(t.local) > 0 || now.Before(t.nextSync) {
 		return
 	}
 	t.nextSync = now.Add(syncPeriods * t.config.Period)
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -240,8 +240,9 @@
 	}
 }
 
+// transmissions is how often a changed record is passed on inside the zone.
 func (t *Table) transmissions() int {
-	return transmissionFactor * bits.Len(uint(len(t.members)+1))
+	return transmissionFactor * bits.Len(uint(len(t.zoneMates())+1))
 }
 
 func (t *Table) recordsOf(keys []string) wire.Records {
--- a/internal/membership/queue.go
+++ b/internal/membership/queue.go
@@ -33,3 +33,14 @@
 	}
 	return keys
 }
+
+// known counts every key as passed on once, after a peer has shown that it
+// holds all that is held here.
+func (q queue) known() {
+	for key := range q {
+		q[key]--
+		if q[key] <= 0 {
+			delete(q, key)
+		}
+	}
+}
--- a/internal/poller/poller.go
+++ b/internal/poller/poller.go
@@ -17,7 +17,7 @@
 	// Period is the time between two polls of an engine.
 	Period = time.Second
 	// SlowPeriod is that of a duty that follows many engines.
-	SlowPeriod = 5 * time.Second
+	SlowPeriod = 10 * time.Second
 	// batchPeriod is how long loads wait for others before they are sent, and
 	// urgentPeriod how long those do that show an engine changed.
 	batchPeriod  = time.Second
--- a/internal/sim/engineclient.go
+++ b/internal/sim/engineclient.go
@@ -64,7 +64,7 @@
 // Status implements engine.Client.
 func (c *engineClient) Status(address string, done func(engine.Status, error)) {
 	c.reach(address, func(target *Engine) {
-		c.world.polls++
+		c.world.polls[c.host.Name]++
 		status := target.laggedStatus()
 		c.answer(address, func() { done(status, nil) }, func() {
 			done(engine.Status{}, &engine.Error{Kind: engine.Broken, Address: address, Detail: "answer lost"})
--- a/internal/sim/fleetops.go
+++ b/internal/sim/fleetops.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"time"
 
 	v1 "github.com/pathtally/pathtally/api/v1"
@@ -172,5 +173,5 @@
 	return count
 }
 
-// Polls returns the engine polls answered so far.
-func (w *World) Polls() int { return w.polls }
+// Polls returns a copy of the engine polls answered so far, by node.
+func (w *World) Polls() map[string]int { return maps.Clone(w.polls) }
--- a/internal/sim/meter.go
+++ b/internal/sim/meter.go
@@ -85,16 +85,14 @@
 	return m[key]
 }
 
-// Busiest returns the traffic of the node with the most bytes, sent and
-// received together.
-func (m *Meter) Busiest() (string, Traffic) {
-	name, most := "", Traffic{}
-	for _, candidate := range sortedKeys(m.ByNode) {
-		if m.ByNode[candidate].Bytes > most.Bytes {
-			name, most = candidate, *m.ByNode[candidate]
-		}
+// Busiest returns the bytes of the node with the most, sent and received
+// together, with some more for each engine poll that it made.
+func (m *Meter) Busiest(polls map[string]int, bytesPerPoll float64) float64 {
+	most := 0.0
+	for _, node := range sortedKeys(m.ByNode) {
+		most = max(most, m.ByNode[node].Bytes+bytesPerPoll*float64(polls[node]))
 	}
-	return name, most
+	return most
 }
 
 // Total returns the traffic of all nodes, each message counted once.
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -85,8 +85,9 @@
 	History *History
 	trace   *xxhash.Digest
 	quiet   bool
-	polls   int
-	lossy   float64
+	// polls counts the engine polls, by the host that made them.
+	polls map[string]int
+	lossy float64
 	// boundChanges numbers the operators that change the staleness bound.
 	boundChanges int
 	// Faults counts the faults injected, by kind.
@@ -99,7 +100,7 @@
 		config.Places = placesOf(config.Set)
 	}
 	world := &World{
-		config: config, Scheduler: NewScheduler(config.Seed), Engines: map[string]*Engine{}, trace: xxhash.New(), Faults: map[string]int{},
+		config: config, Scheduler: NewScheduler(config.Seed), Engines: map[string]*Engine{}, trace: xxhash.New(), Faults: map[string]int{}, polls: map[string]int{},
 	}
 	world.Network = NewNetwork(world.Scheduler)
 	world.Platform = NewPlatform(world.Scheduler)
