--- a/internal/quorum/coordinator.go
+++ b/internal/quorum/coordinator.go
@@ -3,11 +3,9 @@
 import (
 	"encoding/json"
 	"errors"
-	"slices"
 	"time"
 
 	"github.com/pathtally/pathtally/internal/environment"
-	"github.com/pathtally/pathtally/internal/rendezvous"
 	"github.com/pathtally/pathtally/internal/wire"
 )
 
@@ -177,18 +175,6 @@
 	return &View{Epoch: view.Epoch + 1, Seats: seats, Previous: view.Seats, ClaimsFrom: view.ClaimsFrom}
 }
 
-// better tells whether seats are worth a change of view: more of them, over
-// more zones, or with more data folders.
-func better(seats, standing []Seat) bool {
-	if len(seats) != len(standing) {
-		return len(seats) > len(standing)
-	}
-	if zones(seats) != zones(standing) {
-		return zones(seats) > zones(standing)
-	}
-	return durable(seats) > durable(standing)
-}
-
 // present returns the seats whose members are there, and whether one of the
 // others has been missing for too long or is leaving.
 func (c *Coordinator) present(view *View) (present []Seat, overdue bool) {
@@ -264,57 +250,3 @@
 	member, known := c.config.Members.Get(seat.ID)
 	return known && member.Identity == seat.Identity && member.State == wire.MemberLeaving
 }
-
-func seatOf(member wire.Member) Seat {
-	return Seat{ID: member.ID, Identity: member.Identity, Address: member.Address, Zone: member.Zone, Durable: member.Storage}
-}
-
-// choose returns an odd number of seats: one of each zone first, and of those
-// that could sit in a zone, members with a data folder and then those that
-// have a seat already.
-func (c *Coordinator) choose(present []Seat) []Seat {
-	usable := c.config.Members.Usable()
-	byID := make(map[string]wire.Member, len(usable))
-	candidates := make([]rendezvous.Candidate, 0, len(usable))
-	for _, member := range usable {
-		byID[member.ID] = member
-		candidates = append(candidates, rendezvous.Candidate{ID: member.ID, Zone: member.Zone})
-	}
-	standing := slices.Clone(present)
-	var newcomers []Seat
-	for _, candidate := range rendezvous.RankAcrossZones(LeaseName, candidates) {
-		newcomers = append(newcomers, seatOf(byID[candidate.ID]))
-	}
-	pool := slices.Concat(standing, newcomers)
-	slices.SortStableFunc(pool, func(a, b Seat) int {
-		if a.Durable == b.Durable {
-			return 0
-		}
-		if a.Durable {
-			return -1
-		}
-		return 1
-	})
-	target := oddSeats(len(usable))
-	var seats []Seat
-	seated, zoned := map[string]bool{}, map[string]bool{}
-	for _, freshZoneOnly := range []bool{true, false} {
-		for _, candidate := range pool {
-			if len(seats) >= target || seated[candidate.ID] || (freshZoneOnly && zoned[candidate.Zone]) {
-				continue
-			}
-			seats = append(seats, candidate)
-			seated[candidate.ID], zoned[candidate.Zone] = true, true
-		}
-	}
-	return seats
-}
-
-// oddSeats is the greatest odd number of seats up to maxSeats.
-func oddSeats(members int) int {
-	count := min(members, maxSeats)
-	if count%2 == 0 {
-		count--
-	}
-	return max(count, 1)
-}
--- a/internal/quorum/registers.go
+++ b/internal/quorum/registers.go
@@ -5,31 +5,29 @@
 // HandlePrepare promises to accept nothing from an older ballot, and tells
 // what has been accepted.
 func (m *Member) HandlePrepare(request *wire.RegisterPrepare, reply func(wire.Message)) {
-	if !m.serves(request.Epoch) {
-		reply(&wire.RegisterReply{})
-		return
-	}
-	register := m.register(request.Register)
-	granted := request.Ballot >= register.Promised
-	if granted {
-		register.Promised = request.Ballot
-	}
-	answer := registerReply(granted, register)
-	m.persistRegister(register, func() { reply(answer) })
+	m.vote(request.Epoch, request.Register, request.Ballot, reply, func(*wire.RegisterRecord) {})
 }
 
 // HandleAccept accepts a value unless a newer ballot was promised.
 func (m *Member) HandleAccept(request *wire.RegisterAccept, reply func(wire.Message)) {
-	if !m.serves(request.Epoch) {
+	m.vote(request.Epoch, request.Register, request.Ballot, reply, func(register *wire.RegisterRecord) {
+		register.AcceptedBallot = request.Ballot
+		register.Value = request.Value
+	})
+}
+
+// vote promises a ballot, makes the change that goes with it, and answers once
+// that is durable; an older ballot than the one promised changes nothing.
+func (m *Member) vote(epoch uint64, name string, ballot uint64, reply func(wire.Message), change func(*wire.RegisterRecord)) {
+	if !m.serves(epoch) {
 		reply(&wire.RegisterReply{})
 		return
 	}
-	register := m.register(request.Register)
-	granted := request.Ballot >= register.Promised
+	register := m.register(name)
+	granted := ballot >= register.Promised
 	if granted {
-		register.Promised = request.Ballot
-		register.AcceptedBallot = request.Ballot
-		register.Value = request.Value
+		register.Promised = ballot
+		change(register)
 	}
 	answer := registerReply(granted, register)
 	m.persistRegister(register, func() { reply(answer) })
--- a/internal/rollout/recover.go
+++ b/internal/rollout/recover.go
@@ -90,7 +90,7 @@
 // copies is taken.
 func (s *Scheduler) fetchListed(step *stepState, holders map[wire.SampleReference]map[string]bool) {
 	var references []wire.SampleReference
-	for _, reference := range sortedReferences(holders) {
+	for _, reference := range slices.SortedFunc(maps.Keys(holders), wire.SampleReference.Compare) {
 		if reference.Slot == manifestSlot {
 			// The registers know of no manifest, but one was decided before
 			// they were lost.
@@ -173,20 +173,6 @@
 	s.propose(step, value)
 }
 
-func sortedReferences(holders map[wire.SampleReference]map[string]bool) []wire.SampleReference {
-	references := slices.Collect(maps.Keys(holders))
-	slices.SortFunc(references, func(a, b wire.SampleReference) int {
-		if a.Slot != b.Slot {
-			return int(a.Slot) - int(b.Slot)
-		}
-		if a.Digest < b.Digest {
-			return -1
-		}
-		return 1
-	})
-	return references
-}
-
 // generate queues every slot for which nothing usable was found.
 func (s *Scheduler) generate(step *stepState) {
 	step.phase = phaseGenerating
--- a/internal/samplestore/store.go
+++ b/internal/samplestore/store.go
@@ -123,7 +123,7 @@
 // List names the samples held of a step, without their data.
 func (s *Store) List(list *wire.SampleList) *wire.Samples {
 	samples := &wire.Samples{}
-	for _, reference := range s.references(list.Trainer, list.Step) {
+	for _, reference := range slices.SortedFunc(maps.Keys(s.trainer(list.Trainer).steps[list.Step]), wire.SampleReference.Compare) {
 		samples.Samples = append(samples.Samples, wire.Sample{Slot: reference.Slot, Digest: reference.Digest})
 	}
 	return samples
@@ -151,17 +151,3 @@
 	}
 	return count
 }
-
-func (s *Store) references(trainer string, step uint64) []wire.SampleReference {
-	references := slices.Collect(maps.Keys(s.trainer(trainer).steps[step]))
-	slices.SortFunc(references, func(a, b wire.SampleReference) int {
-		if a.Slot != b.Slot {
-			return int(a.Slot) - int(b.Slot)
-		}
-		if a.Digest < b.Digest {
-			return -1
-		}
-		return 1
-	})
-	return references
-}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -1,5 +1,7 @@
 package wire
 
+import "cmp"
+
 // Message is any payload of a Frame.
 type Message interface{ attach(*frame) }
 
@@ -197,6 +199,11 @@
 	Digest uint64
 }
 
+// Compare orders references by slot, then by digest.
+func (r SampleReference) Compare(other SampleReference) int {
+	return cmp.Or(cmp.Compare(r.Slot, other.Slot), cmp.Compare(r.Digest, other.Digest))
+}
+
 // SampleGet asks for some samples of a step.
 type SampleGet struct {
 	Trainer    string
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -1,9 +1,7 @@
 package engine
 
 import (
-	"bufio"
 	"encoding/json"
-	"errors"
 	"net"
 	"sync"
 	"time"
@@ -126,36 +124,6 @@
 	s.faults = faults
 }
 
-// Drain refuses new work and, after the grace, hands every stream over.
-func (s *Server) Drain(grace time.Duration) {
-	s.mutex.Lock()
-	s.model.SetDraining(true)
-	s.lagUntil = time.Time{}
-	s.mutex.Unlock()
-	limit := time.Now().Add(grace)
-	for time.Now().Before(limit) && s.open() > 0 {
-		time.Sleep(statusLag / 10)
-	}
-	s.mutex.Lock()
-	for _, id := range s.model.IDs() {
-		s.export(id)
-	}
-	s.mutex.Unlock()
-	s.signal()
-	for range 100 {
-		if s.open() == 0 {
-			return
-		}
-		time.Sleep(statusLag / 10)
-	}
-}
-
-func (s *Server) open() int {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return len(s.streams)
-}
-
 // run advances the model by the wall clock.
 func (s *Server) run() {
 	timer := time.NewTimer(time.Hour)
@@ -250,55 +218,6 @@
 	}
 }
 
-func (s *Server) named(ctx *fasthttp.RequestCtx, act func(string)) {
-	var body protocol.NameBody
-	if err := json.Unmarshal(ctx.PostBody(), &body); err != nil {
-		refuse(ctx, fasthttp.StatusBadRequest, err.Error(), 0)
-		return
-	}
-	s.mutex.Lock()
-	act(body.ID)
-	s.mutex.Unlock()
-	s.signal()
-}
-
-func (s *Server) cancel(id string) {
-	s.model.Cancel(id)
-	s.distribute()
-	if stream := s.streams[id]; stream != nil {
-		delete(s.streams, id)
-		stream.abort()
-	}
-}
-
-// export takes a sequence out of the batch, keeps it for whoever imports it,
-// and ends its stream with the place where it is kept.
-func (s *Server) export(id string) {
-	sequence, found := s.model.Export(id)
-	s.distribute()
-	stream := s.streams[id]
-	if !found || stream == nil {
-		return
-	}
-	delete(s.streams, id)
-	s.exports[id] = sequence
-	stream.move(s.address, id)
-}
-
-// handOver gives an exported sequence to the engine that asks for it, once.
-func (s *Server) handOver(ctx *fasthttp.RequestCtx) {
-	handle := string(ctx.QueryArgs().Peek("handle"))
-	s.mutex.Lock()
-	_, found := s.exports[handle]
-	delete(s.exports, handle)
-	s.mutex.Unlock()
-	if !found {
-		refuse(ctx, fasthttp.StatusNotFound, "no such export", 0)
-		return
-	}
-	writeJSON(ctx, struct{}{})
-}
-
 func refuse(ctx *fasthttp.RequestCtx, status int, reason string, comeBack time.Duration) {
 	ctx.SetStatusCode(status)
 	writeJSON(ctx, protocol.ErrorBody{Reason: reason, RetryAfterMillis: comeBack.Milliseconds()})
@@ -313,80 +232,3 @@
 	ctx.SetContentType("application/json")
 	ctx.SetBody(data)
 }
-
-// complete admits a request and streams its answer.
-func (s *Server) complete(ctx *fasthttp.RequestCtx) {
-	var body protocol.CompletionBody
-	if err := json.Unmarshal(ctx.PostBody(), &body); err != nil {
-		refuse(ctx, fasthttp.StatusBadRequest, err.Error(), 0)
-		return
-	}
-	now := time.Now()
-	if body.DeadlineMillis > 0 && now.UnixMilli() > body.DeadlineMillis {
-		refuse(ctx, fasthttp.StatusGatewayTimeout, "deadline passed", 0)
-		return
-	}
-	imported := body.KVHandle != "" && s.fetchExport(body.KVSource, body.KVHandle)
-	stream, reason := s.admit(now, body, imported)
-	if stream == nil {
-		refuse(ctx, fasthttp.StatusServiceUnavailable, reason.Error(), fullComeBack)
-		return
-	}
-	s.signal()
-	if stream.loseAdmission {
-		ctx.HijackSetNoResponse(true)
-		ctx.Hijack(func(net.Conn) {})
-		return
-	}
-	ctx.SetContentType("text/event-stream")
-	ctx.SetBodyStreamWriter(func(writer *bufio.Writer) {
-		if !stream.write(writer) {
-			s.mutex.Lock()
-			s.cancel(stream.id)
-			s.mutex.Unlock()
-		}
-	})
-}
-
-func (s *Server) admit(now time.Time, body protocol.CompletionBody, imported bool) (*outStream, error) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	natural := s.config.Lengths.Draw(xxhash.Sum64String(body.Prompt), body.Seed)
-	stream := newOutStream(body, min(natural, body.MaxTokens), natural > body.MaxTokens)
-	if s.streams[stream.id] != nil {
-		return nil, errors.ErrUnsupported
-	}
-	err := s.model.Submit(now, enginemodel.Sequence{
-		ID: stream.id, PromptTokens: enginemodel.PromptTokens(body.Prompt), PrefixHash: xxhash.Sum64String(body.Prompt),
-		Produced: body.ResumeTokens, Target: max(stream.target, body.ResumeTokens), Priority: body.Priority, ChunkTokens: body.ChunkTokens, Imported: imported,
-	})
-	if err != nil {
-		return nil, err
-	}
-	if body.ResumeTokens == 0 {
-		s.runs[xxhash.Sum64String(body.Prompt)]++
-	}
-	s.applyFaults(stream)
-	s.streams[stream.id] = stream
-	return stream, nil
-}
-
-func (s *Server) applyFaults(stream *outStream) {
-	if s.faults.Truncate > 0 {
-		s.faults.Truncate--
-		stream.truncateAt = truncateTokens
-	}
-	if s.faults.LoseAdmission > 0 {
-		s.faults.LoseAdmission--
-		stream.loseAdmission = true
-	}
-	if s.faults.Unversioned > 0 {
-		s.faults.Unversioned--
-		stream.unversioned = true
-	}
-}
-
-func (s *Server) fetchExport(source, handle string) bool {
-	status, _, err := s.client.GetTimeout(nil, "http://"+source+protocol.PathImport+"?handle="+handle, importTimeout)
-	return err == nil && status == fasthttp.StatusOK
-}
