--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -30,6 +30,19 @@
 	return &Host{scheduler: scheduler, Name: name, Zone: where.Zone, Region: where.Region}
 }
 
+// NewRunningHost returns a host that is alive, for tests of a single duty.
+func NewRunningHost(scheduler *Scheduler, name string) *Host {
+	host := NewHost(scheduler, name, outside)
+	host.start()
+	return host
+}
+
+// Pause stops the host's calls until Resume.
+func (h *Host) Pause() { h.pause() }
+
+// Resume runs what has waited.
+func (h *Host) Resume() { h.resume() }
+
 // Alive tells whether the host runs, paused or not.
 func (h *Host) Alive() bool { return h.alive }
 
