The peer codec maps one message instead of the union of all

Ruled out: journals (8 percent) and JSON (2 percent). Change: the frame's fields are set directly and pogs sees the message alone. The bytes on the wire are the same.

--- a/internal/bench/rolloutreport.go
+++ b/internal/bench/rolloutreport.go
@@ -193,6 +193,7 @@
 		if seen[result.Policy] || len(result.StepTimes) == 0 {
 			continue
 		}
+		colour := colours[len(seen)%len(colours)]
 		seen[result.Policy] = true
 		points := make(plotter.XYs, len(result.StepTimes))
 		for i, span := range result.StepTimes {
@@ -202,7 +203,7 @@
 		if err != nil {
 			return err
 		}
-		line.Color = colours[len(seen)%len(colours)]
+		line.Color = colour
 		chart.Add(line)
 		chart.Legend.Add(result.Policy, line)
 	}
@@ -249,6 +250,8 @@
 	chart := plot.New()
 	chart.Title.Text = "idle time against staleness"
 	chart.X.Label.Text, chart.Y.Label.Text = "mean staleness in weight versions", "trainer idle percent"
+	chart.X.Min, chart.Y.Min = 0, 0
+	chart.Legend.Left = true
 	for i, row := range r.Rows {
 		var points plotter.XYs
 		for _, result := range r.Results {
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -5,7 +5,6 @@
 	"io"
 
 	"capnproto.org/go/capnp/v3"
-	"capnproto.org/go/capnp/v3/pogs"
 
 	"github.com/pathtally/pathtally/internal/wire/schema"
 )
@@ -33,7 +32,10 @@
 	if err != nil {
 		return nil, &FrameError{Detail: "allocate root", Cause: err}
 	}
-	if err := encodeInto(root, f); err != nil {
+	root.SetCorrelation(f.Correlation)
+	root.SetReply(f.Reply)
+	root.SetDeadline(f.Deadline)
+	if err := f.Message.attach(root); err != nil {
 		return nil, err
 	}
 	body, err := message.MarshalPacked()
@@ -48,21 +50,6 @@
 	return append(framed, body...), nil
 }
 
-func encodeInto(root schema.Frame, f Frame) error {
-	if report, isReport := f.Message.(*LoadReport); isReport {
-		root.SetCorrelation(f.Correlation)
-		root.SetReply(f.Reply)
-		root.SetDeadline(f.Deadline)
-		return encodeLoadReport(root, report)
-	}
-	flat := frame{Correlation: f.Correlation, Reply: f.Reply, Deadline: f.Deadline}
-	f.Message.attach(&flat)
-	if err := pogs.Insert(schema.Frame_TypeID, capnp.Struct(root), &flat); err != nil {
-		return &FrameError{Detail: "insert", Cause: err}
-	}
-	return nil
-}
-
 // Decode reads a frame's body, without its length prefix.
 func Decode(body []byte) (Frame, error) {
 	message, err := capnp.UnmarshalPacked(body)
@@ -73,19 +60,11 @@
 	if err != nil {
 		return Frame{}, &FrameError{Detail: "root", Cause: err}
 	}
-	if root.Which() == schema.Frame_Which_loadReport {
-		report, err := decodeLoadReport(root)
-		return Frame{Correlation: root.Correlation(), Reply: root.Reply(), Deadline: root.Deadline(), Message: report}, err
-	}
-	var flat frame
-	if err := pogs.Extract(&flat, schema.Frame_TypeID, capnp.Struct(root)); err != nil {
-		return Frame{}, &FrameError{Detail: "extract", Cause: err}
-	}
-	payload := flat.message()
-	if payload == nil {
-		return Frame{}, &FrameError{Detail: "no message"}
+	content, err := payload(root)
+	if err != nil {
+		return Frame{}, err
 	}
-	return Frame{Correlation: flat.Correlation, Reply: flat.Reply, Deadline: flat.Deadline, Message: payload}, nil
+	return Frame{Correlation: root.Correlation(), Reply: root.Reply(), Deadline: root.Deadline(), Message: content}, nil
 }
 
 // Read reads one frame from a connection.
--- a/internal/wire/frame_test.go
+++ b/internal/wire/frame_test.go
@@ -68,3 +68,16 @@
 		}
 	})
 }
+
+func BenchmarkClaimRequest(b *testing.B) {
+	frame := Frame{Correlation: 1, Message: &ClaimRequest{Epoch: 3, Key: "booking-app/job-17", Attempt: "node-1-abc-17", Fingerprint: 99}}
+	for b.Loop() {
+		encoded, err := Encode(frame)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := Decode(encoded[lengthBytes:]); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -1,9 +1,16 @@
 package wire
 
-import "cmp"
+import (
+	"cmp"
+
+	"github.com/pathtally/pathtally/internal/wire/schema"
+)
 
 // Message is any payload of a Frame.
-type Message interface{ attach(*frame) }
+type Message interface {
+	// attach writes the message into a frame.
+	attach(root schema.Frame) error
+}
 
 // Hello opens a connection.
 type Hello struct {
--- a/internal/wire/union.go
+++ b/internal/wire/union.go
@@ -1,113 +1,205 @@
 package wire
 
-import "github.com/pathtally/pathtally/internal/wire/schema"
-
-// frame mirrors schema.Frame field by field, for package pogs.
-type frame struct {
-	Correlation uint64
-	Reply       bool
-	Deadline    int64
-	Which       schema.Frame_Which
-
-	Hello           *Hello
-	Failure         *Failure
-	Ping            *Ping
-	Ack             *Ack
-	Sync            *Sync
-	Records         *Records
-	DocumentPull    *DocumentPull
-	DocumentReply   *DocumentReply
-	LoadReport      *LoadReport
-	ClaimRequest    *ClaimRequest
-	ClaimReply      *ClaimReply
-	ClaimSeal       *ClaimSeal
-	ClaimSnapshot   *ClaimSnapshot
-	SamplePut       *SamplePut
-	SampleList      *SampleList
-	SampleGet       *SampleGet
-	Samples         *Samples
-	RegisterPrepare *RegisterPrepare
-	RegisterAccept  *RegisterAccept
-	RegisterReply   *RegisterReply
-}
-
-// message returns the payload, or nil when there is none.
-func (f *frame) message() Message {
-	switch f.Which {
+import (
+	"capnproto.org/go/capnp/v3"
+	"capnproto.org/go/capnp/v3/pogs"
+
+	"github.com/pathtally/pathtally/internal/wire/schema"
+)
+
+// Package pogs maps the fields of a message by name on each call. It is given
+// the message alone and not the frame around it, whose union of all messages
+// would have to be mapped too: that took two thirds of the codec's time.
+
+// insert fills the struct of a message.
+func insert(typeID uint64, body capnp.Struct, err error, message any) error {
+	if err == nil {
+		err = pogs.Insert(typeID, body, message)
+	}
+	if err != nil {
+		return &FrameError{Detail: "insert", Cause: err}
+	}
+	return nil
+}
+
+// extract reads a message from its struct.
+func extract[M any](typeID uint64, body capnp.Struct, err error) (*M, error) {
+	message := new(M)
+	if err == nil {
+		err = pogs.Extract(message, typeID, body)
+	}
+	if err != nil {
+		return nil, &FrameError{Detail: "extract", Cause: err}
+	}
+	return message, nil
+}
+
+func (m *Hello) attach(root schema.Frame) error {
+	body, err := root.NewHello()
+	return insert(schema.Hello_TypeID, capnp.Struct(body), err, m)
+}
+
+func (m *Failure) attach(root schema.Frame) error {
+	body, err := root.NewFailure()
+	return insert(schema.Failure_TypeID, capnp.Struct(body), err, m)
+}
+
+func (m *Ping) attach(root schema.Frame) error {
+	body, err := root.NewPing()
+	return insert(schema.Ping_TypeID, capnp.Struct(body), err, m)
+}
+
+func (m *Ack) attach(root schema.Frame) error {
+	body, err := root.NewAck()
+	return insert(schema.Ack_TypeID, capnp.Struct(body), err, m)
+}
+
+func (m *Sync) attach(root schema.Frame) error {
+	body, err := root.NewSync()
+	return insert(schema.Sync_TypeID, capnp.Struct(body), err, m)
+}
+
+func (m *Records) attach(root schema.Frame) error {
+	body, err := root.NewRecords()
+	return insert(schema.Records_TypeID, capnp.Struct(body), err, m)
+}
+
+func (m *DocumentPull) attach(root schema.Frame) error {
+	body, err := root.NewDocumentPull()
+	return insert(schema.DocumentPull_TypeID, capnp.Struct(body), err, m)
+}
+
+func (m *DocumentReply) attach(root schema.Frame) error {
+	body, err := root.NewDocumentReply()
+	return insert(schema.DocumentReply_TypeID, capnp.Struct(body), err, m)
+}
+
+func (m *ClaimRequest) attach(root schema.Frame) error {
+	body, err := root.NewClaimRequest()
+	return insert(schema.ClaimRequest_TypeID, capnp.Struct(body), err, m)
+}
+
+func (m *ClaimReply) attach(root schema.Frame) error {
+	body, err := root.NewClaimReply()
+	return insert(schema.ClaimReply_TypeID, capnp.Struct(body), err, m)
+}
+
+func (m *ClaimSeal) attach(root schema.Frame) error {
+	body, err := root.NewClaimSeal()
+	return insert(schema.ClaimSeal_TypeID, capnp.Struct(body), err, m)
+}
+
+func (m *ClaimSnapshot) attach(root schema.Frame) error {
+	body, err := root.NewClaimSnapshot()
+	return insert(schema.ClaimSnapshot_TypeID, capnp.Struct(body), err, m)
+}
+
+func (m *SamplePut) attach(root schema.Frame) error {
+	body, err := root.NewSamplePut()
+	return insert(schema.SamplePut_TypeID, capnp.Struct(body), err, m)
+}
+
+func (m *SampleList) attach(root schema.Frame) error {
+	body, err := root.NewSampleList()
+	return insert(schema.SampleList_TypeID, capnp.Struct(body), err, m)
+}
+
+func (m *SampleGet) attach(root schema.Frame) error {
+	body, err := root.NewSampleGet()
+	return insert(schema.SampleGet_TypeID, capnp.Struct(body), err, m)
+}
+
+func (m *Samples) attach(root schema.Frame) error {
+	body, err := root.NewSamples()
+	return insert(schema.Samples_TypeID, capnp.Struct(body), err, m)
+}
+
+func (m *RegisterPrepare) attach(root schema.Frame) error {
+	body, err := root.NewRegisterPrepare()
+	return insert(schema.RegisterPrepare_TypeID, capnp.Struct(body), err, m)
+}
+
+func (m *RegisterAccept) attach(root schema.Frame) error {
+	body, err := root.NewRegisterAccept()
+	return insert(schema.RegisterAccept_TypeID, capnp.Struct(body), err, m)
+}
+
+func (m *RegisterReply) attach(root schema.Frame) error {
+	body, err := root.NewRegisterReply()
+	return insert(schema.RegisterReply_TypeID, capnp.Struct(body), err, m)
+}
+
+func (m *LoadReport) attach(root schema.Frame) error { return encodeLoadReport(root, m) }
+
+func (m *Done) attach(root schema.Frame) error {
+	root.SetDone()
+	return nil
+}
+
+// payload reads the message of a frame.
+func payload(root schema.Frame) (Message, error) {
+	switch root.Which() {
 	case schema.Frame_Which_hello:
-		return f.Hello
+		body, err := root.Hello()
+		return extract[Hello](schema.Hello_TypeID, capnp.Struct(body), err)
 	case schema.Frame_Which_failure:
-		return f.Failure
+		body, err := root.Failure()
+		return extract[Failure](schema.Failure_TypeID, capnp.Struct(body), err)
 	case schema.Frame_Which_ping:
-		return f.Ping
+		body, err := root.Ping()
+		return extract[Ping](schema.Ping_TypeID, capnp.Struct(body), err)
 	case schema.Frame_Which_ack:
-		return f.Ack
+		body, err := root.Ack()
+		return extract[Ack](schema.Ack_TypeID, capnp.Struct(body), err)
 	case schema.Frame_Which_sync:
-		return f.Sync
+		body, err := root.Sync()
+		return extract[Sync](schema.Sync_TypeID, capnp.Struct(body), err)
 	case schema.Frame_Which_records:
-		return f.Records
+		body, err := root.Records()
+		return extract[Records](schema.Records_TypeID, capnp.Struct(body), err)
 	case schema.Frame_Which_documentPull:
-		return f.DocumentPull
+		body, err := root.DocumentPull()
+		return extract[DocumentPull](schema.DocumentPull_TypeID, capnp.Struct(body), err)
 	case schema.Frame_Which_documentReply:
-		return f.DocumentReply
-	case schema.Frame_Which_loadReport:
-		return f.LoadReport
+		body, err := root.DocumentReply()
+		return extract[DocumentReply](schema.DocumentReply_TypeID, capnp.Struct(body), err)
 	case schema.Frame_Which_claimRequest:
-		return f.ClaimRequest
+		body, err := root.ClaimRequest()
+		return extract[ClaimRequest](schema.ClaimRequest_TypeID, capnp.Struct(body), err)
 	case schema.Frame_Which_claimReply:
-		return f.ClaimReply
+		body, err := root.ClaimReply()
+		return extract[ClaimReply](schema.ClaimReply_TypeID, capnp.Struct(body), err)
 	case schema.Frame_Which_claimSeal:
-		return f.ClaimSeal
+		body, err := root.ClaimSeal()
+		return extract[ClaimSeal](schema.ClaimSeal_TypeID, capnp.Struct(body), err)
 	case schema.Frame_Which_claimSnapshot:
-		return f.ClaimSnapshot
+		body, err := root.ClaimSnapshot()
+		return extract[ClaimSnapshot](schema.ClaimSnapshot_TypeID, capnp.Struct(body), err)
 	case schema.Frame_Which_samplePut:
-		return f.SamplePut
+		body, err := root.SamplePut()
+		return extract[SamplePut](schema.SamplePut_TypeID, capnp.Struct(body), err)
 	case schema.Frame_Which_sampleList:
-		return f.SampleList
+		body, err := root.SampleList()
+		return extract[SampleList](schema.SampleList_TypeID, capnp.Struct(body), err)
 	case schema.Frame_Which_sampleGet:
-		return f.SampleGet
+		body, err := root.SampleGet()
+		return extract[SampleGet](schema.SampleGet_TypeID, capnp.Struct(body), err)
 	case schema.Frame_Which_samples:
-		return f.Samples
+		body, err := root.Samples()
+		return extract[Samples](schema.Samples_TypeID, capnp.Struct(body), err)
 	case schema.Frame_Which_registerPrepare:
-		return f.RegisterPrepare
+		body, err := root.RegisterPrepare()
+		return extract[RegisterPrepare](schema.RegisterPrepare_TypeID, capnp.Struct(body), err)
 	case schema.Frame_Which_registerAccept:
-		return f.RegisterAccept
+		body, err := root.RegisterAccept()
+		return extract[RegisterAccept](schema.RegisterAccept_TypeID, capnp.Struct(body), err)
 	case schema.Frame_Which_registerReply:
-		return f.RegisterReply
+		body, err := root.RegisterReply()
+		return extract[RegisterReply](schema.RegisterReply_TypeID, capnp.Struct(body), err)
+	case schema.Frame_Which_loadReport:
+		return decodeLoadReport(root)
 	case schema.Frame_Which_done:
-		return &Done{}
+		return &Done{}, nil
 	}
-	return nil
+	return nil, &FrameError{Detail: "no message of this protocol version"}
 }
-
-func (m *Hello) attach(f *frame)        { f.Which, f.Hello = schema.Frame_Which_hello, m }
-func (m *Failure) attach(f *frame)      { f.Which, f.Failure = schema.Frame_Which_failure, m }
-func (m *Ping) attach(f *frame)         { f.Which, f.Ping = schema.Frame_Which_ping, m }
-func (m *Ack) attach(f *frame)          { f.Which, f.Ack = schema.Frame_Which_ack, m }
-func (m *Sync) attach(f *frame)         { f.Which, f.Sync = schema.Frame_Which_sync, m }
-func (m *Records) attach(f *frame)      { f.Which, f.Records = schema.Frame_Which_records, m }
-func (m *DocumentPull) attach(f *frame) { f.Which, f.DocumentPull = schema.Frame_Which_documentPull, m }
-func (m *DocumentReply) attach(f *frame) {
-	f.Which, f.DocumentReply = schema.Frame_Which_documentReply, m
-}
-func (m *LoadReport) attach(f *frame)   { f.Which, f.LoadReport = schema.Frame_Which_loadReport, m }
-func (m *ClaimRequest) attach(f *frame) { f.Which, f.ClaimRequest = schema.Frame_Which_claimRequest, m }
-func (m *ClaimReply) attach(f *frame)   { f.Which, f.ClaimReply = schema.Frame_Which_claimReply, m }
-func (m *ClaimSeal) attach(f *frame)    { f.Which, f.ClaimSeal = schema.Frame_Which_claimSeal, m }
-func (m *ClaimSnapshot) attach(f *frame) {
-	f.Which, f.ClaimSnapshot = schema.Frame_Which_claimSnapshot, m
-}
-func (m *SamplePut) attach(f *frame)  { f.Which, f.SamplePut = schema.Frame_Which_samplePut, m }
-func (m *SampleList) attach(f *frame) { f.Which, f.SampleList = schema.Frame_Which_sampleList, m }
-func (m *SampleGet) attach(f *frame)  { f.Which, f.SampleGet = schema.Frame_Which_sampleGet, m }
-func (m *Samples) attach(f *frame)    { f.Which, f.Samples = schema.Frame_Which_samples, m }
-func (m *RegisterPrepare) attach(f *frame) {
-	f.Which, f.RegisterPrepare = schema.Frame_Which_registerPrepare, m
-}
-func (m *RegisterAccept) attach(f *frame) {
-	f.Which, f.RegisterAccept = schema.Frame_Which_registerAccept, m
-}
-func (m *RegisterReply) attach(f *frame) {
-	f.Which, f.RegisterReply = schema.Frame_Which_registerReply, m
-}
-func (m *Done) attach(f *frame) { f.Which = schema.Frame_Which_done }
