An append to a closed record log is dropped, not a panic

Cause: read as a newcomer: Close closed the channel that Append sends on, so a duty at work during a stop could have brought the process down. Change: a flag under the lock; a test that panicked before.

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net"
 	"os"
-	"strconv"
 	"sync"
 	"time"
 
@@ -222,18 +221,5 @@
 // PeerCounts are the totals of the peer protocol.
 func (p *Process) PeerCounts() *transport.Counts { return p.transport.Counts() }
 
-// PortOf returns the port of an address, for messages.
-func PortOf(address string) int {
-	_, port, err := net.SplitHostPort(address)
-	if err != nil {
-		return 0
-	}
-	number, err := strconv.Atoi(port)
-	if err != nil {
-		return 0
-	}
-	return number
-}
-
 // processID is shown on the status page.
 var processID = os.Getpid()
--- a/internal/recordlog/filelog.go
+++ b/internal/recordlog/filelog.go
@@ -43,6 +43,7 @@
 	pending []appendRequest
 	wake    chan struct{}
 	closed  chan struct{}
+	closing bool
 	files   map[string]*os.File
 }
 
@@ -74,17 +75,30 @@
 
 func (l *FileLog) enqueue(request appendRequest) {
 	l.mutex.Lock()
+	if l.closing {
+		// Nothing is promised for what comes after Close.
+		l.mutex.Unlock()
+		return
+	}
 	l.pending = append(l.pending, request)
 	l.mutex.Unlock()
+	l.signal()
+}
+
+func (l *FileLog) signal() {
 	select {
 	case l.wake <- struct{}{}:
 	default:
 	}
 }
 
-// Close ends the writing goroutine after what was appended before.
+// Close ends the writing goroutine after what was appended before. Later
+// appends are dropped without an answer.
 func (l *FileLog) Close() {
-	close(l.wake)
+	l.mutex.Lock()
+	l.closing = true
+	l.mutex.Unlock()
+	l.signal()
 	<-l.closed
 }
 
@@ -92,13 +106,21 @@
 	defer close(l.closed)
 	for range l.wake {
 		l.flush()
+		if l.isClosing() {
+			break
+		}
 	}
-	l.flush()
 	for _, file := range l.files {
 		file.Close()
 	}
 }
 
+func (l *FileLog) isClosing() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.closing && len(l.pending) == 0
+}
+
 func (l *FileLog) flush() {
 	l.mutex.Lock()
 	batch := l.pending
--- a/internal/recordlog/filelog_test.go
+++ b/internal/recordlog/filelog_test.go
@@ -89,3 +89,18 @@
 		t.Errorf("recovered %v", got)
 	}
 }
+
+// TestAppendAfterCloseIsDropped is a duty that is still at work while its node
+// closes; it must not bring the process down.
+func TestAppendAfterCloseIsDropped(t *testing.T) {
+	folder := t.TempDir()
+	log, err := OpenFileLog(folder, direct)
+	if err != nil {
+		t.Fatal(err)
+	}
+	log.Close()
+	log.Append("segment", []byte("late"), func(error) { t.Error("a late append was answered") })
+	if got := recovered(t, folder); len(got) > 0 {
+		t.Errorf("recovered %v", got)
+	}
+}
--- a/internal/sim/faults.go
+++ b/internal/sim/faults.go
@@ -42,9 +42,9 @@
 	{FaultKill, func(w *World) func() { n := w.randomNode(); n.Kill(); return n.restart }},
 	{FaultPause, func(w *World) func() {
 		n := w.randomNode()
-		n.host.pause()
+		n.host.Pause()
 		w.Trace("node %s paused", n.host.Name)
-		return func() { w.Trace("node %s woke", n.host.Name); n.host.resume() }
+		return func() { w.Trace("node %s woke", n.host.Name); n.host.Resume() }
 	}},
 	{FaultStop, func(w *World) func() {
 		n := w.randomNode()
--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -37,15 +37,6 @@
 	return host
 }
 
-// Pause stops the host's calls until Resume.
-func (h *Host) Pause() { h.pause() }
-
-// Resume runs what has waited.
-func (h *Host) Resume() { h.resume() }
-
-// Alive tells whether the host runs, paused or not.
-func (h *Host) Alive() bool { return h.alive }
-
 func (h *Host) start() {
 	h.life++
 	h.alive = true
@@ -58,9 +49,11 @@
 	h.deferred = nil
 }
 
-func (h *Host) pause() { h.paused = true }
+// Pause stops the host's calls until Resume.
+func (h *Host) Pause() { h.paused = true }
 
-func (h *Host) resume() {
+// Resume runs what has waited.
+func (h *Host) Resume() {
 	h.paused = false
 	waiting := h.deferred
 	h.deferred = nil
