--- a/api/v1/shape.go
+++ b/api/v1/shape.go
@@ -117,6 +117,9 @@
 }
 
 func joinPath(path, name string) string {
+	if name == "" {
+		name = `""`
+	}
 	if path == "" {
 		return name
 	}
