--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -206,8 +206,11 @@
 		args = append(args, "-peer", n.peer, "-http", n.http, "-seeds", strings.Join(d.peersOf(n), ","))
 	}
 	n.program = start(d.t, 1, "pathtally", args...)
-	words := strings.Fields(n.lines[0])
-	n.peer, n.http = words[3], words[5]
+	if n.http == "" {
+		// Loads read the addresses at any time; they stay over restarts.
+		words := strings.Fields(n.lines[0])
+		n.peer, n.http = words[3], words[5]
+	}
 }
 
 func (d *deployment) peersOf(except *node) []string {
