A late member copies from one that serves the view already

A member had not copied the previous view when that lost its majority; others had and served the new view, but without it they were no majority. Ruled out: lost samples (the scheduler waited for its first register). Change: a seat of the same view that serves it vouches for all before it, so one such answer is enough.

--- a/internal/quorum/member.go
+++ b/internal/quorum/member.go
@@ -96,56 +96,84 @@
 }
 
 // copyFrom seals the previous seats and serves the view once a majority of
-// them has handed over everything.
+// them has handed over everything, or one member that serves the view already:
+// that one has copied from such a majority.
 func (m *Member) copyFrom(view *View) {
-	copied := 0
-	remaining := len(view.Previous)
-	served := false
-	finished := func(complete bool) {
-		remaining--
-		if complete {
-			copied++
-		}
-		if m.view != view || served {
-			return
-		}
-		if copied >= majority(view.Previous) {
-			served = true
-			m.serve(view)
-			return
-		}
-		if remaining == 0 {
-			m.config.Clock.AfterFunc(installRetry, func() {
-				if m.view == view && m.serving != view.Epoch {
-					m.copyFrom(view)
-				}
-			})
-		}
-	}
-	for _, seat := range view.Previous {
+	round := &copyRound{member: m, view: view, waiting: 1}
+	for _, seat := range sources(view) {
 		if seat.is(m.config.ID, m.config.Identity) {
-			finished(m.serving == view.Epoch-1)
+			if m.serving >= view.Epoch-1 {
+				round.copied++
+			}
 			continue
 		}
-		m.copyPage(view, seat, "", finished)
+		round.waiting++
+		m.copyPage(view, seat, "", round.answered)
+	}
+	// The round itself counts as waiting until every seat has been asked.
+	round.answered(0)
+}
+
+// sources are the seats to copy from: those of the previous view, and those of
+// the view itself that may serve it already.
+func sources(view *View) []Seat {
+	all := slices.Clone(view.Previous)
+	for _, seat := range view.Seats {
+		if !slices.ContainsFunc(all, func(listed Seat) bool { return listed.is(seat.ID, seat.Identity) }) {
+			all = append(all, seat)
+		}
+	}
+	return all
+}
+
+// copyRound counts the answers to one attempt at copying.
+type copyRound struct {
+	member  *Member
+	view    *View
+	copied  int
+	waiting int
+	served  bool
+}
+
+// answered takes in that a seat has handed over all it has, with the epoch that
+// it serves, or 0 when it did not answer.
+func (r *copyRound) answered(epoch uint64) {
+	m := r.member
+	r.waiting--
+	if epoch >= r.view.Epoch-1 && epoch > 0 {
+		r.copied++
+	}
+	if m.view != r.view || r.served {
+		return
+	}
+	if epoch >= r.view.Epoch || r.copied >= majority(r.view.Previous) {
+		r.served = true
+		m.serve(r.view)
+		return
+	}
+	if r.waiting == 0 {
+		m.config.Clock.AfterFunc(installRetry, func() {
+			if m.view == r.view && m.serving != r.view.Epoch {
+				m.copyFrom(r.view)
+			}
+		})
 	}
 }
 
-func (m *Member) copyPage(view *View, seat Seat, after string, finished func(bool)) {
+func (m *Member) copyPage(view *View, seat Seat, after string, answered func(epoch uint64)) {
 	seal := &wire.ClaimSeal{Epoch: view.Epoch, After: after}
 	m.config.Peers.Call(seat.Address, seal, callTimeout, func(message wire.Message, err error) {
 		snapshot, ok := message.(*wire.ClaimSnapshot)
-		if err != nil || !ok || snapshot.Epoch < view.Epoch-1 {
-			// A member that never served the previous view cannot vouch for it.
-			finished(false)
+		if err != nil || !ok {
+			answered(0)
 			return
 		}
 		m.mergeSnapshot(snapshot)
 		if snapshot.More && len(snapshot.Records) > 0 {
-			m.copyPage(view, seat, snapshot.Records[len(snapshot.Records)-1].Key, finished)
+			m.copyPage(view, seat, snapshot.Records[len(snapshot.Records)-1].Key, answered)
 			return
 		}
-		finished(true)
+		answered(snapshot.Epoch)
 	})
 }
 
