The simulator ends a connection with the life that opened it

An answer held up at a paused peer for 14 s was given to the asker's earlier life, which then applied it under the new one's name. Ruled out: the relay (the new life's versions only rose). Change: answers, streams and object API calls are bound to the life that asked.

--- a/internal/sim/engine.go
+++ b/internal/sim/engine.go
@@ -44,6 +44,7 @@
 type engineStream struct {
 	request engine.Request
 	node    *Host
+	life    int
 	target  int
 	reason  string
 	digest  *xxhash.Digest
@@ -88,7 +89,7 @@
 		return
 	}
 	stream.broken = true
-	e.world.Scheduler.After(resetTime, stream.node.bind(func() {
+	e.world.Scheduler.After(resetTime, stream.node.bindTo(stream.life, func() {
 		stream.sink(&engine.Error{Kind: engine.Broken, Address: e.host.Name, Detail: "connection reset"})
 	}))
 }
@@ -135,7 +136,7 @@
 		at = stream.last
 	}
 	stream.last = at
-	e.world.Scheduler.After(at.Sub(e.world.Scheduler.Now()), stream.node.bind(func() {
+	e.world.Scheduler.After(at.Sub(e.world.Scheduler.Now()), stream.node.bindTo(stream.life, func() {
 		if !stream.broken {
 			stream.sink(event)
 		}
@@ -175,9 +176,9 @@
 }
 
 // admit takes a request in or refuses it.
-func (e *Engine) admit(node *Host, request engine.Request, sink func(engine.Event)) {
+func (e *Engine) admit(node *Host, life int, request engine.Request, sink func(engine.Event)) {
 	now := e.world.Scheduler.Now()
-	stream := &engineStream{request: request, node: node, sink: sink, digest: xxhash.New(), reason: "stop"}
+	stream := &engineStream{request: request, node: node, life: life, sink: sink, digest: xxhash.New(), reason: "stop"}
 	if now.After(request.Deadline) {
 		e.send(stream, &engine.Error{Kind: engine.Refused, Address: e.host.Name, Detail: "deadline passed"})
 		return
@@ -250,9 +251,9 @@
 }
 
 // dropStreams cancels what a node that is gone has asked for.
-func (e *Engine) dropStreams(node *Host) {
+func (e *Engine) dropStreams(node *Host, life int) {
 	for _, id := range slices.Sorted(maps.Keys(e.streams)) {
-		if e.streams[id].node == node && !e.streams[id].broken {
+		if e.streams[id].node == node && e.streams[id].life == life && !e.streams[id].broken {
 			e.streams[id].broken = true
 			e.cancel(id)
 		}
--- a/internal/sim/engineclient.go
+++ b/internal/sim/engineclient.go
@@ -13,6 +13,7 @@
 // reach runs a call at an engine after the latency; failed is told when the
 // engine is not there or the link is cut.
 func (c *engineClient) reach(address string, call func(*Engine), failed func(engine.FailureKind)) {
+	asker := c.host.life
 	target := c.world.Engines[address]
 	network := c.world.Network
 	if target == nil || !target.host.alive {
@@ -27,7 +28,7 @@
 	life := target.host.life
 	c.world.Scheduler.After(network.delay(c.host.Name, address), func() {
 		if !target.host.alive || target.host.life != life {
-			c.world.Scheduler.After(sameZone, c.host.bind(func() { failed(engine.Broken) }))
+			c.world.Scheduler.After(sameZone, c.host.bindTo(asker, func() { failed(engine.Broken) }))
 			return
 		}
 		target.host.bind(func() { call(target) })()
@@ -37,7 +38,8 @@
 // Start implements engine.Client.
 func (c *engineClient) Start(address string, request engine.Request, sink func(engine.Event)) func() {
 	c.world.History.dispatched(c.host.Name, address)
-	c.reach(address, func(target *Engine) { target.admit(c.host, request, sink) }, func(kind engine.FailureKind) {
+	life := c.host.life
+	c.reach(address, func(target *Engine) { target.admit(c.host, life, request, sink) }, func(kind engine.FailureKind) {
 		sink(&engine.Error{Kind: kind, Address: address, Detail: "connect"})
 	})
 	return func() {
@@ -52,9 +54,10 @@
 
 // Order implements engine.Client.
 func (c *engineClient) Order(address string, order engine.Order, done func(engine.Status, error)) {
+	life := c.host.life
 	c.reach(address, func(target *Engine) {
 		status, err := target.order(order)
-		c.answer(address, func() { done(status, err) }, func() {
+		c.answer(address, life, func() { done(status, err) }, func() {
 			done(engine.Status{}, &engine.Error{Kind: engine.Broken, Address: address, Detail: "answer lost"})
 		})
 	}, func(kind engine.FailureKind) {
@@ -64,10 +67,11 @@
 
 // Status implements engine.Client.
 func (c *engineClient) Status(address string, done func(engine.Status, error)) {
+	life := c.host.life
 	c.reach(address, func(target *Engine) {
 		c.world.polls[c.host.Name]++
 		status := target.laggedStatus()
-		c.answer(address, func() { done(status, nil) }, func() {
+		c.answer(address, life, func() { done(status, nil) }, func() {
 			done(engine.Status{}, &engine.Error{Kind: engine.Broken, Address: address, Detail: "answer lost"})
 		})
 	}, func(kind engine.FailureKind) {
@@ -75,12 +79,13 @@
 	})
 }
 
-// answer brings a reply back, or the failure when the link is cut by then.
-func (c *engineClient) answer(address string, call, lost func()) {
+// answer brings a reply back to the life that asked, or the failure when the
+// link is cut by then.
+func (c *engineClient) answer(address string, life int, call, lost func()) {
 	network := c.world.Network
 	if !network.reaches(address, c.host.Name) {
-		c.world.Scheduler.After(connectTimeout, c.host.bind(lost))
+		c.world.Scheduler.After(connectTimeout, c.host.bindTo(life, lost))
 		return
 	}
-	c.world.Scheduler.After(network.delay(address, c.host.Name), c.host.bind(call))
+	c.world.Scheduler.After(network.delay(address, c.host.Name), c.host.bindTo(life, call))
 }
--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -63,8 +63,11 @@
 }
 
 // bind returns a call that runs in this life of the host only.
-func (h *Host) bind(call func()) func() {
-	life := h.life
+func (h *Host) bind(call func()) func() { return h.bindTo(h.life, call) }
+
+// bindTo returns a call that runs in one life of the host only. An answer has
+// to be bound to the life that asked: its connection ended with that.
+func (h *Host) bindTo(life int, call func()) func() {
 	var bound func()
 	bound = func() {
 		if !h.alive || h.life != life {
--- a/internal/sim/network.go
+++ b/internal/sim/network.go
@@ -93,11 +93,18 @@
 // deliver runs a call on the receiving host after the link's latency, once,
 // twice or not at all.
 func (n *Network) deliver(from, to string, call func()) {
+	if receiver := n.hosts[to]; receiver != nil {
+		n.deliverTo(from, to, receiver.life, call)
+	}
+}
+
+// deliverTo is deliver to one life of the receiver.
+func (n *Network) deliverTo(from, to string, life int, call func()) {
 	receiver := n.hosts[to]
 	if receiver == nil || !receiver.alive || !n.reaches(from, to) || n.scheduler.Random.Float64() < n.Loss {
 		return
 	}
-	bound := receiver.bind(call)
+	bound := receiver.bindTo(life, call)
 	n.scheduler.After(n.delay(from, to), bound)
 	if n.Duplicate > 0 && n.scheduler.Random.Float64() < n.Duplicate {
 		n.scheduler.After(n.delay(from, to), bound)
@@ -153,7 +160,7 @@
 	if n.Measure != nil {
 		n.Measure(p.host.Name, address, message)
 	}
-	finished := false
+	finished, life := false, p.host.life
 	finish := p.host.bind(func() {
 		if !finished {
 			finished = true
@@ -168,7 +175,7 @@
 				n.Measure(address, p.host.Name, reply)
 			}
 			answer := n.check(reply)
-			n.deliver(address, p.host.Name, func() {
+			n.deliverTo(address, p.host.Name, life, func() {
 				if finished {
 					return
 				}
--- a/internal/sim/objects.go
+++ b/internal/sim/objects.go
@@ -63,7 +63,7 @@
 // no answer.
 func (c *PlatformClient) request(work func(answer func(func())), fail func()) {
 	p := c.platform
-	answered := false
+	answered, life := false, c.host.life
 	bound := c.host.bind(func() {
 		if !answered {
 			answered = true
@@ -78,7 +78,7 @@
 			return
 		}
 		work(func(call func()) {
-			p.scheduler.After(objectLatency, c.host.bind(func() {
+			p.scheduler.After(objectLatency, c.host.bindTo(life, func() {
 				if !answered {
 					answered = true
 					call()
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -233,11 +233,12 @@
 
 // connectionsLost ends the streams of a node that is gone.
 func (w *World) connectionsLost(host *Host) {
+	life := host.life
 	for _, name := range w.order {
 		engine := w.Engines[name]
 		if !engine.host.alive {
 			continue
 		}
-		w.Scheduler.After(resetTime, engine.host.bind(func() { engine.dropStreams(host) }))
+		w.Scheduler.After(resetTime, engine.host.bind(func() { engine.dropStreams(host, life) }))
 	}
 }
