No test judges by wall-clock time

Cause: one case of the bad-input test compared elapsed time with 3 s, against the rule that verdicts are counts and never times.

--- a/internal/gateway/badinput_test.go
+++ b/internal/gateway/badinput_test.go
@@ -69,9 +69,8 @@
 		})
 	}
 	t.Run("deadline too short", func(t *testing.T) {
-		begun := time.Now()
 		status, headers, _ := post(t, address, "/v1/completions", `{"model":"booking-service","prompt":"p","max_tokens":48}`, map[string]string{"Pathtally-Deadline": "3ms"})
-		if status != 504 && status != 429 || headers["Retry-After"] == "" || time.Since(begun) > 3*time.Second {
+		if status != 504 && status != 429 || headers["Retry-After"] == "" {
 			t.Errorf("got %d with Retry-After %q", status, headers["Retry-After"])
 		}
 	})
