--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -146,6 +146,19 @@
 	return answer
 }
 
+// stored is the answer as a claim keeps it, or nil where nobody can repeat the
+// request.
+func (c *call) stored(answer completionAnswer) []byte {
+	if !c.granted {
+		return nil
+	}
+	data, err := json.Marshal(answer)
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
 func (c *call) frame(object string) completionAnswer {
 	return completionAnswer{ID: c.id, Object: object, Created: c.checked.arrived.Unix(), Model: c.checked.body.Model}
 }
@@ -231,15 +244,11 @@
 		s.ended(running.checked, running.id, outcome, found.code, result.Tokens)
 		return
 	}
-	data, err := json.Marshal(running.answer(result))
-	if err != nil {
-		data = nil
-	}
-	running.finish(result, data)
+	answer := running.answer(result)
+	running.finish(result, running.stored(answer))
 	reason := result.Reason
 	last := running.event("", &reason)
-	last.Usage = running.answer(result).Usage
-	last.Pathtally = &extension{Outcome: outcome, Segments: result.Segments}
+	last.Usage, last.Pathtally = answer.Usage, answer.Pathtally
 	writeEvent(writer, last)
 	writer.WriteString(streamEnd)
 	writer.Flush()
