--- /dev/null
+++ b/internal/batch/accept.go
@@ -0,0 +1,78 @@
+package batch
+
+import (
+	"context"
+	"time"
+)
+
+// backgroundTime is how long a submission without an answer is pursued after
+// its caller has been told that it is uncertain.
+const backgroundTime = 30 * time.Second
+
+// acceptance is a submission on its way into the store.
+type acceptance struct {
+	done chan struct{}
+	err  error
+}
+
+// Submit makes a batch job lasting and runs it. A nil error means that the job
+// is kept; a *NotTakenError that nothing of it will run; an *UncertainError
+// promises nothing. The same job is taken once whoever submits it again.
+func (s *Service) Submit(ctx context.Context, id, route, host string, payload []byte, submission *Submission) error {
+	s.mutex.Lock()
+	if s.jobs[id] != nil || s.known[id] != nil {
+		s.mutex.Unlock()
+		return nil
+	}
+	pending := s.accepting[id]
+	if pending == nil {
+		pending = &acceptance{done: make(chan struct{})}
+		s.accepting[id] = pending
+		deadline, bounded := ctx.Deadline()
+		if !bounded {
+			deadline = time.Now().Add(backgroundTime)
+		}
+		go s.accept(pending, deadline, id, route, host, payload, submission)
+	}
+	s.mutex.Unlock()
+	select {
+	case <-pending.done:
+		return pending.err
+	case <-ctx.Done():
+		return &UncertainError{Cause: ctx.Err()}
+	}
+}
+
+// accept writes a submission, first within the caller's time and then, if it
+// is uncertain, beyond it.
+func (s *Service) accept(pending *acceptance, deadline time.Time, id, route, host string, payload []byte, submission *Submission) {
+	ctx, cancel := context.WithDeadline(s.base, deadline)
+	defer cancel()
+	record := Record{Owner: s.config.Self, Epoch: 1, Route: route, Host: host, AcceptedMs: time.Now().UnixMilli()}
+	standing, _, err := s.config.Journal.Accept(ctx, id, record, payload)
+	pending.err = err
+	if _, uncertain := err.(*UncertainError); uncertain {
+		s.config.Logger.Info("batch job uncertain, pursued", "request", id, "error", err.Error())
+		close(pending.done)
+		longer, cancelLonger := context.WithTimeout(s.base, backgroundTime)
+		defer cancelLonger()
+		standing, _, err = s.config.Journal.Accept(longer, id, record, payload)
+	} else {
+		defer close(pending.done)
+	}
+	s.mutex.Lock()
+	delete(s.accepting, id)
+	own := err == nil && standing.Owner == s.config.Self
+	if err == nil && !own {
+		s.noteForeign(id, standing.Owner, false)
+	}
+	s.mutex.Unlock()
+	if err != nil {
+		s.config.Logger.Info("batch job not taken", "request", id, "error", err.Error())
+		return
+	}
+	s.config.Logger.Info("batch job kept", "request", id, "owner", standing.Owner.Node, "items", len(submission.Items), "bytes", len(payload))
+	if own {
+		s.start(id, submission, standing, nil, 0)
+	}
+}
--- /dev/null
+++ b/internal/batch/attempt.go
@@ -0,0 +1,246 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pathtally/pathtally/internal/dispatch"
+	"github.com/pathtally/pathtally/internal/eventstream"
+	"github.com/pathtally/pathtally/internal/routing"
+)
+
+const (
+	// attemptTime is the time that a replica is given for one run.
+	attemptTime = 20 * time.Second
+	// fullBlock is how long a replica that turned an item away gets none.
+	fullBlock = 80 * time.Millisecond
+	// otherBlock is how long an address is left alone at which another
+	// incarnation answered.
+	otherBlock = 2 * time.Second
+	// breakPause is the time before an item whose run broke is run again, and
+	// longestBreak its bound as breaks repeat.
+	breakPause   = 5 * time.Millisecond
+	longestBreak = 500 * time.Millisecond
+	// failurePause is the time before an item that failed is run again.
+	failurePause = 60 * time.Millisecond
+	// refusedStatus is a replica's word that an item can never be done.
+	refusedStatus = http.StatusUnprocessableEntity
+)
+
+// attempt is one run of an item at a replica.
+type attempt struct {
+	item     *item
+	endpoint *routing.Endpoint
+	cancel   context.CancelCauseFunc
+	begun    time.Time
+	// events counts the events of this run, and heard is when the last came,
+	// as a span since begun.
+	events atomic.Int64
+	heard  atomic.Int64
+}
+
+// idle is how long nothing has come.
+func (a *attempt) idle() time.Duration { return time.Since(a.begun) - time.Duration(a.heard.Load()) }
+
+// cut ends the run for a reason.
+func (a *attempt) cut(reason error) { a.cancel(reason) }
+
+// launch starts an item at a replica. The mutex must be held.
+func (s *Service) launch(waiting *item, endpoint *routing.Endpoint) {
+	ctx, cancel := context.WithCancelCause(waiting.job.ctx)
+	running := &attempt{item: waiting, endpoint: endpoint, cancel: cancel, begun: time.Now()}
+	waiting.running = running
+	s.attempts[running] = true
+	s.replica(endpoint.Name).running++
+	s.metrics.runs.Inc()
+	route := routeOf(s.config.Directory.View().Configuration, waiting.job.record.Route)
+	host := waiting.job.record.Host
+	singleVersion := route != nil && route.SingleVersion
+	rewardAttempts := func() int { return s.rewardAttempts(waiting) }
+	go func() {
+		err := s.run(ctx, running, host, singleVersion)
+		if cause := context.Cause(ctx); err != nil && cause != nil {
+			err = cause
+		}
+		cancel(nil)
+		s.ran(running, err)
+		if err == nil {
+			s.score(waiting, rewardAttempts)
+		}
+	}()
+}
+
+// run streams an item from a replica to its end.
+func (s *Service) run(ctx context.Context, running *attempt, host string, singleVersion bool) error {
+	work := running.item
+	call := &dispatch.Call{
+		ID: work.ID, Method: http.MethodPost, Target: work.Target, Host: host, Header: work.Header, Body: work.Body,
+		Deadline: time.Now().Add(attemptTime), AfterEvent: len(work.progress.events),
+	}
+	answer, err := s.config.Dispatcher.Send(ctx, running.endpoint, call)
+	if err != nil {
+		return err
+	}
+	defer answer.Close()
+	if answer.Status != http.StatusOK {
+		answer.Discard()
+		return &ItemStatusError{Status: answer.Status}
+	}
+	version := answer.Verdict.Version
+	s.learnVersion(running.endpoint.Name, work.job.submission.Model, version)
+	if version < work.job.submission.MinVersion {
+		answer.Discard()
+		return ErrOldWeights
+	}
+	events := eventstream.NewReader(answer, s.config.Codec.VersionField(), len(work.progress.events))
+	for {
+		event, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			if !answer.Framed {
+				return ErrUnframed
+			}
+			return nil
+		}
+		if err != nil {
+			answer.Discard()
+			return err
+		}
+		if event.Version > 0 {
+			version = event.Version
+			s.learnVersion(running.endpoint.Name, work.job.submission.Model, version)
+		}
+		if singleVersion && len(work.progress.versions) > 0 && work.progress.versions[0] != version {
+			work.progress = progress{}
+			answer.Discard()
+			return ErrOldWeights
+		}
+		work.progress.events = append(work.progress.events, event.Data)
+		work.progress.noteVersion(version)
+		s.notePace(running)
+	}
+}
+
+// learnVersion records a weight version that a replica's answer names.
+func (s *Service) learnVersion(replica, model string, version int64) {
+	if version <= 0 {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	state := s.replica(replica)
+	if version > state.versions[model] {
+		state.versions[model] = version
+		delete(state.loadingSince, model)
+	}
+}
+
+// notePace records that an event has come.
+func (s *Service) notePace(running *attempt) {
+	since := time.Since(running.begun)
+	interval := since - time.Duration(running.heard.Swap(int64(since)))
+	if running.events.Add(1) == 1 {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	state := s.replica(running.endpoint.Name)
+	state.observed = time.Now()
+	if state.interval == 0 {
+		state.interval = interval
+		return
+	}
+	state.interval += time.Duration(paceShare * float64(interval-state.interval))
+}
+
+// ran ends a run: the item is done with, waits for another run, or failed.
+func (s *Service) ran(running *attempt, err error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	work := running.item
+	delete(s.attempts, running)
+	state := s.replica(running.endpoint.Name)
+	state.running--
+	work.running = nil
+	defer s.nudge()
+	if work.job.ended || work.job.displaced || err == nil {
+		return
+	}
+	s.judge(running, state, err)
+	s.config.Logger.V(1).Info("run ended early", "request", work.ID, "job", work.job.id, "replica", running.endpoint.Name,
+		"events", len(work.progress.events), "error", err.Error())
+	if work.done {
+		return
+	}
+	s.queue = append(s.queue, work)
+	s.sortQueue()
+}
+
+// judge decides what the end of a run means for the item and the replica. The
+// mutex must be held.
+func (s *Service) judge(running *attempt, state *replicaState, err error) {
+	work := running.item
+	var notRun *dispatch.NotRunError
+	var status *ItemStatusError
+	switch {
+	case errors.As(err, &notRun) && notRun.OtherReplica:
+		state.blockedUntil = time.Now().Add(otherBlock)
+	case errors.As(err, &notRun):
+		state.blockedUntil = time.Now().Add(fullBlock)
+	case errors.Is(err, ErrMoved), errors.Is(err, ErrStalled):
+		s.metrics.moved.Inc()
+	case errors.Is(err, ErrOldWeights):
+	case errors.As(err, &status) && status.Status == refusedStatus:
+		s.abandon(work, "a replica says it can never be done")
+	case errors.As(err, &status) && status.Status == http.StatusInternalServerError:
+		work.failures++
+		work.notBefore = time.Now().Add(failurePause)
+		if work.failures >= s.itemAttempts(work) {
+			s.abandon(work, "it failed as often as its route allows")
+		}
+	default:
+		work.breaks++
+		work.notBefore = time.Now().Add(min(time.Duration(work.breaks)*breakPause, longestBreak))
+	}
+}
+
+// abandon ends an item without its text. The mutex must be held.
+func (s *Service) abandon(work *item, reason string) {
+	s.config.Logger.Info("item given up", "request", work.ID, "job", work.job.id, "reason", reason, "failures", work.failures)
+	s.finish(work, Result{ID: work.ID, State: Abandoned})
+}
+
+// itemAttempts is how many failures end an item.
+func (s *Service) itemAttempts(work *item) int {
+	if configuration := s.config.Directory.View().Configuration; configuration != nil {
+		if route := routeOf(configuration, work.job.record.Route); route != nil {
+			return route.Attempts
+		}
+	}
+	return defaultAttempts
+}
+
+// defaultAttempts holds where the route is no longer declared.
+const defaultAttempts = 3
+
+// finish takes an item's result. The mutex must be held.
+func (s *Service) finish(work *item, result Result) {
+	if work.done || work.job.ended || work.job.displaced {
+		return
+	}
+	job := work.job
+	job.settle(work.ID)
+	job.finished = append(job.finished, result)
+	if work.group.open == 0 {
+		job.flushSoon = true
+	}
+	s.metrics.results.WithLabelValues(string(result.State)).Inc()
+	job.flushLater()
+}
+
+// text is the whole text of an item.
+func (p *progress) text() string { return strings.Join(p.events, "\n") }
--- /dev/null
+++ b/internal/batch/job.go
@@ -0,0 +1,97 @@
+package batch
+
+import (
+	"context"
+	"time"
+)
+
+// job is a batch job that this node runs. The service's mutex guards it.
+type job struct {
+	id         string
+	submission *Submission
+	record     Record
+	// accepted is when this node took the job up.
+	accepted time.Time
+	// givenUpAt is when items may be given up, zero for never.
+	givenUpAt time.Time
+
+	items map[string]*item
+	// listed are the results that the store holds, in their order.
+	listed []Result
+	chunks int
+	// finished are results that are not in the store yet.
+	finished []Result
+	serial   int
+	groups   map[string]*group
+	// flushSoon is set when a group became whole, to append without delay.
+	flushSoon bool
+	flush     chan struct{}
+
+	ended bool
+	// endKept tells that the store has the end.
+	endKept   bool
+	displaced bool
+	// changed is closed at each change that a waiting reader has to see.
+	changed chan struct{}
+	ctx     context.Context
+	cancel  context.CancelFunc
+}
+
+// group counts the items of a group that have no result yet.
+type group struct {
+	open int
+	// rank is the group's place in the order of work.
+	rank int
+}
+
+// item is the state of one item on its way. The service's mutex guards it but
+// for progress, which belongs to the goroutine of its run.
+type item struct {
+	*Item
+	job   *job
+	group *group
+
+	progress progress
+	running  *attempt
+	done     bool
+	// failures counts answers that say the item failed.
+	failures int
+	// breaks counts runs that ended without a reason that the item gave.
+	breaks int
+	// notBefore is when the item may run again.
+	notBefore time.Time
+}
+
+// progress is what an item's runs have made so far.
+type progress struct {
+	events   []string
+	versions []int64
+	scored   string
+}
+
+// noteVersion records that a weight version made an event.
+func (p *progress) noteVersion(version int64) {
+	for _, known := range p.versions {
+		if known == version {
+			return
+		}
+	}
+	p.versions = append(p.versions, version)
+}
+
+// open tells whether the job still has work.
+func (j *job) open() bool { return !j.ended && !j.displaced && len(j.listed) < len(j.items) }
+
+// notify wakes the readers that wait.
+func (j *job) notify() {
+	close(j.changed)
+	j.changed = make(chan struct{})
+}
+
+// flushLater has the publisher append what is finished.
+func (j *job) flushLater() {
+	select {
+	case j.flush <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/batch/journal.go
@@ -0,0 +1,280 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/pathtally/pathtally/internal/objectstore"
+)
+
+// Kinds of objects that batch jobs are kept as.
+const (
+	KindJobs     = "batchjobs"
+	KindPayloads = "batchpayloads"
+	KindResults  = "batchresults"
+)
+
+const (
+	// partBytes bounds the part of a submission in one object, and chunkBytes
+	// the results in one; the store takes about a megabyte.
+	partBytes  = 600 << 10
+	chunkBytes = 500 << 10
+	// endPause is the time between tries to record an end.
+	endPause = 100 * time.Millisecond
+)
+
+// Owner is the process that runs a batch job.
+type Owner struct {
+	Node        string `json:"node"`
+	Address     string `json:"address"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// Record is the stored state of a batch job but for its payload and results.
+type Record struct {
+	Owner Owner `json:"owner"`
+	// Epoch counts the owners.
+	Epoch int `json:"epoch"`
+	// Route is the route that took the job, and Host its host.
+	Route string `json:"route"`
+	Host  string `json:"host"`
+	Parts int    `json:"parts"`
+	// AcceptedMs is the owner's time of day at the acceptance, in milliseconds.
+	AcceptedMs int64 `json:"acceptedMs"`
+}
+
+// status is the stored status of a batch job.
+type status struct {
+	Ended bool `json:"ended"`
+}
+
+// chunk is a run of results in one object.
+type chunk struct {
+	// Writer and Serial name the one attempt that wrote the chunk.
+	Writer  string   `json:"writer"`
+	Serial  int      `json:"serial"`
+	Results []Result `json:"results"`
+}
+
+// Journal keeps batch jobs in the metadata store.
+type Journal struct{ store objectstore.Store }
+
+// NewJournal returns a journal.
+func NewJournal(store objectstore.Store) *Journal { return &Journal{store: store} }
+
+func partName(job string, part int) string { return fmt.Sprintf("%s-%04d", job, part) }
+
+func chunkName(job string, index int) string { return fmt.Sprintf("%s-%06d", job, index) }
+
+// Accept makes a batch job lasting. The record that stands is returned: it is
+// another's if the job had been taken before. The error is a *NotTakenError or
+// an *UncertainError.
+func (j *Journal) Accept(ctx context.Context, id string, record Record, payload []byte) (Record, uint64, error) {
+	record.Parts = (len(payload) + partBytes - 1) / partBytes
+	for part := range record.Parts {
+		piece, err := json.Marshal(string(payload[part*partBytes : min(len(payload), (part+1)*partBytes)]))
+		if err != nil {
+			return Record{}, 0, &NotTakenError{Cause: err}
+		}
+		_, outcome, err := objectstore.CreateSettled(ctx, j.store, KindPayloads, partName(id, part), piece)
+		if outcome != objectstore.Created && outcome != objectstore.Existed {
+			// Without its record the payload is no batch job.
+			return Record{}, 0, &NotTakenError{Cause: err}
+		}
+	}
+	spec, err := json.Marshal(record)
+	if err != nil {
+		return Record{}, 0, &NotTakenError{Cause: err}
+	}
+	object, outcome, err := objectstore.CreateSettled(ctx, j.store, KindJobs, id, spec)
+	switch outcome {
+	case objectstore.NeverSent:
+		return Record{}, 0, &NotTakenError{Cause: err}
+	case objectstore.Unknown:
+		return Record{}, 0, &UncertainError{Cause: err}
+	}
+	standing, _, err := readRecord(object)
+	if err != nil {
+		return Record{}, 0, &UncertainError{Cause: err}
+	}
+	return standing, object.Revision, nil
+}
+
+func readRecord(object objectstore.Object) (Record, bool, error) {
+	var record Record
+	if err := json.Unmarshal(object.Spec, &record); err != nil {
+		return Record{}, false, err
+	}
+	var stood status
+	if len(object.Status) > 0 {
+		if err := json.Unmarshal(object.Status, &stood); err != nil {
+			return Record{}, false, err
+		}
+	}
+	return record, stood.Ended, nil
+}
+
+// Standing is a batch job as the store has it.
+type Standing struct {
+	ID       string
+	Record   Record
+	Ended    bool
+	Revision uint64
+}
+
+func readStanding(object objectstore.Object) (Standing, error) {
+	record, ended, err := readRecord(object)
+	return Standing{ID: object.Name, Record: record, Ended: ended, Revision: object.Revision}, err
+}
+
+// Look reads a batch job's record. ErrNoSuchJob is certain.
+func (j *Journal) Look(ctx context.Context, id string) (Standing, error) {
+	object, err := j.store.Get(ctx, KindJobs, id, objectstore.Linearizable)
+	if errors.Is(err, objectstore.ErrNotFound) {
+		return Standing{}, ErrNoSuchJob
+	}
+	if err != nil {
+		return Standing{}, err
+	}
+	return readStanding(object)
+}
+
+// All reads the records of all batch jobs.
+func (j *Journal) All(ctx context.Context) ([]Standing, error) {
+	var all []Standing
+	after := ""
+	for {
+		page, err := j.store.List(ctx, KindJobs, after, objectstore.Linearizable)
+		if err != nil {
+			return nil, err
+		}
+		for _, object := range page.Objects {
+			if standing, err := readStanding(object); err == nil {
+				all = append(all, standing)
+			}
+		}
+		if !page.More || len(page.Objects) == 0 {
+			return all, nil
+		}
+		after = page.Objects[len(page.Objects)-1].Name
+	}
+}
+
+// TakeOver makes a process the owner of a batch job that still stands as read.
+func (j *Journal) TakeOver(ctx context.Context, standing Standing, owner Owner) (Standing, error) {
+	next := standing.Record
+	next.Owner, next.Epoch = owner, standing.Record.Epoch+1
+	spec, err := json.Marshal(next)
+	if err != nil {
+		return Standing{}, err
+	}
+	object, err := j.store.Replace(ctx, KindJobs, standing.ID, spec, standing.Revision)
+	if err != nil {
+		return Standing{}, err
+	}
+	return readStanding(object)
+}
+
+// Payload reads a submission back.
+func (j *Journal) Payload(ctx context.Context, id string, parts int) ([]byte, error) {
+	var payload []byte
+	for part := range parts {
+		object, err := j.store.Get(ctx, KindPayloads, partName(id, part), objectstore.Linearizable)
+		if errors.Is(err, objectstore.ErrNotFound) {
+			return nil, ErrTruncated
+		}
+		if err != nil {
+			return nil, err
+		}
+		var piece string
+		if err := json.Unmarshal(object.Spec, &piece); err != nil {
+			return nil, err
+		}
+		payload = append(payload, piece...)
+	}
+	return payload, nil
+}
+
+// Results reads the results from a chunk on and tells how many chunks there
+// are in all.
+func (j *Journal) Results(ctx context.Context, id string, from int) ([]Result, int, error) {
+	var results []Result
+	// A listing begins behind a name, and this one is a prefix of the chunks'.
+	after := id + "-"
+	if from > 0 {
+		after = chunkName(id, from-1)
+	}
+	next := from
+	for {
+		page, err := j.store.List(ctx, KindResults, after, objectstore.Linearizable)
+		if err != nil {
+			return nil, 0, err
+		}
+		for _, object := range page.Objects {
+			if !strings.HasPrefix(object.Name, id+"-") {
+				return results, next, nil
+			}
+			read, err := readChunk(object)
+			if err != nil {
+				return nil, 0, err
+			}
+			if object.Name != chunkName(id, next) {
+				return nil, 0, ErrTruncated
+			}
+			results = append(results, read.Results...)
+			next++
+			after = object.Name
+		}
+		if !page.More || len(page.Objects) == 0 {
+			return results, next, nil
+		}
+	}
+}
+
+func readChunk(object objectstore.Object) (chunk, error) {
+	var read chunk
+	err := json.Unmarshal(object.Spec, &read)
+	return read, err
+}
+
+// Append writes a chunk at an index until that index is settled, and returns
+// the chunk that stands there, which may be another writer's.
+func (j *Journal) Append(ctx context.Context, id string, index int, written chunk) (chunk, bool, error) {
+	spec, err := json.Marshal(written)
+	if err != nil {
+		return chunk{}, false, err
+	}
+	object, outcome, err := objectstore.CreateSettled(ctx, j.store, KindResults, chunkName(id, index), spec)
+	switch outcome {
+	case objectstore.Created:
+		return written, true, nil
+	case objectstore.Existed:
+		standing, err := readChunk(object)
+		return standing, err == nil && standing.Writer == written.Writer && standing.Serial == written.Serial, err
+	}
+	return chunk{}, false, err
+}
+
+// End records that a batch job has been ended, until the store has answered.
+func (j *Journal) End(ctx context.Context, id string) error {
+	spec, err := json.Marshal(status{Ended: true})
+	if err != nil {
+		return err
+	}
+	for {
+		_, err := j.store.ReplaceStatus(ctx, KindJobs, id, spec, objectstore.Unconditional)
+		if err == nil {
+			return nil
+		}
+		if errors.Is(err, objectstore.ErrNotFound) {
+			return ErrNoSuchJob
+		}
+		if !objectstore.Pause(ctx, endPause) {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/internal/batch/publish.go
@@ -0,0 +1,103 @@
+package batch
+
+import (
+	"encoding/json"
+	"errors"
+
+	"github.com/pathtally/pathtally/internal/objectstore"
+)
+
+// appendOnce writes one chunk of finished results and lists what then stands
+// at its place. It tells whether there is more to write.
+func (s *Service) appendOnce(published *job) bool {
+	s.mutex.Lock()
+	results := boundedPart(published.finished)
+	published.flushSoon = false
+	published.serial++
+	written := chunk{Writer: s.writerName(), Serial: published.serial, Results: results}
+	index := published.chunks
+	s.mutex.Unlock()
+	if len(results) == 0 {
+		return false
+	}
+	standing, own, err := s.config.Journal.Append(published.ctx, published.id, index, written)
+	if err != nil {
+		if published.ctx.Err() == nil {
+			s.config.Logger.Error(err, "results not appended", "request", published.id, "chunk", index)
+		}
+		return published.ctx.Err() == nil
+	}
+	s.list(published, standing.Results)
+	if !own {
+		s.config.Logger.Info("results of another node adopted", "request", published.id, "chunk", index, "writer", standing.Writer)
+		s.confirmOwner(published)
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(published.finished) > 0
+}
+
+// writerName names this process in what it writes.
+func (s *Service) writerName() string {
+	return s.config.Self.Node + "@" + formatIncarnation(s.config.Self.Incarnation)
+}
+
+// list adds results that the store now holds, in its order.
+func (s *Service) list(published *job, results []Result) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	inStore := map[string]bool{}
+	for _, result := range results {
+		inStore[result.ID] = true
+		published.settle(result.ID)
+	}
+	published.listed = append(published.listed, results...)
+	published.chunks++
+	kept := published.finished[:0:0]
+	for _, result := range published.finished {
+		if !inStore[result.ID] {
+			kept = append(kept, result)
+		}
+	}
+	published.finished = kept
+	published.notify()
+}
+
+// boundedPart returns the first results that fit into one object.
+func boundedPart(results []Result) []Result {
+	size := 0
+	for i, result := range results {
+		size += len(result.Text) + resultOverhead
+		if size > chunkBytes && i > 0 {
+			return results[:i:i]
+		}
+	}
+	return results[:len(results):len(results)]
+}
+
+// resultOverhead is about what a result takes besides its text, in bytes.
+const resultOverhead = 300
+
+// confirmOwner looks whether this node still owns a job, and gives it up if
+// not.
+func (s *Service) confirmOwner(held *job) {
+	standing, err := s.config.Journal.Look(held.ctx, held.id)
+	if err != nil {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if standing.Record.Owner == s.config.Self {
+		return
+	}
+	s.displace(held)
+	s.noteForeign(held.id, standing.Record.Owner, standing.Ended)
+}
+
+// settledElsewhere tells whether an error means that another writer was first.
+func settledElsewhere(err error) bool {
+	var conflict *objectstore.ConflictError
+	return errors.As(err, &conflict)
+}
+
+func encodeResults(results []Result) ([]byte, error) { return json.Marshal(results) }
--- /dev/null
+++ b/internal/batch/read.go
@@ -0,0 +1,234 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pathtally/pathtally/internal/wire"
+)
+
+const (
+	// peerMargin is what an answer of another node may take beyond the time
+	// that a reader waits.
+	peerMargin = 700 * time.Millisecond
+	// endTime bounds one question to the owner of a job that is to be ended.
+	endTime = 800 * time.Millisecond
+)
+
+// Page is a part of a job's results.
+type Page struct {
+	Total   int
+	Results []Result
+}
+
+// Read returns the results after a position, waiting for one at most as long
+// as told. ErrNoSuchJob is certain; other errors mean that this node cannot
+// tell.
+func (s *Service) Read(ctx context.Context, id string, after int, patience time.Duration) (Page, error) {
+	if page, held := s.readHeld(ctx, id, after, patience); held {
+		return page, nil
+	}
+	owner, known := s.ownerOf(id)
+	if known {
+		if page, err := s.readFrom(ctx, owner, id, after, patience); err == nil {
+			return page, nil
+		}
+	}
+	standing, err := s.config.Journal.Look(ctx, id)
+	if err != nil {
+		return Page{}, err
+	}
+	if standing.Record.Owner != owner && standing.Record.Owner != s.config.Self {
+		if page, err := s.readFrom(ctx, standing.Record.Owner, id, after, patience); err == nil {
+			return page, nil
+		}
+	}
+	return s.readStored(ctx, standing, after)
+}
+
+// readHeld reads a job that this node runs.
+func (s *Service) readHeld(ctx context.Context, id string, after int, patience time.Duration) (Page, bool) {
+	limit := time.NewTimer(patience)
+	defer limit.Stop()
+	for {
+		s.mutex.Lock()
+		held := s.jobs[id]
+		if held == nil {
+			s.mutex.Unlock()
+			return Page{}, false
+		}
+		page := Page{Total: len(held.items)}
+		if after < len(held.listed) {
+			page.Results = held.listed[after:len(held.listed):len(held.listed)]
+		}
+		changed, open := held.changed, held.open()
+		s.mutex.Unlock()
+		if len(page.Results) > 0 || !open {
+			return page, true
+		}
+		select {
+		case <-changed:
+		case <-limit.C:
+			return page, true
+		case <-ctx.Done():
+			return page, true
+		}
+	}
+}
+
+// ownerOf tells which other node runs a job.
+func (s *Service) ownerOf(id string) (Owner, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	standing := s.known[id]
+	if standing == nil {
+		return Owner{}, false
+	}
+	return standing.owner, true
+}
+
+// ask sends a question to another node and waits for its answer.
+func (s *Service) ask(ctx context.Context, address string, question wire.Message, patience time.Duration) (wire.Message, error) {
+	type answer struct {
+		message wire.Message
+		err     error
+	}
+	answers := make(chan answer, 1)
+	s.config.Peers.Call(address, question, patience, func(message wire.Message, err error) { answers <- answer{message, err} })
+	select {
+	case got := <-answers:
+		return got.message, got.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// readFrom reads a job from the node that runs it.
+func (s *Service) readFrom(ctx context.Context, owner Owner, id string, after int, patience time.Duration) (Page, error) {
+	question := &wire.JobRead{Job: id, After: uint32(after), WaitMs: uint32(patience.Milliseconds())}
+	message, err := s.ask(ctx, owner.Address, question, patience+peerMargin)
+	if err != nil {
+		return Page{}, err
+	}
+	page, ok := message.(*wire.JobPage)
+	if !ok || !page.Known {
+		return Page{}, ErrDisplaced
+	}
+	read := Page{Total: int(page.Total)}
+	return read, json.Unmarshal(page.Results, &read.Results)
+}
+
+// readStored reads a job's results from the store, for when its owner is away.
+func (s *Service) readStored(ctx context.Context, standing Standing, after int) (Page, error) {
+	payload, err := s.config.Journal.Payload(ctx, standing.ID, standing.Record.Parts)
+	if err != nil {
+		return Page{}, err
+	}
+	submission, err := s.config.Codec.Submission(payload)
+	if err != nil {
+		return Page{}, err
+	}
+	s.mutex.Lock()
+	known := s.noteForeign(standing.ID, standing.Record.Owner, standing.Ended)
+	from, results := known.chunks, known.results
+	s.mutex.Unlock()
+	added, chunks, err := s.config.Journal.Results(ctx, standing.ID, from)
+	if err != nil {
+		return Page{}, err
+	}
+	results = append(results[:len(results):len(results)], added...)
+	s.mutex.Lock()
+	if chunks > known.chunks {
+		known.results, known.chunks = results, chunks
+	}
+	s.mutex.Unlock()
+	page := Page{Total: len(submission.Items)}
+	if after < len(results) {
+		page.Results = results[after:]
+	}
+	return page, nil
+}
+
+// Body returns the body of an item. ErrNoSuchJob and ErrNoSuchItem are certain.
+func (s *Service) Body(ctx context.Context, id, itemID string) ([]byte, error) {
+	s.mutex.Lock()
+	held := s.jobs[id]
+	s.mutex.Unlock()
+	if held != nil {
+		return bodyOf(held.submission, itemID)
+	}
+	if owner, known := s.ownerOf(id); known {
+		message, err := s.ask(ctx, owner.Address, &wire.JobItem{Job: id, Item: itemID}, peerMargin)
+		if body, ok := message.(*wire.JobItemBody); ok && err == nil && body.Known {
+			if !body.Found {
+				return nil, ErrNoSuchItem
+			}
+			return body.Body, nil
+		}
+	}
+	standing, err := s.config.Journal.Look(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	payload, err := s.config.Journal.Payload(ctx, id, standing.Record.Parts)
+	if err != nil {
+		return nil, err
+	}
+	submission, err := s.config.Codec.Submission(payload)
+	if err != nil {
+		return nil, err
+	}
+	return bodyOf(submission, itemID)
+}
+
+func bodyOf(submission *Submission, itemID string) ([]byte, error) {
+	for _, submitted := range submission.Items {
+		if submitted.ID == itemID {
+			return submitted.Body, nil
+		}
+	}
+	return nil, ErrNoSuchItem
+}
+
+// End ends a batch job: nothing more of it is run. A nil error is lasting.
+func (s *Service) End(ctx context.Context, id string) error {
+	s.mutex.Lock()
+	held := s.jobs[id]
+	kept := held != nil && held.endKept
+	s.mutex.Unlock()
+	if held == nil {
+		if owner, known := s.ownerOf(id); known {
+			message, err := s.ask(ctx, owner.Address, &wire.JobEnd{Job: id}, endTime)
+			if _, done := message.(*wire.Done); done && err == nil {
+				s.noteEnded(id)
+				return nil
+			}
+		}
+	}
+	if kept {
+		return nil
+	}
+	if held != nil {
+		// No more of it may run from now on, whatever the store answers.
+		s.noteEnded(id)
+	}
+	if err := s.config.Journal.End(ctx, id); err != nil {
+		return err
+	}
+	s.noteEnded(id)
+	if held != nil {
+		s.mutex.Lock()
+		held.endKept = true
+		s.mutex.Unlock()
+	}
+	s.config.Table.Broadcast()
+	return nil
+}
+
+func (s *Service) noteEnded(id string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.endLocally(id)
+	s.ended = append(s.ended, recentEnd{job: id, at: time.Now()})
+}
--- /dev/null
+++ b/internal/batch/replicas.go
@@ -0,0 +1,167 @@
+package batch
+
+import (
+	"time"
+
+	"github.com/pathtally/pathtally/internal/directory"
+	"github.com/pathtally/pathtally/internal/routing"
+	"github.com/pathtally/pathtally/internal/wire"
+)
+
+const (
+	// usesAge is for how long another node's uses of replicas are believed.
+	usesAge = 1500 * time.Millisecond
+	// loadingAge is for how long a replica is believed to load weights.
+	loadingAge = 4 * time.Second
+	// paceShare is the part of a new interval in a replica's average.
+	paceShare = 0.25
+)
+
+// replicaState is what this node has seen of a replica as a place for items.
+type replicaState struct {
+	// running counts the items that this node runs there.
+	running int
+	// blockedUntil is when it is worth trying again after it turned work away.
+	blockedUntil time.Time
+	versions     map[string]int64
+	// loadingSince is when a model's load was told, zero when none is.
+	loadingSince map[string]time.Time
+	// interval is the average time between events of a run, 0 if unknown.
+	interval time.Duration
+	observed time.Time
+}
+
+// nodeUses are another node's uses of replicas.
+type nodeUses struct {
+	at      time.Time
+	running map[string]int
+}
+
+// replica returns the state of a replica. The mutex must be held.
+func (s *Service) replica(id string) *replicaState {
+	state := s.replicas[id]
+	if state == nil {
+		state = &replicaState{versions: map[string]int64{}, loadingSince: map[string]time.Time{}}
+		s.replicas[id] = state
+	}
+	return state
+}
+
+// version is the newest weight version known of a replica's model, 0 if none
+// is. The mutex must be held.
+func (s *Service) version(view *directory.View, id, model string) int64 {
+	known := int64(0)
+	if listed := view.Replicas[id]; listed != nil {
+		known = listed.Versions[model]
+	}
+	if state := s.replicas[id]; state != nil {
+		known = max(known, state.versions[model])
+	}
+	return known
+}
+
+// loading tells whether a replica is changing a model's weights. The mutex
+// must be held.
+func (r *replicaState) loading(model string) bool {
+	since, told := r.loadingSince[model]
+	return told && time.Since(since) < loadingAge
+}
+
+// load is how many items run at a replica from all nodes. The mutex must be
+// held.
+func (s *Service) load(id string) int {
+	load := s.replica(id).running
+	for _, uses := range s.uses {
+		if time.Since(uses.at) < usesAge {
+			load += uses.running[id]
+		}
+	}
+	return load
+}
+
+// NoteVersion takes what a coordinator of weights knows of a replica.
+func (s *Service) NoteVersion(change wire.ReplicaVersion) {
+	s.mutex.Lock()
+	state := s.replica(change.Replica)
+	if change.Loading {
+		if _, told := state.loadingSince[change.Model]; !told {
+			state.loadingSince[change.Model] = time.Now()
+		}
+	} else {
+		delete(state.loadingSince, change.Model)
+		state.versions[change.Model] = max(state.versions[change.Model], change.Version)
+	}
+	s.mutex.Unlock()
+	s.nudge()
+}
+
+// Uses fills in how many items this node runs at each replica.
+func (s *Service) Uses() []wire.ReplicaUse {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var uses []wire.ReplicaUse
+	for id, state := range s.replicas {
+		if state.running > 0 {
+			uses = append(uses, wire.ReplicaUse{Replica: id, Running: uint32(state.running)})
+		}
+	}
+	return uses
+}
+
+// Load is how many items run at a replica, for whoever orders it about.
+func (s *Service) Load(id string) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.load(id)
+}
+
+// place picks the replica for an item: one that has the weights, is not
+// loading and has a free slot, the least used first. The mutex must be held.
+func (s *Service) place(view *directory.View, waiting *item, slow func(id string) bool) *routing.Endpoint {
+	configuration := view.Configuration
+	if configuration == nil {
+		return nil
+	}
+	route := routeOf(configuration, waiting.job.record.Route)
+	if route == nil {
+		return nil
+	}
+	model := waiting.job.submission.Model
+	var best *routing.Endpoint
+	bestUse := 0.0
+	for _, target := range route.Targets {
+		plan := view.Plans[target.Service]
+		if plan == nil {
+			continue
+		}
+		for _, endpoint := range plan.Endpoints() {
+			state := s.replica(endpoint.Name)
+			load := s.load(endpoint.Name)
+			known := s.version(view, endpoint.Name, model)
+			if load >= endpoint.Slots || time.Now().Before(state.blockedUntil) || state.loading(model) ||
+				(known > 0 && known < waiting.job.submission.MinVersion) {
+				continue
+			}
+			use := float64(load) / float64(endpoint.Slots)
+			if slow(endpoint.Name) {
+				use += slowPenalty
+			}
+			if best == nil || use < bestUse {
+				best, bestUse = endpoint, use
+			}
+		}
+	}
+	return best
+}
+
+// slowPenalty puts slow replicas behind all others, in full loads.
+const slowPenalty = 10
+
+func routeOf(configuration *directory.Configuration, name string) *directory.Route {
+	for i := range configuration.Routes {
+		if configuration.Routes[i].Name == name {
+			return &configuration.Routes[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/batch/reward.go
@@ -0,0 +1,147 @@
+package batch
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/pathtally/pathtally/internal/directory"
+	"github.com/pathtally/pathtally/internal/dispatch"
+	"github.com/pathtally/pathtally/internal/objectstore"
+)
+
+const (
+	// rewardTime bounds one call of a scorer where its route names no time.
+	rewardTime = 2 * time.Second
+	// rewardPause is the time between calls of a scorer that did not answer.
+	rewardPause = 60 * time.Millisecond
+)
+
+// score has the whole text of an item scored and finishes the item.
+func (s *Service) score(work *item, attempts func() int) {
+	versions := slices.Sorted(slices.Values(work.progress.versions))
+	result := Result{ID: work.ID, State: Succeeded, Text: work.progress.text(), Versions: versions}
+	if work.Reward != nil {
+		score, failed, scored := s.callReward(work, attempts)
+		if !scored && !failed {
+			return
+		}
+		result.Score = score
+		if failed {
+			result = Result{ID: work.ID, State: Abandoned}
+			s.config.Logger.Info("item given up", "request", work.ID, "job", work.job.id, "reason", "its scorer failed", "reward", work.Reward.ID)
+		}
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.finish(work, result)
+}
+
+// callReward calls an item's scorer until it answers, has failed as often as
+// its route allows, or the job ends.
+func (s *Service) callReward(work *item, attempts func() int) (score string, failed, scored bool) {
+	reward := work.Reward
+	failures := 0
+	for work.job.ctx.Err() == nil {
+		route := s.rewardRoute(reward)
+		if route != nil {
+			call := &dispatch.Call{
+				ID: reward.ID, Method: http.MethodPost, Target: reward.Target, Host: reward.Host, Header: reward.Header, Body: reward.Body,
+				Deadline: time.Now().Add(rewardLimit(route)),
+			}
+			whole, err := s.config.Forwarder.Do(work.job.ctx, route, call)
+			if err == nil {
+				failures += whole.Failures
+				if whole.Answer.Status >= http.StatusOK && whole.Answer.Status < http.StatusMultipleChoices {
+					return s.config.Codec.Signature(whole.Answer.Header), false, true
+				}
+				if failures >= attempts() {
+					return "", true, false
+				}
+			}
+		}
+		if !objectstore.Pause(work.job.ctx, rewardPause) {
+			break
+		}
+	}
+	return "", false, false
+}
+
+// rewardRoute is the route of a scorer.
+func (s *Service) rewardRoute(reward *Reward) *directory.Route {
+	configuration := s.config.Directory.View().Configuration
+	if configuration == nil {
+		return nil
+	}
+	return configuration.Lookup(reward.Host, targetPath(reward.Target))
+}
+
+func rewardLimit(route *directory.Route) time.Duration {
+	if route.Timeout > 0 {
+		return min(route.Timeout, rewardTime)
+	}
+	return rewardTime
+}
+
+// rewardAttempts is how many failures of a scorer end an item.
+func (s *Service) rewardAttempts(work *item) int {
+	if work.Reward == nil {
+		return defaultAttempts
+	}
+	if route := s.rewardRoute(work.Reward); route != nil {
+		return route.Attempts
+	}
+	return defaultAttempts
+}
+
+// targetPath is a request target without its query.
+func targetPath(target string) string {
+	for i := range len(target) {
+		if target[i] == '?' {
+			return target[:i]
+		}
+	}
+	return target
+}
+
+// publish appends the finished results of a job until the job ends.
+func (s *Service) publish(published *job) {
+	for {
+		select {
+		case <-published.ctx.Done():
+			return
+		case <-published.flush:
+		}
+		s.gather(published)
+		for s.appendOnce(published) {
+		}
+	}
+}
+
+const (
+	// groupGather is how long results wait for others once a group is whole,
+	// and resultGather while none is.
+	groupGather  = 40 * time.Millisecond
+	resultGather = 300 * time.Millisecond
+	gatherLook   = 20 * time.Millisecond
+)
+
+// gather waits a little, so that results close together are one object.
+func (s *Service) gather(published *job) {
+	limit := time.Now().Add(resultGather)
+	for time.Now().Before(limit) {
+		s.mutex.Lock()
+		soon := published.flushSoon || published.remaining() == 0
+		s.mutex.Unlock()
+		if soon {
+			objectstore.Sleep(published.ctx, groupGather)
+			return
+		}
+		if !objectstore.Sleep(published.ctx, gatherLook) {
+			return
+		}
+	}
+}
+
+// remaining counts the items without a result.
+func (j *job) remaining() int { return len(j.items) - len(j.listed) - len(j.finished) }
--- /dev/null
+++ b/internal/batch/scheduler.go
@@ -0,0 +1,164 @@
+package batch
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pathtally/pathtally/internal/directory"
+)
+
+const (
+	// lookPeriod is the time between looks at runs that may have stalled.
+	lookPeriod = 100 * time.Millisecond
+	// startPatience is how long a run may take to its first event, and
+	// eventPatience how long between events.
+	startPatience = 900 * time.Millisecond
+	eventPatience = 500 * time.Millisecond
+	// loadPatience is added while the replica changes weights.
+	loadPatience = 2500 * time.Millisecond
+	// slowRatio is from how many times the usual interval between events a
+	// replica counts as slow, and leastInterval below which none does.
+	slowRatio     = 1.7
+	leastInterval = 10 * time.Millisecond
+	// movesPerLook bounds how many runs are moved away from slow replicas at
+	// once.
+	movesPerLook = 4
+	// idleLook is the time between looks while nothing is to be done.
+	idleLook = 2 * time.Second
+)
+
+// schedule starts items at replicas until the context ends.
+func (s *Service) schedule(ctx context.Context) {
+	timer := time.NewTimer(idleLook)
+	defer timer.Stop()
+	for {
+		changed := s.config.Directory.Changed()
+		busy := s.assign()
+		wait := idleLook
+		if busy {
+			wait = lookPeriod
+		}
+		timer.Reset(wait)
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.wake:
+		case <-changed:
+		case <-timer.C:
+			s.inspect()
+		}
+	}
+}
+
+// assign starts all items that have a place, and tells whether there is work.
+func (s *Service) assign() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	view := s.config.Directory.View()
+	slow := s.slowReplicas()
+	full := map[*job]bool{}
+	s.queue = slices.DeleteFunc(s.queue, func(waiting *item) bool {
+		if waiting.done || waiting.job.ended || waiting.job.displaced {
+			return true
+		}
+		if full[waiting.job] || time.Now().Before(waiting.notBefore) {
+			return false
+		}
+		if s.expire(waiting) {
+			return true
+		}
+		endpoint := s.place(view, waiting, func(id string) bool { return slow[id] })
+		if endpoint == nil {
+			full[waiting.job] = true
+			return false
+		}
+		s.launch(waiting, endpoint)
+		return true
+	})
+	return len(s.queue) > 0 || len(s.attempts) > 0
+}
+
+// expire gives an item up once that is allowed. The mutex must be held.
+func (s *Service) expire(waiting *item) bool {
+	if waiting.job.givenUpAt.IsZero() || time.Now().Before(waiting.job.givenUpAt) {
+		return false
+	}
+	s.config.Logger.Info("item given up", "request", waiting.ID, "job", waiting.job.id, "reason", "its time has run out", "breaks", waiting.breaks)
+	s.finish(waiting, Result{ID: waiting.ID, State: Abandoned})
+	return true
+}
+
+// inspect cuts runs that have stalled and moves runs away from slow replicas.
+func (s *Service) inspect() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	view := s.config.Directory.View()
+	slow := s.slowReplicas()
+	moves := 0
+	for running := range s.attempts {
+		state := s.replica(running.endpoint.Name)
+		patience := startPatience
+		if running.events.Load() > 0 {
+			patience = eventPatience
+		}
+		if state.loading(running.item.job.submission.Model) {
+			patience += loadPatience
+		}
+		switch {
+		case view.Replicas[running.endpoint.Name] == nil && !s.leavingReplicaMayFinish(running):
+			running.cut(ErrMoved)
+		case running.idle() > patience:
+			state.blockedUntil = time.Now().Add(stallBlock)
+			running.cut(ErrStalled)
+		case slow[running.endpoint.Name] && len(s.queue) == 0 && moves < movesPerLook && s.hasFastPlace(view, running, slow):
+			moves++
+			running.cut(ErrMoved)
+		}
+	}
+}
+
+// leavingReplicaMayFinish tells whether a run at a replica that leaves is left
+// there: leaving replicas go on serving for a while.
+func (s *Service) leavingReplicaMayFinish(running *attempt) bool {
+	return running.idle() < eventPatience
+}
+
+// hasFastPlace tells whether a run would find a free slot at a replica that is
+// not slow. The mutex must be held.
+func (s *Service) hasFastPlace(view *directory.View, running *attempt, slow map[string]bool) bool {
+	endpoint := s.place(view, running.item, func(id string) bool { return slow[id] })
+	return endpoint != nil && !slow[endpoint.Name]
+}
+
+// slowReplicas are those whose runs make events much more slowly than the
+// median's. The mutex must be held.
+func (s *Service) slowReplicas() map[string]bool {
+	var intervals []time.Duration
+	for _, state := range s.replicas {
+		if state.interval > 0 && time.Since(state.observed) < paceAge {
+			intervals = append(intervals, state.interval)
+		}
+	}
+	slow := map[string]bool{}
+	if len(intervals) < leastPaced {
+		return slow
+	}
+	slices.Sort(intervals)
+	usual := max(intervals[(len(intervals)-1)/2], leastInterval)
+	for id, state := range s.replicas {
+		if time.Since(state.observed) < paceAge && float64(state.interval) > slowRatio*float64(usual) {
+			slow[id] = true
+		}
+	}
+	return slow
+}
+
+const (
+	// paceAge is for how long a replica's pace is believed.
+	paceAge = 3 * time.Second
+	// leastPaced is how many replicas must have a pace for one to be slow.
+	leastPaced = 3
+	// stallBlock is how long a replica gets no items after one stalled there.
+	stallBlock = 700 * time.Millisecond
+)
--- /dev/null
+++ b/internal/batch/submission.go
@@ -0,0 +1,92 @@
+package batch
+
+import "net/http"
+
+// Submission is a batch job as a caller hands it in.
+type Submission struct {
+	Step int
+	// Model is the model whose weight versions MinVersion counts.
+	Model string
+	// MinVersion is the oldest weight version that may make tokens.
+	MinVersion int64
+	// Desired is how many whole groups the trainer waits for; 0 for all.
+	Desired int
+	Items   []*Item
+}
+
+// Item is one request of a batch job.
+type Item struct {
+	ID     string
+	Target string
+	// Header is what the request carries to a replica, its id included.
+	Header http.Header
+	Body   []byte
+	Group  string
+	// ExpectedTokens is the caller's estimate of the answer's length, 0 for
+	// none.
+	ExpectedTokens float64
+	Reward         *Reward
+}
+
+// Reward is the request that scores an item's text.
+type Reward struct {
+	ID     string
+	Host   string
+	Target string
+	Header http.Header
+	Body   []byte
+}
+
+// State is how an item ended.
+type State string
+
+// The states of a result.
+const (
+	// Succeeded results hold the whole text of their item.
+	Succeeded State = "succeeded"
+	// Abandoned results say that the item was given up.
+	Abandoned State = "abandoned"
+)
+
+// Result is a listed item. Its position in the list never changes.
+type Result struct {
+	ID       string  `json:"id"`
+	State    State   `json:"state"`
+	Text     string  `json:"text,omitempty"`
+	Versions []int64 `json:"versions,omitempty"`
+	Score    string  `json:"score,omitempty"`
+}
+
+// Codec reads and writes the platform's form of batch jobs.
+type Codec interface {
+	// Submission reads a batch job with the id of a request.
+	Submission(body []byte) (*Submission, error)
+	// Page writes a part of a job's results.
+	Page(total, next int, results []Result) ([]byte, error)
+	// Call reads what a request about a batch job asks; false if it is none.
+	Call(request *http.Request) (Call, bool)
+	// VersionField names the line of an event that tells a weight version.
+	VersionField() string
+	// Signature is a replica's signature in an answer's header.
+	Signature(header http.Header) string
+}
+
+// CallKind is what a call about a batch job asks for.
+type CallKind int
+
+// The kinds of calls.
+const (
+	CallRead CallKind = iota
+	CallBody
+	CallEnd
+)
+
+// Call is a request about a batch job.
+type Call struct {
+	Kind CallKind
+	Job  string
+	// After is how many results the reader knows.
+	After int
+	// Item is the item whose body is asked for.
+	Item string
+}
--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -38,23 +38,38 @@
 	if *verbose {
 		level = slog.LevelDebug
 	}
+	if loaded.ObjectStore != "" || loaded.Idle {
+		return runInstance(context, loaded, *path, level)
+	}
 	process.SetupLogging(context.stderr, level)
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	running, err := process.Start(loaded, nil)
 	if err != nil {
 		return err
 	}
 	fmt.Fprintf(context.stdout, "node %s: peer %s http %s\n", running.Name(), running.PeerAddress(), running.HTTPAddress())
+	waitForStop(running)
+	return nil
+}
+
+// stoppable is a running node.
+type stoppable interface {
+	Stop()
+	Drained() <-chan struct{}
+}
+
+// waitForStop begins the planned stop at the first signal and returns when it
+// has ended, or at the second signal.
+func waitForStop(running stoppable) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	select {
 	case <-signals:
 		go running.Stop()
 	case <-running.Drained():
-		return nil
+		return
 	}
 	select {
 	case <-signals:
 	case <-running.Drained():
 	}
-	return nil
 }
--- /dev/null
+++ b/internal/directory/configuration.go
@@ -0,0 +1,133 @@
+package directory
+
+import (
+	"net"
+	"strings"
+	"time"
+)
+
+// RouteKind tells what may be repeated on a route.
+type RouteKind string
+
+// The kinds of routes.
+const (
+	// RouteSafe requests may run more than once.
+	RouteSafe RouteKind = "safe"
+	// RouteUnsafe requests run at most once.
+	RouteUnsafe RouteKind = "unsafe"
+	// RouteStream answers are series of events.
+	RouteStream RouteKind = "stream"
+	// RouteBatch takes batch jobs.
+	RouteBatch RouteKind = "batch"
+)
+
+// Target is a service that takes a part of a route's requests.
+type Target struct {
+	Service string
+	// Weight is the part in proportion to the other targets' weights.
+	Weight int
+}
+
+// Route sends the requests of a host under a path prefix to services.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   RouteKind
+	// Timeout is the longest time a request may be held; 0 for no bound.
+	Timeout time.Duration
+	// Objective is the time within which an answer is wanted.
+	Objective time.Duration
+	Targets   []Target
+	// Attempts is the largest number of replicas one request may be sent to.
+	Attempts int
+	// Priority is the rank of the requests; 0 is the most urgent.
+	Priority int
+	// Resumable streams may be continued at another replica.
+	Resumable bool
+	// SingleVersion results may come from one weight version only.
+	SingleVersion bool
+	// CompletionObjective is the time for the whole of a batch job, and
+	// Retention the time after which its items may be given up.
+	CompletionObjective time.Duration
+	Retention           time.Duration
+}
+
+// Serves tells whether a service is one of the route's targets.
+func (r *Route) Serves(service string) bool {
+	for _, target := range r.Targets {
+		if target.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
+// Engine is the model engine behind a service's replicas.
+type Engine struct {
+	Slots int
+	// TokenCapacity is the memory for cached and running tokens.
+	TokenCapacity int
+	Models        []string
+}
+
+// Service is a group of replicas that serve the same requests.
+type Service struct {
+	Name string
+	// MaxConnections is what one replica accepts from all callers together.
+	MaxConnections int
+	// Engine is nil for services that are no model engines.
+	Engine *Engine
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Configuration is one version of what operators declare. It is immutable.
+type Configuration struct {
+	Version  uint64
+	Routes   []Route
+	Services map[string]Service
+	Limits   Limits
+
+	byHost map[string][]*Route
+}
+
+// Index prepares the lookup of routes; call it once before Lookup.
+func (c *Configuration) Index() {
+	c.byHost = map[string][]*Route{}
+	for i := range c.Routes {
+		route := &c.Routes[i]
+		host := strings.ToLower(route.Host)
+		c.byHost[host] = append(c.byHost[host], route)
+	}
+}
+
+// Lookup returns the route of a host whose prefix begins the path and is
+// longest, or nil.
+func (c *Configuration) Lookup(host, path string) *Route {
+	var best *Route
+	for _, route := range c.byHost[hostName(host)] {
+		if strings.HasPrefix(path, route.Prefix) && (best == nil || len(route.Prefix) > len(best.Prefix)) {
+			best = route
+		}
+	}
+	return best
+}
+
+// RoutesOf returns the routes of a host.
+func (c *Configuration) RoutesOf(host string) []*Route { return c.byHost[hostName(host)] }
+
+// hostName is a Host header in lower case and without its port.
+func hostName(host string) string {
+	host = strings.ToLower(host)
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
--- /dev/null
+++ b/internal/directory/sinks.go
@@ -0,0 +1,118 @@
+package directory
+
+import (
+	"time"
+
+	"github.com/pathtally/pathtally/internal/objectstore"
+)
+
+// missingTime is how long a replica whose entry vanished around an outage of
+// the store is kept: a living one writes its entry again within two heartbeats.
+const missingTime = 2500 * time.Millisecond
+
+// ConfigurationSink takes the configuration object.
+type ConfigurationSink struct {
+	Table   *Table
+	Decoder Decoder
+	// Name is the object that holds the configuration.
+	Name string
+}
+
+// Replace implements Sink.
+func (s ConfigurationSink) Replace(objects []objectstore.Object, _ bool) {
+	for _, object := range objects {
+		s.take(object)
+	}
+}
+
+// Apply implements Sink.
+func (s ConfigurationSink) Apply(change objectstore.Change, _ bool) {
+	if !change.Gone {
+		s.take(change.Object)
+	}
+}
+
+func (s ConfigurationSink) take(object objectstore.Object) {
+	if object.Name != s.Name {
+		return
+	}
+	configuration, err := s.Decoder.Configuration(object.Spec)
+	if err != nil {
+		s.Table.logger.Error(err, "configuration is not readable", "revision", object.Revision)
+		return
+	}
+	s.Table.SetConfiguration(configuration, object.Revision)
+}
+
+// ReplicaSink takes the entries of replicas.
+type ReplicaSink struct {
+	Table   *Table
+	Decoder Decoder
+}
+
+// Replace implements Sink.
+func (s ReplicaSink) Replace(objects []objectstore.Object, afterOutage bool) {
+	replicas := make([]*Replica, 0, len(objects))
+	for _, object := range objects {
+		if replica := s.decode(object); replica != nil {
+			replicas = append(replicas, replica)
+		}
+	}
+	s.Table.SetReplicas(replicas, keepFor(afterOutage))
+}
+
+// Apply implements Sink.
+func (s ReplicaSink) Apply(change objectstore.Change, afterOutage bool) {
+	if change.Gone {
+		s.Table.RemoveReplica(change.Object.Name, keepFor(afterOutage))
+		return
+	}
+	if replica := s.decode(change.Object); replica != nil {
+		s.Table.UpdateReplica(replica)
+	}
+}
+
+func keepFor(afterOutage bool) time.Duration {
+	if afterOutage {
+		return missingTime
+	}
+	return 0
+}
+
+func (s ReplicaSink) decode(object objectstore.Object) *Replica {
+	replica, err := s.Decoder.Replica(object.Name, object.Spec)
+	if err != nil {
+		s.Table.logger.Error(err, "replica entry is not readable", "replica", object.Name)
+		return nil
+	}
+	return replica
+}
+
+// VersionSink takes the weight versions that trainers name.
+type VersionSink struct {
+	Table   *Table
+	Decoder Decoder
+}
+
+// Replace implements Sink.
+func (s VersionSink) Replace(objects []objectstore.Object, _ bool) {
+	for _, object := range objects {
+		s.take(object)
+	}
+}
+
+// Apply implements Sink.
+func (s VersionSink) Apply(change objectstore.Change, _ bool) {
+	if !change.Gone {
+		s.take(change.Object)
+	}
+}
+
+func (s VersionSink) take(object objectstore.Object) {
+	model, version, err := s.Decoder.Version(object.Spec)
+	if err != nil {
+		s.Table.logger.Error(err, "named version is not readable", "object", object.Name)
+		return
+	}
+	s.Table.SetVersion(model, version)
+}
--- /dev/null
+++ b/internal/directory/table.go
@@ -0,0 +1,212 @@
+package directory
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pathtally/pathtally/internal/routing"
+)
+
+// Decoder reads the platform's objects.
+type Decoder interface {
+	Configuration(spec []byte) (*Configuration, error)
+	Replica(name string, spec []byte) (*Replica, error)
+	// Version reads a weight version that a trainer has named.
+	Version(spec []byte) (model string, version int64, err error)
+}
+
+// Table applies what the informers learn and publishes views. It is safe for
+// use by many goroutines.
+type Table struct {
+	zone   string
+	logger klog.Logger
+
+	mutex sync.Mutex
+	// draining are the ids of replicas that have said they leave. They stay
+	// so; an entry that only vanished may come back, since the store drops
+	// entries of living replicas while it is down.
+	draining map[string]bool
+	// missing are the replicas kept although their entries have vanished.
+	missing map[string]*time.Timer
+	states  map[string]*routing.EndpointState
+	view    atomic.Pointer[View]
+	changed chan struct{}
+}
+
+// NewTable returns an empty table for a node in a zone.
+func NewTable(zone string, logger klog.Logger) *Table {
+	table := &Table{
+		zone: zone, logger: logger, draining: map[string]bool{}, missing: map[string]*time.Timer{},
+		states: map[string]*routing.EndpointState{}, changed: make(chan struct{}),
+	}
+	table.view.Store(&View{Replicas: map[string]*Replica{}, Named: map[string]int64{}, Plans: map[string]*routing.Plan{}})
+	return table
+}
+
+// View returns the newest view.
+func (t *Table) View() *View { return t.view.Load() }
+
+// Changed returns a channel that is closed at the next change of the view.
+func (t *Table) Changed() <-chan struct{} {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.changed
+}
+
+// SetConfiguration brings a configuration into force unless it is older than
+// the one that is.
+func (t *Table) SetConfiguration(configuration *Configuration, revision uint64) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	standing := t.view.Load()
+	if standing.Configuration != nil && configuration.Version <= standing.Configuration.Version {
+		return
+	}
+	configuration.Index()
+	next := *standing
+	next.Configuration, next.ConfigurationRevision = configuration, revision
+	t.logger.Info("configuration in force", "version", configuration.Version, "revision", revision, "routes", len(configuration.Routes))
+	t.publish(&next)
+}
+
+// SetVersion records a named weight version unless a newer one is known.
+func (t *Table) SetVersion(model string, version int64) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	standing := t.view.Load()
+	if version <= standing.Named[model] {
+		return
+	}
+	next := *standing
+	next.Named = maps.Clone(standing.Named)
+	next.Named[model] = version
+	t.logger.Info("weight version named", "model", model, "version", version)
+	t.publish(&next)
+}
+
+// SetReplicas replaces the whole listing. Replicas that are not in it are kept
+// for a while longer, none when keepMissing is 0.
+func (t *Table) SetReplicas(replicas []*Replica, keepMissing time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	next := *t.view.Load()
+	standing := next.Replicas
+	next.Replicas = map[string]*Replica{}
+	for _, replica := range replicas {
+		t.admit(next.Replicas, replica)
+	}
+	for id, replica := range standing {
+		if next.Replicas[id] == nil && !t.draining[id] {
+			t.miss(next.Replicas, replica, keepMissing)
+		}
+	}
+	next.ReplicasKnown = true
+	t.publishReplicas(&next)
+}
+
+// UpdateReplica takes a new or changed replica.
+func (t *Table) UpdateReplica(replica *Replica) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	next := *t.view.Load()
+	next.Replicas = maps.Clone(next.Replicas)
+	t.admit(next.Replicas, replica)
+	t.publishReplicas(&next)
+}
+
+// RemoveReplica takes out a replica whose entry has vanished, after a while.
+func (t *Table) RemoveReplica(id string, keepMissing time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	next := *t.view.Load()
+	replica := next.Replicas[id]
+	if replica == nil {
+		return
+	}
+	next.Replicas = maps.Clone(next.Replicas)
+	delete(next.Replicas, id)
+	t.miss(next.Replicas, replica, keepMissing)
+	t.publishReplicas(&next)
+}
+
+// admit puts a replica into a listing unless it is leaving.
+func (t *Table) admit(listing map[string]*Replica, replica *Replica) {
+	if timer := t.missing[replica.ID]; timer != nil {
+		timer.Stop()
+		delete(t.missing, replica.ID)
+	}
+	if replica.State != ReplicaReady && !t.draining[replica.ID] {
+		t.draining[replica.ID] = true
+		t.logger.Info("replica leaves", "replica", replica.ID, "state", replica.State)
+	}
+	if t.draining[replica.ID] {
+		delete(listing, replica.ID)
+		return
+	}
+	listing[replica.ID] = replica
+}
+
+// miss keeps a vanished replica in a listing for a while, or drops it.
+func (t *Table) miss(listing map[string]*Replica, replica *Replica, keep time.Duration) {
+	id := replica.ID
+	if t.missing[id] != nil {
+		listing[id] = replica
+		return
+	}
+	t.logger.Info("replica entry vanished", "replica", id, "keptMs", keep.Milliseconds())
+	if keep <= 0 {
+		return
+	}
+	listing[id] = replica
+	t.missing[id] = time.AfterFunc(keep, func() { t.drop(id) })
+}
+
+// drop ends the time that a vanished replica was kept for.
+func (t *Table) drop(id string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.missing[id] == nil {
+		return
+	}
+	delete(t.missing, id)
+	next := *t.view.Load()
+	next.Replicas = maps.Clone(next.Replicas)
+	delete(next.Replicas, id)
+	t.publishReplicas(&next)
+}
+
+// publishReplicas rebuilds the plans and publishes.
+func (t *Table) publishReplicas(next *View) {
+	states := make(map[string]*routing.EndpointState, len(next.Replicas))
+	byService := map[string][]*routing.Endpoint{}
+	next.Endpoints = make(map[string]*routing.Endpoint, len(next.Replicas))
+	for id, replica := range next.Replicas {
+		state := t.states[id]
+		if state == nil {
+			state = routing.NewEndpointState()
+			state.SetView(routing.EngineView{})
+			t.logger.Info("replica learnt", "replica", id, "service", replica.Service, "address", replica.Address, "zone", replica.Zone)
+		}
+		states[id] = state
+		endpoint := routing.NewReplicaEndpoint(id, replica.Address, replica.Zone, replica.Service, replica.Slots, state)
+		next.Endpoints[id] = endpoint
+		byService[replica.Service] = append(byService[replica.Service], endpoint)
+	}
+	t.states = states
+	next.Plans = make(map[string]*routing.Plan, len(byService))
+	for service, endpoints := range byService {
+		next.Plans[service] = routing.NewPlan(t.zone, endpoints)
+	}
+	t.publish(next)
+}
+
+func (t *Table) publish(next *View) {
+	next.Changed = time.Now()
+	t.view.Store(next)
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/dispatch/call.go
@@ -0,0 +1,59 @@
+package dispatch
+
+import (
+	"net/http"
+	"time"
+)
+
+// Call is a request on its way to replicas.
+type Call struct {
+	// ID is the caller's id of the request.
+	ID     string
+	Method string
+	Target string
+	Host   string
+	// Header is the caller's, without what concerns one connection only. It is
+	// shared by attempts and not changed.
+	Header http.Header
+	Body   []byte
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+	// AfterEvent continues a stream after an event; 0 begins it.
+	AfterEvent int
+	// Version is the weight version that the replica must have, 0 for any.
+	Version int64
+	// Once marks a request that must not run twice.
+	Once bool
+}
+
+// Conditions are what a dispatch asks of the replica.
+type Conditions struct {
+	// Replica is the incarnation that alone may run the request.
+	Replica    string
+	Remaining  time.Duration
+	AfterEvent int
+	Version    int64
+}
+
+// Verdict is what an answer's head says.
+type Verdict struct {
+	// RequestID is the request that the answer belongs to.
+	RequestID string
+	// Signed tells that a replica produced the answer by running the request.
+	Signed bool
+	// NotRun tells that the replica promises not to have run it.
+	NotRun bool
+	// OtherReplica tells that another incarnation has the address.
+	OtherReplica bool
+	// Version is the weight version at the beginning of the answer, 0 if it
+	// names none.
+	Version int64
+}
+
+// Headers writes and reads the headers between nodes and replicas.
+type Headers interface {
+	// Prepare adds the conditions of a dispatch.
+	Prepare(header http.Header, conditions Conditions)
+	// Judge reads the head of an answer.
+	Judge(status int, header http.Header) Verdict
+}
--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,108 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pathtally/pathtally/internal/exchange"
+	"github.com/pathtally/pathtally/internal/routing"
+)
+
+// Dispatcher sends calls to replicas. It is safe for use by many goroutines.
+type Dispatcher struct {
+	pool    *exchange.Pool
+	headers Headers
+}
+
+// New returns a dispatcher over a pool of connections.
+func New(pool *exchange.Pool, headers Headers) *Dispatcher {
+	return &Dispatcher{pool: pool, headers: headers}
+}
+
+// Answer is a replica's answer with its verdict.
+type Answer struct {
+	*exchange.Response
+	Verdict  Verdict
+	Endpoint *routing.Endpoint
+	ended    bool
+}
+
+// Close ends the answer and the endpoint's count of it.
+func (a *Answer) Close() {
+	if !a.ended {
+		a.ended = true
+		a.Endpoint.State.InFlight.Add(-1)
+	}
+	a.Response.Close()
+}
+
+// Discard ends the answer and its connection.
+func (a *Answer) Discard() {
+	if !a.ended {
+		a.ended = true
+		a.Endpoint.State.InFlight.Add(-1)
+	}
+	a.Response.Discard()
+}
+
+// Send makes one attempt. Its error is a *NotRunError, an
+// *exchange.NotSentError or an *exchange.BrokenError. The caller closes the
+// answer.
+func (d *Dispatcher) Send(ctx context.Context, endpoint *routing.Endpoint, call *Call) (*Answer, error) {
+	header := call.Header.Clone()
+	d.headers.Prepare(header, Conditions{
+		Replica: endpoint.Name, Remaining: time.Until(call.Deadline), AfterEvent: call.AfterEvent, Version: call.Version,
+	})
+	request := &exchange.Request{Method: call.Method, Target: call.Target, Host: call.Host, Header: header, Body: call.Body}
+	endpoint.State.InFlight.Add(1)
+	response, err := d.pool.Send(ctx, endpoint.Address, request, call.Once)
+	if err != nil {
+		endpoint.State.InFlight.Add(-1)
+		if ctx.Err() == nil {
+			endpoint.State.Failures.Add(1)
+		}
+		return nil, err
+	}
+	answer := &Answer{Response: response, Verdict: d.headers.Judge(response.Status, response.Header), Endpoint: endpoint}
+	if err := answer.check(call); err != nil {
+		return nil, err
+	}
+	return answer, nil
+}
+
+// check refuses answers that are not this request's, and turns promises into
+// errors.
+func (a *Answer) check(call *Call) error {
+	if a.Verdict.RequestID != call.ID {
+		a.Endpoint.State.Failures.Add(1)
+		a.Discard()
+		return &exchange.BrokenError{Address: a.Endpoint.Address, Cause: ErrForeignAnswer}
+	}
+	if a.Verdict.NotRun {
+		a.drain()
+		return &NotRunError{Replica: a.Endpoint.Name, Status: a.Status, OtherReplica: a.Verdict.OtherReplica}
+	}
+	if a.Status >= http.StatusOK && a.Status < http.StatusMultipleChoices && !a.Verdict.Signed {
+		a.Endpoint.State.Failures.Add(1)
+		a.Discard()
+		return &exchange.BrokenError{Address: a.Endpoint.Address, Cause: ErrUnsigned}
+	}
+	return nil
+}
+
+// smallBody bounds what is read of a refusal to keep its connection.
+const smallBody = 2 << 10
+
+// drain reads a short body so that the connection can be kept.
+func (a *Answer) drain() {
+	buffer := make([]byte, smallBody)
+	for read := 0; read < smallBody; {
+		count, err := a.Read(buffer)
+		read += count
+		if err != nil {
+			break
+		}
+	}
+	a.Close()
+}
--- /dev/null
+++ b/internal/exchange/request.go
@@ -0,0 +1,37 @@
+package exchange
+
+import (
+	"bufio"
+	"net/http"
+	"strconv"
+)
+
+// Request is one request as it goes over the wire.
+type Request struct {
+	Method string
+	// Target is the request target, path and query, exactly as received.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+}
+
+// writeHead writes the request line and the headers.
+func (r *Request) writeHead(writer *bufio.Writer) error {
+	writer.WriteString(r.Method)
+	writer.WriteByte(' ')
+	writer.WriteString(r.Target)
+	writer.WriteString(" HTTP/1.1\r\nHost: ")
+	writer.WriteString(r.Host)
+	writer.WriteString("\r\n")
+	if err := r.Header.Write(writer); err != nil {
+		return err
+	}
+	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		writer.WriteString("Content-Length: ")
+		writer.WriteString(strconv.Itoa(len(r.Body)))
+		writer.WriteString("\r\n")
+	}
+	_, err := writer.WriteString("\r\n")
+	return err
+}
--- /dev/null
+++ b/internal/forward/errors.go
@@ -0,0 +1,41 @@
+package forward
+
+import (
+	"fmt"
+	"time"
+)
+
+// RefusedError is a request that has not run and never will.
+type RefusedError struct {
+	Reason string
+	// RetryAfter is when it is worth coming back.
+	RetryAfter time.Duration
+	Cause      error
+}
+
+// Error gives the reason.
+func (e *RefusedError) Error() string { return fmt.Sprintf("refused, %s: %v", e.Reason, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *RefusedError) Unwrap() error { return e.Cause }
+
+// LostError is a request that was sent to replicas, may have run, and has no
+// answer.
+type LostError struct {
+	// Expired tells that the time for it has run out.
+	Expired bool
+	Cause   error
+}
+
+// Error gives the cause.
+func (e *LostError) Error() string { return fmt.Sprintf("no answer, may have run: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *LostError) Unwrap() error { return e.Cause }
+
+// Reasons of a RefusedError.
+const (
+	ReasonNoReplica = "no replica is available"
+	ReasonAllFull   = "every replica turned it away"
+	ReasonExpired   = "the time ran out before a replica took it"
+)
--- /dev/null
+++ b/internal/forward/forwarder.go
@@ -0,0 +1,92 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pathtally/pathtally/internal/directory"
+	"github.com/pathtally/pathtally/internal/dispatch"
+	"github.com/pathtally/pathtally/internal/routing"
+)
+
+const (
+	// hedgeShare is the part of the objective after which a request that may
+	// be repeated goes to a second replica as well.
+	hedgeShare = 0.5
+	// noObjective is the objective of a route that names none.
+	noObjective = time.Second
+	// comeBack is when refused callers are told to come back.
+	comeBack = 120 * time.Millisecond
+	// fullPause is the time before a request that every replica turned away is
+	// offered again, and fullShare the part of the objective until which it is.
+	fullPause = 12 * time.Millisecond
+	fullShare = 0.2
+)
+
+// Config is what a Forwarder needs.
+type Config struct {
+	Zone       string
+	Directory  *directory.Table
+	Dispatcher *dispatch.Dispatcher
+	Logger     klog.Logger
+	Metrics    *Metrics
+}
+
+// Forwarder forwards live requests. It is safe for use by many goroutines.
+type Forwarder struct {
+	config Config
+	split  splitter
+}
+
+// New returns a forwarder.
+func New(config Config) *Forwarder { return &Forwarder{config: config} }
+
+// Whole is a replica's answer, read to its end.
+type Whole struct {
+	Answer *dispatch.Answer
+	Body   []byte
+	// Failures counts the answers by which replicas said that the request
+	// failed there, this one included.
+	Failures int
+}
+
+// Do forwards a request and returns a whole answer, a *RefusedError or a
+// *LostError. The context ends when the caller leaves.
+func (f *Forwarder) Do(ctx context.Context, route *directory.Route, call *dispatch.Call) (*Whole, error) {
+	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
+	defer cancel()
+	objective := route.Objective
+	if objective <= 0 {
+		objective = noObjective
+	}
+	run := &run{
+		forwarder: f, route: route, call: call, results: make(chan result, route.Attempts+maxRefusals),
+		repeatable: route.Kind == directory.RouteSafe, objective: objective, started: time.Now(), first: f.split.next(route),
+	}
+	whole, err := run.do(ctx)
+	run.report(whole, err)
+	return whole, err
+}
+
+// pick returns a replica for the next attempt. The route's targets are tried
+// from the one whose turn it is.
+func (f *Forwarder) pick(route *directory.Route, first int, tried []string) (*routing.Endpoint, error) {
+	view := f.config.Directory.View()
+	query := &routing.Query{Zone: f.config.Zone, Tried: tried, Random: rand.Uint64()}
+	var failure error = routing.ErrNoEngineDeclared
+	for i := range route.Targets {
+		plan := view.Plans[route.Targets[(first+i)%len(route.Targets)].Service]
+		if plan == nil {
+			continue
+		}
+		endpoint, err := plan.Pick(query)
+		if err == nil {
+			return endpoint, nil
+		}
+		failure = err
+	}
+	return nil, failure
+}
--- /dev/null
+++ b/internal/forward/metrics.go
@@ -0,0 +1,47 @@
+package forward
+
+import (
+	"errors"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics count how live requests end.
+type Metrics struct {
+	requests *prometheus.CounterVec
+	latency  prometheus.Histogram
+}
+
+// latencyBuckets are the bounds of the latency histogram, in seconds.
+var latencyBuckets = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1, 2.5, 5}
+
+// NewMetrics registers the metrics of forwarding.
+func NewMetrics(registry prometheus.Registerer) *Metrics {
+	metrics := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "pathtally_forwarded_requests_total", Help: "Live requests by how they ended."}, []string{"outcome"}),
+		latency:  prometheus.NewHistogram(prometheus.HistogramOpts{Name: "pathtally_forward_seconds", Help: "Time from a whole live request to its whole answer.", Buckets: latencyBuckets}),
+	}
+	registry.MustRegister(metrics.requests, metrics.latency)
+	return metrics
+}
+
+func (m *Metrics) observe(outcome string, took time.Duration) {
+	m.requests.WithLabelValues(outcome).Inc()
+	m.latency.Observe(took.Seconds())
+}
+
+// outcomeOf names how a request ended.
+func outcomeOf(err error) string {
+	var refused *RefusedError
+	var lost *LostError
+	switch {
+	case err == nil:
+		return "answered"
+	case errors.As(err, &refused):
+		return "refused"
+	case errors.As(err, &lost) && lost.Expired:
+		return "expired"
+	}
+	return "lost"
+}
--- /dev/null
+++ b/internal/forward/run.go
@@ -0,0 +1,253 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pathtally/pathtally/internal/directory"
+	"github.com/pathtally/pathtally/internal/dispatch"
+	"github.com/pathtally/pathtally/internal/exchange"
+	"github.com/pathtally/pathtally/internal/routing"
+)
+
+const (
+	// maxRefusals bounds how often one request is turned away by replicas
+	// before it is refused.
+	maxRefusals = 12
+	// bodyChunk is the least step in which bodies are read.
+	bodyChunk = 4 << 10
+)
+
+// result is how one attempt ended.
+type result struct {
+	replica string
+	whole   *Whole
+	err     error
+}
+
+// run is one request on its way. It belongs to one goroutine; attempts report
+// through the channel.
+type run struct {
+	forwarder  *Forwarder
+	route      *directory.Route
+	call       *dispatch.Call
+	repeatable bool
+	objective  time.Duration
+	started    time.Time
+	first      int
+
+	results chan result
+	// asked are the replicas that have been sent the request.
+	asked []string
+	// counted is the number of attempts that may have run, and refusals that
+	// of those that the replica promises not to have run.
+	counted  int
+	refusals int
+	open     int
+	// mayHaveRun is set once an attempt ended without a promise.
+	mayHaveRun bool
+	lastErr    error
+	// failure is a whole answer of a replica that says it failed, and failures
+	// the number of those.
+	failure  *Whole
+	failures int
+}
+
+// do runs attempts until one succeeds or there is nothing left to try.
+func (r *run) do(ctx context.Context) (*Whole, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if !r.launch(ctx) {
+		return nil, &RefusedError{Reason: ReasonNoReplica, RetryAfter: comeBack, Cause: r.lastErr}
+	}
+	hedge := time.NewTimer(r.hedgeDelay())
+	defer hedge.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return r.expired(ctx)
+		case <-hedge.C:
+			if r.repeatable && r.counted < r.route.Attempts {
+				r.launch(ctx)
+			}
+		case ended := <-r.results:
+			r.open--
+			if whole, done := r.take(ended); done {
+				return whole, nil
+			}
+			if r.open > 0 {
+				continue
+			}
+			if !r.again(ctx) {
+				return r.giveUp(ctx)
+			}
+		}
+	}
+}
+
+// hedgeDelay is how long the first attempt is waited for alone.
+func (r *run) hedgeDelay() time.Duration {
+	return time.Duration(hedgeShare * float64(r.objective))
+}
+
+// take judges how an attempt ended and tells whether its answer is final.
+func (r *run) take(ended result) (*Whole, bool) {
+	if ended.err == nil {
+		failed := ended.whole.Answer.Status >= http.StatusInternalServerError
+		if ended.whole.Answer.Status == http.StatusInternalServerError {
+			r.failures++
+		}
+		ended.whole.Failures = r.failures
+		if failed && r.repeatable && (r.counted < r.route.Attempts || r.open > 0) {
+			r.failure, r.mayHaveRun = ended.whole, true
+			return nil, false
+		}
+		return ended.whole, true
+	}
+	r.lastErr = ended.err
+	var notRun *dispatch.NotRunError
+	var notSent *exchange.NotSentError
+	switch {
+	case errors.As(ended.err, &notRun), errors.As(ended.err, &notSent):
+		// It did not run there, so the attempt does not count.
+		r.counted--
+		r.refusals++
+	default:
+		r.mayHaveRun = true
+	}
+	r.forwarder.config.Logger.V(1).Info("attempt failed", "request", r.call.ID, "replica", ended.replica, "error", ended.err.Error())
+	return nil, false
+}
+
+// again starts a further attempt if one is allowed.
+func (r *run) again(ctx context.Context) bool {
+	if r.mayHaveRun && !r.repeatable {
+		return false
+	}
+	if r.counted >= r.route.Attempts || r.refusals >= maxRefusals {
+		return false
+	}
+	if r.launch(ctx) {
+		return true
+	}
+	// All have been asked. Those that turned it away may have room soon.
+	if time.Since(r.started) > time.Duration(fullShare*float64(r.objective)) {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(fullPause):
+	}
+	r.asked = nil
+	return r.launch(ctx)
+}
+
+// launch starts an attempt at a replica not asked yet, if there is one.
+func (r *run) launch(ctx context.Context) bool {
+	endpoint, err := r.forwarder.pick(r.route, r.first, r.asked)
+	if err != nil {
+		if r.lastErr == nil {
+			r.lastErr = err
+		}
+		return false
+	}
+	r.counted++
+	r.open++
+	call := *r.call
+	call.Once = !r.repeatable
+	r.asked = append(r.asked, endpoint.Name)
+	go func() {
+		whole, err := r.forwarder.attempt(ctx, endpoint, &call)
+		r.results <- result{replica: endpoint.Name, whole: whole, err: err}
+	}()
+	return true
+}
+
+// attempt sends a call to a replica and reads its whole answer.
+func (f *Forwarder) attempt(ctx context.Context, endpoint *routing.Endpoint, call *dispatch.Call) (*Whole, error) {
+	answer, err := f.config.Dispatcher.Send(ctx, endpoint, call)
+	if err != nil {
+		return nil, err
+	}
+	body, err := readWhole(answer)
+	if err != nil {
+		if ctx.Err() == nil {
+			endpoint.State.Failures.Add(1)
+		}
+		answer.Discard()
+		return nil, err
+	}
+	answer.Close()
+	endpoint.State.Failures.Store(0)
+	return &Whole{Answer: answer, Body: body}, nil
+}
+
+// readWhole reads a body to its end.
+func readWhole(answer *dispatch.Answer) ([]byte, error) {
+	size := bodyChunk
+	if answer.Length >= 0 && answer.Length < exactBody {
+		size = int(answer.Length) + 1
+	}
+	body := make([]byte, 0, size)
+	for {
+		if len(body) == cap(body) {
+			body = append(body, 0)[:len(body)]
+		}
+		count, err := answer.Read(body[len(body):cap(body)])
+		body = body[:len(body)+count]
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// exactBody is up to which named length a buffer is made at once.
+const exactBody = 1 << 20
+
+// expired ends a request whose time has run out or whose caller has left.
+func (r *run) expired(ctx context.Context) (*Whole, error) {
+	if r.failure != nil {
+		return r.failure, nil
+	}
+	if r.mayHaveRun || r.open > 0 {
+		return nil, &LostError{Expired: true, Cause: ctx.Err()}
+	}
+	return nil, &RefusedError{Reason: ReasonExpired, RetryAfter: comeBack, Cause: r.lastErr}
+}
+
+// giveUp ends a request that there is nothing left to try for.
+func (r *run) giveUp(ctx context.Context) (*Whole, error) {
+	if ctx.Err() != nil {
+		return r.expired(ctx)
+	}
+	if r.failure != nil {
+		return r.failure, nil
+	}
+	if r.mayHaveRun {
+		return nil, &LostError{Cause: r.lastErr}
+	}
+	return nil, &RefusedError{Reason: ReasonAllFull, RetryAfter: comeBack, Cause: r.lastErr}
+}
+
+// report counts and logs how a request ended.
+func (r *run) report(whole *Whole, err error) {
+	took := time.Since(r.started)
+	metrics := r.forwarder.config.Metrics
+	metrics.observe(outcomeOf(err), took)
+	if err != nil {
+		r.forwarder.config.Logger.Info("request not served", "request", r.call.ID, "route", r.route.Name, "attempts", r.counted,
+			"refusals", r.refusals, "tookMs", took.Milliseconds(), "error", err.Error())
+		return
+	}
+	if r.counted > 1 || r.refusals > 0 || took > r.objective {
+		r.forwarder.config.Logger.Info("request served late or after retries", "request", r.call.ID, "route", r.route.Name,
+			"replica", whole.Answer.Endpoint.Name, "attempts", r.counted, "refusals", r.refusals, "tookMs", took.Milliseconds())
+	}
+}
--- /dev/null
+++ b/internal/ingress/handler.go
@@ -0,0 +1,167 @@
+package ingress
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pathtally/pathtally/internal/directory"
+	"github.com/pathtally/pathtally/internal/dispatch"
+	"github.com/pathtally/pathtally/internal/forward"
+)
+
+const (
+	// deadlineMargin is kept of the caller's time for the way back.
+	deadlineMargin = 15 * time.Millisecond
+	// unboundedTime is the deadline where neither the caller nor the route
+	// names one.
+	unboundedTime = 30 * time.Second
+	// unconfiguredWait is when to come back to a node without a configuration.
+	unconfiguredWait = 250 * time.Millisecond
+)
+
+// Jobs serves the calls about batch jobs.
+type Jobs interface {
+	// ServeCall answers a call about a batch job; false when it is none.
+	ServeCall(writer http.ResponseWriter, request *http.Request) bool
+	// Submit answers a new batch job.
+	Submit(writer http.ResponseWriter, request *http.Request, route *directory.Route, id string, body []byte)
+}
+
+// Config is what a Handler needs.
+type Config struct {
+	Directory *directory.Table
+	Forwarder *forward.Forwarder
+	Jobs      Jobs
+	Headers   Headers
+	Logger    klog.Logger
+}
+
+// Handler answers callers.
+type Handler struct {
+	config Config
+	// Active counts requests in progress.
+	Active atomic.Int64
+	// LastRequest is when the newest request came, as Unix nanoseconds of the
+	// steady clock's base.
+	lastRequest atomic.Int64
+	// Closing has every answer end its connection.
+	Closing atomic.Bool
+	started time.Time
+}
+
+// NewHandler returns a handler.
+func NewHandler(config Config) *Handler { return &Handler{config: config, started: time.Now()} }
+
+// Quiet is how long no request has come.
+func (h *Handler) Quiet() time.Duration {
+	return time.Since(h.started) - time.Duration(h.lastRequest.Load())
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	h.Active.Add(1)
+	defer h.Active.Add(-1)
+	h.lastRequest.Store(int64(time.Since(h.started)))
+	if h.Closing.Load() {
+		writer.Header().Set("Connection", "close")
+	}
+	if h.config.Jobs.ServeCall(writer, request) {
+		return
+	}
+	id := h.config.Headers.RequestID(request.Header)
+	configuration := h.config.Directory.View().Configuration
+	if configuration == nil {
+		h.refuse(writer, id, http.StatusServiceUnavailable, "no configuration is known yet", unconfiguredWait)
+		return
+	}
+	route := configuration.Lookup(request.Host, request.URL.EscapedPath())
+	if route == nil {
+		h.refuse(writer, id, http.StatusNotFound, "no route for the host and path", 0)
+		return
+	}
+	if id == "" {
+		h.refuse(writer, id, http.StatusBadRequest, "the request has no id", 0)
+		return
+	}
+	received := time.Now()
+	body, err := readBody(request, configuration.Limits.BodyBytes)
+	switch {
+	case errors.Is(err, ErrBodyTooLarge):
+		h.refuse(writer, id, http.StatusRequestEntityTooLarge, err.Error(), 0)
+		return
+	case err != nil:
+		h.config.Logger.Info("request not read", "request", id, "route", route.Name, "error", err.Error())
+		panic(http.ErrAbortHandler)
+	}
+	if route.Kind == directory.RouteBatch {
+		h.config.Jobs.Submit(writer, request, route, id, body)
+		return
+	}
+	h.forward(writer, request, route, &dispatch.Call{
+		ID: id, Method: request.Method, Target: request.RequestURI, Host: request.Host,
+		Header: withoutConnectionHeaders(request.Header), Body: body, Deadline: h.deadline(request.Header, route, received),
+	})
+}
+
+// deadline is when a request must have its answer here: by the caller's time
+// and the route's bound.
+func (h *Handler) deadline(header http.Header, route *directory.Route, received time.Time) time.Time {
+	deadline := received.Add(unboundedTime)
+	if wait, named := h.config.Headers.Deadline(header); named {
+		deadline = received.Add(max(wait-deadlineMargin, wait/2))
+	}
+	if route.Timeout > 0 && received.Add(route.Timeout).Before(deadline) {
+		deadline = received.Add(route.Timeout)
+	}
+	return deadline
+}
+
+// forward sends a live request on and writes what became of it.
+func (h *Handler) forward(writer http.ResponseWriter, request *http.Request, route *directory.Route, call *dispatch.Call) {
+	whole, err := h.config.Forwarder.Do(request.Context(), route, call)
+	if err == nil {
+		h.pass(writer, whole)
+		return
+	}
+	var refused *forward.RefusedError
+	var lost *forward.LostError
+	switch {
+	case request.Context().Err() != nil:
+		panic(http.ErrAbortHandler)
+	case errors.As(err, &refused):
+		h.refuse(writer, call.ID, http.StatusServiceUnavailable, refused.Reason, refused.RetryAfter)
+	case errors.As(err, &lost) && lost.Expired:
+		h.refuse(writer, call.ID, http.StatusGatewayTimeout, "the time for the request ran out", 0)
+	default:
+		h.refuse(writer, call.ID, http.StatusBadGateway, "no whole answer from a replica", 0)
+	}
+}
+
+// pass writes a replica's answer unchanged.
+func (h *Handler) pass(writer http.ResponseWriter, whole *forward.Whole) {
+	header := writer.Header()
+	for name, values := range withoutConnectionHeaders(whole.Answer.Header) {
+		header[name] = values
+	}
+	if header.Get("Content-Type") == "" {
+		// Without this, the library guesses a type.
+		header["Content-Type"] = nil
+	}
+	header.Set("Content-Length", strconv.Itoa(len(whole.Body)))
+	writer.WriteHeader(whole.Answer.Status)
+	writer.Write(whole.Body)
+}
+
+// refuse writes an answer of the node's own.
+func (h *Handler) refuse(writer http.ResponseWriter, id string, status int, reason string, after time.Duration) {
+	h.config.Headers.Refuse(writer.Header(), id, after)
+	writer.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	writer.WriteHeader(status)
+	writer.Write([]byte(reason + "\n"))
+	h.config.Logger.Info("answered by the node", "request", id, "status", status, "reason", reason)
+}
--- /dev/null
+++ b/internal/ingress/headers.go
@@ -0,0 +1,39 @@
+package ingress
+
+import (
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Headers reads and writes the headers between callers and nodes.
+type Headers interface {
+	// RequestID is the caller's id of a request, empty if it gives none.
+	RequestID(header http.Header) string
+	// Deadline is how long the caller will wait.
+	Deadline(header http.Header) (time.Duration, bool)
+	// Wait is how long a reading call may be held.
+	Wait(header http.Header) time.Duration
+	// Refuse adds the request's id and when to come back, 0 for no time.
+	Refuse(header http.Header, id string, after time.Duration)
+}
+
+// connectionHeaders concern one connection only and are never passed on.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
+
+// withoutConnectionHeaders returns a copy of headers to pass on.
+func withoutConnectionHeaders(header http.Header) http.Header {
+	kept := header.Clone()
+	for _, line := range header.Values("Connection") {
+		for _, name := range strings.Split(line, ",") {
+			kept.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range connectionHeaders {
+		kept.Del(name)
+	}
+	return kept
+}
--- /dev/null
+++ b/internal/instance/adapter.go
@@ -0,0 +1,34 @@
+package instance
+
+import (
+	"github.com/pathtally/pathtally/internal/batch"
+	"github.com/pathtally/pathtally/internal/directory"
+	"github.com/pathtally/pathtally/internal/dispatch"
+	"github.com/pathtally/pathtally/internal/exchange"
+	"github.com/pathtally/pathtally/internal/ingress"
+	"github.com/pathtally/pathtally/internal/objectstore"
+	"github.com/pathtally/pathtally/internal/weightorders"
+)
+
+// Kinds are the names under which the platform keeps what a node watches.
+type Kinds struct {
+	Configuration     string
+	ConfigurationName string
+	Replicas          string
+	Versions          string
+	Retirements       string
+}
+
+// Adapter is what a node needs of the platform that it runs on.
+type Adapter struct {
+	Store   objectstore.Store
+	Kinds   Kinds
+	Decoder directory.Decoder
+	Headers interface {
+		dispatch.Headers
+		ingress.Headers
+	}
+	Jobs batch.Codec
+	// Orders returns the client for orders to replicas over a pool.
+	Orders func(pool *exchange.Pool) weightorders.Replicas
+}
--- /dev/null
+++ b/internal/instance/instance.go
@@ -0,0 +1,177 @@
+package instance
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"k8s.io/klog/v2"
+
+	"github.com/pathtally/pathtally/internal/batch"
+	"github.com/pathtally/pathtally/internal/directory"
+	"github.com/pathtally/pathtally/internal/dispatch"
+	"github.com/pathtally/pathtally/internal/exchange"
+	"github.com/pathtally/pathtally/internal/forward"
+	"github.com/pathtally/pathtally/internal/ingress"
+	"github.com/pathtally/pathtally/internal/peering"
+	"github.com/pathtally/pathtally/internal/settings"
+	"github.com/pathtally/pathtally/internal/transport"
+	"github.com/pathtally/pathtally/internal/weightorders"
+	"github.com/pathtally/pathtally/internal/wire"
+)
+
+// ListenError is an address that cannot be listened on.
+type ListenError struct {
+	Setting string
+	Address string
+	Cause   error
+}
+
+// Error names the setting, the address and the cause.
+func (e *ListenError) Error() string {
+	return fmt.Sprintf("cannot listen on %s (setting %s): %v", e.Address, e.Setting, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Cause }
+
+// Instance is one running node.
+type Instance struct {
+	settings  settings.Settings
+	adapter   Adapter
+	logger    klog.Logger
+	registry  *prometheus.Registry
+	directory *directory.Table
+	health    *storeHealth
+	pool      *exchange.Pool
+	forwarder *forward.Forwarder
+	handler   *ingress.Handler
+	front     *http.Server
+	transport *transport.Transport
+	peers     *peering.Table
+	jobs      *batch.Service
+	weights   *weightorders.Coordinator
+
+	cancel   context.CancelFunc
+	duties   sync.WaitGroup
+	stopping atomic.Bool
+	stopOnce sync.Once
+	drained  chan struct{}
+	started  time.Time
+}
+
+// Start opens the addresses of the settings and starts the node.
+func Start(configured settings.Settings, adapter Adapter) (*Instance, error) {
+	instance := &Instance{
+		settings: configured, adapter: adapter, logger: nodeLogger(configured.Node, configured.Zone),
+		registry: prometheus.NewRegistry(), health: newStoreHealth(), drained: make(chan struct{}), started: time.Now(),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	instance.cancel = cancel
+	if configured.Idle {
+		instance.logger.Info("node started", "idle", true)
+		return instance, nil
+	}
+	if err := instance.assemble(ctx); err != nil {
+		cancel()
+		return nil, err
+	}
+	if err := instance.listen(); err != nil {
+		cancel()
+		return nil, err
+	}
+	instance.runDuties(ctx)
+	instance.logger.Info("node started", "http", configured.HTTP, "peer", configured.Peer, "objectStore", configured.ObjectStore)
+	return instance, nil
+}
+
+// assemble joins the parts of the node.
+func (i *Instance) assemble(ctx context.Context) error {
+	i.directory = directory.NewTable(i.settings.Zone, i.logger)
+	i.pool = exchange.NewPool(nil)
+	dispatcher := dispatch.New(i.pool, i.adapter.Headers)
+	i.forwarder = forward.New(forward.Config{
+		Zone: i.settings.Zone, Directory: i.directory, Dispatcher: dispatcher, Logger: i.logger, Metrics: forward.NewMetrics(i.registry),
+	})
+	listener, err := listen("peer", i.settings.Peer)
+	if err != nil {
+		return err
+	}
+	self := batch.Owner{Node: i.settings.Node, Address: i.settings.Peer, Incarnation: uint64(i.started.UnixNano())}
+	i.transport = transport.Listen(listener, transport.Config{
+		Hello:   wire.Hello{Protocol: wire.ProtocolVersion, Node: self.Node, Address: self.Address, Incarnation: self.Incarnation},
+		Post:    func(call func()) { go call() },
+		Handler: func(_ string, message wire.Message, reply func(wire.Message)) { i.handle(ctx, message, reply) },
+	})
+	i.peers = peering.NewTable(peering.Config{
+		Node: self.Node, Address: self.Address, Zone: i.settings.Zone, Incarnation: self.Incarnation, Seeds: i.settings.Seeds,
+		Store: i.adapter.Store, Peers: i.transport, Logger: i.logger, Beat: i.fillBeat, OnBeat: i.takeBeat,
+	})
+	i.jobs = batch.NewService(ctx, batch.Config{
+		Self: self, Journal: batch.NewJournal(i.adapter.Store), Codec: i.adapter.Jobs, Directory: i.directory, Dispatcher: dispatcher,
+		Forwarder: i.forwarder, Peers: i.transport, Table: i.peers, Logger: i.logger, Registry: i.registry,
+	})
+	i.weights = weightorders.NewCoordinator(weightorders.Config{
+		Node: self.Node, Nonce: strconv.FormatUint(self.Incarnation, 36), Term: i.settings.OrderLease.Std(), Store: i.adapter.Store,
+		Directory: i.directory, Replicas: i.adapter.Orders(i.pool), Logger: i.logger, Registry: i.registry, Nodes: i.peers.Nodes,
+		Heard: i.heard, Load: i.jobs.Load, OnChange: i.jobs.NoteVersion, Broadcast: i.peers.Broadcast,
+	})
+	i.handler = ingress.NewHandler(ingress.Config{
+		Directory: i.directory, Forwarder: i.forwarder, Headers: i.adapter.Headers, Logger: i.logger,
+		Jobs: &batch.Front{Service: i.jobs, Headers: i.adapter.Headers},
+	})
+	return nil
+}
+
+// runDuties starts what works beside the requests.
+func (i *Instance) runDuties(ctx context.Context) {
+	kinds := i.adapter.Kinds
+	decoder := i.adapter.Decoder
+	i.inform(ctx, kinds.Configuration, directory.ConfigurationSink{Table: i.directory, Decoder: decoder, Name: kinds.ConfigurationName})
+	i.inform(ctx, kinds.Replicas, directory.ReplicaSink{Table: i.directory, Decoder: decoder})
+	i.inform(ctx, kinds.Versions, directory.VersionSink{Table: i.directory, Decoder: decoder})
+	i.run(func() { i.peers.Join(ctx) })
+	i.run(func() { i.jobs.Run(ctx) })
+	i.run(func() { i.weights.Run(ctx) })
+}
+
+// inform runs an informer of one kind.
+func (i *Instance) inform(ctx context.Context, kind string, sink directory.Sink) {
+	informer := directory.NewInformer(i.adapter.Store, kind, sink, i.logger)
+	informer.Answered, informer.Failed = i.health.noteAnswered, i.health.noteFailed
+	i.run(func() { informer.Run(ctx) })
+}
+
+func (i *Instance) run(duty func()) {
+	i.duties.Add(1)
+	go func() {
+		defer i.duties.Done()
+		duty()
+	}()
+}
+
+// Ready tells whether the node takes callers.
+func (i *Instance) Ready() bool {
+	if i.stopping.Load() {
+		return false
+	}
+	view := i.directory.View()
+	return view.Configuration != nil && view.ReplicasKnown && i.jobs.Recovered()
+}
+
+// Name returns the node's name.
+func (i *Instance) Name() string { return i.settings.Node }
+
+func listen(setting, address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, &ListenError{Setting: setting, Address: address, Cause: err}
+	}
+	return listener, nil
+}
--- /dev/null
+++ b/internal/instance/peers.go
@@ -0,0 +1,41 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"github.com/pathtally/pathtally/internal/wire"
+)
+
+// handle answers a message of another node.
+func (i *Instance) handle(ctx context.Context, message wire.Message, reply func(wire.Message)) {
+	if beat, isBeat := message.(*wire.NodeBeat); isBeat {
+		reply(i.peers.Greeted(ctx, beat))
+		return
+	}
+	if !i.jobs.Answer(message, reply) {
+		reply(&wire.Failure{Detail: "no such question"})
+	}
+}
+
+// fillBeat adds what this node has to tell to its heartbeat.
+func (i *Instance) fillBeat(beat *wire.NodeBeat) {
+	i.jobs.FillBeat(beat)
+	beat.Versions = i.weights.Versions()
+	beat.Lease = i.weights.Lease()
+}
+
+// takeBeat takes another node's heartbeat.
+func (i *Instance) takeBeat(beat *wire.NodeBeat) {
+	i.weights.Observe(beat.Node, beat.Lease)
+	for _, change := range beat.Versions {
+		i.weights.ObserveVersion(change)
+	}
+	i.jobs.TakeBeat(beat)
+}
+
+// heard is when a node was heard last.
+func (i *Instance) heard(node string) time.Time {
+	peer, _ := i.peers.Get(node)
+	return peer.Heard
+}
--- /dev/null
+++ b/internal/instance/stop.go
@@ -0,0 +1,61 @@
+package instance
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// leaveTime is how long a stopping node goes on taking requests: by then
+	// callers have been told to go elsewhere.
+	leaveTime = 3 * time.Second
+	// quietTime is how long no request must have come before a stopping node
+	// ends early.
+	quietTime = 1200 * time.Millisecond
+	// graceMargin is kept of the grace for closing.
+	graceMargin = 900 * time.Millisecond
+	// defaultGrace holds where the settings name none.
+	defaultGrace = 8 * time.Second
+	// stopLook is the time between looks at what is still in progress.
+	stopLook = 50 * time.Millisecond
+)
+
+// Stop is the planned stop: the node calls itself unready, serves what still
+// comes with answers that end their connections, and ends when nothing is in
+// progress, at most after the grace of its settings.
+func (i *Instance) Stop() {
+	i.stopOnce.Do(func() {
+		begun := time.Now()
+		i.logger.Info("planned stop begun")
+		i.stopping.Store(true)
+		if !i.settings.Idle {
+			i.leave(begun)
+		}
+		i.cancel()
+		i.logger.Info("planned stop ended", "tookMs", time.Since(begun).Milliseconds())
+		close(i.drained)
+	})
+}
+
+// leave waits until callers are gone and closes the front.
+func (i *Instance) leave(begun time.Time) {
+	i.handler.Closing.Store(true)
+	i.jobs.Leave()
+	grace := i.settings.Grace.Std()
+	if grace <= 0 {
+		grace = defaultGrace
+	}
+	limit := begun.Add(grace - graceMargin)
+	for time.Now().Before(limit) {
+		if time.Since(begun) > leaveTime && i.handler.Active.Load() == 0 && i.handler.Quiet() > quietTime {
+			break
+		}
+		time.Sleep(stopLook)
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), limit.Add(graceMargin/2))
+	defer cancel()
+	i.front.Shutdown(ctx)
+}
+
+// Drained is closed when a planned stop has ended.
+func (i *Instance) Drained() <-chan struct{} { return i.drained }
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -54,9 +54,9 @@
 	reportedInFlight atomic.Int64
 }
 
-// newEndpointState returns the state of an engine of which nothing is known,
+// NewEndpointState returns the state of an engine of which nothing is known,
 // so that it gets no work before its first report.
-func newEndpointState() *EndpointState {
+func NewEndpointState() *EndpointState {
 	state := &EndpointState{Retries: admission.NewRetryBudget(targetRetryPercent)}
 	state.view.Store(&EngineView{Excluded: true})
 	return state
@@ -85,4 +85,13 @@
 	return max(0, int64(view.Running+view.Waiting)+since)
 }
 
+// NewReplicaEndpoint returns the endpoint of a back end that takes both live
+// requests and rollouts of one service.
+func NewReplicaEndpoint(name, address, zone, service string, slots int, state *EndpointState) *Endpoint {
+	return &Endpoint{
+		Name: name, Address: address, Zone: zone, Model: service, Slots: max(1, slots), Hash: hashOf(name),
+		Serves: true, Rollouts: true, State: state,
+	}
+}
+
 func hashOf(name string) uint64 { return rendezvous.Hash(name) }
--- a/internal/routing/filter.go
+++ b/internal/routing/filter.go
@@ -1,5 +1,7 @@
 package routing
 
+import "slices"
+
 // Query is what a pick has to know of a request.
 type Query struct {
 	// Zone is where the picking node is.
@@ -10,6 +12,8 @@
 	MinVersion int64
 	// Avoid names an engine that has just failed the request.
 	Avoid string
+	// Tried names the engines that have been sent the request before.
+	Tried []string
 	// Random is a random number of the caller's.
 	Random uint64
 	// Rollout is true for samples, false for live requests.
@@ -40,7 +44,7 @@
 
 // Allow implements Filter.
 func (AvailableFilter) Allow(query *Query, endpoint *Endpoint) bool {
-	return !endpoint.Excluded() && endpoint.Name != query.Avoid
+	return !endpoint.Excluded() && endpoint.Name != query.Avoid && !slices.Contains(query.Tried, endpoint.Name)
 }
 
 // VersionFilter refuses engines on weights older than the request allows.
--- a/internal/routing/plan_test.go
+++ b/internal/routing/plan_test.go
@@ -12,7 +12,7 @@
 	endpoints := make([]*Endpoint, count)
 	for i := range endpoints {
 		name := fmt.Sprintf("engine-%d", i)
-		endpoints[i] = &Endpoint{Name: name, Zone: fmt.Sprintf("zone-%d", i%9), Slots: 16, Hash: hashOf(name), Serves: true, Rollouts: true, State: newEndpointState()}
+		endpoints[i] = &Endpoint{Name: name, Zone: fmt.Sprintf("zone-%d", i%9), Slots: 16, Hash: hashOf(name), Serves: true, Rollouts: true, State: NewEndpointState()}
 		endpoints[i].State.SetView(EngineView{Running: i % 8, Version: 3})
 	}
 	return NewPlan("zone-0", endpoints)
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -90,7 +90,7 @@
 		name := engine.Metadata.Name
 		state := b.states[name]
 		if state == nil {
-			state = newEndpointState()
+			state = NewEndpointState()
 		}
 		kept[name] = state
 		endpoints[i] = &Endpoint{
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,6 +39,20 @@
 	DataFolder string `json:"dataFolder"`
 	// Grace bounds how long a planned stop waits for requests in progress.
 	Grace v1.Duration `json:"grace"`
+	// ObjectStore is the address of a metadata store. A node with one keeps
+	// all lasting state there and needs no Platform; see package instance.
+	ObjectStore string `json:"objectStore"`
+	// Readiness is the address that tells whether the node takes callers, and
+	// Metrics that of its figures; empty serves none.
+	Readiness string `json:"readiness"`
+	Metrics   string `json:"metrics"`
+	// Idle nodes only hold their machine: they serve nobody.
+	Idle bool `json:"idle"`
+	// OrderLease is how long another node must wait after the last order to a
+	// replica before it may give orders; zero means the default.
+	OrderLease v1.Duration `json:"orderLease"`
+	// CatchUp bounds how long a starting node may take to be up to date.
+	CatchUp v1.Duration `json:"catchUp"`
 }
 
 // Error is a setting that cannot be used.
@@ -78,6 +92,9 @@
 		return nil
 	})
 	flags.StringVar(&s.Platform, "platform", "", "address of the object API, IP and port")
+	flags.StringVar(&s.ObjectStore, "object-store", "", "address of a metadata store to run on instead of -platform, IP and port")
+	flags.StringVar(&s.Readiness, "readiness", "", "address that tells whether the node takes callers, IP and port")
+	flags.StringVar(&s.Metrics, "metrics", "", "address of the node's figures, IP and port")
 	flags.StringVar(&s.DataFolder, "data-folder", "", "folder for samples; empty keeps none")
 	flags.Func("grace", "how long a planned stop waits for requests", func(text string) error {
 		span, err := time.ParseDuration(text)
@@ -120,6 +137,7 @@
 	for _, pair := range []struct{ into, from *string }{
 		{&s.Node, &given.Node}, {&s.Zone, &given.Zone}, {&s.Region, &given.Region}, {&s.Peer, &given.Peer},
 		{&s.HTTP, &given.HTTP}, {&s.PeerAdvertised, &given.PeerAdvertised}, {&s.Platform, &given.Platform}, {&s.DataFolder, &given.DataFolder},
+		{&s.ObjectStore, &given.ObjectStore}, {&s.Readiness, &given.Readiness}, {&s.Metrics, &given.Metrics},
 	} {
 		if *pair.from != "" {
 			*pair.into = *pair.from
@@ -133,6 +151,19 @@
 	}
 }
 
+// requiredAddresses are the addresses that a node of this kind must have.
+func (s *Settings) requiredAddresses() []struct{ setting, value string } {
+	required := []struct{ setting, value string }{{"peer", s.Peer}, {"http", s.HTTP}, {"platform", s.Platform}}
+	if s.ObjectStore != "" {
+		required[2] = struct{ setting, value string }{"objectStore", s.ObjectStore}
+	}
+	if s.Idle {
+		// A node that serves nobody listens nowhere.
+		return nil
+	}
+	return required
+}
+
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,62}[a-z0-9])?$`)
 
 // Check returns everything that is wrong with the settings.
@@ -143,7 +174,15 @@
 			findings = append(findings, &Error{Setting: name.setting, Found: name.value, Allowed: "1 to 64 lower-case letters, digits, dots and dashes"})
 		}
 	}
-	addresses := []struct{ setting, value string }{{"peer", s.Peer}, {"http", s.HTTP}, {"platform", s.Platform}}
+	addresses := s.requiredAddresses()
+	for _, optional := range []struct{ setting, value string }{{"readiness", s.Readiness}, {"metrics", s.Metrics}} {
+		if optional.value != "" {
+			addresses = append(addresses, optional)
+		}
+	}
+	if s.ObjectStore != "" && s.Platform != "" {
+		findings = append(findings, &Error{Setting: "platform", Found: s.Platform, Allowed: "nothing where objectStore is given"})
+	}
 	if s.PeerAdvertised != "" {
 		addresses = append(addresses, struct{ setting, value string }{"peerAdvertised", s.PeerAdvertised})
 	}
@@ -155,6 +194,14 @@
 			findings = append(findings, &Error{Setting: address.setting, Found: address.value, Allowed: "an IP address and a port, such as 127.0.0.1:7001"})
 		}
 	}
+	for _, span := range []struct {
+		setting string
+		value   v1.Duration
+	}{{"orderLease", s.OrderLease}, {"catchUp", s.CatchUp}} {
+		if span.value < 0 {
+			findings = append(findings, &Error{Setting: span.setting, Found: span.value.Std().String(), Allowed: "a duration of 0 or more"})
+		}
+	}
 	if s.Grace < 0 {
 		findings = append(findings, &Error{Setting: "grace", Found: s.Grace.Std().String(), Allowed: "a duration of 0 or more"})
 	}
--- a/internal/transport/incoming.go
+++ b/internal/transport/incoming.go
@@ -59,10 +59,11 @@
 }
 
 func (t *Transport) handle(from string, frame wire.Frame, replies *replyWriter) {
-	if frame.Deadline != 0 && time.Now().UnixNano() > frame.Deadline {
-		return
-	}
+	arrived := time.Now()
 	t.config.Post(func() {
+		if frame.Patience != 0 && time.Since(arrived) > frame.Patience {
+			return
+		}
 		t.config.Handler(from, frame.Message, func(message wire.Message) {
 			if frame.Correlation != 0 {
 				replies.write(frame.Correlation, message)
--- a/internal/transport/outgoing.go
+++ b/internal/transport/outgoing.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -23,6 +24,9 @@
 	next      uint64
 	pending   map[uint64]*pendingCall
 	broken    bool
+	opened    time.Time
+	// heard is when the peer sent something last, as a span since opened.
+	heard atomic.Int64
 }
 
 // pendingCall is a request without its reply.
@@ -38,6 +42,7 @@
 		queue:     make(chan []byte, queueLength),
 		stop:      make(chan struct{}),
 		pending:   map[uint64]*pendingCall{},
+		opened:    time.Now(),
 	}
 }
 
@@ -58,6 +63,11 @@
 	correlation := o.next
 	call := &pendingCall{done: done}
 	call.timer = time.AfterFunc(timeout, func() {
+		if o.silent(timeout) {
+			// A cut link says nothing: a new connection finds out sooner than
+			// this one would.
+			o.close()
+		}
 		o.finish(correlation, nil, merry.Wrap(environment.ErrPeerUnreachable))
 	})
 	o.pending[correlation] = call
@@ -80,6 +90,11 @@
 	o.transport.config.Post(func() { call.done(message, err) })
 }
 
+// silent tells whether nothing has come from the peer for a time.
+func (o *outgoing) silent(span time.Duration) bool {
+	return time.Since(o.opened) > span && time.Since(o.opened)-time.Duration(o.heard.Load()) > span
+}
+
 func (o *outgoing) close() { o.stopOnce.Do(func() { close(o.stop) }) }
 
 // run connects, writes what is queued, and ends the connection with an error
@@ -88,6 +103,7 @@
 	defer o.fail()
 	connection, err := net.DialTimeout("tcp", o.address, dialTimeout)
 	if err != nil {
+		o.transport.noteUnreachable(o.address)
 		return
 	}
 	defer connection.Close()
@@ -137,6 +153,7 @@
 		if err != nil {
 			return
 		}
+		o.heard.Store(int64(time.Since(o.opened)))
 		if failure, failed := frame.Message.(*wire.Failure); failed {
 			o.finish(frame.Correlation, nil, &wire.RemoteError{Code: wire.FailureCode(failure.Code), Detail: failure.Detail})
 			continue
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -21,6 +21,9 @@
 	writeTimeout = 5 * time.Second
 	// idleTimeout ends a connection on which nothing was sent for long.
 	idleTimeout = time.Minute
+	// redialPause is how long one-way messages to a peer that could not be
+	// connected to are dropped at once. A request always tries anew.
+	redialPause = 400 * time.Millisecond
 )
 
 // Handler answers a message from the peer that listens at an address. It runs
@@ -52,11 +55,13 @@
 	incoming map[net.Conn]bool
 	closed   bool
 	counts   Counts
+	// unreachable is when a connection to an address failed last.
+	unreachable map[string]time.Time
 }
 
 // Listen starts to accept peers.
 func Listen(listener net.Listener, config Config) *Transport {
-	transport := &Transport{config: config, listener: listener, outgoing: map[string]*outgoing{}, incoming: map[net.Conn]bool{}}
+	transport := &Transport{config: config, listener: listener, outgoing: map[string]*outgoing{}, incoming: map[net.Conn]bool{}, unreachable: map[string]time.Time{}}
 	go transport.accept()
 	return transport
 }
@@ -93,7 +98,7 @@
 		return
 	}
 	for _, address := range addresses {
-		if peer := t.peer(address); peer != nil {
+		if peer := t.peer(address, false); peer != nil {
 			peer.enqueue(encoded)
 		}
 	}
@@ -101,13 +106,13 @@
 
 // Call implements environment.Peers.
 func (t *Transport) Call(address string, message wire.Message, timeout time.Duration, done func(wire.Message, error)) {
-	peer := t.peer(address)
+	peer := t.peer(address, true)
 	if peer == nil {
 		t.config.Post(func() { done(nil, merry.Wrap(environment.ErrPeerUnreachable)) })
 		return
 	}
 	correlation := peer.register(timeout, done)
-	frame := wire.Frame{Correlation: correlation, Deadline: time.Now().Add(timeout).UnixNano(), Message: message}
+	frame := wire.Frame{Correlation: correlation, Patience: timeout, Message: message}
 	encoded, err := wire.Encode(frame)
 	if err != nil {
 		peer.finish(correlation, nil, err)
@@ -118,13 +123,16 @@
 	}
 }
 
-func (t *Transport) peer(address string) *outgoing {
+func (t *Transport) peer(address string, redial bool) *outgoing {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if t.closed {
 		return nil
 	}
 	peer := t.outgoing[address]
+	if peer == nil && !redial && time.Since(t.unreachable[address]) < redialPause {
+		return nil
+	}
 	if peer == nil {
 		peer = newOutgoing(t, address)
 		t.outgoing[address] = peer
@@ -133,6 +141,12 @@
 	return peer
 }
 
+func (t *Transport) noteUnreachable(address string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.unreachable[address] = time.Now()
+}
+
 func (t *Transport) forget(peer *outgoing) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"io"
+	"time"
 
 	"capnproto.org/go/capnp/v3"
 
@@ -18,8 +19,10 @@
 type Frame struct {
 	Correlation uint64
 	Reply       bool
-	Deadline    int64
-	Message     Message
+	// Patience is for how long after its arrival an answer is wanted; 0 for no
+	// bound. It is a span, since the clocks of nodes disagree.
+	Patience time.Duration
+	Message  Message
 }
 
 // Encode returns the frame with its length prefix.
@@ -34,7 +37,7 @@
 	}
 	root.SetCorrelation(f.Correlation)
 	root.SetReply(f.Reply)
-	root.SetDeadline(f.Deadline)
+	root.SetPatience(int64(f.Patience))
 	if err := f.Message.attach(root); err != nil {
 		return nil, err
 	}
@@ -64,7 +67,7 @@
 	if err != nil {
 		return Frame{}, err
 	}
-	return Frame{Correlation: root.Correlation(), Reply: root.Reply(), Deadline: root.Deadline(), Message: content}, nil
+	return Frame{Correlation: root.Correlation(), Reply: root.Reply(), Patience: time.Duration(root.Patience()), Message: content}, nil
 }
 
 // Read reads one frame from a connection.
--- a/internal/wire/frame_test.go
+++ b/internal/wire/frame_test.go
@@ -11,7 +11,7 @@
 	member := Member{ID: "node-1", Address: "127.0.0.1:1", HTTP: "127.0.0.1:2", Zone: "a", Region: "r", Incarnation: 7, Sequence: 2, State: MemberLeaving, Storage: true}
 	records := Records{Members: []Member{member}, Leases: []LeaseNote{{Name: "reader", Holder: "node-1", Token: 3}}}
 	return []Frame{
-		{Correlation: 1, Deadline: 5, Message: &Ping{Target: "x", Summary: 9, Records: records, Documents: []DocumentVersion{{Name: "configuration", Version: 4}}}},
+		{Correlation: 1, Patience: 5, Message: &Ping{Target: "x", Summary: 9, Records: records, Documents: []DocumentVersion{{Name: "configuration", Version: 4}}}},
 		{Correlation: 1, Reply: true, Message: &Ack{Summary: 8, Records: Records{}}},
 		{Message: &DocumentReply{Name: "d", Version: 3, Base: 2, Upserts: []Entry{{Key: "k", Data: []byte("v")}}, Removed: []string{"gone"}, Digest: 11}},
 		{Message: &ClaimSnapshot{Epoch: 2, Records: []ClaimRecord{{Key: "k", Attempt: "a", Answer: []byte{1}, Withdrawn: []string{"b"}}}}},
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -250,3 +250,75 @@
 	AcceptedBallot uint64
 	Value          []byte
 }
+
+// ReplicaUse is how much of a replica a node uses for rollouts.
+type ReplicaUse struct {
+	Replica string
+	Running uint32
+}
+
+// ReplicaVersion is a weight version that a replica has or is brought to.
+type ReplicaVersion struct {
+	Replica string
+	Model   string
+	Version int64
+	Loading bool
+}
+
+// PeerAddress is where a node listens for peers.
+type PeerAddress struct {
+	Node    string
+	Address string
+}
+
+// NodeBeat is the heartbeat of a node that keeps its lasting state in a
+// metadata store, and the greeting between two such nodes.
+type NodeBeat struct {
+	Node        string
+	Address     string
+	Zone        string
+	Incarnation uint64
+	Jobs        []string
+	Uses        []ReplicaUse
+	Versions    []ReplicaVersion
+	Lease       uint64
+	Peers       []PeerAddress
+	Leaving     bool
+	Ended       []string
+}
+
+// JobRead asks the node that runs a batch job for results.
+type JobRead struct {
+	Job    string
+	After  uint32
+	WaitMs uint32
+}
+
+// JobPage answers a JobRead.
+type JobPage struct {
+	Known   bool
+	Total   uint32
+	Results []byte
+}
+
+// JobItem asks the node that runs a batch job for an item's body.
+type JobItem struct {
+	Job  string
+	Item string
+}
+
+// JobItemBody answers a JobItem.
+type JobItemBody struct {
+	Known bool
+	Found bool
+	Body  []byte
+}
+
+// JobEnd tells the node that runs a batch job that its caller has ended it.
+type JobEnd struct{ Job string }
+
+// JobTexts asks a node for the texts it has kept of unfinished items.
+type JobTexts struct{ Items []string }
+
+// JobTextsReply answers a JobTexts.
+type JobTextsReply struct{ Texts []byte }
--- a/internal/wire/schema/peer.capnp
+++ b/internal/wire/schema/peer.capnp
@@ -9,7 +9,8 @@
 struct Frame {
   correlation @0 :UInt64;   # joins a reply to its request; 0 on a one-way message
   reply @1 :Bool;           # true on the answer to a request
-  deadline @2 :Int64;       # Unix time in nanoseconds after which no answer is wanted; 0 for none
+  patience @2 :Int64;       # nanoseconds after arrival for which an answer is wanted; 0 for no bound.
+                            # A span, since the clocks of nodes disagree
   union {
     none @3 :Void;
     hello @4 :Hello;
@@ -33,6 +34,14 @@
     registerAccept @22 :RegisterAccept;
     registerReply @23 :RegisterReply;
     done @24 :Void;
+    nodeBeat @25 :NodeBeat;
+    jobRead @26 :JobRead;
+    jobPage @27 :JobPage;
+    jobItem @28 :JobItem;
+    jobItemBody @29 :JobItemBody;
+    jobEnd @30 :JobEnd;
+    jobTexts @31 :JobTexts;
+    jobTextsReply @32 :JobTextsReply;
   }
 }
 
@@ -236,3 +245,71 @@
   acceptedBallot @2 :UInt64; # 0: nothing accepted
   value @3 :Data;
 }
+
+# The messages between nodes that keep their lasting state in a metadata store.
+
+struct ReplicaUse {
+  replica @0 :Text;         # id of an incarnation
+  running @1 :UInt32;       # rollouts that the sender runs there
+}
+
+struct ReplicaVersion {
+  replica @0 :Text;
+  model @1 :Text;
+  version @2 :Int64;        # weight version it has, or is being brought to
+  loading @3 :Bool;         # an order is under way
+}
+
+struct PeerAddress {
+  node @0 :Text;
+  address @1 :Text;
+}
+
+struct NodeBeat {
+  node @0 :Text;
+  address @1 :Text;
+  zone @2 :Text;
+  incarnation @3 :UInt64;
+  jobs @4 :List(Text);      # open batch jobs that the sender runs
+  uses @5 :List(ReplicaUse);
+  versions @6 :List(ReplicaVersion);
+  lease @7 :UInt64;         # revision of the order lease where the sender holds it, else 0
+  peers @8 :List(PeerAddress);
+  leaving @9 :Bool;         # the sender stops soon and gives its jobs away
+  ended @10 :List(Text);    # batch jobs that callers have ended
+}
+
+struct JobRead {
+  job @0 :Text;
+  after @1 :UInt32;         # results known to the reader
+  waitMs @2 :UInt32;
+}
+
+struct JobPage {
+  known @0 :Bool;           # false: the receiver does not run the job
+  total @1 :UInt32;
+  results @2 :Data;         # JSON, as in package batch
+}
+
+struct JobItem {
+  job @0 :Text;
+  item @1 :Text;
+}
+
+struct JobItemBody {
+  known @0 :Bool;           # false: the receiver does not run the job
+  found @1 :Bool;
+  body @2 :Data;
+}
+
+struct JobEnd {
+  job @0 :Text;
+}
+
+struct JobTexts {
+  items @0 :List(Text);
+}
+
+struct JobTextsReply {
+  texts @0 :Data;           # JSON, as in package batch
+}
--- a/internal/wire/schema/peer.capnp.go
+++ b/internal/wire/schema/peer.capnp.go
@@ -35,10 +35,18 @@
 	Frame_Which_registerAccept  Frame_Which = 19
 	Frame_Which_registerReply   Frame_Which = 20
 	Frame_Which_done            Frame_Which = 21
+	Frame_Which_nodeBeat        Frame_Which = 22
+	Frame_Which_jobRead         Frame_Which = 23
+	Frame_Which_jobPage         Frame_Which = 24
+	Frame_Which_jobItem         Frame_Which = 25
+	Frame_Which_jobItemBody     Frame_Which = 26
+	Frame_Which_jobEnd          Frame_Which = 27
+	Frame_Which_jobTexts        Frame_Which = 28
+	Frame_Which_jobTextsReply   Frame_Which = 29
 )
 
 func (w Frame_Which) String() string {
-	const s = "nonehellofailurepingacksyncrecordsdocumentPulldocumentReplyloadReportclaimRequestclaimReplyclaimSealclaimSnapshotsamplePutsampleListsampleGetsamplesregisterPrepareregisterAcceptregisterReplydone"
+	const s = "nonehellofailurepingacksyncrecordsdocumentPulldocumentReplyloadReportclaimRequestclaimReplyclaimSealclaimSnapshotsamplePutsampleListsampleGetsamplesregisterPrepareregisterAcceptregisterReplydonenodeBeatjobReadjobPagejobItemjobItemBodyjobEndjobTextsjobTextsReply"
 	switch w {
 	case Frame_Which_none:
 		return s[0:4]
@@ -84,6 +92,22 @@
 		return s[177:190]
 	case Frame_Which_done:
 		return s[190:194]
+	case Frame_Which_nodeBeat:
+		return s[194:202]
+	case Frame_Which_jobRead:
+		return s[202:209]
+	case Frame_Which_jobPage:
+		return s[209:216]
+	case Frame_Which_jobItem:
+		return s[216:223]
+	case Frame_Which_jobItemBody:
+		return s[223:234]
+	case Frame_Which_jobEnd:
+		return s[234:240]
+	case Frame_Which_jobTexts:
+		return s[240:248]
+	case Frame_Which_jobTextsReply:
+		return s[248:261]
 
 	}
 	return "Frame_Which(" + strconv.FormatUint(uint64(w), 10) + ")"
@@ -154,11 +178,11 @@
 	capnp.Struct(s).SetBit(64, v)
 }
 
-func (s Frame) Deadline() int64 {
+func (s Frame) Patience() int64 {
 	return int64(capnp.Struct(s).Uint64(16))
 }
 
-func (s Frame) SetDeadline(v int64) {
+func (s Frame) SetPatience(v int64) {
 	capnp.Struct(s).SetUint64(16, uint64(v))
 }
 
@@ -812,6 +836,262 @@
 
 }
 
+func (s Frame) NodeBeat() (NodeBeat, error) {
+	if capnp.Struct(s).Uint16(10) != 22 {
+		panic("Which() != nodeBeat")
+	}
+	p, err := capnp.Struct(s).Ptr(0)
+	return NodeBeat(p.Struct()), err
+}
+
+func (s Frame) HasNodeBeat() bool {
+	if capnp.Struct(s).Uint16(10) != 22 {
+		return false
+	}
+	return capnp.Struct(s).HasPtr(0)
+}
+
+func (s Frame) SetNodeBeat(v NodeBeat) error {
+	capnp.Struct(s).SetUint16(10, 22)
+	return capnp.Struct(s).SetPtr(0, capnp.Struct(v).ToPtr())
+}
+
+// NewNodeBeat sets the nodeBeat field to a newly
+// allocated NodeBeat struct, preferring placement in s's segment.
+func (s Frame) NewNodeBeat() (NodeBeat, error) {
+	capnp.Struct(s).SetUint16(10, 22)
+	ss, err := NewNodeBeat(capnp.Struct(s).Segment())
+	if err != nil {
+		return NodeBeat{}, err
+	}
+	err = capnp.Struct(s).SetPtr(0, capnp.Struct(ss).ToPtr())
+	return ss, err
+}
+
+func (s Frame) JobRead() (JobRead, error) {
+	if capnp.Struct(s).Uint16(10) != 23 {
+		panic("Which() != jobRead")
+	}
+	p, err := capnp.Struct(s).Ptr(0)
+	return JobRead(p.Struct()), err
+}
+
+func (s Frame) HasJobRead() bool {
+	if capnp.Struct(s).Uint16(10) != 23 {
+		return false
+	}
+	return capnp.Struct(s).HasPtr(0)
+}
+
+func (s Frame) SetJobRead(v JobRead) error {
+	capnp.Struct(s).SetUint16(10, 23)
+	return capnp.Struct(s).SetPtr(0, capnp.Struct(v).ToPtr())
+}
+
+// NewJobRead sets the jobRead field to a newly
+// allocated JobRead struct, preferring placement in s's segment.
+func (s Frame) NewJobRead() (JobRead, error) {
+	capnp.Struct(s).SetUint16(10, 23)
+	ss, err := NewJobRead(capnp.Struct(s).Segment())
+	if err != nil {
+		return JobRead{}, err
+	}
+	err = capnp.Struct(s).SetPtr(0, capnp.Struct(ss).ToPtr())
+	return ss, err
+}
+
+func (s Frame) JobPage() (JobPage, error) {
+	if capnp.Struct(s).Uint16(10) != 24 {
+		panic("Which() != jobPage")
+	}
+	p, err := capnp.Struct(s).Ptr(0)
+	return JobPage(p.Struct()), err
+}
+
+func (s Frame) HasJobPage() bool {
+	if capnp.Struct(s).Uint16(10) != 24 {
+		return false
+	}
+	return capnp.Struct(s).HasPtr(0)
+}
+
+func (s Frame) SetJobPage(v JobPage) error {
+	capnp.Struct(s).SetUint16(10, 24)
+	return capnp.Struct(s).SetPtr(0, capnp.Struct(v).ToPtr())
+}
+
+// NewJobPage sets the jobPage field to a newly
+// allocated JobPage struct, preferring placement in s's segment.
+func (s Frame) NewJobPage() (JobPage, error) {
+	capnp.Struct(s).SetUint16(10, 24)
+	ss, err := NewJobPage(capnp.Struct(s).Segment())
+	if err != nil {
+		return JobPage{}, err
+	}
+	err = capnp.Struct(s).SetPtr(0, capnp.Struct(ss).ToPtr())
+	return ss, err
+}
+
+func (s Frame) JobItem() (JobItem, error) {
+	if capnp.Struct(s).Uint16(10) != 25 {
+		panic("Which() != jobItem")
+	}
+	p, err := capnp.Struct(s).Ptr(0)
+	return JobItem(p.Struct()), err
+}
+
+func (s Frame) HasJobItem() bool {
+	if capnp.Struct(s).Uint16(10) != 25 {
+		return false
+	}
+	return capnp.Struct(s).HasPtr(0)
+}
+
+func (s Frame) SetJobItem(v JobItem) error {
+	capnp.Struct(s).SetUint16(10, 25)
+	return capnp.Struct(s).SetPtr(0, capnp.Struct(v).ToPtr())
+}
+
+// NewJobItem sets the jobItem field to a newly
+// allocated JobItem struct, preferring placement in s's segment.
+func (s Frame) NewJobItem() (JobItem, error) {
+	capnp.Struct(s).SetUint16(10, 25)
+	ss, err := NewJobItem(capnp.Struct(s).Segment())
+	if err != nil {
+		return JobItem{}, err
+	}
+	err = capnp.Struct(s).SetPtr(0, capnp.Struct(ss).ToPtr())
+	return ss, err
+}
+
+func (s Frame) JobItemBody() (JobItemBody, error) {
+	if capnp.Struct(s).Uint16(10) != 26 {
+		panic("Which() != jobItemBody")
+	}
+	p, err := capnp.Struct(s).Ptr(0)
+	return JobItemBody(p.Struct()), err
+}
+
+func (s Frame) HasJobItemBody() bool {
+	if capnp.Struct(s).Uint16(10) != 26 {
+		return false
+	}
+	return capnp.Struct(s).HasPtr(0)
+}
+
+func (s Frame) SetJobItemBody(v JobItemBody) error {
+	capnp.Struct(s).SetUint16(10, 26)
+	return capnp.Struct(s).SetPtr(0, capnp.Struct(v).ToPtr())
+}
+
+// NewJobItemBody sets the jobItemBody field to a newly
+// allocated JobItemBody struct, preferring placement in s's segment.
+func (s Frame) NewJobItemBody() (JobItemBody, error) {
+	capnp.Struct(s).SetUint16(10, 26)
+	ss, err := NewJobItemBody(capnp.Struct(s).Segment())
+	if err != nil {
+		return JobItemBody{}, err
+	}
+	err = capnp.Struct(s).SetPtr(0, capnp.Struct(ss).ToPtr())
+	return ss, err
+}
+
+func (s Frame) JobEnd() (JobEnd, error) {
+	if capnp.Struct(s).Uint16(10) != 27 {
+		panic("Which() != jobEnd")
+	}
+	p, err := capnp.Struct(s).Ptr(0)
+	return JobEnd(p.Struct()), err
+}
+
+func (s Frame) HasJobEnd() bool {
+	if capnp.Struct(s).Uint16(10) != 27 {
+		return false
+	}
+	return capnp.Struct(s).HasPtr(0)
+}
+
+func (s Frame) SetJobEnd(v JobEnd) error {
+	capnp.Struct(s).SetUint16(10, 27)
+	return capnp.Struct(s).SetPtr(0, capnp.Struct(v).ToPtr())
+}
+
+// NewJobEnd sets the jobEnd field to a newly
+// allocated JobEnd struct, preferring placement in s's segment.
+func (s Frame) NewJobEnd() (JobEnd, error) {
+	capnp.Struct(s).SetUint16(10, 27)
+	ss, err := NewJobEnd(capnp.Struct(s).Segment())
+	if err != nil {
+		return JobEnd{}, err
+	}
+	err = capnp.Struct(s).SetPtr(0, capnp.Struct(ss).ToPtr())
+	return ss, err
+}
+
+func (s Frame) JobTexts() (JobTexts, error) {
+	if capnp.Struct(s).Uint16(10) != 28 {
+		panic("Which() != jobTexts")
+	}
+	p, err := capnp.Struct(s).Ptr(0)
+	return JobTexts(p.Struct()), err
+}
+
+func (s Frame) HasJobTexts() bool {
+	if capnp.Struct(s).Uint16(10) != 28 {
+		return false
+	}
+	return capnp.Struct(s).HasPtr(0)
+}
+
+func (s Frame) SetJobTexts(v JobTexts) error {
+	capnp.Struct(s).SetUint16(10, 28)
+	return capnp.Struct(s).SetPtr(0, capnp.Struct(v).ToPtr())
+}
+
+// NewJobTexts sets the jobTexts field to a newly
+// allocated JobTexts struct, preferring placement in s's segment.
+func (s Frame) NewJobTexts() (JobTexts, error) {
+	capnp.Struct(s).SetUint16(10, 28)
+	ss, err := NewJobTexts(capnp.Struct(s).Segment())
+	if err != nil {
+		return JobTexts{}, err
+	}
+	err = capnp.Struct(s).SetPtr(0, capnp.Struct(ss).ToPtr())
+	return ss, err
+}
+
+func (s Frame) JobTextsReply() (JobTextsReply, error) {
+	if capnp.Struct(s).Uint16(10) != 29 {
+		panic("Which() != jobTextsReply")
+	}
+	p, err := capnp.Struct(s).Ptr(0)
+	return JobTextsReply(p.Struct()), err
+}
+
+func (s Frame) HasJobTextsReply() bool {
+	if capnp.Struct(s).Uint16(10) != 29 {
+		return false
+	}
+	return capnp.Struct(s).HasPtr(0)
+}
+
+func (s Frame) SetJobTextsReply(v JobTextsReply) error {
+	capnp.Struct(s).SetUint16(10, 29)
+	return capnp.Struct(s).SetPtr(0, capnp.Struct(v).ToPtr())
+}
+
+// NewJobTextsReply sets the jobTextsReply field to a newly
+// allocated JobTextsReply struct, preferring placement in s's segment.
+func (s Frame) NewJobTextsReply() (JobTextsReply, error) {
+	capnp.Struct(s).SetUint16(10, 29)
+	ss, err := NewJobTextsReply(capnp.Struct(s).Segment())
+	if err != nil {
+		return JobTextsReply{}, err
+	}
+	err = capnp.Struct(s).SetPtr(0, capnp.Struct(ss).ToPtr())
+	return ss, err
+}
+
 // Frame_List is a list of Frame.
 type Frame_List = capnp.StructList[Frame]
 
@@ -888,6 +1168,30 @@
 func (p Frame_Future) RegisterReply() RegisterReply_Future {
 	return RegisterReply_Future{Future: p.Future.Field(0, nil)}
 }
+func (p Frame_Future) NodeBeat() NodeBeat_Future {
+	return NodeBeat_Future{Future: p.Future.Field(0, nil)}
+}
+func (p Frame_Future) JobRead() JobRead_Future {
+	return JobRead_Future{Future: p.Future.Field(0, nil)}
+}
+func (p Frame_Future) JobPage() JobPage_Future {
+	return JobPage_Future{Future: p.Future.Field(0, nil)}
+}
+func (p Frame_Future) JobItem() JobItem_Future {
+	return JobItem_Future{Future: p.Future.Field(0, nil)}
+}
+func (p Frame_Future) JobItemBody() JobItemBody_Future {
+	return JobItemBody_Future{Future: p.Future.Field(0, nil)}
+}
+func (p Frame_Future) JobEnd() JobEnd_Future {
+	return JobEnd_Future{Future: p.Future.Field(0, nil)}
+}
+func (p Frame_Future) JobTexts() JobTexts_Future {
+	return JobTexts_Future{Future: p.Future.Field(0, nil)}
+}
+func (p Frame_Future) JobTextsReply() JobTextsReply_Future {
+	return JobTextsReply_Future{Future: p.Future.Field(0, nil)}
+}
 
 type Hello capnp.Struct
 
@@ -4288,213 +4592,1466 @@
 	return RegisterReply(p.Struct()), err
 }
 
-const schema_b1f6a7c95e0d4c21 = "x\xda\xb4Y\x7fp\x14\xf7u\x7f\xef\xfb\xd5\xe9N\xe2" +
-	"\xc4\xddiWD\xb4fNh\x88\x8b5q\x8c\x85\x9b" +
-	"\x105\x8d\x84\x0a6P)\xa3\xd5\xd5q\x9aa:]" +
-	"\xdd}\x91\xae\xdc\xed\x1e{{`Q3\x8a2qJ" +
-	":`\xc24\x09\xb8cwLb\xd7\x901S`\x08" +
-	"\x05\x17\xb7\xc6\x83\x1b\xc3@\x0b\xd4xL\x02\xb5!v" +
-	"\xed`h\x9d\x1f\x18\xdb5\xde\xce\xdb\xbd\xdb]-+" +
-	"\xa1\xba\xd3\xffv\xbf\xef\xed\xf7\xfb~|\xde\xfb\xbe\xf7" +
-	"v\xc1\xb6\xc6\x9e\xba\xbb\x9b\x12q`\xca\xa6H\xbdu" +
-	"\xbeu\xffk\xb77\x1d\x18\x07\xa5\x19\x995\xb7\xaf\xe9" +
-	"O\x8e=\xfd\xde^\x88\xb0(\x80t5\xf2\x82t-" +
-	"BO\xbf\x8c\xbc\x05h\xfd\xe8\xb5\xeb\x0f\xbe\xf5\xe5\x07" +
-	"\xbe\x19dFb9Y\x7f\\:WOOg\xeb\xff" +
-	"\x0e\xd0zl{\xbc!\x7f\xd7G\xdf\"f\x0c2\x17" +
-	"\xa3g\xa4\xd1(=U\xa2\xeb\x00\xad\xfb\x0bw}f" +
-	"\xf4\x89\xe2_\x861/<\x1dmF\xe9\xa2\xcd}\xc1" +
-	"\xe6\xfe\xf8\x1b\x7f\xfe{\xc7\xe4\x91M\x90j\xbei\xe7" +
-	"/\xc4\xceHKc\xf4\xb48\xd6Mb\x0c\xfft\xeb" +
-	"\xd6\x9c\xbe)T\x8c5\xb1\xcb\xd2\x06\x9by4F\x1b" +
-	"KO\xdf\xfe\xe9\xb7\xfeb\xce\xe6\xb0\x8d\xcf\xc6\x9e\x95" +
-	".\xd8\xbc\xe7\xec\x8d\xff\xe5\xe0\x9c\xaf\xfe\xab\xf4\xe2\x96" +
-	"\xe0\xc6\x9cX\x9a\x1a\x9e\x95Z\x1a\xe8)\xd5@\x96\xeb" +
-	"]s\xfe\xdc\xf8\xb7\xd8\xd6\x80\xe5\xeaH\xbd\x0f\x1a\x9a" +
-	"Qjh$\xe6H#Iq\xed\x87\x17\x17\xcd\xfe\xec" +
-	"\x9e\xbf\x0a\xf3\xc9B\xb5\x91\xa1T\xb4\xb9\xf3\x8d\xb4\xf5" +
-	"\xd7\x7f\xfa\xe8\x06m\xd7;\xdb\x89\x9b\x07M\xa7\xce " +
-	"\xee\x196\xf7\x0c\xe2\xfe\xd2\xbd\xdb\xe6\xb0\xcfm\xf9\xeb" +
-	"\xa0\xd4\xb6\xbf\x97\xc6\xf7I\xfdqzZ\x1e'\x17\x16" +
-	"\x8f\xde\xb1l\xf7\xca\xf7~H\xccuA{\\\x8b_" +
-	"\x96\xb0\x89\x0e\xb9\x11\x7f\x00\x01\xad\xbd#?\xf8\\k" +
-	"\xdd\xe1'\x83\x82\x90A\x16.\x9f\xc9P\xba\x7f&=" +
-	"*3m\xf6\xb5\xe7\xf3\xff4\xf2o\x8f\xfcm\xc0\xd6" +
-	"\xb6 \xcf%\xceH\xc7\x12\xf4\xf4b\x82,\xa2\x0e\xc7" +
-	"o,\xaa\x1c\xdd\x1b*\xf5\xe2\xe4%\xa9?iK\x9d" +
-	"$\xa9?\xf8\xd2\xce\xd8\xe1\x9f\xed\xd8\x17&\x87t1" +
-	"\xf9\xa1t\x95\x98\x17\xfe\"\xb9\x85\xc4\xb8\xef\xf3\x7f\xbf" +
-	"\xfd\x80\xb2o_\x18\xa6\x17\x8e67\xa3\xf4\xedf\xfa" +
-	"\xf0\xe1f\xda\xfb\xd4];\xee\xfe\xc7G\x0b\x07\x82\x16" +
-	"\xb1\x05\x99+]\x92\xee\x94\xe8\xbb;$[\xc5G\xbe" +
-	"x\xfb\xcf\xaf\xfeh\xe9\x91\xa0$\xb6#+r#J" +
-	"\x0f\xcb\xf48.\xa7\x89\xfd\xd0+\xef\x8ft\xfe\xce\xcf" +
-	"\x7f\x12f\x91\xc7[^\x90\x9ej\xa1\xa7\x1d-d\x91" +
-	"\xa3o\x9f\xdc\xb9Q\xdb\x7f,(\x88\x1d\xad7Z\x8e" +
-	"K\x0d\xb3h\xe7\xc8\xac\xcf3@\xeb\x0f\xefX\xbbr" +
-	"\xf3\xb2\xa7_\x09\x0d\x82\xfe\xd6K\xd2\x1f\xb7\xd2\xd3\xfd" +
-	"\xadv\x10\xcc\xdes\xed\x81k\xeb~\x16j\xec\xbd\xad" +
-	"\x97\xa4\xe7l\xe6C\xadd\x90\xef_\x1f\xdf\xd66\xde" +
-	"\xf3\xef\x01\x15\x97bt\x16F$1\xfb\x05\xa98\x9b" +
-	"\x04\xc9\xcf\x1e\x8b\x00Zm\xdf\x1b\xdez\xf6\x91\xaf\xbf" +
-	"\x16jm\x91f(\xadI\xdb\xf9!M\x9b_?>" +
-	"\xfe\x83\x8d\xff\xfc\xdb\xff\x11\x16\x8eMm\x97\xa5\xd9m" +
-	"\xf4\xd4\xd2F\xe1\xf8\xfa\xdf\\\xd8\xf2\xf1\xb2\xde\xcba" +
-	"\xb6\x96\x96\xb6]\x96\x14b^\xd8\xdff{\xe6+\xbf" +
-	"~\xe7\xe4?\x1c8s%4\xc4\x1e\x9f\xdb\x88\xd2\xee" +
-	"\xb9\xf4\xe1\xae\xb9\x1443\xe6\x0cm;\x16{\xe5j" +
-	"po\xdb\xd8\xe3\xed\xbf\x926\xb7\xd3w\xdfn\xff\x09" +
-	"\xed}\xe4\xfb\x89\xe3\xcf&\xdf\xb4B\x8d]\x99\xf7\xa1" +
-	"4>\x8f\x9e6\xcc[\x07wZ\xe5\xec\x88(\xaaw" +
-	"\x95\x98\x10\xc6g\xb3jI+u-\x13\x85\x82\x0e\x03" +
-	"\x88J\x92\xd7\x01\xd4!@J]\x01\xa0\xfc)G\xa5" +
-	"\xc0\x10QFZ\xcbw\x00(9\x8eJ\x89a\x8a\xa1" +
-	"\x8c\x0c U\xec\x05PF8*&\xc3\x14G\x199" +
-	"@j\xcd\x10\x80R\xe2\xa8<\xc4\xd0*\x19\xba\xa9g" +
-	"\xf5\x02\x00`\x14\x18F\x01\x13\x9a\x9e\x13\x18\x07\x86q" +
-	"\xc015\x973D\xb9\\{\xb7\xf2ZV54\xd5" +
-	"\x84h^\xd7\xb0\x01\x186\x00\x86\x09\x9eQ\x8b\xa5\x82" +
-	"\x00[\xf4\xb8+\xfaR\x12\xb3\x87\xa3\xd2\xc70U\x93" +
-	"}y\x17\x80\xb2\x84\xa32\xc0\x10\x99#z?1." +
-	"\xe3\xa8\xfc\x11\xc3D\xb9\xa0\x9b\x18\x03\x861\xc0\xee\\" +
-	"~X\x94\xcd\xda\xd1\x89\x9cj\xaa\xd8\x04\x0c\x9b\xc2\xe5" +
-	"\xb8W\xcd\x17*\x06\x0a\x92#\xe6\xcaq\x07m?\x8f" +
-	"\xa3\xb2\xc03\xe1\x9d$\xc6|\x8e\xca=\x0c\x13Y2" +
-	"B\xd5\"\xdd9a\xaa\xf9\x82k\x83\xda)\xdc;e" +
-	"\x89\x9e\xad\x14\x85f~E\x18\xe5\xbc\x8e\xda4N\xeb" +
-	"\xf5\x9d\xa6\xa9E\xcf\xe4k\xed=\xa6a\\,\xd31" +
-	"u\xee1M\xb4e\x8c\xa32\x8f\xe1X\xd9f)\xe3" +
-	"L\xc0\x01\x8e\x98\xf4\xeek@Z\x9c|\xdbD_\xbe" +
-	"l\x06\x14\xe8\x0dQ\xa0\xc3S`\xcc4\xd4\xbc&\x8c" +
-	"\x9a\x0e\x89\xb2)J7)\x80\xb5\x93\xbaK]\x99Q" +
-	"-\x1b\x90\x9eP\x1d\xe7\xa8\xccghUmP&\\" +
-	"\xba\x1a\xb8\xf9\"\xa0\x81\x7f\xdf\x81\xbc6\x1c\x88\x16r" +
-	"\xebJ\x8e\xca\x88'\xbb\xe8\xf5\"\xc8\x8d\x96|\xaf/" +
-	"\x848s\xa2\xa58\x08\xa0\x148*\x1b\x19v\x9b\xaa" +
-	"1,L\xd7Q\xe5J\xb1\xa8\x1a\xa35=\xc7\x0c\x91" +
-	"\xd5\x8d\\\x19\x93\xdeu\x06\x88I@+W\x85\x07\xa0" +
-	"\xcf!n\x99\x13P\x87\x07\x1d2(V\x09Ch\xd9" +
-	"\xa9@\x9c\x0aE\xf1\x14\x81\x13v\xdc\x1f\x14\xd4|1" +
-	"\xa3\xa9\xa5\xf2\x88n\x06\x93N\xe7\x14f|\xc8g\xc6" +
-	"Q\xb2\xd8\x83\x1c\x95\xef\x92\x19{\x1c3n%Q7" +
-	"qT\xb63L\x8b\x92\x9e\x1d\xb9\xc9j\xae]\xdc\x04" +
-	"[\xb5\x8b!\x86\xf3eS\x18\x13\x8c\xe7\xde\xa6\x0eS" +
-	"\xa2\xa8\x1b\x02\x11\x18b\xb8j\x83\xd5M\x06E\xa90" +
-	"\x1aT\xad\xd7S\xcd\xb5\xa3X\xe1O\xa8\xd5\xacT\\" +
-	"_E\xc3\x83\x0c\x91;\xaaU:\xbd|:6l\xa8" +
-	"\x9a)r\xae$%C/\xe6\xcb\"G8\xae\x19^" +
-	"\xcdfE\xc9\x149\xe8\xeeU\x0b\xe4\xa0*!\xbdV" +
-	"-T\xc4M\xb9\xccEw\xba\xd4\xb58\xbb:\x90O" +
-	"{\xbd|\xea\xa6\xd3^/\x9d\xba^\xe9'\xaf\xf49" +
-	":\xfe\x7f\x01\xd7\x97I\x96j\xc3yM$\xfat5" +
-	"G\x02\xb7\xba\x02?J\xf0\xfc.G\xe5\x09O\xe0\xc7" +
-	"I\xe0\xed\x1c\x95'}\x02\xef\xa0\xc5\xc78*;}" +
-	"w\xd7S\xb4\xf8\x04G\xe5\x19\x86\xa9:&c\x1d@" +
-	"j\x17m\xf9$Ge\x0f\xc3T\xa4U\xc6\x08@j" +
-	"7ye'Ge?\xc3naK\xe3\xc6\xadQ\xd1" +
-	"\xb4\xbc6\\\x0b\x8c\xb1uj\xde\xf4\xbf\xd7\x12p\x04" +
-	"\x18F\x00\xbb\xcb\xa6:,r\xb5\xd7\xf4\xaa\x82:\\" +
-	"\xc6z`X?\xf5e\xe0a\xcd\xa7\x7f\xc7t\xf5\xef" +
-	"\x98J\xff\xc3>\xfd\x0f\xd1\xe2~\x8e\xca)\xd2\x9f9" +
-	"\xfa\x9f$\xa3\xbc\xc4Qy\xf9\x16\xd7KbH-\x0b" +
-	"\x17\x09\x95RY\x18\xa6\xcf\xd7n\x19\xea\xf8z\xcc\x10" +
-	"E}\xad\xc8\xd5\x18h\xd3\x99\x93\xe7\x16\xe6\x0f@\xc2" +
-	"\x98se\x85\\,=\xbe\xd0\xfb}\x92}\x91s\xf7" +
-	"\x8f\x15EqH\x18>\x89\xdcb\xd7\x91\xa8\xbb \xd4" +
-	"\xb2\xff\x9es\xdb\x83\xc9\xd1\xd9G\x9f|9\xaa\x9b\xe2" +
-	"\x93V'\x9d\xbe\xea\xc4o\xdd\xee\x11\xbd\x90\xf3\xee\xc1" +
-	"\xb4\xa9\xaf\x16S\xde\xe4v\xca\x1d\xec\x16k*\xc2\xb9" +
-	"tos\xa5\xf91\x1d\xb2\xc7qvM\x98C\xedU" +
-	"_?\xef\x83\xcasd\xc4\x83\x1c\x95\xa3>\xa8\x1c\xa1" +
-	"2\xefy\x8e\xca\x09\x82J\xd2\x81\xca\xb1A\x0f\x15\xa9" +
-	"H\xca\x81\xcai\xfa\xfc\x04G\xe5U\x86\xa9z&c" +
-	"=@\xea,i}\x8a\xa3r>\x98\xb0\xa3\xab\xc5\xa8" +
-	"W\x1e\x9a\xa6(\x96\xdc+\xd1Z\x95\xd7\x86\x85Q2" +
-	" \x9a\xd7<8\xe8%a\xa8f^\x07\xd4jq3" +
-	"\xa6W\xcc\xac^\x14\xb5\xf7nU+\xaf\x13\xc6M\xd9" +
-	"/$\x85\x0f\x18\xa2\xa4V+:\x9f\xefV\xf8\xdcT" +
-	"\xb5V\x7f\x97\xe7&\xd7ZJg5\x13~\x95\xf9\xee" +
-	"\x16\x00\xd7\x85C\x13\xb3\xf2\x04\xe5'\xaf\x9a\xa2\x03\x15" +
-	"3\x10\xea\xbd!\xa1\xde\xe1\x0fu\x16\x16\xea\xd5\xc2\xe3" +
-	"\xa9.\x7f\xaa\xc3j\xaa\xeb\xf0\xa7:~s\xaa\x9b\xb2" +
-	"\x10\x9bv\x1d=\x09lC\xafS\x8aj\xa7\xca\x97]" +
-	"\xcd7\x90/\x1er\x8a\xa6\x9a\xe6\x0f\xd3\xda79*" +
-	"\xdf\xf1\xf9b\xf3z\xaf,p\x91\xfb=\xd2\xe7;\x1c" +
-	"\x95\xc7|I\xceo\xcc0\xaf\xfd\x1fn\xda\xb1\xac!" +
-	"T\xd3K\xf0\xe1\xf7\x99i8\xa9\xdc\x97\xbb\xda\xc3\xca" +
-	"/_U\xec\x8f\x94[\xf6)\xfdv\x9es,9\xbf" +
-	"v\x86\xd4\x80\xbf\x05\x90\xa9C\x8e\x99$z\xc7HM" +
-	"\xd8\x0b\x90\x89\xd1\xba\x8c\x1e\x94\xa4\x14v\x00d\xe2\xb4" +
-	"\xdeJ\xeb\xdc)R\xa4\x16{=I\xeb\xb7\xd1z]" +
-	"\x9dmVi6v\x01ddZoC\x86\x18\xb1!" +
-	"%\xcd\xc1!\x80\xccm\xb4<\x9f\xd8\xeb\xd1\xce\x0a\xd2" +
-	"\xa7q\x05@f\x1e\xad/\xa0\xf5hR\xb6\x1b\xd9;" +
-	"\xb1\x13 3\x9f\xd6\xef\xa1\xf5\xd8F\x19c\x00\xd2\xdd" +
-	"\xb6\x98\x9f\xa1\xf5E\xb4\xde\xc0el\x00\x90~\xd7\xde" +
-	"\xe7\x1eZ\xefA\x86<\x9f\x9b\xac\xe1L\x8c\x98f\xc9" +
-	"}Y\xaf{\xd7x7\xa1@\xd7n\xd5\x99Rf\xd5" +
-	"\xb2\xc2\x07\x8bt\xd9TM7\xf1\x8c\x95M\xddP\x87" +
-	"\xbd\xe21\x9f\x13\x9a\x997G\xfd@\x9a,qg\xa2" +
-	"B-\x04P\xd1\x19\xd2*uz\xa0\x98\x98O\xd2\xea" +
-	"*\xd3\x8b\xd6)\xb2\xcb}\xc2\x9cF\xe5\xd7\x11V\xf9" +
-	"}\xcdW\xf9M\xd9\xa7\x19\xd5>\x03\xb8\xff>u\xa7" +
-	"\x95\x93\xdf\xa7\xf7\x1ajQ\xd8\xc8\xcd\xb9\xc8\xdd\xcd\x08" +
-	"B\xcf0\x8e\x99\x83\x8c\x90\xdb\xe3 \xf7\xc7\x8c\xa0\xb2" +
-	"\x87\xd6\x0f3\x1fr\x0f1\x82\xc4AZ?\xca\x186" +
-	"q\xcbr\xa0{\x84\x11t\x0f\x13\xe1%\"\xd4}l" +
-	"9\xd8}\xd1\xde\xe9y\"\x9c B\xe4\x86\xe5\xa0\xf7" +
-	"\x18#\xd4\x1d%\xc2)\"\xd4\x7fd9\xf0=io" +
-	"\xf5\x12\x11^&B\xf4\xbf-\x07\xbf\xa7Y;@\xe6" +
-	"\x04\x11^%B\xecC\xcb\x01\xf0Y\xfb\x8bSD8" +
-	"O\x84\x86\x0f,\x07\xc1\xe7\xec3^&\xc2\xebDh" +
-	"|\xdf\x92\xb1\x11@\xba\xc0\xfe\x0c s\x9e\x08o\x13" +
-	"a\xc6uK\xc6\x19\x00\xd2\x9b\xcc\x00\xc8\xbcA\x84w" +
-	"\x89\x10\x7f\xcf\x921\x0e ]e_\x03\xc8\\!\xc2" +
-	"\xfbDh\xbaf\xc9\xd8\x04 ]\xb3\xb7\xfa\x0d\xe38" +
-	"\xc8\x196\xcd\xfc\x8d%\xe3L\x00\xe9\x86\xfd\xc1G\xf4" +
-	"A\x8c\x08\x89_[2&\x00\xa4\x08\x1f\xa4l\xc1)" +
-	"[\x10!\xf9+K\xc6$\xa5\x0bNg\xc7\x89\xd0J" +
-	"\x84\xd4/-\x19S\x94\x17\xec/d\"\xb4\x11\xa1\xf9" +
-	"]K\xc6f\xca\x00\x9c\xce\xb8\x8d\x08\xf3\x89 \xfd\x97" +
-	"%\xa3D)\xc0\xfeb\x1e\x11\x16\x10A\xfeOKF" +
-	"\x99r\x00'\x8b\xcc'\xc2=Dh\xb9j\xc9\xd8B" +
-	"I\x80\x7f\x03 \xb3\x80\x08_$\xc2\xac+\x96\x8c\xb3" +
-	"\x00\xa4/\xf0\xf5\x00\x99EDXB\x84O\xbdc\xc9" +
-	"\xf8)\x00i\xb1-n\x0f\x11\xfa\x88\xd0z\xd9\x92\xb1" +
-	"\x15@Z\xce\xc9\x1dK\x880\xc0\x19ZY\xdd0D" +
-	"!\x10\xf3i\x83\xean7\x9esB\xcd\x15\xf2\x9a\x9d" +
-	"\x01\xaa\x19>\xa1\xe9\x9a\x80\xfa\xf4\x88(\x14tLz" +
-	"\xff=\x9c\xaegl\x95=3\x12\x98\xf4\xfe[8\x94" +
-	"D\x89\xfa\x84\xa47\xeew\x96\xa3jv5&\xbdq" +
-	"z\x95\xb9<\xaae1\xe9\xfdG\xa8\xee>\x8dn+" +
-	"1P)\x140\xe9M\x0f\x83\x0ci\xbb\xb7\xc0\xa47" +
-	"g\xafr\x14t57(J:p\xc3\xc4\xa474" +
-	"\xad\x92\xb3v\xb9)\xd6@\x82\xeaMLz\xf3\xf1\x89" +
-	"\x0c%\xe0\xf6\xf6\xee \xd5O\xce\x08\x15\x90\xc4s'" +
-	"\xc9\x13\xa8\x9a\x0ai{\x82\x80I\xef\xefE\x95\xc3\x99" +
-	"J\x0dT\x00\x89\xea\x0e\xd0'P\xfb\xf2\xc0m\xd9\xdc" +
-	"\xbf5\x13\xc8\xf7\x09\xe7cw2]5km\xe0\x95" +
-	"\xf4\xfe\x08U\xbf\xab\x95\x0b\xe8T\x8e\x020\xe9M\xfa" +
-	"\x03<\xd0\xbd\xd8.\x1a0\xe9\x8d\x85\x83,\xae\xf1\xdd" +
-	"\xbf-U\x87\xe7lX\x85\xd7K\xe4sg:\xa8\x05" +
-	"g\xa2\xed!\x99|(\xacr\xa5\x12j\x80\xa3\xb2r" +
-	"bm1\xfd\xab/\xb4\x19\xb2\x11\x93(\xe9\x86\x19\x18" +
-	"\xc8uz\xe3\xc44\xe1\xcaw)\xb8?\x83&\xbf\x14" +
-	"\x9c\xce&A\xa6\xfa\xa4#\x80!_\x09\\\xab\x0ew" +
-	"\xf5\xfaJ\xe0Z]\xbc\xbb\xcb+\x81\xdd\x16x/\xc9" +
-	"\xff\x0cG\xe5 \xb3{x\xb3\xe2v\xed\xd3\xeb[n" +
-	"\xd1\xa3L\xd2\x19\x84T\xc9\x0e\xa4`:c\xfc\xae\xb0" +
-	"1~g\xd8\x18\xbf\xd3\x1bEM\xa7\x8d\x99P\xf2\xde" +
-	"\xba\xa9q\xbc\x97\xb6aKb\xb7\xb9b\x9fn\xf7\xb5" +
-	"\x8b5\xb9\xcf\xf6z\xedb\xadI>G\xee{\x95\xa3" +
-	"\xf2\x06\x89\x1ds\xc4\xbeH\x8c\xe79*o\xfb\x8a\xfb" +
-	"7I\xeb\xd79*W|\xee\xfb\x05q\xbe\xc1Qy" +
-	"\x97\x0aP\xee\xb4\xa5W\xa9\x81\xbdB\x17\x9f]~\xd6" +
-	"9\xd7w\x84\xaa\xd8\xc1Zq\xfb\xbfoPo\xe1\xe8" +
-	"\x9b\x1a\x84uys$g\xa8\xeb\xa8\x9f\x0d\x0cB\x8c" +
-	"\xfcZ\xb5P\x0e\xac\x86\x19\xd8\x19\x12uk&\xa5\xfa" +
-	"i\xfc.\xe8\x98\xe4wAbD]\xeb\xceo\xfe'" +
-	"\x00\x00\xff\xff\xd3\xbb3v"
+type ReplicaUse capnp.Struct
+
+// ReplicaUse_TypeID is the unique identifier for the type ReplicaUse.
+const ReplicaUse_TypeID = 0xface05a82490113b
+
+func NewReplicaUse(s *capnp.Segment) (ReplicaUse, error) {
+	st, err := capnp.NewStruct(s, capnp.ObjectSize{DataSize: 8, PointerCount: 1})
+	return ReplicaUse(st), err
+}
+
+func NewRootReplicaUse(s *capnp.Segment) (ReplicaUse, error) {
+	st, err := capnp.NewRootStruct(s, capnp.ObjectSize{DataSize: 8, PointerCount: 1})
+	return ReplicaUse(st), err
+}
+
+func ReadRootReplicaUse(msg *capnp.Message) (ReplicaUse, error) {
+	root, err := msg.Root()
+	return ReplicaUse(root.Struct()), err
+}
+
+func (s ReplicaUse) String() string {
+	str, _ := text.Marshal(0xface05a82490113b, capnp.Struct(s))
+	return str
+}
+
+func (s ReplicaUse) EncodeAsPtr(seg *capnp.Segment) capnp.Ptr {
+	return capnp.Struct(s).EncodeAsPtr(seg)
+}
+
+func (ReplicaUse) DecodeFromPtr(p capnp.Ptr) ReplicaUse {
+	return ReplicaUse(capnp.Struct{}.DecodeFromPtr(p))
+}
+
+func (s ReplicaUse) ToPtr() capnp.Ptr {
+	return capnp.Struct(s).ToPtr()
+}
+func (s ReplicaUse) IsValid() bool {
+	return capnp.Struct(s).IsValid()
+}
+
+func (s ReplicaUse) Message() *capnp.Message {
+	return capnp.Struct(s).Message()
+}
+
+func (s ReplicaUse) Segment() *capnp.Segment {
+	return capnp.Struct(s).Segment()
+}
+func (s ReplicaUse) Replica() (string, error) {
+	p, err := capnp.Struct(s).Ptr(0)
+	return p.Text(), err
+}
+
+func (s ReplicaUse) HasReplica() bool {
+	return capnp.Struct(s).HasPtr(0)
+}
+
+func (s ReplicaUse) ReplicaBytes() ([]byte, error) {
+	p, err := capnp.Struct(s).Ptr(0)
+	return p.TextBytes(), err
+}
+
+func (s ReplicaUse) SetReplica(v string) error {
+	return capnp.Struct(s).SetText(0, v)
+}
+
+func (s ReplicaUse) Running() uint32 {
+	return capnp.Struct(s).Uint32(0)
+}
+
+func (s ReplicaUse) SetRunning(v uint32) {
+	capnp.Struct(s).SetUint32(0, v)
+}
+
+// ReplicaUse_List is a list of ReplicaUse.
+type ReplicaUse_List = capnp.StructList[ReplicaUse]
+
+// NewReplicaUse creates a new list of ReplicaUse.
+func NewReplicaUse_List(s *capnp.Segment, sz int32) (ReplicaUse_List, error) {
+	l, err := capnp.NewCompositeList(s, capnp.ObjectSize{DataSize: 8, PointerCount: 1}, sz)
+	return capnp.StructList[ReplicaUse](l), err
+}
+
+// ReplicaUse_Future is a wrapper for a ReplicaUse promised by a client call.
+type ReplicaUse_Future struct{ *capnp.Future }
+
+func (f ReplicaUse_Future) Struct() (ReplicaUse, error) {
+	p, err := f.Future.Ptr()
+	return ReplicaUse(p.Struct()), err
+}
+
+type ReplicaVersion capnp.Struct
+
+// ReplicaVersion_TypeID is the unique identifier for the type ReplicaVersion.
+const ReplicaVersion_TypeID = 0xc4747c4e7e65bba6
+
+func NewReplicaVersion(s *capnp.Segment) (ReplicaVersion, error) {
+	st, err := capnp.NewStruct(s, capnp.ObjectSize{DataSize: 16, PointerCount: 2})
+	return ReplicaVersion(st), err
+}
+
+func NewRootReplicaVersion(s *capnp.Segment) (ReplicaVersion, error) {
+	st, err := capnp.NewRootStruct(s, capnp.ObjectSize{DataSize: 16, PointerCount: 2})
+	return ReplicaVersion(st), err
+}
+
+func ReadRootReplicaVersion(msg *capnp.Message) (ReplicaVersion, error) {
+	root, err := msg.Root()
+	return ReplicaVersion(root.Struct()), err
+}
+
+func (s ReplicaVersion) String() string {
+	str, _ := text.Marshal(0xc4747c4e7e65bba6, capnp.Struct(s))
+	return str
+}
+
+func (s ReplicaVersion) EncodeAsPtr(seg *capnp.Segment) capnp.Ptr {
+	return capnp.Struct(s).EncodeAsPtr(seg)
+}
+
+func (ReplicaVersion) DecodeFromPtr(p capnp.Ptr) ReplicaVersion {
+	return ReplicaVersion(capnp.Struct{}.DecodeFromPtr(p))
+}
+
+func (s ReplicaVersion) ToPtr() capnp.Ptr {
+	return capnp.Struct(s).ToPtr()
+}
+func (s ReplicaVersion) IsValid() bool {
+	return capnp.Struct(s).IsValid()
+}
+
+func (s ReplicaVersion) Message() *capnp.Message {
+	return capnp.Struct(s).Message()
+}
+
+func (s ReplicaVersion) Segment() *capnp.Segment {
+	return capnp.Struct(s).Segment()
+}
+func (s ReplicaVersion) Replica() (string, error) {
+	p, err := capnp.Struct(s).Ptr(0)
+	return p.Text(), err
+}
+
+func (s ReplicaVersion) HasReplica() bool {
+	return capnp.Struct(s).HasPtr(0)
+}
+
+func (s ReplicaVersion) ReplicaBytes() ([]byte, error) {
+	p, err := capnp.Struct(s).Ptr(0)
+	return p.TextBytes(), err
+}
+
+func (s ReplicaVersion) SetReplica(v string) error {
+	return capnp.Struct(s).SetText(0, v)
+}
+
+func (s ReplicaVersion) Model() (string, error) {
+	p, err := capnp.Struct(s).Ptr(1)
+	return p.Text(), err
+}
+
+func (s ReplicaVersion) HasModel() bool {
+	return capnp.Struct(s).HasPtr(1)
+}
+
+func (s ReplicaVersion) ModelBytes() ([]byte, error) {
+	p, err := capnp.Struct(s).Ptr(1)
+	return p.TextBytes(), err
+}
+
+func (s ReplicaVersion) SetModel(v string) error {
+	return capnp.Struct(s).SetText(1, v)
+}
+
+func (s ReplicaVersion) Version() int64 {
+	return int64(capnp.Struct(s).Uint64(0))
+}
+
+func (s ReplicaVersion) SetVersion(v int64) {
+	capnp.Struct(s).SetUint64(0, uint64(v))
+}
+
+func (s ReplicaVersion) Loading() bool {
+	return capnp.Struct(s).Bit(64)
+}
+
+func (s ReplicaVersion) SetLoading(v bool) {
+	capnp.Struct(s).SetBit(64, v)
+}
+
+// ReplicaVersion_List is a list of ReplicaVersion.
+type ReplicaVersion_List = capnp.StructList[ReplicaVersion]
+
+// NewReplicaVersion creates a new list of ReplicaVersion.
+func NewReplicaVersion_List(s *capnp.Segment, sz int32) (ReplicaVersion_List, error) {
+	l, err := capnp.NewCompositeList(s, capnp.ObjectSize{DataSize: 16, PointerCount: 2}, sz)
+	return capnp.StructList[ReplicaVersion](l), err
+}
+
+// ReplicaVersion_Future is a wrapper for a ReplicaVersion promised by a client call.
+type ReplicaVersion_Future struct{ *capnp.Future }
+
+func (f ReplicaVersion_Future) Struct() (ReplicaVersion, error) {
+	p, err := f.Future.Ptr()
+	return ReplicaVersion(p.Struct()), err
+}
+
+type PeerAddress capnp.Struct
+
+// PeerAddress_TypeID is the unique identifier for the type PeerAddress.
+const PeerAddress_TypeID = 0xc4abc744eb08f147
+
+func NewPeerAddress(s *capnp.Segment) (PeerAddress, error) {
+	st, err := capnp.NewStruct(s, capnp.ObjectSize{DataSize: 0, PointerCount: 2})
+	return PeerAddress(st), err
+}
+
+func NewRootPeerAddress(s *capnp.Segment) (PeerAddress, error) {
+	st, err := capnp.NewRootStruct(s, capnp.ObjectSize{DataSize: 0, PointerCount: 2})
+	return PeerAddress(st), err
+}
+
+func ReadRootPeerAddress(msg *capnp.Message) (PeerAddress, error) {
+	root, err := msg.Root()
+	return PeerAddress(root.Struct()), err
+}
+
+func (s PeerAddress) String() string {
+	str, _ := text.Marshal(0xc4abc744eb08f147, capnp.Struct(s))
+	return str
+}
+
+func (s PeerAddress) EncodeAsPtr(seg *capnp.Segment) capnp.Ptr {
+	return capnp.Struct(s).EncodeAsPtr(seg)
+}
+
+func (PeerAddress) DecodeFromPtr(p capnp.Ptr) PeerAddress {
+	return PeerAddress(capnp.Struct{}.DecodeFromPtr(p))
+}
+
+func (s PeerAddress) ToPtr() capnp.Ptr {
+	return capnp.Struct(s).ToPtr()
+}
+func (s PeerAddress) IsValid() bool {
+	return capnp.Struct(s).IsValid()
+}
+
+func (s PeerAddress) Message() *capnp.Message {
+	return capnp.Struct(s).Message()
+}
+
+func (s PeerAddress) Segment() *capnp.Segment {
+	return capnp.Struct(s).Segment()
+}
+func (s PeerAddress) Node() (string, error) {
+	p, err := capnp.Struct(s).Ptr(0)
+	return p.Text(), err
+}
+
+func (s PeerAddress) HasNode() bool {
+	return capnp.Struct(s).HasPtr(0)
+}
+
+func (s PeerAddress) NodeBytes() ([]byte, error) {
+	p, err := capnp.Struct(s).Ptr(0)
+	return p.TextBytes(), err
+}
+
+func (s PeerAddress) SetNode(v string) error {
+	return capnp.Struct(s).SetText(0, v)
+}
+
+func (s PeerAddress) Address() (string, error) {
+	p, err := capnp.Struct(s).Ptr(1)
+	return p.Text(), err
+}
+
+func (s PeerAddress) HasAddress() bool {
+	return capnp.Struct(s).HasPtr(1)
+}
+
+func (s PeerAddress) AddressBytes() ([]byte, error) {
+	p, err := capnp.Struct(s).Ptr(1)
+	return p.TextBytes(), err
+}
+
+func (s PeerAddress) SetAddress(v string) error {
+	return capnp.Struct(s).SetText(1, v)
+}
+
+// PeerAddress_List is a list of PeerAddress.
+type PeerAddress_List = capnp.StructList[PeerAddress]
+
+// NewPeerAddress creates a new list of PeerAddress.
+func NewPeerAddress_List(s *capnp.Segment, sz int32) (PeerAddress_List, error) {
+	l, err := capnp.NewCompositeList(s, capnp.ObjectSize{DataSize: 0, PointerCount: 2}, sz)
+	return capnp.StructList[PeerAddress](l), err
+}
+
+// PeerAddress_Future is a wrapper for a PeerAddress promised by a client call.
+type PeerAddress_Future struct{ *capnp.Future }
+
+func (f PeerAddress_Future) Struct() (PeerAddress, error) {
+	p, err := f.Future.Ptr()
+	return PeerAddress(p.Struct()), err
+}
+
+type NodeBeat capnp.Struct
+
+// NodeBeat_TypeID is the unique identifier for the type NodeBeat.
+const NodeBeat_TypeID = 0xe41c5461db89115f
+
+func NewNodeBeat(s *capnp.Segment) (NodeBeat, error) {
+	st, err := capnp.NewStruct(s, capnp.ObjectSize{DataSize: 24, PointerCount: 8})
+	return NodeBeat(st), err
+}
+
+func NewRootNodeBeat(s *capnp.Segment) (NodeBeat, error) {
+	st, err := capnp.NewRootStruct(s, capnp.ObjectSize{DataSize: 24, PointerCount: 8})
+	return NodeBeat(st), err
+}
+
+func ReadRootNodeBeat(msg *capnp.Message) (NodeBeat, error) {
+	root, err := msg.Root()
+	return NodeBeat(root.Struct()), err
+}
+
+func (s NodeBeat) String() string {
+	str, _ := text.Marshal(0xe41c5461db89115f, capnp.Struct(s))
+	return str
+}
+
+func (s NodeBeat) EncodeAsPtr(seg *capnp.Segment) capnp.Ptr {
+	return capnp.Struct(s).EncodeAsPtr(seg)
+}
+
+func (NodeBeat) DecodeFromPtr(p capnp.Ptr) NodeBeat {
+	return NodeBeat(capnp.Struct{}.DecodeFromPtr(p))
+}
+
+func (s NodeBeat) ToPtr() capnp.Ptr {
+	return capnp.Struct(s).ToPtr()
+}
+func (s NodeBeat) IsValid() bool {
+	return capnp.Struct(s).IsValid()
+}
+
+func (s NodeBeat) Message() *capnp.Message {
+	return capnp.Struct(s).Message()
+}
+
+func (s NodeBeat) Segment() *capnp.Segment {
+	return capnp.Struct(s).Segment()
+}
+func (s NodeBeat) Node() (string, error) {
+	p, err := capnp.Struct(s).Ptr(0)
+	return p.Text(), err
+}
+
+func (s NodeBeat) HasNode() bool {
+	return capnp.Struct(s).HasPtr(0)
+}
+
+func (s NodeBeat) NodeBytes() ([]byte, error) {
+	p, err := capnp.Struct(s).Ptr(0)
+	return p.TextBytes(), err
+}
+
+func (s NodeBeat) SetNode(v string) error {
+	return capnp.Struct(s).SetText(0, v)
+}
+
+func (s NodeBeat) Address() (string, error) {
+	p, err := capnp.Struct(s).Ptr(1)
+	return p.Text(), err
+}
+
+func (s NodeBeat) HasAddress() bool {
+	return capnp.Struct(s).HasPtr(1)
+}
+
+func (s NodeBeat) AddressBytes() ([]byte, error) {
+	p, err := capnp.Struct(s).Ptr(1)
+	return p.TextBytes(), err
+}
+
+func (s NodeBeat) SetAddress(v string) error {
+	return capnp.Struct(s).SetText(1, v)
+}
+
+func (s NodeBeat) Zone() (string, error) {
+	p, err := capnp.Struct(s).Ptr(2)
+	return p.Text(), err
+}
+
+func (s NodeBeat) HasZone() bool {
+	return capnp.Struct(s).HasPtr(2)
+}
+
+func (s NodeBeat) ZoneBytes() ([]byte, error) {
+	p, err := capnp.Struct(s).Ptr(2)
+	return p.TextBytes(), err
+}
+
+func (s NodeBeat) SetZone(v string) error {
+	return capnp.Struct(s).SetText(2, v)
+}
+
+func (s NodeBeat) Incarnation() uint64 {
+	return capnp.Struct(s).Uint64(0)
+}
+
+func (s NodeBeat) SetIncarnation(v uint64) {
+	capnp.Struct(s).SetUint64(0, v)
+}
+
+func (s NodeBeat) Jobs() (capnp.TextList, error) {
+	p, err := capnp.Struct(s).Ptr(3)
+	return capnp.TextList(p.List()), err
+}
+
+func (s NodeBeat) HasJobs() bool {
+	return capnp.Struct(s).HasPtr(3)
+}
+
+func (s NodeBeat) SetJobs(v capnp.TextList) error {
+	return capnp.Struct(s).SetPtr(3, v.ToPtr())
+}
+
+// NewJobs sets the jobs field to a newly
+// allocated capnp.TextList, preferring placement in s's segment.
+func (s NodeBeat) NewJobs(n int32) (capnp.TextList, error) {
+	l, err := capnp.NewTextList(capnp.Struct(s).Segment(), n)
+	if err != nil {
+		return capnp.TextList{}, err
+	}
+	err = capnp.Struct(s).SetPtr(3, l.ToPtr())
+	return l, err
+}
+func (s NodeBeat) Uses() (ReplicaUse_List, error) {
+	p, err := capnp.Struct(s).Ptr(4)
+	return ReplicaUse_List(p.List()), err
+}
+
+func (s NodeBeat) HasUses() bool {
+	return capnp.Struct(s).HasPtr(4)
+}
+
+func (s NodeBeat) SetUses(v ReplicaUse_List) error {
+	return capnp.Struct(s).SetPtr(4, v.ToPtr())
+}
+
+// NewUses sets the uses field to a newly
+// allocated ReplicaUse_List, preferring placement in s's segment.
+func (s NodeBeat) NewUses(n int32) (ReplicaUse_List, error) {
+	l, err := NewReplicaUse_List(capnp.Struct(s).Segment(), n)
+	if err != nil {
+		return ReplicaUse_List{}, err
+	}
+	err = capnp.Struct(s).SetPtr(4, l.ToPtr())
+	return l, err
+}
+func (s NodeBeat) Versions() (ReplicaVersion_List, error) {
+	p, err := capnp.Struct(s).Ptr(5)
+	return ReplicaVersion_List(p.List()), err
+}
+
+func (s NodeBeat) HasVersions() bool {
+	return capnp.Struct(s).HasPtr(5)
+}
+
+func (s NodeBeat) SetVersions(v ReplicaVersion_List) error {
+	return capnp.Struct(s).SetPtr(5, v.ToPtr())
+}
+
+// NewVersions sets the versions field to a newly
+// allocated ReplicaVersion_List, preferring placement in s's segment.
+func (s NodeBeat) NewVersions(n int32) (ReplicaVersion_List, error) {
+	l, err := NewReplicaVersion_List(capnp.Struct(s).Segment(), n)
+	if err != nil {
+		return ReplicaVersion_List{}, err
+	}
+	err = capnp.Struct(s).SetPtr(5, l.ToPtr())
+	return l, err
+}
+func (s NodeBeat) Lease() uint64 {
+	return capnp.Struct(s).Uint64(8)
+}
+
+func (s NodeBeat) SetLease(v uint64) {
+	capnp.Struct(s).SetUint64(8, v)
+}
+
+func (s NodeBeat) Peers() (PeerAddress_List, error) {
+	p, err := capnp.Struct(s).Ptr(6)
+	return PeerAddress_List(p.List()), err
+}
+
+func (s NodeBeat) HasPeers() bool {
+	return capnp.Struct(s).HasPtr(6)
+}
+
+func (s NodeBeat) SetPeers(v PeerAddress_List) error {
+	return capnp.Struct(s).SetPtr(6, v.ToPtr())
+}
+
+// NewPeers sets the peers field to a newly
+// allocated PeerAddress_List, preferring placement in s's segment.
+func (s NodeBeat) NewPeers(n int32) (PeerAddress_List, error) {
+	l, err := NewPeerAddress_List(capnp.Struct(s).Segment(), n)
+	if err != nil {
+		return PeerAddress_List{}, err
+	}
+	err = capnp.Struct(s).SetPtr(6, l.ToPtr())
+	return l, err
+}
+func (s NodeBeat) Leaving() bool {
+	return capnp.Struct(s).Bit(128)
+}
+
+func (s NodeBeat) SetLeaving(v bool) {
+	capnp.Struct(s).SetBit(128, v)
+}
+
+func (s NodeBeat) Ended() (capnp.TextList, error) {
+	p, err := capnp.Struct(s).Ptr(7)
+	return capnp.TextList(p.List()), err
+}
+
+func (s NodeBeat) HasEnded() bool {
+	return capnp.Struct(s).HasPtr(7)
+}
+
+func (s NodeBeat) SetEnded(v capnp.TextList) error {
+	return capnp.Struct(s).SetPtr(7, v.ToPtr())
+}
+
+// NewEnded sets the ended field to a newly
+// allocated capnp.TextList, preferring placement in s's segment.
+func (s NodeBeat) NewEnded(n int32) (capnp.TextList, error) {
+	l, err := capnp.NewTextList(capnp.Struct(s).Segment(), n)
+	if err != nil {
+		return capnp.TextList{}, err
+	}
+	err = capnp.Struct(s).SetPtr(7, l.ToPtr())
+	return l, err
+}
+
+// NodeBeat_List is a list of NodeBeat.
+type NodeBeat_List = capnp.StructList[NodeBeat]
+
+// NewNodeBeat creates a new list of NodeBeat.
+func NewNodeBeat_List(s *capnp.Segment, sz int32) (NodeBeat_List, error) {
+	l, err := capnp.NewCompositeList(s, capnp.ObjectSize{DataSize: 24, PointerCount: 8}, sz)
+	return capnp.StructList[NodeBeat](l), err
+}
+
+// NodeBeat_Future is a wrapper for a NodeBeat promised by a client call.
+type NodeBeat_Future struct{ *capnp.Future }
+
+func (f NodeBeat_Future) Struct() (NodeBeat, error) {
+	p, err := f.Future.Ptr()
+	return NodeBeat(p.Struct()), err
+}
+
+type JobRead capnp.Struct
+
+// JobRead_TypeID is the unique identifier for the type JobRead.
+const JobRead_TypeID = 0xd4051e2eda73e9ca
+
+func NewJobRead(s *capnp.Segment) (JobRead, error) {
+	st, err := capnp.NewStruct(s, capnp.ObjectSize{DataSize: 8, PointerCount: 1})
+	return JobRead(st), err
+}
+
+func NewRootJobRead(s *capnp.Segment) (JobRead, error) {
+	st, err := capnp.NewRootStruct(s, capnp.ObjectSize{DataSize: 8, PointerCount: 1})
+	return JobRead(st), err
+}
+
+func ReadRootJobRead(msg *capnp.Message) (JobRead, error) {
+	root, err := msg.Root()
+	return JobRead(root.Struct()), err
+}
+
+func (s JobRead) String() string {
+	str, _ := text.Marshal(0xd4051e2eda73e9ca, capnp.Struct(s))
+	return str
+}
+
+func (s JobRead) EncodeAsPtr(seg *capnp.Segment) capnp.Ptr {
+	return capnp.Struct(s).EncodeAsPtr(seg)
+}
+
+func (JobRead) DecodeFromPtr(p capnp.Ptr) JobRead {
+	return JobRead(capnp.Struct{}.DecodeFromPtr(p))
+}
+
+func (s JobRead) ToPtr() capnp.Ptr {
+	return capnp.Struct(s).ToPtr()
+}
+func (s JobRead) IsValid() bool {
+	return capnp.Struct(s).IsValid()
+}
+
+func (s JobRead) Message() *capnp.Message {
+	return capnp.Struct(s).Message()
+}
+
+func (s JobRead) Segment() *capnp.Segment {
+	return capnp.Struct(s).Segment()
+}
+func (s JobRead) Job() (string, error) {
+	p, err := capnp.Struct(s).Ptr(0)
+	return p.Text(), err
+}
+
+func (s JobRead) HasJob() bool {
+	return capnp.Struct(s).HasPtr(0)
+}
+
+func (s JobRead) JobBytes() ([]byte, error) {
+	p, err := capnp.Struct(s).Ptr(0)
+	return p.TextBytes(), err
+}
+
+func (s JobRead) SetJob(v string) error {
+	return capnp.Struct(s).SetText(0, v)
+}
+
+func (s JobRead) After() uint32 {
+	return capnp.Struct(s).Uint32(0)
+}
+
+func (s JobRead) SetAfter(v uint32) {
+	capnp.Struct(s).SetUint32(0, v)
+}
+
+func (s JobRead) WaitMs() uint32 {
+	return capnp.Struct(s).Uint32(4)
+}
+
+func (s JobRead) SetWaitMs(v uint32) {
+	capnp.Struct(s).SetUint32(4, v)
+}
+
+// JobRead_List is a list of JobRead.
+type JobRead_List = capnp.StructList[JobRead]
+
+// NewJobRead creates a new list of JobRead.
+func NewJobRead_List(s *capnp.Segment, sz int32) (JobRead_List, error) {
+	l, err := capnp.NewCompositeList(s, capnp.ObjectSize{DataSize: 8, PointerCount: 1}, sz)
+	return capnp.StructList[JobRead](l), err
+}
+
+// JobRead_Future is a wrapper for a JobRead promised by a client call.
+type JobRead_Future struct{ *capnp.Future }
+
+func (f JobRead_Future) Struct() (JobRead, error) {
+	p, err := f.Future.Ptr()
+	return JobRead(p.Struct()), err
+}
+
+type JobPage capnp.Struct
+
+// JobPage_TypeID is the unique identifier for the type JobPage.
+const JobPage_TypeID = 0xb63f097ce8c7c9cc
+
+func NewJobPage(s *capnp.Segment) (JobPage, error) {
+	st, err := capnp.NewStruct(s, capnp.ObjectSize{DataSize: 8, PointerCount: 1})
+	return JobPage(st), err
+}
+
+func NewRootJobPage(s *capnp.Segment) (JobPage, error) {
+	st, err := capnp.NewRootStruct(s, capnp.ObjectSize{DataSize: 8, PointerCount: 1})
+	return JobPage(st), err
+}
+
+func ReadRootJobPage(msg *capnp.Message) (JobPage, error) {
+	root, err := msg.Root()
+	return JobPage(root.Struct()), err
+}
+
+func (s JobPage) String() string {
+	str, _ := text.Marshal(0xb63f097ce8c7c9cc, capnp.Struct(s))
+	return str
+}
+
+func (s JobPage) EncodeAsPtr(seg *capnp.Segment) capnp.Ptr {
+	return capnp.Struct(s).EncodeAsPtr(seg)
+}
+
+func (JobPage) DecodeFromPtr(p capnp.Ptr) JobPage {
+	return JobPage(capnp.Struct{}.DecodeFromPtr(p))
+}
+
+func (s JobPage) ToPtr() capnp.Ptr {
+	return capnp.Struct(s).ToPtr()
+}
+func (s JobPage) IsValid() bool {
+	return capnp.Struct(s).IsValid()
+}
+
+func (s JobPage) Message() *capnp.Message {
+	return capnp.Struct(s).Message()
+}
+
+func (s JobPage) Segment() *capnp.Segment {
+	return capnp.Struct(s).Segment()
+}
+func (s JobPage) Known() bool {
+	return capnp.Struct(s).Bit(0)
+}
+
+func (s JobPage) SetKnown(v bool) {
+	capnp.Struct(s).SetBit(0, v)
+}
+
+func (s JobPage) Total() uint32 {
+	return capnp.Struct(s).Uint32(4)
+}
+
+func (s JobPage) SetTotal(v uint32) {
+	capnp.Struct(s).SetUint32(4, v)
+}
+
+func (s JobPage) Results() ([]byte, error) {
+	p, err := capnp.Struct(s).Ptr(0)
+	return []byte(p.Data()), err
+}
+
+func (s JobPage) HasResults() bool {
+	return capnp.Struct(s).HasPtr(0)
+}
+
+func (s JobPage) SetResults(v []byte) error {
+	return capnp.Struct(s).SetData(0, v)
+}
+
+// JobPage_List is a list of JobPage.
+type JobPage_List = capnp.StructList[JobPage]
+
+// NewJobPage creates a new list of JobPage.
+func NewJobPage_List(s *capnp.Segment, sz int32) (JobPage_List, error) {
+	l, err := capnp.NewCompositeList(s, capnp.ObjectSize{DataSize: 8, PointerCount: 1}, sz)
+	return capnp.StructList[JobPage](l), err
+}
+
+// JobPage_Future is a wrapper for a JobPage promised by a client call.
+type JobPage_Future struct{ *capnp.Future }
+
+func (f JobPage_Future) Struct() (JobPage, error) {
+	p, err := f.Future.Ptr()
+	return JobPage(p.Struct()), err
+}
+
+type JobItem capnp.Struct
+
+// JobItem_TypeID is the unique identifier for the type JobItem.
+const JobItem_TypeID = 0xdb51db3178dd0c7a
+
+func NewJobItem(s *capnp.Segment) (JobItem, error) {
+	st, err := capnp.NewStruct(s, capnp.ObjectSize{DataSize: 0, PointerCount: 2})
+	return JobItem(st), err
+}
+
+func NewRootJobItem(s *capnp.Segment) (JobItem, error) {
+	st, err := capnp.NewRootStruct(s, capnp.ObjectSize{DataSize: 0, PointerCount: 2})
+	return JobItem(st), err
+}
+
+func ReadRootJobItem(msg *capnp.Message) (JobItem, error) {
+	root, err := msg.Root()
+	return JobItem(root.Struct()), err
+}
+
+func (s JobItem) String() string {
+	str, _ := text.Marshal(0xdb51db3178dd0c7a, capnp.Struct(s))
+	return str
+}
+
+func (s JobItem) EncodeAsPtr(seg *capnp.Segment) capnp.Ptr {
+	return capnp.Struct(s).EncodeAsPtr(seg)
+}
+
+func (JobItem) DecodeFromPtr(p capnp.Ptr) JobItem {
+	return JobItem(capnp.Struct{}.DecodeFromPtr(p))
+}
+
+func (s JobItem) ToPtr() capnp.Ptr {
+	return capnp.Struct(s).ToPtr()
+}
+func (s JobItem) IsValid() bool {
+	return capnp.Struct(s).IsValid()
+}
+
+func (s JobItem) Message() *capnp.Message {
+	return capnp.Struct(s).Message()
+}
+
+func (s JobItem) Segment() *capnp.Segment {
+	return capnp.Struct(s).Segment()
+}
+func (s JobItem) Job() (string, error) {
+	p, err := capnp.Struct(s).Ptr(0)
+	return p.Text(), err
+}
+
+func (s JobItem) HasJob() bool {
+	return capnp.Struct(s).HasPtr(0)
+}
+
+func (s JobItem) JobBytes() ([]byte, error) {
+	p, err := capnp.Struct(s).Ptr(0)
+	return p.TextBytes(), err
+}
+
+func (s JobItem) SetJob(v string) error {
+	return capnp.Struct(s).SetText(0, v)
+}
+
+func (s JobItem) Item() (string, error) {
+	p, err := capnp.Struct(s).Ptr(1)
+	return p.Text(), err
+}
+
+func (s JobItem) HasItem() bool {
+	return capnp.Struct(s).HasPtr(1)
+}
+
+func (s JobItem) ItemBytes() ([]byte, error) {
+	p, err := capnp.Struct(s).Ptr(1)
+	return p.TextBytes(), err
+}
+
+func (s JobItem) SetItem(v string) error {
+	return capnp.Struct(s).SetText(1, v)
+}
+
+// JobItem_List is a list of JobItem.
+type JobItem_List = capnp.StructList[JobItem]
+
+// NewJobItem creates a new list of JobItem.
+func NewJobItem_List(s *capnp.Segment, sz int32) (JobItem_List, error) {
+	l, err := capnp.NewCompositeList(s, capnp.ObjectSize{DataSize: 0, PointerCount: 2}, sz)
+	return capnp.StructList[JobItem](l), err
+}
+
+// JobItem_Future is a wrapper for a JobItem promised by a client call.
+type JobItem_Future struct{ *capnp.Future }
+
+func (f JobItem_Future) Struct() (JobItem, error) {
+	p, err := f.Future.Ptr()
+	return JobItem(p.Struct()), err
+}
+
+type JobItemBody capnp.Struct
+
+// JobItemBody_TypeID is the unique identifier for the type JobItemBody.
+const JobItemBody_TypeID = 0x9006362a523fd882
+
+func NewJobItemBody(s *capnp.Segment) (JobItemBody, error) {
+	st, err := capnp.NewStruct(s, capnp.ObjectSize{DataSize: 8, PointerCount: 1})
+	return JobItemBody(st), err
+}
+
+func NewRootJobItemBody(s *capnp.Segment) (JobItemBody, error) {
+	st, err := capnp.NewRootStruct(s, capnp.ObjectSize{DataSize: 8, PointerCount: 1})
+	return JobItemBody(st), err
+}
+
+func ReadRootJobItemBody(msg *capnp.Message) (JobItemBody, error) {
+	root, err := msg.Root()
+	return JobItemBody(root.Struct()), err
+}
+
+func (s JobItemBody) String() string {
+	str, _ := text.Marshal(0x9006362a523fd882, capnp.Struct(s))
+	return str
+}
+
+func (s JobItemBody) EncodeAsPtr(seg *capnp.Segment) capnp.Ptr {
+	return capnp.Struct(s).EncodeAsPtr(seg)
+}
+
+func (JobItemBody) DecodeFromPtr(p capnp.Ptr) JobItemBody {
+	return JobItemBody(capnp.Struct{}.DecodeFromPtr(p))
+}
+
+func (s JobItemBody) ToPtr() capnp.Ptr {
+	return capnp.Struct(s).ToPtr()
+}
+func (s JobItemBody) IsValid() bool {
+	return capnp.Struct(s).IsValid()
+}
+
+func (s JobItemBody) Message() *capnp.Message {
+	return capnp.Struct(s).Message()
+}
+
+func (s JobItemBody) Segment() *capnp.Segment {
+	return capnp.Struct(s).Segment()
+}
+func (s JobItemBody) Known() bool {
+	return capnp.Struct(s).Bit(0)
+}
+
+func (s JobItemBody) SetKnown(v bool) {
+	capnp.Struct(s).SetBit(0, v)
+}
+
+func (s JobItemBody) Found() bool {
+	return capnp.Struct(s).Bit(1)
+}
+
+func (s JobItemBody) SetFound(v bool) {
+	capnp.Struct(s).SetBit(1, v)
+}
+
+func (s JobItemBody) Body() ([]byte, error) {
+	p, err := capnp.Struct(s).Ptr(0)
+	return []byte(p.Data()), err
+}
+
+func (s JobItemBody) HasBody() bool {
+	return capnp.Struct(s).HasPtr(0)
+}
+
+func (s JobItemBody) SetBody(v []byte) error {
+	return capnp.Struct(s).SetData(0, v)
+}
+
+// JobItemBody_List is a list of JobItemBody.
+type JobItemBody_List = capnp.StructList[JobItemBody]
+
+// NewJobItemBody creates a new list of JobItemBody.
+func NewJobItemBody_List(s *capnp.Segment, sz int32) (JobItemBody_List, error) {
+	l, err := capnp.NewCompositeList(s, capnp.ObjectSize{DataSize: 8, PointerCount: 1}, sz)
+	return capnp.StructList[JobItemBody](l), err
+}
+
+// JobItemBody_Future is a wrapper for a JobItemBody promised by a client call.
+type JobItemBody_Future struct{ *capnp.Future }
+
+func (f JobItemBody_Future) Struct() (JobItemBody, error) {
+	p, err := f.Future.Ptr()
+	return JobItemBody(p.Struct()), err
+}
+
+type JobEnd capnp.Struct
+
+// JobEnd_TypeID is the unique identifier for the type JobEnd.
+const JobEnd_TypeID = 0xfba6f92bdc7a8873
+
+func NewJobEnd(s *capnp.Segment) (JobEnd, error) {
+	st, err := capnp.NewStruct(s, capnp.ObjectSize{DataSize: 0, PointerCount: 1})
+	return JobEnd(st), err
+}
+
+func NewRootJobEnd(s *capnp.Segment) (JobEnd, error) {
+	st, err := capnp.NewRootStruct(s, capnp.ObjectSize{DataSize: 0, PointerCount: 1})
+	return JobEnd(st), err
+}
+
+func ReadRootJobEnd(msg *capnp.Message) (JobEnd, error) {
+	root, err := msg.Root()
+	return JobEnd(root.Struct()), err
+}
+
+func (s JobEnd) String() string {
+	str, _ := text.Marshal(0xfba6f92bdc7a8873, capnp.Struct(s))
+	return str
+}
+
+func (s JobEnd) EncodeAsPtr(seg *capnp.Segment) capnp.Ptr {
+	return capnp.Struct(s).EncodeAsPtr(seg)
+}
+
+func (JobEnd) DecodeFromPtr(p capnp.Ptr) JobEnd {
+	return JobEnd(capnp.Struct{}.DecodeFromPtr(p))
+}
+
+func (s JobEnd) ToPtr() capnp.Ptr {
+	return capnp.Struct(s).ToPtr()
+}
+func (s JobEnd) IsValid() bool {
+	return capnp.Struct(s).IsValid()
+}
+
+func (s JobEnd) Message() *capnp.Message {
+	return capnp.Struct(s).Message()
+}
+
+func (s JobEnd) Segment() *capnp.Segment {
+	return capnp.Struct(s).Segment()
+}
+func (s JobEnd) Job() (string, error) {
+	p, err := capnp.Struct(s).Ptr(0)
+	return p.Text(), err
+}
+
+func (s JobEnd) HasJob() bool {
+	return capnp.Struct(s).HasPtr(0)
+}
+
+func (s JobEnd) JobBytes() ([]byte, error) {
+	p, err := capnp.Struct(s).Ptr(0)
+	return p.TextBytes(), err
+}
+
+func (s JobEnd) SetJob(v string) error {
+	return capnp.Struct(s).SetText(0, v)
+}
+
+// JobEnd_List is a list of JobEnd.
+type JobEnd_List = capnp.StructList[JobEnd]
+
+// NewJobEnd creates a new list of JobEnd.
+func NewJobEnd_List(s *capnp.Segment, sz int32) (JobEnd_List, error) {
+	l, err := capnp.NewCompositeList(s, capnp.ObjectSize{DataSize: 0, PointerCount: 1}, sz)
+	return capnp.StructList[JobEnd](l), err
+}
+
+// JobEnd_Future is a wrapper for a JobEnd promised by a client call.
+type JobEnd_Future struct{ *capnp.Future }
+
+func (f JobEnd_Future) Struct() (JobEnd, error) {
+	p, err := f.Future.Ptr()
+	return JobEnd(p.Struct()), err
+}
+
+type JobTexts capnp.Struct
+
+// JobTexts_TypeID is the unique identifier for the type JobTexts.
+const JobTexts_TypeID = 0xf7a0321dc58f7890
+
+func NewJobTexts(s *capnp.Segment) (JobTexts, error) {
+	st, err := capnp.NewStruct(s, capnp.ObjectSize{DataSize: 0, PointerCount: 1})
+	return JobTexts(st), err
+}
+
+func NewRootJobTexts(s *capnp.Segment) (JobTexts, error) {
+	st, err := capnp.NewRootStruct(s, capnp.ObjectSize{DataSize: 0, PointerCount: 1})
+	return JobTexts(st), err
+}
+
+func ReadRootJobTexts(msg *capnp.Message) (JobTexts, error) {
+	root, err := msg.Root()
+	return JobTexts(root.Struct()), err
+}
+
+func (s JobTexts) String() string {
+	str, _ := text.Marshal(0xf7a0321dc58f7890, capnp.Struct(s))
+	return str
+}
+
+func (s JobTexts) EncodeAsPtr(seg *capnp.Segment) capnp.Ptr {
+	return capnp.Struct(s).EncodeAsPtr(seg)
+}
+
+func (JobTexts) DecodeFromPtr(p capnp.Ptr) JobTexts {
+	return JobTexts(capnp.Struct{}.DecodeFromPtr(p))
+}
+
+func (s JobTexts) ToPtr() capnp.Ptr {
+	return capnp.Struct(s).ToPtr()
+}
+func (s JobTexts) IsValid() bool {
+	return capnp.Struct(s).IsValid()
+}
+
+func (s JobTexts) Message() *capnp.Message {
+	return capnp.Struct(s).Message()
+}
+
+func (s JobTexts) Segment() *capnp.Segment {
+	return capnp.Struct(s).Segment()
+}
+func (s JobTexts) Items() (capnp.TextList, error) {
+	p, err := capnp.Struct(s).Ptr(0)
+	return capnp.TextList(p.List()), err
+}
+
+func (s JobTexts) HasItems() bool {
+	return capnp.Struct(s).HasPtr(0)
+}
+
+func (s JobTexts) SetItems(v capnp.TextList) error {
+	return capnp.Struct(s).SetPtr(0, v.ToPtr())
+}
+
+// NewItems sets the items field to a newly
+// allocated capnp.TextList, preferring placement in s's segment.
+func (s JobTexts) NewItems(n int32) (capnp.TextList, error) {
+	l, err := capnp.NewTextList(capnp.Struct(s).Segment(), n)
+	if err != nil {
+		return capnp.TextList{}, err
+	}
+	err = capnp.Struct(s).SetPtr(0, l.ToPtr())
+	return l, err
+}
+
+// JobTexts_List is a list of JobTexts.
+type JobTexts_List = capnp.StructList[JobTexts]
+
+// NewJobTexts creates a new list of JobTexts.
+func NewJobTexts_List(s *capnp.Segment, sz int32) (JobTexts_List, error) {
+	l, err := capnp.NewCompositeList(s, capnp.ObjectSize{DataSize: 0, PointerCount: 1}, sz)
+	return capnp.StructList[JobTexts](l), err
+}
+
+// JobTexts_Future is a wrapper for a JobTexts promised by a client call.
+type JobTexts_Future struct{ *capnp.Future }
+
+func (f JobTexts_Future) Struct() (JobTexts, error) {
+	p, err := f.Future.Ptr()
+	return JobTexts(p.Struct()), err
+}
+
+type JobTextsReply capnp.Struct
+
+// JobTextsReply_TypeID is the unique identifier for the type JobTextsReply.
+const JobTextsReply_TypeID = 0x962aeed7c2ae1308
+
+func NewJobTextsReply(s *capnp.Segment) (JobTextsReply, error) {
+	st, err := capnp.NewStruct(s, capnp.ObjectSize{DataSize: 0, PointerCount: 1})
+	return JobTextsReply(st), err
+}
+
+func NewRootJobTextsReply(s *capnp.Segment) (JobTextsReply, error) {
+	st, err := capnp.NewRootStruct(s, capnp.ObjectSize{DataSize: 0, PointerCount: 1})
+	return JobTextsReply(st), err
+}
+
+func ReadRootJobTextsReply(msg *capnp.Message) (JobTextsReply, error) {
+	root, err := msg.Root()
+	return JobTextsReply(root.Struct()), err
+}
+
+func (s JobTextsReply) String() string {
+	str, _ := text.Marshal(0x962aeed7c2ae1308, capnp.Struct(s))
+	return str
+}
+
+func (s JobTextsReply) EncodeAsPtr(seg *capnp.Segment) capnp.Ptr {
+	return capnp.Struct(s).EncodeAsPtr(seg)
+}
+
+func (JobTextsReply) DecodeFromPtr(p capnp.Ptr) JobTextsReply {
+	return JobTextsReply(capnp.Struct{}.DecodeFromPtr(p))
+}
+
+func (s JobTextsReply) ToPtr() capnp.Ptr {
+	return capnp.Struct(s).ToPtr()
+}
+func (s JobTextsReply) IsValid() bool {
+	return capnp.Struct(s).IsValid()
+}
+
+func (s JobTextsReply) Message() *capnp.Message {
+	return capnp.Struct(s).Message()
+}
+
+func (s JobTextsReply) Segment() *capnp.Segment {
+	return capnp.Struct(s).Segment()
+}
+func (s JobTextsReply) Texts() ([]byte, error) {
+	p, err := capnp.Struct(s).Ptr(0)
+	return []byte(p.Data()), err
+}
+
+func (s JobTextsReply) HasTexts() bool {
+	return capnp.Struct(s).HasPtr(0)
+}
+
+func (s JobTextsReply) SetTexts(v []byte) error {
+	return capnp.Struct(s).SetData(0, v)
+}
+
+// JobTextsReply_List is a list of JobTextsReply.
+type JobTextsReply_List = capnp.StructList[JobTextsReply]
+
+// NewJobTextsReply creates a new list of JobTextsReply.
+func NewJobTextsReply_List(s *capnp.Segment, sz int32) (JobTextsReply_List, error) {
+	l, err := capnp.NewCompositeList(s, capnp.ObjectSize{DataSize: 0, PointerCount: 1}, sz)
+	return capnp.StructList[JobTextsReply](l), err
+}
+
+// JobTextsReply_Future is a wrapper for a JobTextsReply promised by a client call.
+type JobTextsReply_Future struct{ *capnp.Future }
+
+func (f JobTextsReply_Future) Struct() (JobTextsReply, error) {
+	p, err := f.Future.Ptr()
+	return JobTextsReply(p.Struct()), err
+}
+
+const schema_b1f6a7c95e0d4c21 = "x\xda\xbc:\x7fp\x14e\x96\xdf\xeb\x9ed\x92\x900" +
+	"3\xf9\x1a\x0dl\xc2\xb0\x14 d\x03\x81\xa0.\xcb\xba" +
+	"\x1b\xcc\x81\"\x07V:\xa3\xab\xb7\xe5\xde\xd9\x99\xf9H" +
+	"\x06f\xba\x87\x9e\x1e \x1c\\\xc4r\xf7\xf0\x0a\x04\xea" +
+	"D\xe1\x0a\xaf`\x17\x15\xf6\xe0\x0e,\xe4\xc0\xc5;\xb1" +
+	"\xf0\\(\xd9\x13N\\~\x9e\x8a\xb0\x02\xc2\x9e\xb8\x1b" +
+	"\x11W\xed\xab\xf7\xf5Lw\xa7\xd3\x09\xb3{U\xf7_" +
+	"\xf7{\xaf\xbf\xef}\xef\xf7\xf7^O<Q5-0" +
+	"\xa9\xea\xd7!\"\xc8{KJ\xcd35\xbb\xdf\x1bS" +
+	"\xb5g9\x91\xabA0\xbf9\xbb\xea/\x0f\xbd\xf8\xd9" +
+	".R\"\x04\x09\xa1G\x83\xaf\xd3\x93A|:\x1e\xfc" +
+	"\x88\x80\xf9\xf3\xf7\xae/\xfe\xe8\xfe\x87\x9e\xf0\x12\x03\x92" +
+	"\xec*;L_-\xc3\xa7}e\xffB\xc0\xdc\xb8\xbe" +
+	"\xb2<\xd9\xf8\xe5O\x90\x18\xbc\xc4r\xf91\xfa\xa3r" +
+	"|\xfa\x8b\xf2E\x04\xcc\x07S\x8d\x0d]\x9b\xd2\x7f\xe7" +
+	"G<\xf9\xe5\xf2j\xa0op\xea\x03\x9c\xfa\xeb\xc7\xff" +
+	"\xfa\xbb\x87\xa4\xce\x95$R\xddg\xe5\xba\x8act\\" +
+	"\x05>\x8d\xaehF6:N\xad]\x9b\xd0V\xfa\xb2" +
+	"\xf1`\xc5e\xaap\xe2\x1fU\xe0\xc2\xf4\xc51\xa3?" +
+	"\xfa\xdb\xbaU~\x0b\xef\xabx\x85\x1e\xe0\xb4\xaf\xf2\x85" +
+	"\x7f\xb5\xb7\xee\xe1\xff\xa4o\xac\xf6.,\"\xc9\xb5\x8a" +
+	"W\xe8\x0dN\xdcS\x81\x92{\xfcDs[\xfd\x9d\xa5" +
+	"k|\xb98;\xe8Szi\x10>]\x18\x84\x92k" +
+	"Yp\xe6\xe4\xf2\x9f\x08k=b\x0e\xa0,\x96UV" +
+	"\x03]U\x89\xc4OV\"\xcb=?\xfb`\xca\xd0\x09" +
+	";\xff\xdeO\x81\x93/T\x0a@\xafq\xea\xab\x95\xc8" +
+	"G\x19\xfd\xe7\xd7\x7f\xfd\xdb\xfag|\x0e8\xf9B\x15" +
+	"\x12Wq\xe2*<\xe1c\xa76,S\xb7}\xbc\x1e" +
+	"\x97\x16\xbd\xd4U\x83\x05\xa0C\x07#\xf5\x90\xc1\xb8\xf4" +
+	"\xf7\xefy\xb6N\xb8s\xf5?x\x8f\xc8-\xe9\xda\xe0" +
+	"\x97\xe8\x0dN\xdc3\x18\x8f\x98>8n\xe6\x8eG>" +
+	"\xfb\x19\x12\x07\xbc\xf2\xd8\x1c\xbaLw\x84p\x93m\xa1" +
+	"\x87\x80\x80\xb9\xab\xf3\xa7w\xd6\x04\xf6o\xf12\x82\xa2" +
+	"\x9e\xdc\x13\x16\x80B\x04\x1f\xbf\x0as\xf2\x85g\x92\xff" +
+	"\xde\xf9_O\xbd\xe09$g$Y}\x8c\xe6\xaa\xf1" +
+	"iA5\x8aO\xe9\xa8\xfcjJ\xee\xe0._\xae\xaf" +
+	"V\x9f\xa378qO5r}\xe3\xfb[\xcb\xf6\x9f" +
+	"\xde\xfc\x92\x1f\x1ft\x15\xfd\x82n\xa0\xc8\xc6:\xba\x1a" +
+	"\xd9\xb8\xf7\xdb\xff\xba~\x8f\xfc\xd2K~\xde2y\xf4" +
+	"\x90j\xa0w\x0c\xc1\x0f'\x0d\xc1\xb5\xdf:\xf4\xe6\xc5" +
+	"\xa5\xe5\xcd{|-\xe4\xc8\x90c\xf4$'>\xce\x89" +
+	"\xdfn\xdc<\xe9\xdf6\xa4\xf6x\xc5\xc7\xb9N\xdfr" +
+	"\x8ev\xdd\x82\x9b\xe4n\xe1\xf2x\xea\xae1\x1f^\xfd" +
+	"\xf9\x8c\x03^\xb6\xb9\x89\x1c\xb8\xb5\x02\xe8\xd1[\xf1\xf1" +
+	"\xc8\xadQ$\x7f\xe1\x17\xeco\xee_j\x1c\xf4\xb5\xa8" +
+	"K5\x15@o\xd4p\x99\xd4\xa0\xda\xef\xbdV\xf6\xf1" +
+	"\xf47\xff\xe9\xa0\x9f\xb0\x0f\x0d\xfd\x94\x1e\x1f\xca#\xc9" +
+	"P\x14\xf6\xbew?\xefl\xba\xed\xc37\xfdh\xc7\x0f" +
+	"{\x9d\xde1\x8c\xcbc\x18\xd2\x1e\xbcxd\xeb\x0au" +
+	"\xf7!\xef\x11K\xb8\xac\x87\x1d\xa6\x1b\x86qY\x0f\xfb" +
+	"\xb6@\xc0<|){j\xc2\xf0\x92w\xfc\xfd\xab\xf6" +
+	"\x18\xbdT\xcb\xfd\xab\x16\xa5\xf7\xe7\xe3\x16>\xb2j\xe6" +
+	"\x8b\xef\xfa\x12/\xab;G\x9f\xac\xc3\xa7\x1f\xd7!\x1f" +
+	"K*\xcf.\x9etZ>\xed\xc7\xf3\x07u\xc7\xe8U" +
+	"N{\x89\xd3\xd2\xa1;{\x1e\xeaYt\xda\xd7\x98f" +
+	"\x0c?G\xe5\xe1\xf84g8r\xf1\xcc\xf5\xe5\xcf\x8e" +
+	"X>\xed\xbf=Z\x99\x01\xc1\xe1PBo\x0c\x7f\x9d" +
+	"B\x94\x1b\xf5\xf0\xe6 \x01s\xc4\xba\x8e\xb5\xc7\x9fz" +
+	"\xec=_k\xba4F\x00\xda3\x86{\xda\x18\\\xfc" +
+	"\xaf\"O\x9eV\x1e\xa8=\xefU9\x8f\xcfko;" +
+	"E\x9f\xbb\x0d\xbf\xdbp\x9b\x86\xd2\xbb~x\xf9OW" +
+	"\xfc\xc77~\xe3\x17\xf6\x92\xf5\x97i\xae\x9e;L=" +
+	"\x06\x85\xf7\xff\xf1\xec\xea\xafg\xb6\\\xf63&\xba\xb9" +
+	"\xfe2\xddQ\xcf=\xb7\x9e\x9b\xde\x0f~\xf7\xf1\x91_" +
+	"\xec9v\xc5\xd7\x96n|\xab\x02hy\x03~X\xd2" +
+	"\x80\xb64\xa8\xae\xfd\xd9Ce\xef^\xf5\xae\xcdu~" +
+	"\xb6\xe1Sz\xa9\x81\x07\xaa\x867q\xed5\x8bW\xbf" +
+	"Q\xd7\xb4\xe9\xba\x1f\xd7G'\x9c\xa2g'\xe0\xd3\xc9" +
+	"\x09\xc8\xf5w#kFm-\xf9\xd5\x17\xbe*/o" +
+	"\xbcL\x874\xe2S\xa4\x11\xd5\x98]\xb1\xe4\xcc\xb7n" +
+	"\xbc\xf0\x07\xbf\x85\xd3\x8d\x87i\x17\xa7\xcd5\xe2\xc2\x07" +
+	"\x9e\x09\x1d~%|\xc1\xf4]x]\xe3\x17t3'" +
+	"~\xaeq\x11\x19of\xe3\x9d,\xad4f\x04\xc6\xf4" +
+	"\x09q%\xa3f\xa6\xced\xa9\x94FZ\x01\xe4\xb0\x18" +
+	" $\x00\x84D\x94Y\x84\xc8\x8f\x8a \xa7\x04\x00\x90" +
+	"\x00a\xc9zB\xe4\x84\x08rF\x80\x88\x00\x12\x08\x84" +
+	"D\xd2-\x84\xc8\x9d\"\xc8\x86\x00\x11\x11$\x10\x09\x89" +
+	",h'D\xce\x88 /\x15\xc0\xcc\xe8\x9a\xa1\xc5\xb5" +
+	"\x14!\x04\x82D\x80 \x81\x90\xaa%\x18T\x12\x01*" +
+	"\x09t+\x89\x84\xce\xb2\xd9\xc2\xbb\x99T\xe3\x8a\xae*" +
+	"\x06\x09&5\x15\xca\x89\x00\xe5(\x91\xbe\x8c\xc7\x94t" +
+	"&\xc5\x08g\xbd\xd2f}\x06\xb29M\x04y\xb6\x00" +
+	"\x91\x02\xef\xf7M%D\x9e.\x82\xdc*\x00\x08\x16\xeb" +
+	"s\x90p\xa6\x08\xf2\x03\x02\x84\xb2)\xcd\x802\"@" +
+	"\x19\x81\xe6D\xb2\x83e\x8d\xc2\xd6\xa1\x84b(PE" +
+	"\x04\xa8\xf2\xe7\xe3\x1e%\x99\xca\xe9\xc0\x90\x8f2\x9b\x8f" +
+	"q\xb8\xfc(\x11\xe4\x89\x8e\x08\xc7#\x1bcE\x90o" +
+	"\x17 \x14G!\xe4%\xd2\x9c`\x86\x92L\xd92(" +
+	"\xec\":\xbbL\xd7\xe2\xb94S\x8d\x1f0=\x9b\xd4" +
+	"@-b\xb7\x16\xd7n\xaa\x92vD\xbe\x90\xafQ\x84" +
+	"p!\x8b\xdb\x04\xecm\xaap\xc92\x11\xe4Q\x02t" +
+	"g9I\x16\x06\x13h\x15\x01\xc2NqF\x00\x81\xfd" +
+	"/\x1b\x9a\x9d\xcc\x1a\x9e\x03\xb4\xf8\x1c\xa0\xde9@\xb7" +
+	"\xa1+I\x95\xe9\x853\x84\xb2\x06\xcb\xf49\x00\x14v" +
+	"j\xceL\x8du\xa9q\x0f\xf7h\xd5\x95\"\xc8c\x05" +
+	"0\xf32\xc8\xa2]\xda'\xb0C\x9c\xe7\x04\xeeu[" +
+	"\x93j\x87\xc7[P\xad\x8f\x88 w:\xbc\xb3\x16\xc7" +
+	"\x83loI\xb6\xb8\\H\x14,oI\xb7\x11\"\xa7" +
+	"D\x90W\x08\xd0l(z\x073lEes\xe9\xb4" +
+	"\xa2w\x15\xce\xd9\xad\xb3\xb8\xa6'\xb2\x10v*\x0c\x02" +
+	"\x10&`&\xf2\xe6A\xc0\xa5\x10\xbb\xa6\xed_!\xb3" +
+	"\xb4\xf6\xfb\x0c\x16M\xb7h\x89.\x8f#5\xf99R" +
+	"\xd3\xc0\x8e\x14\x9d\xafj\x8bT\x00\"\x00\x10\x88\xce\xd5" +
+	"rj\xa2\xf0\x16j\xd7\x12]}\x1cI\xf4\x1aG\x1b" +
+	"\x9b\xcbt\xa6\xc6\x07r\xa8\x88\xafG\x0d\xe0\xc4~\xdb" +
+	"\xfdYJI\xa6c\xaa\x92\xc9vj\x867\x006\x0d" +
+	"\xa0\xd2\xa5.\x95v\xa1\xf6\x16\x8b ?\x8d*\x9df" +
+	"\xa9t-\xb2\xbaR\x04y\xbd\x00Q\x96\xd1\xe2\x9d}" +
+	"4h\xeb\xc8\xce8y\x1d\xe9\xac#\x995\x98\xdeK" +
+	"\x91v\xfdd\x11\x85\xd2\x9a\xce\x0ab\xf5;\xda,\xad" +
+	"\xfd\x01\xb6\xd8\xc8\xb6\xb1L\xaa\x8bx\xbc\xa0)\xef\xc3" +
+	"\x92\x00Q\x03\xa9\x06\xd2I[\x9e\x1dg%\x97\x90Z" +
+	"\x1c!\xd9\x1aa\xb3\xdci\"o\"\xe9%y\x1b_" +
+	",\x00\x88\x96\x90rMN\x96\xe8\xee\xd0\x15\xd5`\xb6" +
+	"\xa9`\xd6H'\xb3,\x81\xdeYP\xa1\x12\x8f\xb3\x8c" +
+	"\xc1\x12\xa4\xb9EI\xa1\xaa\xf3\x88\xe8B%\x95c}" +
+	"\x0ea\xfbl43\xf5\xee\xf8|\x8fq\xb78\xc6m" +
+	"\xdbv\x8bc\xdb\xb6~\xe7\xa0~g[g\xfc\x7fp" +
+	"\xc7\x19jGRe\xa1\xd9\x9a\x92@\x86kl\x867" +
+	"\xa0\xa1?-\x82\xbc\xc9a\xf89dx\xbd\x08\xf2\x16" +
+	"\x17\xc3\x9b\x11\xb8Q\x04y\xab+#?\x8f\xc0M\"" +
+	"\xc8\xdb\x05\x88\x04\x04\x09\x02\x84D\xb6\xe1\x92[D\x90" +
+	"w\x0a\x10)\xa9\x91\xa0\x84\x90\xc8\x0e\xd4\xcaV\x11\xe4" +
+	"\xdd\x0243\xce\x8d\x1d\x8d\xf4\x9c\xaa&\xd5\x8e\x82\x8b" +
+	"u/R\x92\x86\xfb\xbd\x90VJ\x88\x00%\x04\x9a\xb3" +
+	"\x86\xd2\xc1\x12\x85\xd7\xe8\xdc\x94\xd2\x91\x85R\"@\xe9" +
+	"\xc0)\xce\xb15\xd7\xf9\xeb\x8b=\x7f\xfd@\xe7\xdf\xef" +
+	":\xff>\x04\xee\x16A~\x1b\xcf/X\xe7?\x82B" +
+	"\xf9\xa5\x08\xf2;7I\x9a\xa1v%\xcblK\xc8e" +
+	"\xb2L7\\\xba\xb6/\x1a\x96\xae\xbbu\x96\xd6\x16\xb2" +
+	"D\x81\x00\x17\x1d\xdc\x7f\x94\x12\xdc\x0e\x886f%b" +
+	"\x9ft9\xcd\xe5z\xdfC\xde\xa7X\x81\xb8;\xcd\xd2" +
+	"\xedLwqd_g,\x8e\x9aSL\xc9\xba\xb3\xb7" +
+	"}\x0f\xed\xdf:g\xe3'\xf7\x075\x83\xfd\xa95W" +
+	"\x93\xab\xe6rK\xb7\xb9SK%\x9c\xec\x1e5\xb4\xf9" +
+	"l\xc0\xfa\x84\x07\xef\xb6f\xb6 \xc7\xacR\xa2\xd6\xe6" +
+	"\xe6e\xdcd\xa7\xa5\xec\x023\xfbF\xe6u\xfd\x9a\xcb" +
+	"T^E!\xee\x15A>\xe82\x95\x03X\xbc\xbe&" +
+	"\x82\xfc\x16\x9aJ\xd82\x95Cm\x8eUDJ\"\x96" +
+	"\xa9\x1c\xc5\xcf\xdf\x12A>!@\xa4T\x90\xa0\x94\x90" +
+	"\xc8q<\xf5\xdb\"\xc8g\xbc\xa1?8\x9fu9E" +
+	"\xafa\xb0t\xc6N\xf4\xe6\xdc\xa4\xda\xc1\xf4\x8cN\x82" +
+	"I\xd51\x07-\xc3t\xc5Hj\x04\xd4\x82\xdftk" +
+	"9#\xae\xa5Y\xe1\xbdYQ\xb3\x8b\x98^L\x08o" +
+	"\xd5YF\xc9\xd7\xa9.\xdd\xcdr\xa9)/\xad9S" +
+	"\x1d5\xd9\xd2\x92\x9b\xf2\x91\xf0a\xc1\x95\xa5\x08\xb1U" +
+	"\xd8\xde;*\xf7:|?\xa5G\xab\xd2\xd1\x87\x9f\xa2" +
+	"\xcb\x8e\x96~\xcb\x0eC3\x94\x94\x1d\x96t\x96\xcd\xa5" +
+	"|\xb2\\\x9f\xb24\xd8\x9a3<Q\xa7\xc5'\xea\xd4" +
+	"\xbb\xa3\x8e\xe0\x17u\xf2\x95\xdd\xf3S\xddQ\x17\xf2Q" +
+	"\xb7\xde\x1du\xc5\xbeQw\xc0J\xb7\xe8\x8bJ?\x1e" +
+	"\xe4\x9b\xd91\xc0X\xd7(\xc9>\xf924\x8b\xa5V" +
+	"UZ8\xf9\x8f\x11\xf6\x84\x08\xf2\x1a\x97Y\xacZ\xe2" +
+	"\xd4:\xb6\x13\xad\xc3\xf3\xac\x11A\xde\xe8\x8a\xb7na" +
+	"\xfa\x19\xd0\xff!\xe9w\xc7u\xa6\x18N\xae\xf1?o" +
+	"&\x95\x8c+\xd6\xfdI%E\xd52M\xaek\xb0\xe0" +
+	"W\xc3\xe7\x0b>\xf75\xb8[\xb76\xb2cYZK" +
+	"\xb0T\x9f4\x92\xe7\xb4;\xa5)\x09L\xa2\xdej\xce" +
+	"e\x9d\xad\x8c\xe9w'\xa2\xfc\x9a\\LM\xdc\xeb\xde" +
+	"7\xd0U\xdb\xb7\x001t+\xf7\xbav\x19\xe9\xb7\x8b" +
+	"\xebr\xe6\x0em7\xbd.\xcf\xe1\x89\xc9\x92\xff\xd8\xc2" +
+	"\x1e\xb4\x1c\x86\x11\x12\x0b\x80\x08\xb108\xdb\xd0*h" +
+	"!$V\x86p\x09\x1c\x87\xa3\x11\xa8'$V\x89\xf0" +
+	"\x1a\x84\x8bVUI\x87px\x18\xe1\xb5\x08\x0f\x04\xb8" +
+	"\xf1\xd1\xa10\x95\x90\x98\x84\xf0\x11 \x00\x94p\xc7\xa3" +
+	"u\xd0NH\xac\x16\xc1c\x91\xbc\x14x\x18\xa7\xa3a" +
+	"\x16!\xb1Q\x08\x9f\x88\xf0`X\xe2\xfd\x94\xf1\xd0D" +
+	"Hl,\xc2oGx\xd9\x0a\x09\xca\x08\xa1\x938\x9b" +
+	"\x0d\x08\x9f\x82\xf0rQ\x82rB\xe8\x1d|\x9d\xdb\x11" +
+	">\x0d\x04\x10\x93\x89\xfe\x94\x11\xea4\x8c\x8c\xfd\xb2D" +
+	"s\xea\xaef\xf4\x15M\xbdY\x83\x04S\xa1\x1ag." +
+	"\xe7\x89f\x0d\xc5\xb03Ew\xd6\xd0t\xa5\xc3\xb97" +
+	"$\x13L5\x92F\x97\xdb\xdd\xfc\xc3t\x1bS \xe1" +
+	"\x09\xd3#}\x0a\xe8&\xbf\x02\xda\x95K\x82\xf3\xb4v" +
+	"\xdb-\x94\xb9\x06\xd3\xedP\x86\xb5\xe4\x9cl\xe1\xb5\xdf" +
+	"\x8c\x1f\x0b2%\xe5\xb1\xce&\x9f\xceA\x93c\x9c\xbd" +
+	"\x13Q~\xdb\x01<\xc0\xba\x11C\xfa\x8f\xf5\x01\xd7\xd9" +
+	"BI\x83\xa5\x07\xda#\x9fo\xeeeF\x11\xd7\x92z" +
+	"?\xa9\xfe\xd0u-\x19\xb05\xa2\xe7\xaf\xd3Dt\x17" +
+	"{\xf6\x80\xa7\xffb\xef\x1e]I3\xee\xa5O\xd8^" +
+	"\xbaJDwY)\x8a\x10[/\xa2 \xa6Y^\xba" +
+	"ND\xb7X\x83\xf0\x8d\xa2\xcbK7\x88h\xfe\xeb\x11" +
+	"\xbeE\x14\xa0J4M\xcbM7\x8b\xe8\xa6\x1b\x11\xb1" +
+	"\x15\x11\x81\xafM\xcbO\x9f\xe7+mB\xc4vD\x94" +
+	"|eZ\x9e\xbaMD\x0f\xdb\x82\x88\x9d\x88(\xfd\xd2" +
+	"\xb4\\u\x07_j+\"v#\"\xf8\x07\xd3\xf2\xd5" +
+	"]\xe2HBb\xdb\x11\xb1\x17\x11e_\x98\x96\xb3\xbe" +
+	"\xcc\xbf\xd8\x89\x88\xfd\x88(\xbfaZ\xde\xba\x8f\xef\xb1" +
+	"\x1b\x11\xaf!\xa2\xe2sS\x82\x0aB\xe8\xab\xe2<B" +
+	"b\xfb\x11\xf1KD\x0c\xbanJ0\x88\x10\xfa\x86\xa8" +
+	"\x13\x12;\x88\x88\xb7\x11Q\xf9\x99)A%!\xf4\x88" +
+	"\xf8CBbo!\xe2\x04\"\xaazL\x09\xaa\x08\xa1" +
+	"\xc7\xf9R\xef \xe2}D\x0c\xfe\xbd)\xc1`B\xe8" +
+	"Y\xfe\xc5\x19D\\DD\xe8w\xa6\x04!B\xe8\x05" +
+	"\xb1\x8d\x90\xd8yD|\x82\x88\xf0\xa7\xa6\x04aB\xe8" +
+	"U\xbe\xf9\x15D|\x8e\x88\xc85S\x82\x08!\xb4\x87" +
+	"\x7f\xf1{Q\x84\xb6\x80\x00U\xd5\x9f\x98\x12T\x13B" +
+	"\xbf\xe2[|\x89\x1f\x94!\x82\xfe\x8f)\x01%\x84\x96" +
+	"\x04\xf0\x83@\x00\xa3/\"\xa4\xdf\x9a\x12H\x18~\x03" +
+	"<\xfc\"BB\xc4\x90\xab\xa6\x04C0\xfe\x06\x1e\xc7" +
+	"8\x8b\x88ZD\xdcr\xc5\x94\xe0\x16\x0c\xb4\x81%\x84" +
+	"\xc4j\x101\x0a\x11\xb7~lJp+!\xf4\x9b\x01" +
+	"\xe4v\x04\"\x1a\x10Qs\xd9\x94\xa0\x86\x10:.\x80" +
+	"\xea\x18\x85\x88\x89\x88\x18z\xc9\x94`(\x06\xdb\x00Z" +
+	"O\x03\"\xa6 b\xd8ES\xc24A\xef\xe0\\M" +
+	"D\xc4]\x88\xf8\xc6G\xa6\x04\xdf \x84~\x87#n" +
+	"G\xc44D\xd4\xfe\xc6\x94\xa0\x96\x10\xfa=\x8e\x98\x82" +
+	"\x88\xe9\x88\xa8\xbb`JPG\x08\xbd;\x80\x16=\x0d" +
+	"\x11\xb3\x111\xfc\xbc)\xc1pB\xe8}\x01L\x18\xd3" +
+	"\x11\xd1\x8a\x88\xe8\x87\xa6\x04QB\xe8\x1c\xce\xd5lD" +
+	"<\x8c\x88\x11\xe7L\x09F\x10B\x1f\xe4\x07|\x00\x11" +
+	"\x8f\x06\x040\xe3\x9a\xae\xb3\x94'NG\xb1:\xe8r" +
+	"\xfa\x1c\x8a\x91,D\xed|E\x10R5\x95\x91\xd2h" +
+	"'K\xa54\x08;\xf3q\xab\xb5\xd0=\x97\xb7\x9b\x19" +
+	"\x84\x9d\xf9\xb6\x85\x09e\xb0\x8e\x08;ca\x0b\x1cT" +
+	"\xe2\xf3!\xec\x0cG\xf3\xc4\xd9.5\x0eag\xde\x9c" +
+	"_\xbd\x88\x96F\xa85\x97JA\xd8\x19<x\x09\xa2" +
+	"\xfc\x02\x0fagj\x9a\xa7\xc0Z\xa7\x8de4\"\xea" +
+	"\x06\x84\x9d\xa1O\x1e\x1d\xe7w:\xb6\x80\x84\xf0R\x07" +
+	"ag\xda\xd9\x9b CD\xbe\xbc=\x08r\xa3cL" +
+	"!\x80\xec\xd93\xb6^XU!Q\xde\xf0\x83\xb03" +
+	"\xb8\xceSX\x0d\xed\xd6\x1c\x01\xc4\xda\x13\xce^\xd8\xd9" +
+	"I\"r\xde\xec\xa9~/\xf4\xbd\xcc\xfa\xd8\x9e\xc3\xe5" +
+	"\xc5Z\xe8\x95\x87\x9d?\x07\xf2\xdf\x15\x0aa\xb0\xaeg" +
+	"\x8c@\xd8\x99\xdbzhH\xf3\xdd\xbc\x1c\x86\xb03\xd6" +
+	"\xf2\x92\xd8\xc2\xb7g\xe7y\x85'\xb8Y\x99X\x10\xb6" +
+	"0\xc5@\x8b\x0b;S\xba<\x9f\xf3x\xb2O@\xd8" +
+	"\x99g:\x98V\xac\x1e\xc2\xce\x9c\xd8\xc1\xdc\x87\xf9." +
+	"\xecL*\xf3L\xe51-$\xa8%\x90%\xfb\x1f\x04" +
+	"\x0b\xdf<Ok\x9f\xa1\xe2f\xf6\xbc\xcb\xf9\x90\xf7/" +
+	"-&\xed1\x9b\x17k\x9f\xd5\xfe\xa9\xa0\xa0\x0c\xbf\xf2" +
+	"\x1f\x0d\xbbP\xfd\x17Q\xcc\xb4\xfb\xdd\x81\xf1\x06\xd4*" +
+	"\x82\xfcH\xef\xa2\xb7\xf8\x9a\xcc/\xd3\xde\xcfU\"*" +
+	"\xbc\x18h\xb0\x93\xedh^\xca\x8e\xc0\xda\xb1\xc1]\x12" +
+	"\x8f\xe3\xb5\xa6S\x9b\x16\x92\xedxNo\xd7\xa6\xf9>" +
+	"+\x9d\xc4K\xdc\x89\x08\xbe\x8bW\xc4\xa2\x95i\xbf\xc3" +
+	"\xc9yi\xda\x8a\xf0\x92\x80\x95h\xe7p\xf8L\x84'" +
+	"xI\\b\xe5Y\x85\x97\xb2\x8f\"|)/\x89\xc1" +
+	"J\xb3]\xbc$6\x10\xfe\x18/\x89K\xad,\xbb\x8c" +
+	"\xc3\x17#\xfci^\x12?f%\xd9\xb5\x9c\xfd\x95\x08" +
+	"_\x8f\xf0\x8a\xa0\x95c\xd7q\xfa5\x08\xdf\x0e7\xb9" +
+	"\xb9\xf4\xaa\x8f\xfd\x85\x1f\x9a\xa7\xb5g=\xed\xb6P\xae" +
+	"W\xc7\xcb\x1e\xc9\xe6\x8b \xdf\x91\x90\xfd/\x82E\x14" +
+	"\xe5m3;\x9agX\xaf\x1e\x9b\xfd+B\xbe\xeb\x97" +
+	"b\xcaB\xd7\xe5.\xca\xd4D\x9f\x1e\xa0o\xa3\x8d\x07" +
+	"\xcaPF\xd3\x8d~\x9a\xf7\xa3\x04\x88b8umn" +
+	"\xff\xd1\xd2\x7fMgu\xcdB\xe85\x7fj{\xb9\xdd" +
+	"\xd5\xd3(\\\xf7\xb7\xb5\xb8z\x1a\x85F\xc7\x8e\xa9N" +
+	"O\xc3n\xaf\xeeB\xfe\xb7\x8b \xef\x15x\x7f\xd8\xc8" +
+	"\xd9\x1d\xe1\xe2zb7\xe9\x7f\xf5\xd3u\xf2i{X" +
+	"\x91\x94\x143\xf8\x9e\xea7\xf8n\xf2\x1b|79c" +
+	"\x8ebZd\xbdz\x187o\x98Y\xda\x8b\xf2@\x86" +
+	"l\x8f\xb0\xd9>:\xd2\xd5\x8a,\xf0}\xbc\xc5iE" +
+	"\x16\xba\x17'Q}'D\x90\xcf#\xdbe\x16\xdb\x1f" +
+	" \xe1\x19\x11\xe4\x8b\xaen\xcd\x05<\xf5\xfb\"\xc8W" +
+	"\\\xea\xbb\x84\x94\xe7E\x90?\xc1\xc0 Z-\xcf\xab" +
+	"m\x84\xc8W\xb0\xa6\xe4a!`\x85\x85\x12\xbcp\xb7" +
+	"\x15\xee\xe1\x7f|\xf3\xf3&\x8a\xee\xd3\xf1Y\x944:" +
+	"\x13\xba\xb2\x88\x80\xeam\xb2\xeb\xc9\x85J*[\x84\xdb" +
+	"Yc3\xd1\xc8\x0e\xe0tx\xb5+f-\xab\xdd\x14" +
+	"R\x1e\xcc\xb2\"&\xdd\xae\x96\x8d\xb7\x7f\xe4\x1d\xbb\xf4" +
+	"\xc3\xf8\x0c5\xdf\xc3s\xf1=\xd2\x99\xf4\xb9\xaf\xa7~" +
+	"+X\xb3\x97f\xd5\xc0\xe2\xae\x88\x7f\x0b\xea\xfb\xf9\xb7" +
+	" \xd4\xa9,\xb4\xc3\xe3\xff\x06\x00\x00\xff\xff\xb6\x84z" +
+	"\x89"
 
 func RegisterSchema(reg *schemas.Registry) {
 	reg.Register(&schemas.Schema{
@@ -4508,8 +6065,10 @@
 			0x8c6f649191da679c,
 			0x8d1d87e72526a713,
 			0x8fc513cf581db8ce,
+			0x9006362a523fd882,
 			0x91028681d9dc7142,
 			0x93b02e1938e1a3f5,
+			0x962aeed7c2ae1308,
 			0x98eba96e7d99da80,
 			0x9a8f36021d97463e,
 			0xa3f65cad4829c46d,
@@ -4518,18 +6077,27 @@
 			0xb1c47538fd0c6761,
 			0xb2a1dbbc08a83ef9,
 			0xb2b251b698b73747,
+			0xb63f097ce8c7c9cc,
 			0xb66c99be31a12fd0,
 			0xc145aaede3263c8e,
+			0xc4747c4e7e65bba6,
+			0xc4abc744eb08f147,
 			0xc7e3273268f8d6b9,
 			0xc9b46e88a8cde8c4,
+			0xd4051e2eda73e9ca,
 			0xd6a7488d5c76294b,
+			0xdb51db3178dd0c7a,
 			0xdb77f557f5b01913,
 			0xde4081209781f796,
 			0xdf808ed591679520,
+			0xe41c5461db89115f,
 			0xe61bc688a281caf7,
 			0xea4248fe8fdd9ee0,
 			0xecd2b6bbcdebf356,
 			0xedd608c997621d0b,
+			0xf7a0321dc58f7890,
+			0xface05a82490113b,
+			0xfba6f92bdc7a8873,
 			0xffe510baca0f96c1,
 		},
 		Compressed: true,
--- a/internal/wire/union.go
+++ b/internal/wire/union.go
@@ -129,6 +129,46 @@
 	return insert(schema.RegisterReply_TypeID, capnp.Struct(body), err, m)
 }
 
+func (m *NodeBeat) attach(root schema.Frame) error {
+	body, err := root.NewNodeBeat()
+	return insert(schema.NodeBeat_TypeID, capnp.Struct(body), err, m)
+}
+
+func (m *JobRead) attach(root schema.Frame) error {
+	body, err := root.NewJobRead()
+	return insert(schema.JobRead_TypeID, capnp.Struct(body), err, m)
+}
+
+func (m *JobPage) attach(root schema.Frame) error {
+	body, err := root.NewJobPage()
+	return insert(schema.JobPage_TypeID, capnp.Struct(body), err, m)
+}
+
+func (m *JobItem) attach(root schema.Frame) error {
+	body, err := root.NewJobItem()
+	return insert(schema.JobItem_TypeID, capnp.Struct(body), err, m)
+}
+
+func (m *JobItemBody) attach(root schema.Frame) error {
+	body, err := root.NewJobItemBody()
+	return insert(schema.JobItemBody_TypeID, capnp.Struct(body), err, m)
+}
+
+func (m *JobEnd) attach(root schema.Frame) error {
+	body, err := root.NewJobEnd()
+	return insert(schema.JobEnd_TypeID, capnp.Struct(body), err, m)
+}
+
+func (m *JobTexts) attach(root schema.Frame) error {
+	body, err := root.NewJobTexts()
+	return insert(schema.JobTexts_TypeID, capnp.Struct(body), err, m)
+}
+
+func (m *JobTextsReply) attach(root schema.Frame) error {
+	body, err := root.NewJobTextsReply()
+	return insert(schema.JobTextsReply_TypeID, capnp.Struct(body), err, m)
+}
+
 func (m *LoadReport) attach(root schema.Frame) error { return encodeLoadReport(root, m) }
 
 func (m *Done) attach(root schema.Frame) error {
@@ -196,6 +236,30 @@
 	case schema.Frame_Which_registerReply:
 		body, err := root.RegisterReply()
 		return extract[RegisterReply](schema.RegisterReply_TypeID, capnp.Struct(body), err)
+	case schema.Frame_Which_nodeBeat:
+		body, err := root.NodeBeat()
+		return extract[NodeBeat](schema.NodeBeat_TypeID, capnp.Struct(body), err)
+	case schema.Frame_Which_jobRead:
+		body, err := root.JobRead()
+		return extract[JobRead](schema.JobRead_TypeID, capnp.Struct(body), err)
+	case schema.Frame_Which_jobPage:
+		body, err := root.JobPage()
+		return extract[JobPage](schema.JobPage_TypeID, capnp.Struct(body), err)
+	case schema.Frame_Which_jobItem:
+		body, err := root.JobItem()
+		return extract[JobItem](schema.JobItem_TypeID, capnp.Struct(body), err)
+	case schema.Frame_Which_jobItemBody:
+		body, err := root.JobItemBody()
+		return extract[JobItemBody](schema.JobItemBody_TypeID, capnp.Struct(body), err)
+	case schema.Frame_Which_jobEnd:
+		body, err := root.JobEnd()
+		return extract[JobEnd](schema.JobEnd_TypeID, capnp.Struct(body), err)
+	case schema.Frame_Which_jobTexts:
+		body, err := root.JobTexts()
+		return extract[JobTexts](schema.JobTexts_TypeID, capnp.Struct(body), err)
+	case schema.Frame_Which_jobTextsReply:
+		body, err := root.JobTextsReply()
+		return extract[JobTextsReply](schema.JobTextsReply_TypeID, capnp.Struct(body), err)
 	case schema.Frame_Which_loadReport:
 		return decodeLoadReport(root)
 	case schema.Frame_Which_done:
