A successor misses nothing its predecessor listed; the order lease's renewals count

(4) Found in the logs: a renewal of the order lease wrote the same object, which makes no revision.

Change: a successor appends an empty chunk behind the results as a fence; an owner that meets a foreign chunk appends nothing before it has looked up who owns the job; ownership is looked up after a pause, a remote end and every 3 s, and until then the store answers readers; vanished entries are kept for 0.65 of the drain time; the lease counts its writes.

--- a/internal/batch/foreign.go
+++ b/internal/batch/foreign.go
@@ -98,6 +98,11 @@
 		standing.heard, standing.leaving = time.Now(), beat.Leaving
 	}
 	for _, id := range beat.Ended {
+		if held := s.jobs[id]; held != nil && !held.ended {
+			// Whoever ended it took another node for the owner.
+			held.suspect = true
+			contested = append(contested, held)
+		}
 		s.endLocally(id)
 	}
 	s.mutex.Unlock()
@@ -143,13 +148,43 @@
 
 // watchOwners takes over the jobs whose owners have fallen silent.
 func (s *Service) watchOwners(ctx context.Context) {
+	last := time.Now()
 	for objectstore.Sleep(ctx, ownerLook) {
+		paused := time.Since(last) > pauseLimit
+		last = time.Now()
+		for _, held := range s.unconfirmed(paused) {
+			go s.confirmOwner(held)
+		}
 		for _, id := range s.orphans() {
 			go s.takeOver(ctx, id)
 		}
 	}
 }
 
+const (
+	// pauseLimit is from which gap between looks this process counts as having
+	// stood still, so that others may have taken its jobs over.
+	pauseLimit = 800 * time.Millisecond
+	// confirmPeriod is how often the ownership of an open job is looked up.
+	confirmPeriod = 3 * time.Second
+)
+
+// unconfirmed returns the jobs whose ownership has to be looked up. After a
+// pause no job is answered for before that.
+func (s *Service) unconfirmed(paused bool) []*job {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var due []*job
+	for _, held := range s.jobs {
+		held.suspect = held.suspect || (paused && !held.closed())
+		if held.suspect || (held.open() && time.Since(held.confirmed) > confirmPeriod) {
+			held.confirmed = time.Now()
+			due = append(due, held)
+		}
+	}
+	return due
+}
+
 // orphans returns the open jobs that it is this node's turn to take over.
 func (s *Service) orphans() []string {
 	s.mutex.Lock()
@@ -229,6 +264,9 @@
 			if results, chunks, err = s.config.Journal.Results(ctx, standing.ID, 0); err == nil {
 				var submission *Submission
 				if submission, err = s.config.Codec.Submission(payload); err == nil {
+					results, chunks, err = s.fence(ctx, standing.ID, results, chunks)
+				}
+				if err == nil {
 					s.start(standing.ID, submission, standing.Record, results, chunks)
 					return
 				}
@@ -239,6 +277,23 @@
 	}
 }
 
+// fence writes an empty chunk behind the results that stand. The former owner
+// may still append until it learns of its successor; from here on its appends
+// fail, and everything before is known.
+func (s *Service) fence(ctx context.Context, id string, results []Result, chunks int) ([]Result, int, error) {
+	for {
+		standing, own, err := s.config.Journal.Append(ctx, id, chunks, chunk{Writer: s.writerName()})
+		if err != nil {
+			return nil, 0, err
+		}
+		chunks++
+		if own {
+			return results, chunks, nil
+		}
+		results = append(results, standing.Results...)
+	}
+}
+
 // readPause is the time between tries to read a job back.
 const readPause = 150 * time.Millisecond
 
--- /dev/null
+++ b/internal/batch/harness_test.go
@@ -0,0 +1,336 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"k8s.io/klog/v2"
+
+	"github.com/pathtally/pathtally/internal/directory"
+	"github.com/pathtally/pathtally/internal/dispatch"
+	"github.com/pathtally/pathtally/internal/environment"
+	"github.com/pathtally/pathtally/internal/exchange"
+	"github.com/pathtally/pathtally/internal/forward"
+	"github.com/pathtally/pathtally/internal/peering"
+	"github.com/pathtally/pathtally/internal/wire"
+	"github.com/pathtally/pathtally/standin/metastore"
+)
+
+const (
+	headerID      = "X-Id"
+	headerReplica = "X-Replica"
+	headerVersion = "X-Version"
+	headerAfter   = "Last-Event-Id"
+	versionField  = "x-version"
+)
+
+// testHeaders is a codec of its own, so that these tests know no platform.
+type testHeaders struct{}
+
+func (testHeaders) Prepare(header http.Header, conditions dispatch.Conditions) {
+	header.Set(headerReplica, conditions.Replica)
+	if conditions.AfterEvent > 0 {
+		header.Set(headerAfter, strconv.Itoa(conditions.AfterEvent))
+	}
+}
+
+func (testHeaders) Judge(status int, header http.Header) dispatch.Verdict {
+	version, _ := strconv.ParseInt(header.Get(headerVersion), 10, 64)
+	return dispatch.Verdict{RequestID: header.Get(headerID), Signed: true, NotRun: status == http.StatusServiceUnavailable, Version: version}
+}
+
+// testCodec reads submissions as JSON of the package's own types.
+type testCodec struct{}
+
+func (testCodec) Submission(body []byte) (*Submission, error) {
+	submission := &Submission{}
+	err := json.Unmarshal(body, submission)
+	return submission, err
+}
+
+func (testCodec) Page(int, int, []Result) ([]byte, error) { return nil, nil }
+
+func (testCodec) Call(*http.Request) (Call, bool) { return Call{}, false }
+
+func (testCodec) VersionField() string { return versionField }
+
+func (testCodec) Signature(header http.Header) string { return header.Get("X-Signature") }
+
+// testEngine is a replica that streams events, each one's text naming the item
+// and its number.
+type testEngine struct {
+	address string
+	events  int
+	mutex   sync.Mutex
+	version int64
+	// hold keeps streams open after the event holdAt until it is closed.
+	hold    chan struct{}
+	holdAt  int
+	runs    map[string]int
+	resumed map[string][]int
+	// cutAt ends the first run of each item in the middle of an event.
+	cutAt int
+	fail  map[string]int
+}
+
+func startEngine(t *testing.T, events int) *testEngine {
+	t.Helper()
+	engine := &testEngine{events: events, version: 1, runs: map[string]int{}, resumed: map[string][]int{}, fail: map[string]int{}}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	engine.address = listener.Addr().String()
+	server := &http.Server{Handler: engine}
+	go server.Serve(listener)
+	t.Cleanup(func() { server.Close() })
+	return engine
+}
+
+func (e *testEngine) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	io.Copy(io.Discard, request.Body)
+	id := request.Header.Get(headerID)
+	after, _ := strconv.Atoi(request.Header.Get(headerAfter))
+	e.mutex.Lock()
+	e.runs[id]++
+	first := e.runs[id] == 1
+	e.resumed[id] = append(e.resumed[id], after)
+	failing := e.fail[id] > 0
+	e.fail[id]--
+	version, hold := e.version, e.hold
+	e.mutex.Unlock()
+	writer.Header().Set(headerID, id)
+	if failing {
+		writer.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	writer.Header().Set(headerVersion, strconv.FormatInt(version, 10))
+	writer.Header().Set("Content-Type", "text/event-stream")
+	writer.WriteHeader(http.StatusOK)
+	for number := after + 1; number <= e.events; number++ {
+		if hold != nil && number > e.holdAt {
+			select {
+			case <-hold:
+			case <-request.Context().Done():
+				return
+			}
+		}
+		if first && e.cutAt == number {
+			fmt.Fprintf(writer, "id: %d\nda", number)
+			writer.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprintf(writer, "id: %d\ndata: %s.%d\n\n", number, id, number)
+		writer.(http.Flusher).Flush()
+	}
+}
+
+// testPeers joins the services of one test by their addresses.
+type testPeers struct {
+	mutex    sync.Mutex
+	services map[string]*testNode
+	// cut are the addresses that nothing reaches and that reach nothing.
+	cut map[string]bool
+}
+
+// testNode is one node of a test.
+type testNode struct {
+	*Service
+	table  *peering.Table
+	cancel context.CancelFunc
+	ctx    context.Context
+}
+
+// link is how one node sends to the others.
+type link struct {
+	peers *testPeers
+	from  string
+}
+
+var _ environment.Peers = link{}
+
+func (l link) target(address string) *testNode {
+	l.peers.mutex.Lock()
+	defer l.peers.mutex.Unlock()
+	if l.peers.cut[address] || l.peers.cut[l.from] {
+		return nil
+	}
+	return l.peers.services[address]
+}
+
+func (l link) Send(address string, message wire.Message) { l.Broadcast([]string{address}, message) }
+
+func (l link) Broadcast(addresses []string, message wire.Message) {
+	for _, address := range addresses {
+		if node := l.target(address); node != nil {
+			go node.take(message, func(wire.Message) {})
+		}
+	}
+}
+
+func (l link) Call(address string, message wire.Message, timeout time.Duration, done func(wire.Message, error)) {
+	node := l.target(address)
+	if node == nil {
+		time.AfterFunc(min(timeout, 20*time.Millisecond), func() { done(nil, environment.ErrPeerUnreachable) })
+		return
+	}
+	go node.take(message, func(reply wire.Message) { done(reply, nil) })
+}
+
+func (n *testNode) take(message wire.Message, reply func(wire.Message)) {
+	if beat, isBeat := message.(*wire.NodeBeat); isBeat {
+		reply(n.table.Greeted(n.ctx, beat))
+		return
+	}
+	n.Answer(message, reply)
+}
+
+// cluster is a set of nodes over one store and some engines.
+type cluster struct {
+	t     *testing.T
+	store *metastore.Store
+	peers *testPeers
+	nodes []*testNode
+}
+
+const testRoute = "drafts"
+
+func newCluster(t *testing.T, nodes int, engines ...*testEngine) *cluster {
+	t.Helper()
+	cluster := &cluster{t: t, store: metastore.New(), peers: &testPeers{services: map[string]*testNode{}, cut: map[string]bool{}}}
+	for number := range nodes {
+		cluster.addNode(fmt.Sprintf("node-%d", number), engines)
+	}
+	return cluster
+}
+
+func (c *cluster) addNode(name string, engines []*testEngine) *testNode {
+	c.t.Helper()
+	logger := klog.Background()
+	table := directory.NewTable("zone", logger)
+	table.SetConfiguration(&directory.Configuration{
+		Version: 1,
+		Routes: []directory.Route{{
+			Name: testRoute, Host: "drafts.example", Prefix: "/d/", Kind: directory.RouteBatch, Attempts: 3,
+			Targets: []directory.Target{{Service: "engines", Weight: 1}},
+		}},
+		Services: map[string]directory.Service{"engines": {Name: "engines"}},
+	}, 1)
+	var replicas []*directory.Replica
+	for number, engine := range engines {
+		replicas = append(replicas, &directory.Replica{
+			ID: fmt.Sprintf("engine-%d", number), Service: "engines", Address: engine.address, Slots: 8, State: directory.ReplicaReady,
+		})
+	}
+	table.SetReplicas(replicas, 0)
+	ctx, cancel := context.WithCancel(context.Background())
+	c.t.Cleanup(cancel)
+	node := &testNode{ctx: ctx, cancel: cancel}
+	dispatcher := dispatch.New(exchange.NewPool(nil), testHeaders{})
+	self := Owner{Node: name, Address: name, Incarnation: uint64(time.Now().UnixNano())}
+	node.table = peering.NewTable(peering.Config{
+		Node: name, Address: name, Incarnation: self.Incarnation, Store: c.store, Peers: link{c.peers, name}, Logger: logger,
+		Beat: func(beat *wire.NodeBeat) { node.FillBeat(beat) }, OnBeat: func(beat *wire.NodeBeat) { node.TakeBeat(beat) },
+	})
+	node.Service = NewService(ctx, Config{
+		Self: self, Journal: NewJournal(c.store), Codec: testCodec{}, Directory: table, Dispatcher: dispatcher,
+		Forwarder: forward.New(forward.Config{Directory: table, Dispatcher: dispatcher, Logger: logger, Metrics: forward.NewMetrics(prometheus.NewRegistry())}),
+		Peers:     link{c.peers, name}, Table: node.table, Logger: logger, Registry: prometheus.NewRegistry(),
+	})
+	c.peers.mutex.Lock()
+	c.peers.services[name] = node
+	c.peers.mutex.Unlock()
+	c.nodes = append(c.nodes, node)
+	node.table.Join(ctx)
+	go node.Run(ctx)
+	return node
+}
+
+func (c *cluster) setCut(name string, cut bool) {
+	c.peers.mutex.Lock()
+	defer c.peers.mutex.Unlock()
+	c.peers.cut[name] = cut
+}
+
+// submission is a job of a number of items in groups of two.
+func submission(id string, items int) (*Submission, []byte) {
+	made := &Submission{Model: "m", MinVersion: 1}
+	for number := range items {
+		itemID := fmt.Sprintf("%s.%d", id, number)
+		made.Items = append(made.Items, &Item{
+			ID: itemID, Target: "/d/x", Header: http.Header{headerID: {itemID}}, Body: []byte("body of " + itemID), Group: fmt.Sprint(number / 2),
+		})
+	}
+	encoded, err := json.Marshal(made)
+	if err != nil {
+		panic(err)
+	}
+	return made, encoded
+}
+
+func (c *cluster) submit(node *testNode, id string, items int) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	made, payload := submission(id, items)
+	return node.Submit(ctx, id, testRoute, "drafts.example", payload, made)
+}
+
+// eventually waits for a condition, for as long as a test may take.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Fatalf("not so in the end: %s", what)
+}
+
+// readAll reads a job from a node until all results are there.
+func (c *cluster) readAll(node *testNode, id string, total int) []Result {
+	c.t.Helper()
+	var results []Result
+	eventually(c.t, "all results are listed", func() bool {
+		page, err := node.Read(context.Background(), id, len(results), 100*time.Millisecond)
+		if err != nil {
+			return false
+		}
+		results = append(results, page.Results...)
+		return len(results) >= total
+	})
+	return results
+}
+
+// checkWhole checks that each item stands once with its whole text.
+func checkWhole(t *testing.T, id string, results []Result, items, events int) {
+	t.Helper()
+	seen := map[string]bool{}
+	for _, result := range results {
+		if seen[result.ID] {
+			t.Errorf("item %s stands at two positions", result.ID)
+		}
+		seen[result.ID] = true
+		want := ""
+		for number := 1; number <= events; number++ {
+			if number > 1 {
+				want += "\n"
+			}
+			want += fmt.Sprintf("%s.%d", result.ID, number)
+		}
+		if result.State != Succeeded || result.Text != want {
+			t.Errorf("item %s: %s with text %q, want %q", result.ID, result.State, result.Text, want)
+		}
+	}
+	if len(seen) != items {
+		t.Errorf("job %s: %d items listed, want %d", id, len(seen), items)
+	}
+}
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -29,8 +29,13 @@
 
 	ended bool
 	// endKept tells that the store has the end.
-	endKept   bool
+	endKept bool
+	// displaced is set once another node owns the job, and suspect while that
+	// may be so: the results here may then lack some that have been read.
 	displaced bool
+	suspect   bool
+	// confirmed is when the ownership was looked up last.
+	confirmed time.Time
 	// changed is closed at each change that a waiting reader has to see.
 	changed chan struct{}
 	ctx     context.Context
@@ -82,6 +87,9 @@
 // open tells whether the job still has work.
 func (j *job) open() bool { return !j.ended && !j.displaced && len(j.listed) < len(j.items) }
 
+// closed tells whether nothing can be added to the job.
+func (j *job) closed() bool { return len(j.listed) >= len(j.items) }
+
 // notify wakes the readers that wait.
 func (j *job) notify() {
 	close(j.changed)
--- a/internal/batch/publish.go
+++ b/internal/batch/publish.go
@@ -1,8 +1,9 @@
 package batch
 
 import (
+	"context"
 	"encoding/json"
-	"errors"
+	"time"
 
 	"github.com/pathtally/pathtally/internal/objectstore"
 )
@@ -30,11 +31,29 @@
 	s.list(published, standing.Results)
 	if !own {
 		s.config.Logger.Info("results of another node adopted", "request", published.id, "chunk", index, "writer", standing.Writer)
-		s.confirmOwner(published)
+		s.settleOwner(published)
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return len(published.finished) > 0
+	return len(published.finished) > 0 && published.ctx.Err() == nil
+}
+
+// settleOwner finds out whether this node still owns a job in which another
+// has written. Until then it appends nothing: the other may be its successor,
+// which knows only what stood before its own chunk.
+func (s *Service) settleOwner(held *job) {
+	s.mutex.Lock()
+	held.suspect = true
+	s.mutex.Unlock()
+	for {
+		s.confirmOwner(held)
+		s.mutex.Lock()
+		settled := !held.suspect || held.displaced
+		s.mutex.Unlock()
+		if settled || !objectstore.Sleep(held.ctx, readPause) {
+			return
+		}
+	}
 }
 
 // writerName names this process in what it writes.
@@ -81,23 +100,28 @@
 // confirmOwner looks whether this node still owns a job, and gives it up if
 // not.
 func (s *Service) confirmOwner(held *job) {
-	standing, err := s.config.Journal.Look(held.ctx, held.id)
-	if err != nil {
-		return
-	}
+	ctx, cancel := context.WithTimeout(s.base, confirmTime)
+	defer cancel()
+	standing, err := s.config.Journal.Look(ctx, held.id)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	held.confirmed = time.Now()
+	if err != nil || s.jobs[held.id] != held {
+		return
+	}
 	if standing.Record.Owner == s.config.Self {
+		held.suspect = false
+		if standing.Ended {
+			held.endKept = true
+			s.endLocally(held.id)
+		}
 		return
 	}
 	s.displace(held)
 	s.noteForeign(held.id, standing.Record.Owner, standing.Ended)
 }
 
-// settledElsewhere tells whether an error means that another writer was first.
-func settledElsewhere(err error) bool {
-	var conflict *objectstore.ConflictError
-	return errors.As(err, &conflict)
-}
+// confirmTime bounds a look at who owns a job.
+const confirmTime = 2 * time.Second
 
 func encodeResults(results []Result) ([]byte, error) { return json.Marshal(results) }
--- a/internal/batch/read.go
+++ b/internal/batch/read.go
@@ -54,7 +54,7 @@
 	for {
 		s.mutex.Lock()
 		held := s.jobs[id]
-		if held == nil {
+		if held == nil || held.suspect {
 			s.mutex.Unlock()
 			return Page{}, false
 		}
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -111,7 +111,7 @@
 	}
 	ctx, cancel := context.WithCancel(s.base)
 	started := &job{
-		id: id, submission: submission, record: record, accepted: time.Now(), items: map[string]*item{}, listed: listed, chunks: chunks,
+		id: id, submission: submission, record: record, accepted: time.Now(), confirmed: time.Now(), items: map[string]*item{}, listed: listed, chunks: chunks,
 		groups: map[string]*group{}, flush: make(chan struct{}, 1), changed: make(chan struct{}), ctx: ctx, cancel: cancel,
 	}
 	if retention := s.retention(record); retention > 0 {
--- /dev/null
+++ b/internal/batch/service_test.go
@@ -0,0 +1,132 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/pathtally/pathtally/internal/objectstore"
+	"github.com/pathtally/pathtally/standin/metastore"
+)
+
+func TestJobIsTakenOnceAndReadAlikeEverywhere(t *testing.T) {
+	cluster := newCluster(t, 3, startEngine(t, 4), startEngine(t, 4))
+	for _, node := range cluster.nodes {
+		if err := cluster.submit(node, "job", 12); err != nil {
+			t.Fatal(err)
+		}
+	}
+	first := cluster.readAll(cluster.nodes[0], "job", 12)
+	checkWhole(t, "job", first, 12, 4)
+	for _, node := range cluster.nodes[1:] {
+		again := cluster.readAll(node, "job", 12)
+		for position := range first {
+			if again[position].ID != first[position].ID {
+				t.Errorf("position %d holds %s at one node and %s at another", position, first[position].ID, again[position].ID)
+			}
+		}
+	}
+	body, err := cluster.nodes[2].Body(context.Background(), "job", "job.3")
+	if err != nil || string(body) != "body of job.3" {
+		t.Errorf("body of an item: %q, %v", body, err)
+	}
+	if _, err := cluster.nodes[1].Read(context.Background(), "other", 0, 0); !errors.Is(err, ErrNoSuchJob) {
+		t.Errorf("a job that nobody submitted: %v", err)
+	}
+}
+
+func TestStreamCutInsideAnEventIsContinued(t *testing.T) {
+	engine := startEngine(t, 5)
+	engine.cutAt = 3
+	cluster := newCluster(t, 1, engine)
+	if err := cluster.submit(cluster.nodes[0], "job", 4); err != nil {
+		t.Fatal(err)
+	}
+	checkWhole(t, "job", cluster.readAll(cluster.nodes[0], "job", 4), 4, 5)
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	for id, afters := range engine.resumed {
+		if len(afters) != 2 || afters[1] != 2 {
+			t.Errorf("item %s was run after events %v, want a start and one continuation after 2", id, afters)
+		}
+	}
+}
+
+func TestItemThatFailsIsAbandonedAfterItsAttempts(t *testing.T) {
+	engine := startEngine(t, 2)
+	engine.fail["job.0"] = 3
+	engine.fail["job.1"] = 2
+	cluster := newCluster(t, 1, engine)
+	if err := cluster.submit(cluster.nodes[0], "job", 2); err != nil {
+		t.Fatal(err)
+	}
+	for _, result := range cluster.readAll(cluster.nodes[0], "job", 2) {
+		want := Succeeded
+		if result.ID == "job.0" {
+			want = Abandoned
+		}
+		if result.State != want {
+			t.Errorf("item %s is %s, want %s", result.ID, result.State, want)
+		}
+	}
+}
+
+// A submission whose creates are done without an answer is taken all the same;
+// one whose creates were never done is refused and leaves nothing behind.
+func TestSubmissionSettlesWhatTheStoreDidNotAnswer(t *testing.T) {
+	cluster := newCluster(t, 1, startEngine(t, 2))
+	lost := 2
+	cluster.store.SetFault(func(call metastore.Call) metastore.Fault {
+		if call.Verb == "create" && lost > 0 {
+			lost--
+			return metastore.Unanswered
+		}
+		return metastore.Sound
+	})
+	if err := cluster.submit(cluster.nodes[0], "job", 2); err != nil {
+		t.Fatal(err)
+	}
+	checkWhole(t, "job", cluster.readAll(cluster.nodes[0], "job", 2), 2, 2)
+}
+
+func TestSubmissionThatWasNeverWrittenIsNotTaken(t *testing.T) {
+	cluster := newCluster(t, 1, startEngine(t, 2))
+	cluster.store.SetFault(func(metastore.Call) metastore.Fault { return metastore.Refused })
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	made, payload := submission("job", 2)
+	err := cluster.nodes[0].Submit(ctx, "job", testRoute, "drafts.example", payload, made)
+	var notTaken *NotTakenError
+	var uncertain *UncertainError
+	if !errors.As(err, &notTaken) && !errors.As(err, &uncertain) {
+		t.Fatalf("submission without a store: %v", err)
+	}
+	cluster.store.SetFault(nil)
+	if _, err := cluster.store.Get(context.Background(), KindJobs, "job", objectstore.Linearizable); !errors.Is(err, objectstore.ErrNotFound) {
+		t.Errorf("the job is in the store: %v", err)
+	}
+}
+
+// An unanswered create of the job itself promises nothing, and the job is run
+// once it is done late.
+func TestUncertainSubmissionIsPursued(t *testing.T) {
+	cluster := newCluster(t, 1, startEngine(t, 2))
+	cluster.store.SetFault(func(call metastore.Call) metastore.Fault {
+		if call.Kind == KindJobs && call.Verb == "create" {
+			return metastore.Late
+		}
+		return metastore.Sound
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	made, payload := submission("job", 2)
+	err := cluster.nodes[0].Submit(ctx, "job", testRoute, "drafts.example", payload, made)
+	var uncertain *UncertainError
+	if !errors.As(err, &uncertain) {
+		t.Fatalf("submission without an answer: %v", err)
+	}
+	cluster.store.ApplyLate()
+	cluster.store.SetFault(nil)
+	checkWhole(t, "job", cluster.readAll(cluster.nodes[0], "job", 2), 2, 2)
+}
--- /dev/null
+++ b/internal/batch/takeover_test.go
@@ -0,0 +1,203 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/pathtally/pathtally/standin/metastore"
+)
+
+// owner returns the node that runs a job.
+func (c *cluster) owner(id string) *testNode {
+	for _, node := range c.nodes {
+		node.mutex.Lock()
+		_, held := node.jobs[id]
+		node.mutex.Unlock()
+		if held && node.ctx.Err() == nil {
+			return node
+		}
+	}
+	return nil
+}
+
+// heldEngine streams one event of each item and keeps the rest back.
+func heldEngine(t *testing.T) *testEngine {
+	engine := startEngine(t, 3)
+	engine.hold, engine.holdAt = make(chan struct{}), 1
+	return engine
+}
+
+func (e *testEngine) release() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	close(e.hold)
+	e.hold = nil
+}
+
+func TestDeadOwnersJobIsTakenOver(t *testing.T) {
+	engine := heldEngine(t)
+	cluster := newCluster(t, 3, engine)
+	if err := cluster.submit(cluster.nodes[0], "job", 6); err != nil {
+		t.Fatal(err)
+	}
+	cluster.nodes[0].cancel()
+	cluster.setCut("node-0", true)
+	eventually(t, "another node owns the job", func() bool {
+		owner := cluster.owner("job")
+		return owner != nil && owner != cluster.nodes[0]
+	})
+	engine.release()
+	checkWhole(t, "job", cluster.readAll(cluster.nodes[1], "job", 6), 6, 3)
+}
+
+func TestJobsOfAStoppedDeploymentAreTakenUpAgain(t *testing.T) {
+	engine := heldEngine(t)
+	cluster := newCluster(t, 2, engine)
+	if err := cluster.submit(cluster.nodes[0], "job", 6); err != nil {
+		t.Fatal(err)
+	}
+	for number, node := range cluster.nodes {
+		node.cancel()
+		cluster.setCut([]string{"node-0", "node-1"}[number], true)
+	}
+	engine.release()
+	fresh := cluster.addNode("node-2", []*testEngine{engine})
+	checkWhole(t, "job", cluster.readAll(fresh, "job", 6), 6, 3)
+}
+
+// A successor that has read the results must know every one that the former
+// owner lists after that: hunt-53fc-3 showed a result at the one and nothing at
+// its position at the other.
+func TestFormerOwnerListsNothingThatItsSuccessorMisses(t *testing.T) {
+	engine := heldEngine(t)
+	cluster := newCluster(t, 2, engine)
+	former, successor := cluster.nodes[0], cluster.nodes[1]
+	if err := cluster.submit(former, "job", 6); err != nil {
+		t.Fatal(err)
+	}
+	cluster.setCut("node-0", true)
+	eventually(t, "the job is taken over", func() bool {
+		successor.mutex.Lock()
+		defer successor.mutex.Unlock()
+		return successor.jobs["job"] != nil
+	})
+	// The former owner reaches the store, and only that, and finishes first.
+	former.mutex.Lock()
+	held := former.jobs["job"]
+	former.finish(held.items["job.0"], Result{ID: "job.0", State: Abandoned})
+	former.mutex.Unlock()
+	eventually(t, "the former owner learns of its successor", func() bool {
+		former.mutex.Lock()
+		defer former.mutex.Unlock()
+		return former.jobs["job"] == nil
+	})
+	known, err := successor.Read(context.Background(), "job", 0, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stored, _, err := NewJournal(cluster.store).Results(context.Background(), "job", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(stored) != len(known.Results) {
+		t.Errorf("the store lists %d results, the successor knows %d", len(stored), len(known.Results))
+	}
+	engine.release()
+	checkWhole(t, "job", cluster.readAll(successor, "job", 6), 6, 3)
+}
+
+// A former owner that was away while the job was taken over and ended must not
+// answer from what it knew: hunt-e42d-39 showed fewer results than had been
+// read.
+func TestFormerOwnerAnswersNothingOldAfterTheEnd(t *testing.T) {
+	engine := heldEngine(t)
+	cluster := newCluster(t, 2, engine)
+	former, successor := cluster.nodes[0], cluster.nodes[1]
+	if err := cluster.submit(former, "job", 6); err != nil {
+		t.Fatal(err)
+	}
+	cluster.setCut("node-0", true)
+	eventually(t, "the job is taken over", func() bool {
+		successor.mutex.Lock()
+		defer successor.mutex.Unlock()
+		return successor.jobs["job"] != nil
+	})
+	// While it is away, its own items finish neither here nor there.
+	former.mutex.Lock()
+	former.jobs["job"].cancel()
+	former.mutex.Unlock()
+	engine.release()
+	listed := cluster.readAll(successor, "job", 6)
+	if err := successor.End(context.Background(), "job"); err != nil {
+		t.Fatal(err)
+	}
+	// The store does not tell it who owns the job, so it must not answer.
+	cluster.store.SetFault(func(call metastore.Call) metastore.Fault {
+		if call.Verb == "get" {
+			return metastore.Refused
+		}
+		return metastore.Sound
+	})
+	cluster.setCut("node-0", false)
+	successor.table.Broadcast()
+	eventually(t, "the former owner has heard of the end", func() bool {
+		former.mutex.Lock()
+		defer former.mutex.Unlock()
+		held := former.jobs["job"]
+		return held == nil || held.ended || held.suspect
+	})
+	if page, err := former.Read(context.Background(), "job", 0, 0); err == nil && len(page.Results) < len(listed) {
+		t.Errorf("former owner shows %d results, %d had been read", len(page.Results), len(listed))
+	}
+	cluster.store.SetFault(nil)
+	page, err := former.Read(context.Background(), "job", 0, 0)
+	if err != nil || len(page.Results) < len(listed) {
+		t.Errorf("former owner shows %d results, %d had been read: %v", len(page.Results), len(listed), err)
+	}
+}
+
+func TestEndedJobRunsNothingMore(t *testing.T) {
+	engine := heldEngine(t)
+	cluster := newCluster(t, 2, engine)
+	if err := cluster.submit(cluster.nodes[0], "job", 6); err != nil {
+		t.Fatal(err)
+	}
+	if err := cluster.nodes[1].End(context.Background(), "job"); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "no run is left", func() bool {
+		cluster.nodes[0].mutex.Lock()
+		defer cluster.nodes[0].mutex.Unlock()
+		return len(cluster.nodes[0].attempts) == 0 && len(cluster.nodes[0].queue) == 0
+	})
+	standing, err := NewJournal(cluster.store).Look(context.Background(), "job")
+	if err != nil || !standing.Ended {
+		t.Errorf("the store has the end: %v, %v", standing.Ended, err)
+	}
+	if err := cluster.nodes[0].End(context.Background(), "job"); err != nil {
+		t.Errorf("a repeated end: %v", err)
+	}
+	if err := cluster.nodes[0].End(context.Background(), "other"); !errors.Is(err, ErrNoSuchJob) {
+		t.Errorf("the end of a job that nobody submitted: %v", err)
+	}
+}
+
+func TestLeavingNodeGivesItsJobsAway(t *testing.T) {
+	engine := heldEngine(t)
+	cluster := newCluster(t, 2, engine)
+	if err := cluster.submit(cluster.nodes[0], "job", 6); err != nil {
+		t.Fatal(err)
+	}
+	begun := time.Now()
+	cluster.nodes[0].Leave()
+	eventually(t, "the other node runs the job", func() bool {
+		cluster.nodes[1].mutex.Lock()
+		defer cluster.nodes[1].mutex.Unlock()
+		return cluster.nodes[1].jobs["job"] != nil
+	})
+	t.Logf("given away after %s", time.Since(begun))
+	engine.release()
+	checkWhole(t, "job", cluster.readAll(cluster.nodes[1], "job", 6), 6, 3)
+}
--- a/internal/directory/sinks.go
+++ b/internal/directory/sinks.go
@@ -6,10 +6,6 @@
 	"github.com/pathtally/pathtally/internal/objectstore"
 )
 
-// missingTime is how long a replica whose entry vanished around an outage of
-// the store is kept: a living one writes its entry again within two heartbeats.
-const missingTime = 2500 * time.Millisecond
-
 // ConfigurationSink takes the configuration object.
 type ConfigurationSink struct {
 	Table   *Table
@@ -48,6 +44,10 @@
 type ReplicaSink struct {
 	Table   *Table
 	Decoder Decoder
+	// KeepMissing is how long a replica whose entry vanished around an outage
+	// of the store is kept: a living one writes its entry again at its next
+	// heartbeat, and one that leaves must get no more work by then.
+	KeepMissing time.Duration
 }
 
 // Replace implements Sink.
@@ -58,13 +58,13 @@
 			replicas = append(replicas, replica)
 		}
 	}
-	s.Table.SetReplicas(replicas, keepFor(afterOutage))
+	s.Table.SetReplicas(replicas, s.keepFor(afterOutage))
 }
 
 // Apply implements Sink.
 func (s ReplicaSink) Apply(change objectstore.Change, afterOutage bool) {
 	if change.Gone {
-		s.Table.RemoveReplica(change.Object.Name, keepFor(afterOutage))
+		s.Table.RemoveReplica(change.Object.Name, s.keepFor(afterOutage))
 		return
 	}
 	if replica := s.decode(change.Object); replica != nil {
@@ -72,9 +72,9 @@
 	}
 }
 
-func keepFor(afterOutage bool) time.Duration {
+func (s ReplicaSink) keepFor(afterOutage bool) time.Duration {
 	if afterOutage {
-		return missingTime
+		return s.KeepMissing
 	}
 	return 0
 }
--- /dev/null
+++ b/internal/directory/table_test.go
@@ -0,0 +1,189 @@
+package directory
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pathtally/pathtally/standin/metastore"
+)
+
+// jsonDecoder reads the package's own types.
+type jsonDecoder struct{}
+
+func (jsonDecoder) Configuration(spec []byte) (*Configuration, error) {
+	configuration := &Configuration{}
+	err := json.Unmarshal(spec, configuration)
+	return configuration, err
+}
+
+func (jsonDecoder) Replica(name string, spec []byte) (*Replica, error) {
+	replica := &Replica{}
+	err := json.Unmarshal(spec, replica)
+	replica.ID = name
+	return replica, err
+}
+
+func (jsonDecoder) Version(spec []byte) (string, int64, error) {
+	var named struct {
+		Model   string
+		Version int64
+	}
+	err := json.Unmarshal(spec, &named)
+	return named.Model, named.Version, err
+}
+
+const keepMissing = 1300 * time.Millisecond
+
+// informed runs the informers of a table on the virtual clock.
+func informed(ctx context.Context, store *metastore.Store) *Table {
+	table := NewTable("zone", klog.Background())
+	sinks := map[string]Sink{
+		"config":   ConfigurationSink{Table: table, Decoder: jsonDecoder{}, Name: "main"},
+		"servers":  ReplicaSink{Table: table, Decoder: jsonDecoder{}, KeepMissing: keepMissing},
+		"versions": VersionSink{Table: table, Decoder: jsonDecoder{}},
+	}
+	for kind, sink := range sinks {
+		go NewInformer(store, kind, sink, klog.Background()).Run(ctx)
+	}
+	return table
+}
+
+func ready(service string) *Replica {
+	return &Replica{Service: service, Address: "127.0.0.1:1", Slots: 4, State: ReplicaReady}
+}
+
+// bubble runs a test on the virtual clock and ends its goroutines.
+func bubble(t *testing.T, test func(t *testing.T, ctx context.Context, store *metastore.Store)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		test(t, ctx, metastore.New())
+	})
+}
+
+func settle(span time.Duration) {
+	time.Sleep(span)
+	synctest.Wait()
+}
+
+func TestDrainingReplicaStaysOutUnderItsID(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context, store *metastore.Store) {
+		store.Write("servers", "one", ready("s"))
+		table := informed(ctx, store)
+		settle(time.Second)
+		if table.View().Plans["s"] == nil {
+			t.Fatal("a listed replica is not known")
+		}
+		leaving := ready("s")
+		leaving.State = ReplicaDraining
+		store.Write("servers", "one", leaving)
+		settle(time.Second)
+		store.Write("servers", "one", ready("s"))
+		settle(time.Second)
+		if table.View().Replicas["one"] != nil {
+			t.Error("a replica that said it leaves is used again")
+		}
+	})
+}
+
+func TestVanishedEntryMayComeBack(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context, store *metastore.Store) {
+		store.Write("servers", "one", ready("s"))
+		table := informed(ctx, store)
+		settle(time.Second)
+		store.Remove("servers", "one")
+		settle(time.Second)
+		if table.View().Replicas["one"] != nil {
+			t.Error("a replica whose entry vanished while the store was sound is used")
+		}
+		store.Write("servers", "one", ready("s"))
+		settle(time.Second)
+		if table.View().Replicas["one"] == nil {
+			t.Error("a replica whose entry came back is not used")
+		}
+	})
+}
+
+// hunt-53fc-19: a replica left without a word just after an outage, and was
+// kept for longer than requests may still reach it.
+func TestReplicaThatVanishesAroundAnOutageIsKeptForAWhileOnly(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context, store *metastore.Store) {
+		store.Write("servers", "one", ready("s"))
+		table := informed(ctx, store)
+		settle(time.Second)
+		store.SetFault(func(metastore.Call) metastore.Fault { return metastore.Silent })
+		store.Write("config", "other", struct{}{})
+		settle(time.Second)
+		store.SetFault(nil)
+		settle(time.Second)
+		store.Remove("servers", "one")
+		settle(keepMissing / 2)
+		if table.View().Replicas["one"] == nil {
+			t.Error("a replica is dropped at once although the store had just been away")
+		}
+		settle(keepMissing)
+		if table.View().Replicas["one"] != nil {
+			t.Error("a replica is kept beyond its time")
+		}
+	})
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context, store *metastore.Store) {
+		table := informed(ctx, store)
+		for _, version := range []uint64{3, 7, 5} {
+			store.Write("config", "main", &Configuration{Version: version})
+			settle(time.Second)
+		}
+		if version := table.View().Configuration.Version; version != 7 {
+			t.Errorf("version %d is in force, want 7", version)
+		}
+	})
+}
+
+func TestForgottenHistoryIsListedAnew(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context, store *metastore.Store) {
+		store.Write("servers", "one", ready("s"))
+		table := informed(ctx, store)
+		settle(time.Second)
+		store.SetFault(func(metastore.Call) metastore.Fault { return metastore.Silent })
+		store.Write("servers", "one", ready("s2"))
+		settle(time.Second)
+		store.Write("servers", "two", ready("s"))
+		store.Write("versions", "m", struct {
+			Model   string
+			Version int64
+		}{"m", 4})
+		store.Forget()
+		store.SetFault(nil)
+		settle(3 * time.Second)
+		view := table.View()
+		if view.Replicas["two"] == nil || view.Named["m"] != 4 {
+			t.Errorf("after the history was forgotten: replica %v, named version %d", view.Replicas["two"], view.Named["m"])
+		}
+	})
+}
+
+func TestLookupTakesTheLongestPrefixOfTheHost(t *testing.T) {
+	configuration := &Configuration{Routes: []Route{
+		{Name: "short", Host: "a.example", Prefix: "/x/"}, {Name: "long", Host: "a.example", Prefix: "/x/y/"}, {Name: "other", Host: "b.example", Prefix: "/"},
+	}}
+	configuration.Index()
+	for _, test := range []struct{ host, path, want string }{
+		{"a.example", "/x/y/z", "long"}, {"A.example:80", "/x/z", "short"}, {"a.example", "/x/y", "short"},
+		{"a.example", "/z", ""}, {"b.example", "/z", "other"}, {"c.example", "/x/", ""},
+	} {
+		found := ""
+		if route := configuration.Lookup(test.host, test.path); route != nil {
+			found = route.Name
+		}
+		if found != test.want {
+			t.Errorf("%s%s: route %q, want %q", test.host, test.path, found, test.want)
+		}
+	}
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -134,13 +134,31 @@
 	kinds := i.adapter.Kinds
 	decoder := i.adapter.Decoder
 	i.inform(ctx, kinds.Configuration, directory.ConfigurationSink{Table: i.directory, Decoder: decoder, Name: kinds.ConfigurationName})
-	i.inform(ctx, kinds.Replicas, directory.ReplicaSink{Table: i.directory, Decoder: decoder})
+	i.inform(ctx, kinds.Replicas, directory.ReplicaSink{Table: i.directory, Decoder: decoder, KeepMissing: i.keepMissing()})
 	i.inform(ctx, kinds.Versions, directory.VersionSink{Table: i.directory, Decoder: decoder})
 	i.run(func() { i.peers.Join(ctx) })
 	i.run(func() { i.jobs.Run(ctx) })
 	i.run(func() { i.weights.Run(ctx) })
 }
 
+const (
+	// defaultDrain holds where the settings name no time.
+	defaultDrain = 2 * time.Second
+	// missingShare is the part of it for which a vanished replica is kept: the
+	// rest is for the way of the news and of requests already sent.
+	missingShare = 0.65
+)
+
+// keepMissing is how long a replica whose entry vanished around an outage of
+// the store is kept.
+func (i *Instance) keepMissing() time.Duration {
+	drain := i.settings.Drain.Std()
+	if drain <= 0 {
+		drain = defaultDrain
+	}
+	return time.Duration(missingShare * float64(drain))
+}
+
 // inform runs an informer of one kind.
 func (i *Instance) inform(ctx context.Context, kind string, sink directory.Sink) {
 	informer := directory.NewInformer(i.adapter.Store, kind, sink, i.logger)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -51,6 +51,9 @@
 	// OrderLease is how long another node must wait after the last order to a
 	// replica before it may give orders; zero means the default.
 	OrderLease v1.Duration `json:"orderLease"`
+	// Drain is for how long a replica may get requests after it has said that
+	// it leaves; zero means the default.
+	Drain v1.Duration `json:"drain"`
 	// CatchUp bounds how long a starting node may take to be up to date.
 	CatchUp v1.Duration `json:"catchUp"`
 }
@@ -197,7 +200,7 @@
 	for _, span := range []struct {
 		setting string
 		value   v1.Duration
-	}{{"orderLease", s.OrderLease}, {"catchUp", s.CatchUp}} {
+	}{{"orderLease", s.OrderLease}, {"drain", s.Drain}, {"catchUp", s.CatchUp}} {
 		if span.value < 0 {
 			findings = append(findings, &Error{Setting: span.setting, Found: span.value.Std().String(), Allowed: "a duration of 0 or more"})
 		}
--- a/internal/weightorders/lease.go
+++ b/internal/weightorders/lease.go
@@ -26,6 +26,9 @@
 type leaseSpec struct {
 	Node  string `json:"node"`
 	Nonce string `json:"nonce"`
+	// Writes counts the writes of one process, so that each of them changes
+	// the object and with it the revision that successors wait by.
+	Writes uint64 `json:"writes"`
 }
 
 // lease is this node's view of the lease for orders. It is safe for use by
@@ -42,8 +45,9 @@
 	seen     time.Time
 	holder   string
 	// until is when this node must have stopped giving orders.
-	until time.Time
-	token uint64
+	until  time.Time
+	token  uint64
+	writes uint64
 }
 
 // valid returns the token if orders may be sent now.
@@ -123,7 +127,10 @@
 
 // write puts this node into the lease if it still stands as known.
 func (l *lease) write(ctx context.Context, revision uint64) error {
-	spec, err := json.Marshal(leaseSpec{Node: l.node, Nonce: l.nonce})
+	l.mutex.Lock()
+	l.writes++
+	spec, err := json.Marshal(leaseSpec{Node: l.node, Nonce: l.nonce, Writes: l.writes})
+	l.mutex.Unlock()
 	if err != nil {
 		return err
 	}
