Settings reload at SIGHUP and on change; retirements are answered

Change: SIGHUP, or a change of the file seen within 5 s, reloads the settings: times and seeds come into force, the rest is told to need a new start. The first node by rendezvous rank answers a retirement at once, since no lasting state is on any disk; the others follow after 0.6 s each.

--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -39,7 +39,7 @@
 		level = slog.LevelDebug
 	}
 	if loaded.ObjectStore != "" || loaded.Idle {
-		return runInstance(context, loaded, *path, level)
+		return runInstance(context, loaded, given, *path, level)
 	}
 	process.SetupLogging(context.stderr, level)
 	running, err := process.Start(loaded, nil)
--- a/internal/directory/sinks.go
+++ b/internal/directory/sinks.go
@@ -47,7 +47,7 @@
 	// KeepMissing is how long a replica whose entry vanished around an outage
 	// of the store is kept: a living one writes its entry again at its next
 	// heartbeat, and one that leaves must get no more work by then.
-	KeepMissing time.Duration
+	KeepMissing func() time.Duration
 }
 
 // Replace implements Sink.
@@ -74,7 +74,7 @@
 
 func (s ReplicaSink) keepFor(afterOutage bool) time.Duration {
 	if afterOutage {
-		return s.KeepMissing
+		return s.KeepMissing()
 	}
 	return 0
 }
--- a/internal/directory/table_test.go
+++ b/internal/directory/table_test.go
@@ -44,7 +44,7 @@
 	table := NewTable("zone", klog.Background())
 	sinks := map[string]Sink{
 		"config":   ConfigurationSink{Table: table, Decoder: jsonDecoder{}, Name: "main"},
-		"servers":  ReplicaSink{Table: table, Decoder: jsonDecoder{}, KeepMissing: keepMissing},
+		"servers":  ReplicaSink{Table: table, Decoder: jsonDecoder{}, KeepMissing: func() time.Duration { return keepMissing }},
 		"versions": VersionSink{Table: table, Decoder: jsonDecoder{}},
 	}
 	for kind, sink := range sinks {
--- a/internal/instance/adapter.go
+++ b/internal/instance/adapter.go
@@ -28,7 +28,8 @@
 		dispatch.Headers
 		ingress.Headers
 	}
-	Jobs batch.Codec
+	Jobs        batch.Codec
+	Retirements RetirementCodec
 	// Orders returns the client for orders to replicas over a pool.
 	Orders func(pool *exchange.Pool) weightorders.Replicas
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -43,7 +43,11 @@
 
 // Instance is one running node.
 type Instance struct {
-	settings  settings.Settings
+	settings settings.Settings
+	// current are the settings with the changes since the start.
+	current     atomic.Pointer[settings.Settings]
+	reloadMutex sync.Mutex
+
 	adapter   Adapter
 	logger    klog.Logger
 	registry  *prometheus.Registry
@@ -72,6 +76,7 @@
 		settings: configured, adapter: adapter, logger: nodeLogger(configured.Node, configured.Zone),
 		registry: prometheus.NewRegistry(), health: newStoreHealth(), drained: make(chan struct{}), started: time.Now(),
 	}
+	instance.current.Store(&instance.settings)
 	ctx, cancel := context.WithCancel(context.Background())
 	instance.cancel = cancel
 	if configured.Idle {
@@ -134,8 +139,12 @@
 	kinds := i.adapter.Kinds
 	decoder := i.adapter.Decoder
 	i.inform(ctx, kinds.Configuration, directory.ConfigurationSink{Table: i.directory, Decoder: decoder, Name: kinds.ConfigurationName})
-	i.inform(ctx, kinds.Replicas, directory.ReplicaSink{Table: i.directory, Decoder: decoder, KeepMissing: i.keepMissing()})
+	i.inform(ctx, kinds.Replicas, directory.ReplicaSink{Table: i.directory, Decoder: decoder, KeepMissing: i.keepMissing})
 	i.inform(ctx, kinds.Versions, directory.VersionSink{Table: i.directory, Decoder: decoder})
+	i.inform(ctx, kinds.Retirements, &retirements{
+		kind: kinds.Retirements, store: i.adapter.Store, codec: i.adapter.Retirements, node: i.settings.Node, nodes: i.peers.Nodes,
+		logger: i.logger, ctx: ctx, pending: map[string]bool{},
+	})
 	i.run(func() { i.peers.Join(ctx) })
 	i.run(func() { i.jobs.Run(ctx) })
 	i.run(func() { i.weights.Run(ctx) })
@@ -152,7 +161,7 @@
 // keepMissing is how long a replica whose entry vanished around an outage of
 // the store is kept.
 func (i *Instance) keepMissing() time.Duration {
-	drain := i.settings.Drain.Std()
+	drain := i.current.Load().Drain.Std()
 	if drain <= 0 {
 		drain = defaultDrain
 	}
--- /dev/null
+++ b/internal/instance/reload.go
@@ -0,0 +1,34 @@
+package instance
+
+import (
+	"github.com/pathtally/pathtally/internal/settings"
+)
+
+// Reload takes changed settings. Times and seeds come into force; a change of
+// name, place or addresses needs a new start and is told in the log.
+func (i *Instance) Reload(changed settings.Settings) {
+	i.reloadMutex.Lock()
+	defer i.reloadMutex.Unlock()
+	standing := i.current.Load()
+	fixed := changed
+	fixed.Grace, fixed.OrderLease, fixed.Drain, fixed.CatchUp, fixed.Seeds =
+		standing.Grace, standing.OrderLease, standing.Drain, standing.CatchUp, standing.Seeds
+	needsRestart := !sameFixed(fixed, *standing)
+	next := *standing
+	next.Grace, next.OrderLease, next.Drain, next.CatchUp, next.Seeds =
+		changed.Grace, changed.OrderLease, changed.Drain, changed.CatchUp, changed.Seeds
+	i.current.Store(&next)
+	i.logger.Info("settings reloaded", "grace", next.Grace.Std().String(), "orderLease", next.OrderLease.Std().String(),
+		"drain", next.Drain.Std().String(), "seeds", len(next.Seeds), "needsRestart", needsRestart)
+	if next.Idle {
+		return
+	}
+	i.weights.SetTerm(next.OrderLease.Std())
+	i.peers.SetSeeds(next.Seeds)
+}
+
+// sameFixed tells whether the settings that need a new start are the same.
+func sameFixed(a, b settings.Settings) bool {
+	return a.Node == b.Node && a.Zone == b.Zone && a.Region == b.Region && a.Peer == b.Peer && a.HTTP == b.HTTP &&
+		a.Readiness == b.Readiness && a.Metrics == b.Metrics && a.ObjectStore == b.ObjectStore && a.Idle == b.Idle
+}
--- /dev/null
+++ b/internal/instance/retirements.go
@@ -0,0 +1,102 @@
+package instance
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pathtally/pathtally/internal/objectstore"
+	"github.com/pathtally/pathtally/internal/rendezvous"
+)
+
+// retirementTurn is what each further node waits for those before it to
+// answer a retirement.
+const retirementTurn = 600 * time.Millisecond
+
+// RetirementCodec reads and writes the status of a retirement.
+type RetirementCodec interface {
+	// Retired tells whether a status says that the machine may be taken away.
+	Retired(status []byte) bool
+	// Retirement is the status that says so.
+	Retirement() []byte
+}
+
+// retirements answers requests to empty a machine. Nothing that lasts is kept
+// on any machine's disk, so each may be taken away at once.
+type retirements struct {
+	kind   string
+	store  objectstore.Store
+	codec  RetirementCodec
+	node   string
+	nodes  func() []string
+	logger klog.Logger
+	ctx    context.Context
+
+	mutex   sync.Mutex
+	pending map[string]bool
+}
+
+// Replace implements directory.Sink.
+func (r *retirements) Replace(objects []objectstore.Object, _ bool) {
+	for _, object := range objects {
+		r.take(object)
+	}
+}
+
+// Apply implements directory.Sink.
+func (r *retirements) Apply(change objectstore.Change, _ bool) {
+	if !change.Gone {
+		r.take(change.Object)
+	}
+}
+
+func (r *retirements) take(object objectstore.Object) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.codec.Retired(object.Status) {
+		delete(r.pending, object.Name)
+		return
+	}
+	if r.pending[object.Name] {
+		return
+	}
+	r.pending[object.Name] = true
+	go r.answer(object.Name)
+}
+
+// answer writes the status when it is this node's turn and none has before.
+func (r *retirements) answer(machine string) {
+	if !objectstore.Sleep(r.ctx, time.Duration(r.rank(machine))*retirementTurn) {
+		return
+	}
+	for r.isPending(machine) {
+		object, err := r.store.ReplaceStatus(r.ctx, r.kind, machine, json.RawMessage(r.codec.Retirement()), objectstore.Unconditional)
+		if err == nil {
+			r.logger.Info("machine may be taken away", "machine", machine, "revision", object.Revision)
+			return
+		}
+		r.logger.Info("retirement not answered", "machine", machine, "error", err.Error())
+		if !objectstore.Pause(r.ctx, retirementTurn) {
+			return
+		}
+	}
+}
+
+func (r *retirements) isPending(machine string) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.pending[machine]
+}
+
+// rank is this node's place among those that may answer.
+func (r *retirements) rank(machine string) int {
+	var candidates []rendezvous.Candidate
+	for _, node := range r.nodes() {
+		candidates = append(candidates, rendezvous.Candidate{ID: node})
+	}
+	return slices.IndexFunc(rendezvous.Rank(machine, candidates), func(candidate rendezvous.Candidate) bool { return candidate.ID == r.node })
+}
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -49,22 +49,28 @@
 type Table struct {
 	config Config
 	mutex  sync.Mutex
+	seeds  []string
 	peers  map[string]*Peer
 	joined bool
 }
 
 // NewTable returns a table that knows nobody.
-func NewTable(config Config) *Table { return &Table{config: config, peers: map[string]*Peer{}} }
+func NewTable(config Config) *Table {
+	return &Table{config: config, seeds: config.Seeds, peers: map[string]*Peer{}}
+}
+
+// SetSeeds changes the addresses to join through.
+func (t *Table) SetSeeds(seeds []string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.seeds = seeds
+}
 
 // Join writes this node's entry, reads the others' and greets them, until the
 // context ends or the store has answered.
 func (t *Table) Join(ctx context.Context) {
-	for _, seed := range t.config.Seeds {
-		if seed != t.config.Address {
-			t.greet(ctx, seed, 0)
-		}
-	}
 	for ctx.Err() == nil {
+		t.greetSeeds(ctx)
 		if err := t.register(ctx); err != nil {
 			t.config.Logger.V(1).Info("node entry not written", "error", err.Error())
 		} else if err := t.readEntries(ctx); err != nil {
@@ -79,6 +85,18 @@
 	}
 }
 
+// greetSeeds greets the seeds, which know others, until the store is read.
+func (t *Table) greetSeeds(ctx context.Context) {
+	t.mutex.Lock()
+	seeds := t.seeds
+	t.mutex.Unlock()
+	for _, seed := range seeds {
+		if seed != t.config.Address {
+			t.greet(ctx, seed, greetRounds)
+		}
+	}
+}
+
 // register writes this node's entry.
 func (t *Table) register(ctx context.Context) error {
 	spec, err := json.Marshal(record{Address: t.config.Address, Zone: t.config.Zone, Incarnation: t.config.Incarnation})
--- a/internal/weightorders/coordinator.go
+++ b/internal/weightorders/coordinator.go
@@ -93,6 +93,15 @@
 	}
 }
 
+// SetTerm changes how long this node waits after another's last order; zero
+// means the default.
+func (c *Coordinator) SetTerm(term time.Duration) {
+	if term <= 0 {
+		term = defaultTerm
+	}
+	c.lease.setTerm(term)
+}
+
 // Run works until the context ends.
 func (c *Coordinator) Run(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/weightorders/lease.go
+++ b/internal/weightorders/lease.go
@@ -57,6 +57,13 @@
 	return l.token, l.token != 0 && time.Now().Before(l.until)
 }
 
+// setTerm changes the wait of this node as a successor.
+func (l *lease) setTerm(term time.Duration) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.term = term
+}
+
 // remaining is for how long orders may be sent.
 func (l *lease) remaining() time.Duration {
 	l.mutex.Lock()
