--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -71,7 +71,6 @@
 type progress struct {
 	events   []string
 	versions []int64
-	scored   string
 }
 
 // noteVersion records that a weight version made an event.
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -72,6 +72,12 @@
 
 // Start opens the addresses of the settings and starts the node.
 func Start(configured settings.Settings, adapter Adapter) (*Instance, error) {
+	opened := &listeners{}
+	if !configured.Idle {
+		if err := opened.open(&configured); err != nil {
+			return nil, err
+		}
+	}
 	instance := &Instance{
 		settings: configured, adapter: adapter, logger: nodeLogger(configured.Node, configured.Zone),
 		registry: prometheus.NewRegistry(), health: newStoreHealth(), drained: make(chan struct{}), started: time.Now(),
@@ -83,33 +89,24 @@
 		instance.logger.Info("node started", "idle", true)
 		return instance, nil
 	}
-	if err := instance.assemble(ctx); err != nil {
-		cancel()
-		return nil, err
-	}
-	if err := instance.listen(); err != nil {
-		cancel()
-		return nil, err
-	}
+	instance.assemble(ctx, opened.peer)
+	instance.serve(opened)
 	instance.runDuties(ctx)
-	instance.logger.Info("node started", "http", configured.HTTP, "peer", configured.Peer, "objectStore", configured.ObjectStore)
+	instance.logger.Info("node started", "http", configured.HTTP, "readiness", configured.Readiness, "metrics", configured.Metrics,
+		"peer", configured.Peer, "objectStore", configured.ObjectStore)
 	return instance, nil
 }
 
 // assemble joins the parts of the node.
-func (i *Instance) assemble(ctx context.Context) error {
+func (i *Instance) assemble(ctx context.Context, peerListener net.Listener) {
 	i.directory = directory.NewTable(i.settings.Zone, i.logger)
 	i.pool = exchange.NewPool(nil)
 	dispatcher := dispatch.New(i.pool, i.adapter.Headers)
 	i.forwarder = forward.New(forward.Config{
 		Zone: i.settings.Zone, Directory: i.directory, Dispatcher: dispatcher, Logger: i.logger, Metrics: forward.NewMetrics(i.registry),
 	})
-	listener, err := listen("peer", i.settings.Peer)
-	if err != nil {
-		return err
-	}
 	self := batch.Owner{Node: i.settings.Node, Address: i.settings.Peer, Incarnation: uint64(i.started.UnixNano())}
-	i.transport = transport.Listen(listener, transport.Config{
+	i.transport = transport.Listen(peerListener, transport.Config{
 		Hello:   wire.Hello{Protocol: wire.ProtocolVersion, Node: self.Node, Address: self.Address, Incarnation: self.Incarnation},
 		Post:    func(call func()) { go call() },
 		Handler: func(_ string, message wire.Message, reply func(wire.Message)) { i.handle(ctx, message, reply) },
@@ -131,7 +128,6 @@
 		Directory: i.directory, Forwarder: i.forwarder, Headers: i.adapter.Headers, Logger: i.logger,
 		Jobs: &batch.Front{Service: i.jobs, Headers: i.adapter.Headers},
 	})
-	return nil
 }
 
 // runDuties starts what works beside the requests.
@@ -194,11 +190,3 @@
 
 // Name returns the node's name.
 func (i *Instance) Name() string { return i.settings.Node }
-
-func listen(setting, address string) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, &ListenError{Setting: setting, Address: address, Cause: err}
-	}
-	return listener, nil
-}
--- a/internal/instance/logging.go
+++ b/internal/instance/logging.go
@@ -25,7 +25,6 @@
 	lines   chan []byte
 	dropped atomic.Int64
 	out     io.Writer
-	mutex   sync.Mutex
 	pending sync.WaitGroup
 }
 
--- a/internal/instance/servers.go
+++ b/internal/instance/servers.go
@@ -1,10 +1,13 @@
 package instance
 
 import (
+	"net"
 	"net/http"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/pathtally/pathtally/internal/settings"
 )
 
 const (
@@ -16,31 +19,55 @@
 	headerBytes = 64 << 10
 )
 
-// listen opens the node's addresses and serves them.
-func (i *Instance) listen() error {
-	front, err := listen("http", i.settings.HTTP)
-	if err != nil {
-		return err
-	}
-	i.front = newServer(i.handler)
-	go i.front.Serve(front)
-	if i.settings.Readiness != "" {
-		readiness, err := listen("readiness", i.settings.Readiness)
-		if err != nil {
-			return err
+// listeners are the open addresses of a node; those not set are nil.
+type listeners struct {
+	front, peer, readiness, metrics net.Listener
+}
+
+// open opens the addresses of the settings and writes those that the system
+// chose back into them.
+func (l *listeners) open(configured *settings.Settings) error {
+	for _, wanted := range []struct {
+		setting  string
+		address  *string
+		listener *net.Listener
+	}{
+		{"http", &configured.HTTP, &l.front}, {"peer", &configured.Peer, &l.peer},
+		{"readiness", &configured.Readiness, &l.readiness}, {"metrics", &configured.Metrics, &l.metrics},
+	} {
+		if *wanted.address == "" {
+			continue
 		}
-		go newServer(http.HandlerFunc(i.serveReadiness)).Serve(readiness)
-	}
-	if i.settings.Metrics != "" {
-		metrics, err := listen("metrics", i.settings.Metrics)
+		listener, err := net.Listen("tcp", *wanted.address)
 		if err != nil {
-			return err
+			l.close()
+			return &ListenError{Setting: wanted.setting, Address: *wanted.address, Cause: err}
 		}
-		go newServer(promhttp.HandlerFor(i.registry, promhttp.HandlerOpts{})).Serve(metrics)
+		*wanted.listener, *wanted.address = listener, listener.Addr().String()
 	}
 	return nil
 }
 
+func (l *listeners) close() {
+	for _, listener := range []net.Listener{l.front, l.peer, l.readiness, l.metrics} {
+		if listener != nil {
+			listener.Close()
+		}
+	}
+}
+
+// serve answers on the open addresses.
+func (i *Instance) serve(opened *listeners) {
+	i.front = newServer(i.handler)
+	go i.front.Serve(opened.front)
+	if opened.readiness != nil {
+		go newServer(http.HandlerFunc(i.serveReadiness)).Serve(opened.readiness)
+	}
+	if opened.metrics != nil {
+		go newServer(promhttp.HandlerFor(i.registry, promhttp.HandlerOpts{})).Serve(opened.metrics)
+	}
+}
+
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: headerBytes}
 }
--- /dev/null
+++ b/standin/metastore/server.go
@@ -0,0 +1,132 @@
+package metastore
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pathtally/pathtally/internal/objectstore"
+)
+
+// pathObjects is where the store's calls begin.
+const pathObjects = "/-/objects/"
+
+// longestWait bounds how long a watch is held.
+const longestWait = 30 * time.Second
+
+// Server speaks the store's protocol over HTTP.
+type Server struct{ Store *Store }
+
+type wireObject struct {
+	Metadata wireMetadata    `json:"metadata"`
+	Spec     json.RawMessage `json:"spec,omitempty"`
+	Status   json.RawMessage `json:"status,omitempty"`
+}
+
+type wireMetadata struct {
+	Name       string   `json:"name"`
+	Revision   uint64   `json:"revision"`
+	Made       uint64   `json:"made"`
+	Finalizers []string `json:"finalizers"`
+	Deleting   bool     `json:"deleting"`
+}
+
+func toWire(object objectstore.Object) wireObject {
+	return wireObject{Metadata: wireMetadata{Name: object.Name, Revision: object.Revision}, Spec: object.Spec, Status: object.Status}
+}
+
+type wireEvent struct {
+	Gone   bool       `json:"gone"`
+	Object wireObject `json:"object"`
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	path, isObjects := strings.CutPrefix(request.URL.Path, pathObjects)
+	if !isObjects {
+		writer.WriteHeader(http.StatusNotFound)
+		return
+	}
+	kind, rest, _ := strings.Cut(path, "/")
+	name, part, _ := strings.Cut(rest, "/")
+	ctx := request.Context()
+	query := request.URL.Query()
+	switch {
+	case request.Method == http.MethodGet && query.Has("watch"):
+		s.watch(ctx, writer, kind, query.Get("watch"), query.Get("waitMs"))
+	case request.Method == http.MethodGet && name == "":
+		page, err := s.Store.List(ctx, kind, query.Get("sinceRev"), objectstore.Linearizable)
+		listed := make([]wireObject, 0, len(page.Objects))
+		for _, object := range page.Objects {
+			listed = append(listed, toWire(object))
+		}
+		answer(writer, map[string]any{"requests": listed, "more": page.More, "at": page.At}, err)
+	case request.Method == http.MethodGet:
+		object, err := s.Store.Get(ctx, kind, name, objectstore.Linearizable)
+		answer(writer, toWire(object), err)
+	default:
+		s.change(ctx, writer, request, kind, name, part)
+	}
+}
+
+func (s *Server) watch(ctx context.Context, writer http.ResponseWriter, kind, from, wait string) {
+	revision, _ := strconv.ParseUint(from, 10, 64)
+	milliseconds, _ := strconv.Atoi(wait)
+	changes, err := s.Store.Watch(ctx, kind, revision, min(time.Duration(milliseconds)*time.Millisecond, longestWait))
+	events := make([]wireEvent, 0, len(changes.Events))
+	for _, change := range changes.Events {
+		events = append(events, wireEvent{Gone: change.Gone, Object: toWire(change.Object)})
+	}
+	answer(writer, map[string]any{"events": events, "at": changes.At}, err)
+}
+
+// change carries out a writing call.
+func (s *Server) change(ctx context.Context, writer http.ResponseWriter, request *http.Request, kind, name, part string) {
+	var body wireObject
+	if err := json.NewDecoder(request.Body).Decode(&body); err != nil {
+		writer.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	var object objectstore.Object
+	var err error
+	switch {
+	case request.Method == http.MethodPost:
+		object, err = s.Store.Create(ctx, kind, body.Metadata.Name, body.Spec)
+	case request.Method == http.MethodPut && part == "status":
+		object, err = s.Store.ReplaceStatus(ctx, kind, name, body.Status, body.Metadata.Revision)
+	case request.Method == http.MethodPut:
+		object, err = s.Store.Replace(ctx, kind, name, body.Spec, body.Metadata.Revision)
+	default:
+		writer.WriteHeader(http.StatusMethodNotAllowed)
+		return
+	}
+	answer(writer, toWire(object), err)
+}
+
+// answer writes the result of a call. A call without an answer ends its
+// connection.
+func answer(writer http.ResponseWriter, result any, err error) {
+	var conflict *objectstore.ConflictError
+	var refused *objectstore.RefusedError
+	status := http.StatusOK
+	switch {
+	case err == nil:
+	case errors.Is(err, objectstore.ErrNotFound):
+		status = http.StatusNotFound
+	case errors.Is(err, objectstore.ErrHistoryGone):
+		status = http.StatusGone
+	case errors.As(err, &conflict):
+		status, result = http.StatusConflict, toWire(conflict.Current)
+	case errors.As(err, &refused):
+		status = http.StatusServiceUnavailable
+	default:
+		panic(http.ErrAbortHandler)
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	json.NewEncoder(writer).Encode(result)
+}
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -53,7 +53,9 @@
 	t       *testing.T
 	command *exec.Cmd
 	lines   []string
-	exited  chan struct{}
+	// output is what follows the lines.
+	output *bufio.Reader
+	exited chan struct{}
 }
 
 // start runs a program and waits for as many lines of standard output as it
@@ -71,6 +73,7 @@
 		t.Fatal(err)
 	}
 	reader := bufio.NewReader(output)
+	p.output = reader
 	for range lines {
 		line, err := reader.ReadString('\n')
 		if err != nil {
--- /dev/null
+++ b/test/platform_harness_test.go
@@ -0,0 +1,309 @@
+package test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pathtally/pathtally/standin/metastore"
+	"github.com/pathtally/pathtally/standin/replica"
+)
+
+const (
+	draftHost  = "drafts.example"
+	draftModel = "drafter"
+	liveHost   = "live.example"
+)
+
+// platformDeployment is a set of real node processes before stand-ins of the
+// users' platform.
+type platformDeployment struct {
+	t       *testing.T
+	store   *metastore.Store
+	engines []*replica.Server
+	apps    []*replica.Server
+	nodes   []*platformNode
+	address string
+	folder  string
+}
+
+// platformNode is one node process.
+type platformNode struct {
+	*program
+	http      string
+	readiness string
+	metrics   string
+	mutex     sync.Mutex
+	log       bytes.Buffer
+}
+
+// shape is what a deployment is like.
+type shape struct {
+	nodes, engines, apps int
+	eventInterval        time.Duration
+}
+
+// deployPlatform starts stand-ins and nodes.
+func deployPlatform(t *testing.T, shaped shape) *platformDeployment {
+	t.Helper()
+	d := &platformDeployment{t: t, store: metastore.New(), folder: t.TempDir()}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: &metastore.Server{Store: d.store}}
+	go server.Serve(listener)
+	t.Cleanup(func() { server.Close() })
+	d.address = listener.Addr().String()
+	d.startReplicas(shaped)
+	d.configure(1)
+	for number := range shaped.nodes {
+		d.startNode(number)
+	}
+	for _, node := range d.nodes {
+		d.waitReady(node)
+	}
+	return d
+}
+
+func (d *platformDeployment) startReplicas(shaped shape) {
+	d.t.Helper()
+	start := func(config replica.Config, service string) *replica.Server {
+		started, err := replica.Start(config)
+		if err != nil {
+			d.t.Fatal(err)
+		}
+		d.t.Cleanup(started.Close)
+		d.store.Write("servers", config.ID, started.Entry(service, "zone-a"))
+		return started
+	}
+	for number := range shaped.engines {
+		d.engines = append(d.engines, start(replica.Config{
+			ID: fmt.Sprintf("engine-%d", number), Slots: 8, Model: draftModel, EventInterval: shaped.eventInterval, LoadTime: 100 * time.Millisecond,
+		}, "engines"))
+	}
+	for number := range shaped.apps {
+		d.apps = append(d.apps, start(replica.Config{ID: fmt.Sprintf("app-%d", number), Slots: 16, Work: time.Millisecond}, "apps"))
+	}
+}
+
+// configure writes a version of the configuration.
+func (d *platformDeployment) configure(version int) {
+	d.store.Write("config", "main", map[string]any{
+		"version": version,
+		"routes": []map[string]any{
+			{"name": "drafts", "host": draftHost, "pathPrefix": "/drafts/", "type": "rollout", "service": "engines", "maxAttempts": 3,
+				"sloMs": 400, "timeoutMs": 10000, "runTargetMs": 7500, "retentionS": 60},
+			{"name": "rewards", "host": liveHost, "pathPrefix": "/score/", "type": "safe", "service": "apps", "maxAttempts": 4, "sloMs": 500, "timeoutMs": 2000},
+			{"name": "live", "host": liveHost, "pathPrefix": "/live/", "type": "safe", "service": "apps", "maxAttempts": 3, "sloMs": 2000, "timeoutMs": 5000},
+			{"name": "once", "host": liveHost, "pathPrefix": "/once/", "type": "unsafe", "service": "apps", "maxAttempts": 3, "sloMs": 2000, "timeoutMs": 5000},
+		},
+		"services": []map[string]any{
+			{"name": "engines", "maxConns": 100, "engine": map[string]any{"slots": 8, "models": []map[string]any{{"name": draftModel}}}},
+			{"name": "apps", "maxConns": 100},
+		},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	})
+}
+
+// settingsOf is the settings file of a node.
+func (d *platformDeployment) settingsOf(number int, grace string) string {
+	path := filepath.Join(d.folder, fmt.Sprintf("node-%d.yaml", number))
+	settings := fmt.Sprintf("node: node-%d\nzone: zone-a\nregion: region\nhttp: 127.0.0.1:0\npeer: 127.0.0.1:0\nreadiness: 127.0.0.1:0\n"+
+		"metrics: 127.0.0.1:0\nobjectStore: %s\ngrace: %s\n", number, d.address, grace)
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		d.t.Fatal(err)
+	}
+	return path
+}
+
+func (d *platformDeployment) startNode(number int) *platformNode {
+	d.t.Helper()
+	node := &platformNode{program: start(d.t, 0, "pathtally", "node", "-settings", d.settingsOf(number, "6s"), "-v")}
+	go node.collect()
+	var started struct{ HTTP, Readiness, Metrics string }
+	d.eventually("the node has started", func() bool {
+		line := node.find("node started")
+		return line != nil && json.Unmarshal(line, &started) == nil
+	})
+	node.http, node.readiness, node.metrics = started.HTTP, started.Readiness, started.Metrics
+	d.nodes = append(d.nodes, node)
+	return node
+}
+
+// collect keeps what a node writes.
+func (n *platformNode) collect() {
+	buffer := make([]byte, 64<<10)
+	for {
+		count, err := n.output.Read(buffer)
+		n.mutex.Lock()
+		n.log.Write(buffer[:count])
+		n.mutex.Unlock()
+		if err != nil {
+			return
+		}
+	}
+}
+
+// find returns the first log line that holds all words, or nil.
+func (n *platformNode) find(words ...string) []byte {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	for _, line := range bytes.Split(n.log.Bytes(), []byte("\n")) {
+		found := true
+		for _, word := range words {
+			found = found && bytes.Contains(line, []byte(word))
+		}
+		if found {
+			return line
+		}
+	}
+	return nil
+}
+
+func (d *platformDeployment) eventually(what string, check func() bool) {
+	d.t.Helper()
+	for end := time.Now().Add(startLimit); time.Now().Before(end); time.Sleep(look) {
+		if check() {
+			return
+		}
+	}
+	d.t.Fatalf("not so in the end: %s", what)
+}
+
+func (d *platformDeployment) waitReady(node *platformNode) {
+	d.t.Helper()
+	d.eventually("the node is ready", func() bool {
+		response, err := http.Get("http://" + node.readiness + "/-/readyz")
+		if err != nil {
+			return false
+		}
+		response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+}
+
+// reply is an answer as a caller gets it.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+}
+
+// send makes one request of a caller on a connection of its own.
+func (d *platformDeployment) send(node *platformNode, method, host, target, id string, body []byte, header http.Header) (reply, error) {
+	request, err := http.NewRequest(method, "http://"+node.http+target, bytes.NewReader(body))
+	if err != nil {
+		return reply{}, err
+	}
+	request.Host = host
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	request.Header.Set("Pathtally-Request-Id", id)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}, Timeout: startLimit}
+	response, err := client.Do(request)
+	if err != nil {
+		return reply{}, err
+	}
+	defer response.Body.Close()
+	read, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(read)}, err
+}
+
+// draftItem is an item of a batch job as a trainer sends it.
+func draftItem(job string, number int) map[string]any {
+	id := fmt.Sprintf("%s.%d", job, number)
+	return map[string]any{
+		"id": id, "path": "/drafts/run?x=1", "body": []byte("prompt of " + id), "group": fmt.Sprint(number / 4), "tokens": 200,
+		"headers": map[string]string{"Pathtally-Model": draftModel, "Pathtally-Token-Usage": "100,100", "Pathtally-Prefix-Hash": "a1:100"},
+		"scorer":  map[string]any{"id": "score." + id, "host": liveHost, "path": "/score/" + id, "body": []byte("text")},
+	}
+}
+
+// submit hands in a batch job until a node takes it.
+func (d *platformDeployment) submit(node *platformNode, job string, items int, least int64) {
+	d.t.Helper()
+	var requests []map[string]any
+	for number := range items {
+		requests = append(requests, draftItem(job, number))
+	}
+	body, err := json.Marshal(map[string]any{"step": 0, "model": draftModel, "minVersion": least, "desired": items / 4, "requests": requests})
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.eventually("the batch job is taken", func() bool {
+		answer, err := d.send(node, http.MethodPost, draftHost, "/drafts/"+job, job, body, nil)
+		return err == nil && answer.status == http.StatusAccepted
+	})
+}
+
+// listed is a result as a trainer reads it.
+type listed struct {
+	ID       string
+	State    string
+	Message  string
+	Versions []int64
+	Score    string
+}
+
+// read reads a job from a node until all results are there.
+func (d *platformDeployment) read(node func() *platformNode, job string, items int) []listed {
+	d.t.Helper()
+	var results []listed
+	d.eventually("all results are read", func() bool {
+		answer, err := d.send(node(), http.MethodGet, draftHost, fmt.Sprintf("/-/lots/%s?sinceRev=%d", job, len(results)), "reader", nil,
+			http.Header{"Pathtally-Wait-Ms": {"200"}})
+		if err != nil || answer.status != http.StatusOK {
+			return false
+		}
+		var page struct {
+			Total     int
+			NextToken int
+			Results   []listed
+		}
+		if err := json.Unmarshal([]byte(answer.body), &page); err != nil {
+			d.t.Fatalf("page of results: %v", err)
+		}
+		if page.Total != items || page.NextToken != len(results)+len(page.Results) {
+			d.t.Fatalf("page: total %d of %d, next %d after %d with %d", page.Total, items, page.NextToken, len(results), len(page.Results))
+		}
+		results = append(results, page.Results...)
+		return len(results) == items
+	})
+	return results
+}
+
+// check judges a job's results by what the replicas made.
+func (d *platformDeployment) check(results []listed, items int, least int64) {
+	d.t.Helper()
+	seen := map[string]bool{}
+	for _, result := range results {
+		if seen[result.ID] {
+			d.t.Errorf("item %s is listed twice", result.ID)
+		}
+		seen[result.ID] = true
+		if result.State != "succeeded" || result.Message != replica.Text(result.ID) || result.Score == "" {
+			d.t.Errorf("item %s: %s, text %q, score %q", result.ID, result.State, result.Message, result.Score)
+		}
+		for _, version := range result.Versions {
+			if version < least {
+				d.t.Errorf("item %s was made by version %d, the least is %d", result.ID, version, least)
+			}
+		}
+		if len(result.Versions) == 0 {
+			d.t.Errorf("item %s names no version", result.ID)
+		}
+	}
+	if len(seen) != items {
+		d.t.Errorf("%d items are listed, want %d", len(seen), items)
+	}
+}
--- /dev/null
+++ b/test/platform_test.go
@@ -0,0 +1,206 @@
+package test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pathtally/pathtally/standin/replica"
+)
+
+// kotukuShape and cauceShape are like the users' deployments, on one machine.
+var (
+	kotukuShape = shape{nodes: 3, engines: 8, apps: 3, eventInterval: 2 * time.Millisecond}
+	cauceShape  = shape{nodes: 3, engines: 9, apps: 4, eventInterval: 2 * time.Millisecond}
+)
+
+func TestCalmDayOnThePlatform(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		shaped shape
+		items  int
+	}{{"kotuku", kotukuShape, 100}, {"cauce", cauceShape, 56}} {
+		t.Run(test.name, func(t *testing.T) {
+			d := deployPlatform(t, test.shaped)
+			for step := range 3 {
+				job := fmt.Sprintf("job%d", step)
+				least := max(1, int64(step))
+				if step > 0 {
+					d.store.Write("versions", draftModel, map[string]any{"model": draftModel, "version": step + 1})
+				}
+				d.submit(d.nodes[step%3], job, test.items, least)
+				reader := step
+				results := d.read(func() *platformNode { reader++; return d.nodes[reader%3] }, job, test.items)
+				d.check(results, test.items, least)
+				d.liveRequests(step)
+				if answer, err := d.send(d.nodes[0], http.MethodDelete, draftHost, "/-/lots/"+job, "end", nil, nil); err != nil || answer.status != http.StatusOK {
+					t.Fatalf("end of %s: %+v, %v", job, answer, err)
+				}
+			}
+			d.checkOrders()
+		})
+	}
+}
+
+// liveRequests sends plain requests to all nodes and checks their answers.
+func (d *platformDeployment) liveRequests(step int) {
+	d.t.Helper()
+	for number := range 12 {
+		id := fmt.Sprintf("live.%d.%d", step, number)
+		answer, err := d.send(d.nodes[number%len(d.nodes)], http.MethodPost, liveHost, "/live/a%2Fb?q=%20x", id, []byte("book"), nil)
+		if err != nil || answer.status != http.StatusOK || answer.body != "answer to "+id+": book" || answer.header.Get("Pathtally-Server-Stamp") == "" {
+			d.t.Errorf("request %s: %+v, %v", id, answer, err)
+		}
+	}
+	for _, app := range d.apps {
+		for _, run := range app.Runs() {
+			if strings.HasPrefix(run.ID, "live.") && (run.Target != "/live/a%2Fb?q=%20x" || run.Method != http.MethodPost || run.Body != "book") {
+				d.t.Errorf("request %s reached a replica as %s %s %q", run.ID, run.Method, run.Target, run.Body)
+			}
+		}
+	}
+}
+
+// checkOrders checks that tokens never fall at a replica and each names one
+// owner.
+func (d *platformDeployment) checkOrders() {
+	d.t.Helper()
+	owners := map[uint64]string{}
+	for number, engine := range d.engines {
+		last := uint64(0)
+		for _, order := range engine.Orders() {
+			if order.Token < last {
+				d.t.Errorf("engine %d got token %d after %d", number, order.Token, last)
+			}
+			last = order.Token
+			if owner := owners[order.Token]; owner != "" && owner != order.Owner {
+				d.t.Errorf("token %d was used by %s and %s", order.Token, owner, order.Owner)
+			}
+			owners[order.Token] = order.Owner
+		}
+	}
+	if len(owners) == 0 {
+		d.t.Error("no order was given")
+	}
+}
+
+func TestKilledNodesJobGoesOn(t *testing.T) {
+	d := deployPlatform(t, shape{nodes: 3, engines: 2, apps: 2, eventInterval: 100 * time.Millisecond})
+	d.submit(d.nodes[0], "job", 40, 1)
+	d.nodes[0].kill()
+	results := d.read(func() *platformNode { return d.nodes[1] }, "job", 40)
+	d.check(results, 40, 1)
+	again := d.read(func() *platformNode { return d.nodes[2] }, "job", 40)
+	for position := range results {
+		if again[position].ID != results[position].ID {
+			t.Fatalf("position %d differs between nodes", position)
+		}
+	}
+}
+
+func TestPlannedStopOnThePlatformCutsNothing(t *testing.T) {
+	d := deployPlatform(t, shape{nodes: 2, engines: 2, apps: 2, eventInterval: 20 * time.Millisecond})
+	d.submit(d.nodes[0], "job", 24, 1)
+	d.nodes[0].signal(syscall.SIGTERM)
+	// A stopping node still answers what comes, and ends its connections.
+	answer, err := d.send(d.nodes[0], http.MethodPost, liveHost, "/live/x", "late", []byte("x"), nil)
+	if err != nil || answer.status != http.StatusOK {
+		t.Errorf("request to a stopping node: %+v, %v", answer, err)
+	}
+	d.eventually("the node calls itself unready", func() bool {
+		response, err := http.Get("http://" + d.nodes[0].readiness + "/-/readyz")
+		if err != nil {
+			return true
+		}
+		response.Body.Close()
+		return response.StatusCode != http.StatusOK
+	})
+	results := d.read(func() *platformNode { return d.nodes[1] }, "job", 24)
+	d.check(results, 24, 1)
+	<-d.nodes[0].exited
+}
+
+func TestSettingsAreReloaded(t *testing.T) {
+	d := deployPlatform(t, shape{nodes: 1, engines: 1, apps: 1, eventInterval: time.Millisecond})
+	d.settingsOf(0, "3s")
+	d.nodes[0].signal(syscall.SIGHUP)
+	d.eventually("the change is in force", func() bool { return d.nodes[0].find("settings reloaded", `"grace":"3s"`) != nil })
+	if answer, err := d.send(d.nodes[0], http.MethodPost, liveHost, "/live/x", "after", []byte("x"), nil); err != nil || answer.status != http.StatusOK {
+		t.Errorf("request after a reload: %+v, %v", answer, err)
+	}
+}
+
+func TestGarbledAnswersNeverReachACaller(t *testing.T) {
+	d := deployPlatform(t, shape{nodes: 1, engines: 3, apps: 2, eventInterval: time.Millisecond})
+	for _, app := range d.apps {
+		app.SetFaults(replica.Faults{WrongIDEvery: 3, SurplusEvery: 4})
+	}
+	for _, engine := range d.engines {
+		engine.SetFaults(replica.Faults{CutEvery: 3})
+	}
+	for number := range 60 {
+		id := fmt.Sprintf("live.%d", number)
+		answer, err := d.send(d.nodes[0], http.MethodPost, liveHost, "/live/x", id, []byte("x"), nil)
+		if err != nil {
+			t.Fatalf("request %s: %v", id, err)
+		}
+		if answer.status == http.StatusOK && answer.body != "answer to "+id+": x" {
+			t.Errorf("request %s got %q", id, answer.body)
+		}
+	}
+	d.submit(d.nodes[0], "job", 40, 1)
+	d.check(d.read(func() *platformNode { return d.nodes[0] }, "job", 40), 40, 1)
+}
+
+// A request that must not run twice is given up after an answer that was lost.
+func TestUnsafeRequestRunsOnce(t *testing.T) {
+	d := deployPlatform(t, shape{nodes: 1, engines: 1, apps: 2, eventInterval: time.Millisecond})
+	for _, app := range d.apps {
+		app.SetFaults(replica.Faults{WrongIDEvery: 2})
+	}
+	for number := range 40 {
+		d.send(d.nodes[0], http.MethodPost, liveHost, "/once/x", fmt.Sprintf("once.%d", number), []byte("x"), nil)
+	}
+	runs := map[string]int{}
+	for _, app := range d.apps {
+		for _, run := range app.Runs() {
+			runs[run.ID]++
+		}
+	}
+	for id, count := range runs {
+		if count > 1 {
+			t.Errorf("request %s ran %d times", id, count)
+		}
+	}
+}
+
+// An id found at a caller leads to its cause in the logs.
+func TestLogsExplainAFailedRequest(t *testing.T) {
+	d := deployPlatform(t, shape{nodes: 1, engines: 1, apps: 1, eventInterval: time.Millisecond})
+	d.apps[0].SetFaults(replica.Faults{WrongIDEvery: 1})
+	answer, err := d.send(d.nodes[0], http.MethodPost, liveHost, "/once/x", "puzzle", []byte("x"), nil)
+	if err != nil || answer.status != http.StatusBadGateway {
+		t.Fatalf("request whose answer was lost: %+v, %v", answer, err)
+	}
+	d.eventually("the log names the cause", func() bool {
+		return d.nodes[0].find(`"request":"puzzle"`, "answer belongs to another request", `"route":"once"`) != nil
+	})
+	answer, err = d.send(d.nodes[0], http.MethodPost, liveHost, "/nowhere/", "lost", nil, nil)
+	if err != nil || answer.status != http.StatusNotFound {
+		t.Fatalf("request without a route: %+v, %v", answer, err)
+	}
+	d.eventually("the log names the refusal", func() bool { return d.nodes[0].find(`"request":"lost"`, "no route") != nil })
+	response, err := http.Get("http://" + d.nodes[0].metrics + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	figures, err := io.ReadAll(response.Body)
+	if err != nil || !strings.Contains(string(figures), `pathtally_forwarded_requests_total{outcome="lost"} 1`) {
+		t.Errorf("metrics do not count the lost request: %v\n%s", err, figures)
+	}
+}
