Nodes that know the order lease is held do not read it

Change: what was seen of the lease decides the wait first; a holder that is heard is relieved after 6 s more only; an unanswered write is told from a lease of another node.

--- a/internal/weightorders/coordinator.go
+++ b/internal/weightorders/coordinator.go
@@ -25,7 +25,10 @@
 	// turnDelay is what each further candidate waits for those before it.
 	turnDelay = 700 * time.Millisecond
 	// holderPatience is for how long the last holder is waited for.
+	// livePatience is added while it is heard: a holder that gets nothing done
+	// is relieved in the end.
 	holderPatience = 1200 * time.Millisecond
+	livePatience   = 6 * time.Second
 	// leaseReserve is the time that must be left of the lease for an order.
 	leaseReserve = 400 * time.Millisecond
 	// reportPause is the time between questions to a replica that loads.
@@ -204,8 +207,8 @@
 	if holder != "" {
 		patience += holderPatience
 		if time.Since(c.config.Heard(holder)) < holderPatience {
-			// It is there and may be about to act.
-			patience += holderPatience
+			// It is there and at work.
+			patience += livePatience
 		}
 	}
 	return waited >= patience
--- a/internal/weightorders/lease.go
+++ b/internal/weightorders/lease.go
@@ -44,6 +44,8 @@
 	revision uint64
 	seen     time.Time
 	holder   string
+	// unsure is set while a write of this node's may have been done.
+	unsure bool
 	// until is when this node must have stopped giving orders.
 	until  time.Time
 	token  uint64
@@ -94,23 +96,37 @@
 // if another node may still give orders.
 func (l *lease) acquire(ctx context.Context) (time.Duration, error) {
 	l.mutex.Lock()
-	revision, holder := l.revision, l.holder
+	revision, holder, unsure := l.revision, l.holder, l.unsure
 	l.mutex.Unlock()
-	if holder != l.node || revision == 0 {
+	if holder != l.node || revision == 0 || unsure {
+		if pause := l.wait(); pause > 0 {
+			// Whatever has been written since only makes the wait longer.
+			return pause, nil
+		}
 		if err := l.look(ctx); err != nil {
 			return 0, err
 		}
 		l.mutex.Lock()
-		revision, holder = l.revision, l.holder
-		pause := time.Until(l.seen.Add(orderWindow + l.term + takeoverMargin))
+		revision, l.unsure = l.revision, false
 		l.mutex.Unlock()
-		if revision != 0 && holder != l.node && pause > 0 {
+		if pause := l.wait(); pause > 0 {
 			return pause, nil
 		}
 	}
 	return 0, l.write(ctx, revision)
 }
 
+// wait is for how long another node may still give orders, or its last orders
+// bar others from giving any, as far as is known.
+func (l *lease) wait() time.Duration {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.revision == 0 || l.holder == l.node {
+		return 0
+	}
+	return time.Until(l.seen.Add(orderWindow + l.term + takeoverMargin))
+}
+
 // look reads the lease.
 func (l *lease) look(ctx context.Context) error {
 	object, err := l.store.Get(ctx, leaseKind, leaseName, objectstore.Linearizable)
@@ -175,8 +191,5 @@
 func (l *lease) forgetRevision() {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.token = 0
-	if l.holder == l.node {
-		l.holder = ""
-	}
+	l.token, l.unsure = 0, true
 }
