--- a/internal/batch/publish.go
+++ b/internal/batch/publish.go
@@ -21,6 +21,7 @@
 	if len(results) == 0 {
 		return false
 	}
+	began := time.Now()
 	standing, own, err := s.config.Journal.Append(published.ctx, published.id, index, written)
 	if err != nil {
 		if published.ctx.Err() == nil {
@@ -29,6 +30,8 @@
 		return published.ctx.Err() == nil
 	}
 	s.list(published, standing.Results)
+	s.config.Logger.Info("results listed", "request", published.id, "chunk", index, "results", len(standing.Results),
+		"ageMs", time.Since(published.accepted).Milliseconds(), "tookMs", time.Since(began).Milliseconds())
 	if !own {
 		s.config.Logger.Info("results of another node adopted", "request", published.id, "chunk", index, "writer", standing.Writer)
 		s.settleOwner(published)
--- a/internal/directory/configuration.go
+++ b/internal/directory/configuration.go
@@ -43,6 +43,8 @@
 	Attempts int
 	// Priority is the rank of the requests; 0 is the most urgent.
 	Priority int
+	// Sticky requests carry a prompt that replicas keep the beginning of.
+	Sticky bool
 	// Resumable streams may be continued at another replica.
 	Resumable bool
 	// SingleVersion results may come from one weight version only.
--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -38,6 +38,8 @@
 	Data string
 	// Version is the weight version from this event on, 0 where it stays.
 	Version int64
+	// Raw is the event as it came, with the empty line that ends it.
+	Raw string
 }
 
 // Reader reads the events of one stream.
@@ -70,9 +72,11 @@
 			if !begun {
 				continue
 			}
+			event.Raw += "\n"
 			return r.accept(event, hasData)
 		}
 		begun = true
+		event.Raw += line + "\n"
 		name, value, isField := strings.Cut(line, ":")
 		if !isField {
 			return Event{}, &MalformedError{Reason: "line is no field", Line: line}
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -169,7 +169,7 @@
 func keepAliveTime(header http.Header) (time.Duration, bool) {
 	for _, part := range strings.Split(header.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
-		if !strings.EqualFold(name, "timeout") {
+		if !strings.EqualFold(strings.TrimSpace(name), "timeout") {
 			continue
 		}
 		if seconds, err := strconv.Atoi(strings.TrimSpace(value)); err == nil {
--- a/internal/forward/errors.go
+++ b/internal/forward/errors.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/ansel1/merry/v2"
 )
 
 // RefusedError is a request that has not run and never will.
@@ -39,3 +41,14 @@
 	ReasonAllFull   = "every replica turned it away"
 	ReasonExpired   = "the time ran out before a replica took it"
 )
+
+// ErrSilent means that a stream was cut because nothing came.
+var ErrSilent = merry.Sentinel("stream has fallen silent")
+
+// StreamStatusError is a replica's answer that continues no stream.
+type StreamStatusError struct{ Status int }
+
+// Error gives the status.
+func (e *StreamStatusError) Error() string {
+	return fmt.Sprintf("replica answered status %d", e.Status)
+}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
+	"strconv"
 	"time"
 
+	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 
 	"github.com/pathtally/pathtally/internal/directory"
@@ -33,16 +36,32 @@
 	Dispatcher *dispatch.Dispatcher
 	Logger     klog.Logger
 	Metrics    *Metrics
+	// Prompt returns a number that prompts with the same beginning share, 0
+	// for none. Nil means that no request has a prompt.
+	Prompt func(header http.Header) uint64
+	// VersionField names the line of an event that tells a weight version.
+	VersionField string
 }
 
 // Forwarder forwards live requests. It is safe for use by many goroutines.
 type Forwarder struct {
 	config Config
 	split  splitter
+	// ordinary bounds the log lines of requests that were served at once.
+	ordinary *rate.Limiter
 }
 
+const (
+	// ordinaryLines is how many such lines a second the log has room for, and
+	// ordinaryBurst how many at once.
+	ordinaryLines = 30
+	ordinaryBurst = 60
+)
+
 // New returns a forwarder.
-func New(config Config) *Forwarder { return &Forwarder{config: config} }
+func New(config Config) *Forwarder {
+	return &Forwarder{config: config, ordinary: rate.NewLimiter(ordinaryLines, ordinaryBurst)}
+}
 
 // Whole is a replica's answer, read to its end.
 type Whole struct {
@@ -73,9 +92,12 @@
 
 // pick returns a replica for the next attempt. The route's targets are tried
 // from the one whose turn it is.
-func (f *Forwarder) pick(route *directory.Route, first int, tried []string) (*routing.Endpoint, error) {
+func (f *Forwarder) pick(route *directory.Route, first int, tried []string, call *dispatch.Call) (*routing.Endpoint, error) {
 	view := f.config.Directory.View()
 	query := &routing.Query{Zone: f.config.Zone, Tried: tried, Random: rand.Uint64()}
+	if route.Sticky && f.config.Prompt != nil {
+		query.PrefixHash = f.config.Prompt(call.Header)
+	}
 	var failure error = routing.ErrNoEngineDeclared
 	for i := range route.Targets {
 		plan := view.Plans[route.Targets[(first+i)%len(route.Targets)].Service]
@@ -90,3 +112,20 @@
 	}
 	return nil, failure
 }
+
+// versionLine is the line of an event that tells a weight version.
+func versionLine(field string, version int64) string {
+	return field + ": " + strconv.FormatInt(version, 10) + "\n"
+}
+
+// sleep waits and tells whether the context still stands.
+func sleep(ctx context.Context, span time.Duration) bool {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -11,6 +11,7 @@
 type Metrics struct {
 	requests *prometheus.CounterVec
 	latency  prometheus.Histogram
+	untold   prometheus.Counter
 }
 
 // latencyBuckets are the bounds of the latency histogram, in seconds.
@@ -22,7 +23,8 @@
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "pathtally_forwarded_requests_total", Help: "Live requests by how they ended."}, []string{"outcome"}),
 		latency:  prometheus.NewHistogram(prometheus.HistogramOpts{Name: "pathtally_forward_seconds", Help: "Time from a whole live request to its whole answer.", Buckets: latencyBuckets}),
 	}
-	registry.MustRegister(metrics.requests, metrics.latency)
+	metrics.untold = prometheus.NewCounter(prometheus.CounterOpts{Name: "pathtally_log_lines_left_out_total", Help: "Log lines of requests served at once that were left out."})
+	registry.MustRegister(metrics.requests, metrics.latency, metrics.untold)
 	return metrics
 }
 
@@ -35,6 +37,7 @@
 func outcomeOf(err error) string {
 	var refused *RefusedError
 	var lost *LostError
+	var broken *BrokenStreamError
 	switch {
 	case err == nil:
 		return "answered"
@@ -42,6 +45,8 @@
 		return "refused"
 	case errors.As(err, &lost) && lost.Expired:
 		return "expired"
+	case errors.As(err, &broken):
+		return "broken"
 	}
 	return "lost"
 }
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -137,10 +137,8 @@
 	if time.Since(r.started) > time.Duration(fullShare*float64(r.objective)) {
 		return false
 	}
-	select {
-	case <-ctx.Done():
+	if !sleep(ctx, fullPause) {
 		return false
-	case <-time.After(fullPause):
 	}
 	r.asked = nil
 	return r.launch(ctx)
@@ -148,7 +146,7 @@
 
 // launch starts an attempt at a replica not asked yet, if there is one.
 func (r *run) launch(ctx context.Context) bool {
-	endpoint, err := r.forwarder.pick(r.route, r.first, r.asked)
+	endpoint, err := r.forwarder.pick(r.route, r.first, r.asked, r.call)
 	if err != nil {
 		if r.lastErr == nil {
 			r.lastErr = err
@@ -236,18 +234,23 @@
 	return nil, &RefusedError{Reason: ReasonAllFull, RetryAfter: comeBack, Cause: r.lastErr}
 }
 
-// report counts and logs how a request ended.
+// report counts and logs how a request ended. Every one that was not served at
+// once is told; of the ordinary ones as many as the log has room for.
 func (r *run) report(whole *Whole, err error) {
 	took := time.Since(r.started)
-	metrics := r.forwarder.config.Metrics
-	metrics.observe(outcomeOf(err), took)
-	if err != nil {
-		r.forwarder.config.Logger.Info("request not served", "request", r.call.ID, "route", r.route.Name, "attempts", r.counted,
-			"refusals", r.refusals, "tookMs", took.Milliseconds(), "error", err.Error())
-		return
-	}
-	if r.counted > 1 || r.refusals > 0 || took > r.objective {
-		r.forwarder.config.Logger.Info("request served late or after retries", "request", r.call.ID, "route", r.route.Name,
-			"replica", whole.Answer.Endpoint.Name, "attempts", r.counted, "refusals", r.refusals, "tookMs", took.Milliseconds())
+	config := r.forwarder.config
+	config.Metrics.observe(outcomeOf(err), took)
+	view := config.Directory.View()
+	known := []any{"request", r.call.ID, "route", r.route.Name, "attempts", r.counted, "refusals", r.refusals, "tookMs", took.Milliseconds(),
+		"configuration", view.Configuration.Version, "viewAgeMs", time.Since(view.Changed).Milliseconds()}
+	switch {
+	case err != nil:
+		config.Logger.Info("request not served", append(known, "error", err.Error())...)
+	case r.counted > 1 || r.refusals > 0 || took > r.objective:
+		config.Logger.Info("request served late or after retries", append(known, "replica", whole.Answer.Endpoint.Name)...)
+	case r.forwarder.ordinary.Allow():
+		config.Logger.Info("request served", append(known, "replica", whole.Answer.Endpoint.Name)...)
+	default:
+		config.Metrics.untold.Inc()
 	}
 }
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -102,10 +102,16 @@
 		h.config.Jobs.Submit(writer, request, route, id, body)
 		return
 	}
-	h.forward(writer, request, route, &dispatch.Call{
+	call := &dispatch.Call{
 		ID: id, Method: request.Method, Target: request.RequestURI, Host: request.Host,
 		Header: withoutConnectionHeaders(request.Header), Body: body, Deadline: h.deadline(request.Header, route, received),
-	})
+	}
+	if route.Kind == directory.RouteStream {
+		call.AfterEvent = h.config.Headers.AfterEvent(request.Header)
+		h.stream(writer, request, route, call)
+		return
+	}
+	h.forward(writer, request, route, call)
 }
 
 // deadline is when a request must have its answer here: by the caller's time
@@ -128,6 +134,11 @@
 		h.pass(writer, whole)
 		return
 	}
+	h.fail(writer, request, call, err)
+}
+
+// fail answers a request that has no answer of a replica's.
+func (h *Handler) fail(writer http.ResponseWriter, request *http.Request, call *dispatch.Call, err error) {
 	var refused *forward.RefusedError
 	var lost *forward.LostError
 	switch {
@@ -145,13 +156,7 @@
 // pass writes a replica's answer unchanged.
 func (h *Handler) pass(writer http.ResponseWriter, whole *forward.Whole) {
 	header := writer.Header()
-	for name, values := range withoutConnectionHeaders(whole.Answer.Header) {
-		header[name] = values
-	}
-	if header.Get("Content-Type") == "" {
-		// Without this, the library guesses a type.
-		header["Content-Type"] = nil
-	}
+	passHead(header, whole.Answer.Header)
 	header.Set("Content-Length", strconv.Itoa(len(whole.Body)))
 	writer.WriteHeader(whole.Answer.Status)
 	writer.Write(whole.Body)
@@ -165,3 +170,14 @@
 	writer.Write([]byte(reason + "\n"))
 	h.config.Logger.Info("answered by the node", "request", id, "status", status, "reason", reason)
 }
+
+// passHead copies the headers of a replica's answer.
+func passHead(header, from http.Header) {
+	for name, values := range withoutConnectionHeaders(from) {
+		header[name] = values
+	}
+	if header.Get("Content-Type") == "" {
+		// Without this, the library guesses a type.
+		header["Content-Type"] = nil
+	}
+}
--- a/internal/ingress/headers.go
+++ b/internal/ingress/headers.go
@@ -12,6 +12,9 @@
 	RequestID(header http.Header) string
 	// Deadline is how long the caller will wait.
 	Deadline(header http.Header) (time.Duration, bool)
+	// AfterEvent is the event after which a stream is to be continued, 0 for
+	// its beginning.
+	AfterEvent(header http.Header) int
 	// Wait is how long a reading call may be held.
 	Wait(header http.Header) time.Duration
 	// Refuse adds the request's id and when to come back, 0 for no time.
--- /dev/null
+++ b/internal/ingress/stream.go
@@ -0,0 +1,45 @@
+package ingress
+
+import (
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/pathtally/pathtally/internal/directory"
+	"github.com/pathtally/pathtally/internal/dispatch"
+	"github.com/pathtally/pathtally/internal/forward"
+)
+
+// streamSink writes a stream to a caller event by event.
+type streamSink struct{ writer http.ResponseWriter }
+
+var _ forward.StreamSink = streamSink{}
+
+// Begin implements forward.StreamSink.
+func (s streamSink) Begin(answer *dispatch.Answer) {
+	passHead(s.writer.Header(), answer.Header)
+	s.writer.WriteHeader(answer.Status)
+	http.NewResponseController(s.writer).Flush()
+}
+
+// Event implements forward.StreamSink.
+func (s streamSink) Event(raw string) error {
+	if _, err := io.WriteString(s.writer, raw); err != nil {
+		return err
+	}
+	return http.NewResponseController(s.writer).Flush()
+}
+
+// stream sends a request on whose answer is a series of events. One that
+// breaks off must not look complete, so its connection is cut.
+func (h *Handler) stream(writer http.ResponseWriter, request *http.Request, route *directory.Route, call *dispatch.Call) {
+	err := h.config.Forwarder.Stream(request.Context(), route, call, streamSink{writer})
+	var broken *forward.BrokenStreamError
+	switch {
+	case err == nil:
+	case errors.As(err, &broken):
+		panic(http.ErrAbortHandler)
+	default:
+		h.fail(writer, request, call, err)
+	}
+}
--- a/internal/instance/adapter.go
+++ b/internal/instance/adapter.go
@@ -1,6 +1,8 @@
 package instance
 
 import (
+	"net/http"
+
 	"github.com/pathtally/pathtally/internal/batch"
 	"github.com/pathtally/pathtally/internal/directory"
 	"github.com/pathtally/pathtally/internal/dispatch"
@@ -27,6 +29,8 @@
 	Headers interface {
 		dispatch.Headers
 		ingress.Headers
+		// Prompt returns a number that prompts with the same beginning share.
+		Prompt(header http.Header) uint64
 	}
 	Jobs        batch.Codec
 	Retirements RetirementCodec
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -104,6 +104,7 @@
 	dispatcher := dispatch.New(i.pool, i.adapter.Headers)
 	i.forwarder = forward.New(forward.Config{
 		Zone: i.settings.Zone, Directory: i.directory, Dispatcher: dispatcher, Logger: i.logger, Metrics: forward.NewMetrics(i.registry),
+		Prompt: i.adapter.Headers.Prompt, VersionField: i.adapter.Jobs.VersionField(),
 	})
 	self := batch.Owner{Node: i.settings.Node, Address: i.settings.Peer, Incarnation: uint64(i.started.UnixNano())}
 	i.transport = transport.Listen(peerListener, transport.Config{
--- a/test/platform_harness_test.go
+++ b/test/platform_harness_test.go
@@ -102,6 +102,10 @@
 		"routes": []map[string]any{
 			{"name": "drafts", "host": draftHost, "pathPrefix": "/drafts/", "type": "rollout", "service": "engines", "maxAttempts": 3,
 				"sloMs": 400, "timeoutMs": 10000, "runTargetMs": 7500, "retentionS": 60},
+			{"name": "chat", "host": liveHost, "pathPrefix": "/chat/", "type": "streaming", "resumable": true, "sticky": true, "service": "engines",
+				"maxAttempts": 3, "sloMs": 1000, "timeoutMs": 10000},
+			{"name": "chat-once", "host": liveHost, "pathPrefix": "/chat-once/", "type": "streaming", "service": "engines", "maxAttempts": 3,
+				"sloMs": 1000, "timeoutMs": 10000},
 			{"name": "rewards", "host": liveHost, "pathPrefix": "/score/", "type": "safe", "service": "apps", "maxAttempts": 4, "sloMs": 500, "timeoutMs": 2000},
 			{"name": "live", "host": liveHost, "pathPrefix": "/live/", "type": "safe", "service": "apps", "maxAttempts": 3, "sloMs": 2000, "timeoutMs": 5000},
 			{"name": "once", "host": liveHost, "pathPrefix": "/once/", "type": "unsafe", "service": "apps", "maxAttempts": 3, "sloMs": 2000, "timeoutMs": 5000},
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -204,3 +204,70 @@
 		t.Errorf("metrics do not count the lost request: %v\n%s", err, figures)
 	}
 }
+
+// streamText reads the events of a whole stream as a caller does.
+func streamText(body string) string {
+	var parts []string
+	for _, line := range strings.Split(body, "\n") {
+		if data, isData := strings.CutPrefix(line, "data: "); isData {
+			parts = append(parts, data)
+		}
+	}
+	return strings.Join(parts, "\n")
+}
+
+func TestStreamsArePassedOnAndContinued(t *testing.T) {
+	d := deployPlatform(t, shape{nodes: 1, engines: 3, apps: 1, eventInterval: time.Millisecond})
+	for _, engine := range d.engines {
+		engine.SetFaults(replica.Faults{CutEvery: 2, WrongIDEvery: 5})
+	}
+	prompt := http.Header{"Pathtally-Model": {draftModel}, "Pathtally-Token-Usage": {"10,10"}, "Pathtally-Prefix-Hash": {"ab:5,cd:5"}}
+	for number := range 40 {
+		id := fmt.Sprintf("chat.%d", number)
+		answer, err := d.send(d.nodes[0], http.MethodPost, liveHost, "/chat/x", id, []byte("hello"), prompt)
+		if err != nil || answer.status != http.StatusOK || streamText(answer.body) != replica.Text(id) {
+			t.Errorf("stream %s: status %d, %q, %v", id, answer.status, streamText(answer.body), err)
+		}
+	}
+	// A client picks a stream up after an event.
+	answer, err := d.send(d.nodes[0], http.MethodPost, liveHost, "/chat/x", "again", []byte("hello"), http.Header{"Last-Event-Id": {"2"}})
+	want := strings.Join(strings.Split(replica.Text("again"), "\n")[2:], "\n")
+	if err != nil || streamText(answer.body) != want {
+		t.Errorf("continued stream: %q, want %q, %v", streamText(answer.body), want, err)
+	}
+}
+
+// A stream that may not be resumed runs once, and one that breaks off does not
+// look complete.
+func TestBrokenStreamIsNotComplete(t *testing.T) {
+	d := deployPlatform(t, shape{nodes: 1, engines: 2, apps: 1, eventInterval: time.Millisecond})
+	for _, engine := range d.engines {
+		engine.SetFaults(replica.Faults{CutEvery: 2})
+	}
+	broken := 0
+	for number := range 20 {
+		id := fmt.Sprintf("once.%d", number)
+		answer, err := d.send(d.nodes[0], http.MethodPost, liveHost, "/chat-once/x", id, []byte("hello"), nil)
+		if err != nil {
+			broken++
+			continue
+		}
+		if answer.status == http.StatusOK && streamText(answer.body) != replica.Text(id) {
+			t.Errorf("stream %s looks complete with %q", id, streamText(answer.body))
+		}
+	}
+	if broken == 0 {
+		t.Error("no stream was cut, so this test shows nothing")
+	}
+	runs := map[string]int{}
+	for _, engine := range d.engines {
+		for _, run := range engine.Runs() {
+			runs[run.ID]++
+		}
+	}
+	for id, count := range runs {
+		if count > 1 {
+			t.Errorf("stream %s ran %d times", id, count)
+		}
+	}
+}
