--- /dev/null
+++ b/internal/batch/beat.go
@@ -0,0 +1,97 @@
+package batch
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pathtally/pathtally/internal/objectstore"
+	"github.com/pathtally/pathtally/internal/wire"
+)
+
+// FillBeat adds what this node runs to its heartbeat.
+func (s *Service) FillBeat(beat *wire.NodeBeat) {
+	beat.Uses = s.Uses()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for id, held := range s.jobs {
+		if held.open() {
+			beat.Jobs = append(beat.Jobs, id)
+		}
+	}
+	slices.Sort(beat.Jobs)
+	beat.Leaving = s.leaving
+	s.ended = slices.DeleteFunc(s.ended, func(end recentEnd) bool { return time.Since(end.at) > endMemory })
+	for _, end := range s.ended {
+		beat.Ended = append(beat.Ended, end.job)
+	}
+}
+
+// TakeBeat takes another node's heartbeat.
+func (s *Service) TakeBeat(beat *wire.NodeBeat) {
+	owner := Owner{Node: beat.Node, Address: beat.Address, Incarnation: beat.Incarnation}
+	var contested []*job
+	s.mutex.Lock()
+	running := map[string]int{}
+	for _, use := range beat.Uses {
+		running[use.Replica] = int(use.Running)
+	}
+	s.uses[beat.Node] = nodeUses{at: time.Now(), running: running}
+	for _, id := range beat.Jobs {
+		if held := s.jobs[id]; held != nil {
+			if !beat.Leaving {
+				contested = append(contested, held)
+			}
+			continue
+		}
+		standing := s.noteForeign(id, owner, false)
+		standing.heard, standing.leaving = time.Now(), beat.Leaving
+	}
+	for _, id := range beat.Ended {
+		if held := s.jobs[id]; held != nil && !held.ended {
+			// Whoever ended it took another node for the owner.
+			held.suspect = true
+			contested = append(contested, held)
+		}
+		s.endLocally(id)
+	}
+	s.mutex.Unlock()
+	for _, version := range beat.Versions {
+		s.NoteVersion(version)
+	}
+	for _, held := range contested {
+		go s.confirmOwner(held)
+	}
+	s.nudge()
+}
+
+// endLocally stops a job that its caller has ended. The mutex must be held.
+func (s *Service) endLocally(id string) {
+	if standing := s.known[id]; standing != nil {
+		standing.ended = true
+	}
+	held := s.jobs[id]
+	if held == nil || held.ended {
+		return
+	}
+	held.ended = true
+	held.cancel()
+	s.dropQueued(held)
+	held.notify()
+	s.config.Logger.Info("batch job ended", "request", id, "listed", len(held.listed), "items", len(held.items))
+}
+
+// beat sends heartbeats while this node has something to tell.
+func (s *Service) beat(ctx context.Context) {
+	quiet := 0
+	for objectstore.Sleep(ctx, beatPeriod) {
+		if s.OpenJobs() > 0 {
+			quiet = 0
+		} else {
+			quiet++
+		}
+		if quiet <= idleBeats {
+			s.config.Table.Broadcast()
+		}
+	}
+}
--- a/internal/batch/foreign.go
+++ b/internal/batch/foreign.go
@@ -8,7 +8,6 @@
 
 	"github.com/pathtally/pathtally/internal/objectstore"
 	"github.com/pathtally/pathtally/internal/rendezvous"
-	"github.com/pathtally/pathtally/internal/wire"
 )
 
 const (
@@ -59,93 +58,6 @@
 	return standing
 }
 
-// FillBeat adds what this node runs to its heartbeat.
-func (s *Service) FillBeat(beat *wire.NodeBeat) {
-	beat.Uses = s.Uses()
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	for id, held := range s.jobs {
-		if held.open() {
-			beat.Jobs = append(beat.Jobs, id)
-		}
-	}
-	slices.Sort(beat.Jobs)
-	beat.Leaving = s.leaving
-	s.ended = slices.DeleteFunc(s.ended, func(end recentEnd) bool { return time.Since(end.at) > endMemory })
-	for _, end := range s.ended {
-		beat.Ended = append(beat.Ended, end.job)
-	}
-}
-
-// TakeBeat takes another node's heartbeat.
-func (s *Service) TakeBeat(beat *wire.NodeBeat) {
-	owner := Owner{Node: beat.Node, Address: beat.Address, Incarnation: beat.Incarnation}
-	var contested []*job
-	s.mutex.Lock()
-	running := map[string]int{}
-	for _, use := range beat.Uses {
-		running[use.Replica] = int(use.Running)
-	}
-	s.uses[beat.Node] = nodeUses{at: time.Now(), running: running}
-	for _, id := range beat.Jobs {
-		if held := s.jobs[id]; held != nil {
-			if !beat.Leaving {
-				contested = append(contested, held)
-			}
-			continue
-		}
-		standing := s.noteForeign(id, owner, false)
-		standing.heard, standing.leaving = time.Now(), beat.Leaving
-	}
-	for _, id := range beat.Ended {
-		if held := s.jobs[id]; held != nil && !held.ended {
-			// Whoever ended it took another node for the owner.
-			held.suspect = true
-			contested = append(contested, held)
-		}
-		s.endLocally(id)
-	}
-	s.mutex.Unlock()
-	for _, version := range beat.Versions {
-		s.NoteVersion(version)
-	}
-	for _, held := range contested {
-		go s.confirmOwner(held)
-	}
-	s.nudge()
-}
-
-// endLocally stops a job that its caller has ended. The mutex must be held.
-func (s *Service) endLocally(id string) {
-	if standing := s.known[id]; standing != nil {
-		standing.ended = true
-	}
-	held := s.jobs[id]
-	if held == nil || held.ended {
-		return
-	}
-	held.ended = true
-	held.cancel()
-	s.dropQueued(held)
-	held.notify()
-	s.config.Logger.Info("batch job ended", "request", id, "listed", len(held.listed), "items", len(held.items))
-}
-
-// beat sends heartbeats while this node has something to tell.
-func (s *Service) beat(ctx context.Context) {
-	quiet := 0
-	for objectstore.Sleep(ctx, beatPeriod) {
-		if s.OpenJobs() > 0 {
-			quiet = 0
-		} else {
-			quiet++
-		}
-		if quiet <= idleBeats {
-			s.config.Table.Broadcast()
-		}
-	}
-}
-
 // watchOwners takes over the jobs whose owners have fallen silent.
 func (s *Service) watchOwners(ctx context.Context) {
 	last := time.Now()
@@ -222,81 +134,6 @@
 	})
 }
 
-// takeOver makes this node the owner of a job, unless another is or the job
-// has ended.
-func (s *Service) takeOver(ctx context.Context, id string) {
-	defer func() {
-		s.mutex.Lock()
-		defer s.mutex.Unlock()
-		if standing := s.known[id]; standing != nil {
-			standing.taking, standing.heard = false, time.Now()
-		}
-	}()
-	standing, err := s.config.Journal.Look(ctx, id)
-	if err != nil {
-		s.config.Logger.Info("batch job not taken over", "request", id, "error", err.Error())
-		return
-	}
-	s.mutex.Lock()
-	known := s.noteForeign(id, standing.Record.Owner, standing.Ended)
-	moved := time.Since(known.heard) < ownerSilence && !known.leaving && known.owner != s.config.Self
-	s.mutex.Unlock()
-	if standing.Ended || moved {
-		return
-	}
-	taken, err := s.config.Journal.TakeOver(ctx, standing, s.config.Self)
-	if err != nil {
-		s.config.Logger.Info("batch job not taken over", "request", id, "error", err.Error())
-		return
-	}
-	s.config.Logger.Info("batch job taken over", "request", id, "from", standing.Record.Owner.Node, "epoch", taken.Record.Epoch)
-	s.metrics.takeovers.Inc()
-	s.loadJob(ctx, taken)
-}
-
-// loadJob reads a job that this node owns from the store and takes it up.
-func (s *Service) loadJob(ctx context.Context, standing Standing) {
-	for ctx.Err() == nil {
-		payload, err := s.config.Journal.Payload(ctx, standing.ID, standing.Record.Parts)
-		if err == nil {
-			var results []Result
-			var chunks int
-			if results, chunks, err = s.config.Journal.Results(ctx, standing.ID, 0); err == nil {
-				var submission *Submission
-				if submission, err = s.config.Codec.Submission(payload); err == nil {
-					results, chunks, err = s.fence(ctx, standing.ID, results, chunks)
-				}
-				if err == nil {
-					s.start(standing.ID, submission, standing.Record, results, chunks)
-					return
-				}
-			}
-		}
-		s.config.Logger.Error(err, "batch job not read", "request", standing.ID)
-		objectstore.Pause(ctx, readPause)
-	}
-}
-
-// fence writes an empty chunk behind the results that stand. The former owner
-// may still append until it learns of its successor; from here on its appends
-// fail, and everything before is known.
-func (s *Service) fence(ctx context.Context, id string, results []Result, chunks int) ([]Result, int, error) {
-	for {
-		standing, own, err := s.config.Journal.Append(ctx, id, chunks, chunk{Writer: s.writerName()})
-		if err != nil {
-			return nil, 0, err
-		}
-		chunks++
-		if own {
-			return results, chunks, nil
-		}
-		results = append(results, standing.Results...)
-	}
-}
-
-// readPause is the time between tries to read a job back.
-const readPause = 150 * time.Millisecond
-
 // recover learns at the start which jobs there are. Those whose owners stay
 // silent are taken over like any others.
 func (s *Service) recover(ctx context.Context) {
--- /dev/null
+++ b/internal/batch/takeover.go
@@ -0,0 +1,83 @@
+package batch
+
+import (
+	"context"
+	"time"
+
+	"github.com/pathtally/pathtally/internal/objectstore"
+)
+
+// takeOver makes this node the owner of a job, unless another is or the job
+// has ended.
+func (s *Service) takeOver(ctx context.Context, id string) {
+	defer func() {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		if standing := s.known[id]; standing != nil {
+			standing.taking, standing.heard = false, time.Now()
+		}
+	}()
+	standing, err := s.config.Journal.Look(ctx, id)
+	if err != nil {
+		s.config.Logger.Info("batch job not taken over", "request", id, "error", err.Error())
+		return
+	}
+	s.mutex.Lock()
+	known := s.noteForeign(id, standing.Record.Owner, standing.Ended)
+	moved := time.Since(known.heard) < ownerSilence && !known.leaving && known.owner != s.config.Self
+	s.mutex.Unlock()
+	if standing.Ended || moved {
+		return
+	}
+	taken, err := s.config.Journal.TakeOver(ctx, standing, s.config.Self)
+	if err != nil {
+		s.config.Logger.Info("batch job not taken over", "request", id, "error", err.Error())
+		return
+	}
+	s.config.Logger.Info("batch job taken over", "request", id, "from", standing.Record.Owner.Node, "epoch", taken.Record.Epoch)
+	s.metrics.takeovers.Inc()
+	s.loadJob(ctx, taken)
+}
+
+// loadJob reads a job that this node owns from the store and takes it up.
+func (s *Service) loadJob(ctx context.Context, standing Standing) {
+	for ctx.Err() == nil {
+		payload, err := s.config.Journal.Payload(ctx, standing.ID, standing.Record.Parts)
+		if err == nil {
+			var results []Result
+			var chunks int
+			if results, chunks, err = s.config.Journal.Results(ctx, standing.ID, 0); err == nil {
+				var submission *Submission
+				if submission, err = s.config.Codec.Submission(payload); err == nil {
+					results, chunks, err = s.fence(ctx, standing.ID, results, chunks)
+				}
+				if err == nil {
+					s.start(standing.ID, submission, standing.Record, results, chunks)
+					return
+				}
+			}
+		}
+		s.config.Logger.Error(err, "batch job not read", "request", standing.ID)
+		objectstore.Pause(ctx, readPause)
+	}
+}
+
+// fence writes an empty chunk behind the results that stand. The former owner
+// may still append until it learns of its successor; from here on its appends
+// fail, and everything before is known.
+func (s *Service) fence(ctx context.Context, id string, results []Result, chunks int) ([]Result, int, error) {
+	for {
+		standing, own, err := s.config.Journal.Append(ctx, id, chunks, chunk{Writer: s.writerName()})
+		if err != nil {
+			return nil, 0, err
+		}
+		chunks++
+		if own {
+			return results, chunks, nil
+		}
+		results = append(results, standing.Results...)
+	}
+}
+
+// readPause is the time between tries to read a job back.
+const readPause = 150 * time.Millisecond
--- a/internal/batch/takeover_test.go
+++ b/internal/batch/takeover_test.go
@@ -67,22 +67,29 @@
 	checkWhole(t, "job", cluster.readAll(fresh, "job", 6), 6, 3)
 }
 
-// A successor that has read the results must know every one that the former
-// owner lists after that: hunt-53fc-3 showed a result at the one and nothing at
-// its position at the other.
-func TestFormerOwnerListsNothingThatItsSuccessorMisses(t *testing.T) {
-	engine := heldEngine(t)
-	cluster := newCluster(t, 2, engine)
-	former, successor := cluster.nodes[0], cluster.nodes[1]
-	if err := cluster.submit(former, "job", 6); err != nil {
+// displacedOwner has a node's job taken over while it is cut off from its peer.
+func displacedOwner(t *testing.T, engine *testEngine) (deployment *cluster, former, successor *testNode) {
+	t.Helper()
+	deployment = newCluster(t, 2, engine)
+	former, successor = deployment.nodes[0], deployment.nodes[1]
+	if err := deployment.submit(former, "job", 6); err != nil {
 		t.Fatal(err)
 	}
-	cluster.setCut("node-0", true)
+	deployment.setCut("node-0", true)
 	eventually(t, "the job is taken over", func() bool {
 		successor.mutex.Lock()
 		defer successor.mutex.Unlock()
 		return successor.jobs["job"] != nil
 	})
+	return deployment, former, successor
+}
+
+// A successor that has read the results must know every one that the former
+// owner lists after that: hunt-53fc-3 showed a result at the one and nothing at
+// its position at the other.
+func TestFormerOwnerListsNothingThatItsSuccessorMisses(t *testing.T) {
+	engine := heldEngine(t)
+	cluster, former, successor := displacedOwner(t, engine)
 	// The former owner reaches the store, and only that, and finishes first.
 	former.mutex.Lock()
 	held := former.jobs["job"]
@@ -113,17 +120,7 @@
 // read.
 func TestFormerOwnerAnswersNothingOldAfterTheEnd(t *testing.T) {
 	engine := heldEngine(t)
-	cluster := newCluster(t, 2, engine)
-	former, successor := cluster.nodes[0], cluster.nodes[1]
-	if err := cluster.submit(former, "job", 6); err != nil {
-		t.Fatal(err)
-	}
-	cluster.setCut("node-0", true)
-	eventually(t, "the job is taken over", func() bool {
-		successor.mutex.Lock()
-		defer successor.mutex.Unlock()
-		return successor.jobs["job"] != nil
-	})
+	cluster, former, successor := displacedOwner(t, engine)
 	// While it is away, its own items finish neither here nor there.
 	former.mutex.Lock()
 	former.jobs["job"].cancel()
--- a/internal/directory/sinks.go
+++ b/internal/directory/sinks.go
@@ -6,6 +6,20 @@
 	"github.com/pathtally/pathtally/internal/objectstore"
 )
 
+// takeAll hands every listed object on.
+func takeAll(objects []objectstore.Object, take func(objectstore.Object)) {
+	for _, object := range objects {
+		take(object)
+	}
+}
+
+// takePresent hands a changed object on, but no removed one.
+func takePresent(change objectstore.Change, take func(objectstore.Object)) {
+	if !change.Gone {
+		take(change.Object)
+	}
+}
+
 // ConfigurationSink takes the configuration object.
 type ConfigurationSink struct {
 	Table   *Table
@@ -16,16 +30,12 @@
 
 // Replace implements Sink.
 func (s ConfigurationSink) Replace(objects []objectstore.Object, _ bool) {
-	for _, object := range objects {
-		s.take(object)
-	}
+	takeAll(objects, s.take)
 }
 
 // Apply implements Sink.
 func (s ConfigurationSink) Apply(change objectstore.Change, _ bool) {
-	if !change.Gone {
-		s.take(change.Object)
-	}
+	takePresent(change, s.take)
 }
 
 func (s ConfigurationSink) take(object objectstore.Object) {
@@ -96,16 +106,12 @@
 
 // Replace implements Sink.
 func (s VersionSink) Replace(objects []objectstore.Object, _ bool) {
-	for _, object := range objects {
-		s.take(object)
-	}
+	takeAll(objects, s.take)
 }
 
 // Apply implements Sink.
 func (s VersionSink) Apply(change objectstore.Change, _ bool) {
-	if !change.Gone {
-		s.take(change.Object)
-	}
+	takePresent(change, s.take)
 }
 
 func (s VersionSink) take(object objectstore.Object) {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -26,21 +25,6 @@
 	"github.com/pathtally/pathtally/internal/wire"
 )
 
-// ListenError is an address that cannot be listened on.
-type ListenError struct {
-	Setting string
-	Address string
-	Cause   error
-}
-
-// Error names the setting, the address and the cause.
-func (e *ListenError) Error() string {
-	return fmt.Sprintf("cannot listen on %s (setting %s): %v", e.Address, e.Setting, e.Cause)
-}
-
-// Unwrap returns the cause.
-func (e *ListenError) Unwrap() error { return e.Cause }
-
 // Instance is one running node.
 type Instance struct {
 	settings settings.Settings
--- a/internal/instance/servers.go
+++ b/internal/instance/servers.go
@@ -41,7 +41,7 @@
 		listener, err := net.Listen("tcp", *wanted.address)
 		if err != nil {
 			l.close()
-			return &ListenError{Setting: wanted.setting, Address: *wanted.address, Cause: err}
+			return &settings.ListenError{Setting: wanted.setting, Address: *wanted.address, Cause: err}
 		}
 		*wanted.listener, *wanted.address = listener, listener.Addr().String()
 	}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -1,7 +1,6 @@
 package process
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -33,21 +32,6 @@
 // drainLook is the time between looks at the requests in progress.
 const drainLook = 20 * time.Millisecond
 
-// ListenError is an address that cannot be listened on.
-type ListenError struct {
-	Setting string
-	Address string
-	Cause   error
-}
-
-// Error names the setting, the address and the cause.
-func (e *ListenError) Error() string {
-	return fmt.Sprintf("cannot listen on %s (setting %s): %v", e.Address, e.Setting, e.Cause)
-}
-
-// Unwrap returns the cause.
-func (e *ListenError) Unwrap() error { return e.Cause }
-
 // Process is one running node.
 type Process struct {
 	settings  settings.Settings
@@ -70,12 +54,12 @@
 func Start(configured settings.Settings, policy rollout.Policy) (*Process, error) {
 	peerListener, err := net.Listen("tcp", configured.Peer)
 	if err != nil {
-		return nil, &ListenError{Setting: "peer", Address: configured.Peer, Cause: err}
+		return nil, &settings.ListenError{Setting: "peer", Address: configured.Peer, Cause: err}
 	}
 	httpListener, err := net.Listen("tcp", configured.HTTP)
 	if err != nil {
 		peerListener.Close()
-		return nil, &ListenError{Setting: "http", Address: configured.HTTP, Cause: err}
+		return nil, &settings.ListenError{Setting: "http", Address: configured.HTTP, Cause: err}
 	}
 	configured.Peer, configured.HTTP = peerListener.Addr().String(), httpListener.Addr().String()
 	process := &Process{
--- /dev/null
+++ b/internal/weightorders/load.go
@@ -0,0 +1,142 @@
+package weightorders
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/pathtally/pathtally/internal/objectstore"
+	"github.com/pathtally/pathtally/internal/wire"
+)
+
+// begin starts as many loads as may run at once, at the least used replicas
+// first, but those furthest behind before all.
+func (c *Coordinator) begin(ctx context.Context, open []task) {
+	slices.SortFunc(open, func(a, b task) int {
+		if behind := cmp.Compare(b.version-b.has, a.version-a.has); behind != 0 {
+			return behind
+		}
+		if load := cmp.Compare(c.config.Load(a.target.ID), c.config.Load(b.target.ID)); load != 0 {
+			return load
+		}
+		return cmp.Compare(a.target.ID, b.target.ID)
+	})
+	for _, next := range open {
+		c.mutex.Lock()
+		full := len(c.loading) >= loadsAtOnce
+		if !full {
+			c.loading[next.target.ID] = wire.ReplicaVersion{Replica: next.target.ID, Model: next.model, Version: next.version, Loading: true}
+		}
+		c.mutex.Unlock()
+		if full {
+			return
+		}
+		go c.bring(ctx, next)
+	}
+}
+
+// bring takes one replica to a version and sees that it gets there.
+func (c *Coordinator) bring(ctx context.Context, next task) {
+	ctx, cancel := context.WithTimeout(ctx, loadLimit)
+	defer cancel()
+	began := time.Now()
+	err := c.order(ctx, next)
+	c.mutex.Lock()
+	delete(c.loading, next.target.ID)
+	if err != nil {
+		c.leftAlone[next.target.ID] = time.Now().Add(failPause)
+	}
+	c.mutex.Unlock()
+	change := wire.ReplicaVersion{Replica: next.target.ID, Model: next.model, Version: c.version(next.target.ID, next.model)}
+	c.config.OnChange(change)
+	if err != nil {
+		c.config.Logger.Info("replica not brought to version", "replica", next.target.ID, "model", next.model, "version", next.version,
+			"tookMs", time.Since(began).Milliseconds(), "error", err.Error())
+	} else {
+		c.config.Logger.Info("replica brought to version", "replica", next.target.ID, "model", next.model, "version", next.version,
+			"from", next.has, "tookMs", time.Since(began).Milliseconds())
+		c.tell(change)
+		c.config.Broadcast()
+	}
+	c.nudge()
+}
+
+// order gives the order and waits until the replica has the version.
+func (c *Coordinator) order(ctx context.Context, next task) error {
+	report, err := c.report(ctx, next.target)
+	if err != nil {
+		return err
+	}
+	if c.note(next, report) {
+		return nil
+	}
+	if !report.Busy {
+		token, valid := c.lease.valid()
+		if !valid {
+			return ErrFenced
+		}
+		c.config.OnChange(wire.ReplicaVersion{Replica: next.target.ID, Model: next.model, Version: next.version, Loading: true})
+		c.config.Broadcast()
+		callCtx, cancel := context.WithTimeout(ctx, callTime)
+		holds, err := c.config.Replicas.Order(callCtx, next.target, Order{
+			Model: next.model, Version: next.version, Owner: c.config.Node, Token: token, Expected: report.Sequence,
+		})
+		cancel()
+		if holds {
+			c.learn(next.target.ID, next.model, next.version)
+			return nil
+		}
+		if err != nil && !errors.Is(err, ErrUnanswered) {
+			return err
+		}
+		if err == nil {
+			c.loads.Inc()
+			if !objectstore.Sleep(ctx, loadTime) {
+				return ctx.Err()
+			}
+		}
+	}
+	return c.await(ctx, next)
+}
+
+// idleReports is how many reports without an order under way show that an
+// unanswered order has not been taken, or not yet.
+const idleReports = 3
+
+// await asks a replica until it has the version.
+func (c *Coordinator) await(ctx context.Context, next task) error {
+	idle := 0
+	for {
+		report, err := c.report(ctx, next.target)
+		if err != nil {
+			return err
+		}
+		if c.note(next, report) {
+			return nil
+		}
+		if !report.Busy {
+			if idle++; idle >= idleReports {
+				return ErrUnanswered
+			}
+		}
+		if !objectstore.Sleep(ctx, reportPause) {
+			return ctx.Err()
+		}
+	}
+}
+
+// note records what a replica reports and tells whether it has the version.
+func (c *Coordinator) note(next task, report Report) bool {
+	for model, version := range report.Versions {
+		c.learn(next.target.ID, model, version)
+	}
+	return report.Versions[next.model] >= next.version
+}
+
+func (c *Coordinator) report(ctx context.Context, target Target) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	return c.config.Replicas.Report(ctx, target)
+}
