apply -wait means serving; readers on different nodes; a new engine is asked at once

Change: apply -wait also waits until each node sees every declared engine, but for cordoned ones, serve on the weights that are to be active; engines new to a node's plan are asked at once; a node that holds a reader lease ranks last for the next and gives it up at the first renewal.

--- a/internal/command/config.go
+++ b/internal/command/config.go
@@ -102,7 +102,7 @@
 
 func runApply(context *invocation) error {
 	folder := registerFolder(context.flags)
-	wait := context.flags.Bool("wait", false, "wait until the generation is in force on every node")
+	wait := context.flags.Bool("wait", false, "wait until the generation is in force and its engines can serve, at every node")
 	nodeAddress := context.flags.String("node-address", "", "HTTP address of any node, needed with -wait")
 	declared, err := folder.load(context)
 	if err != nil {
@@ -127,38 +127,9 @@
 	if !*wait {
 		return nil
 	}
-	return awaitGeneration(context, *nodeAddress, result.Generation)
-}
-
-// NotInForceError means that a generation was written but has not reached
-// every node in time.
-type NotInForceError struct {
-	Generation uint64
-	Behind     []string
-}
-
-// Error names the nodes that are behind.
-func (e *NotInForceError) Error() string {
-	return fmt.Sprintf("generation %d is written but not in force yet on %v", e.Generation, e.Behind)
-}
-
-func awaitGeneration(context *invocation, address string, generation uint64) error {
-	var behind []string
-	for limit := time.Now().Add(waitLimit); time.Now().Before(limit); time.Sleep(waitLook) {
-		statuses, err := clusterStatus(address)
-		if err != nil {
-			continue
-		}
-		behind = nil
-		for _, found := range statuses {
-			if found.Generation < generation {
-				behind = append(behind, found.Node)
-			}
-		}
-		if len(behind) == 0 {
-			fmt.Fprintf(context.stdout, "in force on %d nodes\n", len(statuses))
-			return nil
-		}
+	inForce, _, err := writer.Read()
+	if err != nil {
+		return err
 	}
-	return &NotInForceError{Generation: generation, Behind: behind}
+	return awaitServing(context, *nodeAddress, result.Generation, inForce)
 }
--- a/internal/lease/look.go
+++ b/internal/lease/look.go
@@ -70,12 +70,16 @@
 // by one.
 func (m *Manager) shouldYield(name string) bool {
 	state := m.states[name]
-	if m.config.MayYield == nil || !m.config.MayYield(name) || m.config.Rank(name) == 0 {
+	renewals, may := 0, false
+	if m.config.YieldAfter != nil {
+		renewals, may = m.config.YieldAfter(name)
+	}
+	if !may || m.config.Rank(name) == 0 {
 		state.outranked = 0
 		return false
 	}
 	state.outranked++
-	return state.outranked > yieldRenewals
+	return state.outranked > renewals
 }
 
 // observe decides what a candidate does about the lease as it stands.
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -15,9 +15,9 @@
 	DefaultTerm = 10 * time.Second
 	// renewShare is the part of the term after which a holder renews.
 	renewShare = 3
-	// yieldRenewals is how many renewals in a row a holder that is not the
-	// first candidate waits before it gives the lease to that one.
-	yieldRenewals = 4
+	// DefaultYieldRenewals is how many renewals in a row a holder that is not
+	// the first candidate usually waits before it gives the lease to that one.
+	DefaultYieldRenewals = 4
 	// rankGrowth stretches the time between looks of each further candidate,
 	// so that all candidates together read a bounded amount.
 	rankGrowth = 1.5
@@ -50,9 +50,9 @@
 	// Rank is this node's place among the candidates, from 0; negative means
 	// that it is none.
 	Rank func(name string) int
-	// MayYield tells whether a lease may be given to the first candidate when
-	// this node is not it; nil means never.
-	MayYield func(name string) bool
+	// YieldAfter tells after how many renewals in a row a lease is given to the
+	// first candidate when this node is not it; nil means never.
+	YieldAfter func(name string) (renewals int, may bool)
 	// OnAcquire and OnLose tell of this node's leases.
 	OnAcquire func(name string, token uint64)
 	OnLose    func(name string)
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -102,7 +102,7 @@
 	})
 	core.leases = lease.NewManager(lease.Config{
 		Self: core.processName(), Clock: config.Clock, Random: config.Random, Objects: config.Objects, Term: config.LeaseTerm,
-		Rank: core.leaseRank, MayYield: mayYield, OnAcquire: core.acquired, OnLose: core.lost,
+		Rank: core.leaseRank, YieldAfter: core.yieldAfter, OnAcquire: core.acquired, OnLose: core.lost,
 	})
 	core.poller = poller.New(poller.Config{
 		Self: config.Self.ID, Clock: config.Clock, Random: config.Random, Peers: config.Peers, Engines: config.Engines,
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	v1 "github.com/pathtally/pathtally/api/v1"
+	"github.com/pathtally/pathtally/internal/lease"
 	"github.com/pathtally/pathtally/internal/quorum"
 	"github.com/pathtally/pathtally/internal/rendezvous"
 	"github.com/pathtally/pathtally/internal/rollout"
@@ -75,6 +76,10 @@
 		// The readers of a region share one order, so that they differ.
 		key, turn = readerPrefix, index
 	}
+	if c.readsAlready(name) && len(candidates) > 1 {
+		// Two readers on one node are one reader.
+		return len(candidates)
+	}
 	place := slices.IndexFunc(rendezvous.RankAcrossZones(key, candidates), func(candidate rendezvous.Candidate) bool {
 		return candidate.ID == c.config.Self.ID
 	})
@@ -84,6 +89,21 @@
 	return (place - turn + len(candidates)) % len(candidates)
 }
 
+// readsAlready tells whether this node holds a lower one of the region's reader
+// leases than the one named.
+func (c *Core) readsAlready(name string) bool {
+	index, isReader := readerIndex(name)
+	if !isReader || c.leases == nil {
+		return false
+	}
+	for lower := range index {
+		if _, held := c.leases.Held(readerPrefix + c.config.Self.Region + "/" + strconv.Itoa(lower)); held {
+			return true
+		}
+	}
+	return false
+}
+
 // readerIndex returns which of a region's readers a lease is for.
 func readerIndex(name string) (int, bool) {
 	if !strings.HasPrefix(name, readerPrefix) {
@@ -93,9 +113,18 @@
 	return index, err == nil
 }
 
-// mayYield tells which duties move back to their first candidate. A trainer's
-// scheduler does not: its samples under way would be lost.
-func mayYield(name string) bool { return !strings.HasPrefix(name, schedulerPrefix) }
+// yieldAfter tells after how many renewals a duty moves back to its first
+// candidate. A trainer's scheduler does not: its samples under way would be
+// lost. The second reader on one node does at once.
+func (c *Core) yieldAfter(name string) (renewals int, may bool) {
+	if strings.HasPrefix(name, schedulerPrefix) {
+		return 0, false
+	}
+	if c.readsAlready(name) {
+		return 0, true
+	}
+	return lease.DefaultYieldRenewals, true
+}
 
 // promptRank is up to which place candidates look at once when a holder is
 // gone.
--- a/internal/poller/poller.go
+++ b/internal/poller/poller.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pathtally/pathtally/internal/engine"
@@ -94,6 +95,7 @@
 	sent    map[string]wire.EngineLoad
 	// urgent is set while the batch shows that an engine has changed.
 	urgent  bool
+	started bool
 	stopped bool
 	beat    int
 }
@@ -104,14 +106,34 @@
 }
 
 // SetTargets replaces the engines that the zone follows and those that this
-// node's duties need besides.
-func (p *Poller) SetTargets(zone, duty []Target) { p.zone, p.duty = zone, duty }
+// node's duties need besides. Engines that are new are asked at once, since
+// they get no work before their first report.
+func (p *Poller) SetTargets(zone, duty []Target) {
+	known := map[Target]bool{}
+	for _, target := range append(slices.Clone(p.zone), p.duty...) {
+		known[target] = true
+	}
+	p.zone, p.duty = zone, duty
+	if p.stopped || !p.started {
+		return
+	}
+	asked := p.assigned()
+	if len(duty) <= smallFleet {
+		asked = append(asked, duty...)
+	}
+	for _, target := range asked {
+		if !known[target] {
+			p.Poll(target, Period, slices.Contains(zone, target))
+		}
+	}
+}
 
 // Start begins polling.
 func (p *Poller) Start() {
 	if p.stopped {
 		return
 	}
+	p.started = true
 	p.round()
 	p.beat++
 	jitter := time.Duration(p.config.Random.Int64N(int64(Period) / 5))
--- a/internal/sim/scenarios_test.go
+++ b/internal/sim/scenarios_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -93,3 +94,30 @@
 		t.Error("two seeds gave the same trace")
 	}
 }
+
+// TestReadersAreOnDifferentNodes starts one node before the others, which then
+// holds every lease. The second reader must soon be elsewhere.
+func TestReadersAreOnDifferentNodes(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(10) {
+		world := NewWorld(DefaultConfig(seed + 1))
+		world.startQuietly(5 * time.Second)
+		world.Scheduler.Run(15 * time.Second)
+		holders := map[string][]string{}
+		for _, node := range world.Nodes {
+			for _, name := range node.core.Leases() {
+				if strings.HasPrefix(name, "reader/") {
+					holders[node.host.Region] = append(holders[node.host.Region], node.host.Name)
+				}
+			}
+		}
+		for region, names := range holders {
+			if len(names) == 2 && names[0] == names[1] {
+				t.Errorf("seed %d: both readers of %s are on %s", seed+1, region, names[0])
+			}
+		}
+		if len(holders) == 0 {
+			t.Errorf("seed %d: nobody reads", seed+1)
+		}
+	}
+}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -150,7 +150,10 @@
 }
 
 // StartQuiet brings everything up with the configuration in place and no load.
-func (w *World) StartQuiet() {
+func (w *World) StartQuiet() { w.startQuietly(0) }
+
+// startQuietly does so with the first node a while before the others.
+func (w *World) startQuietly(ahead time.Duration) {
 	set := w.declared()
 	if findings := set.Validate(); len(findings) > 0 {
 		panic(findings)
@@ -173,8 +176,11 @@
 		w.Engines[name].Start()
 		w.Platform.SetMachine(environment.Machine{ID: "machine-" + name, Address: name, State: environment.MachineLive})
 	}
-	for _, started := range w.Nodes {
+	for number, started := range w.Nodes {
 		started.Start()
+		if number == 0 && ahead > 0 {
+			w.Scheduler.Run(ahead)
+		}
 	}
 }
 
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -132,6 +132,20 @@
 
 // deploy starts everything and waits until every node is ready.
 func deploy(t *testing.T) *deployment {
+	t.Helper()
+	d := deployUnconfigured(t)
+	d.pathtally(0, "apply", "-f", d.folder, "-platform", d.platform.address(0))
+	for i := range nodes {
+		d.startNode(i)
+	}
+	for _, started := range d.nodes {
+		d.waitReady(started)
+	}
+	return d
+}
+
+// deployUnconfigured starts all but the nodes; nothing is applied yet.
+func deployUnconfigured(t *testing.T) *deployment {
 	t.Helper()
 	t.Parallel()
 	d := &deployment{t: t, folder: t.TempDir()}
@@ -143,13 +157,6 @@
 		d.engineProxies = append(d.engineProxies, newProxy(t, d.engines.address(i)))
 	}
 	d.declare()
-	d.pathtally(0, "apply", "-f", d.folder, "-platform", d.platform.address(0))
-	for i := range nodes {
-		d.startNode(i)
-	}
-	for _, started := range d.nodes {
-		d.waitReady(started)
-	}
 	return d
 }
 
--- a/test/path_test.go
+++ b/test/path_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"io"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -140,3 +142,29 @@
 		t.Errorf("%d requests failed at the stopping node", unknown)
 	}
 }
+
+// What apply -wait says is in force can serve at once, at every node.
+func TestAppliedMeansServing(t *testing.T) {
+	d := deployUnconfigured(t)
+	for number := range nodes {
+		d.startNode(number)
+	}
+	d.pathtally(0, "apply", "-f", d.folder, "-platform", d.platform.address(0), "-wait", "-node-address", d.nodes[0].http)
+	for _, node := range d.nodes {
+		body := strings.NewReader(`{"model":"m","prompt":"right after","max_tokens":4}`)
+		request, err := http.NewRequest(http.MethodPost, "http://"+node.http+"/v1/completions", body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set("Pathtally-Group", "live")
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		answer, _ := io.ReadAll(response.Body)
+		response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			t.Errorf("%s: status %d right after apply -wait: %s", node.name, response.StatusCode, answer)
+		}
+	}
+}
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -1,6 +1,7 @@
 package test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -9,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/pathtally/pathtally/internal/objectstore"
+	"github.com/pathtally/pathtally/standin/metastore"
 	"github.com/pathtally/pathtally/standin/replica"
 )
 
@@ -271,3 +274,33 @@
 		}
 	}
 }
+
+// A request to empty a machine is answered, once.
+func TestRetirementIsAnswered(t *testing.T) {
+	d := deployPlatform(t, shape{nodes: 2, engines: 1, apps: 1, eventInterval: time.Millisecond})
+	d.store.Write("retirements", "storage-1", map[string]any{"durationS": 10})
+	d.eventually("the machine may be taken away", func() bool {
+		object, err := d.store.Get(context.Background(), "retirements", "storage-1", objectstore.Linearizable)
+		return err == nil && string(object.Status) == `{"state":"succeeded"}`
+	})
+}
+
+// A node that starts while the store is away serves once it is back, and says
+// until then that it knows no configuration rather than that a route is gone.
+func TestNodeWithoutAConfigurationRefuses(t *testing.T) {
+	d := deployPlatform(t, shape{nodes: 1, engines: 1, apps: 1, eventInterval: time.Millisecond})
+	d.store.SetFault(func(metastore.Call) metastore.Fault { return metastore.Refused })
+	late := d.startNode(1)
+	answer, err := d.send(late, http.MethodPost, liveHost, "/live/x", "early", []byte("x"), nil)
+	if err != nil || answer.status != http.StatusServiceUnavailable || answer.header.Get("Retry-After") == "" {
+		t.Errorf("request before any configuration: %+v, %v", answer, err)
+	}
+	if answer, err := d.send(late, http.MethodGet, draftHost, "/-/lots/unknown", "early", nil, nil); err != nil || answer.status != http.StatusServiceUnavailable {
+		t.Errorf("a job that cannot be looked up: %+v, %v", answer, err)
+	}
+	d.store.SetFault(nil)
+	d.waitReady(late)
+	if answer, err := d.send(late, http.MethodGet, draftHost, "/-/lots/unknown", "sure", nil, nil); err != nil || answer.status != http.StatusNotFound {
+		t.Errorf("a job that is not there: %+v, %v", answer, err)
+	}
+}
