Replicas skip the weight versions that batch jobs let them

Change: owners of jobs tell in heartbeats by how many versions the jobs of a model let the weights be behind, the least ever seen; a replica is brought to a version only when it is further behind. Four replicas in place of three keep up with a model at Cauce.

--- a/internal/batch/beat.go
+++ b/internal/batch/beat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -22,6 +23,9 @@
 	slices.Sort(beat.Jobs)
 	beat.Leaving = s.leaving
 	s.ended = slices.DeleteFunc(s.ended, func(end recentEnd) bool { return time.Since(end.at) > endMemory })
+	for _, model := range slices.Sorted(maps.Keys(s.tolerances)) {
+		beat.Tolerances = append(beat.Tolerances, wire.ModelTolerance{Model: model, Versions: s.tolerances[model]})
+	}
 	for _, end := range s.ended {
 		beat.Ended = append(beat.Ended, end.job)
 	}
@@ -37,6 +41,9 @@
 		running[use.Replica] = int(use.Running)
 	}
 	s.uses[beat.Node] = nodeUses{at: time.Now(), running: running}
+	for _, told := range beat.Tolerances {
+		s.limitTolerance(told.Model, told.Versions)
+	}
 	for _, id := range beat.Jobs {
 		if held := s.jobs[id]; held != nil {
 			if !beat.Leaving {
@@ -95,3 +102,31 @@
 		}
 	}
 }
+
+// firstVersion is the weight version that replicas start with. Jobs that allow
+// it say nothing of how far behind later ones let the weights be.
+const firstVersion = 1
+
+// noteTolerance learns from a new job how far behind the newest version its
+// weights may be. The mutex must be held.
+func (s *Service) noteTolerance(submission *Submission) {
+	if submission.MinVersion > firstVersion {
+		named := s.config.Directory.View().Named[submission.Model]
+		s.limitTolerance(submission.Model, max(0, named-submission.MinVersion))
+	}
+}
+
+// limitTolerance lowers what is believed of a model. The mutex must be held.
+func (s *Service) limitTolerance(model string, versions int64) {
+	if standing, known := s.tolerances[model]; !known || versions < standing {
+		s.tolerances[model] = versions
+	}
+}
+
+// Tolerance is by how many versions the weights of a model may be behind the
+// newest, 0 until a job has shown it.
+func (s *Service) Tolerance(model string) int64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.tolerances[model]
+}
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -50,9 +50,12 @@
 	uses      map[string]nodeUses
 	attempts  map[*attempt]bool
 	ended     []recentEnd
-	leaving   bool
-	recovered bool
-	wake      chan struct{}
+	// tolerances gives by how many versions the weights of a model may be
+	// behind, the least of what any job has allowed.
+	tolerances map[string]int64
+	leaving    bool
+	recovered  bool
+	wake       chan struct{}
 }
 
 // recentEnd is a batch job ended lately, to be told to the other nodes.
@@ -66,7 +69,7 @@
 	return &Service{
 		config: config, base: base, metrics: newMetrics(config.Registry),
 		jobs: map[string]*job{}, known: map[string]*foreign{}, accepting: map[string]*acceptance{},
-		replicas: map[string]*replicaState{}, uses: map[string]nodeUses{}, attempts: map[*attempt]bool{},
+		replicas: map[string]*replicaState{}, uses: map[string]nodeUses{}, attempts: map[*attempt]bool{}, tolerances: map[string]int64{},
 		wake: make(chan struct{}, 1),
 	}
 }
@@ -137,6 +140,7 @@
 		}
 	}
 	s.sortQueue()
+	s.noteTolerance(submission)
 	s.jobs[id] = started
 	delete(s.known, id)
 	s.mutex.Unlock()
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -107,7 +107,7 @@
 	i.weights = weightorders.NewCoordinator(weightorders.Config{
 		Node: self.Node, Nonce: strconv.FormatUint(self.Incarnation, 36), Term: i.settings.OrderLease.Std(), Store: i.adapter.Store,
 		Directory: i.directory, Replicas: i.adapter.Orders(i.pool), Logger: i.logger, Registry: i.registry, Nodes: i.peers.Nodes,
-		Heard: i.heard, Load: i.jobs.Load, OnChange: i.jobs.NoteVersion, Broadcast: i.peers.Broadcast,
+		Heard: i.heard, Load: i.jobs.Load, Tolerance: i.jobs.Tolerance, OnChange: i.jobs.NoteVersion, Broadcast: i.peers.Broadcast,
 	})
 	i.handler = ingress.NewHandler(ingress.Config{
 		Directory: i.directory, Forwarder: i.forwarder, Headers: i.adapter.Headers, Logger: i.logger,
--- a/internal/weightorders/coordinator.go
+++ b/internal/weightorders/coordinator.go
@@ -54,6 +54,9 @@
 	Heard func(node string) time.Time
 	// Load is how many items run at a replica.
 	Load func(replica string) int
+	// Tolerance is by how many versions the batch jobs of a model let the
+	// weights be behind.
+	Tolerance func(model string) int64
 	// OnChange is told what becomes of replicas; Broadcast tells the peers.
 	OnChange  func(change wire.ReplicaVersion)
 	Broadcast func()
@@ -124,7 +127,7 @@
 
 // step gives the orders that are due and returns when to look again.
 func (c *Coordinator) step(ctx context.Context) time.Duration {
-	open := tasks(c.config.Directory.View(), c.version)
+	open := tasks(c.config.Directory.View(), c)
 	open = slices.DeleteFunc(open, c.isUnderWay)
 	c.mutex.Lock()
 	idle := len(open) == 0 && len(c.loading) == 0
--- a/internal/weightorders/knowledge.go
+++ b/internal/weightorders/knowledge.go
@@ -79,3 +79,6 @@
 	_, loading := c.loading[next.target.ID]
 	return loading || time.Now().Before(c.leftAlone[next.target.ID])
 }
+
+// tolerance implements knowledge.
+func (c *Coordinator) tolerance(model string) int64 { return c.config.Tolerance(model) }
--- a/internal/weightorders/plan.go
+++ b/internal/weightorders/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/pathtally/pathtally/internal/directory"
@@ -16,52 +17,113 @@
 	has     int64
 }
 
-// homes shares the replicas of a service among the models that its engines
-// serve. A replica that keeps up with one model need not load the others'
-// versions, and the loads that the weight store allows are enough.
-func homes(replicas []*directory.Replica, models []string) map[string]string {
-	shared := map[string]string{}
+// homeShare is how many replicas keep up with one model, as a multiple of its
+// equal share. More give room where others are busy; each takes loads.
+const homeShare = 4.0 / 3
+
+// homes gives each model the replicas that keep up with it. First each replica
+// gets one model, evenly; then each model gets some more, so that models with
+// much work find slots where others leave them. A replica that keeps up with
+// few models loads seldom, and the loads that run at once are bounded.
+func homes(replicas []*directory.Replica, models []string) map[string][]*directory.Replica {
+	shared := map[string][]*directory.Replica{}
 	if len(models) == 0 {
 		return shared
 	}
-	capacity := (len(replicas) + len(models) - 1) / len(models)
-	counts := map[string]int{}
+	even := (len(replicas) + len(models) - 1) / len(models)
+	most := min(len(replicas), int(math.Ceil(homeShare*float64(len(replicas))/float64(len(models)))))
 	ordered := slices.Clone(replicas)
 	slices.SortFunc(ordered, func(a, b *directory.Replica) int { return cmp.Compare(a.ID, b.ID) })
+	counts := map[string]int{}
 	for _, replica := range ordered {
-		best, bestWeight := "", uint64(0)
-		for _, model := range models {
-			weight := rendezvous.Weight(rendezvous.Hash(replica.ID), rendezvous.Hash(model))
-			if counts[model] < capacity && (best == "" || weight > bestWeight) {
-				best, bestWeight = model, weight
+		model := preferred(models, replica, func(model string) bool { return len(shared[model]) < even })
+		shared[model] = append(shared[model], replica)
+		counts[replica.ID]++
+	}
+	for _, model := range models {
+		for len(shared[model]) < most {
+			extra := leastShared(ordered, model, counts, shared[model])
+			if extra == nil {
+				break
 			}
+			shared[model] = append(shared[model], extra)
+			counts[extra.ID]++
 		}
-		counts[best]++
-		shared[replica.ID] = best
 	}
 	return shared
 }
 
-// tasks are all replicas that lack the named version of their home model.
-func tasks(view *directory.View, version func(replica, model string) int64) []task {
+// preferred is the model of greatest weight for a replica among those allowed.
+func preferred(models []string, replica *directory.Replica, allowed func(model string) bool) string {
+	best, bestWeight := "", uint64(0)
+	for _, model := range models {
+		weight := pairWeight(replica, model)
+		if allowed(model) && (best == "" || weight > bestWeight) {
+			best, bestWeight = model, weight
+		}
+	}
+	return best
+}
+
+// leastShared is the replica with the fewest models that has not this one, and
+// among those the one of greatest weight.
+func leastShared(replicas []*directory.Replica, model string, counts map[string]int, has []*directory.Replica) *directory.Replica {
+	var best *directory.Replica
+	for _, replica := range replicas {
+		if slices.Contains(has, replica) {
+			continue
+		}
+		if best == nil || counts[replica.ID] < counts[best.ID] ||
+			(counts[replica.ID] == counts[best.ID] && pairWeight(replica, model) > pairWeight(best, model)) {
+			best = replica
+		}
+	}
+	return best
+}
+
+func pairWeight(replica *directory.Replica, model string) uint64 {
+	return rendezvous.Weight(rendezvous.Hash(replica.ID), rendezvous.Hash(model))
+}
+
+// knowledge is what decides whether a replica needs a version.
+type knowledge interface {
+	// version is the newest version known of a replica's model.
+	version(replica, model string) int64
+	// tolerance is by how many versions the batch jobs of a model let the
+	// weights be behind.
+	tolerance(model string) int64
+}
+
+// needed tells whether a replica has to be brought to a named version. One that
+// a new batch job would take may skip it: replicas that skip every second
+// version load half as often, and at any time some need not load.
+func needed(known knowledge, replica, model string, named int64) bool {
+	return known.version(replica, model) < named-known.tolerance(model)
+}
+
+// tasks are all replicas that have to be brought to the named version of a
+// model that they keep up with.
+func tasks(view *directory.View, known knowledge) []task {
 	if view.Configuration == nil {
 		return nil
 	}
+	var open []task
 	byService := map[string][]*directory.Replica{}
 	for _, replica := range view.Replicas {
 		byService[replica.Service] = append(byService[replica.Service], replica)
 	}
-	var open []task
 	for name, replicas := range byService {
 		service, declared := view.Configuration.Services[name]
 		if !declared || service.Engine == nil {
 			continue
 		}
-		for id, model := range homes(replicas, service.Engine.Models) {
+		for model, kept := range homes(replicas, service.Engine.Models) {
 			named := view.Named[model]
-			if has := version(id, model); named > has {
-				replica := view.Replicas[id]
-				open = append(open, task{target: Target{ID: id, Address: replica.Address}, model: model, version: named, has: has})
+			for _, replica := range kept {
+				if needed(known, replica.ID, model, named) {
+					target := Target{ID: replica.ID, Address: replica.Address}
+					open = append(open, task{target: target, model: model, version: named, has: known.version(replica.ID, model)})
+				}
 			}
 		}
 	}
--- /dev/null
+++ b/internal/weightorders/plan_test.go
@@ -0,0 +1,91 @@
+package weightorders
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/pathtally/pathtally/internal/directory"
+)
+
+func replicas(count int) []*directory.Replica {
+	made := make([]*directory.Replica, count)
+	for number := range made {
+		made[number] = &directory.Replica{ID: fmt.Sprintf("replica-%d", number)}
+	}
+	return made
+}
+
+func TestHomesAreShared(t *testing.T) {
+	for _, test := range []struct{ replicas, models, each int }{{8, 1, 8}, {9, 3, 4}, {2, 3, 1}, {1, 1, 1}, {600, 3, 267}, {0, 2, 0}, {5, 0, 0}} {
+		models := make([]string, test.models)
+		for number := range models {
+			models[number] = fmt.Sprintf("model-%d", number)
+		}
+		all := replicas(test.replicas)
+		kept := map[string]int{}
+		for model, homes := range homes(all, models) {
+			if len(homes) != test.each {
+				t.Errorf("%d replicas, %d models: %s has %d", test.replicas, test.models, model, len(homes))
+			}
+			for _, replica := range homes {
+				kept[replica.ID]++
+			}
+		}
+		for id, count := range kept {
+			if test.models > 1 && count > 2 {
+				t.Errorf("%d replicas, %d models: %s keeps up with %d", test.replicas, test.models, id, count)
+			}
+		}
+		if test.models > 0 && test.replicas >= test.models && len(kept) != test.replicas {
+			t.Errorf("%d replicas, %d models: only %d keep up with any", test.replicas, test.models, len(kept))
+		}
+	}
+}
+
+// The loss of one replica moves few others to another model.
+func TestHomesStayWhenAReplicaGoes(t *testing.T) {
+	models := []string{"a", "b", "c"}
+	all := replicas(9)
+	before := homes(all, models)
+	has := map[string]bool{}
+	for model, kept := range before {
+		for _, replica := range kept {
+			has[model+replica.ID] = true
+		}
+	}
+	added := 0
+	for model, kept := range homes(all[1:], models) {
+		for _, replica := range kept {
+			if !has[model+replica.ID] {
+				added++
+			}
+		}
+	}
+	if added > 5 {
+		t.Errorf("%d replicas have a new model to load", added)
+	}
+}
+
+// known is what a test knows of one replica.
+type known struct{ has, allowed int64 }
+
+func (k known) version(string, string) int64 { return k.has }
+func (k known) tolerance(string) int64       { return k.allowed }
+
+func TestWhichReplicasNeedAVersion(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		known known
+		named int64
+		want  bool
+	}{
+		{"has the newest", known{has: 7}, 7, false},
+		{"jobs want the newest", known{has: 6}, 7, true},
+		{"jobs let it be one behind", known{has: 6, allowed: 1}, 7, false},
+		{"it is two behind", known{has: 5, allowed: 1}, 7, true},
+	} {
+		if got := needed(test.known, "r", "m", test.named); got != test.want {
+			t.Errorf("%s: needed %v", test.name, got)
+		}
+	}
+}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -285,6 +285,14 @@
 	Peers       []PeerAddress
 	Leaving     bool
 	Ended       []string
+	Tolerances  []ModelTolerance
+}
+
+// ModelTolerance is how many versions behind the newest the weights may be by
+// the batch jobs of a model.
+type ModelTolerance struct {
+	Model    string
+	Versions int64
 }
 
 // JobRead asks the node that runs a batch job for results.
--- a/internal/wire/schema/peer.capnp
+++ b/internal/wire/schema/peer.capnp
@@ -277,6 +277,12 @@
   peers @8 :List(PeerAddress);
   leaving @9 :Bool;         # the sender stops soon and gives its jobs away
   ended @10 :List(Text);    # batch jobs that callers have ended
+  tolerances @11 :List(ModelTolerance);
+}
+
+struct ModelTolerance {
+  model @0 :Text;
+  versions @1 :Int64;       # how far behind the newest weights batch jobs let them be
 }
 
 struct JobRead {
