--- a/internal/directory/informer.go
+++ b/internal/directory/informer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"k8s.io/klog/v2"
 
 	"github.com/pathtally/pathtally/internal/objectstore"
@@ -43,10 +44,12 @@
 	at         uint64
 	lastFailed time.Time
 	failing    bool
-	// Answered is called after each call that the store answered, and Failed
-	// after each that it did not. Either may be nil.
-	Answered func()
-	Failed   func()
+	// Failed is called after each call without an answer; it may be nil.
+	Failed func()
+	// Regained returns a channel that is closed when the store answers again
+	// after it did not. A watch from before may never end: its answer may have
+	// been lost, and then its connection says nothing more. Nil for never.
+	Regained func() <-chan struct{}
 }
 
 // NewInformer returns an informer that has not started.
@@ -98,7 +101,12 @@
 // follow watches until the history is gone or the context ends.
 func (i *Informer) follow(ctx context.Context) {
 	for ctx.Err() == nil {
-		changes, err := i.store.Watch(ctx, i.kind, i.at, watchWait)
+		changes, err := i.watch(ctx)
+		if errors.Is(err, errRegained) {
+			i.lastFailed = time.Now()
+			i.logger.Info("watch begun anew", "kind", i.kind, "from", i.at)
+			continue
+		}
 		if errors.Is(err, objectstore.ErrHistoryGone) {
 			i.logger.Info("watch history gone, listing anew", "kind", i.kind, "from", i.at)
 			return
@@ -118,6 +126,35 @@
 	}
 }
 
+// errRegained ends a watch from before an outage of the store.
+var errRegained = merry.Sentinel("store regained")
+
+// watch waits for changes, but not beyond the end of an outage.
+func (i *Informer) watch(ctx context.Context) (objectstore.Changes, error) {
+	var regained <-chan struct{}
+	if i.Regained != nil {
+		regained = i.Regained()
+	}
+	type result struct {
+		changes objectstore.Changes
+		err     error
+	}
+	results := make(chan result, 1)
+	at := i.at
+	go func() {
+		changes, err := i.store.Watch(ctx, i.kind, at, watchWait)
+		results <- result{changes, err}
+	}()
+	select {
+	case ended := <-results:
+		return ended.changes, ended.err
+	case <-regained:
+		return objectstore.Changes{}, errRegained
+	case <-ctx.Done():
+		return objectstore.Changes{}, ctx.Err()
+	}
+}
+
 func (i *Informer) afterOutage() bool { return time.Since(i.lastFailed) < outageMemory }
 
 func (i *Informer) succeed() {
@@ -125,9 +162,6 @@
 		i.failing = false
 		i.logger.Info("store regained", "kind", i.kind)
 	}
-	if i.Answered != nil {
-		i.Answered()
-	}
 }
 
 func (i *Informer) fail(ctx context.Context, call string, err error) {
--- a/internal/directory/table_test.go
+++ b/internal/directory/table_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"github.com/pathtally/pathtally/internal/objectstore"
 	"github.com/pathtally/pathtally/standin/metastore"
 )
 
@@ -187,3 +189,46 @@
 		}
 	}
 }
+
+// deafStore answers no watch of a kind that began while it was deaf.
+type deafStore struct {
+	*metastore.Store
+	kind string
+	deaf atomic.Bool
+}
+
+func (s *deafStore) Watch(ctx context.Context, kind string, from uint64, wait time.Duration) (objectstore.Changes, error) {
+	if kind == s.kind && s.deaf.Load() {
+		objectstore.Sleep(ctx, wait)
+		return objectstore.Changes{}, &objectstore.UnansweredError{Cause: metastore.ErrFault}
+	}
+	return s.Store.Watch(ctx, kind, from, wait)
+}
+
+// A replica left after an outage in which the answer to a watch had been lost,
+// and the node went on sending to it for as long as that watch could last.
+func TestWatchWhoseAnswerIsLostIsBegunAnewAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := &deafStore{Store: metastore.New(), kind: "servers"}
+		store.Write("servers", "one", ready("s"))
+		store.deaf.Store(true)
+		table := NewTable("zone", klog.Background())
+		regained := make(chan struct{})
+		informer := NewInformer(store, "servers", ReplicaSink{Table: table, Decoder: jsonDecoder{}, KeepMissing: func() time.Duration { return keepMissing }}, klog.Background())
+		informer.Regained = func() <-chan struct{} { return regained }
+		go informer.Run(ctx)
+		settle(time.Second)
+		store.deaf.Store(false)
+		close(regained)
+		regained = make(chan struct{})
+		leaving := ready("s")
+		leaving.State = ReplicaDraining
+		store.Write("servers", "one", leaving)
+		settle(time.Second)
+		if table.View().Replicas["one"] != nil {
+			t.Error("a replica that leaves is not known to, because an old watch is still waited for")
+		}
+	})
+}
--- a/internal/instance/health.go
+++ b/internal/instance/health.go
@@ -1,23 +1,82 @@
 package instance
 
 import (
-	"sync/atomic"
+	"context"
+	"errors"
+	"sync"
 	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pathtally/pathtally/internal/objectstore"
+	"github.com/pathtally/pathtally/internal/peering"
 )
 
-// storeHealth remembers how the store answered this node. It is safe for use
+const (
+	// probePeriod is the time between two questions to the store, and probeTime
+	// how long one may take. Together they bound for how long after an outage
+	// this node may go without news.
+	probePeriod = 700 * time.Millisecond
+	probeTime   = 800 * time.Millisecond
+)
+
+// storeHealth remembers whether the store answers this node. It is safe for use
 // by many goroutines.
 type storeHealth struct {
-	started  time.Time
-	answered atomic.Int64
-	failed   atomic.Int64
+	logger   klog.Logger
+	mutex    sync.Mutex
+	troubled bool
+	regained chan struct{}
+}
+
+func newStoreHealth(logger klog.Logger) *storeHealth {
+	return &storeHealth{logger: logger, regained: make(chan struct{})}
 }
 
-func newStoreHealth() *storeHealth { return &storeHealth{started: time.Now()} }
+// noteFailed records a call without an answer.
+func (h *storeHealth) noteFailed() {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.troubled = true
+}
 
-func (h *storeHealth) noteAnswered() { h.answered.Store(int64(time.Since(h.started))) }
+// noteAnswered records an answer to a new question. After an outage it has
+// everybody who waits for an old answer ask anew.
+func (h *storeHealth) noteAnswered() {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if !h.troubled {
+		return
+	}
+	h.troubled = false
+	close(h.regained)
+	h.regained = make(chan struct{})
+	h.logger.Info("store answers again")
+}
 
-func (h *storeHealth) noteFailed() { h.failed.Store(int64(time.Since(h.started))) }
+// Regained returns a channel that is closed when the store answers again after
+// it did not.
+func (h *storeHealth) Regained() <-chan struct{} {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.regained
+}
 
-// Reachable tells whether the newest call was answered.
-func (h *storeHealth) Reachable() bool { return h.answered.Load() >= h.failed.Load() }
+// probe asks the store something small, which may be answered from an old
+// state, until the context ends. Watches alone do not show an outage: they wait
+// for long in any case.
+func (h *storeHealth) probe(ctx context.Context, store objectstore.Store, node string) {
+	for objectstore.Sleep(ctx, probePeriod) {
+		asked, cancel := context.WithTimeout(ctx, probeTime)
+		_, err := store.Get(asked, peering.Kind, node, objectstore.MayBeStale)
+		cancel()
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err == nil, errors.Is(err, objectstore.ErrNotFound):
+			h.noteAnswered()
+		default:
+			h.noteFailed()
+		}
+	}
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -64,8 +64,9 @@
 	}
 	instance := &Instance{
 		settings: configured, adapter: adapter, logger: nodeLogger(configured.Node, configured.Zone),
-		registry: prometheus.NewRegistry(), health: newStoreHealth(), drained: make(chan struct{}), started: time.Now(),
+		registry: prometheus.NewRegistry(), drained: make(chan struct{}), started: time.Now(),
 	}
+	instance.health = newStoreHealth(instance.logger)
 	instance.current.Store(&instance.settings)
 	ctx, cancel := context.WithCancel(context.Background())
 	instance.cancel = cancel
@@ -126,6 +127,7 @@
 		kind: kinds.Retirements, store: i.adapter.Store, codec: i.adapter.Retirements, node: i.settings.Node, nodes: i.peers.Nodes,
 		logger: i.logger, ctx: ctx, pending: map[string]bool{},
 	})
+	i.run(func() { i.health.probe(ctx, i.adapter.Store, i.settings.Node) })
 	i.run(func() { i.peers.Join(ctx) })
 	i.run(func() { i.jobs.Run(ctx) })
 	i.run(func() { i.weights.Run(ctx) })
@@ -152,7 +154,7 @@
 // inform runs an informer of one kind.
 func (i *Instance) inform(ctx context.Context, kind string, sink directory.Sink) {
 	informer := directory.NewInformer(i.adapter.Store, kind, sink, i.logger)
-	informer.Answered, informer.Failed = i.health.noteAnswered, i.health.noteFailed
+	informer.Failed, informer.Regained = i.health.noteFailed, i.health.Regained
 	i.run(func() { informer.Run(ctx) })
 }
 
