Memory is bounded: bodies share a budget, ended jobs are forgotten, answers have a bound

Cause: found by reading. A body's whole announced length was allocated before any of it came, with no bound over all requests; a node kept every batch job it had run; a replica's answer had no bound. A job sent again after it was forgotten would have been run again.

Change: bodies grow as they come, out of a quarter of the memory of the settings, and one that finds no room is refused with when to come back; ended jobs are forgotten after 90 s and then answered for by the store; a job that existed is read back before it is run; answers end at 64 MB.

--- a/internal/batch/accept.go
+++ b/internal/batch/accept.go
@@ -49,14 +49,14 @@
 	ctx, cancel := context.WithDeadline(s.base, deadline)
 	defer cancel()
 	record := Record{Owner: s.config.Self, Epoch: 1, Route: route, Host: host, AcceptedMs: time.Now().UnixMilli()}
-	standing, _, err := s.config.Journal.Accept(ctx, id, record, payload)
+	standing, made, err := s.config.Journal.Accept(ctx, id, record, payload)
 	pending.err = err
 	if _, uncertain := err.(*UncertainError); uncertain {
 		s.config.Logger.Info("batch job uncertain, pursued", "request", id, "error", err.Error())
 		close(pending.done)
 		longer, cancelLonger := context.WithTimeout(s.base, backgroundTime)
 		defer cancelLonger()
-		standing, _, err = s.config.Journal.Accept(longer, id, record, payload)
+		standing, made, err = s.config.Journal.Accept(longer, id, record, payload)
 	} else {
 		defer close(pending.done)
 	}
@@ -72,7 +72,31 @@
 		return
 	}
 	s.config.Logger.Info("batch job kept", "request", id, "owner", standing.Owner.Node, "items", len(submission.Items), "bytes", len(payload))
-	if own {
+	switch {
+	case own && made:
 		s.start(id, submission, standing, nil, 0)
+	case own:
+		// An earlier try made it, or it was run here and forgotten.
+		go s.takeUpAgain(id)
 	}
 }
+
+// takeUpAgain goes on with a job of this node's that is not held, unless it has
+// ended.
+func (s *Service) takeUpAgain(id string) {
+	standing, err := s.config.Journal.Look(s.base, id)
+	if err != nil {
+		// It is taken over like any job whose owner is silent.
+		s.mutex.Lock()
+		s.noteForeign(id, s.config.Self, false)
+		s.mutex.Unlock()
+		return
+	}
+	if standing.Ended || standing.Record.Owner != s.config.Self {
+		s.mutex.Lock()
+		s.noteForeign(id, standing.Record.Owner, standing.Ended)
+		s.mutex.Unlock()
+		return
+	}
+	s.loadJob(s.base, standing)
+}
--- a/internal/batch/beat.go
+++ b/internal/batch/beat.go
@@ -81,7 +81,7 @@
 	if held == nil || held.ended {
 		return
 	}
-	held.ended = true
+	held.ended, held.endedAt = true, time.Now()
 	held.cancel()
 	s.dropQueued(held)
 	held.notify()
--- a/internal/batch/foreign.go
+++ b/internal/batch/foreign.go
@@ -64,6 +64,7 @@
 	for objectstore.Sleep(ctx, ownerLook) {
 		paused := time.Since(last) > pauseLimit
 		last = time.Now()
+		s.evict()
 		for _, held := range s.unconfirmed(paused) {
 			go s.confirmOwner(held)
 		}
@@ -97,6 +98,26 @@
 	return due
 }
 
+// endedMemory is for how long the results of an ended job are kept in memory;
+// after that the store answers for it.
+const endedMemory = 90 * time.Second
+
+// evict forgets jobs that ended long ago.
+func (s *Service) evict() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for id, held := range s.jobs {
+		if held.endKept && time.Since(held.endedAt) > endedMemory {
+			delete(s.jobs, id)
+		}
+	}
+	for id, standing := range s.known {
+		if standing.ended && time.Since(standing.heard) > endedMemory {
+			delete(s.known, id)
+		}
+	}
+}
+
 // orphans returns the open jobs that it is this node's turn to take over.
 func (s *Service) orphans() []string {
 	s.mutex.Lock()
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -27,7 +27,8 @@
 	flushSoon bool
 	flush     chan struct{}
 
-	ended bool
+	ended   bool
+	endedAt time.Time
 	// endKept tells that the store has the end.
 	endKept bool
 	// displaced is set once another node owns the job, and suspect while that
--- a/internal/batch/journal.go
+++ b/internal/batch/journal.go
@@ -70,38 +70,38 @@
 
 func chunkName(job string, index int) string { return fmt.Sprintf("%s-%06d", job, index) }
 
-// Accept makes a batch job lasting. The record that stands is returned: it is
-// another's if the job had been taken before. The error is a *NotTakenError or
-// an *UncertainError.
-func (j *Journal) Accept(ctx context.Context, id string, record Record, payload []byte) (Record, uint64, error) {
+// Accept makes a batch job lasting and tells whether this call made it. The
+// record that stands is returned: it is another's if the job had been taken
+// before. The error is a *NotTakenError or an *UncertainError.
+func (j *Journal) Accept(ctx context.Context, id string, record Record, payload []byte) (standing Record, made bool, err error) {
 	record.Parts = (len(payload) + partBytes - 1) / partBytes
 	for part := range record.Parts {
 		piece, err := json.Marshal(string(payload[part*partBytes : min(len(payload), (part+1)*partBytes)]))
 		if err != nil {
-			return Record{}, 0, &NotTakenError{Cause: err}
+			return Record{}, false, &NotTakenError{Cause: err}
 		}
 		_, outcome, err := objectstore.CreateSettled(ctx, j.store, KindPayloads, partName(id, part), piece)
 		if outcome != objectstore.Created && outcome != objectstore.Existed {
 			// Without its record the payload is no batch job.
-			return Record{}, 0, &NotTakenError{Cause: err}
+			return Record{}, false, &NotTakenError{Cause: err}
 		}
 	}
 	spec, err := json.Marshal(record)
 	if err != nil {
-		return Record{}, 0, &NotTakenError{Cause: err}
+		return Record{}, false, &NotTakenError{Cause: err}
 	}
 	object, outcome, err := objectstore.CreateSettled(ctx, j.store, KindJobs, id, spec)
 	switch outcome {
 	case objectstore.NeverSent:
-		return Record{}, 0, &NotTakenError{Cause: err}
+		return Record{}, false, &NotTakenError{Cause: err}
 	case objectstore.Unknown:
-		return Record{}, 0, &UncertainError{Cause: err}
+		return Record{}, false, &UncertainError{Cause: err}
 	}
-	standing, _, err := readRecord(object)
+	standing, _, err = readRecord(object)
 	if err != nil {
-		return Record{}, 0, &UncertainError{Cause: err}
+		return Record{}, false, &UncertainError{Cause: err}
 	}
-	return standing, object.Revision, nil
+	return standing, outcome == objectstore.Created, nil
 }
 
 func readRecord(object objectstore.Object) (Record, bool, error) {
--- a/internal/batch/takeover_test.go
+++ b/internal/batch/takeover_test.go
@@ -198,3 +198,42 @@
 	engine.release()
 	checkWhole(t, "job", cluster.readAll(cluster.nodes[1], "job", 6), 6, 3)
 }
+
+func TestEndedJobIsReadFromTheStoreOnceForgotten(t *testing.T) {
+	cluster := newCluster(t, 2, startEngine(t, 2))
+	owner := cluster.nodes[0]
+	if err := cluster.submit(owner, "job", 4); err != nil {
+		t.Fatal(err)
+	}
+	before := cluster.readAll(owner, "job", 4)
+	if err := owner.End(context.Background(), "job"); err != nil {
+		t.Fatal(err)
+	}
+	owner.mutex.Lock()
+	owner.jobs["job"].endedAt = time.Now().Add(-2 * endedMemory)
+	owner.mutex.Unlock()
+	owner.evict()
+	if owner.OpenJobs() != 0 || cluster.owner("job") != nil {
+		t.Fatal("the job is still held")
+	}
+	// A caller that sends it once more starts nothing.
+	if err := cluster.submit(owner, "job", 4); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the node has looked the job up", func() bool {
+		owner.mutex.Lock()
+		defer owner.mutex.Unlock()
+		return owner.jobs["job"] != nil || (owner.known["job"] != nil && owner.known["job"].ended)
+	})
+	if cluster.owner("job") != nil {
+		t.Error("an ended job is taken up again")
+	}
+	for _, node := range cluster.nodes {
+		after := cluster.readAll(node, "job", 4)
+		for position := range before {
+			if after[position].ID != before[position].ID {
+				t.Errorf("position %d has changed", position)
+			}
+		}
+	}
+}
--- a/internal/forward/errors.go
+++ b/internal/forward/errors.go
@@ -45,6 +45,9 @@
 // ErrSilent means that a stream was cut because nothing came.
 var ErrSilent = merry.Sentinel("stream has fallen silent")
 
+// ErrAnswerTooLong means that a replica's answer is over any bound.
+var ErrAnswerTooLong = merry.Sentinel("answer is too long")
+
 // StreamStatusError is a replica's answer that continues no stream.
 type StreamStatusError struct{ Status int }
 
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -203,9 +203,15 @@
 		if err != nil {
 			return nil, err
 		}
+		if len(body) > longestAnswer {
+			return nil, &exchange.BrokenError{Address: answer.Endpoint.Address, Cause: ErrAnswerTooLong}
+		}
 	}
 }
 
+// longestAnswer bounds the body of one answer, in bytes.
+const longestAnswer = 64 << 20
+
 // exactBody is up to which named length a buffer is made at once.
 const exactBody = 1 << 20
 
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -13,33 +13,51 @@
 	ErrBodyTooLarge = merry.Sentinel("body is over the limit")
 	// ErrBodyBroken means that the caller did not send the whole body.
 	ErrBodyBroken = merry.Sentinel("body is not whole")
+	// ErrNoRoom means that the bodies in progress take all the memory that
+	// they may.
+	ErrNoRoom = merry.Sentinel("no room for the body")
 )
 
-// readBody reads a whole body of at most a number of bytes; 0 for no bound.
-func readBody(request *http.Request, limit int64) ([]byte, error) {
+// firstBytes is how much room a body gets before any of it has come, and the
+// least step in which it grows: a caller that only announces a large body takes
+// no memory for it.
+const firstBytes = 16 << 10
+
+// bodyReader reads bodies within a limit for each and a budget for all.
+type bodyReader struct{ budget budget }
+
+// read reads a whole body of at most a number of bytes; 0 for no bound. The
+// room that it took is to be given back with release, also after a failure.
+func (r *bodyReader) read(request *http.Request, limit int64) (body []byte, release func(), err error) {
+	taken := int64(0)
+	release = func() { r.budget.give(taken) }
 	if request.Body == nil || request.Body == http.NoBody {
-		return nil, nil
+		return nil, release, nil
 	}
 	if limit > 0 && request.ContentLength > limit {
-		return nil, ErrBodyTooLarge
-	}
-	var reader io.Reader = request.Body
-	if limit > 0 {
-		reader = io.LimitReader(reader, limit+1)
+		return nil, release, ErrBodyTooLarge
 	}
-	if request.ContentLength >= 0 {
-		body := make([]byte, request.ContentLength)
-		if _, err := io.ReadFull(reader, body); err != nil {
-			return nil, merry.Wrap(ErrBodyBroken, merry.WithCause(err))
+	for {
+		if len(body) == cap(body) {
+			step := max(firstBytes, int64(len(body)))
+			if request.ContentLength >= 0 {
+				step = min(step, request.ContentLength+1-int64(len(body)))
+			}
+			if !r.budget.take(step) {
+				return nil, release, ErrNoRoom
+			}
+			taken += step
+			body = append(make([]byte, 0, int64(len(body))+step), body...)
+		}
+		count, err := request.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+count]
+		switch {
+		case limit > 0 && int64(len(body)) > limit:
+			return nil, release, ErrBodyTooLarge
+		case errors.Is(err, io.EOF):
+			return body, release, nil
+		case err != nil:
+			return nil, release, merry.Wrap(ErrBodyBroken, merry.WithCause(err))
 		}
-		return body, nil
-	}
-	body, err := io.ReadAll(reader)
-	if err != nil && !errors.Is(err, io.EOF) {
-		return nil, merry.Wrap(ErrBodyBroken, merry.WithCause(err))
-	}
-	if limit > 0 && int64(len(body)) > limit {
-		return nil, ErrBodyTooLarge
 	}
-	return body, nil
 }
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -22,6 +22,8 @@
 	unboundedTime = 30 * time.Second
 	// unconfiguredWait is when to come back to a node without a configuration.
 	unconfiguredWait = 250 * time.Millisecond
+	// roomWait is when to come back with a body that there was no room for.
+	roomWait = 300 * time.Millisecond
 )
 
 // Jobs serves the calls about batch jobs.
@@ -39,6 +41,9 @@
 	Jobs      Jobs
 	Headers   Headers
 	Logger    klog.Logger
+	// BodyBytes bounds the bodies of all requests in progress together; 0 for
+	// no bound.
+	BodyBytes int64
 }
 
 // Handler answers callers.
@@ -51,11 +56,14 @@
 	lastRequest atomic.Int64
 	// Closing has every answer end its connection.
 	Closing atomic.Bool
+	bodies  bodyReader
 	started time.Time
 }
 
 // NewHandler returns a handler.
-func NewHandler(config Config) *Handler { return &Handler{config: config, started: time.Now()} }
+func NewHandler(config Config) *Handler {
+	return &Handler{config: config, bodies: bodyReader{budget: budget{limit: config.BodyBytes}}, started: time.Now()}
+}
 
 // Quiet is how long no request has come.
 func (h *Handler) Quiet() time.Duration {
@@ -89,8 +97,12 @@
 		return
 	}
 	received := time.Now()
-	body, err := readBody(request, configuration.Limits.BodyBytes)
+	body, release, err := h.bodies.read(request, configuration.Limits.BodyBytes)
+	defer release()
 	switch {
+	case errors.Is(err, ErrNoRoom):
+		h.refuse(writer, id, http.StatusServiceUnavailable, err.Error(), roomWait)
+		return
 	case errors.Is(err, ErrBodyTooLarge):
 		h.refuse(writer, id, http.StatusRequestEntityTooLarge, err.Error(), 0)
 		return
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -74,6 +75,7 @@
 		instance.logger.Info("node started", "idle", true)
 		return instance, nil
 	}
+	instance.boundMemory()
 	instance.assemble(ctx, opened.peer)
 	instance.serve(opened)
 	instance.runDuties(ctx)
@@ -112,10 +114,26 @@
 	})
 	i.handler = ingress.NewHandler(ingress.Config{
 		Directory: i.directory, Forwarder: i.forwarder, Headers: i.adapter.Headers, Logger: i.logger,
-		Jobs: &batch.Front{Service: i.jobs, Headers: i.adapter.Headers},
+		Jobs: &batch.Front{Service: i.jobs, Headers: i.adapter.Headers}, BodyBytes: i.settings.MemoryMB * megabyte / bodyPart,
 	})
 }
 
+const (
+	megabyte = 1 << 20
+	// bodyPart is the part of the memory that the bodies of requests in
+	// progress may take, and collectPart that beyond which memory is given
+	// back eagerly.
+	bodyPart    = 4
+	collectPart = 0.7
+)
+
+// boundMemory has the runtime collect eagerly near the bound of the settings.
+func (i *Instance) boundMemory() {
+	if i.settings.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(collectPart * float64(i.settings.MemoryMB*megabyte)))
+	}
+}
+
 // runDuties starts what works beside the requests.
 func (i *Instance) runDuties(ctx context.Context) {
 	kinds := i.adapter.Kinds
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -46,6 +46,9 @@
 	// Metrics that of its figures; empty serves none.
 	Readiness string `json:"readiness"`
 	Metrics   string `json:"metrics"`
+	// MemoryMB is the memory that the process may take, in megabytes; 0 for no
+	// bound.
+	MemoryMB int64 `json:"memoryMB"`
 	// Idle nodes only hold their machine: they serve nobody.
 	Idle bool `json:"idle"`
 	// OrderLease is how long another node must wait after the last order to a
@@ -205,6 +208,9 @@
 			findings = append(findings, &Error{Setting: span.setting, Found: span.value.Std().String(), Allowed: "a duration of 0 or more"})
 		}
 	}
+	if s.MemoryMB < 0 {
+		findings = append(findings, &Error{Setting: "memoryMB", Found: fmt.Sprint(s.MemoryMB), Allowed: "a number of megabytes, 0 or more"})
+	}
 	if s.Grace < 0 {
 		findings = append(findings, &Error{Setting: "grace", Found: s.Grace.Std().String(), Allowed: "a duration of 0 or more"})
 	}
