--- a/internal/batch/foreign.go
+++ b/internal/batch/foreign.go
@@ -35,6 +35,8 @@
 	// leaving is set when the owner gives its jobs away.
 	leaving bool
 	taking  bool
+	// notBefore is when a failed takeover may be tried again.
+	notBefore time.Time
 	// results are those read from the store, for answers while the owner is
 	// silent, and chunks their number of objects.
 	results []Result
@@ -68,8 +70,8 @@
 		for _, held := range s.unconfirmed(paused) {
 			go s.confirmOwner(held)
 		}
-		for _, id := range s.orphans() {
-			go s.takeOver(ctx, id)
+		for id, gone := range s.orphans() {
+			go s.takeOver(ctx, id, gone)
 		}
 	}
 }
@@ -118,30 +120,46 @@
 	}
 }
 
-// orphans returns the open jobs that it is this node's turn to take over.
-func (s *Service) orphans() []string {
+// orphans returns the open jobs that it is this node's turn to take over, with
+// the owners that are gone.
+func (s *Service) orphans() map[string]Owner {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.leaving {
 		return nil
 	}
-	var orphans []string
+	orphans := map[string]Owner{}
 	for id, standing := range s.known {
-		if standing.ended || standing.taking {
+		if standing.ended || standing.taking || time.Now().Before(standing.notBefore) {
 			continue
 		}
-		patience := time.Duration(s.rank(id, standing.owner.Node)) * rankDelay
-		if !standing.leaving {
-			patience += ownerSilence
-		}
-		if time.Since(standing.heard) > patience {
+		if time.Since(standing.heard) > s.patience(id, standing) {
 			standing.taking = true
-			orphans = append(orphans, id)
+			orphans[id] = standing.owner
 		}
 	}
 	return orphans
 }
 
+// patience is for how long after the last word of its owner this node leaves a
+// job alone.
+func (s *Service) patience(id string, standing *foreign) time.Duration {
+	if standing.owner.Node == s.config.Self.Node {
+		// It was run by this node's former process, which is no more.
+		return 0
+	}
+	rank := time.Duration(s.rank(id, standing.owner.Node)) * rankDelay
+	peer, known := s.config.Table.Get(standing.owner.Node)
+	switch {
+	case standing.leaving:
+		return rank
+	case known && peer.Incarnation > standing.owner.Incarnation:
+		// So it is here, but its new process takes it up first.
+		return rank + rankDelay
+	}
+	return rank + ownerSilence
+}
+
 // rank is this node's place among those that may take a job over.
 func (s *Service) rank(id, owner string) int {
 	var candidates []rendezvous.Candidate
--- a/internal/batch/takeover.go
+++ b/internal/batch/takeover.go
@@ -7,14 +7,17 @@
 	"github.com/pathtally/pathtally/internal/objectstore"
 )
 
-// takeOver makes this node the owner of a job, unless another is or the job
-// has ended.
-func (s *Service) takeOver(ctx context.Context, id string) {
+// takeOverPause is the time between tries to take a job over.
+const takeOverPause = 400 * time.Millisecond
+
+// takeOver makes this node the owner of a job whose owner is gone, unless
+// another has become that meanwhile or the job has ended.
+func (s *Service) takeOver(ctx context.Context, id string, gone Owner) {
 	defer func() {
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
 		if standing := s.known[id]; standing != nil {
-			standing.taking, standing.heard = false, time.Now()
+			standing.taking, standing.notBefore = false, time.Now().Add(takeOverPause)
 		}
 	}()
 	standing, err := s.config.Journal.Look(ctx, id)
@@ -23,10 +26,9 @@
 		return
 	}
 	s.mutex.Lock()
-	known := s.noteForeign(id, standing.Record.Owner, standing.Ended)
-	moved := time.Since(known.heard) < ownerSilence && !known.leaving && known.owner != s.config.Self
+	s.noteForeign(id, standing.Record.Owner, standing.Ended)
 	s.mutex.Unlock()
-	if standing.Ended || moved {
+	if standing.Ended || standing.Record.Owner != gone {
 		return
 	}
 	taken, err := s.config.Journal.TakeOver(ctx, standing, s.config.Self)
@@ -34,7 +36,7 @@
 		s.config.Logger.Info("batch job not taken over", "request", id, "error", err.Error())
 		return
 	}
-	s.config.Logger.Info("batch job taken over", "request", id, "from", standing.Record.Owner.Node, "epoch", taken.Record.Epoch)
+	s.config.Logger.Info("batch job taken over", "request", id, "from", gone.Node, "epoch", taken.Record.Epoch)
 	s.metrics.takeovers.Inc()
 	s.loadJob(ctx, taken)
 }
--- a/internal/batch/takeover_test.go
+++ b/internal/batch/takeover_test.go
@@ -237,3 +237,33 @@
 		}
 	}
 }
+
+// A process that is known to have ended is not waited for: inc-f9dd lost a
+// second and a half of every job when all machines had lost power.
+func TestJobsOfAnEndedProcessAreNotWaitedFor(t *testing.T) {
+	cluster := newCluster(t, 2, startEngine(t, 2))
+	node := cluster.nodes[0]
+	eventually(t, "the nodes know each other", func() bool {
+		_, known := node.table.Get("node-1")
+		return known
+	})
+	peer, _ := node.table.Get("node-1")
+	for _, test := range []struct {
+		name  string
+		owner Owner
+		least time.Duration
+		most  time.Duration
+	}{
+		{"this node's former process", Owner{Node: "node-0", Incarnation: 1}, 0, 0},
+		{"a peer's former process", Owner{Node: "node-1", Incarnation: 1}, rankDelay, 2 * rankDelay},
+		{"a peer's process", Owner{Node: "node-1", Incarnation: peer.Incarnation}, ownerSilence, ownerSilence + rankDelay},
+		{"a node never heard", Owner{Node: "node-9", Incarnation: 1}, ownerSilence, ownerSilence + 2*rankDelay},
+	} {
+		node.mutex.Lock()
+		patience := node.patience("job", &foreign{owner: test.owner})
+		node.mutex.Unlock()
+		if patience < test.least || patience > test.most {
+			t.Errorf("%s: waits %s, want %s to %s", test.name, patience, test.least, test.most)
+		}
+	}
+}
