Models take turns for loads of weights

Change: the next load is of the model with the fewest current replicas, those that load now among them.

--- a/internal/weightorders/load.go
+++ b/internal/weightorders/load.go
@@ -1,7 +1,6 @@
 package weightorders
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -11,30 +10,32 @@
 	"github.com/pathtally/pathtally/internal/wire"
 )
 
-// begin starts as many loads as may run at once, at the least used replicas
-// first, but those furthest behind before all.
+// begin starts as many loads as may run at once.
 func (c *Coordinator) begin(ctx context.Context, open []task) {
-	slices.SortFunc(open, func(a, b task) int {
-		if behind := cmp.Compare(b.version-b.has, a.version-a.has); behind != 0 {
-			return behind
-		}
-		if load := cmp.Compare(c.config.Load(a.target.ID), c.config.Load(b.target.ID)); load != 0 {
-			return load
-		}
-		return cmp.Compare(a.target.ID, b.target.ID)
-	})
-	for _, next := range open {
-		c.mutex.Lock()
-		full := len(c.loading) >= loadsAtOnce
-		if !full {
-			c.loading[next.target.ID] = wire.ReplicaVersion{Replica: next.target.ID, Model: next.model, Version: next.version, Loading: true}
-		}
-		c.mutex.Unlock()
+	for len(open) > 0 {
+		loading, full := c.loadingByModel()
 		if full {
 			return
 		}
+		order(open, loading, c.config.Load)
+		next := open[0]
+		c.mutex.Lock()
+		c.loading[next.target.ID] = wire.ReplicaVersion{Replica: next.target.ID, Model: next.model, Version: next.version, Loading: true}
+		c.mutex.Unlock()
 		go c.bring(ctx, next)
+		open = slices.DeleteFunc(open, func(other task) bool { return other.target == next.target })
+	}
+}
+
+// loadingByModel counts the loads under way, and tells whether no more may run.
+func (c *Coordinator) loadingByModel() (loading map[string]int, full bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	loading = map[string]int{}
+	for _, change := range c.loading {
+		loading[change.Model]++
 	}
+	return loading, len(c.loading) >= loadsAtOnce
 }
 
 // bring takes one replica to a version and sees that it gets there.
@@ -42,7 +43,7 @@
 	ctx, cancel := context.WithTimeout(ctx, loadLimit)
 	defer cancel()
 	began := time.Now()
-	err := c.order(ctx, next)
+	err := c.give(ctx, next)
 	c.mutex.Lock()
 	delete(c.loading, next.target.ID)
 	if err != nil {
@@ -63,8 +64,8 @@
 	c.nudge()
 }
 
-// order gives the order and waits until the replica has the version.
-func (c *Coordinator) order(ctx context.Context, next task) error {
+// give gives the order and waits until the replica has the version.
+func (c *Coordinator) give(ctx context.Context, next task) error {
 	report, err := c.report(ctx, next.target)
 	if err != nil {
 		return err
--- a/internal/weightorders/plan.go
+++ b/internal/weightorders/plan.go
@@ -15,6 +15,9 @@
 	model   string
 	version int64
 	has     int64
+	// current is how many of the replicas that keep up with the model need no
+	// load.
+	current int
 }
 
 // homeShare is how many replicas keep up with one model, as a multiple of its
@@ -101,6 +104,22 @@
 	return known.version(replica, model) < named-known.tolerance(model)
 }
 
+// tasksOf are the replicas of one model that have to be brought to its named
+// version.
+func tasksOf(known knowledge, model string, named int64, kept []*directory.Replica) []task {
+	var open []task
+	for _, replica := range kept {
+		if needed(known, replica.ID, model, named) {
+			target := Target{ID: replica.ID, Address: replica.Address}
+			open = append(open, task{target: target, model: model, version: named, has: known.version(replica.ID, model)})
+		}
+	}
+	for i := range open {
+		open[i].current = len(kept) - len(open)
+	}
+	return open
+}
+
 // tasks are all replicas that have to be brought to the named version of a
 // model that they keep up with.
 func tasks(view *directory.View, known knowledge) []task {
@@ -118,14 +137,27 @@
 			continue
 		}
 		for model, kept := range homes(replicas, service.Engine.Models) {
-			named := view.Named[model]
-			for _, replica := range kept {
-				if needed(known, replica.ID, model, named) {
-					target := Target{ID: replica.ID, Address: replica.Address}
-					open = append(open, task{target: target, model: model, version: named, has: known.version(replica.ID, model)})
-				}
-			}
+			open = append(open, tasksOf(known, model, view.Named[model], kept)...)
 		}
 	}
 	return open
 }
+
+// order sorts tasks by which is to be done first: of the model with the fewest
+// current replicas, those that load now among them, so that no model waits for
+// all loads of another; then of the replica furthest behind, then of the least
+// used.
+func order(open []task, loading map[string]int, used func(replica string) int) {
+	slices.SortFunc(open, func(a, b task) int {
+		if current := cmp.Compare(a.current+loading[a.model], b.current+loading[b.model]); current != 0 {
+			return current
+		}
+		if behind := cmp.Compare(b.version-b.has, a.version-a.has); behind != 0 {
+			return behind
+		}
+		if load := cmp.Compare(used(a.target.ID), used(b.target.ID)); load != 0 {
+			return load
+		}
+		return cmp.Compare(a.target.ID, b.target.ID)
+	})
+}
--- a/internal/weightorders/plan_test.go
+++ b/internal/weightorders/plan_test.go
@@ -89,3 +89,26 @@
 		}
 	}
 }
+
+// inc-603f: the model whose trainer was slowest, and so least behind, waited
+// for every load of the others.
+func TestModelsTakeTurns(t *testing.T) {
+	open := []task{
+		{target: Target{ID: "a1"}, model: "a", version: 3, has: 1, current: 2}, {target: Target{ID: "a2"}, model: "a", version: 3, has: 1, current: 2},
+		{target: Target{ID: "b1"}, model: "b", version: 2, has: 1, current: 0}, {target: Target{ID: "b2"}, model: "b", version: 2, has: 1, current: 0},
+	}
+	unused := func(string) int { return 0 }
+	for _, test := range []struct {
+		loading map[string]int
+		want    string
+	}{
+		{map[string]int{}, "b1"},
+		{map[string]int{"b": 1}, "b1"},
+		{map[string]int{"b": 3}, "a1"},
+	} {
+		order(open, test.loading, unused)
+		if open[0].target.ID != test.want {
+			t.Errorf("with %v loading, %s is first, want %s", test.loading, open[0].target.ID, test.want)
+		}
+	}
+}
