--- a/standin/replica/server.go
+++ b/standin/replica/server.go
@@ -78,10 +78,15 @@
 	if err != nil {
 		return nil, err
 	}
+	return Serve(config, listener), nil
+}
+
+// Serve serves a replica on a listener, which may be one in memory.
+func Serve(config Config, listener net.Listener) *Server {
 	replica := &Server{config: config, listener: listener, version: 1}
 	replica.server = &http.Server{Handler: replica}
 	go replica.server.Serve(listener)
-	return replica, nil
+	return replica
 }
 
 // Address is where the replica listens.
--- /dev/null
+++ b/test/virtual_test.go
@@ -0,0 +1,179 @@
+package test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"k8s.io/klog/v2"
+
+	"github.com/pathtally/pathtally/internal/batch"
+	"github.com/pathtally/pathtally/internal/directory"
+	"github.com/pathtally/pathtally/internal/dispatch"
+	"github.com/pathtally/pathtally/internal/exchange"
+	"github.com/pathtally/pathtally/internal/forward"
+	"github.com/pathtally/pathtally/internal/peering"
+	"github.com/pathtally/pathtally/internal/weightorders"
+	"github.com/pathtally/pathtally/internal/wire"
+	"github.com/pathtally/pathtally/platform"
+	"github.com/pathtally/pathtally/standin/metastore"
+	"github.com/pathtally/pathtally/standin/replica"
+)
+
+// alone is the link of a node without peers.
+type alone struct{}
+
+func (alone) Send(string, wire.Message)        {}
+func (alone) Broadcast([]string, wire.Message) {}
+
+func (alone) Call(_ string, _ wire.Message, _ time.Duration, done func(wire.Message, error)) {
+	done(nil, context.Canceled)
+}
+
+// virtualDay is a node before stand-ins, all on the virtual clock of a test.
+type virtualDay struct {
+	t       *testing.T
+	store   *metastore.Store
+	engines []*replica.Server
+	jobs    *batch.Service
+}
+
+// startVirtualDay starts a node's duties with engines that take as long as the
+// users' replicas do.
+func startVirtualDay(ctx context.Context, t *testing.T, engines int) *virtualDay {
+	day := &virtualDay{t: t, store: metastore.New()}
+	network := replica.NewNetwork()
+	start := func(config replica.Config, service string) *replica.Server {
+		started := replica.Serve(config, network.Listen(config.ID))
+		t.Cleanup(started.Close)
+		day.store.Write("servers", config.ID, started.Entry(service, "zone-a"))
+		return started
+	}
+	for number := range engines {
+		day.engines = append(day.engines, start(replica.Config{
+			ID: fmt.Sprintf("engine-%d", number), Slots: 8, Model: draftModel, EventInterval: 30 * time.Millisecond, LoadTime: 900 * time.Millisecond,
+		}, "engines"))
+	}
+	start(replica.Config{ID: "app", Slots: 64, Work: 30 * time.Millisecond}, "apps")
+	(&platformDeployment{store: day.store}).configure(1)
+
+	logger := klog.Background()
+	table := directory.NewTable("zone-a", logger)
+	decoder := platform.Decoder{}
+	for kind, sink := range map[string]directory.Sink{
+		"config":   directory.ConfigurationSink{Table: table, Decoder: decoder, Name: "main"},
+		"servers":  directory.ReplicaSink{Table: table, Decoder: decoder, KeepMissing: func() time.Duration { return time.Second }},
+		"versions": directory.VersionSink{Table: table, Decoder: decoder},
+	} {
+		go directory.NewInformer(day.store, kind, sink, logger).Run(ctx)
+	}
+	pool := exchange.NewPool(network.Dial)
+	t.Cleanup(func() { pool.Retain(func(string) bool { return false }) })
+	dispatcher := dispatch.New(pool, platform.Headers{})
+	registry := prometheus.NewRegistry()
+	peers := peering.NewTable(peering.Config{
+		Node: "node", Address: "node", Store: day.store, Peers: alone{}, Logger: logger,
+		Beat: func(*wire.NodeBeat) {}, OnBeat: func(*wire.NodeBeat) {},
+	})
+	day.jobs = batch.NewService(ctx, batch.Config{
+		Self: batch.Owner{Node: "node", Address: "node", Incarnation: 1}, Journal: batch.NewJournal(day.store), Codec: platform.Jobs{},
+		Directory: table, Dispatcher: dispatcher, Peers: alone{}, Table: peers, Logger: logger, Registry: registry,
+		Forwarder: forward.New(forward.Config{Directory: table, Dispatcher: dispatcher, Logger: logger, Metrics: forward.NewMetrics(registry)}),
+	})
+	coordinator := weightorders.NewCoordinator(weightorders.Config{
+		Node: "node", Nonce: "1", Store: day.store, Directory: table, Replicas: platform.NewOrders(pool), Logger: logger, Registry: registry,
+		Nodes: peers.Nodes, Heard: func(string) time.Time { return time.Time{} }, Load: day.jobs.Load, Tolerance: day.jobs.Tolerance,
+		OnChange: day.jobs.NoteVersion, Broadcast: func() {},
+	})
+	go day.jobs.Run(ctx)
+	go coordinator.Run(ctx)
+	time.Sleep(time.Second)
+	return day
+}
+
+// step submits a job and reads it to its end, and returns how long that took.
+func (d *virtualDay) step(ctx context.Context, number, items int, least int64) time.Duration {
+	d.t.Helper()
+	began := time.Now()
+	job := fmt.Sprintf("job%d", number)
+	var requests []map[string]any
+	for item := range items {
+		requests = append(requests, draftItem(job, item))
+	}
+	payload, err := json.Marshal(map[string]any{"step": number, "model": draftModel, "minVersion": least, "requests": requests})
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	submission, err := platform.Jobs{}.Submission(payload)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	if err := d.jobs.Submit(ctx, job, "drafts", draftHost, payload, submission); err != nil {
+		d.t.Fatalf("job %s: %v", job, err)
+	}
+	var results []listed
+	for len(results) < items && time.Since(began) < time.Minute {
+		page, err := d.jobs.Read(ctx, job, len(results), time.Second)
+		if err != nil {
+			d.t.Fatalf("read %s: %v", job, err)
+		}
+		for _, result := range page.Results {
+			results = append(results, listed{
+				ID: result.ID, State: string(result.State), Message: result.Text, Versions: result.Versions, Score: result.Score,
+			})
+		}
+	}
+	(&platformDeployment{t: d.t}).check(results, items, least)
+	if err := d.jobs.End(ctx, job); err != nil {
+		d.t.Errorf("end %s: %v", job, err)
+	}
+	return time.Since(began)
+}
+
+// objective is the time within which the users want a step read.
+const objective = 7500 * time.Millisecond
+
+func TestCalmDayOnTheVirtualClock(t *testing.T) {
+	for _, test := range []struct {
+		name           string
+		engines, items int
+	}{{"kotuku", 8, 100}, {"cauce", 9, 168}} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				day := startVirtualDay(ctx, t, test.engines)
+				for step := range 8 {
+					if step > 0 {
+						day.store.Write("versions", draftModel, map[string]any{"model": draftModel, "version": step + 1})
+					}
+					if took := day.step(ctx, step, test.items, max(1, int64(step-1))); took > objective {
+						t.Errorf("step %d took %s of virtual time", step, took)
+					}
+				}
+				(&platformDeployment{t: t, engines: day.engines}).checkOrders()
+			})
+		})
+	}
+}
+
+// An outage of the store in the middle of a step loses nothing, and the step is
+// whole once the store is back.
+func TestOutageOnTheVirtualClock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		day := startVirtualDay(ctx, t, 2)
+		time.AfterFunc(100*time.Millisecond, func() {
+			day.store.SetFault(func(metastore.Call) metastore.Fault { return metastore.Unanswered })
+		})
+		time.AfterFunc(6*time.Second, func() { day.store.SetFault(nil) })
+		if took := day.step(ctx, 0, 40, 1); took < 6*time.Second {
+			t.Errorf("the step was whole after %s, so the outage did not strike it", took)
+		}
+	})
+}
