Connections are bounded, and what is gone is forgotten

Pool.Retain was never called, so connections to replicas that were gone rested until the process ended; a service's bound on connections was read and not kept to; the setting catchUp was checked and did nothing; the ids of replicas that leave and the states of those that are gone only grew.

Change: the pool has a bound for each address, open and resting, renewed from the directory; a request beyond it is told at once that it was not sent. A node tells in the log when it is up to date, and what it lacks past catchUp. Drained ids are forgotten ten minutes after they were listed last, states of replicas when they are no longer listed.

--- a/internal/batch/foreign.go
+++ b/internal/batch/foreign.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -118,6 +119,15 @@
 			delete(s.known, id)
 		}
 	}
+	s.evictReplicas()
+}
+
+// evictReplicas forgets replicas that are gone and nodes that are silent. The
+// mutex must be held.
+func (s *Service) evictReplicas() {
+	listed := s.config.Directory.View().Replicas
+	maps.DeleteFunc(s.replicas, func(id string, state *replicaState) bool { return listed[id] == nil && state.running == 0 })
+	maps.DeleteFunc(s.uses, func(_ string, uses nodeUses) bool { return time.Since(uses.at) > usesAge })
 }
 
 // orphans returns the open jobs that it is this node's turn to take over, with
--- a/internal/batch/service_test.go
+++ b/internal/batch/service_test.go
@@ -6,6 +6,10 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"k8s.io/klog/v2"
+
+	"github.com/pathtally/pathtally/internal/directory"
 	"github.com/pathtally/pathtally/internal/objectstore"
 	"github.com/pathtally/pathtally/standin/metastore"
 )
@@ -130,3 +134,25 @@
 	cluster.store.SetFault(nil)
 	checkWhole(t, "job", cluster.readAll(cluster.nodes[0], "job", 2), 2, 2)
 }
+
+// The states of replicas that were gone used to be kept until the process
+// ended.
+func TestReplicasThatAreGoneAreForgotten(t *testing.T) {
+	table := directory.NewTable("zone", klog.Background())
+	table.SetReplicas([]*directory.Replica{{ID: "listed", State: directory.ReplicaReady}}, 0)
+	service := NewService(t.Context(), Config{Directory: table, Registry: prometheus.NewRegistry()})
+	service.replica("listed")
+	service.replica("gone")
+	service.replica("busy").running = 1
+	service.uses["silent"] = nodeUses{at: time.Now().Add(-2 * usesAge)}
+	service.uses["heard"] = nodeUses{at: time.Now()}
+	service.evict()
+	for id, want := range map[string]bool{"listed": true, "busy": true, "gone": false} {
+		if _, kept := service.replicas[id]; kept != want {
+			t.Errorf("replica %s kept: %v", id, kept)
+		}
+	}
+	if len(service.uses) != 1 {
+		t.Errorf("uses of %d nodes are kept", len(service.uses))
+	}
+}
--- a/internal/directory/table.go
+++ b/internal/directory/table.go
@@ -28,8 +28,9 @@
 	mutex sync.Mutex
 	// draining are the ids of replicas that have said they leave. They stay
 	// so; an entry that only vanished may come back, since the store drops
-	// entries of living replicas while it is down.
-	draining map[string]bool
+	// entries of living replicas while it is down. Each is forgotten some time
+	// after it was listed last.
+	draining map[string]time.Time
 	// missing are the replicas kept although their entries have vanished.
 	missing map[string]*time.Timer
 	states  map[string]*routing.EndpointState
@@ -40,7 +41,7 @@
 // NewTable returns an empty table for a node in a zone.
 func NewTable(zone string, logger klog.Logger) *Table {
 	table := &Table{
-		zone: zone, logger: logger, draining: map[string]bool{}, missing: map[string]*time.Timer{},
+		zone: zone, logger: logger, draining: map[string]time.Time{}, missing: map[string]*time.Timer{},
 		states: map[string]*routing.EndpointState{}, changed: make(chan struct{}),
 	}
 	table.view.Store(&View{Replicas: map[string]*Replica{}, Named: map[string]int64{}, Plans: map[string]*routing.Plan{}})
@@ -100,7 +101,7 @@
 		t.admit(next.Replicas, replica)
 	}
 	for id, replica := range standing {
-		if next.Replicas[id] == nil && !t.draining[id] {
+		if next.Replicas[id] == nil && !t.isDraining(id) {
 			t.miss(next.Replicas, replica, keepMissing)
 		}
 	}
@@ -139,17 +140,33 @@
 		timer.Stop()
 		delete(t.missing, replica.ID)
 	}
-	if replica.State != ReplicaReady && !t.draining[replica.ID] {
-		t.draining[replica.ID] = true
+	known := t.isDraining(replica.ID)
+	if replica.State != ReplicaReady && !known {
 		t.logger.Info("replica leaves", "replica", replica.ID, "state", replica.State)
 	}
-	if t.draining[replica.ID] {
+	if replica.State != ReplicaReady || known {
+		t.draining[replica.ID] = time.Now()
 		delete(listing, replica.ID)
 		return
 	}
 	listing[replica.ID] = replica
 }
 
+// isDraining tells whether a replica has said that it leaves.
+func (t *Table) isDraining(id string) bool {
+	_, known := t.draining[id]
+	return known
+}
+
+// drainMemory is for how long a replica that leaves is remembered after it was
+// listed last. Ids are never used again; news older than that does not arrive.
+const drainMemory = 10 * time.Minute
+
+// forgetDrained drops the replicas that have left long ago.
+func (t *Table) forgetDrained() {
+	maps.DeleteFunc(t.draining, func(_ string, listed time.Time) bool { return time.Since(listed) > drainMemory })
+}
+
 // miss keeps a vanished replica in a listing for a while, or drops it.
 func (t *Table) miss(listing map[string]*Replica, replica *Replica, keep time.Duration) {
 	id := replica.ID
@@ -181,6 +198,7 @@
 
 // publishReplicas rebuilds the plans and publishes.
 func (t *Table) publishReplicas(next *View) {
+	t.forgetDrained()
 	states := make(map[string]*routing.EndpointState, len(next.Replicas))
 	byService := map[string][]*routing.Endpoint{}
 	next.Endpoints = make(map[string]*routing.Endpoint, len(next.Replicas))
--- a/internal/directory/table_test.go
+++ b/internal/directory/table_test.go
@@ -232,3 +232,25 @@
 		}
 	})
 }
+
+// Ids of replicas that had left used to be kept until the process ended.
+func TestReplicasThatLeftLongAgoAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := NewTable("zone", klog.Background())
+		leaving := ready("s")
+		leaving.ID, leaving.State = "one", ReplicaDraining
+		table.UpdateReplica(leaving)
+		time.Sleep(drainMemory / 2)
+		table.UpdateReplica(leaving)
+		time.Sleep(drainMemory * 3 / 4)
+		table.SetReplicas(nil, 0)
+		if !table.isDraining("one") {
+			t.Error("a replica that was listed lately is forgotten")
+		}
+		time.Sleep(drainMemory)
+		table.SetReplicas(nil, 0)
+		if table.isDraining("one") {
+			t.Error("a replica that left long ago is still remembered")
+		}
+	})
+}
--- a/internal/exchange/errors.go
+++ b/internal/exchange/errors.go
@@ -9,6 +9,9 @@
 var (
 	// ErrSurplus means that bytes arrived on a connection that owed none.
 	ErrSurplus = merry.Sentinel("surplus bytes on a connection")
+	// ErrTooManyConnections means that this node has as many connections to an
+	// address as it may have.
+	ErrTooManyConnections = merry.Sentinel("too many connections to the address")
 	// ErrClosedByPeer means that a kept connection was found closed.
 	ErrClosedByPeer = merry.Sentinel("connection closed by the peer")
 )
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -23,10 +23,18 @@
 	// youngTime is how recently a connection must have been used to carry a
 	// request that must not run twice.
 	youngTime = 500 * time.Millisecond
-	// idlePerAddress bounds the connections that rest for one replica.
-	idlePerAddress = 32
+	// unboundedResting bounds the connections that rest for an address of which
+	// no bound is known.
+	unboundedResting = 32
 )
 
+// Bound is how many connections to one address this node may have.
+type Bound struct {
+	// Open counts all, Resting those without a request.
+	Open    int
+	Resting int
+}
+
 // Dial opens a connection.
 type Dial func(ctx context.Context, address string) (net.Conn, error)
 
@@ -42,9 +50,12 @@
 
 // Pool keeps connections to replicas. It is safe for use by many goroutines.
 type Pool struct {
-	dial   Dial
-	mutex  sync.Mutex
-	idle   map[string][]*connection
+	dial  Dial
+	mutex sync.Mutex
+	idle  map[string][]*connection
+	// open counts the connections to each address, resting ones included.
+	open   map[string]int
+	bounds map[string]Bound
 	Counts Counts
 }
 
@@ -53,7 +64,7 @@
 	if dial == nil {
 		dial = dialTCP
 	}
-	return &Pool{dial: dial, idle: map[string][]*connection{}}
+	return &Pool{dial: dial, idle: map[string][]*connection{}, open: map[string]int{}}
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
@@ -104,15 +115,49 @@
 		p.Counts.Unsound.Add(1)
 		p.discard(conn)
 	}
+	if !p.reserve(address) {
+		return nil, ErrTooManyConnections
+	}
 	raw, err := p.dial(ctx, address)
 	if err != nil {
+		p.release(address)
 		return nil, err
 	}
 	p.Counts.Dialed.Add(1)
-	p.Counts.Open.Add(1)
 	return newConnection(address, raw), nil
 }
 
+// reserve counts a new connection to an address unless its bound is reached.
+func (p *Pool) reserve(address string) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if bound, bounded := p.bounds[address]; bounded && p.open[address] >= bound.Open {
+		return false
+	}
+	p.open[address]++
+	p.Counts.Open.Add(1)
+	return true
+}
+
+// release counts a connection as gone.
+func (p *Pool) release(address string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.Counts.Open.Add(-1)
+	if p.open[address]--; p.open[address] <= 0 {
+		delete(p.open, address)
+	}
+}
+
+// restingBound is how many connections may rest for an address. The mutex must
+// be held.
+func (p *Pool) restingBound(address string) int {
+	if p.bounds == nil {
+		return unboundedResting
+	}
+	return p.bounds[address].Resting
+}
+
 func (p *Pool) pop(address string) *connection {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -136,7 +181,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	resting := p.idle[conn.address]
-	if len(resting) >= idlePerAddress {
+	if len(resting) >= p.restingBound(conn.address) {
 		go p.discard(conn)
 		return
 	}
@@ -146,16 +191,23 @@
 // discard closes a connection.
 func (p *Pool) discard(conn *connection) {
 	conn.Close()
-	p.Counts.Open.Add(-1)
+	p.release(conn.address)
 }
 
-// Retain closes the resting connections to all addresses but those in use.
-func (p *Pool) Retain(inUse func(address string) bool) {
+// SetBounds says how many connections each address may have. Resting ones
+// beyond that are closed, and all that rest for an address not named.
+func (p *Pool) SetBounds(bounds map[string]Bound) {
 	p.mutex.Lock()
+	p.bounds = bounds
 	var dropped []*connection
 	for address, resting := range p.idle {
-		if !inUse(address) {
-			dropped = append(dropped, resting...)
+		// The last ones were used last and are the least likely to have been
+		// closed by the peer.
+		if surplus := len(resting) - bounds[address].Resting; surplus > 0 {
+			dropped = append(dropped, resting[:surplus]...)
+			p.idle[address] = resting[surplus:]
+		}
+		if len(p.idle[address]) == 0 {
 			delete(p.idle, address)
 		}
 	}
--- a/internal/exchange/pool_test.go
+++ b/internal/exchange/pool_test.go
@@ -251,3 +251,53 @@
 		}
 	}
 }
+
+// Connections to replicas that are gone used to rest until the process ended,
+// and as many as liked could be opened to one that is there.
+func TestBoundsHoldForOpenAndRestingConnections(t *testing.T) {
+	held := make(chan struct{})
+	answer := func(connection net.Conn, requests *bufio.Reader) {
+		for {
+			if _, _, err := receive(requests); err != nil {
+				return
+			}
+			<-held
+			io.WriteString(connection, whole)
+		}
+	}
+	address := script(t, answer, answer, answer)
+	pool := NewPool(nil)
+	pool.SetBounds(map[string]Bound{address: {Open: 2, Resting: 1}})
+	type ended struct {
+		body string
+		err  error
+	}
+	results := make(chan ended, 2)
+	for range 2 {
+		go func() {
+			body, err := exchangeOnce(pool, address, post("x"))
+			results <- ended{body, err}
+		}()
+	}
+	for pool.Counts.Dialed.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	_, err := pool.Send(context.Background(), address, post("x"), false)
+	var notSent *NotSentError
+	if !errors.As(err, &notSent) || !errors.Is(err, ErrTooManyConnections) {
+		t.Errorf("a third connection: %v", err)
+	}
+	close(held)
+	for range 2 {
+		if got := <-results; got.body != "ok" || got.err != nil {
+			t.Errorf("%q, %v", got.body, got.err)
+		}
+	}
+	for pool.Counts.Open.Load() != 1 {
+		time.Sleep(time.Millisecond)
+	}
+	pool.SetBounds(map[string]Bound{})
+	if open := pool.Counts.Open.Load(); open != 0 {
+		t.Errorf("%d connections rest for an address that is gone", open)
+	}
+}
--- /dev/null
+++ b/internal/instance/connections.go
@@ -0,0 +1,65 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"github.com/pathtally/pathtally/internal/directory"
+	"github.com/pathtally/pathtally/internal/exchange"
+	"github.com/pathtally/pathtally/internal/objectstore"
+)
+
+const (
+	// connectionShare is the part of a service's connections that the nodes
+	// use together; the rest is for replicas' health checks and for nodes that
+	// are not known here.
+	connectionShare = 0.8
+	// connectionsPerSlot is how many connections for each slot of a replica a
+	// node may have whatever its share is: few nodes use one replica at a time,
+	// and those that do would open new ones over and over.
+	connectionsPerSlot = 3
+	// boundsPause is the least time between two renewals of the bounds.
+	boundsPause = time.Second
+)
+
+// boundConnections keeps the bounds of the connections to replicas current,
+// until the context ends. Connections to replicas that are gone are closed.
+func (i *Instance) boundConnections(ctx context.Context) {
+	for {
+		changed := i.directory.Changed()
+		i.pool.SetBounds(connectionBounds(i.directory.View(), len(i.peers.Nodes())))
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+		objectstore.Sleep(ctx, boundsPause)
+	}
+}
+
+// connectionBounds shares what each replica accepts among the nodes.
+func connectionBounds(view *directory.View, nodes int) map[string]exchange.Bound {
+	bounds := make(map[string]exchange.Bound, len(view.Replicas))
+	for _, replica := range view.Replicas {
+		most := 0
+		if view.Configuration != nil {
+			most = view.Configuration.Services[replica.Service].MaxConnections
+		}
+		if most <= 0 {
+			// The service names no bound.
+			bounds[replica.Address] = exchange.Bound{Open: unboundedConnections, Resting: defaultResting}
+			continue
+		}
+		share := int(connectionShare * float64(most) / float64(max(1, nodes)))
+		bound := min(most, max(share, connectionsPerSlot*max(1, replica.Slots)))
+		bounds[replica.Address] = exchange.Bound{Open: bound, Resting: min(bound, defaultResting)}
+	}
+	return bounds
+}
+
+const (
+	// unboundedConnections stands for no bound, and defaultResting bounds the
+	// connections that rest for one replica in any case.
+	unboundedConnections = 1 << 20
+	defaultResting       = 32
+)
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -147,6 +147,8 @@
 	})
 	i.run(func() { i.health.probe(ctx, i.adapter.Store, i.settings.Node) })
 	i.run(func() { i.peers.Join(ctx) })
+	i.run(func() { i.boundConnections(ctx) })
+	i.run(func() { i.watchCatchUp(ctx) })
 	i.run(func() { i.jobs.Run(ctx) })
 	i.run(func() { i.weights.Run(ctx) })
 }
@@ -185,12 +187,21 @@
 }
 
 // Ready tells whether the node takes callers.
-func (i *Instance) Ready() bool {
-	if i.stopping.Load() {
-		return false
-	}
+func (i *Instance) Ready() bool { return !i.stopping.Load() && len(i.lacking()) == 0 }
+
+// lacking names what the node does not know yet and cannot serve without.
+func (i *Instance) lacking() []string {
 	view := i.directory.View()
-	return view.Configuration != nil && view.ReplicasKnown && i.jobs.Recovered()
+	var lacking []string
+	for _, part := range []struct {
+		name  string
+		known bool
+	}{{"configuration", view.Configuration != nil}, {"replicas", view.ReplicasKnown}, {"batch jobs", i.jobs.Recovered()}} {
+		if !part.known {
+			lacking = append(lacking, part.name)
+		}
+	}
+	return lacking
 }
 
 // Name returns the node's name.
