Loads of weights at once follow the number of engines

Cause: two replicas loaded at a time whatever their number. Ruled out: slots (the replicas stood under half full).

Change: a fifth of the engines, two at least. A test fails first.

--- a/internal/weightorders/coordinator.go
+++ b/internal/weightorders/coordinator.go
@@ -15,8 +15,10 @@
 )
 
 const (
-	// loadsAtOnce is how many replicas load at a time: more take longer each.
-	loadsAtOnce = 2
+	// loadPart is the part of the replicas that load at a time, and leastLoads
+	// how many may in any case: more take longer each.
+	loadPart   = 5
+	leastLoads = 2
 	// lookPeriod is the time between looks while there is work.
 	lookPeriod = 100 * time.Millisecond
 	// turnDelay is what each further candidate waits for those before it.
@@ -127,7 +129,9 @@
 
 // step gives the orders that are due and returns when to look again.
 func (c *Coordinator) step(ctx context.Context) time.Duration {
-	open := tasks(c.config.Directory.View(), c)
+	view := c.config.Directory.View()
+	c.forgetGone(view.Replicas)
+	open := tasks(view, c)
 	open = slices.DeleteFunc(open, c.isUnderWay)
 	c.mutex.Lock()
 	idle := len(open) == 0 && len(c.loading) == 0
@@ -156,10 +160,13 @@
 		c.config.Logger.Info("order lease held", "token", c.token())
 		c.config.Broadcast()
 	}
-	c.begin(ctx, open)
+	c.begin(ctx, open, loadsAtOnce(engineReplicas(view)))
 	return lookPeriod
 }
 
+// loadsAtOnce is how many replicas of all may load at a time.
+func loadsAtOnce(replicas int) int { return max(leastLoads, replicas/loadPart) }
+
 func (c *Coordinator) token() uint64 {
 	token, _ := c.lease.valid()
 	return token
--- a/internal/weightorders/knowledge.go
+++ b/internal/weightorders/knowledge.go
@@ -1,9 +1,11 @@
 package weightorders
 
 import (
+	"maps"
 	"slices"
 	"time"
 
+	"github.com/pathtally/pathtally/internal/directory"
 	"github.com/pathtally/pathtally/internal/wire"
 )
 
@@ -72,6 +74,14 @@
 	return max(known, c.versions[replica][model])
 }
 
+// forgetGone forgets the replicas that are no longer listed.
+func (c *Coordinator) forgetGone(listed map[string]*directory.Replica) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	maps.DeleteFunc(c.versions, func(id string, _ map[string]int64) bool { return listed[id] == nil })
+	maps.DeleteFunc(c.leftAlone, func(id string, _ time.Time) bool { return listed[id] == nil })
+}
+
 // isUnderWay tells whether a task needs no order now.
 func (c *Coordinator) isUnderWay(next task) bool {
 	c.mutex.Lock()
--- a/internal/weightorders/load.go
+++ b/internal/weightorders/load.go
@@ -11,10 +11,10 @@
 )
 
 // begin starts as many loads as may run at once.
-func (c *Coordinator) begin(ctx context.Context, open []task) {
+func (c *Coordinator) begin(ctx context.Context, open []task, atOnce int) {
 	for len(open) > 0 {
-		loading, full := c.loadingByModel()
-		if full {
+		loading, underWay := c.loadingByModel()
+		if underWay >= atOnce {
 			return
 		}
 		order(open, loading, c.config.Load)
@@ -27,15 +27,15 @@
 	}
 }
 
-// loadingByModel counts the loads under way, and tells whether no more may run.
-func (c *Coordinator) loadingByModel() (loading map[string]int, full bool) {
+// loadingByModel counts the loads under way, of each model and in all.
+func (c *Coordinator) loadingByModel() (loading map[string]int, all int) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	loading = map[string]int{}
 	for _, change := range c.loading {
 		loading[change.Model]++
 	}
-	return loading, len(c.loading) >= loadsAtOnce
+	return loading, len(c.loading)
 }
 
 // bring takes one replica to a version and sees that it gets there.
--- a/internal/weightorders/plan.go
+++ b/internal/weightorders/plan.go
@@ -132,10 +132,10 @@
 		byService[replica.Service] = append(byService[replica.Service], replica)
 	}
 	for name, replicas := range byService {
-		service, declared := view.Configuration.Services[name]
-		if !declared || service.Engine == nil {
+		if !servesModels(view, name) {
 			continue
 		}
+		service := view.Configuration.Services[name]
 		for model, kept := range homes(replicas, service.Engine.Models) {
 			open = append(open, tasksOf(known, model, view.Named[model], kept)...)
 		}
@@ -161,3 +161,19 @@
 		return cmp.Compare(a.target.ID, b.target.ID)
 	})
 }
+
+// servesModels tells whether the replicas of a service are model engines.
+func servesModels(view *directory.View, service string) bool {
+	return view.Configuration != nil && view.Configuration.Services[service].Engine != nil
+}
+
+// engineReplicas counts the replicas that are model engines.
+func engineReplicas(view *directory.View) int {
+	count := 0
+	for _, replica := range view.Replicas {
+		if servesModels(view, replica.Service) {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/weightorders/plan_test.go
+++ b/internal/weightorders/plan_test.go
@@ -112,3 +112,23 @@
 		}
 	}
 }
+
+// Two at a time could not keep thirty-five replicas of three models current
+// between two versions.
+func TestLoadsAtOnceGrowWithTheEngines(t *testing.T) {
+	for _, test := range []struct{ engines, others, want int }{{8, 3, 2}, {9, 4, 2}, {35, 9, 7}, {600, 20, 120}, {1, 0, 2}} {
+		view := &directory.View{
+			Configuration: &directory.Configuration{Services: map[string]directory.Service{"llm": {Engine: &directory.Engine{}}, "app": {}}},
+			Replicas:      map[string]*directory.Replica{},
+		}
+		for number := range test.engines {
+			view.Replicas[fmt.Sprintf("llm-%d", number)] = &directory.Replica{Service: "llm"}
+		}
+		for number := range test.others {
+			view.Replicas[fmt.Sprintf("app-%d", number)] = &directory.Replica{Service: "app"}
+		}
+		if got := loadsAtOnce(engineReplicas(view)); got != test.want {
+			t.Errorf("%d engines beside %d others: %d loads at once, want %d", test.engines, test.others, got, test.want)
+		}
+	}
+}
