A zone's nodes follow one reader of the metadata store

All 67 nodes listed, watched and probed for themselves, so every change of an entry cost 67 calls, and 350 nodes would have cost five times that. Ruled out: waiting longer between watches. It saves a half at most and spends the bounds within which drains and configurations are to be in force.

Change: package watchcache. A zone's nodes rank one another, and the first is polled by the rest; whoever is polled lists and watches. A follower whose reader is silent polls the next in rank, and reads the store itself 1.2 s after the last good word; one whose reader says that the store does not answer it reads itself if the store answers here. Copies only go forward by the store's revision. Informers and the probe of the store move into the package; watches that began before an outage and were answered after it now count as after it (found by the new test of an outage: entries that had lapsed in it were taken for replicas that had gone).

Tests, on the virtual clock: one reader for twenty nodes, its kill, its cut from the store, its planned stop and the loss of two at once, each with a change right after it that the others have within 1.9 s; an outage for all without a flood; a forgotten history.

--- a/internal/directory/table_test.go
+++ b/internal/directory/table_test.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/pathtally/pathtally/internal/objectstore"
+	"github.com/pathtally/pathtally/internal/watchcache"
 	"github.com/pathtally/pathtally/standin/metastore"
 )
 
@@ -44,13 +45,13 @@
 // informed runs the informers of a table on the virtual clock.
 func informed(ctx context.Context, store *metastore.Store) *Table {
 	table := NewTable("zone", klog.Background())
-	sinks := map[string]Sink{
+	sinks := map[string]watchcache.Sink{
 		"config":   ConfigurationSink{Table: table, Decoder: jsonDecoder{}, Name: "main"},
 		"servers":  ReplicaSink{Table: table, Decoder: jsonDecoder{}, KeepMissing: func() time.Duration { return keepMissing }},
 		"versions": VersionSink{Table: table, Decoder: jsonDecoder{}},
 	}
 	for kind, sink := range sinks {
-		go NewInformer(store, kind, sink, klog.Background()).Run(ctx)
+		go watchcache.NewInformer(store, kind, sink, klog.Background()).Run(ctx)
 	}
 	return table
 }
@@ -216,7 +217,7 @@
 		store.deaf.Store(true)
 		table := NewTable("zone", klog.Background())
 		regained := make(chan struct{})
-		informer := NewInformer(store, "servers", ReplicaSink{Table: table, Decoder: jsonDecoder{}, KeepMissing: func() time.Duration { return keepMissing }}, klog.Background())
+		informer := watchcache.NewInformer(store, "servers", ReplicaSink{Table: table, Decoder: jsonDecoder{}, KeepMissing: func() time.Duration { return keepMissing }}, klog.Background())
 		informer.Regained = func() <-chan struct{} { return regained }
 		go informer.Run(ctx)
 		settle(time.Second)
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -22,6 +22,7 @@
 	"github.com/pathtally/pathtally/internal/peering"
 	"github.com/pathtally/pathtally/internal/settings"
 	"github.com/pathtally/pathtally/internal/transport"
+	"github.com/pathtally/pathtally/internal/watchcache"
 	"github.com/pathtally/pathtally/internal/weightorders"
 	"github.com/pathtally/pathtally/internal/wire"
 )
@@ -37,7 +38,7 @@
 	logger    klog.Logger
 	registry  *prometheus.Registry
 	directory *directory.Table
-	health    *storeHealth
+	source    *watchcache.Source
 	pool      *exchange.Pool
 	forwarder *forward.Forwarder
 	handler   *ingress.Handler
@@ -67,7 +68,6 @@
 		settings: configured, adapter: adapter, logger: nodeLogger(configured.Node, configured.Zone),
 		registry: prometheus.NewRegistry(), drained: make(chan struct{}), started: time.Now(),
 	}
-	instance.health = newStoreHealth(instance.logger)
 	instance.current.Store(&instance.settings)
 	ctx, cancel := context.WithCancel(context.Background())
 	instance.cancel = cancel
@@ -103,6 +103,10 @@
 		Node: self.Node, Address: self.Address, Zone: i.settings.Zone, Incarnation: self.Incarnation, Seeds: i.settings.Seeds,
 		Store: i.adapter.Store, Peers: i.transport, Logger: i.logger, Beat: i.fillBeat, OnBeat: i.takeBeat,
 	})
+	i.source = watchcache.NewSource(watchcache.Config{
+		Self: watchcache.Node{Name: self.Node, Address: self.Address, Zone: i.settings.Zone}, Store: i.adapter.Store, Peers: i.transport,
+		Nodes: i.followable, Joined: i.peers.Joined, ProbeKind: peering.Kind, ProbeName: self.Node, Logger: i.logger, Registry: i.registry,
+	})
 	i.jobs = batch.NewService(ctx, batch.Config{
 		Self: self, Journal: batch.NewJournal(i.adapter.Store), Codec: i.adapter.Jobs, Directory: i.directory, Dispatcher: dispatcher,
 		Forwarder: i.forwarder, Peers: i.transport, Table: i.peers, Logger: i.logger, Registry: i.registry,
@@ -138,14 +142,14 @@
 func (i *Instance) runDuties(ctx context.Context) {
 	kinds := i.adapter.Kinds
 	decoder := i.adapter.Decoder
-	i.inform(ctx, kinds.Configuration, directory.ConfigurationSink{Table: i.directory, Decoder: decoder, Name: kinds.ConfigurationName})
-	i.inform(ctx, kinds.Replicas, directory.ReplicaSink{Table: i.directory, Decoder: decoder, KeepMissing: i.keepMissing})
-	i.inform(ctx, kinds.Versions, directory.VersionSink{Table: i.directory, Decoder: decoder})
-	i.inform(ctx, kinds.Retirements, &retirements{
+	i.source.Add(kinds.Configuration, directory.ConfigurationSink{Table: i.directory, Decoder: decoder, Name: kinds.ConfigurationName})
+	i.source.Add(kinds.Replicas, directory.ReplicaSink{Table: i.directory, Decoder: decoder, KeepMissing: i.keepMissing})
+	i.source.Add(kinds.Versions, directory.VersionSink{Table: i.directory, Decoder: decoder})
+	i.source.Add(kinds.Retirements, &retirements{
 		kind: kinds.Retirements, store: i.adapter.Store, codec: i.adapter.Retirements, node: i.settings.Node, nodes: i.peers.Nodes,
 		logger: i.logger, ctx: ctx, pending: map[string]bool{},
 	})
-	i.run(func() { i.health.probe(ctx, i.adapter.Store, i.settings.Node) })
+	i.run(func() { i.source.Run(ctx) })
 	i.run(func() { i.peers.Join(ctx) })
 	i.run(func() { i.boundConnections(ctx) })
 	i.run(func() { i.watchCatchUp(ctx) })
@@ -171,13 +175,6 @@
 	return time.Duration(missingShare * float64(drain))
 }
 
-// inform runs an informer of one kind.
-func (i *Instance) inform(ctx context.Context, kind string, sink directory.Sink) {
-	informer := directory.NewInformer(i.adapter.Store, kind, sink, i.logger)
-	informer.Failed, informer.Regained = i.health.noteFailed, i.health.Regained
-	i.run(func() { informer.Run(ctx) })
-}
-
 func (i *Instance) run(duty func()) {
 	i.duties.Add(1)
 	go func() {
--- a/internal/instance/peers.go
+++ b/internal/instance/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/pathtally/pathtally/internal/watchcache"
 	"github.com/pathtally/pathtally/internal/wire"
 )
 
@@ -13,6 +14,10 @@
 		reply(i.peers.Greeted(ctx, beat))
 		return
 	}
+	if poll, isPoll := message.(*wire.WatchPoll); isPoll {
+		reply(i.source.Answer(ctx, poll))
+		return
+	}
 	if !i.jobs.Answer(message, reply) {
 		reply(&wire.Failure{Detail: "no such question"})
 	}
@@ -34,6 +39,15 @@
 	i.jobs.TakeBeat(beat)
 }
 
+// followable lists the nodes through which the store can be followed.
+func (i *Instance) followable() []watchcache.Node {
+	var nodes []watchcache.Node
+	for _, peer := range i.peers.Peers() {
+		nodes = append(nodes, watchcache.Node{Name: peer.Node, Address: peer.Address, Zone: peer.Zone})
+	}
+	return nodes
+}
+
 // heard is when a node was heard last.
 func (i *Instance) heard(node string) time.Time {
 	peer, _ := i.peers.Get(node)
--- a/internal/instance/retirements.go
+++ b/internal/instance/retirements.go
@@ -40,14 +40,14 @@
 	pending map[string]bool
 }
 
-// Replace implements directory.Sink.
+// Replace implements watchcache.Sink.
 func (r *retirements) Replace(objects []objectstore.Object, _ bool) {
 	for _, object := range objects {
 		r.take(object)
 	}
 }
 
-// Apply implements directory.Sink.
+// Apply implements watchcache.Sink.
 func (r *retirements) Apply(change objectstore.Change, _ bool) {
 	if !change.Gone {
 		r.take(change.Object)
--- a/internal/instance/stop.go
+++ b/internal/instance/stop.go
@@ -41,6 +41,7 @@
 func (i *Instance) leave(begun time.Time) {
 	i.handler.Closing.Store(true)
 	i.jobs.Leave()
+	i.source.Leave()
 	grace := i.current.Load().Grace.Std()
 	if grace <= 0 {
 		grace = defaultGrace
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -237,6 +237,17 @@
 	return *peer, true
 }
 
+// Peers returns all peers known.
+func (t *Table) Peers() []Peer {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	peers := make([]Peer, 0, len(t.peers))
+	for _, peer := range t.peers {
+		peers = append(peers, *peer)
+	}
+	return peers
+}
+
 // Nodes returns the names of all nodes known, this one included.
 func (t *Table) Nodes() []string {
 	t.mutex.Lock()
--- /dev/null
+++ b/internal/watchcache/cache.go
@@ -0,0 +1,137 @@
+package watchcache
+
+import (
+	"maps"
+	"slices"
+	"sync"
+
+	"github.com/pathtally/pathtally/internal/objectstore"
+)
+
+// historyLength bounds the changes that a cache keeps for followers; whoever
+// is further behind takes a whole listing.
+const historyLength = 256
+
+// Cache is the copy of one kind. It only goes forward: whatever is older than
+// the copy is refused. It is safe for use by many goroutines.
+type Cache struct {
+	kind   string
+	sink   Sink
+	notify func()
+
+	mutex   sync.Mutex
+	listed  bool
+	objects map[string]objectstore.Object
+	// at is the store's revision of the copy.
+	at uint64
+	// history are the changes since base, oldest first.
+	base        uint64
+	history     []historyEntry
+	afterOutage bool
+}
+
+// historyEntry is a change and the revision of the copy with it.
+type historyEntry struct {
+	at     uint64
+	change objectstore.Change
+}
+
+// newCache returns an empty cache. Notify is called after each change.
+func newCache(kind string, sink Sink, notify func()) *Cache {
+	return &Cache{kind: kind, sink: sink, notify: notify, objects: map[string]objectstore.Object{}}
+}
+
+// Revision is the store's revision of the copy, 0 before the first listing.
+func (c *Cache) Revision() uint64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.at
+}
+
+// Replace takes a whole listing unless it is older than the copy.
+func (c *Cache) Replace(objects []objectstore.Object, at uint64, afterOutage bool) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.listed && at < c.at {
+		return false
+	}
+	c.objects = make(map[string]objectstore.Object, len(objects))
+	for _, object := range objects {
+		c.objects[object.Name] = object
+	}
+	if !c.listed || at > c.at {
+		c.base, c.history = at, nil
+	}
+	c.listed, c.at, c.afterOutage = true, at, afterOutage
+	c.sink.Replace(objects, afterOutage)
+	c.notify()
+	return true
+}
+
+// Advance takes the changes since a revision unless the copy is not at that
+// revision any more.
+func (c *Cache) Advance(from uint64, changes []objectstore.Change, at uint64, afterOutage bool) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !c.listed || from != c.at {
+		return false
+	}
+	c.at, c.afterOutage = max(c.at, at), afterOutage
+	for _, change := range changes {
+		c.history = append(c.history, historyEntry{at: c.at, change: change})
+		if change.Gone {
+			delete(c.objects, change.Object.Name)
+		} else {
+			c.objects[change.Object.Name] = change.Object
+		}
+		c.sink.Apply(change, afterOutage)
+	}
+	c.trim()
+	if len(changes) > 0 {
+		c.notify()
+	}
+	return true
+}
+
+// trim drops the oldest changes. All of one revision go together, so that no
+// follower gets a part of them. The mutex must be held.
+func (c *Cache) trim() {
+	surplus := len(c.history) - historyLength
+	if surplus <= 0 {
+		return
+	}
+	c.base = c.history[surplus-1].at
+	c.history = slices.DeleteFunc(c.history, func(entry historyEntry) bool { return entry.at <= c.base })
+}
+
+// News is what a follower lacks of one kind.
+type News struct {
+	At uint64
+	// Whole tells that the changes are all objects.
+	Whole       bool
+	AfterOutage bool
+	Changes     []objectstore.Change
+}
+
+// Since returns what has come since a revision, and whether there is any.
+func (c *Cache) Since(revision uint64) (News, bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	news := News{At: c.at, AfterOutage: c.afterOutage}
+	if !c.listed || (revision >= c.at && revision > 0) {
+		return news, false
+	}
+	if revision < c.base || revision == 0 {
+		news.Whole = true
+		for _, name := range slices.Sorted(maps.Keys(c.objects)) {
+			news.Changes = append(news.Changes, objectstore.Change{Object: c.objects[name]})
+		}
+		return news, true
+	}
+	for _, entry := range c.history {
+		if entry.at > revision {
+			news.Changes = append(news.Changes, entry.change)
+		}
+	}
+	return news, len(news.Changes) > 0
+}
--- /dev/null
+++ b/internal/watchcache/config.go
@@ -0,0 +1,34 @@
+package watchcache
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"k8s.io/klog/v2"
+
+	"github.com/pathtally/pathtally/internal/environment"
+	"github.com/pathtally/pathtally/internal/objectstore"
+)
+
+// Node is one that may be followed.
+type Node struct {
+	Name    string
+	Address string
+	Zone    string
+}
+
+// Config is what a Source needs.
+type Config struct {
+	// Self is this node.
+	Self  Node
+	Store objectstore.Store
+	Peers environment.Peers
+	// Nodes lists the other nodes known, and Joined tells whether the list has
+	// been read.
+	Nodes  func() []Node
+	Joined func() bool
+	// ProbeKind and ProbeName name an object that is asked for to see whether
+	// the store answers; it need not exist.
+	ProbeKind string
+	ProbeName string
+	Logger    klog.Logger
+	Registry  prometheus.Registerer
+}
--- /dev/null
+++ b/internal/watchcache/follow.go
@@ -0,0 +1,158 @@
+package watchcache
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pathtally/pathtally/internal/objectstore"
+	"github.com/pathtally/pathtally/internal/wire"
+)
+
+const (
+	// pollWait is for how long a reader holds a poll without news, and
+	// pollMargin how much later its answer may come.
+	pollWait   = 400 * time.Millisecond
+	pollMargin = 350 * time.Millisecond
+	// newsBound is after how long without word from a current reader this node
+	// reads the store itself. A second reader is tried within it.
+	newsBound = 1200 * time.Millisecond
+	// unsurePause is the time between polls of a reader that is not sure, and
+	// unsureBound how many such answers in a row have a node that the store
+	// answers read itself. One is not enough: at the end of an outage the store
+	// may answer this node a little before the reader has noticed.
+	unsurePause = 300 * time.Millisecond
+	unsureBound = 2
+)
+
+// The outcomes of polls, as metrics name them.
+const (
+	outcomeCurrent  = "current"
+	outcomeUnsure   = "unsure"
+	outcomeLeaving  = "leaving"
+	outcomeSilent   = "silent"
+	outcomeStarting = "starting"
+)
+
+// follow polls a reader for as long as it is the one to follow.
+func (s *Source) follow(ctx context.Context, reader Node) {
+	s.config.Logger.Info("store followed through another node", "reader", reader.Name)
+	unsure := 0
+	for ctx.Err() == nil {
+		if next, found := s.reader(); !found || next != reader {
+			return
+		}
+		outcome := s.poll(ctx, reader)
+		if ctx.Err() != nil {
+			return
+		}
+		s.metrics.polls.WithLabelValues(outcome).Inc()
+		switch outcome {
+		case outcomeCurrent:
+			unsure = 0
+			s.noteNews()
+			continue
+		case outcomeStarting:
+			if s.newsAge() < newsBound {
+				continue
+			}
+			s.passOver(reader.Name, unsureTime)
+			s.readAtLeast(directTime + rand.N(directSpread))
+		case outcomeLeaving:
+			s.passOver(reader.Name, leavingTime)
+		case outcomeSilent:
+			s.noteUnsure()
+			s.passOver(reader.Name, silentTime)
+			if s.newsAge() > newsBound {
+				// A further silent reader would make it too late.
+				s.readAtLeast(directTime + rand.N(directSpread))
+			}
+		case outcomeUnsure:
+			s.noteUnsure()
+			unsure++
+			if !answers(ctx, s.config.Store, s.config.ProbeKind, s.config.ProbeName) {
+				// The store is away from here too: whoever is followed knows no
+				// less than this node could.
+				unsure = 0
+			}
+			if unsure < unsureBound {
+				objectstore.Sleep(ctx, unsurePause)
+				continue
+			}
+			s.passOver(reader.Name, unsureTime)
+			s.readAtLeast(directTime + rand.N(directSpread))
+		}
+		s.config.Logger.Info("reader given up", "reader", reader.Name, "outcome", outcome, "newsAgeMs", s.newsAge().Milliseconds())
+		return
+	}
+}
+
+// noteNews records that the copies are current.
+func (s *Source) noteNews() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.newsAt = time.Now()
+}
+
+// newsAge is for how long the copies have not been known to be current.
+func (s *Source) newsAge() time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return time.Since(s.newsAt)
+}
+
+// poll asks a reader once, takes its news and tells how it went.
+func (s *Source) poll(ctx context.Context, reader Node) string {
+	poll := &wire.WatchPoll{WaitMs: uint32(pollWait.Milliseconds())}
+	for _, cache := range s.caches {
+		poll.Kinds = append(poll.Kinds, wire.KindRevision{Kind: cache.kind, Revision: cache.Revision()})
+	}
+	answered := make(chan *wire.WatchNews, 1)
+	s.config.Peers.Call(reader.Address, poll, pollWait+pollMargin, func(reply wire.Message, err error) {
+		news, _ := reply.(*wire.WatchNews)
+		if err != nil {
+			news = nil
+		}
+		answered <- news
+	})
+	select {
+	case <-ctx.Done():
+		return outcomeSilent
+	case news := <-answered:
+		if news == nil {
+			return outcomeSilent
+		}
+		s.take(poll, news)
+		return outcomeOf(wire.Standing(news.Standing))
+	}
+}
+
+func outcomeOf(standing wire.Standing) string {
+	switch standing {
+	case wire.StandingCurrent:
+		return outcomeCurrent
+	case wire.StandingLeaving:
+		return outcomeLeaving
+	case wire.StandingStarting:
+		return outcomeStarting
+	}
+	return outcomeUnsure
+}
+
+// take applies the news that a poll brought. Even those of a reader that is
+// not sure go forward only.
+func (s *Source) take(poll *wire.WatchPoll, news *wire.WatchNews) {
+	for _, kind := range news.Kinds {
+		for number, cache := range s.caches {
+			if cache.kind != kind.Kind {
+				continue
+			}
+			changes := changesOf(kind.Changes)
+			if kind.Whole {
+				cache.Replace(objectsOf(changes), kind.Revision, kind.AfterOutage)
+			} else {
+				cache.Advance(poll.Kinds[number].Revision, changes, kind.Revision, kind.AfterOutage)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/watchcache/harness_test.go
@@ -0,0 +1,231 @@
+package watchcache
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"k8s.io/klog/v2"
+
+	"github.com/pathtally/pathtally/internal/environment"
+	"github.com/pathtally/pathtally/internal/objectstore"
+	"github.com/pathtally/pathtally/internal/wire"
+	"github.com/pathtally/pathtally/standin/metastore"
+)
+
+const (
+	testKind = "replicas"
+	// storePatience is for how long a client waits for the store.
+	storePatience = 1500 * time.Millisecond
+)
+
+// cutStore is one node's way to the store, which a test can cut.
+type cutStore struct {
+	*metastore.Store
+	cut atomic.Bool
+	// calls counts those that reach the store at their full price.
+	calls atomic.Int64
+}
+
+func (s *cutStore) pass(ctx context.Context) error {
+	if !s.cut.Load() {
+		return nil
+	}
+	objectstore.Sleep(ctx, storePatience)
+	return &objectstore.UnansweredError{Cause: metastore.ErrFault}
+}
+
+func (s *cutStore) List(ctx context.Context, kind, after string, freshness objectstore.Freshness) (objectstore.Page, error) {
+	if err := s.pass(ctx); err != nil {
+		return objectstore.Page{}, err
+	}
+	s.calls.Add(1)
+	return s.Store.List(ctx, kind, after, freshness)
+}
+
+func (s *cutStore) Get(ctx context.Context, kind, name string, freshness objectstore.Freshness) (objectstore.Object, error) {
+	if err := s.pass(ctx); err != nil {
+		return objectstore.Object{}, err
+	}
+	return s.Store.Get(ctx, kind, name, freshness)
+}
+
+// Watch loses its answer if the way is cut at its end.
+func (s *cutStore) Watch(ctx context.Context, kind string, from uint64, wait time.Duration) (objectstore.Changes, error) {
+	if err := s.pass(ctx); err != nil {
+		return objectstore.Changes{}, err
+	}
+	s.calls.Add(1)
+	changes, err := s.Store.Watch(ctx, kind, from, wait)
+	if s.cut.Load() {
+		objectstore.Sleep(ctx, wait)
+		return objectstore.Changes{}, &objectstore.UnansweredError{Cause: metastore.ErrFault}
+	}
+	return changes, err
+}
+
+// recorder is a sink that keeps what it was told.
+type recorder struct {
+	mutex       sync.Mutex
+	objects     map[string]objectstore.Object
+	afterOutage bool
+}
+
+func (r *recorder) Replace(objects []objectstore.Object, afterOutage bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.objects, r.afterOutage = map[string]objectstore.Object{}, afterOutage
+	for _, object := range objects {
+		r.objects[object.Name] = object
+	}
+}
+
+func (r *recorder) Apply(change objectstore.Change, afterOutage bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.afterOutage = afterOutage
+	if change.Gone {
+		delete(r.objects, change.Object.Name)
+		return
+	}
+	r.objects[change.Object.Name] = change.Object
+}
+
+// spec returns what the sink has of an object, empty for none.
+func (r *recorder) spec(name string) string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return string(r.objects[name].Spec)
+}
+
+// testNode is a source with its way to the store and its sink.
+type testNode struct {
+	node   Node
+	store  *cutStore
+	source *Source
+	sink   *recorder
+	// dead nodes answer nobody.
+	dead atomic.Bool
+	stop context.CancelFunc
+}
+
+// cluster is a zone of nodes over one store, on the virtual clock.
+type cluster struct {
+	t     *testing.T
+	store *metastore.Store
+	nodes []*testNode
+}
+
+// call is a node's link to the others.
+type link struct{ cluster *cluster }
+
+func (link) Send(string, wire.Message)        {}
+func (link) Broadcast([]string, wire.Message) {}
+
+func (l link) Call(address string, message wire.Message, timeout time.Duration, done func(wire.Message, error)) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		for _, node := range l.cluster.nodes {
+			if node.node.Address == address && !node.dead.Load() {
+				news := node.source.Answer(ctx, message.(*wire.WatchPoll))
+				if !node.dead.Load() && ctx.Err() == nil {
+					done(news, nil)
+					return
+				}
+			}
+		}
+		<-ctx.Done()
+		done(nil, environment.ErrPeerUnreachable)
+	}()
+}
+
+// inCluster runs a test with a number of nodes that have all joined.
+func inCluster(t *testing.T, count int, test func(*cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := &cluster{t: t, store: metastore.New()}
+		cluster.store.Write(testKind, "first", 1)
+		for number := range count {
+			cluster.add(t, number)
+		}
+		for _, node := range cluster.nodes {
+			ctx, cancel := context.WithCancel(t.Context())
+			node.stop = cancel
+			go node.source.Run(ctx)
+		}
+		settle(2 * time.Second)
+		test(cluster)
+		for _, node := range cluster.nodes {
+			node.stop()
+		}
+		settle(2 * time.Minute)
+	})
+}
+
+func (c *cluster) add(t *testing.T, number int) {
+	node := &testNode{
+		node:  Node{Name: fmt.Sprintf("node-%d", number), Address: fmt.Sprintf("address-%d", number), Zone: "zone"},
+		store: &cutStore{Store: c.store}, sink: &recorder{},
+	}
+	node.source = NewSource(Config{
+		Self: node.node, Store: node.store, Peers: link{cluster: c}, Nodes: c.list, Joined: func() bool { return true },
+		ProbeKind: "nodes", ProbeName: node.node.Name, Logger: klog.Background(), Registry: prometheus.NewRegistry(),
+	})
+	node.source.Add(testKind, node.sink)
+	c.nodes = append(c.nodes, node)
+}
+
+func (c *cluster) list() []Node {
+	var nodes []Node
+	for _, node := range c.nodes {
+		nodes = append(nodes, node.node)
+	}
+	return nodes
+}
+
+// readers are the nodes that read the store now.
+func (c *cluster) readers() []*testNode {
+	var readers []*testNode
+	for _, node := range c.nodes {
+		if node.source.isCurrent() {
+			readers = append(readers, node)
+		}
+	}
+	return readers
+}
+
+// followers are the living nodes that read nothing now.
+func (c *cluster) followers() []*testNode {
+	var followers []*testNode
+	for _, node := range c.nodes {
+		if !node.source.isCurrent() && !node.dead.Load() {
+			followers = append(followers, node)
+		}
+	}
+	return followers
+}
+
+// await checks that the nodes know an object's content within a span.
+func (c *cluster) await(nodes []*testNode, name, want string, span time.Duration) {
+	c.t.Helper()
+	began := time.Now()
+	for _, node := range nodes {
+		for node.sink.spec(name) != want {
+			if time.Since(began) > span {
+				c.t.Errorf("%s has %q of %s after %s, want %q", node.node.Name, node.sink.spec(name), name, span, want)
+				break
+			}
+			settle(10 * time.Millisecond)
+		}
+	}
+}
+
+func settle(span time.Duration) {
+	time.Sleep(span)
+	synctest.Wait()
+}
--- /dev/null
+++ b/internal/watchcache/health.go
@@ -0,0 +1,120 @@
+package watchcache
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pathtally/pathtally/internal/objectstore"
+)
+
+const (
+	// probePeriod is the time between two questions of a reading node to the
+	// store, and probeTime how long one may take. Together they bound for how
+	// long after an outage begins its followers go without news.
+	// troubledPeriod is the time between two questions during one.
+	probePeriod    = 500 * time.Millisecond
+	probeTime      = 600 * time.Millisecond
+	troubledPeriod = 150 * time.Millisecond
+)
+
+// storeHealth remembers whether the store answers this node. It is safe for use
+// by many goroutines.
+type storeHealth struct {
+	logger klog.Logger
+	// notify is called at each change.
+	notify   func()
+	mutex    sync.Mutex
+	troubled bool
+	failedAt time.Time
+	regained chan struct{}
+}
+
+func newStoreHealth(logger klog.Logger, notify func()) *storeHealth {
+	return &storeHealth{logger: logger, notify: notify, regained: make(chan struct{})}
+}
+
+// noteFailed records a call without an answer.
+func (h *storeHealth) noteFailed() {
+	h.mutex.Lock()
+	changed := !h.troubled
+	h.troubled, h.failedAt = true, time.Now()
+	h.mutex.Unlock()
+	if changed {
+		h.notify()
+	}
+}
+
+// noteAnswered records an answer to a new question. After an outage it has
+// everybody who waits for an old answer ask anew.
+func (h *storeHealth) noteAnswered() {
+	h.mutex.Lock()
+	changed := h.troubled
+	if changed {
+		h.troubled = false
+		close(h.regained)
+		h.regained = make(chan struct{})
+	}
+	h.mutex.Unlock()
+	if changed {
+		h.logger.Info("store answers again")
+		h.notify()
+	}
+}
+
+// lastFailed is when a call was last without an answer.
+func (h *storeHealth) lastFailed() time.Time {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.failedAt
+}
+
+// isTroubled tells whether the last question had no answer.
+func (h *storeHealth) isTroubled() bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.troubled
+}
+
+// Regained returns a channel that is closed when the store answers again after
+// it did not.
+func (h *storeHealth) Regained() <-chan struct{} {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.regained
+}
+
+// answers asks the store something small, which may be answered from an old
+// state, and tells whether an answer came.
+func answers(ctx context.Context, store objectstore.Store, kind, name string) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTime)
+	defer cancel()
+	_, err := store.Get(ctx, kind, name, objectstore.MayBeStale)
+	return err == nil || errors.Is(err, objectstore.ErrNotFound)
+}
+
+// probe asks the store until the context ends. Watches alone do not show an
+// outage: they wait for long in any case.
+func (h *storeHealth) probe(ctx context.Context, store objectstore.Store, kind, name string) {
+	for {
+		period := probePeriod
+		if h.isTroubled() {
+			period = troubledPeriod
+		}
+		if !objectstore.Sleep(ctx, period) {
+			return
+		}
+		answered := answers(ctx, store, kind, name)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case answered:
+			h.noteAnswered()
+		default:
+			h.noteFailed()
+		}
+	}
+}
--- a/internal/directory/informer.go
+++ b/internal/watchcache/informer.go
@@ -1,8 +1,9 @@
-package directory
+package watchcache
 
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -25,36 +26,36 @@
 	outageMemory = 4 * time.Second
 )
 
-// Sink takes what an informer learns of one kind.
-type Sink interface {
-	// Replace takes a whole listing.
-	Replace(objects []objectstore.Object, afterOutage bool)
-	// Apply takes one change.
-	Apply(change objectstore.Change, afterOutage bool)
-}
-
-// Informer keeps a sink current with one kind of objects: it lists, watches,
-// and lists anew when the store has forgotten the history in between.
+// Informer keeps a cache current from the store: it lists, watches, and lists
+// anew when the store has forgotten the history in between.
 type Informer struct {
 	store  objectstore.Store
-	kind   string
-	sink   Sink
+	cache  *Cache
 	logger klog.Logger
 
-	at         uint64
 	lastFailed time.Time
 	failing    bool
+	// current is set while the last call to the store was answered.
+	current atomic.Bool
 	// Failed is called after each call without an answer; it may be nil.
 	Failed func()
 	// Regained returns a channel that is closed when the store answers again
 	// after it did not. A watch from before may never end: its answer may have
 	// been lost, and then its connection says nothing more. Nil for never.
 	Regained func() <-chan struct{}
+	// Troubled returns when this node last was without the store, as other
+	// calls than the informer's own have shown; nil for never.
+	Troubled func() time.Time
 }
 
-// NewInformer returns an informer that has not started.
+// NewInformer returns an informer that keeps a sink current, and has not
+// started.
 func NewInformer(store objectstore.Store, kind string, sink Sink, logger klog.Logger) *Informer {
-	return &Informer{store: store, kind: kind, sink: sink, logger: logger}
+	return newInformer(store, newCache(kind, sink, func() {}), logger)
+}
+
+func newInformer(store objectstore.Store, cache *Cache, logger klog.Logger) *Informer {
+	return &Informer{store: store, cache: cache, logger: logger}
 }
 
 // Run works until the context ends.
@@ -74,7 +75,7 @@
 	var at uint64
 	after := ""
 	for {
-		page, err := i.store.List(ctx, i.kind, after, objectstore.Linearizable)
+		page, err := i.store.List(ctx, i.cache.kind, after, objectstore.Linearizable)
 		if err != nil {
 			return err
 		}
@@ -88,38 +89,36 @@
 		}
 		after = page.Objects[len(page.Objects)-1].Name
 	}
-	if at < i.at {
+	if !i.cache.Replace(objects, at, i.afterOutage()) {
 		// An older state than the one known is never shown.
 		return &objectstore.UnansweredError{Cause: objectstore.ErrHistoryGone}
 	}
-	i.at = at
 	i.succeed()
-	i.sink.Replace(objects, i.afterOutage())
 	return nil
 }
 
 // follow watches until the history is gone or the context ends.
 func (i *Informer) follow(ctx context.Context) {
 	for ctx.Err() == nil {
-		changes, err := i.watch(ctx)
+		from := i.cache.Revision()
+		changes, err := i.watch(ctx, from)
 		if errors.Is(err, errRegained) {
 			i.lastFailed = time.Now()
-			i.logger.Info("watch begun anew", "kind", i.kind, "from", i.at)
+			i.logger.Info("watch begun anew", "kind", i.cache.kind, "from", from)
 			continue
 		}
 		if errors.Is(err, objectstore.ErrHistoryGone) {
-			i.logger.Info("watch history gone, listing anew", "kind", i.kind, "from", i.at)
+			i.logger.Info("watch history gone, listing anew", "kind", i.cache.kind, "from", from)
 			return
 		}
 		if err != nil {
 			i.fail(ctx, "watch", err)
 			continue
 		}
-		i.succeed()
-		for _, change := range changes.Events {
-			i.sink.Apply(change, i.afterOutage())
+		if ctx.Err() != nil || !i.cache.Advance(from, changes.Events, changes.At, i.afterOutage()) {
+			continue
 		}
-		i.at = max(i.at, changes.At)
+		i.succeed()
 		if len(changes.Events) > 0 {
 			objectstore.Pause(ctx, gatherTime)
 		}
@@ -130,7 +129,7 @@
 var errRegained = merry.Sentinel("store regained")
 
 // watch waits for changes, but not beyond the end of an outage.
-func (i *Informer) watch(ctx context.Context) (objectstore.Changes, error) {
+func (i *Informer) watch(ctx context.Context, from uint64) (objectstore.Changes, error) {
 	var regained <-chan struct{}
 	if i.Regained != nil {
 		regained = i.Regained()
@@ -140,9 +139,8 @@
 		err     error
 	}
 	results := make(chan result, 1)
-	at := i.at
 	go func() {
-		changes, err := i.store.Watch(ctx, i.kind, at, watchWait)
+		changes, err := i.store.Watch(ctx, i.cache.kind, from, watchWait)
 		results <- result{changes, err}
 	}()
 	select {
@@ -155,12 +153,23 @@
 	}
 }
 
-func (i *Informer) afterOutage() bool { return time.Since(i.lastFailed) < outageMemory }
+// afterOutage tells whether there was an outage of late. A watch that began
+// before one may well be answered after it.
+func (i *Informer) afterOutage() bool {
+	troubled := i.lastFailed
+	if i.Troubled != nil && i.Troubled().After(troubled) {
+		troubled = i.Troubled()
+	}
+	return time.Since(troubled) < outageMemory
+}
 
 func (i *Informer) succeed() {
+	if !i.current.Swap(true) {
+		i.cache.notify()
+	}
 	if i.failing {
 		i.failing = false
-		i.logger.Info("store regained", "kind", i.kind)
+		i.logger.Info("store regained", "kind", i.cache.kind)
 	}
 }
 
@@ -169,9 +178,10 @@
 		return
 	}
 	i.lastFailed = time.Now()
+	i.current.Store(false)
 	if !i.failing {
 		i.failing = true
-		i.logger.Error(err, "store lost", "kind", i.kind, "call", call)
+		i.logger.Error(err, "store lost", "kind", i.cache.kind, "call", call)
 	}
 	if i.Failed != nil {
 		i.Failed()
--- /dev/null
+++ b/internal/watchcache/reader.go
@@ -0,0 +1,47 @@
+package watchcache
+
+import (
+	"time"
+
+	"github.com/pathtally/pathtally/internal/rendezvous"
+)
+
+const (
+	// rankKey is what the nodes of a zone are ranked for.
+	rankKey = "store-reader"
+	// silentTime is for how long a node that did not answer is passed over,
+	// unsureTime one that the store does not answer, and leavingTime one that
+	// stops.
+	silentTime  = 8 * time.Second
+	unsureTime  = 4 * time.Second
+	leavingTime = 15 * time.Second
+)
+
+// reader returns the node to follow, the first in rank of this zone, unless
+// this node is to read itself.
+func (s *Source) reader() (Node, bool) {
+	nodes := s.config.Nodes()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if time.Now().Before(s.readUntil) {
+		return Node{}, false
+	}
+	byName := map[string]Node{}
+	candidates := []rendezvous.Candidate{{ID: s.config.Self.Name}}
+	for _, node := range nodes {
+		if node.Zone == s.config.Self.Zone && node.Name != s.config.Self.Name && !time.Now().Before(s.passedOver[node.Name]) {
+			byName[node.Name] = node
+			candidates = append(candidates, rendezvous.Candidate{ID: node.Name})
+		}
+	}
+	first := rendezvous.Rank(rankKey, candidates)[0].ID
+	reader, found := byName[first]
+	return reader, found
+}
+
+// passOver has a node not followed for a time.
+func (s *Source) passOver(node string, span time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.passedOver[node] = time.Now().Add(span)
+}
--- /dev/null
+++ b/internal/watchcache/sink.go
@@ -0,0 +1,12 @@
+package watchcache
+
+import "github.com/pathtally/pathtally/internal/objectstore"
+
+// Sink takes what is learnt of one kind, in the store's order.
+type Sink interface {
+	// Replace takes a whole listing. After an outage of the store, entries may
+	// be missing because of it and not because their owners are gone.
+	Replace(objects []objectstore.Object, afterOutage bool)
+	// Apply takes one change.
+	Apply(change objectstore.Change, afterOutage bool)
+}
--- /dev/null
+++ b/internal/watchcache/source_test.go
@@ -0,0 +1,202 @@
+package watchcache
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pathtally/pathtally/internal/objectstore"
+)
+
+const (
+	// soon is the time for news on their ordinary way.
+	soon = 500 * time.Millisecond
+	// bound is within what a configuration must be in force on every node that
+	// is sound, whatever becomes of others.
+	bound = 1900 * time.Millisecond
+)
+
+func TestOneNodeReadsForAll(t *testing.T) {
+	inCluster(t, 20, func(c *cluster) {
+		if readers := c.readers(); len(readers) != 1 {
+			t.Fatalf("%d nodes read the store", len(readers))
+		}
+		before := int64(0)
+		for _, node := range c.nodes {
+			before += node.store.calls.Load()
+		}
+		for round := range 10 {
+			c.store.Write(testKind, "first", round+2)
+			settle(time.Second)
+		}
+		c.await(c.nodes, "first", "11", soon)
+		c.store.Remove(testKind, "first")
+		c.await(c.nodes, "first", "", soon)
+		calls := -before
+		for _, node := range c.nodes {
+			calls += node.store.calls.Load()
+		}
+		if calls > 14 {
+			t.Errorf("%d calls for 11 changes", calls)
+		}
+	})
+}
+
+// troubles are what may happen to the node that is followed.
+var troubles = []struct {
+	name  string
+	begin func(reader *testNode)
+}{
+	{"killed", func(reader *testNode) { reader.dead.Store(true); reader.stop() }},
+	{"cut from the store", func(reader *testNode) { reader.store.cut.Store(true) }},
+	{"stopped as planned", func(reader *testNode) { reader.source.Leave() }},
+}
+
+// A change that comes right after the reader was lost reaches everybody else
+// within the bound, wherever in their polls the loss meets them.
+func TestLossOfTheReaderDelaysNewsWithinTheBound(t *testing.T) {
+	for _, trouble := range troubles {
+		t.Run(trouble.name, func(t *testing.T) {
+			for phase := range 8 {
+				inCluster(t, 6, func(c *cluster) {
+					reader, followers := c.readers()[0], c.followers()
+					settle(time.Duration(phase) * 77 * time.Millisecond)
+					trouble.begin(reader)
+					settle(time.Duration(phase%3) * 130 * time.Millisecond)
+					c.store.Write(testKind, "first", 2)
+					c.await(followers, "first", "2", bound)
+				})
+			}
+		})
+	}
+}
+
+// The two that would be followed next may be lost together.
+func TestLossOfTwoReadersDelaysNewsWithinTheBound(t *testing.T) {
+	for phase := range 6 {
+		inCluster(t, 7, func(c *cluster) {
+			first := c.readers()[0]
+			others := c.followers()
+			others[0].source.passOver(first.node.Name, time.Hour)
+			second, found := others[0].source.reader()
+			if !found {
+				// It is the second itself.
+				second = others[0].node
+			}
+			settle(time.Duration(phase) * 77 * time.Millisecond)
+			var rest []*testNode
+			for _, node := range c.nodes {
+				if node != first && node.node != second {
+					rest = append(rest, node)
+					continue
+				}
+				node.dead.Store(true)
+				node.stop()
+			}
+			c.store.Write(testKind, "first", 2)
+			c.await(rest, "first", "2", bound)
+		})
+	}
+}
+
+func TestOneReaderIsLeftAfterALoss(t *testing.T) {
+	inCluster(t, 8, func(c *cluster) {
+		lost := c.readers()[0]
+		lost.dead.Store(true)
+		lost.stop()
+		settle(30 * time.Second)
+		readers := c.readers()
+		if len(readers) != 1 || readers[0] == lost {
+			t.Errorf("%d nodes read the store", len(readers))
+		}
+	})
+}
+
+// While the store is away for all, nobody floods it, and after it everybody
+// has the news and knows that entries may have vanished because of it.
+func TestOutageForAll(t *testing.T) {
+	inCluster(t, 10, func(c *cluster) {
+		reader := c.readers()[0]
+		for _, node := range c.nodes {
+			node.store.cut.Store(true)
+		}
+		settle(4 * time.Second)
+		c.store.Write(testKind, "first", 2)
+		c.store.Write(testKind, "second", 1)
+		c.store.Remove(testKind, "second")
+		for _, node := range c.nodes {
+			node.store.cut.Store(false)
+		}
+		c.await(c.nodes, "first", "2", 3*time.Second)
+		if readers := c.readers(); len(readers) != 1 || readers[0] != reader {
+			t.Errorf("%d nodes read the store after the outage", len(readers))
+		}
+		for _, node := range c.nodes {
+			if !node.sink.afterOutage {
+				t.Errorf("%s takes vanished entries for gone replicas", node.node.Name)
+			}
+		}
+	})
+}
+
+func TestForgottenHistoryReachesFollowersAsAListing(t *testing.T) {
+	inCluster(t, 4, func(c *cluster) {
+		c.store.Write(testKind, "second", 1)
+		c.await(c.nodes, "second", "1", soon)
+		c.store.Remove(testKind, "second")
+		c.store.Forget()
+		c.store.Write(testKind, "third", 1)
+		c.await(c.nodes, "third", "1", 2*time.Second)
+		c.await(c.nodes, "second", "", soon)
+	})
+}
+
+func object(name string, revision uint64) objectstore.Object {
+	return objectstore.Object{Name: name, Revision: revision, Spec: []byte("1")}
+}
+
+func TestCacheGoesForwardOnly(t *testing.T) {
+	sink := &recorder{}
+	cache := newCache(testKind, sink, func() {})
+	if cache.Advance(0, nil, 3, false) {
+		t.Error("changes are taken before a listing")
+	}
+	cache.Replace([]objectstore.Object{object("a", 5)}, 10, false)
+	if cache.Replace(nil, 9, false) {
+		t.Error("an older listing is taken")
+	}
+	if cache.Advance(9, []objectstore.Change{{Object: object("a", 5), Gone: true}}, 12, false) {
+		t.Error("changes since another revision are taken")
+	}
+	if !cache.Advance(10, []objectstore.Change{{Object: object("b", 12)}}, 12, false) || cache.Revision() != 12 {
+		t.Error("the next changes are not taken")
+	}
+	if sink.spec("a") == "" || sink.spec("b") == "" {
+		t.Errorf("the sink has %v", sink.objects)
+	}
+}
+
+func TestNewsSinceARevision(t *testing.T) {
+	cache := newCache(testKind, &recorder{}, func() {})
+	if _, found := cache.Since(0); found {
+		t.Error("news of a kind that was never listed")
+	}
+	cache.Replace([]objectstore.Object{object("a", 5)}, 10, false)
+	for at := uint64(11); at <= 11+historyLength+20; at++ {
+		cache.Advance(at-1, []objectstore.Change{{Object: object("b", at)}}, at, false)
+	}
+	last := uint64(11 + historyLength + 20)
+	for _, test := range []struct {
+		since   uint64
+		found   bool
+		whole   bool
+		changes int
+	}{
+		{0, true, true, 2}, {3, true, true, 2}, {12, true, true, 2}, {last - historyLength, true, false, historyLength},
+		{last - 3, true, false, 3}, {last, false, false, 0}, {last + 9, false, false, 0},
+	} {
+		news, found := cache.Since(test.since)
+		if found != test.found || news.Whole != test.whole || len(news.Changes) != test.changes {
+			t.Errorf("since %d: found %v, whole %v, %d changes", test.since, found, news.Whole, len(news.Changes))
+		}
+	}
+}
--- a/internal/wire/schema/peer.capnp
+++ b/internal/wire/schema/peer.capnp
@@ -42,6 +42,8 @@
     jobEnd @30 :JobEnd;
     jobTexts @31 :JobTexts;
     jobTextsReply @32 :JobTextsReply;
+    watchPoll @33 :WatchPoll;
+    watchNews @34 :WatchNews;
   }
 }
 
@@ -319,3 +321,37 @@
 struct JobTextsReply {
   texts @0 :Data;           # JSON, as in package batch
 }
+
+# The messages by which a node follows one that reads the metadata store.
+
+struct KindRevision {
+  kind @0 :Text;
+  revision @1 :UInt64;      # up to which the asker has the kind, 0 for nothing
+}
+
+struct WatchPoll {
+  kinds @0 :List(KindRevision);
+  waitMs @1 :UInt32;        # for how long the answer may be held until there is news
+}
+
+struct ObjectChange {
+  name @0 :Text;
+  gone @1 :Bool;
+  deleting @2 :Bool;
+  revision @3 :UInt64;
+  spec @4 :Data;
+  status @5 :Data;
+}
+
+struct KindNews {
+  kind @0 :Text;
+  revision @1 :UInt64;      # up to which the news reach
+  whole @2 :Bool;           # the changes are a whole listing, not what came since
+  afterOutage @3 :Bool;     # entries may have vanished because of the store
+  changes @4 :List(ObjectChange);
+}
+
+struct WatchNews {
+  standing @0 :UInt8;       # a wire.Standing
+  kinds @1 :List(KindNews); # those with news
+}
--- a/internal/wire/union.go
+++ b/internal/wire/union.go
@@ -169,6 +169,16 @@
 	return insert(schema.JobTextsReply_TypeID, capnp.Struct(body), err, m)
 }
 
+func (m *WatchPoll) attach(root schema.Frame) error {
+	body, err := root.NewWatchPoll()
+	return insert(schema.WatchPoll_TypeID, capnp.Struct(body), err, m)
+}
+
+func (m *WatchNews) attach(root schema.Frame) error {
+	body, err := root.NewWatchNews()
+	return insert(schema.WatchNews_TypeID, capnp.Struct(body), err, m)
+}
+
 func (m *LoadReport) attach(root schema.Frame) error { return encodeLoadReport(root, m) }
 
 func (m *Done) attach(root schema.Frame) error {
@@ -260,6 +270,12 @@
 	case schema.Frame_Which_jobTextsReply:
 		body, err := root.JobTextsReply()
 		return extract[JobTextsReply](schema.JobTextsReply_TypeID, capnp.Struct(body), err)
+	case schema.Frame_Which_watchPoll:
+		body, err := root.WatchPoll()
+		return extract[WatchPoll](schema.WatchPoll_TypeID, capnp.Struct(body), err)
+	case schema.Frame_Which_watchNews:
+		body, err := root.WatchNews()
+		return extract[WatchNews](schema.WatchNews_TypeID, capnp.Struct(body), err)
 	case schema.Frame_Which_loadReport:
 		return decodeLoadReport(root)
 	case schema.Frame_Which_done:
--- /dev/null
+++ b/internal/wire/watch.go
@@ -0,0 +1,54 @@
+package wire
+
+// KindRevision is up to which revision a node has the objects of one kind.
+type KindRevision struct {
+	Kind     string
+	Revision uint64
+}
+
+// WatchPoll asks a node that reads the metadata store for what has changed.
+type WatchPoll struct {
+	Kinds  []KindRevision
+	WaitMs uint32
+}
+
+// ObjectChange is one object that was made, changed or removed.
+type ObjectChange struct {
+	Name     string
+	Gone     bool
+	Deleting bool
+	Revision uint64
+	Spec     []byte
+	Status   []byte
+}
+
+// KindNews are the changes of one kind, or all its objects.
+type KindNews struct {
+	Kind        string
+	Revision    uint64
+	Whole       bool
+	AfterOutage bool
+	Changes     []ObjectChange
+}
+
+// Standing is what a node says of its own view of the metadata store.
+type Standing uint8
+
+// The standings of a node that is asked for news.
+const (
+	// StandingCurrent means that the store answers the node.
+	StandingCurrent Standing = iota
+	// StandingUnsure means that the store does not answer the node.
+	StandingUnsure
+	// StandingLeaving means that the node stops soon.
+	StandingLeaving
+	// StandingStarting means that the node has begun to read and has not read
+	// everything yet.
+	StandingStarting
+)
+
+// WatchNews answers a WatchPoll.
+type WatchNews struct {
+	Standing uint8
+	Kinds    []KindNews
+}
--- a/test/virtual_test.go
+++ b/test/virtual_test.go
@@ -17,6 +17,7 @@
 	"github.com/pathtally/pathtally/internal/exchange"
 	"github.com/pathtally/pathtally/internal/forward"
 	"github.com/pathtally/pathtally/internal/peering"
+	"github.com/pathtally/pathtally/internal/watchcache"
 	"github.com/pathtally/pathtally/internal/weightorders"
 	"github.com/pathtally/pathtally/internal/wire"
 	"github.com/pathtally/pathtally/platform"
@@ -64,15 +65,15 @@
 	logger := klog.Background()
 	table := directory.NewTable("zone-a", logger)
 	decoder := platform.Decoder{}
-	for kind, sink := range map[string]directory.Sink{
+	for kind, sink := range map[string]watchcache.Sink{
 		"config":   directory.ConfigurationSink{Table: table, Decoder: decoder, Name: "main"},
 		"servers":  directory.ReplicaSink{Table: table, Decoder: decoder, KeepMissing: func() time.Duration { return time.Second }},
 		"versions": directory.VersionSink{Table: table, Decoder: decoder},
 	} {
-		go directory.NewInformer(day.store, kind, sink, logger).Run(ctx)
+		go watchcache.NewInformer(day.store, kind, sink, logger).Run(ctx)
 	}
 	pool := exchange.NewPool(network.Dial)
-	t.Cleanup(func() { pool.Retain(func(string) bool { return false }) })
+	t.Cleanup(func() { pool.SetBounds(map[string]exchange.Bound{}) })
 	dispatcher := dispatch.New(pool, platform.Headers{})
 	registry := prometheus.NewRegistry()
 	peers := peering.NewTable(peering.Config{
