A replica that gives nothing is left alone ever longer

A replica that was down, or busy with an order carried out late, was the least used and so tried again every 80 ms with as many items as it had slots; one that could not be connected to was not left alone at all.

Change: the time doubles with each try in vain, up to a second, and the first event ends it; a run that breaks before its first event counts; calls of a scorer that does not answer are spaced ever longer too.

--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -17,8 +17,10 @@
 const (
 	// attemptTime is the time that a replica is given for one run.
 	attemptTime = 20 * time.Second
-	// fullBlock is how long a replica that turned an item away gets none.
-	fullBlock = 80 * time.Millisecond
+	// fullBlock is how long a replica that turned an item away gets none, and
+	// breakBlock one that broke a run off before its first event, at first.
+	fullBlock  = 80 * time.Millisecond
+	breakBlock = 50 * time.Millisecond
 	// otherBlock is how long an address is left alone at which another
 	// incarnation answered.
 	otherBlock = 2 * time.Second
@@ -149,7 +151,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	state := s.replica(running.endpoint.Name)
-	state.observed = time.Now()
+	state.observed, state.blocks = time.Now(), 0
 	if state.interval == 0 {
 		state.interval = interval
 		return
@@ -190,7 +192,7 @@
 	case errors.As(err, &notRun) && notRun.OtherReplica:
 		state.blockedUntil = time.Now().Add(otherBlock)
 	case errors.As(err, &notRun):
-		state.blockedUntil = time.Now().Add(fullBlock)
+		state.block(fullBlock)
 	case errors.Is(err, ErrMoved), errors.Is(err, ErrStalled):
 		s.metrics.moved.Inc()
 	case errors.Is(err, ErrOldWeights):
@@ -203,6 +205,10 @@
 			s.abandon(work, "it failed as often as its route allows")
 		}
 	default:
+		if running.events.Load() == 0 {
+			// It may be down: trying it with one item after the other helps none.
+			state.block(breakBlock)
+		}
 		work.breaks++
 		work.notBefore = time.Now().Add(min(time.Duration(work.breaks)*breakPause, longestBreak))
 	}
--- a/internal/batch/replicas.go
+++ b/internal/batch/replicas.go
@@ -23,7 +23,9 @@
 	running int
 	// blockedUntil is when it is worth trying again after it turned work away.
 	blockedUntil time.Time
-	versions     map[string]int64
+	// blocks counts how often in a row it gave nothing when it was tried.
+	blocks   int
+	versions map[string]int64
 	// loadingSince is when a model's load was told, zero when none is.
 	loadingSince map[string]time.Time
 	// interval is the average time between events of a run, 0 if unknown.
@@ -47,6 +49,23 @@
 	return state
 }
 
+// longestBlock bounds how long a replica that gives nothing is left alone.
+const longestBlock = time.Second
+
+// block leaves a replica alone for a while, twice as long each time in a row
+// that it is tried in vain. Items turned away together count as one try.
+func (r *replicaState) block(first time.Duration) {
+	if time.Now().Before(r.blockedUntil) {
+		return
+	}
+	span := min(first<<min(r.blocks, mostDoublings), longestBlock)
+	r.blocks++
+	r.blockedUntil = time.Now().Add(span)
+}
+
+// mostDoublings keeps the span of a block from overflowing.
+const mostDoublings = 8
+
 // version is the newest weight version known of a replica's model, 0 if none
 // is. The mutex must be held.
 func (s *Service) version(view *directory.View, id, model string) int64 {
--- a/internal/batch/reward.go
+++ b/internal/batch/reward.go
@@ -13,8 +13,10 @@
 const (
 	// rewardTime bounds one call of a scorer where its route names no time.
 	rewardTime = 2 * time.Second
-	// rewardPause is the time between calls of a scorer that did not answer.
-	rewardPause = 60 * time.Millisecond
+	// rewardPause is the time before a scorer that did not answer is called
+	// again, and longestRewardPause bounds it as it grows.
+	rewardPause        = 60 * time.Millisecond
+	longestRewardPause = 500 * time.Millisecond
 )
 
 // score has the whole text of an item scored and finishes the item.
@@ -42,6 +44,7 @@
 func (s *Service) callReward(work *item, attempts func() int) (score string, failed, scored bool) {
 	reward := work.Reward
 	failures := 0
+	pause := rewardPause
 	for work.job.ctx.Err() == nil {
 		route := s.rewardRoute(reward)
 		if route != nil {
@@ -60,9 +63,10 @@
 				}
 			}
 		}
-		if !objectstore.Pause(work.job.ctx, rewardPause) {
+		if !objectstore.Pause(work.job.ctx, pause) {
 			break
 		}
+		pause = min(2*pause, longestRewardPause)
 	}
 	return "", false, false
 }
