Calls of scorers are bounded by what the scorers bear; slow replicas get less

The owners of batch jobs called their scorer for every item at once, filled the replicas' queues, and then offered each call again and again: 11,201 of 17,805 arrivals were turned away, bookings waited behind them or were refused (28 refused, 55 late of 444). The slow replica got as many requests as the others, since each node has few in progress at any. Ruled out: capacity. The scorers' mean use is four of eighteen slots.

Change: an adaptive bound on a node's calls of scorers, up to two for each slot divided by the nodes that run items; a success raises it a little, a refusal lowers it by a third. The choice of replicas also weighs how long their answers have taken against the request's objective; what is known fades in four seconds.

--- a/internal/batch/reward.go
+++ b/internal/batch/reward.go
@@ -1,12 +1,16 @@
 package batch
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"time"
 
+	"github.com/pathtally/pathtally/internal/admission"
 	"github.com/pathtally/pathtally/internal/directory"
 	"github.com/pathtally/pathtally/internal/dispatch"
+	"github.com/pathtally/pathtally/internal/forward"
 	"github.com/pathtally/pathtally/internal/objectstore"
 )
 
@@ -50,9 +54,8 @@
 		if route != nil {
 			call := &dispatch.Call{
 				ID: reward.ID, Method: http.MethodPost, Target: reward.Target, Host: reward.Host, Header: reward.Header, Body: reward.Body,
-				Deadline: time.Now().Add(rewardLimit(route)),
 			}
-			whole, err := s.config.Forwarder.Do(work.job.ctx, route, call)
+			whole, err := s.callScorer(work.job.ctx, route, call)
 			if err == nil {
 				failures += whole.Failures
 				if whole.Answer.Status >= http.StatusOK && whole.Answer.Status < http.StatusMultipleChoices {
@@ -71,6 +74,61 @@
 	return "", false, false
 }
 
+// callScorer makes one call of a scorer once the bound of its route has room.
+func (s *Service) callScorer(ctx context.Context, route *directory.Route, call *dispatch.Call) (*forward.Whole, error) {
+	bound := s.rewardBound(route)
+	if err := bound.Enter(ctx); err != nil {
+		return nil, err
+	}
+	call.Deadline = time.Now().Add(rewardLimit(route))
+	whole, err := s.config.Forwarder.Do(ctx, route, call)
+	var refused *forward.RefusedError
+	bound.Leave(errors.As(err, &refused) || (err == nil && whole.Refusals > 0))
+	return whole, err
+}
+
+// callsPerSlot is how many calls may be in progress for each slot of the
+// scorers: a group's items end close together, and a short queue at the
+// replicas is worked off while the next ones run.
+const callsPerSlot = 2
+
+// rewardBound is the bound on the calls of a route's scorers in progress. All
+// nodes that run jobs share the replicas' slots, and most of the replicas'
+// queues is left to live requests.
+func (s *Service) rewardBound(route *directory.Route) *admission.Adaptive {
+	view := s.config.Directory.View()
+	slots := 0
+	for _, target := range route.Targets {
+		if plan := view.Plans[target.Service]; plan != nil {
+			for _, endpoint := range plan.Endpoints() {
+				slots += endpoint.Slots
+			}
+		}
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	most := callsPerSlot * slots / s.runningNodes()
+	bound := s.rewardBounds[route.Name]
+	if bound == nil {
+		bound = admission.NewAdaptive(most)
+		s.rewardBounds[route.Name] = bound
+	}
+	bound.SetMost(most)
+	return bound
+}
+
+// runningNodes counts the nodes that run items, this one included. The mutex
+// must be held.
+func (s *Service) runningNodes() int {
+	count := 1
+	for _, uses := range s.uses {
+		if len(uses.running) > 0 && time.Since(uses.at) < usesAge {
+			count++
+		}
+	}
+	return count
+}
+
 // rewardRoute is the route of a scorer.
 func (s *Service) rewardRoute(reward *Reward) *directory.Route {
 	configuration := s.config.Directory.View().Configuration
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 
+	"github.com/pathtally/pathtally/internal/admission"
 	"github.com/pathtally/pathtally/internal/directory"
 	"github.com/pathtally/pathtally/internal/dispatch"
 	"github.com/pathtally/pathtally/internal/environment"
@@ -53,9 +54,11 @@
 	// tolerances gives by how many versions the weights of a model may be
 	// behind, the least of what any job has allowed.
 	tolerances map[string]int64
-	leaving    bool
-	recovered  bool
-	wake       chan struct{}
+	// rewardBounds are the bounds on calls of scorers, by route.
+	rewardBounds map[string]*admission.Adaptive
+	leaving      bool
+	recovered    bool
+	wake         chan struct{}
 }
 
 // recentEnd is a batch job ended lately, to be told to the other nodes.
@@ -70,7 +73,8 @@
 		config: config, base: base, metrics: newMetrics(config.Registry),
 		jobs: map[string]*job{}, known: map[string]*foreign{}, accepting: map[string]*acceptance{},
 		replicas: map[string]*replicaState{}, uses: map[string]nodeUses{}, attempts: map[*attempt]bool{}, tolerances: map[string]int64{},
-		wake: make(chan struct{}, 1),
+		rewardBounds: map[string]*admission.Adaptive{},
+		wake:         make(chan struct{}, 1),
 	}
 }
 
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -70,6 +70,9 @@
 	// Failures counts the answers by which replicas said that the request
 	// failed there, this one included.
 	Failures int
+	// Refusals counts the replicas that turned the request away before one
+	// took it.
+	Refusals int
 }
 
 // Do forwards a request and returns a whole answer, a *RefusedError or a
@@ -94,7 +97,7 @@
 // from the one whose turn it is.
 func (f *Forwarder) pick(route *directory.Route, first int, tried []string, call *dispatch.Call) (*routing.Endpoint, error) {
 	view := f.config.Directory.View()
-	query := &routing.Query{Zone: f.config.Zone, Tried: tried, Random: rand.Uint64()}
+	query := &routing.Query{Zone: f.config.Zone, Tried: tried, Random: rand.Uint64(), Objective: plainObjective(route)}
 	if route.Sticky && f.config.Prompt != nil {
 		query.PrefixHash = f.config.Prompt(call.Header)
 	}
@@ -113,6 +116,15 @@
 	return nil, failure
 }
 
+// plainObjective is the objective of requests whose whole answer it concerns;
+// that of a stream concerns its first event.
+func plainObjective(route *directory.Route) time.Duration {
+	if route.Kind == directory.RouteStream {
+		return 0
+	}
+	return route.Objective
+}
+
 // versionLine is the line of an event that tells a weight version.
 func versionLine(field string, version int64) string {
 	return field + ": " + strconv.FormatInt(version, 10) + "\n"
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -100,7 +100,7 @@
 		if ended.whole.Answer.Status == http.StatusInternalServerError {
 			r.failures++
 		}
-		ended.whole.Failures = r.failures
+		ended.whole.Failures, ended.whole.Refusals = r.failures, r.refusals
 		if failed && r.repeatable && (r.counted < r.route.Attempts || r.open > 0) {
 			r.failure, r.mayHaveRun = ended.whole, true
 			return nil, false
@@ -167,8 +167,12 @@
 
 // attempt sends a call to a replica and reads its whole answer.
 func (f *Forwarder) attempt(ctx context.Context, endpoint *routing.Endpoint, call *dispatch.Call) (*Whole, error) {
+	began := time.Now()
 	answer, err := f.config.Dispatcher.Send(ctx, endpoint, call)
 	if err != nil {
+		if ctx.Err() != nil {
+			endpoint.State.Latency.ObserveAtLeast(time.Since(began))
+		}
 		return nil, err
 	}
 	body, err := readWhole(answer)
@@ -180,6 +184,7 @@
 		return nil, err
 	}
 	answer.Close()
+	endpoint.State.Latency.Observe(time.Since(began))
 	endpoint.State.Failures.Store(0)
 	return &Whole{Answer: answer, Body: body}, nil
 }
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -45,6 +45,8 @@
 	InFlight atomic.Int64
 	// Failures counts dispatches that failed in a row.
 	Failures atomic.Int64
+	// Latency is how long its answers have taken of late.
+	Latency LatencyAverage
 	// Retries bounds the retries sent to the engine.
 	Retries *admission.RetryBudget
 
--- a/internal/routing/filter.go
+++ b/internal/routing/filter.go
@@ -1,6 +1,9 @@
 package routing
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Query is what a pick has to know of a request.
 type Query struct {
@@ -14,6 +17,8 @@
 	Avoid string
 	// Tried names the engines that have been sent the request before.
 	Tried []string
+	// Objective is the time within which an answer is wanted, 0 for none.
+	Objective time.Duration
 	// Random is a random number of the caller's.
 	Random uint64
 	// Rollout is true for samples, false for live requests.
--- /dev/null
+++ b/internal/routing/latency_test.go
@@ -0,0 +1,57 @@
+package routing
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+func TestLatencyAverageFollowsAndFades(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		average := &LatencyAverage{}
+		if average.Now() != 0 {
+			t.Error("a latency is known before any answer")
+		}
+		for range 20 {
+			average.Observe(100 * time.Millisecond)
+		}
+		average.ObserveAtLeast(10 * time.Millisecond)
+		if average.Now() != 100*time.Millisecond {
+			t.Errorf("average %s of answers in 100ms", average.Now())
+		}
+		average.ObserveAtLeast(500 * time.Millisecond)
+		if average.Now() <= 200*time.Millisecond {
+			t.Errorf("average %s after 500ms were waited in vain", average.Now())
+		}
+		time.Sleep(latencyMemory * 2)
+		if average.Now() != 0 {
+			t.Errorf("average %s long after the last answer", average.Now())
+		}
+	})
+}
+
+// A third of the back ends were slow, and as many requests went to them as to
+// the others, since each node had few in progress at any.
+func TestSlowEngineGetsFewRequestsOfPlans(t *testing.T) {
+	plan := testPlan(3)
+	for number, endpoint := range plan.Endpoints() {
+		endpoint.State.SetView(EngineView{})
+		endpoint.State.Latency.Observe(30 * time.Millisecond)
+		if number == 0 {
+			endpoint.State.Latency.Observe(400 * time.Millisecond)
+		}
+	}
+	slow := 0
+	for number := range uint64(300) {
+		picked, err := plan.Pick(&Query{Zone: "zone-0", Random: number * 7919, Objective: 150 * time.Millisecond})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if picked == plan.Endpoints()[0] {
+			slow++
+		}
+	}
+	if slow > 30 {
+		t.Errorf("%d of 300 requests went to the slow engine", slow)
+	}
+}
--- a/internal/routing/plan.go
+++ b/internal/routing/plan.go
@@ -35,7 +35,7 @@
 func NewPlan(zone string, endpoints []*Endpoint) *Plan {
 	plan := &Plan{
 		filters: []Filter{RoleFilter{}, AvailableFilter{}, VersionFilter{}, CapacityFilter{}},
-		scorers: []Scorer{LoadScorer{}, ZoneScorer{}, FailureScorer{}},
+		scorers: []Scorer{LoadScorer{}, ZoneScorer{}, FailureScorer{}, LatencyScorer{}},
 	}
 	for _, endpoint := range endpoints {
 		if endpoint.Zone == zone {
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -10,8 +10,25 @@
 	zoneWeight     = 0.15
 	affinityWeight = 0.4
 	failureWeight  = 0.5
+	latencyWeight  = 0.5
 )
 
+// worstLatency bounds what a slow engine is marked down by, as a multiple of
+// the objective.
+const worstLatency = 2.0
+
+// LatencyScorer avoids engines whose answers take long against the request's
+// objective.
+type LatencyScorer struct{}
+
+// Score implements Scorer.
+func (LatencyScorer) Score(query *Query, endpoint *Endpoint) float64 {
+	if query.Objective <= 0 {
+		return 0
+	}
+	return -latencyWeight * min(worstLatency, float64(endpoint.State.Latency.Now())/float64(query.Objective))
+}
+
 // LoadScorer prefers engines with free slots.
 type LoadScorer struct{}
 
