Plans and placements are made once for many changes and items

Each change of an entry made new endpoints for all replicas and new plans for all services, on every node, and each item that waited asked every replica for its load in the heartbeats of every owner.

Change: sinks take all changes that came together and the directory makes one view of them; endpoints and plans that a change does not concern stay. One placement serves all items of a look: loads are added up once, replicas barred from a kind of item are left out once.

--- a/internal/batch/replicas.go
+++ b/internal/batch/replicas.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/pathtally/pathtally/internal/directory"
-	"github.com/pathtally/pathtally/internal/routing"
 	"github.com/pathtally/pathtally/internal/wire"
 )
 
@@ -134,48 +133,6 @@
 	return s.load(id)
 }
 
-// place picks the replica for an item: one that has the weights, is not
-// loading and has a free slot, the least used first. The mutex must be held.
-func (s *Service) place(view *directory.View, waiting *item, slow func(id string) bool) *routing.Endpoint {
-	configuration := view.Configuration
-	if configuration == nil {
-		return nil
-	}
-	route := routeOf(configuration, waiting.job.record.Route)
-	if route == nil {
-		return nil
-	}
-	model := waiting.job.submission.Model
-	var best *routing.Endpoint
-	bestUse := 0.0
-	for _, target := range route.Targets {
-		plan := view.Plans[target.Service]
-		if plan == nil {
-			continue
-		}
-		for _, endpoint := range plan.Endpoints() {
-			state := s.replica(endpoint.Name)
-			load := s.load(endpoint.Name)
-			known := s.version(view, endpoint.Name, model)
-			if load >= endpoint.Slots || time.Now().Before(state.blockedUntil) || state.loading(model) ||
-				(known > 0 && known < waiting.job.submission.MinVersion) {
-				continue
-			}
-			use := float64(load) / float64(endpoint.Slots)
-			if slow(endpoint.Name) {
-				use += slowPenalty
-			}
-			if best == nil || use < bestUse {
-				best, bestUse = endpoint, use
-			}
-		}
-	}
-	return best
-}
-
-// slowPenalty puts slow replicas behind all others, in full loads.
-const slowPenalty = 10
-
 func routeOf(configuration *directory.Configuration, name string) *directory.Route {
 	for i := range configuration.Routes {
 		if configuration.Routes[i].Name == name {
--- a/internal/batch/replicas_test.go
+++ b/internal/batch/replicas_test.go
@@ -1,9 +1,17 @@
 package batch
 
 import (
+	"context"
+	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"k8s.io/klog/v2"
+
+	"github.com/pathtally/pathtally/internal/directory"
 )
 
 // A replica that was down or full used to be tried again every 80 ms, with as
@@ -32,3 +40,68 @@
 		}
 	})
 }
+
+// placing returns a service that knows so many replicas, and an item for them.
+func placing(count int) (*Service, *item) {
+	table := directory.NewTable("zone", klog.Background())
+	var listed []*directory.Replica
+	for number := range count {
+		listed = append(listed, &directory.Replica{
+			ID: fmt.Sprintf("replica-%d", number), Service: "engines", Address: "127.0.0.1:1", Slots: 6, State: directory.ReplicaReady,
+			Versions: map[string]int64{"m": 3},
+		})
+	}
+	table.SetReplicas(listed, 0)
+	table.SetConfiguration(&directory.Configuration{Version: 1, Routes: []directory.Route{{
+		Name: "drafts", Targets: []directory.Target{{Service: "engines", Weight: 1}},
+	}}}, 1)
+	service := NewService(context.Background(), Config{Directory: table, Registry: prometheus.NewRegistry()})
+	waiting := &item{job: &job{record: Record{Route: "drafts"}, submission: &Submission{Model: "m", MinVersion: 3}}}
+	return service, waiting
+}
+
+func TestPlacementFillsReplicasEvenlyAndStopsWhenAllAreFull(t *testing.T) {
+	service, waiting := placing(5)
+	service.uses["other"] = nodeUses{at: time.Now(), running: map[string]int{"replica-0": 6, "replica-1": 2}}
+	service.replica("replica-2").block(time.Minute)
+	service.replica("replica-3").versions["m"] = 4
+	service.replica("replica-4").loadingSince["m"] = time.Now()
+	placement := service.newPlacement()
+	taken := map[string]int{}
+	for chosen := placement.pick(waiting); chosen != nil; chosen = placement.pick(waiting) {
+		chosen.load++
+		taken[chosen.endpoint.Name]++
+	}
+	if taken["replica-1"] != 4 || taken["replica-3"] != 6 || len(taken) != 2 {
+		t.Errorf("items went to %v", taken)
+	}
+	waiting.job.submission.MinVersion = 4
+	if chosen := service.newPlacement().pick(waiting); chosen == nil || chosen.endpoint.Name != "replica-3" {
+		t.Error("an item went to a replica on older weights than it allows")
+	}
+}
+
+func TestPlacementPrefersReplicasInUseUntilTheyFill(t *testing.T) {
+	service, waiting := placing(2)
+	service.replica("replica-1").observed = time.Now()
+	placement := service.newPlacement()
+	order := ""
+	for range 5 {
+		chosen := placement.pick(waiting)
+		chosen.load++
+		order += chosen.endpoint.Name[len("replica-"):]
+	}
+	if order[:2] != "11" || !strings.Contains(order, "0") {
+		t.Errorf("items went to %s", order)
+	}
+}
+
+func BenchmarkPlacementOf200ItemsAmong3000Replicas(b *testing.B) {
+	service, waiting := placing(3000)
+	for b.Loop() {
+		placement := service.newPlacement()
+		for range 200 {
+			placement.pick(waiting).load++
+		}
+	}
+}
--- a/internal/batch/scheduler.go
+++ b/internal/batch/scheduler.go
@@ -4,8 +4,6 @@
 	"context"
 	"slices"
 	"time"
-
-	"github.com/pathtally/pathtally/internal/directory"
 )
 
 const (
@@ -55,8 +53,10 @@
 func (s *Service) assign() bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	view := s.config.Directory.View()
-	slow := s.slowReplicas()
+	if len(s.queue) == 0 {
+		return len(s.attempts) > 0
+	}
+	placement := s.newPlacement()
 	full := map[*job]bool{}
 	s.queue = slices.DeleteFunc(s.queue, func(waiting *item) bool {
 		if waiting.done || waiting.job.ended || waiting.job.displaced {
@@ -68,12 +68,13 @@
 		if s.expire(waiting) {
 			return true
 		}
-		endpoint := s.place(view, waiting, func(id string) bool { return slow[id] })
-		if endpoint == nil {
+		chosen := placement.pick(waiting)
+		if chosen == nil {
 			full[waiting.job] = true
 			return false
 		}
-		s.launch(waiting, endpoint)
+		chosen.load++
+		s.launch(waiting, chosen.endpoint)
 		return true
 	})
 	return len(s.queue) > 0 || len(s.attempts) > 0
@@ -93,8 +94,11 @@
 func (s *Service) inspect() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	view := s.config.Directory.View()
-	slow := s.slowReplicas()
+	if len(s.attempts) == 0 {
+		return
+	}
+	placement := s.newPlacement()
+	view, slow := placement.view, placement.slow
 	moves := 0
 	for running := range s.attempts {
 		state := s.replica(running.endpoint.Name)
@@ -111,7 +115,7 @@
 		case running.idle() > patience:
 			state.blockedUntil = time.Now().Add(stallBlock)
 			running.cut(ErrStalled)
-		case slow[running.endpoint.Name] && len(s.queue) == 0 && moves < movesPerLook && s.hasFastPlace(view, running, slow):
+		case slow[running.endpoint.Name] && len(s.queue) == 0 && moves < movesPerLook && placement.hasFastPlace(running.item):
 			moves++
 			running.cut(ErrMoved)
 		}
@@ -124,11 +128,11 @@
 	return running.idle() < eventPatience
 }
 
-// hasFastPlace tells whether a run would find a free slot at a replica that is
-// not slow. The mutex must be held.
-func (s *Service) hasFastPlace(view *directory.View, running *attempt, slow map[string]bool) bool {
-	endpoint := s.place(view, running.item, func(id string) bool { return slow[id] })
-	return endpoint != nil && !slow[endpoint.Name]
+// hasFastPlace tells whether an item would find a free slot at a replica that
+// is not slow.
+func (p *placement) hasFastPlace(work *item) bool {
+	chosen := p.pick(work)
+	return chosen != nil && !p.slow[chosen.endpoint.Name]
 }
 
 // slowReplicas are those whose runs make events much more slowly than the
--- a/internal/directory/sinks.go
+++ b/internal/directory/sinks.go
@@ -13,10 +13,12 @@
 	}
 }
 
-// takePresent hands a changed object on, but no removed one.
-func takePresent(change objectstore.Change, take func(objectstore.Object)) {
-	if !change.Gone {
-		take(change.Object)
+// takePresent hands changed objects on, but no removed ones.
+func takePresent(changes []objectstore.Change, take func(objectstore.Object)) {
+	for _, change := range changes {
+		if !change.Gone {
+			take(change.Object)
+		}
 	}
 }
 
@@ -34,8 +36,8 @@
 }
 
 // Apply implements Sink.
-func (s ConfigurationSink) Apply(change objectstore.Change, _ bool) {
-	takePresent(change, s.take)
+func (s ConfigurationSink) Apply(changes []objectstore.Change, _ bool) {
+	takePresent(changes, s.take)
 }
 
 func (s ConfigurationSink) take(object objectstore.Object) {
@@ -72,14 +74,16 @@
 }
 
 // Apply implements Sink.
-func (s ReplicaSink) Apply(change objectstore.Change, afterOutage bool) {
-	if change.Gone {
-		s.Table.RemoveReplica(change.Object.Name, s.keepFor(afterOutage))
-		return
-	}
-	if replica := s.decode(change.Object); replica != nil {
-		s.Table.UpdateReplica(replica)
+func (s ReplicaSink) Apply(changes []objectstore.Change, afterOutage bool) {
+	changed := make([]ReplicaChange, 0, len(changes))
+	for _, change := range changes {
+		if change.Gone {
+			changed = append(changed, ReplicaChange{ID: change.Object.Name})
+		} else if replica := s.decode(change.Object); replica != nil {
+			changed = append(changed, ReplicaChange{ID: replica.ID, Replica: replica})
+		}
 	}
+	s.Table.ApplyReplicas(changed, s.keepFor(afterOutage))
 }
 
 func (s ReplicaSink) keepFor(afterOutage bool) time.Duration {
@@ -110,8 +114,8 @@
 }
 
 // Apply implements Sink.
-func (s VersionSink) Apply(change objectstore.Change, _ bool) {
-	takePresent(change, s.take)
+func (s VersionSink) Apply(changes []objectstore.Change, _ bool) {
+	takePresent(changes, s.take)
 }
 
 func (s VersionSink) take(object objectstore.Object) {
--- a/internal/directory/table.go
+++ b/internal/directory/table.go
@@ -109,28 +109,34 @@
 	t.publishReplicas(&next)
 }
 
-// UpdateReplica takes a new or changed replica.
-func (t *Table) UpdateReplica(replica *Replica) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	next := *t.view.Load()
-	next.Replicas = maps.Clone(next.Replicas)
-	t.admit(next.Replicas, replica)
-	t.publishReplicas(&next)
+// ReplicaChange is a replica that is new or changed, or one whose entry has
+// vanished if Replica is nil.
+type ReplicaChange struct {
+	ID      string
+	Replica *Replica
 }
 
-// RemoveReplica takes out a replica whose entry has vanished, after a while.
-func (t *Table) RemoveReplica(id string, keepMissing time.Duration) {
+// ApplyReplicas takes changes that came together, oldest first, and makes one
+// view of them. Replicas whose entries have vanished are kept for a while
+// longer, none when keepMissing is 0.
+func (t *Table) ApplyReplicas(changes []ReplicaChange, keepMissing time.Duration) {
+	if len(changes) == 0 {
+		return
+	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	next := *t.view.Load()
-	replica := next.Replicas[id]
-	if replica == nil {
-		return
-	}
 	next.Replicas = maps.Clone(next.Replicas)
-	delete(next.Replicas, id)
-	t.miss(next.Replicas, replica, keepMissing)
+	for _, change := range changes {
+		standing := next.Replicas[change.ID]
+		switch {
+		case change.Replica != nil:
+			t.admit(next.Replicas, change.Replica)
+		case standing != nil:
+			delete(next.Replicas, change.ID)
+			t.miss(next.Replicas, standing, keepMissing)
+		}
+	}
 	t.publishReplicas(&next)
 }
 
@@ -196,32 +202,76 @@
 	t.publishReplicas(&next)
 }
 
-// publishReplicas rebuilds the plans and publishes.
+// publishReplicas publishes a view with other replicas. What has not changed
+// of it stays: most changes concern weights only, which no plan depends on,
+// and there may be thousands of replicas.
 func (t *Table) publishReplicas(next *View) {
 	t.forgetDrained()
-	states := make(map[string]*routing.EndpointState, len(next.Replicas))
-	byService := map[string][]*routing.Endpoint{}
+	standing := t.view.Load()
 	next.Endpoints = make(map[string]*routing.Endpoint, len(next.Replicas))
+	changed := map[string]bool{}
 	for id, replica := range next.Replicas {
-		state := t.states[id]
-		if state == nil {
-			state = routing.NewEndpointState()
-			state.SetView(routing.EngineView{})
-			t.logger.Info("replica learnt", "replica", id, "service", replica.Service, "address", replica.Address, "zone", replica.Zone)
+		endpoint := standing.Endpoints[id]
+		if endpoint == nil || !sameEndpoint(endpoint, replica) {
+			changed[replica.Service] = true
+			if endpoint != nil {
+				changed[endpoint.Model] = true
+			}
+			endpoint = t.newEndpoint(replica)
 		}
-		states[id] = state
-		endpoint := routing.NewReplicaEndpoint(id, replica.Address, replica.Zone, replica.Service, replica.Slots, state)
 		next.Endpoints[id] = endpoint
-		byService[replica.Service] = append(byService[replica.Service], endpoint)
 	}
-	t.states = states
-	next.Plans = make(map[string]*routing.Plan, len(byService))
-	for service, endpoints := range byService {
-		next.Plans[service] = routing.NewPlan(t.zone, endpoints)
+	for id, endpoint := range standing.Endpoints {
+		if next.Endpoints[id] == nil {
+			changed[endpoint.Model] = true
+			delete(t.states, id)
+		}
 	}
+	next.Plans = t.plansOf(next.Endpoints, standing.Plans, changed)
 	t.publish(next)
 }
 
+// sameEndpoint tells whether a replica is as the router knows it.
+func sameEndpoint(endpoint *routing.Endpoint, replica *Replica) bool {
+	return endpoint.Address == replica.Address && endpoint.Zone == replica.Zone && endpoint.Model == replica.Service &&
+		endpoint.Slots == max(1, replica.Slots)
+}
+
+// newEndpoint is a replica as the router sees it.
+func (t *Table) newEndpoint(replica *Replica) *routing.Endpoint {
+	state := t.states[replica.ID]
+	if state == nil {
+		state = routing.NewEndpointState()
+		state.SetView(routing.EngineView{})
+		t.states[replica.ID] = state
+		t.logger.Info("replica learnt", "replica", replica.ID, "service", replica.Service, "address", replica.Address, "zone", replica.Zone)
+	}
+	return routing.NewReplicaEndpoint(replica.ID, replica.Address, replica.Zone, replica.Service, replica.Slots, state)
+}
+
+// plansOf are the plans of all services; those of services that have not
+// changed are the standing ones.
+func (t *Table) plansOf(endpoints map[string]*routing.Endpoint, standing map[string]*routing.Plan, changed map[string]bool) map[string]*routing.Plan {
+	if len(changed) == 0 {
+		return standing
+	}
+	byService := map[string][]*routing.Endpoint{}
+	for _, endpoint := range endpoints {
+		if changed[endpoint.Model] {
+			byService[endpoint.Model] = append(byService[endpoint.Model], endpoint)
+		}
+	}
+	plans := maps.Clone(standing)
+	for service := range changed {
+		if members := byService[service]; len(members) > 0 {
+			plans[service] = routing.NewPlan(t.zone, members)
+		} else {
+			delete(plans, service)
+		}
+	}
+	return plans
+}
+
 func (t *Table) publish(next *View) {
 	next.Changed = time.Now()
 	t.view.Store(next)
--- a/internal/directory/table_test.go
+++ b/internal/directory/table_test.go
@@ -240,9 +240,9 @@
 		table := NewTable("zone", klog.Background())
 		leaving := ready("s")
 		leaving.ID, leaving.State = "one", ReplicaDraining
-		table.UpdateReplica(leaving)
+		table.ApplyReplicas([]ReplicaChange{{ID: "one", Replica: leaving}}, 0)
 		time.Sleep(drainMemory / 2)
-		table.UpdateReplica(leaving)
+		table.ApplyReplicas([]ReplicaChange{{ID: "one", Replica: leaving}}, 0)
 		time.Sleep(drainMemory * 3 / 4)
 		table.SetReplicas(nil, 0)
 		if !table.isDraining("one") {
@@ -255,3 +255,33 @@
 		}
 	})
 }
+
+// Each change of an entry used to rebuild every plan, on every node: with a
+// thousand replicas a new version of weights cost a million endpoints.
+func TestChangesThatNoPlanDependsOnLeaveThePlans(t *testing.T) {
+	table := NewTable("zone", klog.Background())
+	replica := func(id, service, address string, version int64) ReplicaChange {
+		return ReplicaChange{ID: id, Replica: &Replica{
+			ID: id, Service: service, Address: address, Slots: 4, State: ReplicaReady, Versions: map[string]int64{"m": version},
+		}}
+	}
+	table.ApplyReplicas([]ReplicaChange{replica("a", "s", "1", 1), replica("b", "s", "2", 1), replica("c", "other", "3", 1)}, 0)
+	before := table.View()
+	table.ApplyReplicas([]ReplicaChange{replica("a", "s", "1", 2)}, 0)
+	after := table.View()
+	if after.Plans["s"] != before.Plans["s"] || after.Replicas["a"].Versions["m"] != 2 {
+		t.Errorf("a change of weights made another plan, or was not taken: %v", after.Replicas["a"].Versions)
+	}
+	table.ApplyReplicas([]ReplicaChange{replica("a", "s", "9", 2), {ID: "b"}}, 0)
+	moved := table.View()
+	if moved.Plans["other"] != before.Plans["other"] {
+		t.Error("the plan of another service was made anew")
+	}
+	if endpoints := moved.Plans["s"].Endpoints(); len(endpoints) != 1 || endpoints[0].Address != "9" {
+		t.Errorf("the plan has %d endpoints after a move and a loss", len(endpoints))
+	}
+	table.ApplyReplicas([]ReplicaChange{replica("a", "other", "9", 2)}, 0)
+	if table.View().Plans["s"] != nil || len(table.View().Plans["other"].Endpoints()) != 2 {
+		t.Error("a replica that changed its service is not where it belongs")
+	}
+}
--- a/internal/instance/retirements.go
+++ b/internal/instance/retirements.go
@@ -48,9 +48,11 @@
 }
 
 // Apply implements watchcache.Sink.
-func (r *retirements) Apply(change objectstore.Change, _ bool) {
-	if !change.Gone {
-		r.take(change.Object)
+func (r *retirements) Apply(changes []objectstore.Change, _ bool) {
+	for _, change := range changes {
+		if !change.Gone {
+			r.take(change.Object)
+		}
 	}
 }
 
--- a/internal/watchcache/cache.go
+++ b/internal/watchcache/cache.go
@@ -84,10 +84,10 @@
 		} else {
 			c.objects[change.Object.Name] = change.Object
 		}
-		c.sink.Apply(change, afterOutage)
 	}
 	c.trim()
 	if len(changes) > 0 {
+		c.sink.Apply(changes, afterOutage)
 		c.notify()
 	}
 	return true
--- a/internal/watchcache/harness_test.go
+++ b/internal/watchcache/harness_test.go
@@ -85,15 +85,17 @@
 	}
 }
 
-func (r *recorder) Apply(change objectstore.Change, afterOutage bool) {
+func (r *recorder) Apply(changes []objectstore.Change, afterOutage bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.afterOutage = afterOutage
-	if change.Gone {
-		delete(r.objects, change.Object.Name)
-		return
+	for _, change := range changes {
+		if change.Gone {
+			delete(r.objects, change.Object.Name)
+			continue
+		}
+		r.objects[change.Object.Name] = change.Object
 	}
-	r.objects[change.Object.Name] = change.Object
 }
 
 // spec returns what the sink has of an object, empty for none.
--- a/internal/watchcache/sink.go
+++ b/internal/watchcache/sink.go
@@ -7,6 +7,6 @@
 	// Replace takes a whole listing. After an outage of the store, entries may
 	// be missing because of it and not because their owners are gone.
 	Replace(objects []objectstore.Object, afterOutage bool)
-	// Apply takes one change.
-	Apply(change objectstore.Change, afterOutage bool)
+	// Apply takes changes that came together, oldest first.
+	Apply(changes []objectstore.Change, afterOutage bool)
 }
