Priorities of routes hold at engines and among waiting items

Change: generations carry the rank of their route to engines, and items of more urgent routes wait in front. Owners on different nodes still share free slots without regard to rank.

--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -40,6 +40,8 @@
 	endpoint *routing.Endpoint
 	cancel   context.CancelCauseFunc
 	begun    time.Time
+	// priority is that of the item's route, 0 the most urgent.
+	priority int
 	// events counts the events of this run, and heard is when the last came,
 	// as a span since begun.
 	events atomic.Int64
@@ -63,6 +65,9 @@
 	route := routeOf(s.config.Directory.View().Configuration, waiting.job.record.Route)
 	host := waiting.job.record.Host
 	singleVersion := route != nil && route.SingleVersion
+	if route != nil {
+		running.priority = route.Priority
+	}
 	rewardAttempts := func() int { return s.rewardAttempts(waiting) }
 	go func() {
 		err := s.run(ctx, running, host, singleVersion)
@@ -82,7 +87,7 @@
 	work := running.item
 	call := &dispatch.Call{
 		ID: work.ID, Method: http.MethodPost, Target: work.Target, Host: host, Header: work.Header, Body: work.Body,
-		Deadline: time.Now().Add(attemptTime), AfterEvent: len(work.progress.events),
+		Deadline: time.Now().Add(attemptTime), AfterEvent: len(work.progress.events), Rank: dispatch.RankOf(running.priority),
 	}
 	answer, err := s.config.Dispatcher.Send(ctx, running.endpoint, call)
 	if err != nil {
--- a/internal/batch/replicas_test.go
+++ b/internal/batch/replicas_test.go
@@ -105,3 +105,24 @@
 		}
 	}
 }
+
+func TestItemsOfMoreUrgentRoutesWaitInFront(t *testing.T) {
+	table := directory.NewTable("zone", klog.Background())
+	table.SetConfiguration(&directory.Configuration{Version: 1, Routes: []directory.Route{{Name: "later", Priority: 1}, {Name: "first"}}}, 1)
+	service := NewService(context.Background(), Config{Directory: table, Registry: prometheus.NewRegistry()})
+	now := time.Now()
+	waiting := func(id, route string, accepted time.Time, rank int) *item {
+		return &item{Item: &Item{ID: id}, group: &group{rank: rank}, job: &job{record: Record{Route: route}, accepted: accepted}}
+	}
+	service.queue = []*item{
+		waiting("a", "later", now.Add(-10*ageStep), 0), waiting("b", "first", now, 1), waiting("c", "first", now, 0), waiting("d", "first", now.Add(-2*ageStep), 2),
+	}
+	service.sortQueue()
+	order := ""
+	for _, queued := range service.queue {
+		order += queued.ID
+	}
+	if order != "dcba" {
+		t.Errorf("items wait in the order %s", order)
+	}
+}
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -187,10 +187,20 @@
 	}
 }
 
-// sortQueue orders the items that wait: older jobs first where they differ by
-// much, then by the rank of their groups. The mutex must be held.
+// sortQueue orders the items that wait: those of more urgent routes first, then
+// older jobs where they differ by much, then by the rank of their groups. The
+// mutex must be held.
 func (s *Service) sortQueue() {
+	priorities := map[string]int{}
+	if configuration := s.config.Directory.View().Configuration; configuration != nil {
+		for _, route := range configuration.Routes {
+			priorities[route.Name] = route.Priority
+		}
+	}
 	slices.SortStableFunc(s.queue, func(a, b *item) int {
+		if order := priorities[a.job.record.Route] - priorities[b.job.record.Route]; order != 0 {
+			return order
+		}
 		if order := a.job.accepted.Truncate(ageStep).Compare(b.job.accepted.Truncate(ageStep)); order != 0 {
 			return order
 		}
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -24,8 +24,14 @@
 	Version int64
 	// Once marks a request that must not run twice.
 	Once bool
+	// Rank is the priority of a generation among others at a model engine, the
+	// first of them 1; 0 leaves it to the engine.
+	Rank int
 }
 
+// RankOf is the rank of a route's priority, of which 0 is the most urgent.
+func RankOf(priority int) int { return 1 + max(0, priority) }
+
 // Conditions are what a dispatch asks of the replica.
 type Conditions struct {
 	// Replica is the incarnation that alone may run the request.
@@ -33,6 +39,8 @@
 	Remaining  time.Duration
 	AfterEvent int
 	Version    int64
+	// Rank is as in a Call.
+	Rank int
 }
 
 // Verdict is what an answer's head says.
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -118,7 +118,7 @@
 		Header: withoutConnectionHeaders(request.Header), Body: body, Deadline: h.deadline(request.Header, route, received),
 	}
 	if route.Kind == directory.RouteStream {
-		call.AfterEvent = h.config.Headers.AfterEvent(request.Header)
+		call.AfterEvent, call.Rank = h.config.Headers.AfterEvent(request.Header), dispatch.RankOf(route.Priority)
 		h.stream(writer, request, route, call)
 		return
 	}
