A watch that was cut is followed by a listing, and by one more when all is settled

The informer of a node watched on from where it had been 23 ms after the cut, since the probe had been answered; that watch heard of the gap only at the next change of its kind, five seconds later for the configuration. Its follower had been told by then that all was current. Ruled out: a stale listing (listings are linearizable, and none was made), the follower's poll (it had what the reader had).

Change: a watch that ended without an answer or was left at the end of an outage is followed by a listing, and everything is listed once more 1.5 s later. The test plays the same with the store deaf for 0, 0.4 and 1.2 s; it fails before at 0.4 s.

The waiting for peers' replies stands once now (environment.Ask), and so does a caller's request in the process tests.

--- a/internal/batch/read.go
+++ b/internal/batch/read.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/pathtally/pathtally/internal/environment"
 	"github.com/pathtally/pathtally/internal/wire"
 )
 
@@ -88,26 +89,10 @@
 	return standing.owner, true
 }
 
-// ask sends a question to another node and waits for its answer.
-func (s *Service) ask(ctx context.Context, address string, question wire.Message, patience time.Duration) (wire.Message, error) {
-	type answer struct {
-		message wire.Message
-		err     error
-	}
-	answers := make(chan answer, 1)
-	s.config.Peers.Call(address, question, patience, func(message wire.Message, err error) { answers <- answer{message, err} })
-	select {
-	case got := <-answers:
-		return got.message, got.err
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
 // readFrom reads a job from the node that runs it.
 func (s *Service) readFrom(ctx context.Context, owner Owner, id string, after int, patience time.Duration) (Page, error) {
 	question := &wire.JobRead{Job: id, After: uint32(after), WaitMs: uint32(patience.Milliseconds())}
-	message, err := s.ask(ctx, owner.Address, question, patience+peerMargin)
+	message, err := environment.Ask(ctx, s.config.Peers, owner.Address, question, patience+peerMargin)
 	if err != nil {
 		return Page{}, err
 	}
@@ -159,7 +144,7 @@
 		return bodyOf(held.submission, itemID)
 	}
 	if owner, known := s.ownerOf(id); known {
-		message, err := s.ask(ctx, owner.Address, &wire.JobItem{Job: id, Item: itemID}, peerMargin)
+		message, err := environment.Ask(ctx, s.config.Peers, owner.Address, &wire.JobItem{Job: id, Item: itemID}, peerMargin)
 		if body, ok := message.(*wire.JobItemBody); ok && err == nil && body.Known {
 			if !body.Found {
 				return nil, ErrNoSuchItem
@@ -199,7 +184,7 @@
 	s.mutex.Unlock()
 	if held == nil {
 		if owner, known := s.ownerOf(id); known {
-			message, err := s.ask(ctx, owner.Address, &wire.JobEnd{Job: id}, endTime)
+			message, err := environment.Ask(ctx, s.config.Peers, owner.Address, &wire.JobEnd{Job: id}, endTime)
 			if _, done := message.(*wire.Done); done && err == nil {
 				s.noteEnded(id)
 				return nil
--- a/internal/storerelay/relay.go
+++ b/internal/storerelay/relay.go
@@ -152,26 +152,14 @@
 
 // through makes a call through another node.
 func (r *Relay) through(ctx context.Context, address string, call *wire.StoreCall) (*wire.StoreReply, error) {
-	answered := make(chan *wire.StoreReply, 1)
-	r.config.Peers.Call(address, call, relayTime, func(message wire.Message, err error) {
-		reply, _ := message.(*wire.StoreReply)
-		if err != nil {
-			reply = nil
-		}
-		answered <- reply
-	})
-	select {
-	case <-ctx.Done():
-		return nil, &objectstore.UnansweredError{Cause: merry.Wrap(ctx.Err())}
-	case reply := <-answered:
-		if reply == nil {
-			r.relayed.WithLabelValues("silent").Inc()
-			return nil, &objectstore.UnansweredError{Cause: merry.Wrap(environment.ErrPeerUnreachable)}
-		}
-		err := failureOf(reply)
-		r.relayed.WithLabelValues(nameOf(wire.StoreOutcome(reply.Outcome))).Inc()
-		return reply, err
+	message, err := environment.Ask(ctx, r.config.Peers, address, call, relayTime)
+	reply, isReply := message.(*wire.StoreReply)
+	if err != nil || !isReply {
+		r.relayed.WithLabelValues("silent").Inc()
+		return nil, &objectstore.UnansweredError{Cause: merry.Wrap(environment.ErrPeerUnreachable, merry.WithCause(err))}
 	}
+	r.relayed.WithLabelValues(nameOf(wire.StoreOutcome(reply.Outcome))).Inc()
+	return reply, failureOf(reply)
 }
 
 // isTroubled tells whether a call of this node's own has failed of late.
--- a/internal/watchcache/follow.go
+++ b/internal/watchcache/follow.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/pathtally/pathtally/internal/environment"
 	"github.com/pathtally/pathtally/internal/objectstore"
 	"github.com/pathtally/pathtally/internal/objectwire"
 	"github.com/pathtally/pathtally/internal/wire"
@@ -109,24 +110,13 @@
 	for _, cache := range s.caches {
 		poll.Kinds = append(poll.Kinds, wire.KindRevision{Kind: cache.kind, Revision: cache.Revision()})
 	}
-	answered := make(chan *wire.WatchNews, 1)
-	s.config.Peers.Call(reader.Address, poll, pollWait+pollMargin, func(reply wire.Message, err error) {
-		news, _ := reply.(*wire.WatchNews)
-		if err != nil {
-			news = nil
-		}
-		answered <- news
-	})
-	select {
-	case <-ctx.Done():
+	reply, err := environment.Ask(ctx, s.config.Peers, reader.Address, poll, pollWait+pollMargin)
+	news, isNews := reply.(*wire.WatchNews)
+	if err != nil || !isNews {
 		return outcomeSilent
-	case news := <-answered:
-		if news == nil {
-			return outcomeSilent
-		}
-		s.take(poll, news)
-		return outcomeOf(wire.Standing(news.Standing))
 	}
+	s.take(poll, news)
+	return outcomeOf(wire.Standing(news.Standing))
 }
 
 func outcomeOf(standing wire.Standing) string {
--- a/internal/watchcache/informer.go
+++ b/internal/watchcache/informer.go
@@ -23,6 +23,10 @@
 	// not answer, and longestRetry bounds the times before later ones.
 	retryPause   = 250 * time.Millisecond
 	longestRetry = 2 * time.Second
+	// settleTime is how long after a gap everything is listed once more: a watch
+	// that began right after it may not hear what a store that is still
+	// recovering has forgotten.
+	settleTime = 1500 * time.Millisecond
 	// outageMemory is how long after a failure vanished entries may be due to
 	// the store and not to their owners.
 	outageMemory = 4 * time.Second
@@ -37,6 +41,8 @@
 
 	lastFailed time.Time
 	failing    bool
+	// settled fires some time after a gap, nil after that.
+	settled *time.Timer
 	// retry is the time that was waited before the last try.
 	retry time.Duration
 	// current is set while the last call to the store was answered.
@@ -101,15 +107,20 @@
 	return nil
 }
 
-// follow watches until the history is gone or the context ends.
+// follow watches until there may be a gap in what it hears or the context ends.
+// A watch that ended without an answer is not begun again from where it stood:
+// the store may have forgotten what came since, and a new watch may wait for the
+// next change without saying so.
 func (i *Informer) follow(ctx context.Context) {
 	for ctx.Err() == nil {
 		from := i.cache.Revision()
 		changes, err := i.watch(ctx, from)
-		if errors.Is(err, errRegained) {
-			i.lastFailed = time.Now()
-			i.logger.Info("watch begun anew", "kind", i.cache.kind, "from", from)
-			continue
+		if errors.Is(err, errRegained) || errors.Is(err, errSettling) {
+			i.logger.Info("listing anew", "kind", i.cache.kind, "from", from, "reason", err.Error())
+			if errors.Is(err, errRegained) {
+				i.noteGap()
+			}
+			return
 		}
 		if errors.Is(err, objectstore.ErrHistoryGone) {
 			i.logger.Info("watch history gone, listing anew", "kind", i.cache.kind, "from", from)
@@ -117,7 +128,7 @@
 		}
 		if err != nil {
 			i.fail(ctx, "watch", err)
-			continue
+			return
 		}
 		if ctx.Err() != nil || !i.cache.Advance(from, changes.Events, changes.At, i.afterOutage()) {
 			continue
@@ -129,8 +140,19 @@
 	}
 }
 
-// errRegained ends a watch from before an outage of the store.
-var errRegained = merry.Sentinel("store regained")
+// errRegained ends a watch from before an outage of the store, and errSettling
+// one that began soon after.
+var (
+	errRegained = merry.Sentinel("store regained")
+	errSettling = merry.Sentinel("store settled after an outage")
+)
+
+// noteGap records that changes may have been missed, and that what the store
+// says in the next moments may lack some.
+func (i *Informer) noteGap() {
+	i.lastFailed = time.Now()
+	i.settled = time.NewTimer(settleTime)
+}
 
 // watch waits for changes, but not beyond the end of an outage.
 func (i *Informer) watch(ctx context.Context, from uint64) (objectstore.Changes, error) {
@@ -147,9 +169,16 @@
 		changes, err := i.store.Watch(ctx, i.cache.kind, from, watchWait)
 		results <- result{changes, err}
 	}()
+	var settled <-chan time.Time
+	if i.settled != nil {
+		settled = i.settled.C
+	}
 	select {
 	case ended := <-results:
 		return ended.changes, ended.err
+	case <-settled:
+		i.settled = nil
+		return objectstore.Changes{}, errSettling
 	case <-regained:
 		return objectstore.Changes{}, errRegained
 	case <-ctx.Done():
@@ -182,7 +211,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	i.lastFailed = time.Now()
+	i.noteGap()
 	i.current.Store(false)
 	if !i.failing {
 		i.failing = true
--- /dev/null
+++ b/internal/watchcache/informer_test.go
@@ -0,0 +1,90 @@
+package watchcache
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pathtally/pathtally/internal/objectstore"
+	"github.com/pathtally/pathtally/standin/metastore"
+)
+
+// forgetfulStore forgets its history as the users' platform does: for a while
+// watches hear nothing, then they are cut, and a watch that begins too soon
+// after that hears of the gap only at the next change.
+type forgetfulStore struct {
+	*metastore.Store
+	mutex sync.Mutex
+	// cut ends the watches that wait, and deafUntil is until when a new watch
+	// hears nothing.
+	cut       chan struct{}
+	deafUntil time.Time
+}
+
+func (s *forgetfulStore) Watch(ctx context.Context, kind string, from uint64, wait time.Duration) (objectstore.Changes, error) {
+	s.mutex.Lock()
+	cut, deafUntil := s.cut, s.deafUntil
+	s.mutex.Unlock()
+	if time.Now().Before(deafUntil) {
+		objectstore.Sleep(ctx, wait)
+		return objectstore.Changes{}, objectstore.ErrHistoryGone
+	}
+	type result struct {
+		changes objectstore.Changes
+		err     error
+	}
+	results := make(chan result, 1)
+	watching, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		changes, err := s.Store.Watch(watching, kind, from, wait)
+		results <- result{changes, err}
+	}()
+	select {
+	case <-cut:
+		return objectstore.Changes{}, &objectstore.UnansweredError{Cause: metastore.ErrFault}
+	case ended := <-results:
+		return ended.changes, ended.err
+	}
+}
+
+// mix 26668628570 at Cauce: a configuration was written while the store forgot
+// its history, the informer watched on from where it had been right after its
+// watch was cut, and the node answered 404 on the new route for five seconds.
+func TestWatchThatWasCutIsNotBegunAgainFromWhereItStood(t *testing.T) {
+	for _, deaf := range []time.Duration{0, 400 * time.Millisecond, 1200 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			store := &forgetfulStore{Store: metastore.New(), cut: make(chan struct{})}
+			store.Write(testKind, "first", 1)
+			sink := &recorder{}
+			informer := NewInformer(store, testKind, sink, klog.Background())
+			health := newStoreHealth(klog.Background(), func() {})
+			informer.Failed, informer.Regained = health.noteFailed, health.Regained
+			go informer.Run(ctx)
+			settle(time.Second)
+			// While nothing is heard, a change is made; then the history goes and
+			// the watches are cut. The probe is answered at once.
+			store.mutex.Lock()
+			cut := store.cut
+			store.cut, store.deafUntil = make(chan struct{}), time.Now().Add(deaf)
+			store.mutex.Unlock()
+			close(cut)
+			synctest.Wait()
+			health.noteAnswered()
+			settle(deaf / 2)
+			store.Write(testKind, "first", 2)
+			store.Forget()
+			settle(settleTime + 500*time.Millisecond)
+			if got := sink.spec("first"); got != "2" {
+				t.Errorf("deaf for %s: the sink has %q two seconds after the change", deaf, got)
+			}
+			cancel()
+			settle(time.Minute)
+		})
+	}
+}
--- a/test/platform_harness_test.go
+++ b/test/platform_harness_test.go
@@ -202,18 +202,31 @@
 	body   string
 }
 
-// send makes one request of a caller on a connection of its own.
-func (d *platformDeployment) send(node *platformNode, method, host, target, id string, body []byte, header http.Header) (reply, error) {
-	request, err := http.NewRequest(method, "http://"+node.http+target, bytes.NewReader(body))
+// call is one request of a caller, on a connection of its own.
+type call struct {
+	address string
+	method  string
+	host    string
+	target  string
+	id      string
+	body    []byte
+	header  http.Header
+	// limit bounds how long the caller waits.
+	limit time.Duration
+}
+
+// do sends a call and reads the whole answer.
+func (c call) do() (reply, error) {
+	request, err := http.NewRequest(c.method, "http://"+c.address+c.target, bytes.NewReader(c.body))
 	if err != nil {
 		return reply{}, err
 	}
-	request.Host = host
-	for name, values := range header {
+	request.Host = c.host
+	for name, values := range c.header {
 		request.Header[name] = values
 	}
-	request.Header.Set("Pathtally-Request-Id", id)
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}, Timeout: startLimit}
+	request.Header.Set("Pathtally-Request-Id", c.id)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}, Timeout: c.limit}
 	response, err := client.Do(request)
 	if err != nil {
 		return reply{}, err
@@ -223,6 +236,11 @@
 	return reply{status: response.StatusCode, header: response.Header, body: string(read)}, err
 }
 
+// send makes one request of a caller on a connection of its own.
+func (d *platformDeployment) send(node *platformNode, method, host, target, id string, body []byte, header http.Header) (reply, error) {
+	return call{address: node.http, method: method, host: host, target: target, id: id, body: body, header: header, limit: startLimit}.do()
+}
+
 // draftItem is an item of a batch job as a trainer sends it.
 func draftItem(job string, number int) map[string]any {
 	id := fmt.Sprintf("%s.%d", job, number)
--- a/test/soak_callers_test.go
+++ b/test/soak_callers_test.go
@@ -1,10 +1,8 @@
 package test
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -22,27 +20,17 @@
 	wantedShare = 0.9
 )
 
-// call sends one request on a connection of its own.
+// call sends one request to a node's process of now.
 func (w *soakWorld) call(node *soakNode, method, host, target, id string, body []byte, header http.Header) (reply, error) {
 	process, _ := node.process()
-	request, err := http.NewRequest(method, "http://"+process.http+target, bytes.NewReader(body))
-	if err != nil {
-		return reply{}, err
-	}
-	request.Host = host
-	for name, values := range header {
-		request.Header[name] = values
-	}
-	request.Header.Set("Pathtally-Request-Id", id)
-	request.Header.Set("Pathtally-Deadline-Ms", fmt.Sprint(callTime.Milliseconds()))
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}, Timeout: callTime + time.Second}
-	response, err := client.Do(request)
-	if err != nil {
-		return reply{}, err
-	}
-	defer response.Body.Close()
-	read, err := io.ReadAll(response.Body)
-	return reply{status: response.StatusCode, header: response.Header, body: string(read)}, err
+	header = header.Clone()
+	if header == nil {
+		header = http.Header{}
+	}
+	header.Set("Pathtally-Deadline-Ms", fmt.Sprint(callTime.Milliseconds()))
+	return call{
+		address: process.http, method: method, host: host, target: target, id: id, body: body, header: header, limit: callTime + time.Second,
+	}.do()
 }
 
 // callers send live requests to all nodes.
