A node that was started anew learns that it holds the order lease

After a restart nobody knows who holds the lease; whoever is first in rank reads it and waits 5.7 s for its holder, and the holder, back within a second, reads it only when its rank's turn has come: 0.7 s for each node before it.

Change: heartbeats carry the newest revision of the lease that a node has seen and its holder; a node that begins to wait sends one, and a holder that hears of itself goes on at once, since the same machine need not wait for itself.

Tests: the holder goes on within 3 s; a successor of one that stays away still waits out its time.

--- a/internal/instance/peers.go
+++ b/internal/instance/peers.go
@@ -32,11 +32,13 @@
 	i.jobs.FillBeat(beat)
 	beat.Versions = i.weights.Versions()
 	beat.Lease = i.weights.Lease()
+	beat.LeaseHolder, beat.LeaseSeen = i.weights.SeenLease()
 }
 
 // takeBeat takes another node's heartbeat.
 func (i *Instance) takeBeat(beat *wire.NodeBeat) {
 	i.weights.Observe(beat.Node, beat.Lease)
+	i.weights.Observe(beat.LeaseHolder, beat.LeaseSeen)
 	for _, change := range beat.Versions {
 		i.weights.ObserveVersion(change)
 	}
--- a/internal/weightorders/coordinator.go
+++ b/internal/weightorders/coordinator.go
@@ -88,6 +88,9 @@
 	// leaseRetry is the time before the next try to get the lease after one
 	// that failed. It belongs to Run.
 	leaseRetry time.Duration
+	// awaited is the revision of the lease that was last told to be waited for.
+	// It belongs to Run.
+	awaited uint64
 }
 
 // NewCoordinator returns a coordinator that has not started.
@@ -162,7 +165,7 @@
 		}
 		c.leaseRetry = 0
 		if pause > 0 {
-			c.config.Logger.Info("order lease awaited", "holder", c.lease.heldBy(), "waitMs", pause.Milliseconds())
+			c.noteAwaited(pause)
 			return pause
 		}
 		c.config.Logger.Info("order lease held", "token", c.token())
@@ -175,6 +178,19 @@
 // loadsAtOnce is how many replicas of all may load at a time.
 func loadsAtOnce(replicas int) int { return max(leastLoads, replicas/loadPart) }
 
+// noteAwaited tells once for each revision that this node waits for its holder,
+// in the log and to the other nodes: the holder may have been started anew since
+// and not know that it is the one who need not wait.
+func (c *Coordinator) noteAwaited(pause time.Duration) {
+	holder, revision := c.lease.newest()
+	if revision == c.awaited {
+		return
+	}
+	c.awaited = revision
+	c.config.Logger.Info("order lease awaited", "holder", holder, "revision", revision, "waitMs", pause.Milliseconds())
+	c.config.Broadcast()
+}
+
 func (c *Coordinator) token() uint64 {
 	token, _ := c.lease.valid()
 	return token
--- /dev/null
+++ b/internal/weightorders/coordinator_test.go
@@ -0,0 +1,176 @@
+package weightorders
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"k8s.io/klog/v2"
+
+	"github.com/pathtally/pathtally/internal/directory"
+	"github.com/pathtally/pathtally/internal/wire"
+	"github.com/pathtally/pathtally/standin/metastore"
+)
+
+// orderedReplicas are replicas that carry every order out at once.
+type orderedReplicas struct {
+	mutex    sync.Mutex
+	versions map[string]int64
+	orders   []Order
+	last     time.Time
+}
+
+func (r *orderedReplicas) Report(_ context.Context, target Target) (Report, error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return Report{Sequence: int64(len(r.orders)), Versions: map[string]int64{"m": r.versions[target.ID]}}, nil
+}
+
+func (r *orderedReplicas) Order(_ context.Context, target Target, order Order) (bool, error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.orders, r.last = append(r.orders, order), time.Now()
+	r.versions[target.ID] = order.Version
+	return false, nil
+}
+
+// newest is the order given last, and when.
+func (r *orderedReplicas) newest() (Order, time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.orders[len(r.orders)-1], r.last
+}
+
+// fleet is a set of coordinators before the same replicas.
+type fleet struct {
+	store        *metastore.Store
+	table        *directory.Table
+	replicas     *orderedReplicas
+	mutex        sync.Mutex
+	coordinators []*Coordinator
+	stop         context.CancelFunc
+}
+
+func newFleet() *fleet {
+	f := &fleet{store: metastore.New(), table: directory.NewTable("zone", klog.Background()), replicas: &orderedReplicas{versions: map[string]int64{}}}
+	f.table.SetConfiguration(&directory.Configuration{Version: 1, Services: map[string]directory.Service{"s": {Engine: &directory.Engine{Models: []string{"m"}}}}}, 1)
+	f.table.SetReplicas([]*directory.Replica{{ID: "a", Service: "s", State: directory.ReplicaReady}, {ID: "b", Service: "s", State: directory.ReplicaReady}}, 0)
+	return f
+}
+
+// start runs a process of each node.
+func (f *fleet) start(ctx context.Context, nonce string, nodes ...string) {
+	ctx, f.stop = context.WithCancel(ctx)
+	var coordinators []*Coordinator
+	for _, node := range nodes {
+		var made *Coordinator
+		made = NewCoordinator(Config{
+			Node: node, Nonce: nonce, Term: testTerm, Store: f.store, Directory: f.table, Replicas: f.replicas, Logger: klog.Background(),
+			Registry: prometheus.NewRegistry(), Nodes: func() []string { return nodes }, Heard: func(string) time.Time { return time.Time{} },
+			Load: func(string) int { return 0 }, Tolerance: func(string) int64 { return 0 }, OnChange: f.list,
+			Broadcast: func() { f.tell(made) },
+		})
+		coordinators = append(coordinators, made)
+	}
+	f.mutex.Lock()
+	f.coordinators = coordinators
+	f.mutex.Unlock()
+	for _, coordinator := range coordinators {
+		go coordinator.Run(ctx)
+	}
+}
+
+// list writes a replica's entry anew once it has another version.
+func (f *fleet) list(change wire.ReplicaVersion) {
+	if !change.Loading {
+		f.table.ApplyReplicas([]directory.ReplicaChange{{ID: change.Replica, Replica: &directory.Replica{
+			ID: change.Replica, Service: "s", State: directory.ReplicaReady, Versions: map[string]int64{change.Model: change.Version},
+		}}}, 0)
+	}
+}
+
+// tell is a heartbeat of one node to all.
+func (f *fleet) tell(from *Coordinator) {
+	holder, revision := from.SeenLease()
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, other := range f.coordinators {
+		if other != from {
+			go other.Observe(holder, revision)
+		}
+	}
+}
+
+// inc-8541: all nodes lost power. Whoever is first in rank found the lease held
+// by another and waited for its time, and the holder, back within a second, did
+// not know that it need not.
+func TestHolderThatWasStartedAnewGoesOnAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		var nodes []string
+		for number := range 12 {
+			nodes = append(nodes, fmt.Sprintf("node-%d", number))
+		}
+		// Those first in rank are away one after the other, so that the lease
+		// comes to one far back.
+		standing := slices.Clone(nodes)
+		version := int64(2)
+		for range 8 {
+			f.table.SetVersion("m", version)
+			f.start(t.Context(), fmt.Sprint("process-", version), standing...)
+			time.Sleep(30 * time.Second)
+			f.stop()
+			time.Sleep(time.Second)
+			holder, _ := f.replicas.newest()
+			standing = slices.DeleteFunc(slices.Clone(standing), func(node string) bool { return node == holder.Owner })
+			version++
+		}
+		before, _ := f.replicas.newest()
+		f.start(t.Context(), "last", nodes...)
+		f.table.SetVersion("m", version)
+		began := time.Now()
+		time.Sleep(20 * time.Second)
+		after, last := f.replicas.newest()
+		if after.Version != version || after.Owner != before.Owner || last.Sub(began) > 3*time.Second {
+			t.Errorf("version %d was ordered by %s after %s, the holder was %s", after.Version, after.Owner, last.Sub(began), before.Owner)
+		}
+		f.stop()
+		time.Sleep(time.Minute)
+	})
+}
+
+// A holder that does not come back is waited for as long as its lease may hold.
+func TestSuccessorWaitsForAHolderThatStaysAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		f.table.SetVersion("m", 2)
+		f.start(t.Context(), "first", "one", "two", "three")
+		time.Sleep(20 * time.Second)
+		before, _ := f.replicas.newest()
+		f.stop()
+		var left []string
+		for _, node := range []string{"one", "two", "three"} {
+			if node != before.Owner {
+				left = append(left, node)
+			}
+		}
+		f.start(t.Context(), "second", left...)
+		f.table.SetVersion("m", 3)
+		began := time.Now()
+		time.Sleep(20 * time.Second)
+		after, last := f.replicas.newest()
+		if after.Owner == before.Owner || after.Version != 3 || after.Token <= before.Token {
+			t.Errorf("the last order is %+v after %+v", after, before)
+		}
+		if last.Sub(began) < orderWindow+testTerm {
+			t.Errorf("a successor gave orders %s after its start", last.Sub(began))
+		}
+		f.stop()
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/weightorders/knowledge.go
+++ b/internal/weightorders/knowledge.go
@@ -12,10 +12,15 @@
 // Lease returns the revision of the lease while this node holds it, else 0.
 func (c *Coordinator) Lease() uint64 { return c.token() }
 
-// Observe takes another node's word that it holds the lease.
-func (c *Coordinator) Observe(node string, revision uint64) {
-	if revision > 0 {
-		c.lease.observe(node, revision)
+// SeenLease returns who held the lease at the newest revision seen here.
+func (c *Coordinator) SeenLease() (holder string, revision uint64) { return c.lease.newest() }
+
+// Observe takes another node's word of who holds the lease. A node may so learn
+// that it holds the lease itself: the process before this one did, and the same
+// machine need not wait for it.
+func (c *Coordinator) Observe(holder string, revision uint64) {
+	if revision > 0 && c.lease.observe(holder, revision) && holder == c.config.Node {
+		c.nudge()
 	}
 }
 
--- a/internal/weightorders/lease.go
+++ b/internal/weightorders/lease.go
@@ -73,16 +73,25 @@
 	return time.Until(l.until)
 }
 
-// observe records a revision that another node holds.
-func (l *lease) observe(node string, revision uint64) {
+// observe records who wrote a revision, and tells whether it is news.
+func (l *lease) observe(node string, revision uint64) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if revision > l.revision {
-		l.revision, l.seen, l.holder = revision, time.Now(), node
-		if node != l.node {
-			l.token = 0
-		}
+	if revision <= l.revision {
+		return false
+	}
+	l.revision, l.seen, l.holder = revision, time.Now(), node
+	if node != l.node {
+		l.token = 0
 	}
+	return true
+}
+
+// newest is the newest revision seen and who wrote it.
+func (l *lease) newest() (holder string, revision uint64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.holder, l.revision
 }
 
 // heldBy returns the node that held the lease last, as far as is known.
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -286,6 +286,10 @@
 	Leaving     bool
 	Ended       []string
 	Tolerances  []ModelTolerance
+	// LeaseHolder held the order lease at revision LeaseSeen, the newest that
+	// the sender has seen.
+	LeaseHolder string
+	LeaseSeen   uint64
 }
 
 // ModelTolerance is how many versions behind the newest the weights may be by
--- a/internal/wire/schema/peer.capnp
+++ b/internal/wire/schema/peer.capnp
@@ -282,6 +282,8 @@
   leaving @9 :Bool;         # the sender stops soon and gives its jobs away
   ended @10 :List(Text);    # batch jobs that callers have ended
   tolerances @11 :List(ModelTolerance);
+  leaseHolder @12 :Text;    # who held the order lease at the newest revision that the sender has seen
+  leaseSeen @13 :UInt64;    # that revision, 0 for none
 }
 
 struct ModelTolerance {
