--- a/internal/batch/publish.go
+++ b/internal/batch/publish.go
@@ -8,6 +8,48 @@
 	"github.com/pathtally/pathtally/internal/objectstore"
 )
 
+// publish appends the finished results of a job until the job ends.
+func (s *Service) publish(published *job) {
+	for {
+		select {
+		case <-published.ctx.Done():
+			return
+		case <-published.flush:
+		}
+		s.gather(published)
+		for s.appendOnce(published) {
+		}
+	}
+}
+
+const (
+	// groupGather is how long results wait for others once a group is whole,
+	// and resultGather while none is.
+	groupGather  = 40 * time.Millisecond
+	resultGather = 300 * time.Millisecond
+	gatherLook   = 20 * time.Millisecond
+)
+
+// gather waits a little, so that results close together are one object.
+func (s *Service) gather(published *job) {
+	limit := time.Now().Add(resultGather)
+	for time.Now().Before(limit) {
+		s.mutex.Lock()
+		soon := published.flushSoon || published.remaining() == 0
+		s.mutex.Unlock()
+		if soon {
+			objectstore.Sleep(published.ctx, groupGather)
+			return
+		}
+		if !objectstore.Sleep(published.ctx, gatherLook) {
+			return
+		}
+	}
+}
+
+// remaining counts the items without a result.
+func (j *job) remaining() int { return len(j.items) - len(j.listed) - len(j.finished) }
+
 // appendOnce writes one chunk of finished results and lists what then stands
 // at its place. It tells whether there is more to write.
 func (s *Service) appendOnce(published *job) bool {
