Following a reader is split into polling and deciding

The count of doubts in a row moves to the source; nodes passed over are forgotten once their time is over.

--- a/internal/watchcache/follow.go
+++ b/internal/watchcache/follow.go
@@ -39,8 +39,8 @@
 // follow polls a reader for as long as it is the one to follow.
 func (s *Source) follow(ctx context.Context, reader Node) {
 	s.config.Logger.Info("store followed through another node", "reader", reader.Name)
-	unsure := 0
-	for ctx.Err() == nil {
+	s.doubts = 0
+	for {
 		if next, found := s.reader(); !found || next != reader {
 			return
 		}
@@ -49,47 +49,57 @@
 			return
 		}
 		s.metrics.polls.WithLabelValues(outcome).Inc()
-		switch outcome {
-		case outcomeCurrent:
-			unsure = 0
-			s.noteNews()
-			s.notePeer(reader)
-			continue
-		case outcomeStarting:
-			if s.newsAge() < newsBound {
-				continue
-			}
-			s.passOver(reader.Name, unsureTime)
-			s.readAtLeast(directTime + rand.N(directSpread))
-		case outcomeLeaving:
-			s.passOver(reader.Name, leavingTime)
-		case outcomeSilent:
-			s.noteUnsure()
-			s.passOver(reader.Name, silentTime)
-			if s.newsAge() > newsBound {
-				// A further silent reader would make it too late.
-				s.readAtLeast(directTime + rand.N(directSpread))
-			}
-		case outcomeUnsure:
-			s.noteUnsure()
-			unsure++
-			if !answers(ctx, s.config.Store, s.config.ProbeKind, s.config.ProbeName) {
-				// The store is away from here too: whoever is followed knows no
-				// less than this node could.
-				unsure = 0
-			}
-			if unsure < unsureBound {
-				objectstore.Sleep(ctx, unsurePause)
-				continue
-			}
-			s.passOver(reader.Name, unsureTime)
-			s.readAtLeast(directTime + rand.N(directSpread))
+		if !s.staysWith(ctx, reader, outcome) {
+			s.config.Logger.Info("reader given up", "reader", reader.Name, "outcome", outcome, "newsAgeMs", s.newsAge().Milliseconds())
+			return
 		}
-		s.config.Logger.Info("reader given up", "reader", reader.Name, "outcome", outcome, "newsAgeMs", s.newsAge().Milliseconds())
-		return
 	}
 }
 
+// staysWith decides by a poll's outcome whether the reader is followed on.
+func (s *Source) staysWith(ctx context.Context, reader Node, outcome string) bool {
+	switch outcome {
+	case outcomeCurrent:
+		s.doubts = 0
+		s.noteNews()
+		s.notePeer(reader)
+		return true
+	case outcomeLeaving:
+		s.passOver(reader.Name, leavingTime)
+		return false
+	case outcomeSilent:
+		s.noteUnsure()
+		s.passOver(reader.Name, silentTime)
+		if s.newsAge() > newsBound {
+			// A further silent reader would make it too late.
+			s.readDirectly()
+		}
+		return false
+	case outcomeStarting:
+		if s.newsAge() < newsBound {
+			return true
+		}
+	case outcomeUnsure:
+		s.noteUnsure()
+		s.doubts++
+		if !answers(ctx, s.config.Store, s.config.ProbeKind, s.config.ProbeName) {
+			// The store is away from here too: whoever is followed knows no less
+			// than this node could.
+			s.doubts = 0
+		}
+		if s.doubts < unsureBound {
+			objectstore.Sleep(ctx, unsurePause)
+			return true
+		}
+	}
+	s.passOver(reader.Name, unsureTime)
+	s.readDirectly()
+	return false
+}
+
+// readDirectly has this node read the store itself for some seconds.
+func (s *Source) readDirectly() { s.readAtLeast(directTime + rand.N(directSpread)) }
+
 // noteNews records that the copies are current.
 func (s *Source) noteNews() {
 	s.mutex.Lock()
--- a/internal/watchcache/reader.go
+++ b/internal/watchcache/reader.go
@@ -1,6 +1,7 @@
 package watchcache
 
 import (
+	"maps"
 	"time"
 
 	"github.com/pathtally/pathtally/internal/rendezvous"
@@ -26,10 +27,11 @@
 	if time.Now().Before(s.readUntil) {
 		return Node{}, false
 	}
+	maps.DeleteFunc(s.passedOver, func(_ string, until time.Time) bool { return !time.Now().Before(until) })
 	byName := map[string]Node{}
 	candidates := []rendezvous.Candidate{{ID: s.config.Self.Name}}
 	for _, node := range nodes {
-		if node.Zone == s.config.Self.Zone && node.Name != s.config.Self.Name && !time.Now().Before(s.passedOver[node.Name]) {
+		if node.Zone == s.config.Self.Zone && node.Name != s.config.Self.Name && s.passedOver[node.Name].IsZero() {
 			byName[node.Name] = node
 			candidates = append(candidates, rendezvous.Candidate{ID: node.Name})
 		}
--- a/internal/watchcache/source.go
+++ b/internal/watchcache/source.go
@@ -48,6 +48,9 @@
 	peerAt   time.Time
 	helpedAt time.Time
 	leaving  bool
+	// doubts counts in a row how often the reader was unsure although the store
+	// answered this node. It belongs to Run.
+	doubts int
 	// changed is closed at each change of a copy or of the standing.
 	changed chan struct{}
 }
