Each check of the soak is shown to find a history that breaks its promise

A table of broken and sound histories; each broken one is found, under its own rule alone, and no sound one is.

--- /dev/null
+++ b/test/soak_checks_test.go
@@ -0,0 +1,82 @@
+package test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pathtally/pathtally/standin/replica"
+)
+
+// Each check of the soak finds a history that breaks its promise, and only
+// that one.
+func TestSoakChecksFindBrokenPromises(t *testing.T) {
+	now := time.Now()
+	whole := listed{ID: "i", State: "succeeded", Message: replica.Text("i"), Score: "s", Versions: []int64{3}}
+	changed := func(change func(*listed)) listed {
+		result := whole
+		change(&result)
+		return result
+	}
+	request := func(once bool, status int) func(*soakRecord) {
+		return func(r *soakRecord) {
+			r.sent(&soakRequest{id: "a", target: "/x", body: "b", once: once, status: status})
+		}
+	}
+	run := replica.Run{ID: "a", Target: "/x", Body: "b", At: now}
+	runs := func(prepare func(*soakRecord), seen ...replica.Run) func(*soakRecord) {
+		return func(r *soakRecord) { prepare(r); r.checkRuns(seen) }
+	}
+	page := func(results ...listed) func(*soakRecord) {
+		return func(r *soakRecord) { r.checkPage(&soakJob{id: "j", least: 3, items: 9}, 0, results, "node") }
+	}
+	orders := func(heals []time.Time, seen ...replica.OrderSeen) func(*soakRecord) {
+		return func(r *soakRecord) { r.checkOrders("engine", seen, heals, map[uint64]string{}) }
+	}
+	for _, test := range []struct {
+		name, rule string
+		judge      func(*soakRecord)
+	}{
+		{"a sound run", "", runs(request(true, 200), run)},
+		{"a request that was never sent", "UNASKED", runs(func(*soakRecord) {}, run)},
+		{"a request with another body", "UNASKED", runs(request(false, 200), replica.Run{ID: "a", Target: "/x", Body: "c"})},
+		{"a safe request that ran twice", "", runs(request(false, 200), run, run)},
+		{"an unsafe request that ran twice", "TWICE", runs(request(true, 200), run, run)},
+		{"an unsafe request refused and run", "REFUSED", runs(request(true, 503), run)},
+		{"an unsafe request lost and run", "", runs(request(true, 502), run)},
+		{"a refused job whose item ran", "REFUSED", func(r *soakRecord) {
+			r.jobs = []*soakJob{{id: "j", refused: true}}
+			r.checkRefused([]replica.Run{{ID: "j.1"}})
+		}},
+		{"sound results", "", page(whole, changed(func(l *listed) { l.ID, l.Message = "k", replica.Text("k") }))},
+		{"an item listed twice", "TWICE", page(whole, whole)},
+		{"a position with another result", "TWICE", func(r *soakRecord) {
+			job := &soakJob{id: "j", least: 3}
+			r.checkPage(job, 0, []listed{whole}, "one")
+			r.checkPage(job, 0, []listed{changed(func(l *listed) { l.Message = "other" })}, "two")
+		}},
+		{"a text with a gap", "ORDER", page(changed(func(l *listed) { l.Message = "i-1" }))},
+		{"a result without a score", "MIXED", page(changed(func(l *listed) { l.Score = "" }))},
+		{"a result without versions", "VERSION", page(changed(func(l *listed) { l.Versions = nil }))},
+		{"a result of old weights", "VERSION", page(changed(func(l *listed) { l.Versions = []int64{2, 3} }))},
+		{"a token that falls", "ONE", orders(nil, replica.OrderSeen{Owner: "a", Token: 5, At: now}, replica.OrderSeen{Owner: "b", Token: 4, At: now})},
+		{"an order that a healed link brought late", "", orders([]time.Time{now}, replica.OrderSeen{Owner: "a", Token: 5, At: now},
+			replica.OrderSeen{Owner: "b", Token: 4, At: now.Add(thawTime / 2)})},
+		{"a token of two owners", "ONE", orders(nil, replica.OrderSeen{Owner: "a", Token: 5, At: now}, replica.OrderSeen{Owner: "b", Token: 5, At: now})},
+		{"a late request at a leaving replica", "DRAIN", func(r *soakRecord) {
+			r.checkDrained("app", now, time.Second, []replica.Run{{ID: "a", At: now.Add(2 * time.Second)}})
+		}},
+		{"requests before the bound", "", func(r *soakRecord) {
+			r.checkDrained("app", now, time.Second, []replica.Run{{ID: "a", At: now.Add(time.Second / 2)}})
+		}},
+	} {
+		record := newSoakRecord()
+		test.judge(record)
+		found := ""
+		for _, finding := range record.findings {
+			found = finding.rule
+		}
+		if found != test.rule || len(record.findings) > 1 {
+			t.Errorf("%s: found %v, want %q", test.name, record.findings, test.rule)
+		}
+	}
+}
