Log: each run of an item tells where its time went

Cause: the log told when results were listed but not which item a step waited for, at which replica, or why; what binds could not be read from it. Change: a line for each run of an item that ended, whole or early: replica, how long after the acceptance it began, first event, longest gap between events, length hint and, once scored, the scorer's time.

--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -46,6 +46,14 @@
 	// as a span since begun.
 	events atomic.Int64
 	heard  atomic.Int64
+	// after is how many events the item had before this run.
+	after int
+	// first is how long the first event took, and longestGap the longest time
+	// between two events. They belong to the goroutine of the run.
+	first      time.Duration
+	longestGap time.Duration
+	// took is how long the run lasted. It belongs to the goroutine of the run.
+	took time.Duration
 }
 
 // idle is how long nothing has come.
@@ -57,8 +65,9 @@
 // launch starts an item at a replica. The mutex must be held.
 func (s *Service) launch(waiting *item, endpoint *routing.Endpoint) {
 	ctx, cancel := context.WithCancelCause(waiting.job.ctx)
-	running := &attempt{item: waiting, endpoint: endpoint, cancel: cancel, begun: time.Now()}
+	running := &attempt{item: waiting, endpoint: endpoint, cancel: cancel, begun: time.Now(), after: len(waiting.progress.events)}
 	waiting.running = running
+	waiting.runs++
 	s.attempts[running] = true
 	s.replica(endpoint.Name).running++
 	s.metrics.runs.Inc()
@@ -75,9 +84,10 @@
 			err = cause
 		}
 		cancel(nil)
+		running.took = time.Since(running.begun)
 		s.ran(running, err)
 		if err == nil {
-			s.score(waiting, rewardAttempts)
+			s.score(running, rewardAttempts)
 		}
 	}()
 }
@@ -151,8 +161,10 @@
 	since := time.Since(running.begun)
 	interval := since - time.Duration(running.heard.Swap(int64(since)))
 	if running.events.Add(1) == 1 {
+		running.first = interval
 		return
 	}
+	running.longestGap = max(running.longestGap, interval)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	state := s.replica(running.endpoint.Name)
@@ -178,8 +190,7 @@
 		return
 	}
 	s.judge(running, state, err)
-	s.config.Logger.V(1).Info("run ended early", "request", work.ID, "job", work.job.id, "replica", running.endpoint.Name,
-		"events", len(work.progress.events), "error", err.Error())
+	s.config.Logger.Info("run ended early", append(running.account(), "error", err.Error())...)
 	if work.done {
 		return
 	}
@@ -187,6 +198,18 @@
 	s.sortQueue()
 }
 
+// account tells of a run for the log: where it ran, how long after the job's
+// acceptance it began, and how its events came. Times are in milliseconds. It
+// is called once the run has ended.
+func (a *attempt) account() []any {
+	work := a.item
+	return []any{
+		"request", work.ID, "job", work.job.id, "group", work.Group, "replica", a.endpoint.Name, "run", work.runs,
+		"beganMs", a.begun.Sub(work.job.accepted).Milliseconds(), "firstMs", a.first.Milliseconds(), "tookMs", a.took.Milliseconds(),
+		"longestGapMs", a.longestGap.Milliseconds(), "fromEvent", a.after, "events", a.events.Load(), "expectedTokens", work.ExpectedTokens,
+	}
+}
+
 // judge decides what the end of a run means for the item and the replica. The
 // mutex must be held.
 func (s *Service) judge(running *attempt, state *replicaState, err error) {
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -59,6 +59,8 @@
 
 	progress progress
 	running  *attempt
+	// runs counts the runs begun here.
+	runs int
 	done     bool
 	// failures counts answers that say the item failed.
 	failures int
--- a/internal/batch/reward.go
+++ b/internal/batch/reward.go
@@ -24,7 +24,9 @@
 )
 
 // score has the whole text of an item scored and finishes the item.
-func (s *Service) score(work *item, attempts func() int) {
+func (s *Service) score(ran *attempt, attempts func() int) {
+	work := ran.item
+	whole := time.Now()
 	versions := slices.Sorted(slices.Values(work.progress.versions))
 	result := Result{ID: work.ID, State: Succeeded, Text: work.progress.text(), Versions: versions}
 	if work.Reward != nil {
@@ -38,6 +40,7 @@
 			s.config.Logger.Info("item given up", "request", work.ID, "job", work.job.id, "reason", "its scorer failed", "reward", work.Reward.ID)
 		}
 	}
+	s.config.Logger.Info("item finished", append(ran.account(), "state", result.State, "rewardMs", time.Since(whole).Milliseconds())...)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.finish(work, result)
