A node no longer takes over a job from itself that it runs

Cause: a read that found no owner looks the job up, reads its payload and then notes the owner; if this node took the job up meanwhile, the note names itself, as whose jobs are never waited for. Each tick then took the job over again and fenced it, and each fence held the results up. Ruled out: a second process on the machine (one incarnation throughout). Change: what runs here is no orphan.

--- a/internal/batch/foreign.go
+++ b/internal/batch/foreign.go
@@ -140,6 +140,12 @@
 	}
 	orphans := map[string]Owner{}
 	for id, standing := range s.known {
+		if s.jobs[id] != nil {
+			// It runs here: the note is from a reader that looked it up just
+			// before this node took it up.
+			delete(s.known, id)
+			continue
+		}
 		if standing.ended || standing.taking || time.Now().Before(standing.notBefore) {
 			continue
 		}
--- a/internal/batch/takeover_test.go
+++ b/internal/batch/takeover_test.go
@@ -267,3 +267,23 @@
 		}
 	}
 }
+
+// A job that runs here is not taken over from this node itself, whatever a
+// reader noted of it meanwhile: in trouble-2 one was taken over ten times, each
+// time with a chunk in the store that held its results up.
+func TestJobThatRunsHereIsNotTakenOver(t *testing.T) {
+	engine := heldEngine(t)
+	cluster := newCluster(t, 1, engine)
+	node := cluster.nodes[0]
+	if err := cluster.submit(node, "job", 6); err != nil {
+		t.Fatal(err)
+	}
+	node.mutex.Lock()
+	node.noteForeign("job", node.jobs["job"].record.Owner, false)
+	node.mutex.Unlock()
+	if orphans := node.orphans(); len(orphans) > 0 {
+		t.Errorf("to be taken over: %v", orphans)
+	}
+	engine.release()
+	checkWhole(t, "job", cluster.readAll(node, "job", 6), 6, 3)
+}
