Runs move to faster replicas as soon as that saves a quarter of a second

Change: nodes tell each other the time between events at each replica; replicas are filled by it, and a run moves when what it is expected to make yet would come a quarter of a second sooner elsewhere, whether or not others wait, if the other replica is faster by a fifth at the least.

--- a/internal/batch/beat.go
+++ b/internal/batch/beat.go
@@ -37,11 +37,7 @@
 	owner := Owner{Node: beat.Node, Address: beat.Address, Incarnation: beat.Incarnation}
 	var contested []*job
 	s.mutex.Lock()
-	running := map[string]int{}
-	for _, use := range beat.Uses {
-		running[use.Replica] = int(use.Running)
-	}
-	s.uses[beat.Node] = nodeUses{at: time.Now(), running: running}
+	s.uses[beat.Node] = usesOf(beat)
 	for _, told := range beat.Tolerances {
 		s.limitTolerance(told.Model, told.Versions)
 	}
--- /dev/null
+++ b/internal/batch/pace_test.go
@@ -0,0 +1,104 @@
+package batch
+
+import (
+	"testing"
+	"time"
+)
+
+// paced returns a service that has seen replicas at the given intervals, in
+// milliseconds.
+func paced(intervals ...int) (*Service, *item) {
+	service, waiting := placing(len(intervals))
+	for number, interval := range intervals {
+		state := service.replica(replicaName(number))
+		state.interval, state.observed = time.Duration(interval)*time.Millisecond, time.Now()
+	}
+	return service, waiting
+}
+
+func TestPaceIsOnesOwnWhileFreshThenThatOfOthers(t *testing.T) {
+	service, _ := paced(40, 40, 40)
+	service.uses["other"] = nodeUses{at: time.Now(), intervals: map[string]time.Duration{replicaName(0): 140 * time.Millisecond}}
+	state := service.replica(replicaName(0))
+	for _, test := range []struct {
+		name string
+		age  time.Duration
+		want time.Duration
+	}{
+		{"seen just now", 0, 40 * time.Millisecond},
+		{"seen a while ago", 2 * paceAge, 140 * time.Millisecond},
+	} {
+		state.observed = time.Now().Add(-test.age)
+		if got := service.interval(replicaName(0), state); got != test.want {
+			t.Errorf("%s: %s, want %s", test.name, got, test.want)
+		}
+	}
+	delete(service.uses, "other")
+	if got := service.interval(replicaName(0), state); got != 40*time.Millisecond {
+		t.Errorf("nobody else has seen it: %s", got)
+	}
+	state.observed = time.Now().Add(-2 * paceMemory)
+	if got := service.interval(replicaName(0), state); got != 0 {
+		t.Errorf("seen long ago: %s", got)
+	}
+}
+
+func TestSlowReplicasAreUsedLast(t *testing.T) {
+	service, waiting := paced(40, 40, 40, 52, 140)
+	placement := service.newPlacement()
+	taken := map[string]int{}
+	for range 3 * placement.view.Plans["engines"].Endpoints()[0].Slots {
+		chosen := placement.pick(waiting)
+		chosen.load++
+		taken[chosen.endpoint.Name]++
+	}
+	if taken[replicaName(4)] > 0 {
+		t.Errorf("the slow replica got %d items while others had room", taken[replicaName(4)])
+	}
+	if most := max(taken[replicaName(0)], taken[replicaName(1)], taken[replicaName(2)]); taken[replicaName(3)] >= most {
+		t.Errorf("the slower replica got %d items, the fast ones at most %d", taken[replicaName(3)], most)
+	}
+}
+
+// running adds a run of an item at a replica that has made some events.
+func (s *Service) addRun(replica string, events int64, work *item) *attempt {
+	placement := s.newPlacement()
+	for _, place := range placement.of(work) {
+		if place.endpoint.Name == replica {
+			added := &attempt{item: work, endpoint: place.endpoint, begun: time.Now()}
+			added.events.Store(events)
+			work.running = added
+			s.attempts[added] = true
+			s.replica(replica).running++
+			return added
+		}
+	}
+	panic("no such replica")
+}
+
+func TestRunsThatGainMostMoveToFasterReplicas(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		intervals []int
+		events    int64
+		expected  int
+		moved     bool
+	}{
+		{"long run at a slow replica", []int{140, 40, 40}, 50, 0, true},
+		{"short run at a slow replica", []int{140, 40, 40}, 3, 0, false},
+		{"short run that is known to be long", []int{52, 40, 40}, 3, 100, true},
+		{"nearly done", []int{140, 40, 40}, 99, 100, false},
+		{"alike", []int{43, 40, 40}, 100, 0, false},
+		{"too few paces to tell", []int{140, 40}, 0, 0, false},
+	} {
+		service, work := paced(test.intervals...)
+		work.expected = test.expected
+		run := service.addRun(replicaName(0), test.events, work)
+		moved := false
+		run.cancel = func(reason error) { moved = reason == ErrMoved }
+		service.moveToFaster(service.newPlacement())
+		if moved != test.moved {
+			t.Errorf("%s: moved is %t", test.name, moved)
+		}
+	}
+}
--- a/internal/batch/placement.go
+++ b/internal/batch/placement.go
@@ -10,6 +10,10 @@
 const (
 	// slowPenalty puts slow replicas behind all others, in full loads.
 	slowPenalty = 10
+	// paceBias puts a replica whose events take longer than the fastest's behind
+	// others, in full loads for each time that they take longer: it is used once
+	// the others are nearly full.
+	paceBias = 3
 	// warmBonus prefers replicas that this node has connections to over those
 	// it would have to connect to, in full loads.
 	warmBonus = 0.3
@@ -41,7 +45,7 @@
 type placement struct {
 	service *Service
 	view    *directory.View
-	slow    map[string]bool
+	paces   paces
 	// loads are the items that run at each replica, from all nodes.
 	loads  map[string]int
 	places map[placeKey][]*place
@@ -53,7 +57,7 @@
 // must be held.
 func (s *Service) newPlacement() *placement {
 	return &placement{
-		service: s, view: s.config.Directory.View(), slow: s.slowReplicas(), loads: s.loads(),
+		service: s, view: s.config.Directory.View(), paces: s.paces(), loads: s.loads(),
 		places: map[placeKey][]*place{}, byName: map[string]*place{},
 	}
 }
@@ -125,8 +129,8 @@
 }
 
 func (p *placement) bias(id string, state *replicaState, now time.Time) float64 {
-	bias := 0.0
-	if p.slow[id] {
+	bias := paceBias * p.paces.excess(id)
+	if p.paces.slow(id) {
 		bias += slowPenalty
 	}
 	if now.Sub(state.observed) < warmTime {
--- a/internal/batch/replicas.go
+++ b/internal/batch/replicas.go
@@ -36,6 +36,8 @@
 type nodeUses struct {
 	at      time.Time
 	running map[string]int
+	// intervals are the times between events that it has seen lately.
+	intervals map[string]time.Duration
 }
 
 // replica returns the state of a replica. The mutex must be held.
@@ -120,7 +122,7 @@
 	var uses []wire.ReplicaUse
 	for id, state := range s.replicas {
 		if state.running > 0 {
-			uses = append(uses, wire.ReplicaUse{Replica: id, Running: uint32(state.running)})
+			uses = append(uses, wire.ReplicaUse{Replica: id, Running: uint32(state.running), IntervalUs: state.recentMicroseconds()})
 		}
 	}
 	return uses
--- a/internal/batch/replicas_test.go
+++ b/internal/batch/replicas_test.go
@@ -41,13 +41,15 @@
 	})
 }
 
+func replicaName(number int) string { return fmt.Sprintf("replica-%d", number) }
+
 // placing returns a service that knows so many replicas, and an item for them.
 func placing(count int) (*Service, *item) {
 	table := directory.NewTable("zone", klog.Background())
 	var listed []*directory.Replica
 	for number := range count {
 		listed = append(listed, &directory.Replica{
-			ID: fmt.Sprintf("replica-%d", number), Service: "engines", Address: "127.0.0.1:1", Slots: 6, State: directory.ReplicaReady,
+			ID: replicaName(number), Service: "engines", Address: "127.0.0.1:1", Slots: 6, State: directory.ReplicaReady,
 			Versions: map[string]int64{"m": 3},
 		})
 	}
--- a/internal/batch/scheduler.go
+++ b/internal/batch/scheduler.go
@@ -15,13 +15,6 @@
 	eventPatience = 500 * time.Millisecond
 	// loadPatience is added while the replica changes weights.
 	loadPatience = 2500 * time.Millisecond
-	// slowRatio is from how many times the usual interval between events a
-	// replica counts as slow, and leastInterval below which none does.
-	slowRatio     = 1.7
-	leastInterval = 10 * time.Millisecond
-	// movesPerLook bounds how many runs are moved away from slow replicas at
-	// once.
-	movesPerLook = 4
 	// idleLook is the time between looks while nothing is to be done.
 	idleLook = 2 * time.Second
 )
@@ -98,8 +91,6 @@
 		return
 	}
 	placement := s.newPlacement()
-	view, slow := placement.view, placement.slow
-	moves := 0
 	for running := range s.attempts {
 		state := s.replica(running.endpoint.Name)
 		patience := startPatience
@@ -110,16 +101,14 @@
 			patience += loadPatience
 		}
 		switch {
-		case view.Replicas[running.endpoint.Name] == nil && !s.leavingReplicaMayFinish(running):
+		case placement.view.Replicas[running.endpoint.Name] == nil && !s.leavingReplicaMayFinish(running):
 			running.cut(ErrMoved)
 		case running.idle() > patience:
 			state.blockedUntil = time.Now().Add(stallBlock)
 			running.cut(ErrStalled)
-		case slow[running.endpoint.Name] && len(s.queue) == 0 && moves < movesPerLook && placement.hasFastPlace(running.item):
-			moves++
-			running.cut(ErrMoved)
 		}
 	}
+	s.moveToFaster(placement)
 }
 
 // leavingReplicaMayFinish tells whether a run at a replica that leaves is left
@@ -128,41 +117,5 @@
 	return running.idle() < eventPatience
 }
 
-// hasFastPlace tells whether an item would find a free slot at a replica that
-// is not slow.
-func (p *placement) hasFastPlace(work *item) bool {
-	chosen := p.pick(work)
-	return chosen != nil && !p.slow[chosen.endpoint.Name]
-}
-
-// slowReplicas are those whose runs make events much more slowly than the
-// median's. The mutex must be held.
-func (s *Service) slowReplicas() map[string]bool {
-	var intervals []time.Duration
-	for _, state := range s.replicas {
-		if state.interval > 0 && time.Since(state.observed) < paceAge {
-			intervals = append(intervals, state.interval)
-		}
-	}
-	slow := map[string]bool{}
-	if len(intervals) < leastPaced {
-		return slow
-	}
-	slices.Sort(intervals)
-	usual := max(intervals[(len(intervals)-1)/2], leastInterval)
-	for id, state := range s.replicas {
-		if time.Since(state.observed) < paceAge && float64(state.interval) > slowRatio*float64(usual) {
-			slow[id] = true
-		}
-	}
-	return slow
-}
-
-const (
-	// paceAge is for how long a replica's pace is believed.
-	paceAge = 3 * time.Second
-	// leastPaced is how many replicas must have a pace for one to be slow.
-	leastPaced = 3
-	// stallBlock is how long a replica gets no items after one stalled there.
-	stallBlock = 700 * time.Millisecond
-)
+// stallBlock is how long a replica gets no items after one stalled there.
+const stallBlock = 700 * time.Millisecond
