Texts of long items are saved in the store as they grow

Change: the chunk that lists results also holds what items of 20 events or more have made since the last saving, a second ago or more; where no result comes a chunk holds texts alone. Chunks are written in one order by one owner, so whoever reads them joins the texts and goes on behind them. Ruled out: an object of its own for texts (a call a second and job more; a rival owner's pieces would have to be told apart). Objects of batch jobs are never deleted, and these make them larger.

--- a/internal/batch/accept.go
+++ b/internal/batch/accept.go
@@ -74,7 +74,7 @@
 	s.config.Logger.Info("batch job kept", "request", id, "owner", standing.Owner.Node, "items", len(submission.Items), "bytes", len(payload))
 	switch {
 	case own && made:
-		s.start(id, submission, standing, nil, 0)
+		s.start(id, submission, standing, listing{})
 	case own:
 		// An earlier try made it, or it was run here and forgotten.
 		go s.takeUpAgain(id)
--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -132,13 +131,11 @@
 			s.learnVersion(running.endpoint.Name, work.job.submission.Model, version)
 		}
 		if singleVersion && len(work.progress.versions) > 0 && work.progress.versions[0] != version {
-			work.progress = progress{}
+			s.startAnew(work)
 			answer.Discard()
 			return ErrOldWeights
 		}
-		work.progress.events = append(work.progress.events, event.Data)
-		work.progress.noteVersion(version)
-		s.notePace(running)
+		s.takeEvent(running, event.Data, version)
 	}
 }
 
@@ -156,17 +153,26 @@
 	}
 }
 
-// notePace records that an event has come.
-func (s *Service) notePace(running *attempt) {
+// startAnew drops what an item's runs have made.
+func (s *Service) startAnew(work *item) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	work.progress, work.saved = progress{}, 0
+}
+
+// takeEvent takes the next event of an item's text and learns the replica's pace
+// from it.
+func (s *Service) takeEvent(running *attempt, event string, version int64) {
 	since := time.Since(running.begun)
 	interval := since - time.Duration(running.heard.Swap(int64(since)))
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	running.item.progress.add(event, version)
 	if running.events.Add(1) == 1 {
 		running.first = interval
 		return
 	}
 	running.longestGap = max(running.longestGap, interval)
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
 	state := s.replica(running.endpoint.Name)
 	state.observed, state.blocks = time.Now(), 0
 	if state.interval == 0 {
@@ -276,6 +282,3 @@
 	s.metrics.results.WithLabelValues(string(result.State)).Inc()
 	job.flushLater()
 }
-
-// text is the whole text of an item.
-func (p *progress) text() string { return strings.Join(p.events, "\n") }
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -16,13 +16,17 @@
 	givenUpAt time.Time
 
 	items map[string]*item
+	// order lists the items as submitted.
+	order []string
 	// listed are the results that the store holds, in their order.
 	listed []Result
 	chunks int
 	// finished are results that are not in the store yet.
 	finished []Result
 	serial   int
-	groups   map[string]*group
+	// textsSaved is when the texts of running items were last saved.
+	textsSaved time.Time
+	groups     map[string]*group
 	// flushSoon is set when a group became whole, to append without delay.
 	flushSoon bool
 	flush     chan struct{}
@@ -48,8 +52,7 @@
 	open int
 }
 
-// item is the state of one item on its way. The service's mutex guards it but
-// for progress, which belongs to the goroutine of its run.
+// item is the state of one item on its way. The service's mutex guards it.
 type item struct {
 	*Item
 	job   *job
@@ -58,7 +61,9 @@
 	rank int
 
 	progress progress
-	running  *attempt
+	// saved is how many events of the text the store has.
+	saved   int
+	running *attempt
 	// runs counts the runs begun here.
 	runs int
 	done bool
@@ -74,22 +79,6 @@
 	notBefore time.Time
 }
 
-// progress is what an item's runs have made so far.
-type progress struct {
-	events   []string
-	versions []int64
-}
-
-// noteVersion records that a weight version made an event.
-func (p *progress) noteVersion(version int64) {
-	for _, known := range p.versions {
-		if known == version {
-			return
-		}
-	}
-	p.versions = append(p.versions, version)
-}
-
 // open tells whether the job still has work.
 func (j *job) open() bool { return !j.ended && !j.displaced && len(j.listed) < len(j.items) }
 
--- a/internal/batch/journal.go
+++ b/internal/batch/journal.go
@@ -58,6 +58,24 @@
 	Writer  string   `json:"writer"`
 	Serial  int      `json:"serial"`
 	Results []Result `json:"results"`
+	// Texts are parts of the texts of items that were still running.
+	Texts []piece `json:"texts,omitempty"`
+}
+
+// listing is what the chunks of a job hold.
+type listing struct {
+	results []Result
+	// pieces are the parts of texts in the order written.
+	pieces []piece
+	// chunks is the number of chunks in all.
+	chunks int
+}
+
+// add adds the next chunk.
+func (l *listing) add(next chunk) {
+	l.results = append(l.results, next.Results...)
+	l.pieces = append(l.pieces, next.Texts...)
+	l.chunks++
 }
 
 // Journal keeps batch jobs in the metadata store.
@@ -199,38 +217,35 @@
 	return payload, nil
 }
 
-// Results reads the results from a chunk on and tells how many chunks there
-// are in all.
-func (j *Journal) Results(ctx context.Context, id string, from int) ([]Result, int, error) {
-	var results []Result
+// Results reads what stands from a chunk on.
+func (j *Journal) Results(ctx context.Context, id string, from int) (listing, error) {
+	read := listing{chunks: from}
 	// A listing begins behind a name, and this one is a prefix of the chunks'.
 	after := id + "-"
 	if from > 0 {
 		after = chunkName(id, from-1)
 	}
-	next := from
 	for {
 		page, err := j.store.List(ctx, KindResults, after, objectstore.Linearizable)
 		if err != nil {
-			return nil, 0, err
+			return listing{}, err
 		}
 		for _, object := range page.Objects {
 			if !strings.HasPrefix(object.Name, id+"-") {
-				return results, next, nil
+				return read, nil
 			}
-			read, err := readChunk(object)
+			next, err := readChunk(object)
 			if err != nil {
-				return nil, 0, err
+				return listing{}, err
 			}
-			if object.Name != chunkName(id, next) {
-				return nil, 0, ErrTruncated
+			if object.Name != chunkName(id, read.chunks) {
+				return listing{}, ErrTruncated
 			}
-			results = append(results, read.Results...)
-			next++
+			read.add(next)
 			after = object.Name
 		}
 		if !page.More || len(page.Objects) == 0 {
-			return results, next, nil
+			return read, nil
 		}
 	}
 }
--- a/internal/batch/publish.go
+++ b/internal/batch/publish.go
@@ -8,15 +8,19 @@
 	"github.com/pathtally/pathtally/internal/objectstore"
 )
 
-// publish appends the finished results of a job until the job ends.
+// publish appends the finished results of a job, and the texts of long items on
+// their way, until the job ends.
 func (s *Service) publish(published *job) {
+	saving := time.NewTicker(textPeriod)
+	defer saving.Stop()
 	for {
 		select {
 		case <-published.ctx.Done():
 			return
 		case <-published.flush:
+			s.gather(published)
+		case <-saving.C:
 		}
-		s.gather(published)
 		for s.appendOnce(published) {
 		}
 	}
@@ -57,12 +61,16 @@
 	results := boundedPart(published.finished)
 	published.flushSoon = false
 	published.serial++
-	written := chunk{Writer: s.writerName(), Serial: published.serial, Results: results}
+	written := chunk{Writer: s.writerName(), Serial: published.serial, Results: results, Texts: published.unsavedTexts()}
 	index := published.chunks
-	s.mutex.Unlock()
-	if len(results) == 0 {
+	if len(results) == 0 && len(written.Texts) == 0 {
+		s.mutex.Unlock()
 		return false
 	}
+	if len(written.Texts) > 0 {
+		published.textsSaved = time.Now()
+	}
+	s.mutex.Unlock()
 	began := time.Now()
 	standing, own, err := s.config.Journal.Append(published.ctx, published.id, index, written)
 	if err != nil {
@@ -71,8 +79,8 @@
 		}
 		return published.ctx.Err() == nil
 	}
-	s.list(published, standing.Results)
-	s.config.Logger.Info("results listed", "request", published.id, "chunk", index, "results", len(standing.Results),
+	s.list(published, standing, own)
+	s.config.Logger.Info("results listed", "request", published.id, "chunk", index, "results", len(standing.Results), "texts", len(standing.Texts),
 		"ageMs", time.Since(published.accepted).Milliseconds(), "tookMs", time.Since(began).Milliseconds())
 	if !own {
 		s.config.Logger.Info("results of another node adopted", "request", published.id, "chunk", index, "writer", standing.Writer)
@@ -106,16 +114,19 @@
 	return s.config.Self.Node + "@" + formatIncarnation(s.config.Self.Incarnation)
 }
 
-// list adds results that the store now holds, in its order.
-func (s *Service) list(published *job, results []Result) {
+// list adds what the store now holds, in its order.
+func (s *Service) list(published *job, standing chunk, own bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if own {
+		published.noteSaved(standing.Texts)
+	}
 	inStore := map[string]bool{}
-	for _, result := range results {
+	for _, result := range standing.Results {
 		inStore[result.ID] = true
 		published.settle(result.ID)
 	}
-	published.listed = append(published.listed, results...)
+	published.listed = append(published.listed, standing.Results...)
 	published.chunks++
 	kept := published.finished[:0:0]
 	for _, result := range published.finished {
--- a/internal/batch/read.go
+++ b/internal/batch/read.go
@@ -118,14 +118,14 @@
 	known := s.noteForeign(standing.ID, standing.Record.Owner, standing.Ended)
 	from, results := known.chunks, known.results
 	s.mutex.Unlock()
-	added, chunks, err := s.config.Journal.Results(ctx, standing.ID, from)
+	added, err := s.config.Journal.Results(ctx, standing.ID, from)
 	if err != nil {
 		return Page{}, err
 	}
-	results = append(results[:len(results):len(results)], added...)
+	results = append(results[:len(results):len(results)], added.results...)
 	s.mutex.Lock()
-	if chunks > known.chunks {
-		known.results, known.chunks = results, chunks
+	if added.chunks > known.chunks {
+		known.results, known.chunks = results, added.chunks
 	}
 	s.mutex.Unlock()
 	page := Page{Total: len(submission.Items)}
--- a/internal/batch/reward.go
+++ b/internal/batch/reward.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/pathtally/pathtally/internal/admission"
@@ -27,8 +26,7 @@
 func (s *Service) score(ran *attempt, attempts func() int) {
 	work := ran.item
 	whole := time.Now()
-	versions := slices.Sorted(slices.Values(work.progress.versions))
-	result := Result{ID: work.ID, State: Succeeded, Text: work.progress.text(), Versions: versions}
+	result := Result{ID: work.ID, State: Succeeded, Text: work.progress.text(), Versions: work.progress.madeBy()}
 	if work.Reward != nil {
 		score, failed, scored := s.callReward(work, attempts)
 		if !scored && !failed {
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -114,7 +114,7 @@
 
 // start takes up a job whose record names this node as its owner. The mutex
 // must not be held.
-func (s *Service) start(id string, submission *Submission, record Record, listed []Result, chunks int) {
+func (s *Service) start(id string, submission *Submission, record Record, stands listing) {
 	s.mutex.Lock()
 	if standing := s.jobs[id]; standing != nil && !standing.displaced {
 		s.mutex.Unlock()
@@ -122,7 +122,7 @@
 	}
 	ctx, cancel := context.WithCancel(s.base)
 	started := &job{
-		id: id, submission: submission, record: record, accepted: time.Now(), confirmed: time.Now(), items: map[string]*item{}, listed: listed, chunks: chunks,
+		id: id, submission: submission, record: record, accepted: time.Now(), confirmed: time.Now(), items: map[string]*item{}, listed: stands.results, chunks: stands.chunks,
 		groups: map[string]*group{}, flush: make(chan struct{}, 1), changed: make(chan struct{}), ctx: ctx, cancel: cancel,
 	}
 	if retention := s.retention(record); retention > 0 {
@@ -137,11 +137,13 @@
 			started.groups[submitted.Group] = standing
 		}
 		standing.open++
+		started.order = append(started.order, submitted.ID)
 		started.items[submitted.ID] = &item{Item: submitted, job: started, group: standing, rank: ranks[submitted.ID], expected: s.expectedEvents(submitted.ID)}
 	}
-	for _, result := range listed {
+	for _, result := range stands.results {
 		started.settle(result.ID)
 	}
+	restored := started.restore(joinPieces(stands.pieces))
 	for _, submitted := range submission.Items {
 		if pending := started.items[submitted.ID]; !pending.done {
 			s.queue = append(s.queue, pending)
@@ -152,13 +154,26 @@
 	s.jobs[id] = started
 	delete(s.known, id)
 	s.mutex.Unlock()
-	s.config.Logger.Info("batch job taken up", "request", id, "epoch", record.Epoch, "items", len(started.items), "listed", len(listed),
+	s.config.Logger.Info("batch job taken up", "request", id, "epoch", record.Epoch, "items", len(started.items), "listed", len(stands.results), "texts", restored,
 		"step", submission.Step, "model", submission.Model, "minVersion", submission.MinVersion, "desired", submission.Desired)
 	go s.publish(started)
 	s.nudge()
 	s.config.Table.Broadcast()
 }
 
+// restore gives items the texts that an earlier owner saved, and tells how many
+// got one.
+func (j *job) restore(texts map[string]progress) int {
+	restored := 0
+	for id, text := range texts {
+		if pending := j.items[id]; pending != nil && !pending.done {
+			pending.progress, pending.saved, pending.events = text, len(text.events), len(text.events)
+			restored++
+		}
+	}
+	return restored
+}
+
 // settle marks an item as listed or finished.
 func (j *job) settle(id string) {
 	settled := j.items[id]
--- a/internal/batch/takeover.go
+++ b/internal/batch/takeover.go
@@ -46,15 +46,14 @@
 	for ctx.Err() == nil {
 		payload, err := s.config.Journal.Payload(ctx, standing.ID, standing.Record.Parts)
 		if err == nil {
-			var results []Result
-			var chunks int
-			if results, chunks, err = s.config.Journal.Results(ctx, standing.ID, 0); err == nil {
+			var stands listing
+			if stands, err = s.config.Journal.Results(ctx, standing.ID, 0); err == nil {
 				var submission *Submission
 				if submission, err = s.config.Codec.Submission(payload); err == nil {
-					results, chunks, err = s.fence(ctx, standing.ID, results, chunks)
+					stands, err = s.fence(ctx, standing.ID, stands)
 				}
 				if err == nil {
-					s.start(standing.ID, submission, standing.Record, results, chunks)
+					s.start(standing.ID, submission, standing.Record, stands)
 					return
 				}
 			}
@@ -67,17 +66,16 @@
 // fence writes an empty chunk behind the results that stand. The former owner
 // may still append until it learns of its successor; from here on its appends
 // fail, and everything before is known.
-func (s *Service) fence(ctx context.Context, id string, results []Result, chunks int) ([]Result, int, error) {
+func (s *Service) fence(ctx context.Context, id string, stands listing) (listing, error) {
 	for {
-		standing, own, err := s.config.Journal.Append(ctx, id, chunks, chunk{Writer: s.writerName()})
+		standing, own, err := s.config.Journal.Append(ctx, id, stands.chunks, chunk{Writer: s.writerName()})
 		if err != nil {
-			return nil, 0, err
+			return listing{}, err
 		}
-		chunks++
+		stands.add(standing)
 		if own {
-			return results, chunks, nil
+			return stands, nil
 		}
-		results = append(results, standing.Results...)
 	}
 }
 
--- a/internal/batch/takeover_test.go
+++ b/internal/batch/takeover_test.go
@@ -104,12 +104,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	stored, _, err := NewJournal(cluster.store).Results(context.Background(), "job", 0)
+	stored, err := NewJournal(cluster.store).Results(context.Background(), "job", 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if len(stored) != len(known.Results) {
-		t.Errorf("the store lists %d results, the successor knows %d", len(stored), len(known.Results))
+	if len(stored.results) != len(known.Results) {
+		t.Errorf("the store lists %d results, the successor knows %d", len(stored.results), len(known.Results))
 	}
 	engine.release()
 	checkWhole(t, "job", cluster.readAll(successor, "job", 6), 6, 3)
--- /dev/null
+++ b/internal/batch/text.go
@@ -0,0 +1,105 @@
+package batch
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// progress is what an item's runs have made so far: the events of its text and
+// the weight version that made each. The service's mutex guards it while a run
+// is under way; the goroutine of the run alone writes it.
+type progress struct {
+	events   []string
+	versions []int64
+}
+
+// add appends an event.
+func (p *progress) add(event string, version int64) {
+	p.events = append(p.events, event)
+	p.versions = append(p.versions, version)
+}
+
+// text is the whole text.
+func (p *progress) text() string { return strings.Join(p.events, "\n") }
+
+// madeBy are the versions that made the text, each once, in rising order.
+func (p *progress) madeBy() []int64 {
+	return slices.Compact(slices.Sorted(slices.Values(p.versions)))
+}
+
+// piece is a part of the text of an item that is still running, kept so that a
+// later owner of the job goes on behind it.
+type piece struct {
+	Item string `json:"item"`
+	// From is the number of events before the piece.
+	From     int      `json:"from"`
+	Events   []string `json:"events"`
+	Versions []int64  `json:"versions"`
+}
+
+const (
+	// textPeriod is the time between two savings of the texts of running items.
+	textPeriod = time.Second
+	// leastText is how many events an item must have made for its text to be
+	// saved, and leastPiece how many of these must be new. Shorter texts are as
+	// soon made again as read back.
+	leastText  = 20
+	leastPiece = 10
+	// pieceOverhead is about what an event takes besides its text, in bytes.
+	pieceOverhead = 16
+)
+
+// unsavedTexts are the parts of the texts of running items that the store lacks,
+// as far as one object holds them; none before it is time. The mutex must be
+// held.
+func (j *job) unsavedTexts() []piece {
+	if time.Since(j.textsSaved) < textPeriod {
+		return nil
+	}
+	var pieces []piece
+	size := 0
+	for _, id := range j.order {
+		running := j.items[id]
+		made := len(running.progress.events)
+		if running.done || made < leastText || made-running.saved < leastPiece || size > chunkBytes {
+			continue
+		}
+		part := piece{
+			Item: id, From: running.saved,
+			Events: running.progress.events[running.saved:made:made], Versions: running.progress.versions[running.saved:made:made],
+		}
+		for _, event := range part.Events {
+			size += len(event) + pieceOverhead
+		}
+		pieces = append(pieces, part)
+	}
+	return pieces
+}
+
+// noteSaved records which texts the store now has. The mutex must be held.
+func (j *job) noteSaved(pieces []piece) {
+	for _, part := range pieces {
+		if saved := j.items[part.Item]; saved != nil && saved.saved == part.From {
+			saved.saved += len(part.Events)
+		}
+	}
+}
+
+// joinPieces puts texts together from their pieces in the order in which they
+// were written. A piece that begins within what stands replaces the rest, since
+// its writer began there anew; one that begins behind it is of no use.
+func joinPieces(pieces []piece) map[string]progress {
+	texts := map[string]progress{}
+	for _, part := range pieces {
+		standing := texts[part.Item]
+		if part.From > len(standing.events) || len(part.Events) != len(part.Versions) {
+			continue
+		}
+		texts[part.Item] = progress{
+			events:   append(standing.events[:part.From:part.From], part.Events...),
+			versions: append(standing.versions[:part.From:part.From], part.Versions...),
+		}
+	}
+	return texts
+}
--- /dev/null
+++ b/internal/batch/text_test.go
@@ -0,0 +1,91 @@
+package batch
+
+import (
+	"reflect"
+	"testing"
+)
+
+func TestTextsAreJoinedFromTheirPieces(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		pieces []piece
+		want   progress
+	}{
+		{"in order", []piece{
+			{Item: "a", Events: []string{"1", "2"}, Versions: []int64{1, 1}}, {Item: "a", From: 2, Events: []string{"3"}, Versions: []int64{2}},
+		}, progress{events: []string{"1", "2", "3"}, versions: []int64{1, 1, 2}}},
+		{"begun anew", []piece{
+			{Item: "a", Events: []string{"1", "2"}, Versions: []int64{1, 1}}, {Item: "a", Events: []string{"x"}, Versions: []int64{2}},
+		}, progress{events: []string{"x"}, versions: []int64{2}}},
+		{"continued by a later owner", []piece{
+			{Item: "a", Events: []string{"1"}, Versions: []int64{1}}, {Item: "a", From: 1, Events: []string{"2", "3"}, Versions: []int64{1, 1}},
+			{Item: "a", From: 1, Events: []string{"y"}, Versions: []int64{2}},
+		}, progress{events: []string{"1", "y"}, versions: []int64{1, 2}}},
+		{"with a gap", []piece{
+			{Item: "a", Events: []string{"1"}, Versions: []int64{1}}, {Item: "a", From: 2, Events: []string{"3"}, Versions: []int64{1}},
+		}, progress{events: []string{"1"}, versions: []int64{1}}},
+		{"versions that do not match", []piece{
+			{Item: "a", Events: []string{"1"}, Versions: []int64{1}}, {Item: "a", From: 1, Events: []string{"2"}},
+		}, progress{events: []string{"1"}, versions: []int64{1}}},
+	} {
+		if got := joinPieces(test.pieces)["a"]; !reflect.DeepEqual(got, test.want) {
+			t.Errorf("%s: %v, want %v", test.name, got, test.want)
+		}
+	}
+}
+
+// What the long items of a job had made when its owner was killed is not made
+// again.
+func TestSuccessorGoesOnBehindTheTextsThatStand(t *testing.T) {
+	const events, made = 60, 40
+	engine := startEngine(t, events)
+	engine.hold, engine.holdAt = make(chan struct{}), made
+	cluster := newCluster(t, 2, engine)
+	if err := cluster.submit(cluster.nodes[0], "job", 6); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the texts are saved", func() bool {
+		cluster.nodes[0].mutex.Lock()
+		defer cluster.nodes[0].mutex.Unlock()
+		for _, running := range cluster.nodes[0].jobs["job"].items {
+			if running.saved < made {
+				return false
+			}
+		}
+		return true
+	})
+	cluster.nodes[0].cancel()
+	cluster.setCut("node-0", true)
+	eventually(t, "the other node runs the job", func() bool { return cluster.owner("job") == cluster.nodes[1] })
+	engine.release()
+	checkWhole(t, "job", cluster.readAll(cluster.nodes[1], "job", 6), 6, events)
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	for id, resumed := range engine.resumed {
+		if last := resumed[len(resumed)-1]; last < made {
+			t.Errorf("item %s was run from event %d again, %d had been saved", id, last, made)
+		}
+	}
+}
+
+func TestTextsOfShortItemsAndOnesJustSavedAreNotSaved(t *testing.T) {
+	text := func(events int) progress {
+		made := progress{}
+		for range events {
+			made.add("e", 1)
+		}
+		return made
+	}
+	held := &job{items: map[string]*item{
+		"short": {progress: text(leastText - 1)}, "long": {progress: text(3 * leastText)},
+		"saved": {progress: text(3 * leastText), saved: 3*leastText - leastPiece + 1}, "done": {progress: text(3 * leastText), done: true},
+	}, order: []string{"short", "long", "saved", "done"}}
+	pieces := held.unsavedTexts()
+	if len(pieces) != 1 || pieces[0].Item != "long" || len(pieces[0].Events) != 3*leastText {
+		t.Fatalf("to be saved: %v", pieces)
+	}
+	held.noteSaved(pieces)
+	if held.items["long"].saved != 3*leastText || len(held.unsavedTexts()) != 0 {
+		t.Error("what has been saved is saved again")
+	}
+}
