Replicas load a version ahead while none has to

Cause: a job of step k takes weights of k-1 and newer, and replicas skipped every second version. So when step k was asked, half of the replicas were on k-2 and could take none of its items until they had loaded, two at a time, about a second each: its items were begun up to 4 s late, on half of the slots. Change: replicas that can do without the newest version are brought to it all the same while no other has to be, least used first. Loads at once stay bounded. Ruled out: more loads at once (they take longer each).

--- a/internal/weightorders/plan.go
+++ b/internal/weightorders/plan.go
@@ -18,6 +18,8 @@
 	// current is how many of the replicas that keep up with the model need no
 	// load.
 	current int
+	// ahead is set where the replica can do without the version for now.
+	ahead bool
 }
 
 // homeShare is how many replicas keep up with one model, as a multiple of its
@@ -98,30 +100,38 @@
 }
 
 // needed tells whether a replica has to be brought to a named version. One that
-// a new batch job would take may skip it: replicas that skip every second
-// version load half as often, and at any time some need not load.
+// a new batch job would take can do without: where loads are slower than
+// versions, replicas that skip some keep up all the same.
 func needed(known knowledge, replica, model string, named int64) bool {
 	return known.version(replica, model) < named-known.tolerance(model)
 }
 
-// tasksOf are the replicas of one model that have to be brought to its named
-// version.
+// tasksOf are the replicas of one model that lack its named version. Those that
+// new batch jobs would not take as they are have to be brought to it. The others
+// may be brought to it ahead, so that the next job finds more of them ready.
 func tasksOf(known knowledge, model string, named int64, kept []*directory.Replica) []task {
 	var open []task
+	lacking := 0
 	for _, replica := range kept {
-		if needed(known, replica.ID, model, named) {
-			target := Target{ID: replica.ID, Address: replica.Address}
-			open = append(open, task{target: target, model: model, version: named, has: known.version(replica.ID, model)})
+		has := known.version(replica.ID, model)
+		if has >= named {
+			continue
+		}
+		required := needed(known, replica.ID, model, named)
+		if required {
+			lacking++
 		}
+		target := Target{ID: replica.ID, Address: replica.Address}
+		open = append(open, task{target: target, model: model, version: named, has: has, ahead: !required})
 	}
 	for i := range open {
-		open[i].current = len(kept) - len(open)
+		open[i].current = len(kept) - lacking
 	}
 	return open
 }
 
-// tasks are all replicas that have to be brought to the named version of a
-// model that they keep up with.
+// tasks are all replicas that lack the named version of a model that they keep
+// up with.
 func tasks(view *directory.View, known knowledge) []task {
 	if view.Configuration == nil {
 		return nil
@@ -143,12 +153,16 @@
 	return open
 }
 
-// order sorts tasks by which is to be done first: of the model with the fewest
+// order sorts tasks by which is to be done first: those that must before those
+// done ahead; of the model with the fewest
 // current replicas, those that load now among them, so that no model waits for
 // all loads of another; then of the replica furthest behind, then of the least
 // used.
 func order(open []task, loading map[string]int, used func(replica string) int) {
 	slices.SortFunc(open, func(a, b task) int {
+		if a.ahead != b.ahead {
+			return placeOf(a.ahead) - placeOf(b.ahead)
+		}
 		if current := cmp.Compare(a.current+loading[a.model], b.current+loading[b.model]); current != 0 {
 			return current
 		}
@@ -162,6 +176,14 @@
 	})
 }
 
+// placeOf puts tasks that must be done before those done ahead.
+func placeOf(ahead bool) int {
+	if ahead {
+		return 1
+	}
+	return 0
+}
+
 // servesModels tells whether the replicas of a service are model engines.
 func servesModels(view *directory.View, service string) bool {
 	return view.Configuration != nil && view.Configuration.Services[service].Engine != nil
--- a/internal/weightorders/plan_test.go
+++ b/internal/weightorders/plan_test.go
@@ -132,3 +132,21 @@
 		}
 	}
 }
+
+// standing is what a test knows of several replicas.
+type standing map[string]int64
+
+func (s standing) version(replica, _ string) int64 { return s[replica] }
+func (s standing) tolerance(string) int64          { return 1 }
+
+func TestReplicasThatCanDoWithoutAVersionLoadItLast(t *testing.T) {
+	has := standing{"replica-0": 7, "replica-1": 6, "replica-2": 5}
+	open := tasksOf(has, "m", 7, replicas(3))
+	order(open, nil, func(string) int { return 0 })
+	if len(open) != 2 || open[0].target.ID != "replica-2" || open[0].ahead || open[1].target.ID != "replica-1" || !open[1].ahead {
+		t.Fatalf("to be done: %+v", open)
+	}
+	if open[0].current != 2 {
+		t.Errorf("%d replicas take new jobs as they are, want 2", open[0].current)
+	}
+}
