Calls of a node without the store go to a node that the store answers

Ruled out: the answers in doubt (the chunk's create is repeated until settled). Change: a node that is current through another names it, and followers make their calls through that one. The test failed before.

--- a/internal/watchcache/answer.go
+++ b/internal/watchcache/answer.go
@@ -20,7 +20,8 @@
 	defer limit.Stop()
 	for {
 		changed := s.changes()
-		news := &wire.WatchNews{Standing: uint8(s.standing(poll.Direct)), Kinds: s.newsFor(poll)}
+		standing, through := s.standing(poll.Direct)
+		news := &wire.WatchNews{Standing: uint8(standing), Through: through, Kinds: s.newsFor(poll)}
 		switch wire.Standing(news.Standing) {
 		case wire.StandingLeaving, wire.StandingUnsure:
 			return news
@@ -40,24 +41,25 @@
 }
 
 // standing is what this node says of its own view. One that another node helps
-// out calls itself current too, but not to a node that might be helped by it
-// in turn.
-func (s *Source) standing(direct bool) wire.Standing {
+// out calls itself current too and names that node, but not to a node that might
+// be helped by it in turn.
+func (s *Source) standing(direct bool) (standing wire.Standing, through string) {
 	s.mutex.Lock()
 	leaving := s.leaving
 	helped := time.Since(s.helpedAt) < helpedTime
+	helper := s.peer.Address
 	s.mutex.Unlock()
 	switch {
 	case leaving:
-		return wire.StandingLeaving
+		return wire.StandingLeaving, ""
 	case helped && !direct:
-		return wire.StandingCurrent
+		return wire.StandingCurrent, helper
 	case s.health.isTroubled():
-		return wire.StandingUnsure
+		return wire.StandingUnsure, ""
 	case s.isCurrent():
-		return wire.StandingCurrent
+		return wire.StandingCurrent, ""
 	}
-	return wire.StandingStarting
+	return wire.StandingStarting, ""
 }
 
 // newsFor collects what a poll's sender lacks.
--- a/internal/watchcache/follow.go
+++ b/internal/watchcache/follow.go
@@ -62,7 +62,6 @@
 	case outcomeCurrent:
 		s.doubts = 0
 		s.noteNews()
-		s.notePeer(reader)
 		return true
 	case outcomeLeaving:
 		s.passOver(reader.Name, leavingTime)
@@ -126,7 +125,11 @@
 		return outcomeSilent
 	}
 	s.take(poll, news)
-	return outcomeOf(wire.Standing(news.Standing))
+	outcome := outcomeOf(wire.Standing(news.Standing))
+	if outcome == outcomeCurrent {
+		s.notePeer(reader, news.Through)
+	}
+	return outcome
 }
 
 func outcomeOf(standing wire.Standing) string {
--- a/internal/watchcache/help.go
+++ b/internal/watchcache/help.go
@@ -71,7 +71,6 @@
 // noteHelp records that a node that the store answers has brought the news.
 func (s *Source) noteHelp(helper Node) {
 	s.noteNews()
-	s.notePeer(helper)
 	s.mutex.Lock()
 	first := time.Since(s.helpedAt) > helpedTime
 	s.helpedAt = time.Now()
@@ -82,15 +81,18 @@
 	}
 }
 
-// notePeer records a node that the store answers.
-func (s *Source) notePeer(node Node) {
+// notePeer records a node that the store answers: one that called itself
+// current, or the one through which that is so.
+func (s *Source) notePeer(current Node, through string) {
+	if through != "" {
+		current = Node{Address: through}
+	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.peer, s.peerAt = node, time.Now()
+	s.peer, s.peerAt = current, time.Now()
 }
 
-// CurrentPeer returns the address of a node that has called itself current of
-// late.
+// CurrentPeer returns the address of a node that the store has answered of late.
 func (s *Source) CurrentPeer() (address string, known bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/watchcache/source.go
+++ b/internal/watchcache/source.go
@@ -42,8 +42,8 @@
 	// they were last known to be current.
 	unsureAt time.Time
 	newsAt   time.Time
-	// peer is the node that called itself current last, and helpedAt when one
-	// did so to this node while the store did not answer it.
+	// peer is the node that the store was last known to answer, and helpedAt when
+	// one told this node the news while the store did not answer it.
 	peer     Node
 	peerAt   time.Time
 	helpedAt time.Time
--- a/internal/watchcache/source_test.go
+++ b/internal/watchcache/source_test.go
@@ -234,6 +234,28 @@
 	})
 }
 
+// The store turns a reader and one of its followers away. The follower hears
+// news from the reader, which is helped itself, but its calls must go to a node
+// that the store answers: on scale-2, seed 3003, all results of step 0 were lost
+// so.
+func TestFollowerOfAHelpedReaderCallsThroughItsHelper(t *testing.T) {
+	inCluster(t, 6, func(c *cluster) {
+		reader, follower := c.readers()[0], c.followers()[0]
+		reader.store.cut.Store(true)
+		follower.store.cut.Store(true)
+		cutAt := time.Now()
+		for range 40 {
+			settle(100 * time.Millisecond)
+			if address, known := follower.source.CurrentPeer(); known && address == reader.node.Address && time.Since(cutAt) > bound {
+				t.Fatalf("the follower would call through %s, which the store does not answer", address)
+			}
+		}
+		if _, known := follower.source.CurrentPeer(); !known {
+			t.Error("the follower knows no node through which calls could go")
+		}
+	})
+}
+
 // While the store is away, its readers ask for little: they wait for the probe
 // to be answered.
 func TestOutageCostsFewCalls(t *testing.T) {
--- a/internal/wire/schema/peer.capnp
+++ b/internal/wire/schema/peer.capnp
@@ -367,6 +367,7 @@
 struct WatchNews {
   standing @0 :UInt8;       # a wire.Standing
   kinds @1 :List(KindNews); # those with news
+  through @2 :Text;         # address of the node that the store answers, where it is not the sender
 }
 
 # A call to the metadata store that a node makes for one that the store does
--- a/internal/wire/watch.go
+++ b/internal/wire/watch.go
@@ -53,4 +53,7 @@
 type WatchNews struct {
 	Standing uint8
 	Kinds    []KindNews
+	// Through is the address of the node through which the sender is current,
+	// empty where the store answers the sender itself.
+	Through string
 }
