A node that stops as planned runs its batch jobs on for most of its grace

Change: jobs are given away once the grace has 2.5 s left, most are finished by then, and the texts are saved right before. Ruled out: a shorter silence before takeovers (the leaving node was not silent).

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -26,7 +26,9 @@
 	serial   int
 	// textsSaved is when the texts of running items were last saved.
 	textsSaved time.Time
-	groups     map[string]*group
+	// saving is set while texts are on their way into the store.
+	saving bool
+	groups map[string]*group
 	// flushSoon is set when a group became whole, to append without delay.
 	flushSoon bool
 	flush     chan struct{}
--- a/internal/batch/publish.go
+++ b/internal/batch/publish.go
@@ -68,11 +68,14 @@
 		return false
 	}
 	if len(written.Texts) > 0 {
-		published.textsSaved = time.Now()
+		published.textsSaved, published.saving = time.Now(), true
 	}
 	s.mutex.Unlock()
 	began := time.Now()
 	standing, own, err := s.config.Journal.Append(published.ctx, published.id, index, written)
+	s.mutex.Lock()
+	published.saving = false
+	s.mutex.Unlock()
 	if err != nil {
 		if published.ctx.Err() == nil {
 			s.config.Logger.Error(err, "results not appended", "request", published.id, "chunk", index)
--- a/internal/batch/text_test.go
+++ b/internal/batch/text_test.go
@@ -89,3 +89,35 @@
 		t.Error("what has been saved is saved again")
 	}
 }
+
+// A planned stop loses nothing of what the items have made by then.
+func TestLeavingNodeSavesTheTextsFirst(t *testing.T) {
+	const events, made = 60, 40
+	engine := startEngine(t, events)
+	engine.hold, engine.holdAt = make(chan struct{}), made
+	cluster := newCluster(t, 2, engine)
+	if err := cluster.submit(cluster.nodes[0], "job", 6); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "all items have made their events", func() bool {
+		cluster.nodes[0].mutex.Lock()
+		defer cluster.nodes[0].mutex.Unlock()
+		for _, running := range cluster.nodes[0].jobs["job"].items {
+			if running.seen() < made {
+				return false
+			}
+		}
+		return true
+	})
+	cluster.nodes[0].Leave()
+	eventually(t, "the other node runs the job", func() bool { return cluster.owner("job") == cluster.nodes[1] })
+	engine.release()
+	checkWhole(t, "job", cluster.readAll(cluster.nodes[1], "job", 6), 6, events)
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	for id, resumed := range engine.resumed {
+		if last := resumed[len(resumed)-1]; last < made {
+			t.Errorf("item %s was run from event %d again, %d had been made", id, last, made)
+		}
+	}
+}
--- a/internal/instance/stop.go
+++ b/internal/instance/stop.go
@@ -16,6 +16,9 @@
 	graceMargin = 900 * time.Millisecond
 	// defaultGrace holds where the settings name none.
 	defaultGrace = 8 * time.Second
+	// handOverTime is what is kept of the grace for others to take over the batch
+	// jobs that this node has not finished by then.
+	handOverTime = 2500 * time.Millisecond
 	// stopLook is the time between looks at what is still in progress.
 	stopLook = 50 * time.Millisecond
 )
@@ -37,18 +40,23 @@
 	})
 }
 
-// leave waits until callers are gone and closes the front.
+// leave waits until callers are gone and closes the front. Batch jobs are run
+// on for most of the grace: a takeover costs more than a late end.
 func (i *Instance) leave(begun time.Time) {
 	i.handler.Closing.Store(true)
-	i.jobs.Leave()
 	i.source.Leave()
 	grace := i.current.Load().Grace.Std()
 	if grace <= 0 {
 		grace = defaultGrace
 	}
-	limit := begun.Add(grace - graceMargin)
+	limit, handOver := begun.Add(grace-graceMargin), begun.Add(grace-handOverTime)
+	given := false
 	for time.Now().Before(limit) {
-		if time.Since(begun) > leaveTime && i.handler.Active.Load() == 0 && i.handler.Quiet() > quietTime {
+		if !given && (i.jobs.OpenJobs() == 0 || time.Now().After(handOver)) {
+			i.jobs.Leave()
+			given = true
+		}
+		if given && time.Since(begun) > leaveTime && i.handler.Active.Load() == 0 && i.handler.Quiet() > quietTime {
 			break
 		}
 		time.Sleep(stopLook)
