Results gather longer until most of the desired groups are whole

Cause: a job's results were listed in some fifty objects, one for nearly each group, although a trainer does nothing before it has the desired number of them; calls to the store are the third dearest price here. Change: until four fifths of the desired groups are whole results gather for half a second; after that a whole group is listed within 40 ms as before, and results that finished during a write gather too.

--- a/internal/batch/publish.go
+++ b/internal/batch/publish.go
@@ -22,15 +22,16 @@
 		case <-saving.C:
 		}
 		for s.appendOnce(published) {
+			s.gather(published)
 		}
 	}
 }
 
 const (
-	// groupGather is how long results wait for others once a group is whole,
-	// and resultGather while none is.
+	// groupGather is how long results wait for others once a group is whole and
+	// its trainer may soon have what it waits for, and resultGather before that.
 	groupGather  = 40 * time.Millisecond
-	resultGather = 300 * time.Millisecond
+	resultGather = 500 * time.Millisecond
 	gatherLook   = 20 * time.Millisecond
 )
 
@@ -39,7 +40,7 @@
 	limit := time.Now().Add(resultGather)
 	for time.Now().Before(limit) {
 		s.mutex.Lock()
-		soon := published.flushSoon || published.remaining() == 0
+		soon := (published.flushSoon && published.nearlyWhole()) || published.remaining() == 0
 		s.mutex.Unlock()
 		if soon {
 			objectstore.Sleep(published.ctx, groupGather)
@@ -51,6 +52,24 @@
 	}
 }
 
+// nearlyPart is the part of the desired groups from which on each whole one is
+// listed without delay.
+const nearlyPart = 0.8
+
+// nearlyWhole tells whether so many groups are whole that the trainer may soon
+// have what it waits for; without a trainer any whole group counts. The mutex
+// must be held.
+func (j *job) nearlyWhole() bool {
+	whole := 0
+	for _, group := range j.groups {
+		if group.open == 0 {
+			whole++
+		}
+	}
+	desired := min(len(j.groups), max(j.submission.Desired, 1))
+	return float64(whole) >= nearlyPart*float64(desired)
+}
+
 // remaining counts the items without a result.
 func (j *job) remaining() int { return len(j.items) - len(j.listed) - len(j.finished) }
 
