--- /dev/null
+++ b/internal/bench/timeline.go
@@ -0,0 +1,146 @@
+package bench
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"text/tabwriter"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"github.com/pathtally/pathtally/internal/timeline"
+)
+
+// runTimeline tells of the steps in the log files that it is given.
+func runTimeline(call *invocation) error {
+	asJSON := call.flags.Bool("json", false, "write JSON instead of a table")
+	chart := call.flags.String("plot", "", "draw the steps into this file, SVG or PNG by its ending")
+	if err := call.flags.Parse(call.args); err != nil {
+		return err
+	}
+	if call.flags.NArg() == 0 {
+		return &UsageError{What: "name at least one log file"}
+	}
+	read, err := readTimeline(call.flags.Args())
+	if err != nil {
+		return err
+	}
+	if *chart != "" {
+		if err := plotSteps(read, *chart); err != nil {
+			return err
+		}
+	}
+	if *asJSON {
+		encoder := json.NewEncoder(call.stdout)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(read)
+	}
+	return writeTimeline(call.stdout, read)
+}
+
+// UsageError is a command line that cannot be taken.
+type UsageError struct{ What string }
+
+// Error says what is wrong.
+func (e *UsageError) Error() string { return e.What }
+
+// readTimeline reads the log files of one deployment.
+func readTimeline(paths []string) (*timeline.Timeline, error) {
+	var sources []io.Reader
+	for _, path := range paths {
+		file, err := os.Open(path)
+		if err != nil {
+			return nil, err
+		}
+		defer file.Close()
+		sources = append(sources, file)
+	}
+	return timeline.Read(io.MultiReader(sources...))
+}
+
+// writeTimeline writes a line for each step and what it waited for, and then the
+// figures of the day.
+func writeTimeline(out io.Writer, read *timeline.Timeline) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "step\taccepted\tevent\t50%\t90%\t95%\t100%\tdesired\tended\tnamed\tloaded\tall loaded\ttakeovers\tmoves\tagain\tbound\tratio\twaited for\t")
+	for _, step := range read.Steps {
+		fmt.Fprintf(table, "%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%d\t%d\t%d\t%.2f\t%.2f\t%s\t\n",
+			step.Number, step.Accepted, step.FirstEvent, step.Listed50, step.Listed90, step.Listed95, step.Listed100, step.DesiredWhole, step.Ended,
+			step.VersionNamed, step.FirstLoaded, step.AllLoaded, step.Takeovers, step.Moves, step.RunAgain, step.Bound, step.Ratio(), describe(step.Last))
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	ratios := ratiosOf(read)
+	if len(ratios) == 0 {
+		return nil
+	}
+	_, err := fmt.Fprintf(out, "achieved / bound: median %.2f of %d steps; fastest pace %.1f ms an event\n",
+		ratios[len(ratios)/2], len(ratios), 1000*read.FastestPace)
+	return err
+}
+
+// ratiosOf are the ratios of all steps that have one, in rising order.
+func ratiosOf(read *timeline.Timeline) []float64 {
+	var ratios []float64
+	for _, step := range read.Steps {
+		if ratio := step.Ratio(); ratio > 0 {
+			ratios = append(ratios, ratio)
+		}
+	}
+	slices.Sort(ratios)
+	return ratios
+}
+
+// describe names the item that a step waited for and where its time went.
+func describe(last *timeline.Holdup) string {
+	if last == nil {
+		return "-"
+	}
+	text := fmt.Sprintf("%s: %s, %d events at %s", last.Cause, last.Item, last.Events, last.Replica)
+	for _, part := range last.Parts {
+		if part.Seconds >= leastPart {
+			text += fmt.Sprintf(", %s %.2f", part.Cause, part.Seconds)
+		}
+	}
+	return text
+}
+
+// leastPart is the least part of a step's time that is written, in seconds.
+const leastPart = 0.05
+
+// plotSteps draws when each step was listed, ended and could have ended.
+func plotSteps(read *timeline.Timeline, path string) error {
+	chart := plot.New()
+	chart.Title.Text = "steps"
+	chart.X.Label.Text, chart.Y.Label.Text = "accepted, s", "seconds since the acceptance"
+	chart.Y.Min = 0
+	for number, series := range []struct {
+		name string
+		of   func(*timeline.Step) float64
+	}{
+		{"half listed", func(step *timeline.Step) float64 { return step.Listed50 }},
+		{"95% listed", func(step *timeline.Step) float64 { return step.Listed95 }},
+		{"ended", func(step *timeline.Step) float64 { return step.Ended }},
+		{"bound", func(step *timeline.Step) float64 { return step.Bound }},
+	} {
+		points := plotter.XYs{}
+		for _, step := range read.Steps {
+			if value := series.of(step); value > 0 {
+				points = append(points, plotter.XY{X: step.Accepted, Y: value})
+			}
+		}
+		line, dots, err := plotter.NewLinePoints(points)
+		if err != nil {
+			return err
+		}
+		line.Color, dots.Color = colours[number%len(colours)], colours[number%len(colours)]
+		chart.Add(line, dots)
+		chart.Legend.Add(series.name, line)
+	}
+	return chart.Save(16*vg.Centimeter, 10*vg.Centimeter, path)
+}
