--- a/internal/bench/rolloutreport.go
+++ b/internal/bench/rolloutreport.go
@@ -8,6 +8,7 @@
 	"io"
 	"math"
 	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"time"
@@ -272,3 +273,6 @@
 	}
 	return chart.Save(14*vg.Centimeter, 9*vg.Centimeter, path)
 }
+
+// reportFile returns the path of a result.
+func reportFile(folder, name string) string { return filepath.Join(folder, name) }
