--- /dev/null
+++ b/internal/batch/leave.go
@@ -0,0 +1,48 @@
+package batch
+
+import "time"
+
+const (
+	// leaveSaving bounds how long the saving of texts is waited for before jobs
+	// are given away, and leaveLook is the time between looks at it.
+	leaveSaving = time.Second
+	leaveLook   = 10 * time.Millisecond
+)
+
+// Leave gives the jobs of this node away: others take them over at once, with
+// the texts so far.
+func (s *Service) Leave() {
+	s.flushTexts()
+	for began := time.Now(); s.savingTexts() && time.Since(began) < leaveSaving; {
+		time.Sleep(leaveLook)
+	}
+	s.mutex.Lock()
+	s.leaving = true
+	s.mutex.Unlock()
+	s.config.Table.Broadcast()
+}
+
+// flushTexts has the texts of running items saved now.
+func (s *Service) flushTexts() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, held := range s.jobs {
+		held.textsSaved, held.flushSoon = time.Time{}, true
+		held.flushLater()
+	}
+}
+
+// savingTexts tells whether a flush of texts has not come to its end.
+func (s *Service) savingTexts() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, held := range s.jobs {
+		if held.open() && held.textsSaved.IsZero() && len(held.unsavedTexts()) > 0 {
+			return true
+		}
+		if held.saving {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/batch/outcome.go
@@ -0,0 +1,93 @@
+package batch
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/pathtally/pathtally/internal/dispatch"
+)
+
+const (
+	// fullBlock is how long a replica that turned an item away gets none, and
+	// breakBlock one that broke a run off before its first event, at first.
+	fullBlock  = 80 * time.Millisecond
+	breakBlock = 50 * time.Millisecond
+	// otherBlock is how long an address is left alone at which another
+	// incarnation answered.
+	otherBlock = 2 * time.Second
+	// breakPause is the time before an item whose run broke is run again, and
+	// longestBreak its bound as breaks repeat.
+	breakPause   = 5 * time.Millisecond
+	longestBreak = 500 * time.Millisecond
+	// failurePause is the time before an item that failed is run again.
+	failurePause = 60 * time.Millisecond
+	// refusedStatus is a replica's word that an item can never be done.
+	refusedStatus = http.StatusUnprocessableEntity
+)
+
+// judge decides what the end of a run means for the item and the replica. The
+// mutex must be held.
+func (s *Service) judge(running *attempt, state *replicaState, err error) {
+	work := running.item
+	var notRun *dispatch.NotRunError
+	var status *ItemStatusError
+	switch {
+	case errors.As(err, &notRun) && notRun.OtherReplica:
+		state.blockedUntil = time.Now().Add(otherBlock)
+	case errors.As(err, &notRun):
+		state.block(fullBlock)
+	case errors.Is(err, ErrMoved), errors.Is(err, ErrStalled):
+		s.metrics.moved.Inc()
+	case errors.Is(err, ErrOldWeights):
+	case errors.As(err, &status) && status.Status == refusedStatus:
+		s.abandon(work, "a replica says it can never be done")
+	case errors.As(err, &status) && status.Status == http.StatusInternalServerError:
+		work.failures++
+		work.notBefore = time.Now().Add(failurePause)
+		if work.failures >= s.itemAttempts(work) {
+			s.abandon(work, "it failed as often as its route allows")
+		}
+	default:
+		if running.events.Load() == 0 {
+			// It may be down: trying it with one item after the other helps none.
+			state.block(breakBlock)
+		}
+		work.breaks++
+		work.notBefore = time.Now().Add(min(time.Duration(work.breaks)*breakPause, longestBreak))
+	}
+}
+
+// abandon ends an item without its text. The mutex must be held.
+func (s *Service) abandon(work *item, reason string) {
+	s.config.Logger.Info("item given up", "request", work.ID, "job", work.job.id, "reason", reason, "failures", work.failures)
+	s.finish(work, Result{ID: work.ID, State: Abandoned})
+}
+
+// itemAttempts is how many failures end an item.
+func (s *Service) itemAttempts(work *item) int {
+	if configuration := s.config.Directory.View().Configuration; configuration != nil {
+		if route := routeOf(configuration, work.job.record.Route); route != nil {
+			return route.Attempts
+		}
+	}
+	return defaultAttempts
+}
+
+// defaultAttempts holds where the route is no longer declared.
+const defaultAttempts = 3
+
+// finish takes an item's result. The mutex must be held.
+func (s *Service) finish(work *item, result Result) {
+	if work.done || work.job.ended || work.job.displaced {
+		return
+	}
+	job := work.job
+	job.settle(work.ID)
+	job.finished = append(job.finished, result)
+	if work.group.open == 0 {
+		job.flushSoon = true
+	}
+	s.metrics.results.WithLabelValues(string(result.State)).Inc()
+	job.flushLater()
+}
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -91,51 +91,6 @@
 	duties.Wait()
 }
 
-const (
-	// leaveSaving bounds how long the saving of texts is waited for before jobs
-	// are given away, and leaveLook is the time between looks at it.
-	leaveSaving = time.Second
-	leaveLook   = 10 * time.Millisecond
-)
-
-// Leave gives the jobs of this node away: others take them over at once, with
-// the texts so far.
-func (s *Service) Leave() {
-	s.flushTexts()
-	for began := time.Now(); s.savingTexts() && time.Since(began) < leaveSaving; {
-		time.Sleep(leaveLook)
-	}
-	s.mutex.Lock()
-	s.leaving = true
-	s.mutex.Unlock()
-	s.config.Table.Broadcast()
-}
-
-// flushTexts has the texts of running items saved now.
-func (s *Service) flushTexts() {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	for _, held := range s.jobs {
-		held.textsSaved, held.flushSoon = time.Time{}, true
-		held.flushLater()
-	}
-}
-
-// savingTexts tells whether a flush of texts has not come to its end.
-func (s *Service) savingTexts() bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	for _, held := range s.jobs {
-		if held.open() && held.textsSaved.IsZero() && len(held.unsavedTexts()) > 0 {
-			return true
-		}
-		if held.saving {
-			return true
-		}
-	}
-	return false
-}
-
 // OpenJobs counts the jobs here that have work left.
 func (s *Service) OpenJobs() int {
 	s.mutex.Lock()
@@ -149,92 +104,6 @@
 	return count
 }
 
-// start takes up a job whose record names this node as its owner. The mutex
-// must not be held.
-func (s *Service) start(id string, submission *Submission, record Record, stands listing) {
-	s.mutex.Lock()
-	if standing := s.jobs[id]; standing != nil && !standing.displaced {
-		s.mutex.Unlock()
-		return
-	}
-	ctx, cancel := context.WithCancel(s.base)
-	started := &job{
-		id: id, submission: submission, record: record, accepted: time.Now(), confirmed: time.Now(), items: map[string]*item{}, listed: stands.results, chunks: stands.chunks,
-		groups: map[string]*group{}, flush: make(chan struct{}, 1), changed: make(chan struct{}), ctx: ctx, cancel: cancel,
-	}
-	if retention := s.retention(record); retention > 0 {
-		elapsed := max(0, time.Since(time.UnixMilli(record.AcceptedMs)))
-		started.givenUpAt = started.accepted.Add(retention + giveUpMargin - min(elapsed, retention))
-	}
-	ranks := rankItems(submission, s.lengths)
-	for _, submitted := range submission.Items {
-		standing := started.groups[submitted.Group]
-		if standing == nil {
-			standing = &group{}
-			started.groups[submitted.Group] = standing
-		}
-		standing.open++
-		started.order = append(started.order, submitted.ID)
-		started.items[submitted.ID] = &item{Item: submitted, job: started, group: standing, rank: ranks[submitted.ID], expected: s.expectedEvents(submitted.ID)}
-	}
-	for _, result := range stands.results {
-		started.settle(result.ID)
-	}
-	restored := started.restore(joinPieces(stands.pieces))
-	for _, submitted := range submission.Items {
-		if pending := started.items[submitted.ID]; !pending.done {
-			s.queue = append(s.queue, pending)
-		}
-	}
-	s.sortQueue()
-	s.noteTolerance(submission)
-	s.jobs[id] = started
-	delete(s.known, id)
-	s.mutex.Unlock()
-	s.config.Logger.Info("batch job taken up", "request", id, "epoch", record.Epoch, "items", len(started.items), "listed", len(stands.results), "texts", restored,
-		"step", submission.Step, "model", submission.Model, "minVersion", submission.MinVersion, "desired", submission.Desired)
-	go s.publish(started)
-	s.nudge()
-	s.config.Table.Broadcast()
-}
-
-// restore gives items the texts that an earlier owner saved, and tells how many
-// got one.
-func (j *job) restore(texts map[string]progress) int {
-	restored := 0
-	for id, text := range texts {
-		if pending := j.items[id]; pending != nil && !pending.done {
-			pending.progress, pending.saved, pending.events = text, len(text.events), len(text.events)
-			restored++
-		}
-	}
-	return restored
-}
-
-// settle marks an item as listed or finished.
-func (j *job) settle(id string) {
-	settled := j.items[id]
-	if settled == nil || settled.done {
-		return
-	}
-	settled.done = true
-	settled.group.open--
-}
-
-// retention is after how long items of a job may be given up, 0 for never.
-func (s *Service) retention(record Record) time.Duration {
-	configuration := s.config.Directory.View().Configuration
-	if configuration == nil {
-		return 0
-	}
-	for _, route := range configuration.Routes {
-		if route.Name == record.Route {
-			return route.Retention
-		}
-	}
-	return 0
-}
-
 // nudge has the scheduler look again.
 func (s *Service) nudge() {
 	select {
@@ -282,10 +151,5 @@
 	s.queue = slices.DeleteFunc(s.queue, func(waiting *item) bool { return waiting.job == dropped })
 }
 
-const (
-	// ageStep is the difference in age from which an older job goes first.
-	ageStep = 2 * time.Second
-	// giveUpMargin is added to the time after which items may be given up,
-	// since the clocks of owners differ.
-	giveUpMargin = 8 * time.Second
-)
+// ageStep is the difference in age from which an older job goes first.
+const ageStep = 2 * time.Second
--- /dev/null
+++ b/internal/batch/start.go
@@ -0,0 +1,93 @@
+package batch
+
+import (
+	"context"
+	"time"
+)
+
+// giveUpMargin is added to the time after which items may be given up, since the
+// clocks of owners differ.
+const giveUpMargin = 8 * time.Second
+
+// start takes up a job whose record names this node as its owner. The mutex
+// must not be held.
+func (s *Service) start(id string, submission *Submission, record Record, stands listing) {
+	s.mutex.Lock()
+	if standing := s.jobs[id]; standing != nil && !standing.displaced {
+		s.mutex.Unlock()
+		return
+	}
+	started := s.newJob(id, submission, record, stands)
+	restored := started.restore(joinPieces(stands.pieces))
+	for _, itemID := range started.order {
+		if pending := started.items[itemID]; !pending.done {
+			s.queue = append(s.queue, pending)
+		}
+	}
+	s.sortQueue()
+	s.noteTolerance(submission)
+	s.jobs[id] = started
+	delete(s.known, id)
+	s.mutex.Unlock()
+	s.config.Logger.Info("batch job taken up", "request", id, "epoch", record.Epoch, "items", len(started.items), "listed", len(stands.results), "texts", restored,
+		"step", submission.Step, "model", submission.Model, "minVersion", submission.MinVersion, "desired", submission.Desired)
+	go s.publish(started)
+	s.nudge()
+	s.config.Table.Broadcast()
+}
+
+// newJob returns a job whose items have their ranks; those that are listed are
+// settled. The mutex must be held.
+func (s *Service) newJob(id string, submission *Submission, record Record, stands listing) *job {
+	ctx, cancel := context.WithCancel(s.base)
+	made := &job{
+		id: id, submission: submission, record: record, accepted: time.Now(), confirmed: time.Now(), items: map[string]*item{},
+		listed: stands.results, chunks: stands.chunks, groups: map[string]*group{}, flush: make(chan struct{}, 1), changed: make(chan struct{}),
+		ctx: ctx, cancel: cancel,
+	}
+	if retention := s.retention(record); retention > 0 {
+		elapsed := max(0, time.Since(time.UnixMilli(record.AcceptedMs)))
+		made.givenUpAt = made.accepted.Add(retention + giveUpMargin - min(elapsed, retention))
+	}
+	ranks := rankItems(submission, s.lengths)
+	for _, submitted := range submission.Items {
+		standing := made.groups[submitted.Group]
+		if standing == nil {
+			standing = &group{}
+			made.groups[submitted.Group] = standing
+		}
+		standing.open++
+		made.order = append(made.order, submitted.ID)
+		made.items[submitted.ID] = &item{
+			Item: submitted, job: made, group: standing, rank: ranks[submitted.ID], expected: s.expectedEvents(submitted.ID),
+		}
+	}
+	for _, result := range stands.results {
+		made.settle(result.ID)
+	}
+	return made
+}
+
+// settle marks an item as listed or finished.
+func (j *job) settle(id string) {
+	settled := j.items[id]
+	if settled == nil || settled.done {
+		return
+	}
+	settled.done = true
+	settled.group.open--
+}
+
+// retention is after how long items of a job may be given up, 0 for never.
+func (s *Service) retention(record Record) time.Duration {
+	configuration := s.config.Directory.View().Configuration
+	if configuration == nil {
+		return 0
+	}
+	for _, route := range configuration.Routes {
+		if route.Name == record.Route {
+			return route.Retention
+		}
+	}
+	return 0
+}
--- a/internal/batch/takeover.go
+++ b/internal/batch/takeover.go
@@ -44,25 +44,35 @@
 // loadJob reads a job that this node owns from the store and takes it up.
 func (s *Service) loadJob(ctx context.Context, standing Standing) {
 	for ctx.Err() == nil {
-		payload, err := s.config.Journal.Payload(ctx, standing.ID, standing.Record.Parts)
+		submission, stands, err := s.readJob(ctx, standing)
 		if err == nil {
-			var stands listing
-			if stands, err = s.config.Journal.Results(ctx, standing.ID, 0); err == nil {
-				var submission *Submission
-				if submission, err = s.config.Codec.Submission(payload); err == nil {
-					stands, err = s.fence(ctx, standing.ID, stands)
-				}
-				if err == nil {
-					s.start(standing.ID, submission, standing.Record, stands)
-					return
-				}
-			}
+			s.start(standing.ID, submission, standing.Record, stands)
+			return
 		}
 		s.config.Logger.Error(err, "batch job not read", "request", standing.ID)
 		objectstore.Pause(ctx, readPause)
 	}
 }
 
+// readJob reads a job's submission and what stands of its results, behind which
+// it sets a fence.
+func (s *Service) readJob(ctx context.Context, standing Standing) (*Submission, listing, error) {
+	payload, err := s.config.Journal.Payload(ctx, standing.ID, standing.Record.Parts)
+	if err != nil {
+		return nil, listing{}, err
+	}
+	stands, err := s.config.Journal.Results(ctx, standing.ID, 0)
+	if err != nil {
+		return nil, listing{}, err
+	}
+	submission, err := s.config.Codec.Submission(payload)
+	if err != nil {
+		return nil, listing{}, err
+	}
+	stands, err = s.fence(ctx, standing.ID, stands)
+	return submission, stands, err
+}
+
 // fence writes an empty chunk behind the results that stand. The former owner
 // may still append until it learns of its successor; from here on its appends
 // fail, and everything before is known.
--- a/internal/batch/text.go
+++ b/internal/batch/text.go
@@ -103,3 +103,16 @@
 	}
 	return texts
 }
+
+// restore gives items the texts that an earlier owner saved, and tells how many
+// got one.
+func (j *job) restore(texts map[string]progress) int {
+	restored := 0
+	for id, text := range texts {
+		if pending := j.items[id]; pending != nil && !pending.done {
+			pending.progress, pending.saved, pending.events = text, len(text.events), len(text.events)
+			restored++
+		}
+	}
+	return restored
+}
