--- a/internal/batch/text_test.go
+++ b/internal/batch/text_test.go
@@ -34,28 +34,34 @@
 	}
 }
 
-// What the long items of a job had made when its owner was killed is not made
-// again.
-func TestSuccessorGoesOnBehindTheTextsThatStand(t *testing.T) {
-	const events, made = 60, 40
+// heldJob has a node run a job of six items whose texts stop after some events,
+// and waits until each item is so far.
+func heldJob(t *testing.T, events, made int, soFar func(*item) bool) (*testEngine, *cluster) {
+	t.Helper()
 	engine := startEngine(t, events)
 	engine.hold, engine.holdAt = make(chan struct{}), made
 	cluster := newCluster(t, 2, engine)
-	if err := cluster.submit(cluster.nodes[0], "job", 6); err != nil {
+	owner := cluster.nodes[0]
+	if err := cluster.submit(owner, "job", 6); err != nil {
 		t.Fatal(err)
 	}
-	eventually(t, "the texts are saved", func() bool {
-		cluster.nodes[0].mutex.Lock()
-		defer cluster.nodes[0].mutex.Unlock()
-		for _, running := range cluster.nodes[0].jobs["job"].items {
-			if running.saved < made {
+	eventually(t, "all items are so far", func() bool {
+		owner.mutex.Lock()
+		defer owner.mutex.Unlock()
+		for _, running := range owner.jobs["job"].items {
+			if !soFar(running) {
 				return false
 			}
 		}
 		return true
 	})
-	cluster.nodes[0].cancel()
-	cluster.setCut("node-0", true)
+	return engine, cluster
+}
+
+// checkGoesOn checks that another node takes the job over, ends it, and runs no
+// item from before the events that had been made.
+func checkGoesOn(t *testing.T, engine *testEngine, cluster *cluster, events, made int) {
+	t.Helper()
 	eventually(t, "the other node runs the job", func() bool { return cluster.owner("job") == cluster.nodes[1] })
 	engine.release()
 	checkWhole(t, "job", cluster.readAll(cluster.nodes[1], "job", 6), 6, events)
@@ -63,11 +69,29 @@
 	defer engine.mutex.Unlock()
 	for id, resumed := range engine.resumed {
 		if last := resumed[len(resumed)-1]; last < made {
-			t.Errorf("item %s was run from event %d again, %d had been saved", id, last, made)
+			t.Errorf("item %s was run from event %d again, %d had been made", id, last, made)
 		}
 	}
 }
 
+// What the long items of a job had made when its owner was killed is not made
+// again.
+func TestSuccessorGoesOnBehindTheTextsThatStand(t *testing.T) {
+	const events, made = 60, 40
+	engine, cluster := heldJob(t, events, made, func(running *item) bool { return running.saved >= made })
+	cluster.nodes[0].cancel()
+	cluster.setCut("node-0", true)
+	checkGoesOn(t, engine, cluster, events, made)
+}
+
+// A planned stop loses nothing of what the items have made by then.
+func TestLeavingNodeSavesTheTextsFirst(t *testing.T) {
+	const events, made = 60, 40
+	engine, cluster := heldJob(t, events, made, func(running *item) bool { return running.seen() >= made })
+	cluster.nodes[0].Leave()
+	checkGoesOn(t, engine, cluster, events, made)
+}
+
 func TestTextsOfShortItemsAndOnesJustSavedAreNotSaved(t *testing.T) {
 	text := func(events int) progress {
 		made := progress{}
@@ -89,35 +113,3 @@
 		t.Error("what has been saved is saved again")
 	}
 }
-
-// A planned stop loses nothing of what the items have made by then.
-func TestLeavingNodeSavesTheTextsFirst(t *testing.T) {
-	const events, made = 60, 40
-	engine := startEngine(t, events)
-	engine.hold, engine.holdAt = make(chan struct{}), made
-	cluster := newCluster(t, 2, engine)
-	if err := cluster.submit(cluster.nodes[0], "job", 6); err != nil {
-		t.Fatal(err)
-	}
-	eventually(t, "all items have made their events", func() bool {
-		cluster.nodes[0].mutex.Lock()
-		defer cluster.nodes[0].mutex.Unlock()
-		for _, running := range cluster.nodes[0].jobs["job"].items {
-			if running.seen() < made {
-				return false
-			}
-		}
-		return true
-	})
-	cluster.nodes[0].Leave()
-	eventually(t, "the other node runs the job", func() bool { return cluster.owner("job") == cluster.nodes[1] })
-	engine.release()
-	checkWhole(t, "job", cluster.readAll(cluster.nodes[1], "job", 6), 6, events)
-	engine.mutex.Lock()
-	defer engine.mutex.Unlock()
-	for id, resumed := range engine.resumed {
-		if last := resumed[len(resumed)-1]; last < made {
-			t.Errorf("item %s was run from event %d again, %d had been made", id, last, made)
-		}
-	}
-}
