Nodes join through the store and send heartbeats to a few, not to all

Cause: a node that joined greeted every other one and each answered with everybody it knew: with 250 nodes 62,000 calls and as many connections, each answer with 250 addresses. Every node with an open batch job sent its heartbeat to every other one 3.3 times a second, and each load of weights sent two more to all. A connection had a queue of 1,024 frames (24 KB), 250 of them 6 MB a node.

Change: nodes follow the entries of the others as they follow the other kinds; they greet seeds only. The start and the end of a batch job and a renewal of the order lease go to all nodes; heartbeats and loads go to active peers, to five watchers of each job, ranked as before, and to five candidates for the lease. A node that does not watch a job asks its owner before it takes it over. Queues hold 128 frames, connections rest 15 s. Ranking hashes each candidate once.

--- a/internal/batch/beat.go
+++ b/internal/batch/beat.go
@@ -21,6 +21,9 @@
 		}
 	}
 	slices.Sort(beat.Jobs)
+	for _, id := range beat.Jobs {
+		beat.Work = append(beat.Work, s.jobs[id].work())
+	}
 	beat.Leaving = s.leaving
 	s.ended = slices.DeleteFunc(s.ended, func(end recentEnd) bool { return time.Since(end.at) > endMemory })
 	for _, model := range slices.Sorted(maps.Keys(s.tolerances)) {
@@ -42,6 +45,9 @@
 		s.limitTolerance(told.Model, told.Versions)
 	}
 	s.takeLengths(beat.Lengths)
+	for _, work := range beat.Work {
+		s.noteDemand(work)
+	}
 	for _, id := range beat.Jobs {
 		if held := s.jobs[id]; held != nil {
 			if !beat.Leaving {
@@ -97,7 +103,7 @@
 			quiet++
 		}
 		if quiet <= idleBeats {
-			s.config.Table.Broadcast()
+			s.config.Table.Heartbeat()
 		}
 	}
 }
--- /dev/null
+++ b/internal/batch/demand.go
@@ -0,0 +1,57 @@
+package batch
+
+import (
+	"maps"
+	"time"
+
+	"github.com/pathtally/pathtally/internal/wire"
+)
+
+// demandMemory is for how long a batch job counts towards the demand for its
+// model: some steps of a trainer, so that one late step changes little.
+const demandMemory = 30 * time.Second
+
+// knownWork is what a batch job of this or another node was expected to make.
+type knownWork struct {
+	model  string
+	tokens float64
+	at     time.Time
+}
+
+// work tells how much a job has to do.
+func (j *job) work() wire.JobWork {
+	tokens := 0.0
+	for _, submitted := range j.submission.Items {
+		tokens += submitted.ExpectedTokens
+	}
+	return wire.JobWork{Job: j.id, Model: j.submission.Model, ExpectedTokens: uint64(tokens)}
+}
+
+// noteDemand learns how much a batch job has to do. The mutex must be held.
+func (s *Service) noteDemand(work wire.JobWork) {
+	if _, known := s.works[work.Job]; known || work.Model == "" {
+		return
+	}
+	s.works[work.Job] = knownWork{model: work.Model, tokens: float64(work.ExpectedTokens), at: time.Now()}
+}
+
+// Demand is the mean work of the batch jobs of each model of late, in tokens
+// that they were expected to make.
+func (s *Service) Demand() map[string]float64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	sums, counts := map[string]float64{}, map[string]float64{}
+	for _, work := range s.works {
+		sums[work.model] += work.tokens
+		counts[work.model]++
+	}
+	for model, count := range counts {
+		sums[model] /= count
+	}
+	return sums
+}
+
+// evictWorks forgets old batch jobs. The mutex must be held.
+func (s *Service) evictWorks() {
+	maps.DeleteFunc(s.works, func(_ string, work knownWork) bool { return time.Since(work.at) > demandMemory })
+}
--- a/internal/batch/foreign.go
+++ b/internal/batch/foreign.go
@@ -33,6 +33,10 @@
 	// heard is when the owner was heard to run it.
 	heard time.Time
 	ended bool
+	// rank is this node's place among those that may take the job over, as
+	// worked out for a membership.
+	rank       int
+	membership uint64
 	// leaving is set when the owner gives its jobs away.
 	leaving bool
 	taking  bool
@@ -121,6 +125,7 @@
 	}
 	s.evictReplicas()
 	s.evictLengths()
+	s.evictWorks()
 }
 
 // evictReplicas forgets replicas that are gone and nodes that are silent. The
@@ -165,7 +170,11 @@
 		// It was run by this node's former process, which is no more.
 		return 0
 	}
-	rank := time.Duration(s.rank(id, standing.owner.Node)) * rankDelay
+	place := s.cachedRank(id, standing)
+	if place >= watchers {
+		return unwatchedPatience + time.Duration(place-watchers)*rankDelay
+	}
+	rank := time.Duration(place) * rankDelay
 	peer, known := s.config.Table.Get(standing.owner.Node)
 	switch {
 	case standing.leaving:
@@ -179,17 +188,23 @@
 
 // rank is this node's place among those that may take a job over.
 func (s *Service) rank(id, owner string) int {
-	var candidates []rendezvous.Candidate
-	for _, node := range s.config.Table.Nodes() {
-		if node != owner || node == s.config.Self.Node {
-			candidates = append(candidates, rendezvous.Candidate{ID: node})
-		}
+	nodes := s.config.Table.Nodes()
+	if owner == s.config.Self.Node {
+		owner = ""
 	}
-	return slices.IndexFunc(rendezvous.Rank(id, candidates), func(candidate rendezvous.Candidate) bool {
+	return slices.IndexFunc(rendezvous.Rank(id, successors(nodes, owner)), func(candidate rendezvous.Candidate) bool {
 		return candidate.ID == s.config.Self.Node
 	})
 }
 
+// cachedRank is this node's rank for a job. The mutex must be held.
+func (s *Service) cachedRank(id string, standing *foreign) int {
+	if membership := s.config.Table.Membership(); standing.membership != membership+1 {
+		standing.rank, standing.membership = s.rank(id, standing.owner.Node), membership+1
+	}
+	return standing.rank
+}
+
 // recover learns at the start which jobs there are. Those whose owners stay
 // silent are taken over like any others.
 func (s *Service) recover(ctx context.Context) {
--- a/internal/batch/harness_test.go
+++ b/internal/batch/harness_test.go
@@ -21,6 +21,7 @@
 	"github.com/pathtally/pathtally/internal/exchange"
 	"github.com/pathtally/pathtally/internal/forward"
 	"github.com/pathtally/pathtally/internal/peering"
+	"github.com/pathtally/pathtally/internal/watchcache"
 	"github.com/pathtally/pathtally/internal/wire"
 	"github.com/pathtally/pathtally/standin/metastore"
 )
@@ -240,6 +241,7 @@
 	node.table = peering.NewTable(peering.Config{
 		Node: name, Address: name, Incarnation: self.Incarnation, Store: c.store, Peers: link{c.peers, name}, Logger: logger,
 		Beat: func(beat *wire.NodeBeat) { node.FillBeat(beat) }, OnBeat: func(beat *wire.NodeBeat) { node.TakeBeat(beat) },
+		Watchers: func() []string { return node.Watchers() },
 	})
 	node.Service = NewService(ctx, Config{
 		Self: self, Journal: NewJournal(c.store), Codec: testCodec{}, Directory: table, Dispatcher: dispatcher,
@@ -251,6 +253,7 @@
 	c.peers.mutex.Unlock()
 	c.nodes = append(c.nodes, node)
 	node.table.Join(ctx)
+	go watchcache.NewInformer(c.store, peering.Kind, node.table, logger).Run(ctx)
 	go node.Run(ctx)
 	return node
 }
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -58,6 +58,8 @@
 	// without, and toldLengths those that this node tells the others of.
 	lengths     map[string]knownLength
 	toldLengths []toldLength
+	// works are what batch jobs of late had to do, by id.
+	works map[string]knownWork
 	// rewardBounds are the bounds on calls of scorers, by route.
 	rewardBounds map[string]*admission.Adaptive
 	leaving      bool
@@ -76,7 +78,7 @@
 	return &Service{
 		config: config, base: base, metrics: newMetrics(config.Registry),
 		jobs: map[string]*job{}, known: map[string]*foreign{}, accepting: map[string]*acceptance{},
-		replicas: map[string]*replicaState{}, uses: map[string]nodeUses{}, attempts: map[*attempt]bool{}, tolerances: map[string]int64{}, lengths: map[string]knownLength{},
+		replicas: map[string]*replicaState{}, uses: map[string]nodeUses{}, attempts: map[*attempt]bool{}, tolerances: map[string]int64{}, lengths: map[string]knownLength{}, works: map[string]knownWork{},
 		rewardBounds: map[string]*admission.Adaptive{},
 		wake:         make(chan struct{}, 1),
 	}
--- a/internal/batch/start.go
+++ b/internal/batch/start.go
@@ -26,6 +26,7 @@
 	}
 	s.sortQueue()
 	s.noteTolerance(submission)
+	s.noteDemand(started.work())
 	s.jobs[id] = started
 	delete(s.known, id)
 	s.mutex.Unlock()
--- a/internal/batch/takeover.go
+++ b/internal/batch/takeover.go
@@ -20,6 +20,14 @@
 			standing.taking, standing.notBefore = false, time.Now().Add(takeOverPause)
 		}
 	}()
+	if s.isUnwatched(id) && s.ownerAnswers(ctx, id, gone) {
+		s.mutex.Lock()
+		if standing := s.known[id]; standing != nil {
+			standing.heard = time.Now()
+		}
+		s.mutex.Unlock()
+		return
+	}
 	standing, err := s.config.Journal.Look(ctx, id)
 	if err != nil {
 		s.config.Logger.Info("batch job not taken over", "request", id, "error", err.Error())
--- /dev/null
+++ b/internal/batch/watchers_test.go
@@ -0,0 +1,147 @@
+package batch
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+)
+
+// watched splits the nodes other than the owner of a job into those that hear
+// its heartbeats and those that do not.
+func (c *cluster) watched(id string, owner *testNode) (watching, others []*testNode) {
+	for _, node := range c.nodes {
+		if node == owner {
+			continue
+		}
+		if node.isUnwatched(id) {
+			others = append(others, node)
+		} else {
+			watching = append(watching, node)
+		}
+	}
+	return watching, others
+}
+
+// age has a node believe that it heard of a job long ago.
+func (n *testNode) age(id string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.known[id].heard = time.Now().Add(-time.Minute)
+}
+
+// watchedCluster is a cluster with more nodes than watch over one job, which
+// runs on the first node and which all have heard of.
+func watchedCluster(t *testing.T, engine *testEngine) (made *cluster, watching, others []*testNode) {
+	t.Helper()
+	made = newCluster(t, watchers+4, engine)
+	owner := made.nodes[0]
+	eventually(t, "all nodes know each other", func() bool {
+		for _, node := range made.nodes {
+			if len(node.table.Nodes()) != len(made.nodes) {
+				return false
+			}
+		}
+		return true
+	})
+	if err := made.submit(owner, "job", 6); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "all nodes have heard of the job", func() bool {
+		for _, node := range made.nodes[1:] {
+			if _, known := node.ownerOf("job"); !known {
+				return false
+			}
+		}
+		return true
+	})
+	watching, others = made.watched("job", owner)
+	if len(watching) != watchers || len(others) != 3 {
+		t.Fatalf("%d nodes watch and %d do not", len(watching), len(others))
+	}
+	return made, watching, others
+}
+
+func TestOwnersTellTheirWatchers(t *testing.T) {
+	engine := heldEngine(t)
+	cluster, watching, _ := watchedCluster(t, engine)
+	defer engine.release()
+	for _, node := range watching {
+		node.mutex.Lock()
+		node.known["job"].heard = time.Time{}
+		node.mutex.Unlock()
+	}
+	cluster.nodes[0].table.Heartbeat()
+	heard := func(node *testNode) bool {
+		node.mutex.Lock()
+		defer node.mutex.Unlock()
+		standing := node.known["job"]
+		return standing != nil && time.Since(standing.heard) < time.Minute
+	}
+	for _, node := range watching {
+		eventually(t, "a watcher hears the owner", func() bool { return heard(node) })
+	}
+}
+
+// A node that hears no heartbeats must not take a living owner's job over.
+func TestAnUnwatchedJobIsLeftToAnOwnerThatAnswers(t *testing.T) {
+	engine := heldEngine(t)
+	cluster, _, others := watchedCluster(t, engine)
+	defer engine.release()
+	for _, node := range others {
+		node.age("job")
+	}
+	for _, node := range others {
+		eventually(t, "the owner has been asked", func() bool {
+			node.mutex.Lock()
+			defer node.mutex.Unlock()
+			return time.Since(node.known["job"].heard) < time.Minute
+		})
+	}
+	if owner := cluster.owner("job"); owner != cluster.nodes[0] {
+		t.Error("the job was taken over from a living owner")
+	}
+}
+
+// The owner and all its watchers may go at once.
+func TestAJobWithoutOwnerAndWatchersIsTakenOver(t *testing.T) {
+	engine := heldEngine(t)
+	cluster, watching, others := watchedCluster(t, engine)
+	for _, node := range append(watching, cluster.nodes[0]) {
+		node.cancel()
+		cluster.setCut(node.config.Self.Node, true)
+	}
+	for _, node := range others {
+		node.age("job")
+	}
+	eventually(t, "a node that did not watch owns the job", func() bool {
+		for _, node := range others {
+			node.mutex.Lock()
+			held := node.jobs["job"] != nil
+			node.mutex.Unlock()
+			if held {
+				return true
+			}
+		}
+		return false
+	})
+	engine.release()
+	checkWhole(t, "job", cluster.readAll(others[0], "job", 6), 6, 3)
+}
+
+func TestDemandIsTheMeanWorkOfAModelsJobs(t *testing.T) {
+	engine := startEngine(t, 1)
+	cluster := newCluster(t, 2, engine)
+	for number, tokens := range []float64{100, 300} {
+		made, payload := submission(fmt.Sprintf("job-%d", number), 2)
+		for _, submitted := range made.Items {
+			submitted.ExpectedTokens = tokens
+		}
+		if err := cluster.nodes[0].Submit(context.Background(), fmt.Sprintf("job-%d", number), testRoute, "drafts.example", payload, made); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, node := range cluster.nodes {
+		eventually(t, "the demand of both jobs is known", func() bool { return node.Demand()["m"] == 400 })
+	}
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -108,6 +108,7 @@
 	i.peers = peering.NewTable(peering.Config{
 		Node: self.Node, Address: self.Address, Zone: i.settings.Zone, Incarnation: self.Incarnation, Seeds: i.settings.Seeds,
 		Store: i.adapter.Store, Peers: i.transport, Logger: i.logger, Beat: i.fillBeat, OnBeat: i.takeBeat,
+		Watchers: i.watchers,
 	})
 	i.source = watchcache.NewSource(watchcache.Config{
 		Self: watchcache.Node{Name: self.Node, Address: self.Address, Zone: i.settings.Zone}, Store: i.adapter.Store, Peers: i.transport,
@@ -123,7 +124,8 @@
 	i.weights = weightorders.NewCoordinator(weightorders.Config{
 		Node: self.Node, Nonce: strconv.FormatUint(self.Incarnation, 36), Term: i.settings.OrderLease.Std(), Store: i.store,
 		Directory: i.directory, Replicas: i.adapter.Orders(i.pool), Logger: i.logger, Registry: i.registry, Nodes: i.peers.Nodes,
-		Heard: i.heard, Load: i.jobs.Load, Tolerance: i.jobs.Tolerance, OnChange: i.jobs.NoteVersion, Broadcast: i.peers.Broadcast,
+		Heard: i.heard, Load: i.jobs.Load, Tolerance: i.jobs.Tolerance, OnChange: i.jobs.NoteVersion,
+		Changed: i.peers.Changed, Broadcast: i.peers.Broadcast,
 	})
 	i.handler = ingress.NewHandler(ingress.Config{
 		Directory: i.directory, Forwarder: i.forwarder, Headers: i.adapter.Headers, Logger: i.logger,
@@ -154,6 +156,7 @@
 	i.source.Add(kinds.Configuration, directory.ConfigurationSink{Table: i.directory, Decoder: decoder, Name: kinds.ConfigurationName})
 	i.source.Add(kinds.Replicas, directory.ReplicaSink{Table: i.directory, Decoder: decoder, KeepMissing: i.keepMissing})
 	i.source.Add(kinds.Versions, directory.VersionSink{Table: i.directory, Decoder: decoder})
+	i.source.Add(peering.Kind, i.peers)
 	i.source.Add(kinds.Retirements, &retirements{
 		kind: kinds.Retirements, store: i.store, codec: i.adapter.Retirements, node: i.settings.Node, nodes: i.peers.Nodes,
 		logger: i.logger, ctx: ctx, pending: map[string]bool{},
--- a/internal/instance/peers.go
+++ b/internal/instance/peers.go
@@ -45,6 +45,11 @@
 	i.jobs.TakeBeat(beat)
 }
 
+// watchers names the nodes that hear every heartbeat of this node.
+func (i *Instance) watchers() []string {
+	return append(i.jobs.Watchers(), i.weights.Candidates()...)
+}
+
 // followable lists the nodes through which the store can be followed.
 func (i *Instance) followable() []watchcache.Node {
 	var nodes []watchcache.Node
--- /dev/null
+++ b/internal/peering/heartbeat.go
@@ -0,0 +1,92 @@
+package peering
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pathtally/pathtally/internal/wire"
+)
+
+const (
+	// activeTime is for how long a peer counts as active after a heartbeat that
+	// said so: a holder of the order lease tells everybody at each renewal, every
+	// 2.1 s, and an owner of batch jobs its active peers every 0.3 s.
+	activeTime = 3 * time.Second
+	// heartbeatGap is the least time between two heartbeats that changes cause:
+	// with many replicas, loads of weights begin and end some 50 times a second.
+	heartbeatGap = 50 * time.Millisecond
+)
+
+// isActive tells whether the sender of a heartbeat runs batch jobs or gives
+// orders to replicas, so that it has to hear of others that do.
+func isActive(beat *wire.NodeBeat) bool { return len(beat.Jobs) > 0 || beat.Lease > 0 }
+
+func (t *Table) beat() *wire.NodeBeat {
+	beat := &wire.NodeBeat{Node: t.config.Node, Address: t.config.Address, Zone: t.config.Zone, Incarnation: t.config.Incarnation}
+	t.config.Beat(beat)
+	return beat
+}
+
+// Broadcast sends this node's heartbeat to all peers. Its cost grows with the
+// number of nodes, so it is for rare changes that all have to know.
+func (t *Table) Broadcast() {
+	t.send(t.addresses(func(*Peer) bool { return true }))
+}
+
+// Heartbeat sends this node's heartbeat to its watchers and to the peers that
+// are active. Their number does not grow with the number of nodes.
+func (t *Table) Heartbeat() {
+	watching := map[string]bool{}
+	if t.config.Watchers != nil {
+		for _, watcher := range t.config.Watchers() {
+			watching[watcher] = true
+		}
+	}
+	t.send(t.addresses(func(peer *Peer) bool { return watching[peer.Node] || time.Since(peer.ActiveAt) < activeTime }))
+}
+
+// Changed sends a heartbeat because something that it tells has changed: at
+// once, or a little later where one has just been sent.
+func (t *Table) Changed() {
+	t.mutex.Lock()
+	if t.heartbeatDue {
+		t.mutex.Unlock()
+		return
+	}
+	pause := heartbeatGap - time.Since(t.lastHeartbeat)
+	t.heartbeatDue = pause > 0
+	t.mutex.Unlock()
+	if pause <= 0 {
+		t.Heartbeat()
+		return
+	}
+	time.AfterFunc(pause, func() {
+		t.mutex.Lock()
+		t.heartbeatDue = false
+		t.mutex.Unlock()
+		t.Heartbeat()
+	})
+}
+
+func (t *Table) send(addresses []string) {
+	t.mutex.Lock()
+	t.lastHeartbeat = time.Now()
+	t.mutex.Unlock()
+	if len(addresses) > 0 {
+		t.config.Peers.Broadcast(addresses, t.beat())
+	}
+}
+
+// addresses are those of the peers that a condition holds for, in order.
+func (t *Table) addresses(wanted func(*Peer) bool) []string {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	addresses := make([]string, 0, len(t.peers))
+	for _, peer := range t.peers {
+		if wanted(peer) {
+			addresses = append(addresses, peer.Address)
+		}
+	}
+	slices.Sort(addresses)
+	return addresses
+}
--- /dev/null
+++ b/internal/peering/join.go
@@ -0,0 +1,140 @@
+package peering
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/pathtally/pathtally/internal/objectstore"
+	"github.com/pathtally/pathtally/internal/wire"
+)
+
+const (
+	// Kind is the kind of the nodes' entries in the metadata store.
+	Kind = "nodes"
+	// greetTime bounds a greeting.
+	greetTime = 800 * time.Millisecond
+	// joinPause is the time between tries to write and read the entries.
+	joinPause = 500 * time.Millisecond
+	// greetRounds is how often a seed that has not answered is greeted, and
+	// greetPause the time between.
+	greetRounds = 4
+	greetPause  = time.Second
+	// settleTime is how long a node that is new waits before it reads the entries
+	// of the others: the machines of a deployment start within 0.3 s of each
+	// other, and what is missed then costs a watch event each.
+	settleTime = 400 * time.Millisecond
+)
+
+// Join greets the seeds, writes this node's entry and reads the others', until
+// the context ends or the store has answered. Later entries come through the
+// table's sink.
+func (t *Table) Join(ctx context.Context) {
+	t.greetSeeds(ctx)
+	for ctx.Err() == nil {
+		if t.tryJoin(ctx) {
+			t.mutex.Lock()
+			t.joined = true
+			t.mutex.Unlock()
+			return
+		}
+		objectstore.Pause(ctx, joinPause)
+		t.greetSeeds(ctx)
+	}
+}
+
+// tryJoin tells whether this node's entry is written and the others' are read.
+func (t *Table) tryJoin(ctx context.Context) bool {
+	isNew, err := t.register(ctx)
+	if err != nil {
+		t.config.Logger.V(1).Info("node entry not written", "error", err.Error())
+		return false
+	}
+	if isNew && !objectstore.Sleep(ctx, settleTime) {
+		return false
+	}
+	if err := t.readEntries(ctx); err != nil {
+		t.config.Logger.V(1).Info("node entries not read", "error", err.Error())
+		return false
+	}
+	return true
+}
+
+// greetSeeds greets the seeds, which know others, until the store is read.
+func (t *Table) greetSeeds(ctx context.Context) {
+	t.mutex.Lock()
+	seeds := t.seeds
+	t.mutex.Unlock()
+	for _, seed := range seeds {
+		if seed != t.config.Address {
+			t.greet(ctx, seed, 0)
+		}
+	}
+}
+
+// greet tells a node of this one and learns whom it knows.
+func (t *Table) greet(ctx context.Context, address string, round int) {
+	t.config.Peers.Call(address, t.beat(), greetTime, func(reply wire.Message, err error) {
+		if ctx.Err() != nil {
+			return
+		}
+		if beat, ok := reply.(*wire.NodeBeat); ok && err == nil {
+			t.Take(ctx, beat)
+			return
+		}
+		if round+1 < greetRounds && !t.Joined() {
+			time.AfterFunc(greetPause, func() { t.greet(ctx, address, round+1) })
+		}
+	})
+}
+
+// Greeted answers another node's greeting: a beat with everybody this node
+// knows.
+func (t *Table) Greeted(ctx context.Context, beat *wire.NodeBeat) *wire.NodeBeat {
+	t.Take(ctx, beat)
+	answer := t.beat()
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, peer := range t.peers {
+		answer.Peers = append(answer.Peers, wire.PeerAddress{Node: peer.Node, Address: peer.Address, Zone: peer.Zone})
+	}
+	return answer
+}
+
+// register writes this node's entry and tells whether there was none. The entry
+// of a node that was started anew is replaced, so that its peers learn of the
+// new process.
+func (t *Table) register(ctx context.Context) (isNew bool, err error) {
+	spec, err := json.Marshal(entry{Address: t.config.Address, Zone: t.config.Zone, Incarnation: t.config.Incarnation})
+	if err != nil {
+		return false, err
+	}
+	_, err = t.config.Store.Create(ctx, Kind, t.config.Node, spec)
+	var conflict *objectstore.ConflictError
+	if !errors.As(err, &conflict) {
+		return err == nil, err
+	}
+	standing, err := decodeEntry(conflict.Current)
+	if err == nil && standing.Address == t.config.Address && standing.Incarnation == t.config.Incarnation {
+		return false, nil
+	}
+	_, err = t.config.Store.Replace(ctx, Kind, t.config.Node, spec, objectstore.Unconditional)
+	return false, err
+}
+
+// readEntries reads the entries of all nodes.
+func (t *Table) readEntries(ctx context.Context) error {
+	after := ""
+	for {
+		page, err := t.config.Store.List(ctx, Kind, after, objectstore.Linearizable)
+		if err != nil {
+			return err
+		}
+		t.Replace(page.Objects, false)
+		if !page.More || len(page.Objects) == 0 {
+			return nil
+		}
+		after = page.Objects[len(page.Objects)-1].Name
+	}
+}
--- /dev/null
+++ b/internal/peering/table_test.go
@@ -0,0 +1,213 @@
+package peering
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pathtally/pathtally/internal/environment"
+	"github.com/pathtally/pathtally/internal/objectstore"
+	"github.com/pathtally/pathtally/internal/wire"
+	"github.com/pathtally/pathtally/standin/metastore"
+)
+
+// recorder is a network that keeps what is sent and answers no call.
+type recorder struct {
+	mutex sync.Mutex
+	sent  [][]string
+	calls []string
+}
+
+var _ environment.Peers = (*recorder)(nil)
+
+func (r *recorder) Send(address string, message wire.Message) {
+	r.Broadcast([]string{address}, message)
+}
+
+func (r *recorder) Broadcast(addresses []string, _ wire.Message) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.sent = append(r.sent, addresses)
+}
+
+func (r *recorder) Call(address string, _ wire.Message, _ time.Duration, done func(wire.Message, error)) {
+	r.mutex.Lock()
+	r.calls = append(r.calls, address)
+	r.mutex.Unlock()
+	done(nil, environment.ErrPeerUnreachable)
+}
+
+func (r *recorder) last() []string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if len(r.sent) == 0 {
+		return nil
+	}
+	return r.sent[len(r.sent)-1]
+}
+
+func (r *recorder) count() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return len(r.sent)
+}
+
+func newTestTable(node string, store objectstore.Store, peers environment.Peers, watchers ...string) *Table {
+	return NewTable(Config{
+		Node: node, Address: "address-of-" + node, Zone: "zone", Incarnation: 1, Store: store, Peers: peers, Logger: klog.Background(),
+		Beat: func(*wire.NodeBeat) {}, OnBeat: func(*wire.NodeBeat) {}, Watchers: func() []string { return watchers },
+	})
+}
+
+// hear has a table take the heartbeat of a peer.
+func hear(table *Table, node string, jobs ...string) {
+	table.Take(context.Background(), &wire.NodeBeat{Node: node, Address: "address-of-" + node, Zone: "zone", Incarnation: 1, Jobs: jobs})
+}
+
+// With hundreds of nodes a heartbeat to everybody from each owner of jobs was
+// thirteen thousand messages a second.
+func TestHeartbeatsGoToWatchersAndActivePeersOnly(t *testing.T) {
+	network := &recorder{}
+	table := newTestTable("self", metastore.New(), network, "node-7", "node-unknown")
+	for number := range 300 {
+		hear(table, fmt.Sprintf("node-%d", number))
+	}
+	hear(table, "node-3", "job")
+	table.Heartbeat()
+	if got, want := network.last(), []string{"address-of-node-3", "address-of-node-7"}; !slices.Equal(got, want) {
+		t.Errorf("heartbeat sent to %v, want %v", got, want)
+	}
+	table.Broadcast()
+	if got := len(network.last()); got != 300 {
+		t.Errorf("broadcast sent to %d peers, want 300", got)
+	}
+}
+
+func TestAnInactivePeerHearsNoMoreHeartbeats(t *testing.T) {
+	network := &recorder{}
+	table := newTestTable("self", metastore.New(), network)
+	hear(table, "owner", "job")
+	table.peers["owner"].ActiveAt = time.Now().Add(-activeTime)
+	table.Heartbeat()
+	if got := network.count(); got != 0 {
+		t.Errorf("%d heartbeats sent to %v", got, network.last())
+	}
+}
+
+func TestChangesCloseTogetherAreOneHeartbeat(t *testing.T) {
+	network := &recorder{}
+	table := newTestTable("self", metastore.New(), network, "watcher")
+	hear(table, "watcher")
+	for range 1000 {
+		table.Changed()
+	}
+	first := network.count()
+	if first == 0 {
+		t.Fatal("the first change is not told at once")
+	}
+	table.mutex.Lock()
+	due := table.heartbeatDue
+	table.mutex.Unlock()
+	for end := time.Now().Add(10 * time.Second); due && network.count() == first && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if due && network.count() == first {
+		t.Error("the last change is never told")
+	}
+	if network.count() > 500 {
+		t.Errorf("%d heartbeats for 1000 changes", network.count())
+	}
+}
+
+// A node used to greet every other one, each of which answered with all that it
+// knew: with 250 nodes this was a gigabyte before the first request.
+func TestJoiningCallsSeedsOnly(t *testing.T) {
+	store := metastore.New()
+	ctx := context.Background()
+	for number := range 50 {
+		other := newTestTable(fmt.Sprintf("node-%d", number), store, &recorder{})
+		if _, err := other.register(ctx); err != nil {
+			t.Fatal(err)
+		}
+	}
+	network := &recorder{}
+	table := newTestTable("self", store, network)
+	table.SetSeeds([]string{"seed", "address-of-self"})
+	table.Join(ctx)
+	if got := len(table.Nodes()); got != 51 {
+		t.Errorf("%d nodes are known, want 51", got)
+	}
+	if want := []string{"seed"}; !slices.Equal(network.calls, want) {
+		t.Errorf("called %v, want %v", network.calls, want)
+	}
+	if network.count() != 0 {
+		t.Errorf("%d messages sent to join", network.count())
+	}
+}
+
+func TestAGreetedNodeTellsWhomItKnows(t *testing.T) {
+	table := newTestTable("seed", metastore.New(), &recorder{})
+	hear(table, "other")
+	answer := table.Greeted(context.Background(), &wire.NodeBeat{Node: "new", Address: "address-of-new", Zone: "zone", Incarnation: 1})
+	learner := newTestTable("new", metastore.New(), &recorder{})
+	learner.Take(context.Background(), answer)
+	if got, want := learner.Nodes(), []string{"new", "other", "seed"}; !slices.Equal(got, want) {
+		t.Errorf("knows %v, want %v", got, want)
+	}
+	if peer, _ := learner.Get("other"); peer.Zone != "zone" || peer.Address != "address-of-other" {
+		t.Errorf("learnt of the other node: %+v", peer)
+	}
+}
+
+func TestTheEntryOfANewProcessReplacesThatOfTheOld(t *testing.T) {
+	store := metastore.New()
+	ctx := context.Background()
+	old := newTestTable("self", store, &recorder{})
+	if isNew, err := old.register(ctx); err != nil || !isNew {
+		t.Fatalf("first entry: new %v, error %v", isNew, err)
+	}
+	if isNew, err := old.register(ctx); err != nil || isNew {
+		t.Fatalf("same entry: new %v, error %v", isNew, err)
+	}
+	restarted := newTestTable("self", store, &recorder{})
+	restarted.config.Incarnation = 2
+	if isNew, err := restarted.register(ctx); err != nil || isNew {
+		t.Fatalf("entry of the new process: new %v, error %v", isNew, err)
+	}
+	peer := newTestTable("peer", store, &recorder{})
+	if err := peer.readEntries(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if known, _ := peer.Get("self"); known.Incarnation != 2 {
+		t.Errorf("peers know incarnation %d, want 2", known.Incarnation)
+	}
+}
+
+func TestEntriesOfTheStoreAreFollowed(t *testing.T) {
+	table := newTestTable("self", metastore.New(), &recorder{})
+	object := func(name, spec string) objectstore.Object {
+		return objectstore.Object{Name: name, Spec: []byte(spec)}
+	}
+	table.Replace([]objectstore.Object{object("a", `{"address":"a1","zone":"z","incarnation":5}`), object("broken", `[`)}, false)
+	before := table.Membership()
+	table.Apply([]objectstore.Change{{Object: object("a", `{"address":"a2","zone":"z","incarnation":6}`)}}, false)
+	if peer, _ := table.Get("a"); peer.Address != "a2" || peer.Incarnation != 6 {
+		t.Errorf("after a change: %+v", peer)
+	}
+	if table.Membership() != before {
+		t.Error("a new address counts as a new member")
+	}
+	hear(table, "a") // an older process's heartbeat that was late
+	if peer, _ := table.Get("a"); peer.Address != "a2" || !peer.Heard.IsZero() {
+		t.Errorf("after an old heartbeat: %+v", peer)
+	}
+	table.Apply([]objectstore.Change{{Gone: true, Object: object("a", ``)}}, false)
+	if _, known := table.Get("a"); known || table.Membership() == before {
+		t.Error("a removed node is still a member")
+	}
+}
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -3,6 +3,7 @@
 package rendezvous
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 
@@ -33,20 +34,29 @@
 // Rank orders candidates by weight for a key, the greatest first.
 func Rank(key string, candidates []Candidate) []Candidate {
 	keyHash := Hash(key)
-	ranked := slices.Clone(candidates)
-	slices.SortFunc(ranked, func(a, b Candidate) int {
-		weightA, weightB := Weight(keyHash, Hash(a.ID)), Weight(keyHash, Hash(b.ID))
-		if weightA != weightB {
-			if weightA > weightB {
-				return -1
-			}
-			return 1
+	weighed := make([]weighedCandidate, len(candidates))
+	for i, candidate := range candidates {
+		weighed[i] = weighedCandidate{Candidate: candidate, weight: Weight(keyHash, Hash(candidate.ID))}
+	}
+	slices.SortFunc(weighed, func(a, b weighedCandidate) int {
+		if order := cmp.Compare(b.weight, a.weight); order != 0 {
+			return order
 		}
 		return strings.Compare(a.ID, b.ID)
 	})
+	ranked := make([]Candidate, len(weighed))
+	for i, candidate := range weighed {
+		ranked[i] = candidate.Candidate
+	}
 	return ranked
 }
 
+// weighedCandidate is a candidate with its weight for one key.
+type weighedCandidate struct {
+	Candidate
+	weight uint64
+}
+
 // RankAcrossZones orders candidates as Rank does, but takes one of each zone
 // before the second of any, so that the first few share no zone.
 func RankAcrossZones(key string, candidates []Candidate) []Candidate {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -14,13 +14,16 @@
 )
 
 const (
-	// queueLength bounds the frames waiting for one peer.
-	queueLength = 1024
+	// queueLength bounds the frames waiting for one peer: some seconds of
+	// heartbeats. The queue takes 24 bytes a frame for each connected peer.
+	queueLength = 128
 	dialTimeout = time.Second
 	// writeTimeout bounds one write to a peer that does not read.
 	writeTimeout = 5 * time.Second
 	// idleTimeout ends a connection on which nothing was sent for long.
-	idleTimeout = time.Minute
+	// Most connections carry the start and the end of a batch job, some seconds
+	// apart, and nothing else.
+	idleTimeout = 15 * time.Second
 	// redialPause is how long one-way messages to a peer that could not be
 	// connected to are dropped at once. A request always tries anew.
 	redialPause = 400 * time.Millisecond
--- a/internal/weightorders/coordinator.go
+++ b/internal/weightorders/coordinator.go
@@ -62,8 +62,10 @@
 	// Tolerance is by how many versions the batch jobs of a model let the
 	// weights be behind.
 	Tolerance func(model string) int64
-	// OnChange is told what becomes of replicas; Broadcast tells the peers.
+	// OnChange is told what becomes of replicas; Changed tells the peers that
+	// have to do with it, and Broadcast all of them.
 	OnChange  func(change wire.ReplicaVersion)
+	Changed   func()
 	Broadcast func()
 }
 
@@ -121,6 +123,10 @@
 	for ctx.Err() == nil {
 		changed := c.config.Directory.Changed()
 		pause := c.step(ctx)
+		if !c.isCandidate() {
+			// Whether there is work is for the candidates to see at once.
+			changed, pause = nil, max(pause, outsiderPause)
+		}
 		timer := time.NewTimer(pause)
 		select {
 		case <-ctx.Done():
--- a/internal/weightorders/knowledge.go
+++ b/internal/weightorders/knowledge.go
@@ -19,8 +19,18 @@
 // that it holds the lease itself: the process before this one did, and the same
 // machine need not wait for it.
 func (c *Coordinator) Observe(holder string, revision uint64) {
-	if revision > 0 && c.lease.observe(holder, revision) && holder == c.config.Node {
+	if revision == 0 || !c.lease.observe(holder, revision) {
+		return
+	}
+	if holder == c.config.Node {
 		c.nudge()
+		return
+	}
+	if !c.isCandidate() {
+		// The holder is at work: this node hears of no single load.
+		c.mutex.Lock()
+		c.workSince = time.Time{}
+		c.mutex.Unlock()
 	}
 }
 
--- a/internal/weightorders/load.go
+++ b/internal/weightorders/load.go
@@ -59,7 +59,7 @@
 		c.config.Logger.Info("replica brought to version", "replica", next.target.ID, "model", next.model, "version", next.version,
 			"from", next.has, "tookMs", time.Since(began).Milliseconds())
 		c.tell(change)
-		c.config.Broadcast()
+		c.config.Changed()
 	}
 	c.nudge()
 }
@@ -79,7 +79,7 @@
 			return ErrFenced
 		}
 		c.config.OnChange(wire.ReplicaVersion{Replica: next.target.ID, Model: next.model, Version: next.version, Loading: true})
-		c.config.Broadcast()
+		c.config.Changed()
 		callCtx, cancel := context.WithTimeout(ctx, callTime)
 		holds, err := c.config.Replicas.Order(callCtx, next.target, Order{
 			Model: next.model, Version: next.version, Owner: c.config.Node, Token: token, Expected: report.Sequence,
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -272,6 +272,7 @@
 type PeerAddress struct {
 	Node    string
 	Address string
+	Zone    string
 }
 
 // NodeBeat is the heartbeat of a node that keeps its lasting state in a
@@ -296,6 +297,17 @@
 	// Lengths are those of items that batch jobs ended without and that may
 	// come back in a later one.
 	Lengths []ItemLength
+	// Work tells of the batch jobs in Jobs how much there is to do.
+	Work []JobWork
+}
+
+// JobWork is how much a batch job has to do.
+type JobWork struct {
+	Job   string
+	Model string
+	// ExpectedTokens is what all items of the job are expected to make, those
+	// that are listed included.
+	ExpectedTokens uint64
 }
 
 // ItemLength is how many events the text of an item of a batch job has: at
--- a/internal/wire/schema/peer.capnp
+++ b/internal/wire/schema/peer.capnp
@@ -268,6 +268,7 @@
 struct PeerAddress {
   node @0 :Text;
   address @1 :Text;
+  zone @2 :Text;
 }
 
 struct NodeBeat {
@@ -286,6 +287,13 @@
   leaseHolder @12 :Text;    # who held the order lease at the newest revision that the sender has seen
   leaseSeen @13 :UInt64;    # that revision, 0 for none
   lengths @14 :List(ItemLength);  # of items that an ended job left without a whole group
+  work @15 :List(JobWork);  # of the batch jobs in jobs
+}
+
+struct JobWork {
+  job @0 :Text;
+  model @1 :Text;
+  expectedTokens @2 :UInt64; # that all items of the job are expected to make, listed ones included
 }
 
 struct ItemLength {
