One node runs the batch jobs of a model

Cause: a job was run by whichever node its trainer happened to reach. With 250 nodes each step of each trainer had another owner, which opened new connections to all replicas it used, knew nothing of what the owner of the trainer's other open step was doing there until the next heartbeat, and had to be told the lengths of the items that come back.

Ruled out: fewer connections at rest (they rest for 4 s between the steps already, at a node that does not run the next one).

Change: a node that is handed a job offers it to the first in rank for the job's model and has that one accept and run it. One that does not answer an offer within 150 ms is passed over for 5 s; after two the node accepts the job itself. A lost answer is no refusal: the job may have been accepted, so that the caller is told nothing certain unless the store says so.

--- a/internal/batch/accept.go
+++ b/internal/batch/accept.go
@@ -15,10 +15,34 @@
 	err  error
 }
 
-// Submit makes a batch job lasting and runs it. A nil error means that the job
-// is kept; a *NotTakenError that nothing of it will run; an *UncertainError
-// promises nothing. The same job is taken once whoever submits it again.
+// Submit makes a batch job lasting and has it run, by the node that runs the
+// jobs of its model if that one answers. A nil error means that the job is kept;
+// a *NotTakenError that nothing of it will run; an *UncertainError promises
+// nothing. The same job is taken once whoever submits it again.
 func (s *Service) Submit(ctx context.Context, id, route, host string, payload []byte, submission *Submission) error {
+	if s.isKnown(id) {
+		return nil
+	}
+	accepted, runnerErr := s.submitToRunner(ctx, id, route, host, payload, submission.Model)
+	if accepted {
+		return nil
+	}
+	err := s.submitHere(ctx, id, route, host, payload, submission)
+	if _, notTaken := err.(*NotTakenError); notTaken && runnerErr != nil {
+		return &UncertainError{Cause: runnerErr}
+	}
+	return err
+}
+
+// isKnown tells whether a batch job is known to be kept.
+func (s *Service) isKnown(id string) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.jobs[id] != nil || s.known[id] != nil
+}
+
+// submitHere makes a batch job lasting and runs it on this node.
+func (s *Service) submitHere(ctx context.Context, id, route, host string, payload []byte, submission *Submission) error {
 	s.mutex.Lock()
 	if s.jobs[id] != nil || s.known[id] != nil {
 		s.mutex.Unlock()
--- a/internal/batch/harness_test.go
+++ b/internal/batch/harness_test.go
@@ -141,6 +141,8 @@
 	services map[string]*testNode
 	// cut are the addresses that nothing reaches and that reach nothing.
 	cut map[string]bool
+	// mute is the node whose answers to submissions are lost.
+	mute string
 }
 
 // testNode is one node of a test.
@@ -184,6 +186,15 @@
 		time.AfterFunc(min(timeout, 20*time.Millisecond), func() { done(nil, environment.ErrPeerUnreachable) })
 		return
 	}
+	_, submits := message.(*wire.JobSubmit)
+	l.peers.mutex.Lock()
+	lost := submits && l.peers.mute == address
+	l.peers.mutex.Unlock()
+	if lost {
+		go node.take(message, func(wire.Message) {})
+		time.AfterFunc(timeout, func() { done(nil, environment.ErrPeerUnreachable) })
+		return
+	}
 	go node.take(message, func(reply wire.Message) { done(reply, nil) })
 }
 
@@ -280,11 +291,12 @@
 	return made, encoded
 }
 
+// submit has a node accept a job and run it itself.
 func (c *cluster) submit(node *testNode, id string, items int) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	made, payload := submission(id, items)
-	return node.Submit(ctx, id, testRoute, "drafts.example", payload, made)
+	return node.submitHere(ctx, id, testRoute, "drafts.example", payload, made)
 }
 
 // eventually waits for a condition, for as long as a test may take.
--- a/internal/batch/peers.go
+++ b/internal/batch/peers.go
@@ -17,6 +17,10 @@
 		reply(s.answerItem(question))
 	case *wire.JobEnd:
 		s.answerEnd(question, reply)
+	case *wire.JobOffer:
+		s.answerOffer(reply)
+	case *wire.JobSubmit:
+		s.answerSubmit(question, reply)
 	default:
 		return false
 	}
--- /dev/null
+++ b/internal/batch/runner.go
@@ -0,0 +1,153 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/pathtally/pathtally/internal/environment"
+	"github.com/pathtally/pathtally/internal/rendezvous"
+	"github.com/pathtally/pathtally/internal/wire"
+)
+
+const (
+	// offerTime bounds the question to a node whether it would run a job: some
+	// ways between zones, and short beside the time that callers give the
+	// acceptance of a job, so that a dead node costs little.
+	offerTime = 150 * time.Millisecond
+	// runnersAsked is how many nodes are asked before this one runs a job itself.
+	runnersAsked = 2
+	// avoidTime is for how long a node that did not answer an offer is not asked
+	// again: the machines of a planned stop are back within some seconds.
+	avoidTime = 5 * time.Second
+)
+
+var (
+	// ErrLeaving means that a node takes no more batch jobs.
+	ErrLeaving = merry.Sentinel("node is leaving")
+	// errRunnerUncertain means that another node may yet accept a batch job.
+	errRunnerUncertain = merry.Sentinel("another node may accept the batch job")
+)
+
+// submitToRunner hands a batch job to the node that runs the jobs of its model.
+// That one knows which of the model's items run where without a message, keeps
+// its connections to the replicas from one step to the next, and has seen the
+// items that come back. False means that this node is to accept the job itself;
+// the error is then not nil where the other node may have accepted it already.
+func (s *Service) submitToRunner(ctx context.Context, id, route, host string, payload []byte, model string) (bool, error) {
+	address, found := s.findRunner(ctx, id, model)
+	if !found {
+		return false, nil
+	}
+	submit := &wire.JobSubmit{Job: id, Route: route, Host: host, Payload: payload}
+	reply, err := environment.Ask(ctx, s.config.Peers, address, submit, timeLeft(ctx))
+	if err != nil {
+		s.config.Logger.Info("runner of batch job lost", "request", id, "runner", address, "error", err.Error())
+		return false, errRunnerUncertain
+	}
+	answer, ok := reply.(*wire.JobSubmitted)
+	switch {
+	case !ok || answer.Outcome == wire.OutcomeUnknown:
+		return false, errRunnerUncertain
+	case answer.Outcome == wire.OutcomeNotRun:
+		// The store may answer this node.
+		s.config.Logger.Info("runner did not accept batch job", "request", id, "runner", address, "reason", answer.Detail)
+		return false, nil
+	}
+	return true, nil
+}
+
+// findRunner returns the address of the first node in rank for a model's jobs
+// that would take one; false if that is this node or none answers.
+func (s *Service) findRunner(ctx context.Context, id, model string) (string, bool) {
+	if model == "" {
+		return "", false
+	}
+	asked := 0
+	for _, candidate := range s.runners(model) {
+		if candidate == s.config.Self.Node || asked >= runnersAsked {
+			return "", false
+		}
+		peer, known := s.config.Table.Get(candidate)
+		if !known || s.isAvoided(candidate) {
+			continue
+		}
+		asked++
+		reply, err := environment.Ask(ctx, s.config.Peers, peer.Address, &wire.JobOffer{Job: id}, offerTime)
+		if _, willing := reply.(*wire.Done); willing && err == nil {
+			return peer.Address, true
+		}
+		s.avoid(candidate)
+	}
+	return "", false
+}
+
+// runners are the nodes in their rank for a model's jobs.
+func (s *Service) runners(model string) []string {
+	nodes := s.config.Table.Nodes()
+	candidates := make([]rendezvous.Candidate, 0, len(nodes))
+	for _, node := range nodes {
+		candidates = append(candidates, rendezvous.Candidate{ID: node})
+	}
+	ranked := make([]string, 0, len(nodes))
+	for _, candidate := range rendezvous.Rank(model, candidates) {
+		ranked = append(ranked, candidate.ID)
+	}
+	return ranked
+}
+
+func (s *Service) isAvoided(node string) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return time.Now().Before(s.avoided[node])
+}
+
+func (s *Service) avoid(node string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.avoided[node] = time.Now().Add(avoidTime)
+}
+
+// timeLeft is the time until a context's deadline, and backgroundTime where it
+// has none.
+func timeLeft(ctx context.Context) time.Duration {
+	if deadline, bounded := ctx.Deadline(); bounded {
+		return time.Until(deadline)
+	}
+	return backgroundTime
+}
+
+// answerOffer tells another node whether this one would run a batch job.
+func (s *Service) answerOffer(reply func(wire.Message)) {
+	s.mutex.Lock()
+	leaving := s.leaving || !s.recovered
+	s.mutex.Unlock()
+	if leaving {
+		reply(&wire.Failure{Detail: ErrLeaving.Error()})
+		return
+	}
+	reply(&wire.Done{})
+}
+
+// answerSubmit accepts a batch job for another node.
+func (s *Service) answerSubmit(question *wire.JobSubmit, reply func(wire.Message)) {
+	submission, err := s.config.Codec.Submission(question.Payload)
+	if err != nil {
+		reply(&wire.JobSubmitted{Outcome: wire.OutcomeNotRun, Detail: err.Error()})
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.base, submitTime)
+	defer cancel()
+	err = s.submitHere(ctx, question.Job, question.Route, question.Host, question.Payload, submission)
+	var notTaken *NotTakenError
+	switch {
+	case err == nil:
+		reply(&wire.JobSubmitted{Outcome: wire.OutcomeDone})
+	case errors.As(err, &notTaken):
+		reply(&wire.JobSubmitted{Outcome: wire.OutcomeNotRun, Detail: err.Error()})
+	default:
+		reply(&wire.JobSubmitted{Outcome: wire.OutcomeUnknown, Detail: err.Error()})
+	}
+}
--- /dev/null
+++ b/internal/batch/runner_test.go
@@ -0,0 +1,137 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/pathtally/pathtally/internal/wire"
+)
+
+// byRank returns the nodes of a cluster in their rank for the jobs of the
+// tests' model, once they know each other.
+func (c *cluster) byRank() []*testNode {
+	c.t.Helper()
+	eventually(c.t, "all nodes know each other", func() bool {
+		for _, node := range c.nodes {
+			if len(node.table.Nodes()) != len(c.nodes) || !node.Recovered() {
+				return false
+			}
+		}
+		return true
+	})
+	byName := map[string]*testNode{}
+	for _, node := range c.nodes {
+		byName[node.config.Self.Node] = node
+	}
+	var ranked []*testNode
+	for _, name := range c.nodes[0].runners("m") {
+		ranked = append(ranked, byName[name])
+	}
+	return ranked
+}
+
+// hand hands a job to a node as a caller does.
+func (c *cluster) hand(node *testNode, id string, items int) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	made, payload := submission(id, items)
+	return node.Submit(ctx, id, testRoute, "drafts.example", payload, made)
+}
+
+func TestOneNodeRunsTheJobsOfAModel(t *testing.T) {
+	engine := heldEngine(t)
+	cluster := newCluster(t, 4, engine)
+	ranked := cluster.byRank()
+	for number, node := range cluster.nodes {
+		id := []string{"job-a", "job-b", "job-c", "job-d"}[number]
+		if err := cluster.hand(node, id, 2); err != nil {
+			t.Fatal(err)
+		}
+		if owner := cluster.owner(id); owner != ranked[0] {
+			t.Errorf("%s is not run by the first in rank", id)
+		}
+	}
+	engine.release()
+	checkWhole(t, "job-d", cluster.readAll(ranked[3], "job-d", 2), 2, 3)
+}
+
+// A job goes past a runner that is gone, and is run where it was handed in when
+// several are.
+func TestJobsGoPastRunnersThatAreGone(t *testing.T) {
+	engine := heldEngine(t)
+	defer engine.release()
+	cluster := newCluster(t, 4, engine)
+	ranked := cluster.byRank()
+	cluster.setCut(ranked[0].config.Self.Node, true)
+	if err := cluster.hand(ranked[3], "past-one", 2); err != nil {
+		t.Fatal(err)
+	}
+	if owner := cluster.owner("past-one"); owner != ranked[1] {
+		t.Error("the second in rank does not run the job")
+	}
+	cluster.setCut(ranked[1].config.Self.Node, true)
+	cluster.setCut(ranked[2].config.Self.Node, true)
+	ranked[3].mutex.Lock()
+	clear(ranked[3].avoided)
+	ranked[3].mutex.Unlock()
+	if err := cluster.hand(ranked[3], "past-two", 2); err != nil {
+		t.Fatal(err)
+	}
+	if owner := cluster.owner("past-two"); owner != ranked[3] {
+		t.Error("the node that was handed the job does not run it")
+	}
+}
+
+func TestALeavingNodeRunsNoNewJobs(t *testing.T) {
+	engine := heldEngine(t)
+	defer engine.release()
+	cluster := newCluster(t, 3, engine)
+	ranked := cluster.byRank()
+	ranked[0].Leave()
+	if err := cluster.hand(ranked[2], "job", 2); err != nil {
+		t.Fatal(err)
+	}
+	if owner := cluster.owner("job"); owner != ranked[1] {
+		t.Error("the second in rank does not run the job")
+	}
+}
+
+// A runner that accepted a job and whose answer is lost has taken it: the caller
+// must not be told that nothing will run.
+func TestALostAnswerOfTheRunnerIsNoRefusal(t *testing.T) {
+	engine := heldEngine(t)
+	defer engine.release()
+	cluster := newCluster(t, 3, engine)
+	ranked := cluster.byRank()
+	cluster.peers.mutex.Lock()
+	cluster.peers.mute = ranked[0].config.Self.Node
+	cluster.peers.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
+	defer cancel()
+	made, payload := submission("job", 2)
+	err := ranked[2].Submit(ctx, "job", testRoute, "drafts.example", payload, made)
+	var uncertain *UncertainError
+	if err != nil && !errors.As(err, &uncertain) {
+		t.Errorf("error %v, want nil or an uncertain outcome", err)
+	}
+	eventually(t, "the runner has the job", func() bool { return cluster.owner("job") == ranked[0] })
+	if err := cluster.hand(ranked[1], "job", 2); err != nil {
+		t.Errorf("handed in again: %v", err)
+	}
+	if owner := cluster.owner("job"); owner != ranked[0] {
+		t.Error("the job has moved")
+	}
+}
+
+func TestAnUnreadableSubmissionIsNotRun(t *testing.T) {
+	cluster := newCluster(t, 1, startEngine(t, 1))
+	var answer *wire.JobSubmitted
+	cluster.nodes[0].answerSubmit(&wire.JobSubmit{Job: "job", Payload: []byte("{")}, func(reply wire.Message) {
+		answer, _ = reply.(*wire.JobSubmitted)
+	})
+	if answer == nil || answer.Outcome != wire.OutcomeNotRun || answer.Detail == "" {
+		t.Errorf("answered %+v", answer)
+	}
+}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -355,8 +355,23 @@
 // JobEnd tells the node that runs a batch job that its caller has ended it.
 type JobEnd struct{ Job string }
 
-// JobTexts asks a node for the texts it has kept of unfinished items.
-type JobTexts struct{ Items []string }
+// JobOffer asks a node whether it would run a batch job. Done is the answer of
+// one that would.
+type JobOffer struct{ Job string }
 
-// JobTextsReply answers a JobTexts.
-type JobTextsReply struct{ Texts []byte }
+// JobSubmit has a node accept a batch job and run it.
+type JobSubmit struct {
+	Job   string
+	Route string
+	Host  string
+	// Payload is the submission as its caller sent it.
+	Payload []byte
+}
+
+// JobSubmitted answers a JobSubmit.
+type JobSubmitted struct {
+	// Outcome is OutcomeDone for an accepted job, OutcomeNotRun for one of which
+	// nothing will run, else OutcomeUnknown.
+	Outcome uint8
+	Detail  string
+}
--- a/internal/wire/schema/peer.capnp
+++ b/internal/wire/schema/peer.capnp
@@ -40,12 +40,13 @@
     jobItem @28 :JobItem;
     jobItemBody @29 :JobItemBody;
     jobEnd @30 :JobEnd;
-    jobTexts @31 :JobTexts;
-    jobTextsReply @32 :JobTextsReply;
+    jobOffer @31 :JobOffer;
+    jobSubmit @32 :JobSubmit;
     watchPoll @33 :WatchPoll;
     watchNews @34 :WatchNews;
     storeCall @35 :StoreCall;
     storeReply @36 :StoreReply;
+    jobSubmitted @37 :JobSubmitted;
   }
 }
 
@@ -334,12 +335,20 @@
   job @0 :Text;
 }
 
-struct JobTexts {
-  items @0 :List(Text);
+struct JobOffer {
+  job @0 :Text;             # a batch job that the sender has been asked to accept
 }
 
-struct JobTextsReply {
-  texts @0 :Data;           # JSON, as in package batch
+struct JobSubmit {
+  job @0 :Text;
+  route @1 :Text;
+  host @2 :Text;
+  payload @3 :Data;         # the submission as its caller sent it
+}
+
+struct JobSubmitted {
+  outcome @0 :UInt8;        # done: accepted; not run: nothing of it will run; unknown
+  detail @1 :Text;
 }
 
 # The messages by which a node follows one that reads the metadata store.
--- a/internal/wire/union.go
+++ b/internal/wire/union.go
@@ -159,14 +159,19 @@
 	return insert(schema.JobEnd_TypeID, capnp.Struct(body), err, m)
 }
 
-func (m *JobTexts) attach(root schema.Frame) error {
-	body, err := root.NewJobTexts()
-	return insert(schema.JobTexts_TypeID, capnp.Struct(body), err, m)
+func (m *JobOffer) attach(root schema.Frame) error {
+	body, err := root.NewJobOffer()
+	return insert(schema.JobOffer_TypeID, capnp.Struct(body), err, m)
 }
 
-func (m *JobTextsReply) attach(root schema.Frame) error {
-	body, err := root.NewJobTextsReply()
-	return insert(schema.JobTextsReply_TypeID, capnp.Struct(body), err, m)
+func (m *JobSubmit) attach(root schema.Frame) error {
+	body, err := root.NewJobSubmit()
+	return insert(schema.JobSubmit_TypeID, capnp.Struct(body), err, m)
+}
+
+func (m *JobSubmitted) attach(root schema.Frame) error {
+	body, err := root.NewJobSubmitted()
+	return insert(schema.JobSubmitted_TypeID, capnp.Struct(body), err, m)
 }
 
 func (m *WatchPoll) attach(root schema.Frame) error {
@@ -274,12 +279,15 @@
 	case schema.Frame_Which_jobEnd:
 		body, err := root.JobEnd()
 		return extract[JobEnd](schema.JobEnd_TypeID, capnp.Struct(body), err)
-	case schema.Frame_Which_jobTexts:
-		body, err := root.JobTexts()
-		return extract[JobTexts](schema.JobTexts_TypeID, capnp.Struct(body), err)
-	case schema.Frame_Which_jobTextsReply:
-		body, err := root.JobTextsReply()
-		return extract[JobTextsReply](schema.JobTextsReply_TypeID, capnp.Struct(body), err)
+	case schema.Frame_Which_jobOffer:
+		body, err := root.JobOffer()
+		return extract[JobOffer](schema.JobOffer_TypeID, capnp.Struct(body), err)
+	case schema.Frame_Which_jobSubmit:
+		body, err := root.JobSubmit()
+		return extract[JobSubmit](schema.JobSubmit_TypeID, capnp.Struct(body), err)
+	case schema.Frame_Which_jobSubmitted:
+		body, err := root.JobSubmitted()
+		return extract[JobSubmitted](schema.JobSubmitted_TypeID, capnp.Struct(body), err)
 	case schema.Frame_Which_watchPoll:
 		body, err := root.WatchPoll()
 		return extract[WatchPoll](schema.WatchPoll_TypeID, capnp.Struct(body), err)
