Ended jobs are read from the store by one node, and owners confirm by appending

Change: a node that is asked for an ended job of its former process reads it from the store and answers for all; results read 8 s after the end are final and cost no more calls; the number of items is read once. An append that succeeds confirms the owner, since a successor sets a fence. A node that is new to the deployment takes a listing that may be old, for a tenth of the price.

Ruled out for finality: the moment of the end, since an append without an answer may be carried out seconds later (a test).

--- a/internal/batch/beat.go
+++ b/internal/batch/beat.go
@@ -78,8 +78,8 @@
 
 // endLocally stops a job that its caller has ended. The mutex must be held.
 func (s *Service) endLocally(id string) {
-	if standing := s.known[id]; standing != nil {
-		standing.ended = true
+	if standing := s.known[id]; standing != nil && !standing.ended {
+		standing.ended, standing.endedAt = true, time.Now()
 	}
 	held := s.jobs[id]
 	if held == nil || held.ended {
--- a/internal/batch/foreign.go
+++ b/internal/batch/foreign.go
@@ -46,6 +46,12 @@
 	// silent, and chunks their number of objects.
 	results []Result
 	chunks  int
+	// total is how many items the job has, 0 while unknown.
+	total int
+	// endedAt is when this node learnt of the end, and final is set once the
+	// results were read so long after it that none can be added.
+	endedAt time.Time
+	final   bool
 }
 
 func formatIncarnation(incarnation uint64) string { return strconv.FormatUint(incarnation, 36) }
@@ -61,7 +67,9 @@
 		standing.owner, standing.leaving = owner, false
 		standing.heard = time.Now()
 	}
-	standing.ended = standing.ended || ended
+	if ended && !standing.ended {
+		standing.ended, standing.endedAt = true, time.Now()
+	}
 	return standing
 }
 
@@ -205,11 +213,25 @@
 	return standing.rank
 }
 
+// recoverLook is the time between looks at whether this node has joined.
+const recoverLook = 20 * time.Millisecond
+
 // recover learns at the start which jobs there are. Those whose owners stay
-// silent are taken over like any others.
+// silent are taken over like any others. A node that is new to the deployment
+// owns none, and the newest ones of others have their watchers: it takes a
+// listing that may be some seconds old, for a tenth of the price.
 func (s *Service) recover(ctx context.Context) {
+	for !s.config.Table.Joined() {
+		if !objectstore.Sleep(ctx, recoverLook) {
+			return
+		}
+	}
+	freshness := objectstore.Linearizable
+	if s.config.Table.IsNew() {
+		freshness = objectstore.MayBeStale
+	}
 	for ctx.Err() == nil {
-		all, err := s.config.Journal.All(ctx)
+		all, err := s.config.Journal.All(ctx, freshness)
 		if err == nil {
 			s.mutex.Lock()
 			for _, standing := range all {
--- a/internal/batch/journal.go
+++ b/internal/batch/journal.go
@@ -162,11 +162,11 @@
 }
 
 // All reads the records of all batch jobs.
-func (j *Journal) All(ctx context.Context) ([]Standing, error) {
+func (j *Journal) All(ctx context.Context, freshness objectstore.Freshness) ([]Standing, error) {
 	var all []Standing
 	after := ""
 	for {
-		page, err := j.store.List(ctx, KindJobs, after, objectstore.Linearizable)
+		page, err := j.store.List(ctx, KindJobs, after, freshness)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/batch/peers.go
+++ b/internal/batch/peers.go
@@ -31,7 +31,11 @@
 	patience := time.Duration(question.WaitMs) * time.Millisecond
 	page, held := s.readHeld(s.base, question.Job, int(question.After), patience)
 	if !held {
-		return &wire.JobPage{}
+		ctx, cancel := context.WithTimeout(s.base, peerMargin)
+		defer cancel()
+		if page, held = s.readEndedFor(ctx, question.Job, int(question.After)); !held {
+			return &wire.JobPage{}
+		}
 	}
 	results, err := encodeResults(page.Results)
 	if err != nil {
--- a/internal/batch/read.go
+++ b/internal/batch/read.go
@@ -30,6 +30,9 @@
 	if page, held := s.readHeld(ctx, id, after, patience); held {
 		return page, nil
 	}
+	if page, final := s.readFinal(id, after); final {
+		return page, nil
+	}
 	owner, known := s.ownerOf(id)
 	if known {
 		if page, err := s.readFrom(ctx, owner, id, after, patience); err == nil {
@@ -104,37 +107,6 @@
 	return read, json.Unmarshal(page.Results, &read.Results)
 }
 
-// readStored reads a job's results from the store, for when its owner is away.
-func (s *Service) readStored(ctx context.Context, standing Standing, after int) (Page, error) {
-	payload, err := s.config.Journal.Payload(ctx, standing.ID, standing.Record.Parts)
-	if err != nil {
-		return Page{}, err
-	}
-	submission, err := s.config.Codec.Submission(payload)
-	if err != nil {
-		return Page{}, err
-	}
-	s.mutex.Lock()
-	known := s.noteForeign(standing.ID, standing.Record.Owner, standing.Ended)
-	from, results := known.chunks, known.results
-	s.mutex.Unlock()
-	added, err := s.config.Journal.Results(ctx, standing.ID, from)
-	if err != nil {
-		return Page{}, err
-	}
-	results = append(results[:len(results):len(results)], added.results...)
-	s.mutex.Lock()
-	if added.chunks > known.chunks {
-		known.results, known.chunks = results, added.chunks
-	}
-	s.mutex.Unlock()
-	page := Page{Total: len(submission.Items)}
-	if after < len(results) {
-		page.Results = results[after:]
-	}
-	return page, nil
-}
-
 // Body returns the body of an item. ErrNoSuchJob and ErrNoSuchItem are certain.
 func (s *Service) Body(ctx context.Context, id, itemID string) ([]byte, error) {
 	s.mutex.Lock()
--- /dev/null
+++ b/internal/batch/stored.go
@@ -0,0 +1,91 @@
+package batch
+
+import (
+	"context"
+	"time"
+)
+
+// lateCalls is for how long after a job's end its former owner's last append may
+// still be carried out: calls without an answer may be done seconds later.
+const lateCalls = 8 * time.Second
+
+// readStored reads a job's results from the store, for when its owner is away.
+// What is known of the job already is not read again.
+func (s *Service) readStored(ctx context.Context, standing Standing, after int) (Page, error) {
+	s.mutex.Lock()
+	known := s.noteForeign(standing.ID, standing.Record.Owner, standing.Ended)
+	from, results, total := known.chunks, known.results, known.total
+	final := known.ended && time.Since(known.endedAt) > lateCalls
+	s.mutex.Unlock()
+	if total == 0 {
+		read, err := s.readTotal(ctx, standing)
+		if err != nil {
+			return Page{}, err
+		}
+		total = read
+	}
+	added, err := s.config.Journal.Results(ctx, standing.ID, from)
+	if err != nil {
+		return Page{}, err
+	}
+	results = append(results[:len(results):len(results)], added.results...)
+	s.mutex.Lock()
+	known.total = total
+	if added.chunks > known.chunks {
+		known.results, known.chunks = results, added.chunks
+	}
+	known.final = known.final || final
+	s.mutex.Unlock()
+	return pageAfter(results, after, total), nil
+}
+
+// readTotal reads how many items a job has.
+func (s *Service) readTotal(ctx context.Context, standing Standing) (int, error) {
+	payload, err := s.config.Journal.Payload(ctx, standing.ID, standing.Record.Parts)
+	if err != nil {
+		return 0, err
+	}
+	submission, err := s.config.Codec.Submission(payload)
+	if err != nil {
+		return 0, err
+	}
+	return len(submission.Items), nil
+}
+
+// readFinal reads a job whose results this node has read after the last of them.
+func (s *Service) readFinal(id string, after int) (Page, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	known := s.known[id]
+	if known == nil || !known.final {
+		return Page{}, false
+	}
+	return pageAfter(known.results, after, known.total), true
+}
+
+// pageAfter is the page of the results behind a position.
+func pageAfter(results []Result, after, total int) Page {
+	page := Page{Total: total}
+	if after < len(results) {
+		page.Results = results[after:]
+	}
+	return page
+}
+
+// readEndedFor reads an ended job of this node's former process for another
+// node, so that one node reads the store for all.
+func (s *Service) readEndedFor(ctx context.Context, id string, after int) (Page, bool) {
+	if page, final := s.readFinal(id, after); final {
+		return page, true
+	}
+	standing, err := s.config.Journal.Look(ctx, id)
+	if err != nil || !standing.Ended || standing.Record.Owner.Node != s.config.Self.Node {
+		return Page{}, false
+	}
+	page, err := s.readStored(ctx, standing, after)
+	if err != nil {
+		s.config.Logger.Info("stored batch job not read", "request", id, "error", err.Error())
+		return Page{}, false
+	}
+	return page, true
+}
--- /dev/null
+++ b/internal/batch/stored_test.go
@@ -0,0 +1,96 @@
+package batch
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+// endedCluster is a cluster whose first node ran a job to its end and was then
+// started anew without any memory of it.
+func endedCluster(t *testing.T) *cluster {
+	t.Helper()
+	engine := startEngine(t, 2)
+	made := newCluster(t, 3, engine)
+	if err := made.submit(made.nodes[0], "job", 4); err != nil {
+		t.Fatal(err)
+	}
+	made.readAll(made.nodes[0], "job", 4)
+	if err := made.nodes[0].End(context.Background(), "job"); err != nil {
+		t.Fatal(err)
+	}
+	made.nodes[0].mutex.Lock()
+	delete(made.nodes[0].jobs, "job")
+	made.nodes[0].mutex.Unlock()
+	return made
+}
+
+func (c *cluster) storeReads() int { return c.store.Calls("get") + c.store.Calls("list") }
+
+// endedLongAgo has a node believe that it learnt of a job's end long ago.
+func (n *testNode) endedLongAgo(id string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.known[id].endedAt = time.Now().Add(-time.Minute)
+}
+
+func TestAnEndedJobIsReadFromTheStoreByItsOwnerOnly(t *testing.T) {
+	cluster := endedCluster(t)
+	if _, err := cluster.nodes[0].Read(context.Background(), "job", 0, 0); err != nil {
+		t.Fatal(err)
+	}
+	cluster.nodes[0].endedLongAgo("job")
+	if _, err := cluster.nodes[0].Read(context.Background(), "job", 0, 0); err != nil {
+		t.Fatal(err)
+	}
+	before := cluster.storeReads()
+	for _, node := range cluster.nodes {
+		for after := range 4 {
+			page, err := node.Read(context.Background(), "job", after, 0)
+			if err != nil || page.Total != 4 || len(page.Results) != 4-after {
+				t.Fatalf("after %d: %d results of %d, error %v", after, len(page.Results), page.Total, err)
+			}
+		}
+	}
+	if calls := cluster.storeReads() - before; calls != 0 {
+		t.Errorf("%d reading calls to the store", calls)
+	}
+}
+
+// An append of the former owner may be carried out seconds after the end.
+func TestResultsAreReadAgainWhileOneMayBeAdded(t *testing.T) {
+	cluster := endedCluster(t)
+	reader := cluster.nodes[0]
+	first, err := reader.Read(context.Background(), "job", 0, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	late := chunk{Writer: "late", Results: []Result{{ID: "late", State: Abandoned}}}
+	if _, _, err := NewJournal(cluster.store).Append(context.Background(), "job", reader.known["job"].chunks, late); err != nil {
+		t.Fatal(err)
+	}
+	again, err := reader.Read(context.Background(), "job", 0, 0)
+	if err != nil || len(again.Results) != len(first.Results)+1 {
+		t.Errorf("%d results, then %d, error %v", len(first.Results), len(again.Results), err)
+	}
+}
+
+// An append that succeeded shows that no successor has set its fence.
+func TestAnAppendConfirmsTheOwner(t *testing.T) {
+	engine := startEngine(t, 2)
+	cluster := newCluster(t, 1, engine)
+	if err := cluster.submit(cluster.nodes[0], "job", 4); err != nil {
+		t.Fatal(err)
+	}
+	node := cluster.nodes[0]
+	node.mutex.Lock()
+	held := node.jobs["job"]
+	held.confirmed = time.Now().Add(-time.Minute)
+	node.mutex.Unlock()
+	cluster.readAll(node, "job", 4)
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	if time.Since(held.confirmed) > time.Minute/2 {
+		t.Error("the append has not confirmed the owner")
+	}
+}
--- a/internal/peering/join.go
+++ b/internal/peering/join.go
@@ -51,8 +51,13 @@
 		t.config.Logger.V(1).Info("node entry not written", "error", err.Error())
 		return false
 	}
-	if isNew && !objectstore.Sleep(ctx, settleTime) {
-		return false
+	if isNew {
+		t.mutex.Lock()
+		t.isNew = true
+		t.mutex.Unlock()
+		if !objectstore.Sleep(ctx, settleTime) {
+			return false
+		}
 	}
 	if err := t.readEntries(ctx); err != nil {
 		t.config.Logger.V(1).Info("node entries not read", "error", err.Error())
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -42,6 +42,8 @@
 	// membership counts the changes of the set of peers.
 	membership uint64
 	joined     bool
+	// isNew is set where this node had no entry when it joined.
+	isNew bool
 	// lastHeartbeat is when a heartbeat was sent last, and heartbeatDue is set
 	// while one is scheduled.
 	lastHeartbeat time.Time
@@ -146,6 +148,13 @@
 	return t.membership
 }
 
+// IsNew tells whether the deployment did not know this node when it joined.
+func (t *Table) IsNew() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.isNew
+}
+
 // Joined tells whether the entries of the other nodes have been read.
 func (t *Table) Joined() bool {
 	t.mutex.Lock()
