platform: numbers that cannot be read are logged or refused, not turned into 0

Cause: seven fields of requests, items and answers were read with their errors dropped; a reader that asked for results from an unreadable position got them from the first.

--- a/internal/batch/front.go
+++ b/internal/batch/front.go
@@ -64,10 +64,14 @@
 
 // ServeCall implements ingress.Jobs.
 func (f *Front) ServeCall(writer http.ResponseWriter, request *http.Request) bool {
-	call, isCall := f.Service.config.Codec.Call(request)
+	call, isCall, err := f.Service.config.Codec.Call(request)
 	if !isCall {
 		return false
 	}
+	if err != nil {
+		f.refuse(writer, call.Job, http.StatusBadRequest, err, 0)
+		return true
+	}
 	switch call.Kind {
 	case CallRead:
 		f.read(writer, request, call)
--- a/internal/batch/harness_test.go
+++ b/internal/batch/harness_test.go
@@ -60,7 +60,7 @@
 
 func (testCodec) Page(int, int, []Result) ([]byte, error) { return nil, nil }
 
-func (testCodec) Call(*http.Request) (Call, bool) { return Call{}, false }
+func (testCodec) Call(*http.Request) (Call, bool, error) { return Call{}, false, nil }
 
 func (testCodec) VersionField() string { return versionField }
 
--- a/internal/batch/submission.go
+++ b/internal/batch/submission.go
@@ -63,8 +63,9 @@
 	Submission(body []byte) (*Submission, error)
 	// Page writes a part of a job's results.
 	Page(total, next int, results []Result) ([]byte, error)
-	// Call reads what a request about a batch job asks; false if it is none.
-	Call(request *http.Request) (Call, bool)
+	// Call reads what a request about a batch job asks; false if it is none. The
+	// error is that of a request that cannot be understood.
+	Call(request *http.Request) (call Call, isCall bool, err error)
 	// VersionField names the line of an event that tells a weight version.
 	VersionField() string
 	// Signature is a replica's signature in an answer's header.
