Log messages in plain English

"kept", "taken up", "pursued", "learnt" and the like were the project's own words; they are now accepted, started, retrying, added. The timeline reads the new messages. No behaviour changes.

--- a/internal/batch/accept.go
+++ b/internal/batch/accept.go
@@ -76,7 +76,7 @@
 	standing, made, err := s.config.Journal.Accept(ctx, id, record, payload)
 	pending.err = err
 	if _, uncertain := err.(*UncertainError); uncertain {
-		s.config.Logger.Info("batch job uncertain, pursued", "request", id, "error", err.Error())
+		s.config.Logger.Info("batch job outcome unknown, retrying", "request", id, "error", err.Error())
 		close(pending.done)
 		longer, cancelLonger := context.WithTimeout(s.base, backgroundTime)
 		defer cancelLonger()
@@ -92,10 +92,10 @@
 	}
 	s.mutex.Unlock()
 	if err != nil {
-		s.config.Logger.Info("batch job not taken", "request", id, "error", err.Error())
+		s.config.Logger.Info("batch job not accepted", "request", id, "error", err.Error())
 		return
 	}
-	s.config.Logger.Info("batch job kept", "request", id, "owner", standing.Owner.Node, "items", len(submission.Items), "bytes", len(payload))
+	s.config.Logger.Info("batch job accepted", "request", id, "owner", standing.Owner.Node, "items", len(submission.Items), "bytes", len(payload))
 	switch {
 	case own && made:
 		s.start(id, submission, standing, listing{})
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -147,7 +147,7 @@
 	displaced.notify()
 	delete(s.jobs, displaced.id)
 	s.dropQueued(displaced)
-	s.config.Logger.Info("batch job given to another node", "request", displaced.id, "epoch", displaced.record.Epoch)
+	s.config.Logger.Info("batch job owned by another node now", "request", displaced.id, "epoch", displaced.record.Epoch)
 }
 
 // dropQueued takes a job's items out of the queue. The mutex must be held.
--- a/internal/batch/start.go
+++ b/internal/batch/start.go
@@ -30,7 +30,7 @@
 	s.jobs[id] = started
 	delete(s.known, id)
 	s.mutex.Unlock()
-	s.config.Logger.Info("batch job taken up", "request", id, "epoch", record.Epoch, "items", len(started.items), "listed", len(stands.results), "texts", restored,
+	s.config.Logger.Info("batch job started", "request", id, "epoch", record.Epoch, "items", len(started.items), "listed", len(stands.results), "texts", restored,
 		"step", submission.Step, "model", submission.Model, "minVersion", submission.MinVersion, "desired", submission.Desired)
 	go s.publish(started)
 	s.nudge()
--- a/internal/batch/takeover.go
+++ b/internal/batch/takeover.go
@@ -57,7 +57,7 @@
 			s.start(standing.ID, submission, standing.Record, stands)
 			return
 		}
-		s.config.Logger.Error(err, "batch job not read", "request", standing.ID)
+		s.config.Logger.Error(err, "batch job not loaded", "request", standing.ID)
 		objectstore.Pause(ctx, readPause)
 	}
 }
--- a/internal/directory/table.go
+++ b/internal/directory/table.go
@@ -148,7 +148,7 @@
 	}
 	known := t.isDraining(replica.ID)
 	if replica.State != ReplicaReady && !known {
-		t.logger.Info("replica leaves", "replica", replica.ID, "state", replica.State)
+		t.logger.Info("replica draining", "replica", replica.ID, "state", replica.State)
 	}
 	if replica.State != ReplicaReady || known {
 		t.draining[replica.ID] = time.Now()
@@ -244,7 +244,7 @@
 		state = routing.NewEndpointState()
 		state.SetView(routing.EngineView{})
 		t.states[replica.ID] = state
-		t.logger.Info("replica learnt", "replica", replica.ID, "service", replica.Service, "address", replica.Address, "zone", replica.Zone)
+		t.logger.Info("replica added", "replica", replica.ID, "service", replica.Service, "address", replica.Address, "zone", replica.Zone)
 	}
 	return routing.NewReplicaEndpoint(replica.ID, replica.Address, replica.Zone, replica.Service, replica.Slots, state)
 }
--- a/internal/instance/peers.go
+++ b/internal/instance/peers.go
@@ -23,7 +23,7 @@
 		return
 	}
 	if !i.jobs.Answer(message, reply) {
-		reply(&wire.Failure{Detail: "no such question"})
+		reply(&wire.Failure{Detail: "unknown message"})
 	}
 }
 
--- a/internal/instance/retirements.go
+++ b/internal/instance/retirements.go
@@ -78,7 +78,7 @@
 	for r.isPending(machine) {
 		object, err := r.store.ReplaceStatus(r.ctx, r.kind, machine, json.RawMessage(r.codec.Retirement()), objectstore.Unconditional)
 		if err == nil {
-			r.logger.Info("machine may be taken away", "machine", machine, "revision", object.Revision)
+			r.logger.Info("machine drained, may be removed", "machine", machine, "revision", object.Revision)
 			return
 		}
 		r.logger.Info("retirement not answered", "machine", machine, "error", err.Error())
--- a/internal/timeline/record.go
+++ b/internal/timeline/record.go
@@ -12,7 +12,7 @@
 // The messages that are read; they are those of packages batch, directory and
 // weightorders.
 const (
-	messageTakenUp  = "batch job taken up"
+	messageTakenUp  = "batch job started"
 	messageTaken    = "batch job taken over"
 	messageEnded    = "batch job ended"
 	messageListed   = "results listed"
--- a/internal/watchcache/follow.go
+++ b/internal/watchcache/follow.go
@@ -43,7 +43,7 @@
 
 // follow polls a reader for as long as it is the one to follow.
 func (s *Source) follow(ctx context.Context, reader Node) {
-	s.config.Logger.Info("store followed through another node", "reader", reader.Name)
+	s.config.Logger.Info("following the store through a reader", "reader", reader.Name)
 	s.doubts = 0
 	for {
 		if next, found := s.reader(); !found || next != reader {
@@ -55,7 +55,7 @@
 		}
 		s.metrics.polls.WithLabelValues(outcome).Inc()
 		if !s.staysWith(ctx, reader, outcome) {
-			s.config.Logger.Info("reader given up", "reader", reader.Name, "outcome", outcome, "newsAgeMs", s.newsAge().Milliseconds())
+			s.config.Logger.Info("stopped following reader", "reader", reader.Name, "outcome", outcome, "newsAgeMs", s.newsAge().Milliseconds())
 			return
 		}
 	}
--- a/internal/watchcache/help.go
+++ b/internal/watchcache/help.go
@@ -86,7 +86,7 @@
 	s.helpedAt = time.Now()
 	s.mutex.Unlock()
 	if first {
-		s.config.Logger.Info("store followed through another node while it does not answer this one", "reader", helper.Name)
+		s.config.Logger.Info("following the store through a peer while it does not answer this node", "reader", helper.Name)
 		s.notify()
 	}
 }
--- a/internal/watchcache/informer.go
+++ b/internal/watchcache/informer.go
@@ -143,7 +143,7 @@
 // errRegained ends a watch from before an outage of the store, and errSettling
 // one that began soon after.
 var (
-	errRegained = merry.Sentinel("store regained")
+	errRegained = merry.Sentinel("store reachable again")
 	errSettling = merry.Sentinel("store settled after an outage")
 )
 
@@ -203,7 +203,7 @@
 	i.retry = 0
 	if i.failing {
 		i.failing = false
-		i.logger.Info("store regained", "kind", i.cache.kind)
+		i.logger.Info("store reachable again", "kind", i.cache.kind)
 	}
 }
 
@@ -215,7 +215,7 @@
 	i.current.Store(false)
 	if !i.failing {
 		i.failing = true
-		i.logger.Error(err, "store lost", "kind", i.cache.kind, "call", call)
+		i.logger.Error(err, "store unreachable", "kind", i.cache.kind, "call", call)
 	}
 	if i.Failed != nil {
 		i.Failed()
--- a/internal/watchcache/source.go
+++ b/internal/watchcache/source.go
@@ -101,7 +101,7 @@
 func (s *Source) read(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	var duties sync.WaitGroup
-	s.config.Logger.Info("store read by this node")
+	s.config.Logger.Info("reading the store directly")
 	s.metrics.reading.Set(1)
 	s.mutex.Lock()
 	for _, cache := range s.caches {
--- a/internal/weightorders/coordinator.go
+++ b/internal/weightorders/coordinator.go
@@ -174,7 +174,7 @@
 			c.noteAwaited(pause)
 			return pause
 		}
-		c.config.Logger.Info("order lease held", "token", c.token())
+		c.config.Logger.Info("order lease acquired", "token", c.token())
 		c.config.Broadcast()
 	}
 	c.begin(ctx, open, loadsAtOnce(engineReplicas(view)))
@@ -193,7 +193,7 @@
 		return
 	}
 	c.awaited = revision
-	c.config.Logger.Info("order lease awaited", "holder", holder, "revision", revision, "waitMs", pause.Milliseconds())
+	c.config.Logger.Info("waiting for the order lease", "holder", holder, "revision", revision, "waitMs", pause.Milliseconds())
 	c.config.Broadcast()
 }
 
