Replicas are shared out to models by the demand for them

Ruled out: more replicas for all (each is a load of every version; 15 load at a time).

Change: nodes tell in their heartbeats what the items of an open batch job are expected to make; the mean of a model's jobs of the last 30 s is its demand, and replicas are apportioned by it (largest remainder, at least one each). A plan is made anew where a demand differs by a quarter.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -124,7 +124,7 @@
 	i.weights = weightorders.NewCoordinator(weightorders.Config{
 		Node: self.Node, Nonce: strconv.FormatUint(self.Incarnation, 36), Term: i.settings.OrderLease.Std(), Store: i.store,
 		Directory: i.directory, Replicas: i.adapter.Orders(i.pool), Logger: i.logger, Registry: i.registry, Nodes: i.peers.Nodes,
-		Heard: i.heard, Load: i.jobs.Load, Tolerance: i.jobs.Tolerance, OnChange: i.jobs.NoteVersion,
+		Heard: i.heard, Load: i.jobs.Load, Tolerance: i.jobs.Tolerance, Demand: i.jobs.Demand, OnChange: i.jobs.NoteVersion,
 		Changed: i.peers.Changed, Broadcast: i.peers.Broadcast,
 	})
 	i.handler = ingress.NewHandler(ingress.Config{
--- a/internal/weightorders/coordinator.go
+++ b/internal/weightorders/coordinator.go
@@ -62,6 +62,9 @@
 	// Tolerance is by how many versions the batch jobs of a model let the
 	// weights be behind.
 	Tolerance func(model string) int64
+	// Demand is how much work the jobs of each model have lately brought, in any
+	// unit.
+	Demand func() map[string]float64
 	// OnChange is told what becomes of replicas; Changed tells the peers that
 	// have to do with it, and Broadcast all of them.
 	OnChange  func(change wire.ReplicaVersion)
@@ -90,6 +93,8 @@
 	// leaseRetry is the time before the next try to get the lease after one
 	// that failed. It belongs to Run.
 	leaseRetry time.Duration
+	// planned is the demand that replicas are shared out by. It belongs to Run.
+	planned map[string]float64
 	// awaited is the revision of the lease that was last told to be waited for.
 	// It belongs to Run.
 	awaited uint64
@@ -146,7 +151,7 @@
 func (c *Coordinator) step(ctx context.Context) time.Duration {
 	view := c.config.Directory.View()
 	c.forgetGone(view.Replicas)
-	open := tasks(view, c)
+	open := tasks(view, c, c.plannedDemand())
 	open = slices.DeleteFunc(open, c.isUnderWay)
 	c.mutex.Lock()
 	idle := len(open) == 0 && len(c.loading) == 0
@@ -181,6 +186,15 @@
 	return lookPeriod
 }
 
+// plannedDemand is the demand that replicas are shared out by: the one known
+// now, but for small differences.
+func (c *Coordinator) plannedDemand() map[string]float64 {
+	if demand := c.config.Demand(); differs(c.planned, demand) {
+		c.planned = demand
+	}
+	return c.planned
+}
+
 // loadsAtOnce is how many replicas of all may load at a time.
 func loadsAtOnce(replicas int) int { return max(leastLoads, replicas/loadPart) }
 
--- a/internal/weightorders/coordinator_test.go
+++ b/internal/weightorders/coordinator_test.go
@@ -72,7 +72,7 @@
 		made = NewCoordinator(Config{
 			Node: node, Nonce: nonce, Term: testTerm, Store: f.store, Directory: f.table, Replicas: f.replicas, Logger: klog.Background(),
 			Registry: prometheus.NewRegistry(), Nodes: func() []string { return nodes }, Heard: func(string) time.Time { return time.Time{} },
-			Load: func(string) int { return 0 }, Tolerance: func(string) int64 { return 0 }, OnChange: f.list,
+			Load: func(string) int { return 0 }, Tolerance: func(string) int64 { return 0 }, Demand: func() map[string]float64 { return nil }, OnChange: f.list,
 			Changed: func() { f.tell(made) }, Broadcast: func() { f.tell(made) },
 		})
 		coordinators = append(coordinators, made)
--- a/internal/weightorders/plan.go
+++ b/internal/weightorders/plan.go
@@ -2,11 +2,9 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 
 	"github.com/pathtally/pathtally/internal/directory"
-	"github.com/pathtally/pathtally/internal/rendezvous"
 )
 
 // task is a replica that is to get a model's version.
@@ -22,74 +20,6 @@
 	ahead bool
 }
 
-// homeShare is how many replicas keep up with one model, as a multiple of its
-// equal share. More give room where others are busy; each takes loads.
-const homeShare = 4.0 / 3
-
-// homes gives each model the replicas that keep up with it. First each replica
-// gets one model, evenly; then each model gets some more, so that models with
-// much work find slots where others leave them. A replica that keeps up with
-// few models loads seldom, and the loads that run at once are bounded.
-func homes(replicas []*directory.Replica, models []string) map[string][]*directory.Replica {
-	shared := map[string][]*directory.Replica{}
-	if len(models) == 0 {
-		return shared
-	}
-	even := (len(replicas) + len(models) - 1) / len(models)
-	most := min(len(replicas), int(math.Ceil(homeShare*float64(len(replicas))/float64(len(models)))))
-	ordered := slices.Clone(replicas)
-	slices.SortFunc(ordered, func(a, b *directory.Replica) int { return cmp.Compare(a.ID, b.ID) })
-	counts := map[string]int{}
-	for _, replica := range ordered {
-		model := preferred(models, replica, func(model string) bool { return len(shared[model]) < even })
-		shared[model] = append(shared[model], replica)
-		counts[replica.ID]++
-	}
-	for _, model := range models {
-		for len(shared[model]) < most {
-			extra := leastShared(ordered, model, counts, shared[model])
-			if extra == nil {
-				break
-			}
-			shared[model] = append(shared[model], extra)
-			counts[extra.ID]++
-		}
-	}
-	return shared
-}
-
-// preferred is the model of greatest weight for a replica among those allowed.
-func preferred(models []string, replica *directory.Replica, allowed func(model string) bool) string {
-	best, bestWeight := "", uint64(0)
-	for _, model := range models {
-		weight := pairWeight(replica, model)
-		if allowed(model) && (best == "" || weight > bestWeight) {
-			best, bestWeight = model, weight
-		}
-	}
-	return best
-}
-
-// leastShared is the replica with the fewest models that has not this one, and
-// among those the one of greatest weight.
-func leastShared(replicas []*directory.Replica, model string, counts map[string]int, has []*directory.Replica) *directory.Replica {
-	var best *directory.Replica
-	for _, replica := range replicas {
-		if slices.Contains(has, replica) {
-			continue
-		}
-		if best == nil || counts[replica.ID] < counts[best.ID] ||
-			(counts[replica.ID] == counts[best.ID] && pairWeight(replica, model) > pairWeight(best, model)) {
-			best = replica
-		}
-	}
-	return best
-}
-
-func pairWeight(replica *directory.Replica, model string) uint64 {
-	return rendezvous.Weight(rendezvous.Hash(replica.ID), rendezvous.Hash(model))
-}
-
 // knowledge is what decides whether a replica needs a version.
 type knowledge interface {
 	// version is the newest version known of a replica's model.
@@ -132,7 +62,7 @@
 
 // tasks are all replicas that lack the named version of a model that they keep
 // up with.
-func tasks(view *directory.View, known knowledge) []task {
+func tasks(view *directory.View, known knowledge, demand map[string]float64) []task {
 	if view.Configuration == nil {
 		return nil
 	}
@@ -146,7 +76,7 @@
 			continue
 		}
 		service := view.Configuration.Services[name]
-		for model, kept := range homes(replicas, service.Engine.Models) {
+		for model, kept := range homes(replicas, sharesOf(service.Engine.Models, demand)) {
 			open = append(open, tasksOf(known, model, view.Named[model], kept)...)
 		}
 	}
--- a/internal/weightorders/plan_test.go
+++ b/internal/weightorders/plan_test.go
@@ -23,7 +23,7 @@
 		}
 		all := replicas(test.replicas)
 		kept := map[string]int{}
-		for model, homes := range homes(all, models) {
+		for model, homes := range homes(all, sharesOf(models, nil)) {
 			if len(homes) != test.each {
 				t.Errorf("%d replicas, %d models: %s has %d", test.replicas, test.models, model, len(homes))
 			}
@@ -46,7 +46,7 @@
 func TestHomesStayWhenAReplicaGoes(t *testing.T) {
 	models := []string{"a", "b", "c"}
 	all := replicas(9)
-	before := homes(all, models)
+	before := homes(all, sharesOf(models, nil))
 	has := map[string]bool{}
 	for model, kept := range before {
 		for _, replica := range kept {
@@ -54,7 +54,7 @@
 		}
 	}
 	added := 0
-	for model, kept := range homes(all[1:], models) {
+	for model, kept := range homes(all[1:], sharesOf(models, nil)) {
 		for _, replica := range kept {
 			if !has[model+replica.ID] {
 				added++
--- a/test/virtual_test.go
+++ b/test/virtual_test.go
@@ -87,7 +87,7 @@
 	})
 	coordinator := weightorders.NewCoordinator(weightorders.Config{
 		Node: "node", Nonce: "1", Store: day.store, Directory: table, Replicas: platform.NewOrders(pool), Logger: logger, Registry: registry,
-		Nodes: peers.Nodes, Heard: func(string) time.Time { return time.Time{} }, Load: day.jobs.Load, Tolerance: day.jobs.Tolerance,
+		Nodes: peers.Nodes, Heard: func(string) time.Time { return time.Time{} }, Load: day.jobs.Load, Tolerance: day.jobs.Tolerance, Demand: day.jobs.Demand,
 		OnChange: day.jobs.NoteVersion, Changed: func() {}, Broadcast: func() {},
 	})
 	go day.jobs.Run(ctx)
