--- a/internal/batch/replicas_test.go
+++ b/internal/batch/replicas_test.go
@@ -128,3 +128,41 @@
 		t.Errorf("items wait in the order %s", order)
 	}
 }
+
+// Some replicas never say that they leave: their entry goes, and they serve on
+// for a while. What runs there ends there, and nothing new begins.
+func TestRunsEndAtAReplicaWhoseEntryIsGone(t *testing.T) {
+	engine := heldEngine(t)
+	cluster := newCluster(t, 1, engine)
+	node := cluster.nodes[0]
+	if err := cluster.submit(node, "job", 4); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "all items run", func() bool {
+		engine.mutex.Lock()
+		defer engine.mutex.Unlock()
+		return len(engine.runs) == 4
+	})
+	node.config.Directory.SetReplicas(nil, 0)
+	node.mutex.Lock()
+	for running := range node.attempts {
+		running.heard.Store(int64(time.Since(running.begun)))
+	}
+	node.mutex.Unlock()
+	node.inspect()
+	if err := cluster.submit(node, "later", 2); err != nil {
+		t.Fatal(err)
+	}
+	engine.release()
+	checkWhole(t, "job", cluster.readAll(node, "job", 4), 4, 3)
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	for item, runs := range engine.runs {
+		if runs != 1 {
+			t.Errorf("%s was run %d times", item, runs)
+		}
+	}
+	if len(engine.runs) != 4 {
+		t.Errorf("%d items were run, want the 4 of the first job", len(engine.runs))
+	}
+}
