--- a/internal/batch/foreign.go
+++ b/internal/batch/foreign.go
@@ -66,6 +66,8 @@
 	if standing.owner != owner {
 		standing.owner, standing.leaving = owner, false
 		standing.heard = time.Now()
+		// The rank depends on who the owner is.
+		standing.membership = 0
 	}
 	if ended && !standing.ended {
 		standing.ended, standing.endedAt = true, time.Now()
@@ -213,15 +215,21 @@
 	return standing.rank
 }
 
-// recoverLook is the time between looks at whether this node has joined.
-const recoverLook = 20 * time.Millisecond
+const (
+	// recoverLook is the time between looks at whether this node has joined, and
+	// joinPatience for how long it is waited for: a node whose entry the store
+	// does not take reads the jobs through its peers all the same. A new node
+	// needs 0.4 s and two calls to the store.
+	recoverLook  = 20 * time.Millisecond
+	joinPatience = 1500 * time.Millisecond
+)
 
 // recover learns at the start which jobs there are. Those whose owners stay
 // silent are taken over like any others. A node that is new to the deployment
 // owns none, and the newest ones of others have their watchers: it takes a
 // listing that may be some seconds old, for a tenth of the price.
 func (s *Service) recover(ctx context.Context) {
-	for !s.config.Table.Joined() {
+	for began := time.Now(); !s.config.Table.Joined() && time.Since(began) < joinPatience; {
 		if !objectstore.Sleep(ctx, recoverLook) {
 			return
 		}
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -22,6 +22,9 @@
 	// avoidTime is for how long a node that did not answer an offer is not asked
 	// again: the machines of a planned stop are back within some seconds.
 	avoidTime = 5 * time.Second
+	// runnerPart is the part of a caller's time for which the runner's answer is
+	// waited for: the rest is for this node to accept the job itself.
+	runnerPart = 0.5
 )
 
 var (
@@ -42,7 +45,7 @@
 		return false, nil
 	}
 	submit := &wire.JobSubmit{Job: id, Route: route, Host: host, Payload: payload}
-	reply, err := environment.Ask(ctx, s.config.Peers, address, submit, timeLeft(ctx))
+	reply, err := environment.Ask(ctx, s.config.Peers, address, submit, time.Duration(runnerPart*float64(timeLeft(ctx))))
 	if err != nil {
 		s.config.Logger.Info("runner of batch job lost", "request", id, "runner", address, "error", err.Error())
 		return false, errRunnerUncertain
--- a/internal/batch/watchers_test.go
+++ b/internal/batch/watchers_test.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/pathtally/pathtally/internal/peering"
+	"github.com/pathtally/pathtally/standin/metastore"
 )
 
 // watched splits the nodes other than the owner of a job into those that hear
@@ -145,3 +148,47 @@
 		eventually(t, "the demand of both jobs is known", func() bool { return node.Demand()["m"] == 400 })
 	}
 }
+
+// The rank of a node for a job leaves out the job's owner, whoever that is.
+func TestRanksFollowTheOwner(t *testing.T) {
+	engine := heldEngine(t)
+	cluster, watching, _ := watchedCluster(t, engine)
+	defer engine.release()
+	node := watching[0]
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	standing := node.known["job"]
+	for _, next := range cluster.nodes {
+		if next == node {
+			continue
+		}
+		node.noteForeign("job", next.config.Self, false)
+		if got, want := node.cachedRank("job", standing), node.rank("job", next.config.Self.Node); got != want {
+			t.Errorf("owned by %s: rank %d, want %d", next.config.Self.Node, got, want)
+		}
+	}
+}
+
+// A node whose entry the store does not take learns of the jobs all the same.
+func TestANodeThatCannotJoinLearnsOfTheJobs(t *testing.T) {
+	engine := heldEngine(t)
+	defer engine.release()
+	cluster := newCluster(t, 1, engine)
+	if err := cluster.submit(cluster.nodes[0], "job", 2); err != nil {
+		t.Fatal(err)
+	}
+	cluster.store.SetFault(func(call metastore.Call) metastore.Fault {
+		if call.Kind == peering.Kind {
+			return metastore.Refused
+		}
+		return metastore.Sound
+	})
+	outsider := cluster.addOutsider("outsider", []*testEngine{engine})
+	eventually(t, "the job is known", func() bool {
+		_, known := outsider.ownerOf("job")
+		return known && outsider.Recovered()
+	})
+	if outsider.table.Joined() {
+		t.Error("the node has joined")
+	}
+}
