Reading a job from the store is shared and goes on when its reader gives up

Cause: since ended jobs are read from the store by their owner for all who ask, the owner had 0.7 s for it, and began anew with the next question. Its link is slow (60 Mbit/s), each listing of results fills a page of a megabyte with other jobs, and after the loss of all power every ended job of the model is asked of this one node: each try was given up at 0.7 s, for 20 s and more.

Ruled out: the store (it answered all other calls), the job's objects (the reading node's timeouts are on its own link).

Change: one reading of a job is under way at a node, has 20 s, is shared by all who ask and goes on when they give up. What comes after the chunks already read is got by name, not listed. The test of a reading that goes on failed before; that of a shared one counts on a field that is new.

--- a/internal/batch/harness_test.go
+++ b/internal/batch/harness_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,6 +21,7 @@
 	"github.com/pathtally/pathtally/internal/environment"
 	"github.com/pathtally/pathtally/internal/exchange"
 	"github.com/pathtally/pathtally/internal/forward"
+	"github.com/pathtally/pathtally/internal/objectstore"
 	"github.com/pathtally/pathtally/internal/peering"
 	"github.com/pathtally/pathtally/internal/watchcache"
 	"github.com/pathtally/pathtally/internal/wire"
@@ -206,10 +208,30 @@
 	n.Answer(message, reply)
 }
 
+// gatedStore holds listings of results back while it has a gate, until that is
+// closed.
+type gatedStore struct {
+	*metastore.Store
+	gate *atomic.Pointer[chan struct{}]
+}
+
+func (s gatedStore) List(ctx context.Context, kind, after string, freshness objectstore.Freshness) (objectstore.Page, error) {
+	if gate := s.gate.Load(); gate != nil && kind == KindResults {
+		select {
+		case <-*gate:
+		case <-ctx.Done():
+			return objectstore.Page{}, &objectstore.UnansweredError{Cause: ctx.Err()}
+		}
+	}
+	return s.Store.List(ctx, kind, after, freshness)
+}
+
 // cluster is a set of nodes over one store and some engines.
 type cluster struct {
 	t     *testing.T
 	store *metastore.Store
+	// gate holds the nodes' listings of results back.
+	gate  atomic.Pointer[chan struct{}]
 	peers *testPeers
 	nodes []*testNode
 }
@@ -278,7 +300,7 @@
 		Watchers: func() []string { return node.Watchers() },
 	})
 	node.Service = NewService(ctx, Config{
-		Self: self, Journal: NewJournal(c.store), Codec: testCodec{}, Directory: table, Dispatcher: dispatcher,
+		Self: self, Journal: NewJournal(gatedStore{c.store, &c.gate}), Codec: testCodec{}, Directory: table, Dispatcher: dispatcher,
 		Forwarder: forward.New(forward.Config{Directory: table, Dispatcher: dispatcher, Logger: logger, Metrics: forward.NewMetrics(prometheus.NewRegistry())}),
 		Peers:     link{c.peers, name}, Table: node.table, Logger: logger, Registry: prometheus.NewRegistry(),
 	})
--- a/internal/batch/journal.go
+++ b/internal/batch/journal.go
@@ -219,12 +219,12 @@
 
 // Results reads what stands from a chunk on.
 func (j *Journal) Results(ctx context.Context, id string, from int) (listing, error) {
-	read := listing{chunks: from}
-	// A listing begins behind a name, and this one is a prefix of the chunks'.
-	after := id + "-"
 	if from > 0 {
-		after = chunkName(id, from-1)
+		return j.furtherResults(ctx, id, from)
 	}
+	read := listing{}
+	// A listing begins behind a name, and this one is a prefix of the chunks'.
+	after := id + "-"
 	for {
 		page, err := j.store.List(ctx, KindResults, after, objectstore.Linearizable)
 		if err != nil {
@@ -250,6 +250,27 @@
 	}
 }
 
+// furtherResults reads the chunks from one on by their names. A listing would fill
+// a page of a megabyte with the results of other jobs, where mostly there is
+// nothing more of this one.
+func (j *Journal) furtherResults(ctx context.Context, id string, from int) (listing, error) {
+	read := listing{chunks: from}
+	for {
+		object, err := j.store.Get(ctx, KindResults, chunkName(id, read.chunks), objectstore.Linearizable)
+		if errors.Is(err, objectstore.ErrNotFound) {
+			return read, nil
+		}
+		if err != nil {
+			return listing{}, err
+		}
+		next, err := readChunk(object)
+		if err != nil {
+			return listing{}, err
+		}
+		read.add(next)
+	}
+}
+
 func readChunk(object objectstore.Object) (chunk, error) {
 	var read chunk
 	err := json.Unmarshal(object.Spec, &read)
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -60,6 +60,8 @@
 	toldLengths []toldLength
 	// works are what batch jobs of late had to do, by id.
 	works map[string]knownWork
+	// storedLoads are the jobs that are being read from the store, by id.
+	storedLoads map[string]*storedLoad
 	// avoided are nodes that did not answer an offer of a job, each until a time.
 	avoided map[string]time.Time
 	// rewardBounds are the bounds on calls of scorers, by route.
@@ -80,7 +82,7 @@
 	return &Service{
 		config: config, base: base, metrics: newMetrics(config.Registry),
 		jobs: map[string]*job{}, known: map[string]*foreign{}, accepting: map[string]*acceptance{},
-		replicas: map[string]*replicaState{}, uses: map[string]nodeUses{}, attempts: map[*attempt]bool{}, tolerances: map[string]int64{}, lengths: map[string]knownLength{}, works: map[string]knownWork{}, avoided: map[string]time.Time{},
+		replicas: map[string]*replicaState{}, uses: map[string]nodeUses{}, attempts: map[*attempt]bool{}, tolerances: map[string]int64{}, lengths: map[string]knownLength{}, works: map[string]knownWork{}, avoided: map[string]time.Time{}, storedLoads: map[string]*storedLoad{},
 		rewardBounds: map[string]*admission.Adaptive{},
 		wake:         make(chan struct{}, 1),
 	}
--- a/internal/batch/stored.go
+++ b/internal/batch/stored.go
@@ -9,9 +9,60 @@
 // still be carried out: calls without an answer may be done seconds later.
 const lateCalls = 8 * time.Second
 
+// storedLoadTime bounds the reading of one job from the store: some megabytes over
+// the slowest links of a deployment, beside as many other jobs as a trainer has in
+// a minute.
+const storedLoadTime = 20 * time.Second
+
+// storedLoad is a reading of one job from the store under way.
+type storedLoad struct {
+	done chan struct{}
+	err  error
+}
+
 // readStored reads a job's results from the store, for when its owner is away.
-// What is known of the job already is not read again.
+// The reading is shared by all who ask meanwhile and goes on when they give up:
+// with a bound as short as a caller's patience a large job on a slow link was
+// never read to its end, however often it was asked for.
 func (s *Service) readStored(ctx context.Context, standing Standing, after int) (Page, error) {
+	load := s.joinLoad(standing)
+	select {
+	case <-load.done:
+	case <-ctx.Done():
+		return Page{}, ctx.Err()
+	}
+	if load.err != nil {
+		return Page{}, load.err
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	known := s.noteForeign(standing.ID, standing.Record.Owner, standing.Ended)
+	return pageAfter(known.results, after, known.total), nil
+}
+
+// joinLoad returns the reading of a job that is under way, or begins one.
+func (s *Service) joinLoad(standing Standing) *storedLoad {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if load := s.storedLoads[standing.ID]; load != nil {
+		return load
+	}
+	load := &storedLoad{done: make(chan struct{})}
+	s.storedLoads[standing.ID] = load
+	go func() {
+		ctx, cancel := context.WithTimeout(s.base, storedLoadTime)
+		defer cancel()
+		load.err = s.loadStored(ctx, standing)
+		s.mutex.Lock()
+		delete(s.storedLoads, standing.ID)
+		s.mutex.Unlock()
+		close(load.done)
+	}()
+	return load
+}
+
+// loadStored reads what is not known yet of a job from the store.
+func (s *Service) loadStored(ctx context.Context, standing Standing) error {
 	s.mutex.Lock()
 	known := s.noteForeign(standing.ID, standing.Record.Owner, standing.Ended)
 	from, results, total := known.chunks, known.results, known.total
@@ -20,13 +71,13 @@
 	if total == 0 {
 		read, err := s.readTotal(ctx, standing)
 		if err != nil {
-			return Page{}, err
+			return err
 		}
 		total = read
 	}
 	added, err := s.config.Journal.Results(ctx, standing.ID, from)
 	if err != nil {
-		return Page{}, err
+		return err
 	}
 	results = append(results[:len(results):len(results)], added.results...)
 	s.mutex.Lock()
@@ -36,7 +87,7 @@
 	}
 	known.final = known.final || final
 	s.mutex.Unlock()
-	return pageAfter(results, after, total), nil
+	return nil
 }
 
 // readTotal reads how many items a job has.
--- a/internal/batch/stored_test.go
+++ b/internal/batch/stored_test.go
@@ -94,3 +94,57 @@
 		t.Error("the append has not confirmed the owner")
 	}
 }
+
+// Kotuku grown, trouble-1, seed 999176898389: after the loss of all power every
+// try to read an ended job from the store over a slow link was given up after 0.7
+// s, and the next began anew.
+func TestAStoredJobIsReadOnAfterItsReaderGaveUp(t *testing.T) {
+	cluster := endedCluster(t)
+	gate := make(chan struct{})
+	cluster.gate.Store(&gate)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	if _, err := cluster.nodes[0].Read(ctx, "job", 0, 0); err == nil {
+		t.Fatal("read although the store holds the results back")
+	}
+	close(gate)
+	eventually(t, "the job has been read", func() bool {
+		cluster.nodes[0].mutex.Lock()
+		defer cluster.nodes[0].mutex.Unlock()
+		known := cluster.nodes[0].known["job"]
+		return known != nil && known.total == 4 && len(known.results) == 4
+	})
+}
+
+// Readers that ask at the same time share one reading.
+func TestReadersShareOneReadingOfTheStore(t *testing.T) {
+	cluster := endedCluster(t)
+	gate := make(chan struct{})
+	cluster.gate.Store(&gate)
+	node := cluster.nodes[0]
+	lists := cluster.store.Calls("list")
+	results := make(chan error, 20)
+	for range cap(results) {
+		go func() {
+			page, err := node.Read(context.Background(), "job", 0, 0)
+			if err == nil && len(page.Results) != 4 {
+				err = ErrTruncated
+			}
+			results <- err
+		}()
+	}
+	eventually(t, "the reading is under way", func() bool {
+		node.mutex.Lock()
+		defer node.mutex.Unlock()
+		return len(node.storedLoads) == 1
+	})
+	close(gate)
+	for range cap(results) {
+		if err := <-results; err != nil {
+			t.Error(err)
+		}
+	}
+	if calls := cluster.store.Calls("list") - lists; calls >= cap(results) {
+		t.Errorf("%d listings for %d readers", calls, cap(results))
+	}
+}
