A shared reading carries what it read; open jobs are read for each who asks

Found in reading the change before: what a node knows of an ended job may be forgotten while the job is read, and the answer was then empty (a test); and a reader that joined the reading of an open job could miss results that had been seen elsewhere since it began.

--- a/internal/batch/stored.go
+++ b/internal/batch/stored.go
@@ -14,17 +14,25 @@
 // a minute.
 const storedLoadTime = 20 * time.Second
 
-// storedLoad is a reading of one job from the store under way.
+// storedLoad is a reading of one job from the store under way. What it read is
+// set once done is closed.
 type storedLoad struct {
-	done chan struct{}
-	err  error
+	done    chan struct{}
+	results []Result
+	total   int
+	err     error
 }
 
 // readStored reads a job's results from the store, for when its owner is away.
-// The reading is shared by all who ask meanwhile and goes on when they give up:
-// with a bound as short as a caller's patience a large job on a slow link was
-// never read to its end, however often it was asked for.
+// That of an ended job is shared by all who ask meanwhile and goes on when they
+// give up: with a bound as short as a caller's patience a large job on a slow link
+// was never read to its end, however often it was asked for. An open job is read
+// anew for each, since what a reading under way has missed may have been seen.
 func (s *Service) readStored(ctx context.Context, standing Standing, after int) (Page, error) {
+	if !standing.Ended {
+		results, total, err := s.loadStored(ctx, standing)
+		return pageAfter(results, after, total), err
+	}
 	load := s.joinLoad(standing)
 	select {
 	case <-load.done:
@@ -34,10 +42,7 @@
 	if load.err != nil {
 		return Page{}, load.err
 	}
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	known := s.noteForeign(standing.ID, standing.Record.Owner, standing.Ended)
-	return pageAfter(known.results, after, known.total), nil
+	return pageAfter(load.results, after, load.total), nil
 }
 
 // joinLoad returns the reading of a job that is under way, or begins one.
@@ -52,7 +57,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(s.base, storedLoadTime)
 		defer cancel()
-		load.err = s.loadStored(ctx, standing)
+		load.results, load.total, load.err = s.loadStored(ctx, standing)
 		s.mutex.Lock()
 		delete(s.storedLoads, standing.ID)
 		s.mutex.Unlock()
@@ -61,23 +66,23 @@
 	return load
 }
 
-// loadStored reads what is not known yet of a job from the store.
-func (s *Service) loadStored(ctx context.Context, standing Standing) error {
+// loadStored reads what is not known yet of a job from the store, and returns all
+// its results and how many items it has.
+func (s *Service) loadStored(ctx context.Context, standing Standing) (results []Result, total int, err error) {
 	s.mutex.Lock()
 	known := s.noteForeign(standing.ID, standing.Record.Owner, standing.Ended)
-	from, results, total := known.chunks, known.results, known.total
+	from := known.chunks
+	results, total = known.results, known.total
 	final := known.ended && time.Since(known.endedAt) > lateCalls
 	s.mutex.Unlock()
 	if total == 0 {
-		read, err := s.readTotal(ctx, standing)
-		if err != nil {
-			return err
+		if total, err = s.readTotal(ctx, standing); err != nil {
+			return nil, 0, err
 		}
-		total = read
 	}
 	added, err := s.config.Journal.Results(ctx, standing.ID, from)
 	if err != nil {
-		return err
+		return nil, 0, err
 	}
 	results = append(results[:len(results):len(results)], added.results...)
 	s.mutex.Lock()
@@ -87,7 +92,7 @@
 	}
 	known.final = known.final || final
 	s.mutex.Unlock()
-	return nil
+	return results, total, nil
 }
 
 // readTotal reads how many items a job has.
--- a/internal/batch/stored_test.go
+++ b/internal/batch/stored_test.go
@@ -148,3 +148,32 @@
 		t.Errorf("%d listings for %d readers", calls, cap(results))
 	}
 }
+
+// What a node knows of an ended job may be forgotten while the job is read.
+func TestAJobForgottenWhileItIsReadIsReadWhole(t *testing.T) {
+	cluster := endedCluster(t)
+	gate := make(chan struct{})
+	cluster.gate.Store(&gate)
+	node := cluster.nodes[0]
+	type answer struct {
+		page Page
+		err  error
+	}
+	answers := make(chan answer)
+	go func() {
+		page, err := node.Read(context.Background(), "job", 0, 0)
+		answers <- answer{page, err}
+	}()
+	eventually(t, "the reading is under way", func() bool {
+		node.mutex.Lock()
+		defer node.mutex.Unlock()
+		return len(node.storedLoads) == 1
+	})
+	node.mutex.Lock()
+	delete(node.known, "job")
+	node.mutex.Unlock()
+	close(gate)
+	if got := <-answers; got.err != nil || got.page.Total != 4 || len(got.page.Results) != 4 {
+		t.Errorf("%d results of %d, error %v", len(got.page.Results), got.page.Total, got.err)
+	}
+}
