Revert "A reader without the store has its zone follow on, not read"

The reverted change lets most nodes of a zone stay without bound with a reader that is starting or unsure; the code before it has them read the store themselves after 1.2 s.

--- a/internal/watchcache/follow.go
+++ b/internal/watchcache/follow.go
@@ -25,11 +25,6 @@
 	// may answer this node a little before the reader has noticed.
 	unsurePause = 300 * time.Millisecond
 	unsureBound = 2
-	// directReaders is how many nodes of a zone may read the store themselves as
-	// soon as their reader fails them. The others turn to the first of these:
-	// fifty nodes that all listed and watched for some seconds were two thirds of
-	// a day's calls to the store.
-	directReaders = 3
 )
 
 // The outcomes of polls, as metrics name them.
@@ -74,65 +69,33 @@
 	case outcomeSilent:
 		s.noteUnsure()
 		s.passOver(reader.Name, silentTime)
-		if s.newsAge() > newsBound && s.mayReadDirectly() {
+		if s.newsAge() > newsBound {
 			// A further silent reader would make it too late.
 			s.readDirectly()
 		}
 		return false
 	case outcomeStarting:
-		if s.newsAge() < newsBound || !s.mayReadDirectly() {
+		if s.newsAge() < newsBound {
 			return true
 		}
 	case outcomeUnsure:
 		s.noteUnsure()
 		s.doubts++
-		if s.seesNoStore(ctx) {
-			// Whoever is followed knows no less than this node could.
+		if !answers(ctx, s.config.Store, s.config.ProbeKind, s.config.ProbeName) {
+			// The store is away from here too: whoever is followed knows no less
+			// than this node could.
 			s.doubts = 0
 		}
-		if s.doubts < s.doubtsAllowed() {
+		if s.doubts < unsureBound {
 			objectstore.Sleep(ctx, unsurePause)
 			return true
 		}
 	}
 	s.passOver(reader.Name, unsureTime)
-	if s.mayReadDirectly() {
-		s.readDirectly()
-	}
+	s.readDirectly()
 	return false
 }
 
-// seesNoStore tells whether the store is away from here too, as far as this node
-// finds out: those that may read themselves ask it. The others believe their
-// reader, which asks the nodes of other zones for help: in an outage hundreds of
-// nodes would ask in vain.
-func (s *Source) seesNoStore(ctx context.Context) bool {
-	return !s.mayReadDirectly() || !answers(ctx, s.config.Store, s.config.ProbeKind, s.config.ProbeName)
-}
-
-// mayReadDirectly tells whether this node reads the store itself where its
-// reader fails it, and does not turn to another one.
-func (s *Source) mayReadDirectly() bool {
-	for place, candidate := range s.ranked() {
-		if place >= directReaders {
-			return false
-		}
-		if candidate.Name == s.config.Self.Name {
-			return true
-		}
-	}
-	return false
-}
-
-// doubtsAllowed is how many answers in a row a reader may be unsure. One that was
-// turned to because another was unsure has to be sure at once.
-func (s *Source) doubtsAllowed() int {
-	if s.newsAge() > newsBound {
-		return 1
-	}
-	return unsureBound
-}
-
 // readDirectly has this node read the store itself for some seconds.
 func (s *Source) readDirectly() { s.readAtLeast(directTime + rand.N(directSpread)) }
 
--- a/internal/watchcache/help.go
+++ b/internal/watchcache/help.go
@@ -16,19 +16,14 @@
 	// helpPause the one between two polls that brought none.
 	helpLook  = 100 * time.Millisecond
 	helpPause = 300 * time.Millisecond
-	// wideHelp is after how long without help further nodes of this zone are
-	// asked, which begin to read for it: in an outage for all they would do so in
-	// vain, and most last no longer.
-	wideHelp = 5 * time.Second
 )
 
 // seekHelp polls other nodes while the store does not answer this one although
 // it is to read it. Those of other zones that read in any case come first.
 func (s *Source) seekHelp(ctx context.Context) {
 	for objectstore.Sleep(ctx, helpLook) {
-		began := time.Now()
 		for turn := 0; s.health.isTroubled() && ctx.Err() == nil; turn++ {
-			helpers := s.helpers(time.Since(began) > wideHelp)
+			helpers := s.helpers()
 			if len(helpers) == 0 {
 				break
 			}
@@ -43,9 +38,8 @@
 	}
 }
 
-// helpers are the first in rank of each zone but this node; where the net is cast
-// wide, all those of this zone that may read the store themselves.
-func (s *Source) helpers(wide bool) []Node {
+// helpers are the first in rank of each zone but this node.
+func (s *Source) helpers() []Node {
 	byName := map[string]Node{}
 	var candidates []rendezvous.Candidate
 	for _, node := range s.config.Nodes() {
@@ -55,18 +49,14 @@
 		}
 	}
 	var helpers []Node
-	inZone := map[string]int{}
+	zones := map[string]bool{}
 	for _, candidate := range rendezvous.Rank(rankKey, candidates) {
-		wanted := 1
-		if wide && candidate.Zone == s.config.Self.Zone {
-			wanted = directReaders
-		}
-		if inZone[candidate.Zone] < wanted {
-			inZone[candidate.Zone]++
+		if !zones[candidate.Zone] {
+			zones[candidate.Zone] = true
 			helpers = append(helpers, byName[candidate.ID])
 		}
 	}
-	// Those of this zone would have to begin to read.
+	// The one of this zone would have to begin to read.
 	slices.SortStableFunc(helpers, func(a, b Node) int { return s.nearness(a) - s.nearness(b) })
 	return helpers
 }
--- a/internal/watchcache/reader.go
+++ b/internal/watchcache/reader.go
@@ -21,24 +21,14 @@
 // reader returns the node to follow, the first in rank of this zone, unless
 // this node is to read itself.
 func (s *Source) reader() (Node, bool) {
-	s.mutex.Lock()
-	reads := time.Now().Before(s.readUntil)
-	s.mutex.Unlock()
-	if reads {
-		return Node{}, false
-	}
-	first := s.ranked()[0]
-	return first, first.Name != s.config.Self.Name
-}
-
-// ranked are the nodes of this zone that are not passed over, this one included,
-// in their rank as readers.
-func (s *Source) ranked() []Node {
 	nodes := s.config.Nodes()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if time.Now().Before(s.readUntil) {
+		return Node{}, false
+	}
 	maps.DeleteFunc(s.passedOver, func(_ string, until time.Time) bool { return !time.Now().Before(until) })
-	byName := map[string]Node{s.config.Self.Name: s.config.Self}
+	byName := map[string]Node{}
 	candidates := []rendezvous.Candidate{{ID: s.config.Self.Name}}
 	for _, node := range nodes {
 		if node.Zone == s.config.Self.Zone && node.Name != s.config.Self.Name && s.passedOver[node.Name].IsZero() {
@@ -46,11 +36,9 @@
 			candidates = append(candidates, rendezvous.Candidate{ID: node.Name})
 		}
 	}
-	ranked := make([]Node, 0, len(candidates))
-	for _, candidate := range rendezvous.Rank(rankKey, candidates) {
-		ranked = append(ranked, byName[candidate.ID])
-	}
-	return ranked
+	first := rendezvous.Rank(rankKey, candidates)[0].ID
+	reader, found := byName[first]
+	return reader, found
 }
 
 // passOver has a node not followed for a time.
