A stream handed over before its first token counts as one run

The stand-in engine counts a run for each admission with no resumed tokens. A request that has been admitted and is drained before its first token is handed over with none, so that the engine that took the hand-over counted it as admitted anew. Under load, prompts wait longer for their first token, so that a drain strikes some of them. Ruled out: the transport's queue (the path from gateway to engine does not use it); a second dispatch (request.Machine goes on after a Moved event alone, and the source has taken the sequence out of its batch by then). Change: an admission whose hand-over its source has confirmed is no new run.

--- a/standin/engine/complete.go
+++ b/standin/engine/complete.go
@@ -63,7 +63,9 @@
 	if err != nil {
 		return nil, err
 	}
-	if body.ResumeTokens == 0 {
+	if body.ResumeTokens == 0 && !imported {
+		// A stream that was handed over before its first token goes on here: its
+		// source has confirmed the hand-over, which it does once.
 		s.runs[xxhash.Sum64String(body.Prompt)]++
 	}
 	s.applyFaults(stream)
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -103,7 +103,8 @@
 	})
 }
 
-// Runs is how often a prompt was admitted anew; resumed streams do not count.
+// Runs is how often a prompt was admitted anew; streams that were resumed or
+// handed over by another engine do not count.
 func (s *Server) Runs(prompt string) int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
