--- a/internal/batch/accept.go
+++ b/internal/batch/accept.go
@@ -11,23 +11,26 @@
 
 // acceptance is a submission on its way into the store.
 type acceptance struct {
-	done chan struct{}
-	err  error
+	// tenant is whose submission it is.
+	tenant string
+	done   chan struct{}
+	err    error
 }
 
 // Submit makes a batch job lasting and has it run, by the node that runs the
 // jobs of its model if that one answers. A nil error means that the job is kept;
-// a *NotTakenError that nothing of it will run; an *UncertainError promises
-// nothing. The same job is taken once whoever submits it again.
-func (s *Service) Submit(ctx context.Context, id, route, host string, payload []byte, submission *Submission) error {
-	if s.isKnown(id) {
-		return nil
+// a *NotTakenError that nothing of it will run; ErrOtherTenant that the id stands
+// for another tenant's; an *UncertainError promises nothing. The same job is
+// taken once whoever submits it again.
+func (s *Service) Submit(ctx context.Context, arrival *Arrival) error {
+	if s.isKnown(arrival.ID) {
+		return s.authorizeArrival(ctx, arrival)
 	}
-	accepted, runnerErr := s.submitToRunner(ctx, id, route, host, payload, submission.Model)
+	accepted, runnerErr := s.submitToRunner(ctx, arrival)
 	if accepted {
 		return nil
 	}
-	err := s.submitHere(ctx, id, route, host, payload, submission)
+	err := s.submitHere(ctx, arrival)
 	if _, notTaken := err.(*NotTakenError); notTaken && runnerErr != nil {
 		return &UncertainError{Cause: runnerErr}
 	}
@@ -42,23 +45,14 @@
 }
 
 // submitHere makes a batch job lasting and runs it on this node.
-func (s *Service) submitHere(ctx context.Context, id, route, host string, payload []byte, submission *Submission) error {
-	s.mutex.Lock()
-	if s.jobs[id] != nil || s.known[id] != nil {
-		s.mutex.Unlock()
-		return nil
+func (s *Service) submitHere(ctx context.Context, arrival *Arrival) error {
+	if s.isKnown(arrival.ID) {
+		return s.authorizeArrival(ctx, arrival)
 	}
-	pending := s.accepting[id]
-	if pending == nil {
-		pending = &acceptance{done: make(chan struct{})}
-		s.accepting[id] = pending
-		deadline, bounded := ctx.Deadline()
-		if !bounded {
-			deadline = time.Now().Add(backgroundTime)
-		}
-		go s.accept(pending, deadline, id, route, host, payload, submission)
+	pending := s.beginAcceptance(ctx, arrival)
+	if pending.tenant != arrival.Tenant {
+		return ErrOtherTenant
 	}
-	s.mutex.Unlock()
 	select {
 	case <-pending.done:
 		return pending.err
@@ -67,20 +61,44 @@
 	}
 }
 
+// beginAcceptance returns the acceptance of a job that is under way, or begins
+// one.
+func (s *Service) beginAcceptance(ctx context.Context, arrival *Arrival) *acceptance {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if pending := s.accepting[arrival.ID]; pending != nil {
+		return pending
+	}
+	pending := &acceptance{tenant: arrival.Tenant, done: make(chan struct{})}
+	s.accepting[arrival.ID] = pending
+	deadline, bounded := ctx.Deadline()
+	if !bounded {
+		deadline = time.Now().Add(backgroundTime)
+	}
+	go s.accept(pending, deadline, arrival)
+	return pending
+}
+
 // accept writes a submission, first within the caller's time and then, if it
 // is uncertain, beyond it.
-func (s *Service) accept(pending *acceptance, deadline time.Time, id, route, host string, payload []byte, submission *Submission) {
+func (s *Service) accept(pending *acceptance, deadline time.Time, arrival *Arrival) {
 	ctx, cancel := context.WithDeadline(s.base, deadline)
 	defer cancel()
-	record := Record{Owner: s.config.Self, Epoch: 1, Route: route, Host: host, AcceptedMs: time.Now().UnixMilli()}
-	standing, made, err := s.config.Journal.Accept(ctx, id, record, payload)
+	id := arrival.ID
+	record := Record{
+		Owner: s.config.Self, Epoch: 1, Route: arrival.Route, Host: arrival.Host, Tenant: arrival.Tenant, AcceptedMs: time.Now().UnixMilli(),
+	}
+	standing, made, err := s.config.Journal.Accept(ctx, id, record, arrival.Payload)
+	if err == nil && standing.Tenant != record.Tenant {
+		err = ErrOtherTenant
+	}
 	pending.err = err
 	if _, uncertain := err.(*UncertainError); uncertain {
 		s.config.Logger.Info("batch job outcome unknown, retrying", "request", id, "error", err.Error())
 		close(pending.done)
 		longer, cancelLonger := context.WithTimeout(s.base, backgroundTime)
 		defer cancelLonger()
-		standing, made, err = s.config.Journal.Accept(longer, id, record, payload)
+		standing, made, err = s.config.Journal.Accept(longer, id, record, arrival.Payload)
 	} else {
 		defer close(pending.done)
 	}
@@ -88,17 +106,18 @@
 	delete(s.accepting, id)
 	own := err == nil && standing.Owner == s.config.Self
 	if err == nil && !own {
-		s.noteForeign(id, standing.Owner, false)
+		s.noteStanding(Standing{ID: id, Record: standing})
 	}
 	s.mutex.Unlock()
 	if err != nil {
 		s.config.Logger.Info("batch job not accepted", "request", id, "error", err.Error())
 		return
 	}
-	s.config.Logger.Info("batch job accepted", "request", id, "owner", standing.Owner.Node, "items", len(submission.Items), "bytes", len(payload))
+	s.config.Logger.Info("batch job accepted", "request", id, "owner", standing.Owner.Node, "items", len(arrival.Submission.Items),
+		"bytes", len(arrival.Payload), "tenant", standing.Tenant)
 	switch {
 	case own && made:
-		s.start(id, submission, standing, listing{})
+		s.start(id, arrival.Submission, standing, listing{})
 	case own:
 		// An earlier try made it, or it was run here and forgotten.
 		go s.takeUpAgain(id)
@@ -118,7 +137,7 @@
 	}
 	if standing.Ended || standing.Record.Owner != s.config.Self {
 		s.mutex.Lock()
-		s.noteForeign(id, standing.Record.Owner, standing.Ended)
+		s.noteStanding(standing)
 		s.mutex.Unlock()
 		return
 	}
--- /dev/null
+++ b/internal/batch/arrival.go
@@ -0,0 +1,16 @@
+package batch
+
+// Arrival is a batch job as it comes to a node, before it is kept.
+type Arrival struct {
+	// ID is the caller's id of the job.
+	ID string
+	// Route is the name of the route that took the job, and Host its host.
+	Route string
+	Host  string
+	// Tenant is whose job it is, empty where no tenants are declared.
+	Tenant string
+	// Payload is the submission as its caller sent it, and Submission what it
+	// says.
+	Payload    []byte
+	Submission *Submission
+}
--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -53,12 +53,11 @@
 	s.attempts[running] = true
 	s.replica(endpoint.Name).running++
 	s.metrics.runs.Inc()
-	route := routeOf(s.config.Directory.View().Configuration, waiting.job.record.Route)
+	configuration := s.config.Directory.View().Configuration
+	route := routeOf(configuration, waiting.job.record.Route)
 	host := waiting.job.record.Host
 	singleVersion := route != nil && route.SingleVersion
-	if route != nil {
-		running.priority = route.Priority
-	}
+	running.priority = priorityOf(configuration, waiting.job.record)
 	rewardAttempts := func() int { return s.rewardAttempts(waiting) }
 	go func() {
 		err := s.run(ctx, running, host, singleVersion)
@@ -80,6 +79,7 @@
 	call := &dispatch.Call{
 		ID: work.ID, Method: http.MethodPost, Target: work.Target, Host: host, Header: work.Header, Body: work.Body,
 		Deadline: time.Now().Add(attemptTime), AfterEvent: len(work.progress.events), Rank: dispatch.RankOf(running.priority),
+		Tenant: work.job.record.Tenant,
 	}
 	answer, err := s.config.Dispatcher.Send(ctx, running.endpoint, call)
 	if err != nil {
--- a/internal/batch/beat.go
+++ b/internal/batch/beat.go
@@ -58,6 +58,11 @@
 		standing := s.noteForeign(id, owner, false)
 		standing.heard, standing.leaving = time.Now(), beat.Leaving
 	}
+	for _, work := range beat.Work {
+		if standing := s.known[work.Job]; standing != nil {
+			standing.tenant, standing.tenantKnown = work.Tenant, true
+		}
+	}
 	for _, id := range beat.Ended {
 		if held := s.jobs[id]; held != nil && !held.ended {
 			// Whoever ended it took another node for the owner.
--- a/internal/batch/errors.go
+++ b/internal/batch/errors.go
@@ -7,6 +7,11 @@
 )
 
 var (
+	// ErrOtherTenant means that another tenant has handed in a batch job under
+	// the same id.
+	ErrOtherTenant = merry.Sentinel("another tenant's batch job has this id")
+	// ErrCredentials means that an item of a batch job carries credentials.
+	ErrCredentials = merry.Sentinel("an item must not carry credentials: it runs for the tenant that hands the batch job in")
 	// ErrNoSuchJob means that the store has no such batch job.
 	ErrNoSuchJob = merry.Sentinel("no such batch job")
 	// ErrNoSuchItem means that a batch job has no such item.
--- a/internal/batch/foreign.go
+++ b/internal/batch/foreign.go
@@ -33,6 +33,9 @@
 	// heard is when the owner was heard to run it.
 	heard time.Time
 	ended bool
+	// tenant is whose job it is, if tenantKnown.
+	tenant      string
+	tenantKnown bool
 	// rank is this node's place among those that may take the job over, as
 	// worked out for a membership.
 	rank       int
@@ -244,7 +247,7 @@
 			s.mutex.Lock()
 			for _, standing := range all {
 				if s.jobs[standing.ID] == nil && !standing.Ended {
-					s.noteForeign(standing.ID, standing.Record.Owner, false)
+					s.noteStanding(standing)
 				}
 			}
 			s.recovered = true
--- a/internal/batch/front.go
+++ b/internal/batch/front.go
@@ -7,7 +7,6 @@
 	"strconv"
 	"time"
 
-	"github.com/pathtally/pathtally/internal/directory"
 	"github.com/pathtally/pathtally/internal/ingress"
 )
 
@@ -33,12 +32,17 @@
 var _ ingress.Jobs = (*Front)(nil)
 
 // Submit implements ingress.Jobs.
-func (f *Front) Submit(writer http.ResponseWriter, request *http.Request, route *directory.Route, id string, body []byte) {
-	submission, err := f.Service.config.Codec.Submission(body)
+func (f *Front) Submit(writer http.ResponseWriter, request *http.Request, submitted ingress.Submitted) {
+	id, route := submitted.ID, submitted.Route
+	submission, err := f.Service.config.Codec.Submission(submitted.Body)
 	if err != nil {
 		f.refuse(writer, id, http.StatusBadRequest, err, 0)
 		return
 	}
+	if submission.HasCredentials {
+		f.refuse(writer, id, http.StatusBadRequest, ErrCredentials, 0)
+		return
+	}
 	patience := submitTime
 	if route.Timeout > 0 {
 		patience = route.Timeout
@@ -49,12 +53,16 @@
 	// The caller's leaving does not end it: the job may be taken by then.
 	ctx, cancel := context.WithTimeout(f.Service.base, patience-answerMargin)
 	defer cancel()
-	err = f.Service.Submit(ctx, id, route.Name, route.Host, body, submission)
+	err = f.Service.Submit(ctx, &Arrival{
+		ID: id, Route: route.Name, Host: route.Host, Tenant: submitted.Tenant, Payload: submitted.Body, Submission: submission,
+	})
 	var notTaken *NotTakenError
 	switch {
 	case err == nil:
 		f.Headers.Refuse(writer.Header(), id, 0)
 		writer.WriteHeader(http.StatusAccepted)
+	case errors.Is(err, ErrOtherTenant):
+		f.refuse(writer, id, http.StatusConflict, err, 0)
 	case errors.As(err, &notTaken):
 		f.refuse(writer, id, http.StatusServiceUnavailable, err, comeBack)
 	default:
@@ -62,15 +70,23 @@
 	}
 }
 
-// ServeCall implements ingress.Jobs.
-func (f *Front) ServeCall(writer http.ResponseWriter, request *http.Request) bool {
-	call, isCall, err := f.Service.config.Codec.Call(request)
-	if !isCall {
-		return false
-	}
+// IsCall implements ingress.Jobs.
+func (f *Front) IsCall(request *http.Request) bool {
+	_, isCall, _ := f.Service.config.Codec.Call(request)
+	return isCall
+}
+
+// ServeCall implements ingress.Jobs. A batch job of another tenant's does not
+// exist for the caller.
+func (f *Front) ServeCall(writer http.ResponseWriter, request *http.Request, tenant string) {
+	call, _, err := f.Service.config.Codec.Call(request)
 	if err != nil {
 		f.refuse(writer, call.Job, http.StatusBadRequest, err, 0)
-		return true
+		return
+	}
+	if err := f.authorize(request, call, tenant); err != nil {
+		f.fail(writer, call, err)
+		return
 	}
 	switch call.Kind {
 	case CallRead:
@@ -80,7 +96,13 @@
 	case CallEnd:
 		f.end(writer, request, call)
 	}
-	return true
+}
+
+// authorize finds out whether a batch job is the calling tenant's.
+func (f *Front) authorize(request *http.Request, call Call, tenant string) error {
+	ctx, cancel := context.WithTimeout(request.Context(), callTime)
+	defer cancel()
+	return f.Service.Authorize(ctx, call.Job, tenant)
 }
 
 func (f *Front) read(writer http.ResponseWriter, request *http.Request, call Call) {
--- a/internal/batch/harness_test.go
+++ b/internal/batch/harness_test.go
@@ -338,7 +338,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	made, payload := submission(id, items)
-	return node.submitHere(ctx, id, testRoute, "drafts.example", payload, made)
+	return node.submitHere(ctx, &Arrival{ID: id, Route: testRoute, Host: "drafts.example", Payload: payload, Submission: made})
 }
 
 // eventually waits for a condition, for as long as a test may take.
--- a/internal/batch/journal.go
+++ b/internal/batch/journal.go
@@ -43,6 +43,8 @@
 	Route string `json:"route"`
 	Host  string `json:"host"`
 	Parts int    `json:"parts"`
+	// Tenant is whose job it is, empty where no tenants were declared.
+	Tenant string `json:"tenant,omitempty"`
 	// AcceptedMs is the owner's time of day at the acceptance, in milliseconds.
 	AcceptedMs int64 `json:"acceptedMs"`
 }
--- a/internal/batch/reward.go
+++ b/internal/batch/reward.go
@@ -55,6 +55,7 @@
 		if route != nil {
 			call := &dispatch.Call{
 				ID: reward.ID, Method: http.MethodPost, Target: reward.Target, Host: reward.Host, Header: reward.Header, Body: reward.Body,
+				Tenant: work.job.record.Tenant,
 			}
 			whole, err := s.callScorer(work.job.ctx, route, call)
 			if err == nil {
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -39,12 +39,13 @@
 // its connections to the replicas from one step to the next, and has seen the
 // items that come back. False means that this node is to accept the job itself;
 // the error is then not nil where the other node may have accepted it already.
-func (s *Service) submitToRunner(ctx context.Context, id, route, host string, payload []byte, model string) (bool, error) {
-	address, found := s.findRunner(ctx, id, model)
+func (s *Service) submitToRunner(ctx context.Context, arrival *Arrival) (bool, error) {
+	id := arrival.ID
+	address, found := s.findRunner(ctx, id, arrival.Submission.Model)
 	if !found {
 		return false, nil
 	}
-	submit := &wire.JobSubmit{Job: id, Route: route, Host: host, Payload: payload}
+	submit := &wire.JobSubmit{Job: id, Route: arrival.Route, Host: arrival.Host, Payload: arrival.Payload, Tenant: arrival.Tenant}
 	reply, err := environment.Ask(ctx, s.config.Peers, address, submit, time.Duration(runnerPart*float64(timeLeft(ctx))))
 	if err != nil {
 		s.config.Logger.Info("runner of batch job lost", "request", id, "runner", address, "error", err.Error())
@@ -143,12 +144,14 @@
 	}
 	ctx, cancel := context.WithTimeout(s.base, submitTime)
 	defer cancel()
-	err = s.submitHere(ctx, question.Job, question.Route, question.Host, question.Payload, submission)
+	err = s.submitHere(ctx, &Arrival{
+		ID: question.Job, Route: question.Route, Host: question.Host, Tenant: question.Tenant, Payload: question.Payload, Submission: submission,
+	})
 	var notTaken *NotTakenError
 	switch {
 	case err == nil:
 		reply(&wire.JobSubmitted{Outcome: wire.OutcomeDone})
-	case errors.As(err, &notTaken):
+	case errors.As(err, &notTaken), errors.Is(err, ErrOtherTenant):
 		reply(&wire.JobSubmitted{Outcome: wire.OutcomeNotRun, Detail: err.Error()})
 	default:
 		reply(&wire.JobSubmitted{Outcome: wire.OutcomeUnknown, Detail: err.Error()})
--- a/internal/batch/runner_test.go
+++ b/internal/batch/runner_test.go
@@ -37,7 +37,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	made, payload := submission(id, items)
-	return node.Submit(ctx, id, testRoute, "drafts.example", payload, made)
+	return node.Submit(ctx, &Arrival{ID: id, Route: testRoute, Host: "drafts.example", Payload: payload, Submission: made})
 }
 
 func TestOneNodeRunsTheJobsOfAModel(t *testing.T) {
@@ -111,7 +111,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
 	defer cancel()
 	made, payload := submission("job", 2)
-	err := ranked[2].Submit(ctx, "job", testRoute, "drafts.example", payload, made)
+	err := ranked[2].Submit(ctx, &Arrival{ID: "job", Route: testRoute, Host: "drafts.example", Payload: payload, Submission: made})
 	var uncertain *UncertainError
 	if err != nil && !errors.As(err, &uncertain) {
 		t.Errorf("error %v, want nil or an uncertain outcome", err)
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -118,17 +118,19 @@
 	}
 }
 
-// sortQueue orders the items that wait: those of more urgent routes first, then
-// older jobs where they differ by much, then by rank. The mutex must be held.
+// sortQueue orders the items that wait: those of more urgent tenants or routes
+// first, then older jobs where they differ by much, then by rank. The mutex must
+// be held.
 func (s *Service) sortQueue() {
-	priorities := map[string]int{}
-	if configuration := s.config.Directory.View().Configuration; configuration != nil {
-		for _, route := range configuration.Routes {
-			priorities[route.Name] = route.Priority
+	priorities := map[*job]int{}
+	configuration := s.config.Directory.View().Configuration
+	for _, waiting := range s.queue {
+		if _, known := priorities[waiting.job]; !known {
+			priorities[waiting.job] = priorityOf(configuration, waiting.job.record)
 		}
 	}
 	slices.SortStableFunc(s.queue, func(a, b *item) int {
-		if order := priorities[a.job.record.Route] - priorities[b.job.record.Route]; order != 0 {
+		if order := priorities[a.job] - priorities[b.job]; order != 0 {
 			return order
 		}
 		if order := a.job.accepted.Truncate(ageStep).Compare(b.job.accepted.Truncate(ageStep)); order != 0 {
@@ -138,6 +140,19 @@
 	})
 }
 
+// priorityOf is the rank of a job's items, 0 the most urgent: that of its tenant,
+// else that of its route.
+func priorityOf(configuration *directory.Configuration, record Record) int {
+	if configuration == nil {
+		return 0
+	}
+	route := 0
+	if standing := routeOf(configuration, record.Route); standing != nil {
+		route = standing.Priority
+	}
+	return configuration.Tenants.PriorityOf(record.Tenant, route)
+}
+
 // displace stops running a job that another node runs now. The mutex must be
 // held.
 func (s *Service) displace(displaced *job) {
--- a/internal/batch/service_test.go
+++ b/internal/batch/service_test.go
@@ -100,7 +100,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 	defer cancel()
 	made, payload := submission("job", 2)
-	err := cluster.nodes[0].Submit(ctx, "job", testRoute, "drafts.example", payload, made)
+	err := cluster.nodes[0].Submit(ctx, &Arrival{ID: "job", Route: testRoute, Host: "drafts.example", Payload: payload, Submission: made})
 	var notTaken *NotTakenError
 	var uncertain *UncertainError
 	if !errors.As(err, &notTaken) && !errors.As(err, &uncertain) {
@@ -125,7 +125,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 	defer cancel()
 	made, payload := submission("job", 2)
-	err := cluster.nodes[0].Submit(ctx, "job", testRoute, "drafts.example", payload, made)
+	err := cluster.nodes[0].Submit(ctx, &Arrival{ID: "job", Route: testRoute, Host: "drafts.example", Payload: payload, Submission: made})
 	var uncertain *UncertainError
 	if !errors.As(err, &uncertain) {
 		t.Fatalf("submission without an answer: %v", err)
--- a/internal/batch/stored.go
+++ b/internal/batch/stored.go
@@ -70,7 +70,7 @@
 // its results and how many items it has.
 func (s *Service) loadStored(ctx context.Context, standing Standing) (results []Result, total int, err error) {
 	s.mutex.Lock()
-	known := s.noteForeign(standing.ID, standing.Record.Owner, standing.Ended)
+	known := s.noteStanding(standing)
 	from := known.chunks
 	results, total = known.results, known.total
 	final := known.ended && time.Since(known.endedAt) > lateCalls
--- a/internal/batch/submission.go
+++ b/internal/batch/submission.go
@@ -12,6 +12,9 @@
 	// Desired is how many whole groups the trainer waits for; 0 for all.
 	Desired int
 	Items   []*Item
+	// HasCredentials tells that an item named some for its request. They are not
+	// in the item's header: a job is kept, and credentials must not be.
+	HasCredentials bool
 }
 
 // Item is one request of a batch job.
--- a/internal/batch/takeover.go
+++ b/internal/batch/takeover.go
@@ -34,7 +34,7 @@
 		return
 	}
 	s.mutex.Lock()
-	s.noteForeign(id, standing.Record.Owner, standing.Ended)
+	s.noteStanding(standing)
 	s.mutex.Unlock()
 	if standing.Ended || standing.Record.Owner != gone {
 		return
--- a/internal/batch/watchers_test.go
+++ b/internal/batch/watchers_test.go
@@ -140,7 +140,7 @@
 		for _, submitted := range made.Items {
 			submitted.ExpectedTokens = tokens
 		}
-		if err := cluster.nodes[0].Submit(context.Background(), fmt.Sprintf("job-%d", number), testRoute, "drafts.example", payload, made); err != nil {
+		if err := cluster.nodes[0].Submit(context.Background(), &Arrival{ID: fmt.Sprintf("job-%d", number), Route: testRoute, Host: "drafts.example", Payload: payload, Submission: made}); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/internal/directory/configuration.go
+++ b/internal/directory/configuration.go
@@ -4,6 +4,8 @@
 	"net"
 	"strings"
 	"time"
+
+	"github.com/pathtally/pathtally/internal/tenancy"
 )
 
 // RouteKind tells what may be repeated on a route.
@@ -43,6 +45,8 @@
 	Attempts int
 	// Priority is the rank of the requests; 0 is the most urgent.
 	Priority int
+	// Public routes need no key.
+	Public bool
 	// Sticky requests carry a prompt that replicas keep the beginning of.
 	Sticky bool
 	// Resumable streams may be continued at another replica.
@@ -96,6 +100,10 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Tenants finds tenants by their keys; nil where none are declared.
+	Tenants *tenancy.Table
+	// TenantFindings is what of the declared tenants cannot be used.
+	TenantFindings []*tenancy.DeclarationError
 
 	byHost map[string][]*Route
 }
@@ -122,6 +130,22 @@
 	return best
 }
 
+// JobCallsArePublic tells whether calls about the batch jobs of a host need no
+// key: those of all its routes that take batch jobs do not.
+func (c *Configuration) JobCallsArePublic(host string) bool {
+	public := false
+	for _, route := range c.RoutesOf(host) {
+		if route.Kind != RouteBatch {
+			continue
+		}
+		if !route.Public {
+			return false
+		}
+		public = true
+	}
+	return public
+}
+
 // RoutesOf returns the routes of a host.
 func (c *Configuration) RoutesOf(host string) []*Route { return c.byHost[hostName(host)] }
 
--- a/internal/directory/table.go
+++ b/internal/directory/table.go
@@ -70,7 +70,11 @@
 	configuration.Index()
 	next := *standing
 	next.Configuration, next.ConfigurationRevision = configuration, revision
-	t.logger.Info("configuration in force", "version", configuration.Version, "revision", revision, "routes", len(configuration.Routes))
+	t.logger.Info("configuration in force", "version", configuration.Version, "revision", revision, "routes", len(configuration.Routes),
+		"tenants", configuration.Tenants.Len())
+	for _, finding := range configuration.TenantFindings {
+		t.logger.Error(finding, "tenant declaration passed over in part", "version", configuration.Version)
+	}
 	t.publish(&next)
 }
 
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -24,6 +24,8 @@
 	Version int64
 	// Once marks a request that must not run twice.
 	Once bool
+	// Tenant is whose request it is, empty where no tenants are declared.
+	Tenant string
 	// Rank is the priority of a generation among others at a model engine, the
 	// first of them 1; 0 leaves it to the engine.
 	Rank int
@@ -39,8 +41,9 @@
 	Remaining  time.Duration
 	AfterEvent int
 	Version    int64
-	// Rank is as in a Call.
-	Rank int
+	// Rank and Tenant are as in a Call.
+	Rank   int
+	Tenant string
 }
 
 // Verdict is what an answer's head says.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -52,7 +52,8 @@
 func (d *Dispatcher) Send(ctx context.Context, endpoint *routing.Endpoint, call *Call) (*Answer, error) {
 	header := call.Header.Clone()
 	d.headers.Prepare(header, Conditions{
-		Replica: endpoint.Name, Remaining: time.Until(call.Deadline), AfterEvent: call.AfterEvent, Version: call.Version, Rank: call.Rank,
+		Replica: endpoint.Name, Remaining: time.Until(call.Deadline), AfterEvent: call.AfterEvent, Version: call.Version,
+		Rank: call.Rank, Tenant: call.Tenant,
 	})
 	request := &exchange.Request{Method: call.Method, Target: call.Target, Host: call.Host, Header: header, Body: call.Body}
 	endpoint.State.InFlight.Add(1)
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -28,10 +28,22 @@
 
 // Jobs serves the calls about batch jobs.
 type Jobs interface {
-	// ServeCall answers a call about a batch job; false when it is none.
-	ServeCall(writer http.ResponseWriter, request *http.Request) bool
-	// Submit answers a new batch job.
-	Submit(writer http.ResponseWriter, request *http.Request, route *directory.Route, id string, body []byte)
+	// IsCall tells whether a request is a call about a batch job.
+	IsCall(request *http.Request) bool
+	// ServeCall answers such a call of a tenant's, empty for anybody.
+	ServeCall(writer http.ResponseWriter, request *http.Request, tenant string)
+	// Submit answers a new batch job of a tenant's.
+	Submit(writer http.ResponseWriter, request *http.Request, submitted Submitted)
+}
+
+// Submitted is a new batch job as it came.
+type Submitted struct {
+	Route *directory.Route
+	// ID is the caller's id of the job.
+	ID string
+	// Tenant is whose job it is, empty where no tenants are declared.
+	Tenant string
+	Body   []byte
 }
 
 // Config is what a Handler needs.
@@ -40,7 +52,13 @@
 	Forwarder *forward.Forwarder
 	Jobs      Jobs
 	Headers   Headers
+	Metrics   *Metrics
 	Logger    klog.Logger
+	// ConfigurationAge is for how long the configuration has not been known to
+	// be the newest.
+	ConfigurationAge func() time.Duration
+	// KeyBound is from which such age on no key is trusted; 0 for never.
+	KeyBound func() time.Duration
 	// BodyBytes bounds the bodies of all requests in progress together; 0 for
 	// no bound.
 	BodyBytes int64
@@ -77,20 +95,41 @@
 	if h.Closing.Load() {
 		writer.Header().Set("Connection", "close")
 	}
-	if h.config.Jobs.ServeCall(writer, request) {
-		return
-	}
 	id := h.config.Headers.RequestID(request.Header)
 	configuration := h.config.Directory.View().Configuration
 	if configuration == nil {
 		h.refuse(writer, id, http.StatusServiceUnavailable, "no configuration is known yet", unconfiguredWait)
 		return
 	}
+	if h.config.Jobs.IsCall(request) {
+		h.serveJobCall(writer, request, configuration, id)
+		return
+	}
+	h.serveRequest(writer, request, configuration, id)
+}
+
+// serveJobCall answers a call about a batch job.
+func (h *Handler) serveJobCall(writer http.ResponseWriter, request *http.Request, configuration *directory.Configuration, id string) {
+	from, err := h.authenticate(configuration, request.Header, configuration.JobCallsArePublic(request.Host))
+	if err != nil {
+		h.refuseCaller(writer, id, err)
+		return
+	}
+	h.config.Jobs.ServeCall(writer, request, from.name())
+}
+
+// serveRequest answers a request on a route.
+func (h *Handler) serveRequest(writer http.ResponseWriter, request *http.Request, configuration *directory.Configuration, id string) {
 	route := configuration.Lookup(request.Host, request.URL.EscapedPath())
 	if route == nil {
 		h.refuse(writer, id, http.StatusNotFound, "no route for the host and path", 0)
 		return
 	}
+	from, err := h.authenticate(configuration, request.Header, route.Public)
+	if err != nil {
+		h.refuseCaller(writer, id, err)
+		return
+	}
 	if id == "" {
 		h.refuse(writer, id, http.StatusBadRequest, "the request has no id", 0)
 		return
@@ -110,15 +149,16 @@
 		panic(http.ErrAbortHandler)
 	}
 	if route.Kind == directory.RouteBatch {
-		h.config.Jobs.Submit(writer, request, route, id, body)
+		h.config.Jobs.Submit(writer, request, Submitted{Route: route, ID: id, Tenant: from.name(), Body: body})
 		return
 	}
 	call := &dispatch.Call{
 		ID: id, Method: request.Method, Target: request.RequestURI, Host: request.Host,
 		Header: withoutConnectionHeaders(request.Header), Body: body, Deadline: h.deadline(request.Header, route, received),
+		Tenant: from.name(),
 	}
 	if route.Kind == directory.RouteStream {
-		call.AfterEvent, call.Rank = h.config.Headers.AfterEvent(request.Header), dispatch.RankOf(route.Priority)
+		call.AfterEvent, call.Rank = h.config.Headers.AfterEvent(request.Header), dispatch.RankOf(from.priority(route))
 		h.stream(writer, request, route, call)
 		return
 	}
--- a/internal/ingress/headers.go
+++ b/internal/ingress/headers.go
@@ -4,12 +4,19 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/pathtally/pathtally/internal/tenancy"
 )
 
 // Headers reads and writes the headers between callers and nodes.
 type Headers interface {
 	// RequestID is the caller's id of a request, empty if it gives none.
 	RequestID(header http.Header) string
+	// Key is the API key that a request carries. Its error is one of package
+	// tenancy's that say why there is none.
+	Key(header http.Header) (tenancy.Key, error)
+	// WithholdKey removes the key from the headers that are passed on.
+	WithholdKey(header http.Header)
 	// Deadline is how long the caller will wait.
 	Deadline(header http.Header) (time.Duration, bool)
 	// AfterEvent is the event after which a stream is to be continued, 0 for
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -130,6 +130,8 @@
 	i.handler = ingress.NewHandler(ingress.Config{
 		Directory: i.directory, Forwarder: i.forwarder, Headers: i.adapter.Headers, Logger: i.logger,
 		Jobs: &batch.Front{Service: i.jobs, Headers: i.adapter.Headers}, BodyBytes: i.settings.MemoryMB * megabyte / bodyPart,
+		Metrics: ingress.NewMetrics(i.registry), ConfigurationAge: i.source.Age,
+		KeyBound: func() time.Duration { return i.current.Load().KeyBound.Std() },
 	})
 }
 
--- a/internal/instance/reload.go
+++ b/internal/instance/reload.go
@@ -1,6 +1,8 @@
 package instance
 
 import (
+	"slices"
+
 	"github.com/pathtally/pathtally/internal/settings"
 )
 
@@ -11,15 +13,13 @@
 	defer i.reloadMutex.Unlock()
 	standing := i.current.Load()
 	fixed := changed
-	fixed.Grace, fixed.OrderLease, fixed.Drain, fixed.CatchUp, fixed.Seeds =
-		standing.Grace, standing.OrderLease, standing.Drain, standing.CatchUp, standing.Seeds
+	takeChangeable(&fixed, standing)
 	needsRestart := !sameFixed(fixed, *standing)
 	next := *standing
-	next.Grace, next.OrderLease, next.Drain, next.CatchUp, next.Seeds =
-		changed.Grace, changed.OrderLease, changed.Drain, changed.CatchUp, changed.Seeds
+	takeChangeable(&next, &changed)
 	i.current.Store(&next)
 	i.logger.Info("settings reloaded", "grace", next.Grace.Std().String(), "orderLease", next.OrderLease.Std().String(),
-		"drain", next.Drain.Std().String(), "seeds", len(next.Seeds), "needsRestart", needsRestart)
+		"drain", next.Drain.Std().String(), "keyBound", next.KeyBound.Std().String(), "seeds", len(next.Seeds), "needsRestart", needsRestart)
 	if next.Idle {
 		return
 	}
@@ -27,8 +27,15 @@
 	i.peers.SetSeeds(next.Seeds)
 }
 
+// takeChangeable copies the settings that come into force without a new start.
+func takeChangeable(into, from *settings.Settings) {
+	into.Grace, into.OrderLease, into.Drain, into.CatchUp, into.KeyBound, into.Seeds =
+		from.Grace, from.OrderLease, from.Drain, from.CatchUp, from.KeyBound, from.Seeds
+}
+
 // sameFixed tells whether the settings that need a new start are the same.
 func sameFixed(a, b settings.Settings) bool {
 	return a.Node == b.Node && a.Zone == b.Zone && a.Region == b.Region && a.Peer == b.Peer && a.PeerAdvertised == b.PeerAdvertised && a.HTTP == b.HTTP &&
-		a.Readiness == b.Readiness && a.Metrics == b.Metrics && a.ObjectStore == b.ObjectStore && a.Idle == b.Idle
+		a.Readiness == b.Readiness && a.Metrics == b.Metrics && a.ObjectStore == b.ObjectStore && a.Idle == b.Idle &&
+		a.DutyAPI == b.DutyAPI && slices.Equal(a.Duties, b.Duties) && a.UsageWindow == b.UsageWindow && a.UsageLate == b.UsageLate
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -59,6 +59,18 @@
 	Drain v1.Duration `json:"drain"`
 	// CatchUp bounds how long a starting node may take to be up to date.
 	CatchUp v1.Duration `json:"catchUp"`
+	// KeyBound is how old a configuration may be, not known to be the newest, for
+	// its API keys to be trusted; zero trusts the last one known without bound.
+	KeyBound v1.Duration `json:"keyBound"`
+	// DutyAPI is the address of the platform's API for what one node does for the
+	// whole deployment, and Duties the platform's names of what it takes; empty
+	// means that there is nothing of the kind to do.
+	DutyAPI string   `json:"dutyAPI"`
+	Duties  []string `json:"duties"`
+	// UsageWindow is the length of the windows that usage is reported for, and
+	// UsageLate how long after its end a window's report is due.
+	UsageWindow v1.Duration `json:"usageWindow"`
+	UsageLate   v1.Duration `json:"usageLate"`
 }
 
 // Error is a setting that cannot be used.
@@ -181,7 +193,7 @@
 		}
 	}
 	addresses := s.requiredAddresses()
-	for _, optional := range []struct{ setting, value string }{{"readiness", s.Readiness}, {"metrics", s.Metrics}} {
+	for _, optional := range []struct{ setting, value string }{{"readiness", s.Readiness}, {"metrics", s.Metrics}, {"dutyAPI", s.DutyAPI}} {
 		if optional.value != "" {
 			addresses = append(addresses, optional)
 		}
@@ -203,7 +215,10 @@
 	for _, span := range []struct {
 		setting string
 		value   v1.Duration
-	}{{"orderLease", s.OrderLease}, {"drain", s.Drain}, {"catchUp", s.CatchUp}} {
+	}{
+		{"orderLease", s.OrderLease}, {"drain", s.Drain}, {"catchUp", s.CatchUp}, {"keyBound", s.KeyBound},
+		{"usageWindow", s.UsageWindow}, {"usageLate", s.UsageLate},
+	} {
 		if span.value < 0 {
 			findings = append(findings, &Error{Setting: span.setting, Found: span.value.Std().String(), Allowed: "a duration of 0 or more"})
 		}
--- /dev/null
+++ b/internal/tenancy/key.go
@@ -0,0 +1,33 @@
+package tenancy
+
+import "crypto/sha256"
+
+// LongestKey bounds a key, in bytes. Those that operators hand out have some
+// tens; longer ones are refused before they are digested.
+const LongestKey = 256
+
+// redacted stands for a key wherever one would be printed.
+const redacted = "[redacted]"
+
+// Key is an API key as a caller sends it. It must not be stored or logged; every
+// way of printing it that the language offers prints a placeholder.
+type Key string
+
+// String implements fmt.Stringer without the key.
+func (Key) String() string { return redacted }
+
+// GoString implements fmt.GoStringer without the key.
+func (Key) GoString() string { return redacted }
+
+// MarshalText implements encoding.TextMarshaler without the key.
+func (Key) MarshalText() ([]byte, error) { return []byte(redacted), nil }
+
+// digest is what is kept of a key. Keys are drawn at random by those who declare
+// them, so that a plain hash cannot be searched for them.
+type digest [sha256.Size]byte
+
+// digestOf digests a key without allocating.
+func digestOf(key Key) digest {
+	var buffer [LongestKey]byte
+	return sha256.Sum256(buffer[:copy(buffer[:], key)])
+}
--- /dev/null
+++ b/internal/tenancy/table.go
@@ -0,0 +1,109 @@
+package tenancy
+
+// Tenant is one of those that share a deployment.
+type Tenant struct {
+	Name string
+	// Priority ranks the tenant's requests, 0 the most urgent; nil leaves that
+	// to the route.
+	Priority *int
+}
+
+// Declared is a tenant with its keys, as an operator declares it.
+type Declared struct {
+	Tenant
+	Keys []Key
+}
+
+// Table finds tenants by their keys. It is immutable. A nil table is that of a
+// configuration that declares no tenants: nobody needs a key.
+type Table struct {
+	byKey  map[digest]*Tenant
+	byName map[string]*Tenant
+}
+
+// Problems of a declaration.
+const (
+	problemNoName    = "it has no name"
+	problemTwice     = "it is declared twice; the first declaration's priority holds"
+	problemMalformed = "one of its keys is empty or too long; that key is passed over"
+	problemSharedKey = "it shares a key with another tenant; that key identifies nobody"
+)
+
+// NewTable returns the table of the declared tenants, and what of them cannot be
+// used. A key that two tenants hold identifies neither of them.
+func NewTable(declared []Declared) (*Table, []*DeclarationError) {
+	table := &Table{byKey: make(map[digest]*Tenant, len(declared)), byName: make(map[string]*Tenant, len(declared))}
+	var findings []*DeclarationError
+	shared := map[digest]bool{}
+	for _, one := range declared {
+		if one.Name == "" {
+			findings = append(findings, &DeclarationError{Problem: problemNoName})
+			continue
+		}
+		tenant := table.byName[one.Name]
+		if tenant != nil {
+			findings = append(findings, &DeclarationError{Tenant: one.Name, Problem: problemTwice})
+		} else {
+			tenant = &Tenant{Name: one.Name, Priority: one.Priority}
+			table.byName[one.Name] = tenant
+		}
+		findings = append(findings, table.addKeys(tenant, one.Keys, shared)...)
+	}
+	for key := range shared {
+		delete(table.byKey, key)
+	}
+	return table, findings
+}
+
+// addKeys adds a tenant's keys; those that another tenant holds too are noted as
+// shared.
+func (t *Table) addKeys(tenant *Tenant, keys []Key, shared map[digest]bool) []*DeclarationError {
+	var findings []*DeclarationError
+	for _, key := range keys {
+		if len(key) == 0 || len(key) > LongestKey {
+			findings = append(findings, &DeclarationError{Tenant: tenant.Name, Problem: problemMalformed})
+			continue
+		}
+		kept := digestOf(key)
+		if holder := t.byKey[kept]; holder != nil && holder != tenant {
+			shared[kept] = true
+			findings = append(findings, &DeclarationError{Tenant: tenant.Name, Problem: problemSharedKey})
+			continue
+		}
+		t.byKey[kept] = tenant
+	}
+	return findings
+}
+
+// Lookup returns the tenant that holds a key, or nil.
+func (t *Table) Lookup(key Key) *Tenant {
+	if t == nil || len(key) == 0 || len(key) > LongestKey {
+		return nil
+	}
+	return t.byKey[digestOf(key)]
+}
+
+// Len is the number of tenants.
+func (t *Table) Len() int {
+	if t == nil {
+		return 0
+	}
+	return len(t.byName)
+}
+
+// Named returns a tenant by its name, or nil.
+func (t *Table) Named(name string) *Tenant {
+	if t == nil {
+		return nil
+	}
+	return t.byName[name]
+}
+
+// PriorityOf is the rank of a tenant's requests: the tenant's own if it has one,
+// else that of the route.
+func (t *Table) PriorityOf(name string, route int) int {
+	if tenant := t.Named(name); tenant != nil && tenant.Priority != nil {
+		return *tenant.Priority
+	}
+	return route
+}
--- /dev/null
+++ b/internal/tenancy/table_test.go
@@ -0,0 +1,147 @@
+package tenancy
+
+import (
+	"encoding/json"
+	"fmt"
+	mathrand "math/rand"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"testing/quick"
+)
+
+func rank(priority int) *int { return &priority }
+
+func TestKeysIdentifyTheirTenants(t *testing.T) {
+	table, findings := NewTable([]Declared{
+		{Tenant: Tenant{Name: "one", Priority: rank(0)}, Keys: []Key{"a", "b"}},
+		{Tenant: Tenant{Name: "two"}, Keys: []Key{"c"}},
+		{Tenant: Tenant{Name: "none"}},
+	})
+	if len(findings) != 0 {
+		t.Fatalf("findings %v", findings)
+	}
+	for key, want := range map[Key]string{"a": "one", "b": "one", "c": "two"} {
+		if tenant := table.Lookup(key); tenant == nil || tenant.Name != want {
+			t.Errorf("a key of %s identifies %v", want, tenant)
+		}
+	}
+	for _, key := range []Key{"", "d", "A", Key(strings.Repeat("x", LongestKey+1))} {
+		if tenant := table.Lookup(key); tenant != nil {
+			t.Errorf("a key of nobody identifies %s", tenant.Name)
+		}
+	}
+	if got := table.PriorityOf("one", 2); got != 0 {
+		t.Errorf("priority %d, want the tenant's", got)
+	}
+	if got := table.PriorityOf("two", 2); got != 2 {
+		t.Errorf("priority %d, want the route's", got)
+	}
+	var undeclared *Table
+	if undeclared.Lookup("a") != nil || undeclared.PriorityOf("one", 3) != 3 {
+		t.Error("a configuration without tenants has some")
+	}
+}
+
+func TestWhatCannotBeUsedIsFoundAndNamesNoKey(t *testing.T) {
+	const secret = "sekrit-key"
+	for _, test := range []struct {
+		name     string
+		declared []Declared
+		problem  string
+		holder   string
+	}{
+		{"no name", []Declared{{Keys: []Key{secret}}}, problemNoName, ""},
+		{"empty key", []Declared{{Tenant: Tenant{Name: "one"}, Keys: []Key{"", secret}}}, problemMalformed, "one"},
+		{"huge key", []Declared{{Tenant: Tenant{Name: "one"}, Keys: []Key{Key(strings.Repeat(secret, 100)), secret}}}, problemMalformed, "one"},
+		{"shared key", []Declared{{Tenant: Tenant{Name: "one"}, Keys: []Key{secret}}, {Tenant: Tenant{Name: "two"}, Keys: []Key{secret}}}, problemSharedKey, ""},
+		{"declared twice", []Declared{{Tenant: Tenant{Name: "one"}, Keys: []Key{"x"}}, {Tenant: Tenant{Name: "one"}, Keys: []Key{secret}}}, problemTwice, "one"},
+	} {
+		table, findings := NewTable(test.declared)
+		if len(findings) != 1 || findings[0].Problem != test.problem {
+			t.Errorf("%s: findings %v", test.name, findings)
+		}
+		if strings.Contains(fmt.Sprint(findings), secret) {
+			t.Errorf("%s: a finding holds the key", test.name)
+		}
+		holder := ""
+		if tenant := table.Lookup(secret); tenant != nil {
+			holder = tenant.Name
+		}
+		if holder != test.holder {
+			t.Errorf("%s: the key identifies %q, want %q", test.name, holder, test.holder)
+		}
+	}
+}
+
+// A key that three tenants hold must not come to identify the third.
+func TestAKeyOfThreeTenantsIdentifiesNone(t *testing.T) {
+	declared := []Declared{}
+	for _, name := range []string{"one", "two", "three"} {
+		declared = append(declared, Declared{Tenant: Tenant{Name: name}, Keys: []Key{"k"}})
+	}
+	table, findings := NewTable(declared)
+	if tenant := table.Lookup("k"); tenant != nil || len(findings) != 2 {
+		t.Errorf("identifies %v, findings %v", tenant, findings)
+	}
+}
+
+func TestKeysAreNotPrinted(t *testing.T) {
+	const key = Key("sekrit")
+	encoded, err := json.Marshal(struct{ K Key }{key})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, printed := range []string{fmt.Sprint(key), fmt.Sprintf("%v %+v %#v %s", key, key, key, key), string(encoded)} {
+		if strings.Contains(printed, "sekrit") {
+			t.Errorf("printed %q", printed)
+		}
+	}
+}
+
+func TestALookupAllocatesNothing(t *testing.T) {
+	table, _ := NewTable([]Declared{{Tenant: Tenant{Name: "one"}, Keys: []Key{"some-key-of-usual-length"}}})
+	if allocated := testing.AllocsPerRun(100, func() { table.Lookup("some-key-of-usual-length") }); allocated != 0 {
+		t.Errorf("%v allocations", allocated)
+	}
+}
+
+// Whatever is declared, a key identifies a tenant just if that one alone lists
+// it.
+func TestLookupsAgreeWithTheDeclaration(t *testing.T) {
+	holds := func(seed uint64) bool {
+		random := rand.New(rand.NewPCG(seed, 1))
+		declared := make([]Declared, random.IntN(6))
+		holders := map[Key]map[string]bool{}
+		for i := range declared {
+			name := fmt.Sprint("tenant-", random.IntN(5))
+			declared[i].Name = name
+			for range random.IntN(4) {
+				key := Key(fmt.Sprint("key-", random.IntN(8)))
+				declared[i].Keys = append(declared[i].Keys, key)
+				if holders[key] == nil {
+					holders[key] = map[string]bool{}
+				}
+				holders[key][name] = true
+			}
+		}
+		table, _ := NewTable(declared)
+		for number := range 9 {
+			key := Key(fmt.Sprint("key-", number))
+			tenant := table.Lookup(key)
+			if len(holders[key]) != 1 {
+				if tenant != nil {
+					return false
+				}
+				continue
+			}
+			if tenant == nil || !holders[key][tenant.Name] {
+				return false
+			}
+		}
+		return true
+	}
+	if err := quick.Check(holds, &quick.Config{MaxCount: 5000, Rand: mathrand.New(mathrand.NewSource(1))}); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/watchcache/follow.go
+++ b/internal/watchcache/follow.go
@@ -50,7 +50,7 @@
 		}
 		s.metrics.polls.WithLabelValues(outcome).Inc()
 		if !s.staysWith(ctx, reader, outcome) {
-			s.config.Logger.Info("stopped following reader", "reader", reader.Name, "outcome", outcome, "newsAgeMs", s.newsAge().Milliseconds())
+			s.config.Logger.Info("stopped following reader", "reader", reader.Name, "outcome", outcome, "newsAgeMs", s.Age().Milliseconds())
 			return
 		}
 	}
@@ -69,13 +69,13 @@
 	case outcomeSilent:
 		s.noteUnsure()
 		s.passOver(reader.Name, silentTime)
-		if s.newsAge() > newsBound {
+		if s.Age() > newsBound {
 			// A further silent reader would make it too late.
 			s.readDirectly()
 		}
 		return false
 	case outcomeStarting:
-		if s.newsAge() < newsBound {
+		if s.Age() < newsBound {
 			return true
 		}
 	case outcomeUnsure:
@@ -106,8 +106,8 @@
 	s.newsAt = time.Now()
 }
 
-// newsAge is for how long the copies have not been known to be current.
-func (s *Source) newsAge() time.Duration {
+// Age is for how long the copies have not been known to be current.
+func (s *Source) Age() time.Duration {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	return time.Since(s.newsAt)
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -308,6 +308,8 @@
 	// ExpectedTokens is what all items of the job are expected to make, those
 	// that are listed included.
 	ExpectedTokens uint64
+	// Tenant is whose job it is, empty where no tenants are declared.
+	Tenant string
 }
 
 // ItemLength is how many events the text of an item of a batch job has: at
@@ -366,6 +368,8 @@
 	Host  string
 	// Payload is the submission as its caller sent it.
 	Payload []byte
+	// Tenant is whose job it is, empty where no tenants are declared.
+	Tenant string
 }
 
 // JobSubmitted answers a JobSubmit.
--- a/internal/wire/schema/peer.capnp
+++ b/internal/wire/schema/peer.capnp
@@ -47,6 +47,8 @@
     storeCall @35 :StoreCall;
     storeReply @36 :StoreReply;
     jobSubmitted @37 :JobSubmitted;
+    usagePush @38 :UsagePush;
+    usageTaken @39 :UsageTaken;
   }
 }
 
@@ -295,6 +297,7 @@
   job @0 :Text;
   model @1 :Text;
   expectedTokens @2 :UInt64; # that all items of the job are expected to make, listed ones included
+  tenant @3 :Text;          # whose job it is, empty where no tenants are declared
 }
 
 struct ItemLength {
@@ -344,6 +347,7 @@
   route @1 :Text;
   host @2 :Text;
   payload @3 :Data;         # the submission as its caller sent it
+  tenant @4 :Text;          # whose job it is, empty where no tenants are declared
 }
 
 struct JobSubmitted {
@@ -406,3 +410,28 @@
   at @3 :UInt64;            # revision of the listing
   objects @4 :List(ObjectChange);
 }
+
+# The messages by which the node that reports usage learns what others have
+# counted.
+
+struct TenantCount {
+  tenant @0 :Text;
+  count @1 :UInt64;
+}
+
+struct UsageWindow {
+  number @0 :Int64;         # spans of the window's length since the start of 1970
+  closed @1 :Bool;          # the sender adds nothing more to it
+  counts @2 :List(TenantCount); # what this process of the sender has counted, in all
+}
+
+struct UsagePush {
+  node @0 :Text;
+  incarnation @1 :UInt64;
+  unixMs @2 :Int64;         # what the sender takes for the time
+  windows @3 :List(UsageWindow);
+}
+
+struct UsageTaken {
+  unixMs @0 :Int64;         # what the receiver takes for the time
+}
--- a/internal/wire/union.go
+++ b/internal/wire/union.go
@@ -174,6 +174,16 @@
 	return insert(schema.JobSubmitted_TypeID, capnp.Struct(body), err, m)
 }
 
+func (m *UsagePush) attach(root schema.Frame) error {
+	body, err := root.NewUsagePush()
+	return insert(schema.UsagePush_TypeID, capnp.Struct(body), err, m)
+}
+
+func (m *UsageTaken) attach(root schema.Frame) error {
+	body, err := root.NewUsageTaken()
+	return insert(schema.UsageTaken_TypeID, capnp.Struct(body), err, m)
+}
+
 func (m *WatchPoll) attach(root schema.Frame) error {
 	body, err := root.NewWatchPoll()
 	return insert(schema.WatchPoll_TypeID, capnp.Struct(body), err, m)
@@ -288,6 +298,12 @@
 	case schema.Frame_Which_jobSubmitted:
 		body, err := root.JobSubmitted()
 		return extract[JobSubmitted](schema.JobSubmitted_TypeID, capnp.Struct(body), err)
+	case schema.Frame_Which_usagePush:
+		body, err := root.UsagePush()
+		return extract[UsagePush](schema.UsagePush_TypeID, capnp.Struct(body), err)
+	case schema.Frame_Which_usageTaken:
+		body, err := root.UsageTaken()
+		return extract[UsageTaken](schema.UsageTaken_TypeID, capnp.Struct(body), err)
 	case schema.Frame_Which_watchPoll:
 		body, err := root.WatchPoll()
 		return extract[WatchPoll](schema.WatchPoll_TypeID, capnp.Struct(body), err)
--- a/standin/replica/server.go
+++ b/standin/replica/server.go
@@ -35,7 +35,11 @@
 	Body    string
 	After   int
 	Version int64
-	At      time.Time
+	// Tenant is whose request it was said to be, and Credentials what it carried
+	// of its caller's, which is to be nothing.
+	Tenant      string
+	Credentials string
+	At          time.Time
 }
 
 // OrderSeen is one order as it arrived.
@@ -209,6 +213,7 @@
 	s.served++
 	s.runs = append(s.runs, Run{
 		ID: request.Header.Get("Pathtally-Request-Id"), Method: request.Method, Target: request.RequestURI, Body: body, After: after, Version: s.version, At: time.Now(),
+		Tenant: request.Header.Get("Pathtally-Tenant"), Credentials: request.Header.Get("Authorization"),
 	})
 	return s.served, s.version, s.faults, true
 }
--- a/test/platform_harness_test.go
+++ b/test/platform_harness_test.go
@@ -33,6 +33,9 @@
 	nodes   []*platformNode
 	address string
 	folder  string
+	// tenants are declared in the configurations written from now on; nil for
+	// none.
+	tenants []map[string]any
 }
 
 // platformNode is one node process.
@@ -49,12 +52,13 @@
 type shape struct {
 	nodes, engines, apps int
 	eventInterval        time.Duration
+	tenants              []map[string]any
 }
 
 // deployPlatform starts stand-ins and nodes.
 func deployPlatform(t *testing.T, shaped shape) *platformDeployment {
 	t.Helper()
-	d := &platformDeployment{t: t, store: metastore.New(), folder: t.TempDir()}
+	d := &platformDeployment{t: t, store: metastore.New(), folder: t.TempDir(), tenants: shaped.tenants}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -97,7 +101,7 @@
 
 // configure writes a version of the configuration.
 func (d *platformDeployment) configure(version int) {
-	d.store.Write("config", "main", map[string]any{
+	configuration := map[string]any{
 		"version": version,
 		"routes": []map[string]any{
 			{"name": "drafts", "host": draftHost, "pathPrefix": "/drafts/", "type": "rollout", "service": "engines", "maxAttempts": 3,
@@ -107,6 +111,8 @@
 			{"name": "chat-once", "host": liveHost, "pathPrefix": "/chat-once/", "type": "streaming", "service": "engines", "maxAttempts": 3,
 				"sloMs": 1000, "timeoutMs": 10000},
 			{"name": "rewards", "host": liveHost, "pathPrefix": "/score/", "type": "safe", "service": "apps", "maxAttempts": 4, "sloMs": 500, "timeoutMs": 2000},
+			{"name": "open", "host": liveHost, "pathPrefix": "/open/", "type": "safe", "service": "apps", "maxAttempts": 3, "sloMs": 2000, "timeoutMs": 5000,
+				"public": true},
 			{"name": "live", "host": liveHost, "pathPrefix": "/live/", "type": "safe", "service": "apps", "maxAttempts": 3, "sloMs": 2000, "timeoutMs": 5000},
 			{"name": "once", "host": liveHost, "pathPrefix": "/once/", "type": "unsafe", "service": "apps", "maxAttempts": 3, "sloMs": 2000, "timeoutMs": 5000},
 		},
@@ -115,7 +121,11 @@
 			{"name": "apps", "maxConns": 100},
 		},
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-	})
+	}
+	if d.tenants != nil {
+		configuration["tenants"] = d.tenants
+	}
+	d.store.Write("config", "main", configuration)
 }
 
 // settingsOf is the settings file of a node.
@@ -253,6 +263,12 @@
 
 // submit hands in a batch job until a node takes it.
 func (d *platformDeployment) submit(node *platformNode, job string, items int, least int64) {
+	d.t.Helper()
+	d.submitAs(node, nil, job, items, least)
+}
+
+// submitAs hands in a batch job with headers of its caller's.
+func (d *platformDeployment) submitAs(node *platformNode, header http.Header, job string, items int, least int64) {
 	d.t.Helper()
 	var requests []map[string]any
 	for number := range items {
@@ -263,7 +279,7 @@
 		d.t.Fatal(err)
 	}
 	d.eventually("the batch job is taken", func() bool {
-		answer, err := d.send(node, http.MethodPost, draftHost, "/drafts/"+job, job, body, nil)
+		answer, err := d.send(node, http.MethodPost, draftHost, "/drafts/"+job, job, body, header)
 		return err == nil && answer.status == http.StatusAccepted
 	})
 }
@@ -280,10 +296,18 @@
 // read reads a job from a node until all results are there.
 func (d *platformDeployment) read(node func() *platformNode, job string, items int) []listed {
 	d.t.Helper()
+	return d.readAs(node, http.Header{}, job, items)
+}
+
+// readAs reads a job with headers of its caller's.
+func (d *platformDeployment) readAs(node func() *platformNode, header http.Header, job string, items int) []listed {
+	d.t.Helper()
+	header = header.Clone()
+	header.Set("Pathtally-Wait-Ms", "200")
 	var results []listed
 	d.eventually("all results are read", func() bool {
 		answer, err := d.send(node(), http.MethodGet, draftHost, fmt.Sprintf("/-/lots/%s?sinceRev=%d", job, len(results)), "reader", nil,
-			http.Header{"Pathtally-Wait-Ms": {"200"}})
+			header)
 		if err != nil || answer.status != http.StatusOK {
 			return false
 		}
--- a/test/virtual_test.go
+++ b/test/virtual_test.go
@@ -113,7 +113,7 @@
 	if err != nil {
 		d.t.Fatal(err)
 	}
-	if err := d.jobs.Submit(ctx, job, "drafts", draftHost, payload, submission); err != nil {
+	if err := d.jobs.Submit(ctx, &batch.Arrival{ID: job, Route: "drafts", Host: draftHost, Payload: payload, Submission: submission}); err != nil {
 		d.t.Fatalf("job %s: %v", job, err)
 	}
 	var results []listed
