One lease for what one node does for the whole deployment

Cause: usage has to be reported by one node at a time, as orders to replicas are given, under a fence that only rises. The lease for orders belonged to package weightorders and could serve no other duty, and a planned stop of its holder cost its successor 5.7 s. Change: package duty has the lease (one object, one write keeps all duties), the order in which nodes go for it, and permits without which no call is sent. What a node knows of the lease is a state without input, output or clock; its table stands in the package comment. A holder that stops as planned gives the lease up, so that a successor need not wait: only after a tenure longer than the term, and with no call open or unanswered, so that no two holders take turns within it. The tests of the old lease stand, moved.

--- /dev/null
+++ b/internal/duty/lease_test.go
@@ -0,0 +1,162 @@
+package duty
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pathtally/pathtally/standin/metastore"
+)
+
+const testTerm = 3 * time.Second
+
+func newLease(node string, store *metastore.Store) *Lease {
+	return NewLease(node, node, testTerm, store)
+}
+
+// acquireNow acquires without a wait or fails the test.
+func acquireNow(t *testing.T, held *Lease) uint64 {
+	t.Helper()
+	pause, err := held.Acquire(context.Background())
+	if pause != 0 || err != nil {
+		t.Fatalf("%s: wait %s, %v", held.state.node, pause, err)
+	}
+	token, valid := held.Valid()
+	if !valid {
+		t.Fatalf("%s: the lease is not valid once acquired", held.state.node)
+	}
+	return token
+}
+
+// A renewal that wrote the same object made no revision, so that a successor
+// that had seen the first write took over while orders were still given.
+func TestEachRenewalRaisesTheToken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		held := newLease("one", metastore.New())
+		first := acquireNow(t, held)
+		if second := acquireNow(t, held); second <= first {
+			t.Errorf("token %d after %d", second, first)
+		}
+	})
+}
+
+func TestSuccessorWaitsForTheLastWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := metastore.New()
+		former, successor := newLease("one", store), newLease("two", store)
+		acquireNow(t, former)
+		if pause, _ := successor.Acquire(context.Background()); pause <= testTerm {
+			t.Fatalf("the successor waits %s", pause)
+		}
+		time.Sleep(4 * time.Second)
+		acquireNow(t, former)
+		renewed := time.Now()
+		for {
+			pause, err := successor.Acquire(context.Background())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if pause == 0 {
+				break
+			}
+			time.Sleep(pause)
+		}
+		if waited := time.Since(renewed); waited < SendWindow+testTerm {
+			t.Errorf("the successor gave orders %s after the holder's last write", waited)
+		}
+		if _, valid := former.Valid(); valid {
+			t.Error("the former holder may still give orders")
+		}
+		if _, err := former.Acquire(context.Background()); err == nil {
+			if _, valid := former.Valid(); valid {
+				t.Error("the former holder took the lease back at once")
+			}
+		}
+	})
+}
+
+func TestFormerHolderThatWakesGivesNoOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		held := newLease("one", metastore.New())
+		acquireNow(t, held)
+		time.Sleep(SendWindow)
+		if _, valid := held.Valid(); valid {
+			t.Error("the lease is valid after its time")
+		}
+	})
+}
+
+// A write that is done late must not be taken for one made now.
+func TestUnansweredWriteIsReadBeforeTheNext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := metastore.New()
+		held := newLease("one", store)
+		acquireNow(t, held)
+		store.SetFault(func(call metastore.Call) metastore.Fault {
+			if call.Verb == "replace" {
+				return metastore.Late
+			}
+			return metastore.Sound
+		})
+		if _, err := held.Acquire(context.Background()); err == nil {
+			t.Fatal("a write without an answer succeeded")
+		}
+		if _, valid := held.Valid(); valid {
+			t.Error("orders are allowed on a write without an answer")
+		}
+		store.ApplyLate()
+		store.SetFault(nil)
+		acquireNow(t, held)
+	})
+}
+
+// A planned stop hands the lease over without a wait, but not to whoever held it
+// a moment before.
+func TestReleasedLeaseIsTakenAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := metastore.New()
+		former, successor := newLease("one", store), newLease("two", store)
+		acquireNow(t, former)
+		time.Sleep(2 * time.Second)
+		acquireNow(t, former)
+		time.Sleep(2 * time.Second)
+		if !former.stop() {
+			t.Fatal("a holder of four seconds may not release the lease")
+		}
+		if err := former.release(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		if _, valid := former.Valid(); valid {
+			t.Error("the lease is valid once released")
+		}
+		if pause, err := former.Acquire(context.Background()); err == nil {
+			t.Errorf("a stopped node takes the lease again, after %s", pause)
+		}
+		acquireNow(t, successor)
+		if successor.stop() {
+			t.Error("a holder of no time may release the lease")
+		}
+	})
+}
+
+// A write that replaces a revision learnt after the wait was over would put this
+// node beside the one that wrote it.
+func TestWriteFailsOnWhatIsLearntAfterTheWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := metastore.New()
+		held, other := newLease("one", store), newLease("two", store)
+		if err := held.read(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		next := held.plan()
+		acquireNow(t, other)
+		held.Observe(other.Seen())
+		if err := held.write(context.Background(), next.revision, false); err == nil {
+			t.Error("the lease was taken from its holder")
+		}
+		if _, valid := held.Valid(); valid {
+			t.Error("both nodes hold the lease")
+		}
+	})
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -16,6 +16,7 @@
 	"github.com/pathtally/pathtally/internal/batch"
 	"github.com/pathtally/pathtally/internal/directory"
 	"github.com/pathtally/pathtally/internal/dispatch"
+	"github.com/pathtally/pathtally/internal/duty"
 	"github.com/pathtally/pathtally/internal/exchange"
 	"github.com/pathtally/pathtally/internal/forward"
 	"github.com/pathtally/pathtally/internal/ingress"
@@ -48,6 +49,8 @@
 	transport *transport.Transport
 	peers     *peering.Table
 	jobs      *batch.Service
+	lease     *duty.Lease
+	duty      *duty.Keeper
 	weights   *weightorders.Coordinator
 
 	cancel   context.CancelFunc
@@ -121,11 +124,13 @@
 		Self: self, Journal: batch.NewJournal(i.store), Codec: i.adapter.Jobs, Directory: i.directory, Dispatcher: dispatcher,
 		Forwarder: i.forwarder, Peers: i.transport, Table: i.peers, Logger: i.logger, Registry: i.registry,
 	})
+	i.lease = duty.NewLease(self.Node, strconv.FormatUint(self.Incarnation, 36), i.settings.DutyLease.Std(), i.store)
+	i.duty = duty.NewKeeper(duty.Config{
+		Node: self.Node, Lease: i.lease, Logger: i.logger, Nodes: i.peers.Nodes, Heard: i.heard, Broadcast: i.peers.Broadcast,
+	})
 	i.weights = weightorders.NewCoordinator(weightorders.Config{
-		Node: self.Node, Nonce: strconv.FormatUint(self.Incarnation, 36), Term: i.settings.OrderLease.Std(), Store: i.store,
-		Directory: i.directory, Replicas: i.adapter.Orders(i.pool), Logger: i.logger, Registry: i.registry, Nodes: i.peers.Nodes,
-		Heard: i.heard, Load: i.jobs.Load, Tolerance: i.jobs.Tolerance, Demand: i.jobs.Demand, OnChange: i.jobs.NoteVersion,
-		Changed: i.peers.Changed, Broadcast: i.peers.Broadcast,
+		Keeper: i.duty, Directory: i.directory, Replicas: i.adapter.Orders(i.pool), Logger: i.logger, Registry: i.registry,
+		Load: i.jobs.Load, Tolerance: i.jobs.Tolerance, Demand: i.jobs.Demand, OnChange: i.jobs.NoteVersion, Changed: i.peers.Changed,
 	})
 	i.handler = ingress.NewHandler(ingress.Config{
 		Directory: i.directory, Forwarder: i.forwarder, Headers: i.adapter.Headers, Logger: i.logger,
--- a/internal/instance/peers.go
+++ b/internal/instance/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/pathtally/pathtally/internal/duty"
 	"github.com/pathtally/pathtally/internal/watchcache"
 	"github.com/pathtally/pathtally/internal/wire"
 )
@@ -31,14 +32,15 @@
 func (i *Instance) fillBeat(beat *wire.NodeBeat) {
 	i.jobs.FillBeat(beat)
 	beat.Versions = i.weights.Versions()
-	beat.Lease = i.weights.Lease()
-	beat.LeaseHolder, beat.LeaseSeen = i.weights.SeenLease()
+	beat.Lease = i.duty.Tenure()
+	seen := i.duty.Seen()
+	beat.LeaseHolder, beat.LeaseSeen, beat.LeaseReleased = seen.Holder, seen.Revision, seen.Released
 }
 
 // takeBeat takes another node's heartbeat.
 func (i *Instance) takeBeat(beat *wire.NodeBeat) {
-	i.weights.Observe(beat.Node, beat.Lease)
-	i.weights.Observe(beat.LeaseHolder, beat.LeaseSeen)
+	i.duty.Observe(duty.Sighting{Holder: beat.Node, Revision: beat.Lease})
+	i.duty.Observe(duty.Sighting{Holder: beat.LeaseHolder, Revision: beat.LeaseSeen, Released: beat.LeaseReleased})
 	for _, change := range beat.Versions {
 		i.weights.ObserveVersion(change)
 	}
@@ -47,7 +49,7 @@
 
 // watchers names the nodes that hear every heartbeat of this node.
 func (i *Instance) watchers() []string {
-	return append(i.jobs.Watchers(), i.weights.Candidates()...)
+	return append(i.jobs.Watchers(), i.duty.Candidates()...)
 }
 
 // followable lists the nodes through which the store can be followed.
--- a/internal/instance/reload.go
+++ b/internal/instance/reload.go
@@ -18,19 +18,19 @@
 	next := *standing
 	takeChangeable(&next, &changed)
 	i.current.Store(&next)
-	i.logger.Info("settings reloaded", "grace", next.Grace.Std().String(), "orderLease", next.OrderLease.Std().String(),
+	i.logger.Info("settings reloaded", "grace", next.Grace.Std().String(), "dutyLease", next.DutyLease.Std().String(),
 		"drain", next.Drain.Std().String(), "keyBound", next.KeyBound.Std().String(), "seeds", len(next.Seeds), "needsRestart", needsRestart)
 	if next.Idle {
 		return
 	}
-	i.weights.SetTerm(next.OrderLease.Std())
+	i.lease.SetTerm(next.DutyLease.Std())
 	i.peers.SetSeeds(next.Seeds)
 }
 
 // takeChangeable copies the settings that come into force without a new start.
 func takeChangeable(into, from *settings.Settings) {
-	into.Grace, into.OrderLease, into.Drain, into.CatchUp, into.KeyBound, into.Seeds =
-		from.Grace, from.OrderLease, from.Drain, from.CatchUp, from.KeyBound, from.Seeds
+	into.Grace, into.DutyLease, into.Drain, into.CatchUp, into.KeyBound, into.Seeds =
+		from.Grace, from.DutyLease, from.Drain, from.CatchUp, from.KeyBound, from.Seeds
 }
 
 // sameFixed tells whether the settings that need a new start are the same.
--- a/internal/instance/stop.go
+++ b/internal/instance/stop.go
@@ -45,6 +45,7 @@
 func (i *Instance) leave(begun time.Time) {
 	i.handler.Closing.Store(true)
 	i.source.Leave()
+	i.handOverDuties()
 	grace := i.current.Load().Grace.Std()
 	if grace <= 0 {
 		grace = defaultGrace
@@ -66,5 +67,11 @@
 	i.front.Shutdown(ctx)
 }
 
+// handOverDuties ends what this node does for the whole deployment, so that
+// another need not wait for the lease to run out.
+func (i *Instance) handOverDuties() {
+	go i.duty.Release(context.Background())
+}
+
 // Drained is closed when a planned stop has ended.
 func (i *Instance) Drained() <-chan struct{} { return i.drained }
--- a/internal/peering/heartbeat.go
+++ b/internal/peering/heartbeat.go
@@ -9,7 +9,7 @@
 
 const (
 	// activeTime is for how long a peer counts as active after a heartbeat that
-	// said so: a holder of the order lease tells everybody at each renewal, every
+	// said so: a holder of the duty lease tells everybody at each renewal, every
 	// 2.1 s, and an owner of batch jobs its active peers every 0.3 s.
 	activeTime = 3 * time.Second
 	// heartbeatGap is the least time between two heartbeats that changes cause:
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -51,9 +51,10 @@
 	MemoryMB int64 `json:"memoryMB"`
 	// Idle nodes only hold their machine: they serve nobody.
 	Idle bool `json:"idle"`
-	// OrderLease is how long another node must wait after the last order to a
-	// replica before it may give orders; zero means the default.
-	OrderLease v1.Duration `json:"orderLease"`
+	// DutyLease is how long another node must wait after the last call that this
+	// one made for the whole deployment, such as an order to a replica, before it
+	// may make any; zero means the default.
+	DutyLease v1.Duration `json:"dutyLease"`
 	// Drain is for how long a replica may get requests after it has said that
 	// it leaves; zero means the default.
 	Drain v1.Duration `json:"drain"`
@@ -216,7 +217,7 @@
 		setting string
 		value   v1.Duration
 	}{
-		{"orderLease", s.OrderLease}, {"drain", s.Drain}, {"catchUp", s.CatchUp}, {"keyBound", s.KeyBound},
+		{"dutyLease", s.DutyLease}, {"drain", s.Drain}, {"catchUp", s.CatchUp}, {"keyBound", s.KeyBound},
 		{"usageWindow", s.UsageWindow}, {"usageLate", s.UsageLate},
 	} {
 		if span.value < 0 {
--- a/internal/weightorders/coordinator_test.go
+++ b/internal/weightorders/coordinator_test.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/pathtally/pathtally/internal/directory"
+	"github.com/pathtally/pathtally/internal/duty"
 	"github.com/pathtally/pathtally/internal/wire"
 	"github.com/pathtally/pathtally/standin/metastore"
 )
@@ -68,12 +69,15 @@
 	ctx, f.stop = context.WithCancel(ctx)
 	var coordinators []*Coordinator
 	for _, node := range nodes {
-		var made *Coordinator
-		made = NewCoordinator(Config{
-			Node: node, Nonce: nonce, Term: testTerm, Store: f.store, Directory: f.table, Replicas: f.replicas, Logger: klog.Background(),
-			Registry: prometheus.NewRegistry(), Nodes: func() []string { return nodes }, Heard: func(string) time.Time { return time.Time{} },
+		var keeper *duty.Keeper
+		keeper = duty.NewKeeper(duty.Config{
+			Node: node, Lease: duty.NewLease(node, nonce, duty.DefaultTerm, f.store), Logger: klog.Background(),
+			Nodes: func() []string { return nodes }, Heard: func(string) time.Time { return time.Time{} }, Broadcast: func() { f.tell(keeper) },
+		})
+		made := NewCoordinator(Config{
+			Keeper: keeper, Directory: f.table, Replicas: f.replicas, Logger: klog.Background(), Registry: prometheus.NewRegistry(),
 			Load: func(string) int { return 0 }, Tolerance: func(string) int64 { return 0 }, Demand: func() map[string]float64 { return nil }, OnChange: f.list,
-			Changed: func() { f.tell(made) }, Broadcast: func() { f.tell(made) },
+			Changed: func() { f.tell(keeper) },
 		})
 		coordinators = append(coordinators, made)
 	}
@@ -95,13 +99,13 @@
 }
 
 // tell is a heartbeat of one node to all.
-func (f *fleet) tell(from *Coordinator) {
-	holder, revision := from.SeenLease()
+func (f *fleet) tell(from *duty.Keeper) {
+	seen := from.Seen()
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	for _, other := range f.coordinators {
-		if other != from {
-			go other.Observe(holder, revision)
+		if other.config.Keeper != from {
+			go other.config.Keeper.Observe(seen)
 		}
 	}
 }
@@ -167,7 +171,7 @@
 		if after.Owner == before.Owner || after.Version != 3 || after.Token <= before.Token {
 			t.Errorf("the last order is %+v after %+v", after, before)
 		}
-		if last.Sub(began) < orderWindow+testTerm {
+		if last.Sub(began) < duty.SendWindow+duty.DefaultTerm {
 			t.Errorf("a successor gave orders %s after its start", last.Sub(began))
 		}
 		f.stop()
--- a/internal/weightorders/knowledge.go
+++ b/internal/weightorders/knowledge.go
@@ -9,31 +9,6 @@
 	"github.com/pathtally/pathtally/internal/wire"
 )
 
-// Lease returns the revision of the lease while this node holds it, else 0.
-func (c *Coordinator) Lease() uint64 { return c.token() }
-
-// SeenLease returns who held the lease at the newest revision seen here.
-func (c *Coordinator) SeenLease() (holder string, revision uint64) { return c.lease.newest() }
-
-// Observe takes another node's word of who holds the lease. A node may so learn
-// that it holds the lease itself: the process before this one did, and the same
-// machine need not wait for it.
-func (c *Coordinator) Observe(holder string, revision uint64) {
-	if revision == 0 || !c.lease.observe(holder, revision) {
-		return
-	}
-	if holder == c.config.Node {
-		c.nudge()
-		return
-	}
-	if !c.isCandidate() {
-		// The holder is at work: this node hears of no single load.
-		c.mutex.Lock()
-		c.workSince = time.Time{}
-		c.mutex.Unlock()
-	}
-}
-
 // ObserveVersion takes another node's word of a replica.
 func (c *Coordinator) ObserveVersion(change wire.ReplicaVersion) {
 	if !change.Loading {
--- a/internal/weightorders/load.go
+++ b/internal/weightorders/load.go
@@ -74,17 +74,9 @@
 		return nil
 	}
 	if !report.Busy {
-		token, valid := c.lease.valid()
-		if !valid {
-			return ErrFenced
-		}
 		c.config.OnChange(wire.ReplicaVersion{Replica: next.target.ID, Model: next.model, Version: next.version, Loading: true})
 		c.config.Changed()
-		callCtx, cancel := context.WithTimeout(ctx, callTime)
-		holds, err := c.config.Replicas.Order(callCtx, next.target, Order{
-			Model: next.model, Version: next.version, Owner: c.config.Node, Token: token, Expected: report.Sequence,
-		})
-		cancel()
+		holds, err := c.order(ctx, next, report.Sequence)
 		if holds {
 			c.learn(next.target.ID, next.model, next.version)
 			return nil
@@ -102,6 +94,20 @@
 	return c.await(ctx, next)
 }
 
+// order sends an order under the lease.
+func (c *Coordinator) order(ctx context.Context, next task, sequence int64) (holds bool, err error) {
+	permit, valid := c.config.Keeper.Begin()
+	if !valid {
+		return false, ErrFenced
+	}
+	defer func() { permit.Done(!errors.Is(err, ErrUnanswered)) }()
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	return c.config.Replicas.Order(ctx, next.target, Order{
+		Model: next.model, Version: next.version, Owner: permit.Holder, Token: permit.Token, Expected: sequence,
+	})
+}
+
 // idleReports is how many reports without an order under way show that an
 // unanswered order has not been taken, or not yet.
 const idleReports = 3
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -290,10 +290,11 @@
 	Leaving     bool
 	Ended       []string
 	Tolerances  []ModelTolerance
-	// LeaseHolder held the order lease at revision LeaseSeen, the newest that
-	// the sender has seen.
-	LeaseHolder string
-	LeaseSeen   uint64
+	// LeaseHolder held the duty lease at revision LeaseSeen, the newest that the
+	// sender has seen, and gave it up with it if LeaseReleased is set.
+	LeaseHolder   string
+	LeaseSeen     uint64
+	LeaseReleased bool
 	// Lengths are those of items that batch jobs ended without and that may
 	// come back in a later one.
 	Lengths []ItemLength
--- a/internal/wire/schema/peer.capnp
+++ b/internal/wire/schema/peer.capnp
@@ -282,15 +282,16 @@
   jobs @4 :List(Text);      # open batch jobs that the sender runs
   uses @5 :List(ReplicaUse);
   versions @6 :List(ReplicaVersion);
-  lease @7 :UInt64;         # revision of the order lease where the sender holds it, else 0
+  lease @7 :UInt64;         # revision of the duty lease where the sender holds it, else 0
   peers @8 :List(PeerAddress);
   leaving @9 :Bool;         # the sender stops soon and gives its jobs away
   ended @10 :List(Text);    # batch jobs that callers have ended
   tolerances @11 :List(ModelTolerance);
-  leaseHolder @12 :Text;    # who held the order lease at the newest revision that the sender has seen
+  leaseHolder @12 :Text;    # who held the duty lease at the newest revision that the sender has seen
   leaseSeen @13 :UInt64;    # that revision, 0 for none
   lengths @14 :List(ItemLength);  # of items that an ended job left without a whole group
   work @15 :List(JobWork);  # of the batch jobs in jobs
+  leaseReleased @16 :Bool;  # its holder gave the lease up at revision leaseSeen
 }
 
 struct JobWork {
--- a/test/soak_world_test.go
+++ b/test/soak_world_test.go
@@ -235,7 +235,7 @@
 	w.t.Helper()
 	path := filepath.Join(w.folder, node.name+".yaml")
 	settings := fmt.Sprintf("node: %s\nzone: zone-a\nregion: region\nhttp: 127.0.0.1:0\npeer: 127.0.0.1:0\npeerAdvertised: %s\n"+
-		"readiness: 127.0.0.1:0\nmetrics: 127.0.0.1:0\nobjectStore: %s\ngrace: %s\norderLease: 3s\ndrain: 2s\nmemoryMB: 200\n",
+		"readiness: 127.0.0.1:0\nmetrics: 127.0.0.1:0\nobjectStore: %s\ngrace: %s\ndutyLease: 3s\ndrain: 2s\nmemoryMB: 200\n",
 		node.name, node.peerLink.address(), node.storeLink.address(), soakGrace)
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		w.t.Error(err)
--- a/test/virtual_test.go
+++ b/test/virtual_test.go
@@ -14,6 +14,7 @@
 	"github.com/pathtally/pathtally/internal/batch"
 	"github.com/pathtally/pathtally/internal/directory"
 	"github.com/pathtally/pathtally/internal/dispatch"
+	"github.com/pathtally/pathtally/internal/duty"
 	"github.com/pathtally/pathtally/internal/exchange"
 	"github.com/pathtally/pathtally/internal/forward"
 	"github.com/pathtally/pathtally/internal/peering"
@@ -85,10 +86,13 @@
 		Directory: table, Dispatcher: dispatcher, Peers: alone{}, Table: peers, Logger: logger, Registry: registry,
 		Forwarder: forward.New(forward.Config{Directory: table, Dispatcher: dispatcher, Logger: logger, Metrics: forward.NewMetrics(registry)}),
 	})
+	keeper := duty.NewKeeper(duty.Config{
+		Node: "node", Lease: duty.NewLease("node", "1", 0, day.store), Logger: logger, Nodes: peers.Nodes,
+		Heard: func(string) time.Time { return time.Time{} }, Broadcast: func() {},
+	})
 	coordinator := weightorders.NewCoordinator(weightorders.Config{
-		Node: "node", Nonce: "1", Store: day.store, Directory: table, Replicas: platform.NewOrders(pool), Logger: logger, Registry: registry,
-		Nodes: peers.Nodes, Heard: func(string) time.Time { return time.Time{} }, Load: day.jobs.Load, Tolerance: day.jobs.Tolerance, Demand: day.jobs.Demand,
-		OnChange: day.jobs.NoteVersion, Changed: func() {}, Broadcast: func() {},
+		Keeper: keeper, Directory: table, Replicas: platform.NewOrders(pool), Logger: logger, Registry: registry,
+		Load: day.jobs.Load, Tolerance: day.jobs.Tolerance, Demand: day.jobs.Demand, OnChange: day.jobs.NoteVersion, Changed: func() {},
 	})
 	go day.jobs.Run(ctx)
 	go coordinator.Run(ctx)
