Usage is counted by each node, pushed to the lease's holder, and reported once

Change: package usage. A node counts the live requests that it brings to replicas (when the attempt that ran was sent; streams with their first event) and pushes its counts since its start to the holder of the duty lease and the three nodes that would follow it. Receivers keep the greatest of each process, so that repeated and reordered pushes do no harm; a new receiver gets all that is kept. 2.5 s after a window's end the holder settles the sum in one object of the store, written on condition, and reports it under its permit; whoever follows reports the same. A node that others did not push to before waits 1.5 s for them. Windows go by the steady clock from the start, so that steps of the time of day do not move them; peers' answers correct a clock that was wrong at the start. What nobody has told of is not reported. Heartbeats tell which windows are done. Found by the tests on the way: a holder that was no receiver before settled a window with its own counts alone (17 of 84), once in some runs with the store away; hence the wait. A receiver that did not answer held up the pushes to the others. Ruled out: counts by create for each window in the store, one object a window: they would stay for ever, since the nodes delete nothing there.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -26,6 +26,9 @@
 	Once bool
 	// Tenant is whose request it is, empty where no tenants are declared.
 	Tenant string
+	// Metered marks a request that counts as its tenant's usage. Items of batch
+	// jobs and calls of their scorers do not.
+	Metered bool
 	// Rank is the priority of a generation among others at a model engine, the
 	// first of them 1; 0 leaves it to the engine.
 	Rank int
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -41,6 +41,8 @@
 	Prompt func(header http.Header) uint64
 	// VersionField names the line of an event that tells a weight version.
 	VersionField string
+	// Meter counts the metered requests that began to run; nil counts none.
+	Meter Meter
 }
 
 // Forwarder forwards live requests. It is safe for use by many goroutines.
@@ -60,6 +62,9 @@
 
 // New returns a forwarder.
 func New(config Config) *Forwarder {
+	if config.Meter == nil {
+		config.Meter = unmetered{}
+	}
 	return &Forwarder{config: config, ordinary: rate.NewLimiter(ordinaryLines, ordinaryBurst)}
 }
 
@@ -90,6 +95,9 @@
 	}
 	whole, err := run.do(ctx)
 	run.report(whole, err)
+	if at, began := run.sent.began(); began && call.Metered {
+		f.config.Meter.Began(call.Tenant, at)
+	}
 	return whole, err
 }
 
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -42,6 +42,8 @@
 	results chan result
 	// asked are the replicas that have been sent the request.
 	asked []string
+	// sent are the attempts for the meter.
+	sent sendings
 	// counted is the number of attempts that may have run, and refusals that
 	// of those that the replica promises not to have run.
 	counted  int
@@ -96,6 +98,7 @@
 // take judges how an attempt ended and tells whether its answer is final.
 func (r *run) take(ended result) (*Whole, bool) {
 	if ended.err == nil {
+		r.sent.ended(ended.replica, true, false)
 		failed := ended.whole.Answer.Status >= http.StatusInternalServerError
 		if ended.whole.Answer.Status == http.StatusInternalServerError {
 			r.failures++
@@ -115,6 +118,7 @@
 		// It did not run there, so the attempt does not count.
 		r.counted--
 		r.refusals++
+		r.sent.ended(ended.replica, false, true)
 	default:
 		r.mayHaveRun = true
 	}
@@ -158,6 +162,7 @@
 	call := *r.call
 	call.Once = !r.repeatable
 	r.asked = append(r.asked, endpoint.Name)
+	r.sent.add(endpoint.Name)
 	go func() {
 		whole, err := r.forwarder.attempt(ctx, endpoint, &call)
 		r.results <- result{replica: endpoint.Name, whole: whole, err: err}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -210,6 +210,9 @@
 			answer.Discard()
 			return err
 		}
+		if r.events == 0 && r.call.Metered {
+			r.forwarder.config.Meter.Began(r.call.Tenant, time.Now())
+		}
 		r.after = event.ID
 		r.events++
 	}
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -155,7 +155,7 @@
 	call := &dispatch.Call{
 		ID: id, Method: request.Method, Target: request.RequestURI, Host: request.Host,
 		Header: withoutConnectionHeaders(request.Header), Body: body, Deadline: h.deadline(request.Header, route, received),
-		Tenant: from.name(),
+		Tenant: from.name(), Metered: true,
 	}
 	if route.Kind == directory.RouteStream {
 		call.AfterEvent, call.Rank = h.config.Headers.AfterEvent(request.Header), dispatch.RankOf(from.priority(route))
--- a/internal/instance/adapter.go
+++ b/internal/instance/adapter.go
@@ -9,6 +9,7 @@
 	"github.com/pathtally/pathtally/internal/exchange"
 	"github.com/pathtally/pathtally/internal/ingress"
 	"github.com/pathtally/pathtally/internal/objectstore"
+	"github.com/pathtally/pathtally/internal/usage"
 	"github.com/pathtally/pathtally/internal/weightorders"
 )
 
@@ -36,4 +37,13 @@
 	Retirements RetirementCodec
 	// Orders returns the client for orders to replicas over a pool.
 	Orders func(pool *exchange.Pool) weightorders.Replicas
+	// Duties returns the client of the platform's API at an address, for those of
+	// the named duties that it takes.
+	Duties func(address string, named []string) (Duties, error)
+}
+
+// Duties are what the platform takes of one node for the whole deployment; nil
+// for what it does not.
+type Duties struct {
+	Usage usage.Platform
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -24,6 +24,7 @@
 	"github.com/pathtally/pathtally/internal/settings"
 	"github.com/pathtally/pathtally/internal/storerelay"
 	"github.com/pathtally/pathtally/internal/transport"
+	"github.com/pathtally/pathtally/internal/usage"
 	"github.com/pathtally/pathtally/internal/watchcache"
 	"github.com/pathtally/pathtally/internal/weightorders"
 	"github.com/pathtally/pathtally/internal/wire"
@@ -52,6 +53,11 @@
 	lease     *duty.Lease
 	duty      *duty.Keeper
 	weights   *weightorders.Coordinator
+	// usage is nil where the platform takes no reports of it.
+	usage *usage.Service
+
+	// assembled is closed once all parts of the node are there.
+	assembled chan struct{}
 
 	cancel   context.CancelFunc
 	duties   sync.WaitGroup
@@ -63,6 +69,13 @@
 
 // Start opens the addresses of the settings and starts the node.
 func Start(configured settings.Settings, adapter Adapter) (*Instance, error) {
+	var duties Duties
+	if configured.DutyAPI != "" {
+		var err error
+		if duties, err = adapter.Duties(configured.DutyAPI, configured.Duties); err != nil {
+			return nil, err
+		}
+	}
 	opened := &listeners{}
 	if !configured.Idle {
 		if err := opened.open(&configured); err != nil {
@@ -71,7 +84,7 @@
 	}
 	instance := &Instance{
 		settings: configured, adapter: adapter, logger: nodeLogger(configured.Node, configured.Zone),
-		registry: prometheus.NewRegistry(), drained: make(chan struct{}), started: time.Now(),
+		registry: prometheus.NewRegistry(), drained: make(chan struct{}), assembled: make(chan struct{}), started: time.Now(),
 	}
 	instance.current.Store(&instance.settings)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -81,7 +94,8 @@
 		return instance, nil
 	}
 	instance.boundMemory()
-	instance.assemble(ctx, opened.peer)
+	instance.assemble(ctx, opened.peer, duties)
+	close(instance.assembled)
 	instance.serve(opened)
 	instance.runDuties(ctx)
 	instance.logger.Info("node started", "http", configured.HTTP, "readiness", configured.Readiness, "metrics", configured.Metrics,
@@ -90,13 +104,13 @@
 }
 
 // assemble joins the parts of the node.
-func (i *Instance) assemble(ctx context.Context, peerListener net.Listener) {
+func (i *Instance) assemble(ctx context.Context, peerListener net.Listener, duties Duties) {
 	i.directory = directory.NewTable(i.settings.Zone, i.logger)
 	i.pool = exchange.NewPool(nil)
 	dispatcher := dispatch.New(i.pool, i.adapter.Headers)
 	i.forwarder = forward.New(forward.Config{
 		Zone: i.settings.Zone, Directory: i.directory, Dispatcher: dispatcher, Logger: i.logger, Metrics: forward.NewMetrics(i.registry),
-		Prompt: i.adapter.Headers.Prompt, VersionField: i.adapter.Jobs.VersionField(),
+		Prompt: i.adapter.Headers.Prompt, VersionField: i.adapter.Jobs.VersionField(), Meter: (*usageMeter)(i),
 	})
 	advertised := i.settings.PeerAdvertised
 	if advertised == "" {
@@ -104,9 +118,13 @@
 	}
 	self := batch.Owner{Node: i.settings.Node, Address: advertised, Incarnation: uint64(i.started.UnixNano())}
 	i.transport = transport.Listen(peerListener, transport.Config{
-		Hello:   wire.Hello{Protocol: wire.ProtocolVersion, Node: self.Node, Address: self.Address, Incarnation: self.Incarnation},
-		Post:    func(call func()) { go call() },
-		Handler: func(_ string, message wire.Message, reply func(wire.Message)) { i.handle(ctx, message, reply) },
+		Hello: wire.Hello{Protocol: wire.ProtocolVersion, Node: self.Node, Address: self.Address, Incarnation: self.Incarnation},
+		Post:  func(call func()) { go call() },
+		Handler: func(_ string, message wire.Message, reply func(wire.Message)) {
+			// Peers may speak to this node before all of it is there.
+			<-i.assembled
+			i.handle(ctx, message, reply)
+		},
 	})
 	i.peers = peering.NewTable(peering.Config{
 		Node: self.Node, Address: self.Address, Zone: i.settings.Zone, Incarnation: self.Incarnation, Seeds: i.settings.Seeds,
@@ -132,6 +150,9 @@
 		Keeper: i.duty, Directory: i.directory, Replicas: i.adapter.Orders(i.pool), Logger: i.logger, Registry: i.registry,
 		Load: i.jobs.Load, Tolerance: i.jobs.Tolerance, Demand: i.jobs.Demand, OnChange: i.jobs.NoteVersion, Changed: i.peers.Changed,
 	})
+	if duties.Usage != nil {
+		i.usage = i.newUsage(self, duties.Usage)
+	}
 	i.handler = ingress.NewHandler(ingress.Config{
 		Directory: i.directory, Forwarder: i.forwarder, Headers: i.adapter.Headers, Logger: i.logger,
 		Jobs: &batch.Front{Service: i.jobs, Headers: i.adapter.Headers}, BodyBytes: i.settings.MemoryMB * megabyte / bodyPart,
@@ -174,6 +195,9 @@
 	i.run(func() { i.watchCatchUp(ctx) })
 	i.run(func() { i.jobs.Run(ctx) })
 	i.run(func() { i.weights.Run(ctx) })
+	if i.usage != nil {
+		i.run(func() { i.usage.Run(ctx) })
+	}
 }
 
 const (
--- a/internal/instance/peers.go
+++ b/internal/instance/peers.go
@@ -23,6 +23,10 @@
 		reply(i.store.Answer(ctx, call))
 		return
 	}
+	if push, isPush := message.(*wire.UsagePush); isPush && i.usage != nil {
+		reply(i.usage.Take(push))
+		return
+	}
 	if !i.jobs.Answer(message, reply) {
 		reply(&wire.Failure{Detail: "unknown message"})
 	}
@@ -32,6 +36,9 @@
 func (i *Instance) fillBeat(beat *wire.NodeBeat) {
 	i.jobs.FillBeat(beat)
 	beat.Versions = i.weights.Versions()
+	if i.usage != nil {
+		i.usage.FillBeat(beat)
+	}
 	beat.Lease = i.duty.Tenure()
 	seen := i.duty.Seen()
 	beat.LeaseHolder, beat.LeaseSeen, beat.LeaseReleased = seen.Holder, seen.Revision, seen.Released
@@ -44,6 +51,9 @@
 	for _, change := range beat.Versions {
 		i.weights.ObserveVersion(change)
 	}
+	if i.usage != nil {
+		i.usage.TakeBeat(beat)
+	}
 	i.jobs.TakeBeat(beat)
 }
 
--- a/internal/instance/stop.go
+++ b/internal/instance/stop.go
@@ -65,12 +65,19 @@
 	ctx, cancel := context.WithDeadline(context.Background(), limit.Add(graceMargin/2))
 	defer cancel()
 	i.front.Shutdown(ctx)
+	if i.usage != nil {
+		// What was served while the node left.
+		i.usage.Flush(ctx)
+	}
 }
 
 // handOverDuties ends what this node does for the whole deployment, so that
 // another need not wait for the lease to run out.
 func (i *Instance) handOverDuties() {
 	go i.duty.Release(context.Background())
+	if i.usage != nil {
+		go i.usage.Flush(context.Background())
+	}
 }
 
 // Drained is closed when a planned stop has ended.
--- /dev/null
+++ b/internal/instance/usage.go
@@ -0,0 +1,49 @@
+package instance
+
+import (
+	"time"
+
+	"github.com/pathtally/pathtally/internal/batch"
+	"github.com/pathtally/pathtally/internal/usage"
+)
+
+const (
+	// defaultUsageWindow and defaultUsageLate hold where the settings name no
+	// times.
+	defaultUsageWindow = 5 * time.Second
+	defaultUsageLate   = 10 * time.Second
+)
+
+// newUsage returns the service that counts and reports usage.
+func (i *Instance) newUsage(self batch.Owner, platform usage.Platform) *usage.Service {
+	return usage.NewService(usage.Config{
+		Node: self.Node, Incarnation: self.Incarnation,
+		Window: spanOr(i.settings.UsageWindow.Std(), defaultUsageWindow), Late: spanOr(i.settings.UsageLate.Std(), defaultUsageLate),
+		Keeper: i.duty, Store: i.store, Platform: platform, Peers: i.transport, Logger: i.logger, Registry: i.registry,
+		Nodes: i.peers.Nodes, Peer: i.peerProcess, Changed: i.peers.Changed,
+	})
+}
+
+// spanOr is a time of the settings, or its default where none is named.
+func spanOr(configured, standard time.Duration) time.Duration {
+	if configured <= 0 {
+		return standard
+	}
+	return configured
+}
+
+// peerProcess tells where a node is, and which of its processes was heard last.
+func (i *Instance) peerProcess(node string) (address string, incarnation uint64, known bool) {
+	peer, known := i.peers.Get(node)
+	return peer.Address, peer.Incarnation, known
+}
+
+// usageMeter counts the requests of a node that reports usage.
+type usageMeter Instance
+
+// Began implements forward.Meter.
+func (m *usageMeter) Began(tenant string, at time.Time) {
+	if m.usage != nil {
+		m.usage.Began(tenant, at)
+	}
+}
--- /dev/null
+++ b/internal/usage/collector.go
@@ -0,0 +1,78 @@
+package usage
+
+import (
+	"maps"
+	"slices"
+	"sync"
+
+	"github.com/pathtally/pathtally/internal/wire"
+)
+
+// source is a process that has counted requests.
+type source struct {
+	node        string
+	incarnation uint64
+}
+
+// collector keeps what all nodes have told of their counts. It is safe for use by
+// many goroutines.
+type collector struct {
+	mutex   sync.Mutex
+	windows map[int64]map[source]Counts
+}
+
+func newCollector() *collector { return &collector{windows: map[int64]map[source]Counts{}} }
+
+// take takes a push. Counts only rise, so that the greatest is the newest.
+func (c *collector) take(push *wire.UsagePush) {
+	from := source{node: push.Node, incarnation: push.Incarnation}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, window := range push.Windows {
+		sources := c.windows[window.Number]
+		if sources == nil {
+			sources = map[source]Counts{}
+			c.windows[window.Number] = sources
+		}
+		counts := sources[from]
+		if counts == nil {
+			counts = Counts{}
+			sources[from] = counts
+		}
+		for _, told := range window.Counts {
+			counts[told.Tenant] = max(counts[told.Tenant], told.Count)
+		}
+	}
+}
+
+// sum adds up a window, and tells how many processes have counted in it.
+func (c *collector) sum(number int64) (total Counts, sources int) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	total = Counts{}
+	for _, counts := range c.windows[number] {
+		for tenant, count := range counts {
+			total[tenant] += count
+		}
+	}
+	return total, len(c.windows[number])
+}
+
+// first is the oldest window after one that something is known of.
+func (c *collector) first(after int64) (number int64, known bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, number := range slices.Sorted(maps.Keys(c.windows)) {
+		if number > after {
+			return number, true
+		}
+	}
+	return 0, false
+}
+
+// forget drops the windows before one.
+func (c *collector) forget(before int64) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	maps.DeleteFunc(c.windows, func(number int64, _ map[source]Counts) bool { return number < before })
+}
--- /dev/null
+++ b/internal/usage/collector_test.go
@@ -0,0 +1,60 @@
+package usage
+
+import (
+	"maps"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/pathtally/pathtally/internal/wire"
+)
+
+// pushOf is a push of one window with a count of one tenant.
+func pushOf(node string, incarnation uint64, window int64, tenant string, count uint64) *wire.UsagePush {
+	return &wire.UsagePush{Node: node, Incarnation: incarnation, Windows: []wire.UsageWindow{
+		{Number: window, Counts: []wire.TenantCount{{Tenant: tenant, Count: count}}},
+	}}
+}
+
+// Pushes that are lost, repeated and reordered give the same sum, as long as the
+// newest of each process arrives.
+func TestSumsDoNotDependOnTheOrderOfPushes(t *testing.T) {
+	var pushes []*wire.UsagePush
+	want := Counts{}
+	for _, node := range []string{"one", "two"} {
+		for incarnation := range uint64(2) {
+			for count := range uint64(5) {
+				pushes = append(pushes, pushOf(node, incarnation, 7, "t", count+1))
+			}
+			want["t"] += 5
+		}
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 50 {
+		collected := newCollector()
+		for _, number := range random.Perm(len(pushes)) {
+			for range 1 + random.IntN(2) {
+				collected.take(pushes[number])
+			}
+		}
+		if got, sources := collected.sum(7); !maps.Equal(got, want) || sources != 4 {
+			t.Fatalf("sum %v of %d sources, want %v", got, sources, want)
+		}
+	}
+}
+
+func TestOldWindowsAreForgotten(t *testing.T) {
+	collected := newCollector()
+	for window := range int64(10) {
+		collected.take(pushOf("one", 1, window, "t", 1))
+	}
+	collected.forget(5)
+	if _, sources := collected.sum(4); sources != 0 {
+		t.Error("a forgotten window is known")
+	}
+	if number, known := collected.first(6); !known || number != 7 {
+		t.Errorf("the first after 6 is %d, %v", number, known)
+	}
+	if _, known := collected.first(9); known {
+		t.Error("there is a window after the last")
+	}
+}
--- /dev/null
+++ b/internal/usage/service_test.go
@@ -0,0 +1,343 @@
+package usage
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"k8s.io/klog/v2"
+
+	"github.com/pathtally/pathtally/internal/duty"
+	"github.com/pathtally/pathtally/internal/wire"
+	"github.com/pathtally/pathtally/standin/metastore"
+)
+
+const (
+	testWindow = 5 * time.Second
+	testLate   = 10 * time.Second
+)
+
+// received is a report as the platform took it.
+type received struct {
+	Report
+	late time.Duration
+}
+
+// billing stands in for the platform. It checks what it would judge.
+type billing struct {
+	t       *testing.T
+	mutex   sync.Mutex
+	reports map[int64]received
+	token   uint64
+	// away has it answer nothing until an instant; what it gets it takes.
+	away time.Time
+}
+
+func (b *billing) Report(_ context.Context, report Report) error {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if report.Token < b.token {
+		b.t.Errorf("token %d of %s after %d", report.Token, report.Holder, b.token)
+	}
+	b.token = report.Token
+	standing, known := b.reports[report.Window]
+	if known && !maps.Equal(standing.Counts, report.Counts) {
+		b.t.Errorf("window %d is reported as %v and as %v", report.Window, standing.Counts, report.Counts)
+	}
+	if !known {
+		late := time.Duration(time.Now().UnixNano()) - time.Duration(report.Window+1)*testWindow
+		b.reports[report.Window] = received{Report: report, late: late}
+	}
+	if time.Now().Before(b.away) {
+		return ErrUnanswered
+	}
+	return nil
+}
+
+// net joins the nodes of a test.
+type net struct {
+	mutex sync.Mutex
+	nodes map[string]*testNode
+	// lost is the part of the messages that is lost, in percent.
+	lost   int
+	random *rand.Rand
+}
+
+func (n *net) get(name string) *testNode {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.random.IntN(100) < n.lost {
+		return nil
+	}
+	return n.nodes[name]
+}
+
+// testNode is one process of a node.
+type testNode struct {
+	name        string
+	incarnation uint64
+	net         *net
+	service     *Service
+	keeper      *duty.Keeper
+	heard       sync.Map
+	stop        context.CancelFunc
+}
+
+// Send implements environment.Peers; the service sends nothing one way.
+func (*testNode) Send(string, wire.Message) {}
+
+// Broadcast implements environment.Peers.
+func (*testNode) Broadcast([]string, wire.Message) {}
+
+// Call implements environment.Peers.
+func (n *testNode) Call(address string, message wire.Message, timeout time.Duration, done func(wire.Message, error)) {
+	go func() {
+		time.Sleep(2 * time.Millisecond)
+		to := n.net.get(address)
+		if to == nil {
+			time.Sleep(timeout)
+			done(nil, merry.New("no answer"))
+			return
+		}
+		done(to.service.Take(message.(*wire.UsagePush)), nil)
+	}()
+}
+
+// tell is a heartbeat of a node to all.
+func (n *testNode) tell() {
+	beat := &wire.NodeBeat{}
+	n.service.FillBeat(beat)
+	seen := n.keeper.Seen()
+	for name := range n.net.copies() {
+		if other := n.net.get(name); other != nil && other != n {
+			go func() {
+				other.heard.Store(n.name, time.Now())
+				other.keeper.Observe(seen)
+				other.service.TakeBeat(beat)
+			}()
+		}
+	}
+}
+
+func (n *net) copies() map[string]*testNode {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return maps.Clone(n.nodes)
+}
+
+// start runs a new process of a node.
+func (n *net) start(ctx context.Context, name string, incarnation uint64, names []string, store *metastore.Store, platform Platform) *testNode {
+	ctx, stop := context.WithCancel(ctx)
+	node := &testNode{name: name, incarnation: incarnation, net: n, stop: stop}
+	node.keeper = duty.NewKeeper(duty.Config{
+		Node: name, Lease: duty.NewLease(name, fmt.Sprint(incarnation), 0, store), Logger: klog.Background(),
+		Nodes: func() []string { return names }, Broadcast: func() { node.tell() },
+		Heard: func(other string) time.Time {
+			at, _ := node.heard.Load(other)
+			heard, _ := at.(time.Time)
+			return heard
+		},
+	})
+	node.service = NewService(Config{
+		Node: name, Incarnation: incarnation, Window: testWindow, Late: testLate, Keeper: node.keeper, Store: store, Platform: platform,
+		Peers: node, Logger: klog.Background(), Registry: prometheus.NewRegistry(), Nodes: func() []string { return names },
+		Peer: func(other string) (string, uint64, bool) {
+			standing := n.copies()[other]
+			if standing == nil {
+				return other, 0, true
+			}
+			return other, standing.incarnation, true
+		},
+		Changed: func() { node.tell() },
+	})
+	n.mutex.Lock()
+	n.nodes[name] = node
+	n.mutex.Unlock()
+	go node.service.Run(ctx)
+	return node
+}
+
+// kill ends a process at once.
+func (n *net) kill(node *testNode) {
+	n.mutex.Lock()
+	delete(n.nodes, node.name)
+	n.mutex.Unlock()
+	node.stop()
+}
+
+// day is a run of some nodes with requests of two tenants.
+type day struct {
+	t       *testing.T
+	ctx     context.Context
+	net     *net
+	store   *metastore.Store
+	billing *billing
+	names   []string
+	// truth is what began, by window.
+	truth map[int64]Counts
+}
+
+func newDay(t *testing.T, nodes int, lost int) *day {
+	d := &day{
+		t: t, ctx: t.Context(), store: metastore.New(), billing: &billing{t: t, reports: map[int64]received{}},
+		net: &net{nodes: map[string]*testNode{}, lost: lost, random: rand.New(rand.NewPCG(3, 4))}, truth: map[int64]Counts{},
+	}
+	for number := range nodes {
+		d.names = append(d.names, fmt.Sprint("node-", number))
+	}
+	for _, name := range d.names {
+		d.net.start(d.ctx, name, 1, d.names, d.store, d.billing)
+	}
+	return d
+}
+
+// serve has all living nodes serve a request every 20 ms for a time.
+func (d *day) serve(span time.Duration) {
+	for number, end := 0, time.Now().Add(span); time.Now().Before(end); number++ {
+		time.Sleep(20 * time.Millisecond)
+		node := d.net.copies()[d.names[number%len(d.names)]]
+		if node == nil {
+			continue
+		}
+		now := time.Now()
+		tenant := fmt.Sprint("tenant-", number%3)
+		node.service.Began(tenant, now)
+		window := int64(time.Duration(now.UnixNano()) / testWindow)
+		if d.truth[window] == nil {
+			d.truth[window] = Counts{}
+		}
+		d.truth[window][tenant]++
+	}
+}
+
+// judge compares the reports with the truth, all but the first and the last two
+// windows, and returns how many were missed or off by more than a part.
+func (d *day) judge(tolerance float64) (windows, missed int) {
+	d.billing.mutex.Lock()
+	defer d.billing.mutex.Unlock()
+	first, last := int64(1<<62), int64(0)
+	for window := range d.truth {
+		first, last = min(first, window), max(last, window)
+	}
+	for window := first + 1; window < last-1; window++ {
+		windows++
+		report, known := d.billing.reports[window]
+		off := 0.0
+		for tenant, count := range d.truth[window] {
+			off += max(float64(count)-float64(report.Counts[tenant]), float64(report.Counts[tenant])-float64(count))
+		}
+		if !known || report.late > testLate || off > tolerance*float64(d.truth[window].total()) {
+			d.t.Logf("window %d: %v (late %s), truth %v", window, report.Counts, report.late, d.truth[window])
+			missed++
+		}
+	}
+	return windows, missed
+}
+
+func (d *day) holder() *testNode {
+	for _, node := range d.net.copies() {
+		if node.keeper.Tenure() != 0 {
+			return node
+		}
+	}
+	d.t.Fatal("nobody holds the lease")
+	return nil
+}
+
+func (d *day) end() {
+	time.Sleep(30 * time.Second)
+	for _, node := range d.net.copies() {
+		d.net.kill(node)
+	}
+	time.Sleep(time.Minute)
+}
+
+func TestEveryWindowIsReportedOnce(t *testing.T) {
+	for lost, tolerance := range map[int]float64{0: 0, 10: 0.05} {
+		synctest.Test(t, func(t *testing.T) {
+			d := newDay(t, 8, lost)
+			d.serve(60 * time.Second)
+			d.end()
+			if windows, missed := d.judge(tolerance); missed > 0 || windows < 8 {
+				t.Errorf("%d%% lost: %d of %d windows missed", lost, missed, windows)
+			}
+		})
+	}
+}
+
+// Whoever takes the duty over reports what has been settled, and what the dead
+// had pushed.
+func TestHoldersAreKilled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDay(t, 8, 0)
+		d.serve(12 * time.Second)
+		for range 3 {
+			d.net.kill(d.holder())
+			d.serve(20 * time.Second)
+		}
+		d.end()
+		if windows, missed := d.judge(0.05); missed > windows/4 || windows < 8 {
+			t.Errorf("%d of %d windows missed", missed, windows)
+		}
+	})
+}
+
+// Half of the nodes are killed at the same moment and started anew.
+func TestHalfOfTheNodesAreStartedAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDay(t, 12, 0)
+		d.serve(13 * time.Second)
+		killed := d.names[:6]
+		for _, name := range killed {
+			d.net.kill(d.net.copies()[name])
+		}
+		d.serve(2 * time.Second)
+		for _, name := range killed {
+			d.net.start(d.ctx, name, 2, d.names, d.store, d.billing)
+		}
+		d.serve(30 * time.Second)
+		d.end()
+		if windows, missed := d.judge(0.05); missed > 1 || windows < 6 {
+			t.Errorf("%d of %d windows missed", missed, windows)
+		}
+	})
+}
+
+// While the platform answers nothing, reports are repeated as they are.
+func TestReportsAreRepeatedWhileThePlatformIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDay(t, 5, 0)
+		d.serve(12 * time.Second)
+		d.billing.mutex.Lock()
+		d.billing.away = time.Now().Add(8 * time.Second)
+		d.billing.mutex.Unlock()
+		d.serve(30 * time.Second)
+		d.end()
+		if windows, missed := d.judge(0); missed > 0 || windows < 5 {
+			t.Errorf("%d of %d windows missed", missed, windows)
+		}
+	})
+}
+
+// An outage of the store of some seconds costs no window.
+func TestTheStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDay(t, 5, 0)
+		d.serve(12 * time.Second)
+		d.store.SetFault(func(metastore.Call) metastore.Fault { return metastore.Refused })
+		d.serve(4 * time.Second)
+		d.store.SetFault(nil)
+		d.serve(25 * time.Second)
+		d.end()
+		if windows, missed := d.judge(0); missed > 0 || windows < 5 {
+			t.Errorf("%d of %d windows missed", missed, windows)
+		}
+	})
+}
--- a/internal/wire/frame_test.go
+++ b/internal/wire/frame_test.go
@@ -22,7 +22,7 @@
 		}}}},
 		{Correlation: 3, Message: &StoreCall{Verb: uint8(StoreReplace), Kind: "k", Name: "n", Revision: 4, Content: []byte("{}"), MayBeStale: true}},
 		{Correlation: 3, Reply: true, Message: &StoreReply{Outcome: uint8(StoreConflict), Status: 429, More: true, At: 9, Objects: []ObjectChange{{Name: "n"}}}},
-		{Correlation: 4, Message: &UsagePush{Node: "n", Incarnation: 2, UnixMs: 3, Windows: []UsageWindow{{Number: 4, Closed: true, Counts: []TenantCount{{Tenant: "t", Count: 5}}}}}},
+		{Correlation: 4, Message: &UsagePush{Node: "n", Incarnation: 2, UnixMs: 3, Windows: []UsageWindow{{Number: 4, Counts: []TenantCount{{Tenant: "t", Count: 5}}}}}},
 		{Correlation: 4, Reply: true, Message: &UsageTaken{UnixMs: 6}},
 		{Correlation: 5, Message: &JobSubmit{Job: "j", Route: "r", Host: "h", Payload: []byte("{}"), Tenant: "t"}},
 		{Message: &Done{}},
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -295,6 +295,9 @@
 	LeaseHolder   string
 	LeaseSeen     uint64
 	LeaseReleased bool
+	// UsageDone is the number of the newest window up to which all usage has been
+	// reported, as far as the sender knows; 0 for none.
+	UsageDone int64
 	// Lengths are those of items that batch jobs ended without and that may
 	// come back in a later one.
 	Lengths []ItemLength
--- a/internal/wire/schema/peer.capnp
+++ b/internal/wire/schema/peer.capnp
@@ -292,6 +292,7 @@
   lengths @14 :List(ItemLength);  # of items that an ended job left without a whole group
   work @15 :List(JobWork);  # of the batch jobs in jobs
   leaseReleased @16 :Bool;  # its holder gave the lease up at revision leaseSeen
+  usageDone @17 :Int64;     # number of the newest window up to which all usage has been reported
 }
 
 struct JobWork {
@@ -422,8 +423,7 @@
 
 struct UsageWindow {
   number @0 :Int64;         # spans of the window's length since the start of 1970
-  closed @1 :Bool;          # the sender adds nothing more to it
-  counts @2 :List(TenantCount); # what this process of the sender has counted, in all
+  counts @1 :List(TenantCount); # what this process of the sender has counted, in all
 }
 
 struct UsagePush {
--- a/internal/wire/usage.go
+++ b/internal/wire/usage.go
@@ -16,8 +16,6 @@
 type UsageWindow struct {
 	// Number counts the windows since the start of 1970.
 	Number int64
-	// Closed tells that the sender adds nothing more to the window.
-	Closed bool
 	Counts []TenantCount
 }
 
--- a/test/platform_harness_test.go
+++ b/test/platform_harness_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/pathtally/pathtally/standin/dutyapi"
 	"github.com/pathtally/pathtally/standin/metastore"
 	"github.com/pathtally/pathtally/standin/replica"
 )
@@ -36,6 +37,9 @@
 	// tenants are declared in the configurations written from now on; nil for
 	// none.
 	tenants []map[string]any
+	// duties takes usage reports, in windows of a length; nil for none.
+	duties      *dutyapi.Server
+	usageWindow time.Duration
 }
 
 // platformNode is one node process.
@@ -53,6 +57,8 @@
 	nodes, engines, apps int
 	eventInterval        time.Duration
 	tenants              []map[string]any
+	// usageWindow has usage reported, in windows of that length.
+	usageWindow time.Duration
 }
 
 // deployPlatform starts stand-ins and nodes.
@@ -67,6 +73,13 @@
 	go server.Serve(listener)
 	t.Cleanup(func() { server.Close() })
 	d.address = listener.Addr().String()
+	if shaped.usageWindow > 0 {
+		d.usageWindow = shaped.usageWindow
+		if d.duties, err = dutyapi.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(d.duties.Close)
+	}
 	d.startReplicas(shaped)
 	d.configure(1)
 	for number := range shaped.nodes {
@@ -133,6 +146,9 @@
 	path := filepath.Join(d.folder, fmt.Sprintf("node-%d.yaml", number))
 	settings := fmt.Sprintf("node: node-%d\nzone: zone-a\nregion: region\nhttp: 127.0.0.1:0\npeer: 127.0.0.1:0\nreadiness: 127.0.0.1:0\n"+
 		"metrics: 127.0.0.1:0\nobjectStore: %s\ngrace: %s\n", number, d.address, grace)
+	if d.duties != nil {
+		settings += fmt.Sprintf("dutyAPI: %s\nduties: [metering]\nusageWindow: %s\nusageLate: %s\n", d.duties.Address(), d.usageWindow, usageLate)
+	}
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		d.t.Fatal(err)
 	}
--- /dev/null
+++ b/test/usage_test.go
@@ -0,0 +1,124 @@
+package test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pathtally/pathtally/standin/dutyapi"
+)
+
+// usageLate is how long after its end a window's report is due in these tests.
+const usageLate = 10 * time.Second
+
+// began counts by tenant and window what the replicas ran of live requests.
+func (d *platformDeployment) began() map[int64]map[string]uint64 {
+	counts := map[int64]map[string]uint64{}
+	for _, app := range d.apps {
+		for _, run := range app.Runs() {
+			window := run.At.UnixNano() / int64(d.usageWindow)
+			if run.Tenant == "" || !strings.HasPrefix(run.ID, "usage.") {
+				// Calls of scorers are no usage.
+				continue
+			}
+			if counts[window] == nil {
+				counts[window] = map[string]uint64{}
+			}
+			counts[window][run.Tenant]++
+		}
+	}
+	return counts
+}
+
+// keepAsking has callers of two tenants send requests to all living nodes until
+// the returned function is called.
+func (d *platformDeployment) keepAsking(avoid func(node int) bool) (stop func()) {
+	ended := make(chan struct{})
+	var callers sync.WaitGroup
+	for caller := range 4 {
+		callers.Go(func() {
+			key := []string{keyOfOne, keyOfTwo}[caller%2]
+			for number := 0; ; number++ {
+				select {
+				case <-ended:
+					return
+				case <-time.After(25 * time.Millisecond):
+				}
+				node := (caller + number) % len(d.nodes)
+				if !avoid(node) {
+					d.send(d.nodes[node], http.MethodPost, liveHost, "/live/a", fmt.Sprintf("usage.%d.%d", caller, number), []byte("x"), bearing(key))
+				}
+			}
+		})
+	}
+	return func() {
+		close(ended)
+		callers.Wait()
+	}
+}
+
+// off is by how many requests a report differs from the truth.
+func off(report dutyapi.Report, truth map[string]uint64) (difference, total uint64) {
+	for tenant, count := range truth {
+		total += count
+		if told := report.Counts[tenant]; told > count {
+			difference += told - count
+		} else {
+			difference += count - told
+		}
+	}
+	return difference, total
+}
+
+// Usage is reported window by window, also when the node that reports is killed
+// and when another stops as planned. No window is reported in two ways, and no
+// fence falls.
+func TestUsageIsReportedByOneNodeAtATime(t *testing.T) {
+	d := deployPlatform(t, shape{nodes: 4, engines: 1, apps: 2, eventInterval: time.Millisecond, tenants: twoTenants(), usageWindow: time.Second})
+	var gone sync.Map
+	stop := d.keepAsking(func(node int) bool { _, known := gone.Load(node); return known })
+	d.eventually("a window is reported", func() bool { return len(d.duties.Reports()) > 1 })
+	d.submitAs(d.nodes[0], bearing(keyOfOne), "uncounted", 8, 1)
+	holder := -1
+	for _, report := range d.duties.Reports() {
+		fmt.Sscanf(report.Holder, "node-%d", &holder)
+	}
+	gone.Store(holder, true)
+	d.nodes[holder].signal(syscall.SIGKILL)
+	killed := time.Now()
+	time.Sleep(3 * time.Second)
+	leaver := (holder + 1) % 4
+	gone.Store(leaver, true)
+	d.nodes[leaver].signal(syscall.SIGTERM)
+	time.Sleep(3 * time.Second)
+	stop()
+	last := time.Now().UnixNano()/int64(d.usageWindow) - 1
+	d.eventually("the last whole window is reported", func() bool { _, known := d.duties.Reports()[last]; return known })
+	for _, finding := range d.duties.Findings() {
+		t.Error(finding)
+	}
+	truth, reports := d.began(), d.duties.Reports()
+	first := last
+	for window := range truth {
+		first = min(first, window)
+	}
+	missed := 0
+	for window := first + 1; window <= last; window++ {
+		report, known := reports[window]
+		difference, total := off(report, truth[window])
+		if !known || float64(difference) > 0.05*float64(total) {
+			missed++
+			t.Logf("window %d: %v, known %v, truth %v, %s after the kill", window, report.Counts, known, truth[window],
+				time.Unix(0, window*int64(d.usageWindow)).Sub(killed))
+		}
+	}
+	// What the killed node served in its last moments may be lost.
+	if missed > 1 || last-first < 5 {
+		t.Errorf("%d of %d windows are missed or off", missed, last-first)
+	}
+	d.checkNoKeyIsKept()
+}
