Replicas that fail their runs get few items, and their items more attempts

Hypothesis: items are lost to the replica, not to themselves. Two ways beside the standing one: an item goes to no replica again that has failed it (B), and besides a failure rate for each replica (A). Change (A): the newest run counts for a quarter of a replica's failure rate, which is halved in 3 s without runs; from 0.4 on, as after two failures in a row, the replica comes last and runs one item at a time. Failures there do not count as the item's own, up to twice the attempts of its route. An item that fails again where it has failed says nothing new of the replica.

--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -176,6 +176,9 @@
 	work.running = nil
 	work.events = max(work.events, len(work.progress.events))
 	defer s.nudge()
+	if err == nil {
+		state.failures.observe(false, time.Now())
+	}
 	if work.job.ended || work.job.displaced || err == nil {
 		return
 	}
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -73,8 +73,11 @@
 	expected int
 	// events is how many events its runs that have ended have made.
 	events int
-	// failures counts answers that say the item failed.
-	failures int
+	// failures counts answers that say the item failed, ownFailures those of
+	// replicas that were not failing at the time, and failedAt names the replicas.
+	failures    int
+	ownFailures int
+	failedAt    []string
 	// breaks counts runs that ended without a reason that the item gave.
 	breaks int
 	// notBefore is when the item may run again.
--- a/internal/batch/outcome.go
+++ b/internal/batch/outcome.go
@@ -43,11 +43,7 @@
 	case errors.As(err, &status) && status.Status == refusedStatus:
 		s.abandon(work, "a replica says it can never be done")
 	case errors.As(err, &status) && status.Status == http.StatusInternalServerError:
-		work.failures++
-		work.notBefore = time.Now().Add(failurePause)
-		if work.failures >= s.itemAttempts(work) {
-			s.abandon(work, "it failed as often as its route allows")
-		}
+		s.noteFailure(running, state)
 	default:
 		if running.events.Load() == 0 {
 			// It may be down: trying it with one item after the other helps none.
--- a/internal/batch/placement.go
+++ b/internal/batch/placement.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pathtally/pathtally/internal/directory"
@@ -26,6 +27,8 @@
 type place struct {
 	endpoint *routing.Endpoint
 	load     int
+	// most is how many items may run there.
+	most int
 	// bias is added to the use when places are compared.
 	bias float64
 }
@@ -80,11 +83,17 @@
 }
 
 // pick returns the least used replica that has the weights for an item, is not
-// loading and has a free slot, nil for none. Slow ones come last.
+// loading and has a free slot, nil for none. Slow and failing ones come last. An
+// item goes to no replica again that has failed it, as long as there are others.
 func (p *placement) pick(waiting *item) *place {
 	var best *place
-	for _, candidate := range p.of(waiting) {
-		if candidate.load < candidate.endpoint.Slots && (best == nil || candidate.use() < best.use()) {
+	places := p.of(waiting)
+	failedEverywhere := len(waiting.failedAt) >= len(places)
+	for _, candidate := range places {
+		if candidate.load >= candidate.most || (best != nil && candidate.use() >= best.use()) {
+			continue
+		}
+		if failedEverywhere || !slices.Contains(waiting.failedAt, candidate.endpoint.Name) {
 			best = candidate
 		}
 	}
@@ -120,7 +129,10 @@
 		}
 		shared := p.byName[endpoint.Name]
 		if shared == nil {
-			shared = &place{endpoint: endpoint, load: p.loads[endpoint.Name], bias: p.bias(endpoint.Name, state, now)}
+			shared = &place{endpoint: endpoint, load: p.loads[endpoint.Name], most: endpoint.Slots, bias: p.bias(endpoint.Name, state, now)}
+			if state.failures.failing(now) {
+				shared.most = min(failingRuns, endpoint.Slots)
+			}
 			p.byName[endpoint.Name] = shared
 		}
 		places = append(places, shared)
@@ -130,7 +142,7 @@
 
 func (p *placement) bias(id string, state *replicaState, now time.Time) float64 {
 	bias := paceBias * p.paces.excess(id)
-	if p.paces.slow(id) {
+	if p.paces.slow(id) || state.failures.failing(now) {
 		bias += slowPenalty
 	}
 	if now.Sub(state.observed) < warmTime {
--- a/internal/batch/replicas.go
+++ b/internal/batch/replicas.go
@@ -27,6 +27,8 @@
 	versions map[string]int64
 	// loadingSince is when a model's load was told, zero when none is.
 	loadingSince map[string]time.Time
+	// failures is how many of its runs it says have failed.
+	failures failureRate
 	// interval is the average time between events of a run, 0 if unknown.
 	interval time.Duration
 	observed time.Time
--- a/internal/batch/replicas_test.go
+++ b/internal/batch/replicas_test.go
@@ -41,6 +41,60 @@
 	})
 }
 
+func TestFailingReplicasAreTold(t *testing.T) {
+	start := time.Now()
+	for _, test := range []struct {
+		name string
+		// runs are outcomes a tenth of a second apart, F for a failure.
+		runs string
+		// after is how long after the last one is asked.
+		after time.Duration
+		want  bool
+	}{
+		{"none", "", 0, false},
+		{"one failure", "....F", 0, false},
+		{"two in a row", "....FF", 0, true},
+		{"one in ten", "F.........F.........F", 0, false},
+		{"half", "F.F.F.F.F.F.F.F", 0, true},
+		{"all, some time ago", "FFFFFFFFFFFF", 5 * time.Second, false},
+		{"all, a moment ago", "FFFFFFFFFFFF", 2 * time.Second, true},
+		{"all, then well", "FFFFFFFF.....", 0, false},
+	} {
+		var failures failureRate
+		now := start
+		for _, run := range test.runs {
+			now = now.Add(100 * time.Millisecond)
+			failures.observe(run == 'F', now)
+		}
+		if got := failures.failing(now.Add(test.after)); got != test.want {
+			t.Errorf("%s: %v, want %v", test.name, got, test.want)
+		}
+	}
+}
+
+// Failing replicas answer at once and so have free slots: most items went there.
+func TestItemsAvoidFailingReplicas(t *testing.T) {
+	service, waiting := placing(3)
+	now := time.Now()
+	for range 4 {
+		service.replica(replicaName(0)).failures.observe(true, now)
+	}
+	waiting.failedAt = []string{replicaName(1)}
+	placement := service.newPlacement()
+	counts := map[string]int{}
+	for chosen := placement.pick(waiting); chosen != nil; chosen = placement.pick(waiting) {
+		chosen.load++
+		counts[chosen.endpoint.Name]++
+	}
+	if counts[replicaName(0)] != failingRuns || counts[replicaName(1)] != 0 || counts[replicaName(2)] != 6 {
+		t.Errorf("items went to %v", counts)
+	}
+	waiting.failedAt = []string{replicaName(0), replicaName(1), replicaName(2)}
+	if placement = service.newPlacement(); placement.pick(waiting) == nil {
+		t.Error("an item that has failed everywhere goes nowhere")
+	}
+}
+
 func replicaName(number int) string { return fmt.Sprintf("replica-%d", number) }
 
 // placing returns a service that knows so many replicas, and an item for them.
