Creates are tried beside those that have had no answer for half a second

A create that was sent during the outage is never answered, and its client waits 1.5 s for it before it is sent again. Ways: the standing one; a shorter time for each call while the store is known to be away (a store that answers more slowly than that would never be reached again); a further try beside the first after half a second, at most four at a time (kept). Only creates are tried so: a replace on condition that is tried twice cannot tell its own success from another's.

--- a/internal/objectstore/settle.go
+++ b/internal/objectstore/settle.go
@@ -6,6 +6,8 @@
 	"errors"
 	"math/rand/v2"
 	"time"
+
+	"github.com/ansel1/merry/v2"
 )
 
 const (
@@ -32,33 +34,110 @@
 
 // CreateSettled repeats a create until the store has answered it. Reading
 // proves nothing while an unanswered try may still be done, so only an answer
-// to a create settles it. The object is the one that stands.
+// to a create settles it. The object is the one that stands. A further try is made
+// beside one that has had no answer for some time: at the end of an outage those
+// sent during it stay unanswered, and a create can be repeated.
 func CreateSettled(ctx context.Context, store Store, kind, name string, spec json.RawMessage) (Object, CreateOutcome, error) {
-	unanswered := false
-	pause := firstPause
-	for {
+	settling := &settling{answers: make(chan createAnswer, openTries)}
+	create := func() {
 		object, err := store.Create(ctx, kind, name, spec)
-		var conflict *ConflictError
-		var refused *RefusedError
-		switch {
-		case err == nil:
-			return object, Created, nil
-		case errors.As(err, &conflict):
-			return conflict.Current, Existed, nil
-		case errors.As(err, &refused):
-		default:
-			unanswered = true
+		settling.answers <- createAnswer{object: object, err: err}
+	}
+	for pause := firstPause; ; pause = min(2*pause, longestPause) {
+		settling.open++
+		go create()
+		object, outcome, settled := settling.wait(ctx)
+		if settled {
+			return object, outcome, nil
+		}
+		if settling.open == 0 && !Pause(ctx, pause) || ctx.Err() != nil {
+			return Object{}, settling.unsettled(), settling.failure(ctx)
 		}
-		if !Pause(ctx, pause) {
-			if unanswered {
-				return Object{}, Unknown, err
+	}
+}
+
+const (
+	// furtherTry is after how long without an answer a create is tried once more:
+	// an outage is noticed in as long, and a slow store answers sooner.
+	furtherTry = 500 * time.Millisecond
+	// openTries bounds the tries under way. Each ends after 1.5 s at the latest.
+	openTries = 4
+)
+
+// createAnswer is what became of one try.
+type createAnswer struct {
+	object Object
+	err    error
+}
+
+// settling is a create on its way. It belongs to one goroutine; tries report
+// through the channel.
+type settling struct {
+	answers chan createAnswer
+	// open counts the tries under way.
+	open int
+	// unanswered is set once a try ended without an answer, and last is how the
+	// newest one failed.
+	unanswered bool
+	last       error
+}
+
+// wait waits until the create is settled or a further try is due.
+func (s *settling) wait(ctx context.Context) (object Object, outcome CreateOutcome, settled bool) {
+	further := time.NewTimer(furtherTry)
+	defer further.Stop()
+	due := further.C
+	for {
+		if s.open == openTries {
+			due = nil
+		}
+		select {
+		case <-ctx.Done():
+			return Object{}, 0, false
+		case <-due:
+			return Object{}, 0, false
+		case answer := <-s.answers:
+			s.open--
+			if object, outcome, settled = s.take(answer); settled || s.open == 0 {
+				return object, outcome, settled
 			}
-			return Object{}, NeverSent, err
+			due = further.C
 		}
-		pause = min(2*pause, longestPause)
 	}
 }
 
+// take judges the answer to a try.
+func (s *settling) take(answer createAnswer) (Object, CreateOutcome, bool) {
+	var conflict *ConflictError
+	var refused *RefusedError
+	switch {
+	case answer.err == nil:
+		return answer.object, Created, true
+	case errors.As(answer.err, &conflict):
+		return conflict.Current, Existed, true
+	case !errors.As(answer.err, &refused):
+		s.unanswered = true
+	}
+	s.last = answer.err
+	return Object{}, 0, false
+}
+
+// unsettled is what is known where the context has ended.
+func (s *settling) unsettled() CreateOutcome {
+	if s.unanswered || s.open > 0 {
+		return Unknown
+	}
+	return NeverSent
+}
+
+// failure is why the create is not settled.
+func (s *settling) failure(ctx context.Context) error {
+	if s.last != nil {
+		return s.last
+	}
+	return &UnansweredError{Cause: merry.Wrap(ctx.Err())}
+}
+
 // Pause waits about as long as told and tells whether the context still
 // stands. The spread keeps many nodes from calling at the same moment.
 func Pause(ctx context.Context, length time.Duration) bool {
