Weights are loaded for the model with the smallest part of its replicas current

The order gave each model as many current replicas as the others, though the trainer with 16 items a group has twice the work and twice the replicas: from 24.5 to 26.5 s eleven loads went to the model with 17 groups of 8 while the step of the other waited on six of its replicas. Change: the models are compared by the part of their replicas that is current or loads, in place of the number.

--- a/internal/weightorders/plan.go
+++ b/internal/weightorders/plan.go
@@ -14,8 +14,9 @@
 	version int64
 	has     int64
 	// current is how many of the replicas that keep up with the model need no
-	// load.
+	// load, and kept how many there are.
 	current int
+	kept    int
 	// ahead is set where the replica can do without the version for now.
 	ahead bool
 }
@@ -55,7 +56,7 @@
 		open = append(open, task{target: target, model: model, version: named, has: has, ahead: !required})
 	}
 	for i := range open {
-		open[i].current = len(kept) - lacking
+		open[i].current, open[i].kept = len(kept)-lacking, len(kept)
 	}
 	return open
 }
@@ -84,16 +85,16 @@
 }
 
 // order sorts tasks by which is to be done first: those that must before those
-// done ahead; of the model with the fewest
-// current replicas, those that load now among them, so that no model waits for
-// all loads of another; then of the replica furthest behind, then of the least
-// used.
+// done ahead; of the model with the smallest part of its replicas current, those
+// that load now among them, so that no model waits for all loads of another and
+// one with more work gets more; then of the replica furthest behind, then of the
+// least used.
 func order(open []task, loading map[string]int, used func(replica string) int) {
 	slices.SortFunc(open, func(a, b task) int {
 		if a.ahead != b.ahead {
 			return placeOf(a.ahead) - placeOf(b.ahead)
 		}
-		if current := cmp.Compare(a.current+loading[a.model], b.current+loading[b.model]); current != 0 {
+		if current := cmp.Compare(a.part(loading), b.part(loading)); current != 0 {
 			return current
 		}
 		if behind := cmp.Compare(b.version-b.has, a.version-a.has); behind != 0 {
@@ -106,6 +107,11 @@
 	})
 }
 
+// part is the part of a model's replicas that are current or load now.
+func (t task) part(loading map[string]int) float64 {
+	return float64(t.current+loading[t.model]) / float64(t.kept)
+}
+
 // placeOf puts tasks that must be done before those done ahead.
 func placeOf(ahead bool) int {
 	if ahead {
--- a/internal/weightorders/plan_test.go
+++ b/internal/weightorders/plan_test.go
@@ -94,8 +94,8 @@
 // for every load of the others.
 func TestModelsTakeTurns(t *testing.T) {
 	open := []task{
-		{target: Target{ID: "a1"}, model: "a", version: 3, has: 1, current: 2}, {target: Target{ID: "a2"}, model: "a", version: 3, has: 1, current: 2},
-		{target: Target{ID: "b1"}, model: "b", version: 2, has: 1, current: 0}, {target: Target{ID: "b2"}, model: "b", version: 2, has: 1, current: 0},
+		{target: Target{ID: "a1"}, model: "a", version: 3, has: 1, current: 2, kept: 4}, {target: Target{ID: "a2"}, model: "a", version: 3, has: 1, current: 2, kept: 4},
+		{target: Target{ID: "b1"}, model: "b", version: 2, has: 1, current: 0, kept: 4}, {target: Target{ID: "b2"}, model: "b", version: 2, has: 1, current: 0, kept: 4},
 	}
 	unused := func(string) int { return 0 }
 	for _, test := range []struct {
@@ -113,6 +113,19 @@
 	}
 }
 
+// A trainer with half of the work had as many current replicas as one with a fifth
+// of it, and was a step behind at the end of the day.
+func TestModelsWithMoreReplicasLoadMore(t *testing.T) {
+	open := []task{
+		{target: Target{ID: "small"}, model: "small", version: 2, has: 1, current: 2, kept: 5},
+		{target: Target{ID: "large"}, model: "large", version: 2, has: 1, current: 4, kept: 20},
+	}
+	order(open, nil, func(string) int { return 0 })
+	if open[0].model != "large" {
+		t.Error("the model with 4 of 20 replicas waits for the one with 2 of 5")
+	}
+}
+
 // Two at a time could not keep thirty-five replicas of three models current
 // between two versions.
 func TestLoadsAtOnceGrowWithTheEngines(t *testing.T) {
