Retirements: a status that cannot be read is logged, and no encoding error is dropped

A status that was no JSON counted as not retired without a word, and the error of writing the answer was thrown away.

--- a/internal/instance/retirements.go
+++ b/internal/instance/retirements.go
@@ -19,10 +19,11 @@
 
 // RetirementCodec reads and writes the status of a retirement.
 type RetirementCodec interface {
-	// Retired tells whether a status says that the machine may be taken away.
-	Retired(status []byte) bool
+	// Retired tells whether a status says that the machine may be taken away. The
+	// error is that of a status that cannot be read.
+	Retired(status []byte) (bool, error)
 	// Retirement is the status that says so.
-	Retirement() []byte
+	Retirement() ([]byte, error)
 }
 
 // retirements answers requests to empty a machine. Nothing that lasts is kept
@@ -59,7 +60,11 @@
 func (r *retirements) take(object objectstore.Object) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.codec.Retired(object.Status) {
+	retired, err := r.codec.Retired(object.Status)
+	if err != nil {
+		r.logger.Error(err, "retirement is answered anew", "machine", object.Name)
+	}
+	if retired {
 		delete(r.pending, object.Name)
 		return
 	}
@@ -75,8 +80,13 @@
 	if !objectstore.Sleep(r.ctx, time.Duration(r.rank(machine))*retirementTurn) {
 		return
 	}
+	status, err := r.codec.Retirement()
+	if err != nil {
+		r.logger.Error(err, "retirement cannot be answered", "machine", machine)
+		return
+	}
 	for r.isPending(machine) {
-		object, err := r.store.ReplaceStatus(r.ctx, r.kind, machine, json.RawMessage(r.codec.Retirement()), objectstore.Unconditional)
+		object, err := r.store.ReplaceStatus(r.ctx, r.kind, machine, json.RawMessage(status), objectstore.Unconditional)
 		if err == nil {
 			r.logger.Info("machine drained, may be removed", "machine", machine, "revision", object.Revision)
 			return
