The jobs of a model are run by the nodes with the most processor time

Cause: running a trainer's jobs takes most of what a small node has when a step begins. On the shifted site 54 front nodes have 0.192 of a core and six have 0.8; the runner was drawn from all of them alike. Items of the steps of 176 began 650 ms after their job at the median, those of the steps of 88 after 12 ms. Change: nodes tell how many thousandths of a core they have, from the settings cpuShare and cores, in their entries and heartbeats. Runners are ranked by class of capacity, each a factor of two wide, and by weight within it. Nodes that tell nothing come last; where all are alike nothing changes. A test failed once on the way: TestDemandIsTheMeanWorkOfAModelsJobs waited for the demand of jobs whose payload does not hold it. It passed as long as the nodes did not know each other yet, so that the first ran the jobs itself. It now has it run them, keeps them open, and waits until the nodes know each other.

--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -88,15 +88,17 @@
 	return "", false
 }
 
-// runners are the nodes in their rank for a model's jobs.
+// runners are the nodes in their rank for a model's jobs, those with the most
+// processor time first: running the jobs of a trainer takes most of what a small
+// node has when a step begins.
 func (s *Service) runners(model string) []string {
-	nodes := s.config.Table.Nodes()
-	candidates := make([]rendezvous.Candidate, 0, len(nodes))
-	for _, node := range nodes {
-		candidates = append(candidates, rendezvous.Candidate{ID: node})
+	capacities := s.config.Table.Capacities()
+	candidates := make([]rendezvous.Candidate, 0, len(capacities))
+	for node, capacity := range capacities {
+		candidates = append(candidates, rendezvous.Candidate{ID: node, Capacity: capacity})
 	}
-	ranked := make([]string, 0, len(nodes))
-	for _, candidate := range rendezvous.Rank(model, candidates) {
+	ranked := make([]string, 0, len(candidates))
+	for _, candidate := range rendezvous.RankByCapacity(model, candidates) {
 		ranked = append(ranked, candidate.ID)
 	}
 	return ranked
--- a/internal/batch/runner_test.go
+++ b/internal/batch/runner_test.go
@@ -57,6 +57,23 @@
 	checkWhole(t, "job-d", cluster.readAll(ranked[3], "job-d", 2), 2, 3)
 }
 
+// A small node took a trainer's jobs and was late with everything.
+func TestJobsAreRunByTheLargestNodes(t *testing.T) {
+	engine := heldEngine(t)
+	cluster := newCluster(t, 4, engine)
+	ranked := cluster.byRank()
+	largest := ranked[2].config.Self.Node
+	for _, node := range cluster.nodes {
+		node.table.Take(t.Context(), &wire.NodeBeat{Node: largest, Address: ranked[2].config.Self.Address, Incarnation: ranked[2].config.Self.Incarnation, Capacity: 800})
+	}
+	for _, node := range cluster.nodes {
+		if first := node.runners("m")[0]; node != ranked[2] && first != largest {
+			t.Errorf("%s takes %s for the runner, want %s", node.config.Self.Node, first, largest)
+		}
+	}
+	engine.release()
+}
+
 // A job goes past a runner that is gone, and is run where it was handed in when
 // several are.
 func TestJobsGoPastRunnersThatAreGone(t *testing.T) {
--- a/internal/batch/watchers_test.go
+++ b/internal/batch/watchers_test.go
@@ -133,14 +133,19 @@
 }
 
 func TestDemandIsTheMeanWorkOfAModelsJobs(t *testing.T) {
-	engine := startEngine(t, 1)
+	// Heartbeats tell of open jobs alone: these stay open, and the nodes know each
+	// other before. The first node runs them itself: the payload does not hold the
+	// lengths that another would read from it.
+	engine := heldEngine(t)
+	defer engine.release()
 	cluster := newCluster(t, 2, engine)
+	cluster.byRank()
 	for number, tokens := range []float64{100, 300} {
 		made, payload := submission(fmt.Sprintf("job-%d", number), 2)
 		for _, submitted := range made.Items {
 			submitted.ExpectedTokens = tokens
 		}
-		if err := cluster.nodes[0].Submit(context.Background(), &Arrival{ID: fmt.Sprintf("job-%d", number), Route: testRoute, Host: "drafts.example", Payload: payload, Submission: made}); err != nil {
+		if err := cluster.nodes[0].submitHere(context.Background(), &Arrival{ID: fmt.Sprintf("job-%d", number), Route: testRoute, Host: "drafts.example", Payload: payload, Submission: made}); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -127,7 +127,7 @@
 		},
 	})
 	i.peers = peering.NewTable(peering.Config{
-		Node: self.Node, Address: self.Address, Zone: i.settings.Zone, Incarnation: self.Incarnation, Seeds: i.settings.Seeds,
+		Node: self.Node, Address: self.Address, Zone: i.settings.Zone, Incarnation: self.Incarnation, Capacity: i.settings.Capacity(), Seeds: i.settings.Seeds,
 		Store: i.adapter.Store, Peers: i.transport, Logger: i.logger, Beat: i.fillBeat, OnBeat: i.takeBeat,
 		Watchers: i.watchers,
 	})
--- a/internal/peering/heartbeat.go
+++ b/internal/peering/heartbeat.go
@@ -22,7 +22,7 @@
 func isActive(beat *wire.NodeBeat) bool { return len(beat.Jobs) > 0 || beat.Lease > 0 }
 
 func (t *Table) beat() *wire.NodeBeat {
-	beat := &wire.NodeBeat{Node: t.config.Node, Address: t.config.Address, Zone: t.config.Zone, Incarnation: t.config.Incarnation}
+	beat := &wire.NodeBeat{Node: t.config.Node, Address: t.config.Address, Zone: t.config.Zone, Incarnation: t.config.Incarnation, Capacity: t.config.Capacity}
 	t.config.Beat(beat)
 	return beat
 }
--- a/internal/peering/join.go
+++ b/internal/peering/join.go
@@ -111,7 +111,7 @@
 // of a node that was started anew is replaced, so that its peers learn of the
 // new process.
 func (t *Table) register(ctx context.Context) (isNew bool, err error) {
-	spec, err := json.Marshal(entry{Address: t.config.Address, Zone: t.config.Zone, Incarnation: t.config.Incarnation})
+	spec, err := json.Marshal(entry{Address: t.config.Address, Zone: t.config.Zone, Incarnation: t.config.Incarnation, Capacity: t.config.Capacity})
 	if err != nil {
 		return false, err
 	}
--- a/internal/peering/sink.go
+++ b/internal/peering/sink.go
@@ -11,6 +11,7 @@
 	Address     string `json:"address"`
 	Zone        string `json:"zone"`
 	Incarnation uint64 `json:"incarnation"`
+	Capacity    uint32 `json:"capacity,omitempty"`
 }
 
 func decodeEntry(object objectstore.Object) (entry, error) {
@@ -45,7 +46,7 @@
 		t.config.Logger.Error(err, "node entry is not readable", "peer", object.Name)
 		return
 	}
-	t.add(Peer{Node: object.Name, Address: decoded.Address, Zone: decoded.Zone, Incarnation: decoded.Incarnation})
+	t.add(Peer{Node: object.Name, Address: decoded.Address, Zone: decoded.Zone, Incarnation: decoded.Incarnation, Capacity: decoded.Capacity})
 }
 
 func (t *Table) forget(node string) {
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -20,10 +20,12 @@
 	Address     string
 	Zone        string
 	Incarnation uint64
-	Seeds       []string
-	Store       objectstore.Store
-	Peers       environment.Peers
-	Logger      klog.Logger
+	// Capacity is how many thousandths of a core this node has, 0 for unknown.
+	Capacity uint32
+	Seeds    []string
+	Store    objectstore.Store
+	Peers    environment.Peers
+	Logger   klog.Logger
 	// Beat fills in what this node has to tell.
 	Beat func(beat *wire.NodeBeat)
 	// OnBeat takes what another node has told.
@@ -83,6 +85,9 @@
 	if peer.Zone != "" {
 		standing.Zone = peer.Zone
 	}
+	if peer.Capacity > 0 {
+		standing.Capacity = peer.Capacity
+	}
 }
 
 // Take takes a beat of another node.
@@ -90,7 +95,7 @@
 	if beat.Node == t.config.Node {
 		return
 	}
-	t.add(Peer{Node: beat.Node, Address: beat.Address, Zone: beat.Zone, Incarnation: beat.Incarnation})
+	t.add(Peer{Node: beat.Node, Address: beat.Address, Zone: beat.Zone, Incarnation: beat.Incarnation, Capacity: beat.Capacity})
 	t.mutex.Lock()
 	if standing := t.peers[beat.Node]; standing != nil && standing.Incarnation == beat.Incarnation {
 		standing.Heard = time.Now()
@@ -140,6 +145,18 @@
 	return nodes
 }
 
+// Capacities returns how many thousandths of a core each node has, this one
+// included, of those that have told.
+func (t *Table) Capacities() map[string]uint32 {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	capacities := map[string]uint32{t.config.Node: t.config.Capacity}
+	for node, peer := range t.peers {
+		capacities[node] = peer.Capacity
+	}
+	return capacities
+}
+
 // Membership counts the changes of the set of nodes, so that what was worked
 // out from Nodes can be kept until it changes.
 func (t *Table) Membership() uint64 {
--- /dev/null
+++ b/internal/rendezvous/rank_test.go
@@ -0,0 +1,36 @@
+package rendezvous
+
+import (
+	"fmt"
+	"testing"
+)
+
+func TestRankByCapacityPutsTheLargestFirst(t *testing.T) {
+	var candidates []Candidate
+	for number := range 12 {
+		// Two of 0.8 cores, two of 0.6, eight of 0.19 or unknown.
+		capacity := []uint32{800, 600, 192, 0, 192, 192}[number%6]
+		candidates = append(candidates, Candidate{ID: fmt.Sprint("node-", number), Capacity: capacity})
+	}
+	first := map[string]int{}
+	for key := range 300 {
+		ranked := RankByCapacity(fmt.Sprint("key-", key), candidates)
+		if len(ranked) != len(candidates) {
+			t.Fatalf("%d of %d are ranked", len(ranked), len(candidates))
+		}
+		for place, candidate := range ranked {
+			if large := candidate.Capacity >= 600; large != (place < 4) {
+				t.Fatalf("%s with %d is in place %d", candidate.ID, candidate.Capacity, place)
+			}
+		}
+		first[ranked[0].ID]++
+	}
+	for id, count := range first {
+		if count < 40 {
+			t.Errorf("%s is first for %d of 300 keys", id, count)
+		}
+	}
+	if len(first) != 4 {
+		t.Errorf("%d candidates share the keys, want the four largest", len(first))
+	}
+}
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"slices"
 	"strings"
 
@@ -29,6 +30,8 @@
 type Candidate struct {
 	ID   string
 	Zone string
+	// Capacity is how much the candidate can take, in any unit; 0 for unknown.
+	Capacity uint32
 }
 
 // Rank orders candidates by weight for a key, the greatest first.
@@ -51,6 +54,18 @@
 	return ranked
 }
 
+// RankByCapacity orders candidates as Rank does, but those of about the greatest
+// capacity before those with less. Candidates that differ by less than a factor of
+// two or so share a class, so that a key's load is spread among all of them.
+func RankByCapacity(key string, candidates []Candidate) []Candidate {
+	ranked := Rank(key, candidates)
+	slices.SortStableFunc(ranked, func(a, b Candidate) int { return capacityClass(b.Capacity) - capacityClass(a.Capacity) })
+	return ranked
+}
+
+// capacityClass is the power of two that a capacity lies under.
+func capacityClass(capacity uint32) int { return bits.Len32(capacity) }
+
 // weighedCandidate is a candidate with its weight for one key.
 type weighedCandidate struct {
 	Candidate
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -49,6 +49,10 @@
 	// MemoryMB is the memory that the process may take, in megabytes; 0 for no
 	// bound.
 	MemoryMB int64 `json:"memoryMB"`
+	// CPUShare is the part of a core that the process gets, and Cores how many times
+	// as fast as one that core is; 0 for unknown.
+	CPUShare float64 `json:"cpuShare"`
+	Cores    float64 `json:"cores"`
 	// Idle nodes only hold their machine: they serve nobody.
 	Idle bool `json:"idle"`
 	// DutyLease is how long another node must wait after the last call that this
@@ -74,6 +78,15 @@
 	UsageLate   v1.Duration `json:"usageLate"`
 }
 
+// Capacity is how many thousandths of a core the process has, 0 for unknown.
+func (s *Settings) Capacity() uint32 {
+	cores := s.Cores
+	if cores == 0 {
+		cores = 1
+	}
+	return uint32(1000 * s.CPUShare * cores)
+}
+
 // Error is a setting that cannot be used.
 type Error struct {
 	Setting string
@@ -224,6 +237,9 @@
 			findings = append(findings, &Error{Setting: span.setting, Found: span.value.Std().String(), Allowed: "a duration of 0 or more"})
 		}
 	}
+	if s.CPUShare < 0 || s.Cores < 0 {
+		findings = append(findings, &Error{Setting: "cpuShare, cores", Found: fmt.Sprint(s.CPUShare, ", ", s.Cores), Allowed: "numbers of 0 or more"})
+	}
 	if s.MemoryMB < 0 {
 		findings = append(findings, &Error{Setting: "memoryMB", Found: fmt.Sprint(s.MemoryMB), Allowed: "a number of megabytes, 0 or more"})
 	}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -295,6 +295,8 @@
 	LeaseHolder   string
 	LeaseSeen     uint64
 	LeaseReleased bool
+	// Capacity is how many thousandths of a core the sender has, 0 for unknown.
+	Capacity uint32
 	// UsageDone is the number of the newest window up to which all usage has been
 	// reported, as far as the sender knows; 0 for none.
 	UsageDone int64
--- a/internal/wire/schema/peer.capnp
+++ b/internal/wire/schema/peer.capnp
@@ -292,6 +292,7 @@
   lengths @14 :List(ItemLength);  # of items that an ended job left without a whole group
   work @15 :List(JobWork);  # of the batch jobs in jobs
   leaseReleased @16 :Bool;  # its holder gave the lease up at revision leaseSeen
+  capacity @18 :UInt32;     # thousandths of a core that the sender has, 0 for unknown
   usageDone @17 :Int64;     # number of the newest window up to which all usage has been reported
 }
 
