The front tells a caller's tenant by name; tests see the priority that replicas get

A tenant's priority was worked out in two places (ingress and tenancy); the front now hands on the tenant's name and asks the table. The stand-in replica keeps the priority of each run, and the tests of tenants check it for streams and items.

--- a/internal/batch/failing.go
+++ b/internal/batch/failing.go
@@ -20,8 +20,8 @@
 	// failingRuns is how many items run at a failing replica at most.
 	failingRuns = 1
 	// failedAnswers is how many times the attempts of its route an item may fail
-	// before it is given up, where the replicas are to blame. Replicas' callers are
-	// to stop at three times.
+	// before it is given up, where the replicas are to blame. The platform forbids
+	// a further run after three times as many.
 	failedAnswers = 2
 )
 
--- a/internal/ingress/authenticate.go
+++ b/internal/ingress/authenticate.go
@@ -26,55 +26,33 @@
 // not known for too long whether its configuration is the newest.
 var errUnproven = merry.Sentinel("the configuration is too old to tell whose key it is")
 
-// caller is who sent a request: the zero value is anybody.
-type caller struct {
-	// tenant is nil on public routes and where no tenants are declared.
-	tenant *tenancy.Tenant
-}
-
-// name is the caller's tenant, empty for none.
-func (c caller) name() string {
-	if c.tenant == nil {
-		return ""
-	}
-	return c.tenant.Name
-}
-
-// priority is the rank of the caller's requests on a route.
-func (c caller) priority(route *directory.Route) int {
-	if c.tenant != nil && c.tenant.Priority != nil {
-		return *c.tenant.Priority
-	}
-	return route.Priority
-}
-
-// authenticate tells who sent a request, by its key, and takes the key out of
-// the headers: nothing behind this point sees it. Where no tenants are declared,
-// headers are left as they came.
-func (h *Handler) authenticate(configuration *directory.Configuration, header http.Header, public bool) (caller, error) {
+// authenticate tells whose request it is by its key, and takes the key out of the
+// headers: nothing behind this point sees it. No tenant is named on public routes.
+// Where no tenants are declared, headers are left as they came.
+func (h *Handler) authenticate(configuration *directory.Configuration, header http.Header, public bool) (tenant string, err error) {
 	if configuration.Tenants == nil {
-		return caller{}, nil
+		return "", nil
 	}
 	defer h.config.Headers.WithholdKey(header)
 	if public {
-		return caller{}, nil
+		return "", nil
 	}
 	key, err := h.config.Headers.Key(header)
 	if err != nil {
-		return caller{}, err
+		return "", err
 	}
 	age := h.config.ConfigurationAge()
 	if bound := h.config.KeyBound(); bound > 0 && age > bound {
-		return caller{}, errUnproven
-	}
-	tenant := configuration.Tenants.Lookup(key)
-	if tenant == nil && age > doubtfulAge {
-		return caller{}, errUnproven
+		return "", errUnproven
 	}
-	if tenant == nil {
-		return caller{}, tenancy.ErrUnknownKey
+	holder := configuration.Tenants.Lookup(key)
+	switch {
+	case holder != nil:
+		return holder.Name, nil
+	case age > doubtfulAge:
+		return "", errUnproven
 	}
-	return caller{tenant: tenant}, nil
+	return "", tenancy.ErrUnknownKey
 }
 
 // refuseCaller answers a request whose caller is not known. Nothing of it has
--- a/internal/ingress/authenticate_test.go
+++ b/internal/ingress/authenticate_test.go
@@ -25,8 +25,7 @@
 func (keyHeader) WithholdKey(header http.Header) { header.Del(testKeyField) }
 
 func TestCallersAreToldByTheirKeys(t *testing.T) {
-	urgent := 0
-	table, _ := tenancy.NewTable([]tenancy.Declared{{Tenant: tenancy.Tenant{Name: "one", Priority: &urgent}, Keys: []tenancy.Key{"known"}}})
+	table, _ := tenancy.NewTable([]tenancy.Declared{{Tenant: tenancy.Tenant{Name: "one"}, Keys: []tenancy.Key{"known"}}})
 	declared := &directory.Configuration{Tenants: table}
 	for _, test := range []struct {
 		name          string
@@ -55,15 +54,12 @@
 		if test.key != "" {
 			header.Set(testKeyField, test.key)
 		}
-		from, err := handler.authenticate(test.configuration, header, test.public)
-		if from.name() != test.tenant || !errors.Is(err, test.reason) {
-			t.Errorf("%s: %q, %v", test.name, from.name(), err)
+		tenant, err := handler.authenticate(test.configuration, header, test.public)
+		if tenant != test.tenant || !errors.Is(err, test.reason) {
+			t.Errorf("%s: %q, %v", test.name, tenant, err)
 		}
 		if got := header.Get(testKeyField); got != test.passed {
 			t.Errorf("%s: passed on %q", test.name, got)
 		}
-		if route := (&directory.Route{Priority: 4}); test.tenant != "" && from.priority(route) != urgent {
-			t.Errorf("%s: priority %d", test.name, from.priority(route))
-		}
 	}
 }
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -110,12 +110,12 @@
 
 // serveJobCall answers a call about a batch job.
 func (h *Handler) serveJobCall(writer http.ResponseWriter, request *http.Request, configuration *directory.Configuration, id string) {
-	from, err := h.authenticate(configuration, request.Header, configuration.JobCallsArePublic(request.Host))
+	tenant, err := h.authenticate(configuration, request.Header, configuration.JobCallsArePublic(request.Host))
 	if err != nil {
 		h.refuseCaller(writer, id, err)
 		return
 	}
-	h.config.Jobs.ServeCall(writer, request, from.name())
+	h.config.Jobs.ServeCall(writer, request, tenant)
 }
 
 // serveRequest answers a request on a route.
@@ -125,7 +125,7 @@
 		h.refuse(writer, id, http.StatusNotFound, "no route for the host and path", 0)
 		return
 	}
-	from, err := h.authenticate(configuration, request.Header, route.Public)
+	tenant, err := h.authenticate(configuration, request.Header, route.Public)
 	if err != nil {
 		h.refuseCaller(writer, id, err)
 		return
@@ -149,16 +149,16 @@
 		panic(http.ErrAbortHandler)
 	}
 	if route.Kind == directory.RouteBatch {
-		h.config.Jobs.Submit(writer, request, Submitted{Route: route, ID: id, Tenant: from.name(), Body: body})
+		h.config.Jobs.Submit(writer, request, Submitted{Route: route, ID: id, Tenant: tenant, Body: body})
 		return
 	}
 	call := &dispatch.Call{
 		ID: id, Method: request.Method, Target: request.RequestURI, Host: request.Host,
 		Header: withoutConnectionHeaders(request.Header), Body: body, Deadline: h.deadline(request.Header, route, received),
-		Tenant: from.name(), Metered: true,
+		Tenant: tenant, Metered: true,
 	}
 	if route.Kind == directory.RouteStream {
-		call.AfterEvent, call.Rank = h.config.Headers.AfterEvent(request.Header), dispatch.RankOf(from.priority(route))
+		call.AfterEvent, call.Rank = h.config.Headers.AfterEvent(request.Header), dispatch.RankOf(configuration.Tenants.PriorityOf(tenant, route.Priority))
 		h.stream(writer, request, route, call)
 		return
 	}
--- a/standin/replica/server.go
+++ b/standin/replica/server.go
@@ -39,6 +39,8 @@
 	// of its caller's, which is to be nothing.
 	Tenant      string
 	Credentials string
+	// Priority is the rank that it was given among others, empty for none.
+	Priority string
 	At          time.Time
 }
 
@@ -214,6 +216,7 @@
 	s.runs = append(s.runs, Run{
 		ID: request.Header.Get("Pathtally-Request-Id"), Method: request.Method, Target: request.RequestURI, Body: body, After: after, Version: s.version, At: time.Now(),
 		Tenant: request.Header.Get("Pathtally-Tenant"), Credentials: request.Header.Get("Authorization"),
+		Priority: request.Header.Get("Pathtally-Request-Priority"),
 	})
 	return s.served, s.version, s.faults, true
 }
--- a/test/tenants_test.go
+++ b/test/tenants_test.go
@@ -143,6 +143,9 @@
 			if run.Tenant != test.tenant || run.Credentials != "" {
 				t.Errorf("%s: ran for %q with credentials %q", test.name, run.Tenant, run.Credentials)
 			}
+			if strings.HasPrefix(test.target, "/chat/") && run.Priority != "0" {
+				t.Errorf("%s: ran with priority %q, want that of its tenant", test.name, run.Priority)
+			}
 		}
 	}
 	if d.nodes[0].find("tenant declaration passed over in part", `\"two\"`) == nil {
@@ -213,6 +216,9 @@
 				if run.Tenant != "one" || run.Credentials != "" {
 					t.Errorf("%s ran for %q with credentials %q", id, run.Tenant, run.Credentials)
 				}
+				if !strings.HasPrefix(id, "score.") && run.Priority != "1" {
+					t.Errorf("%s ran with priority %q, want that of its tenant", id, run.Priority)
+				}
 			}
 		}
 	}
