--- a/standin/replica/server.go
+++ b/standin/replica/server.go
@@ -41,7 +41,7 @@
 	Credentials string
 	// Priority is the rank that it was given among others, empty for none.
 	Priority string
-	At          time.Time
+	At       time.Time
 }
 
 // OrderSeen is one order as it arrived.
