--- a/internal/weightorders/doc.go
+++ b/internal/weightorders/doc.go
@@ -1,7 +1,6 @@
 // Package weightorders brings the weight versions that trainers name onto the
-// replicas. One node at a time gives orders, under a lease that is a write on
-// condition to the metadata store. Replicas need not check fencing tokens, so
-// the lease is fenced by time as well: its holder gives no order later than a
-// short while after it sent the write, by its steady clock, and a successor
-// waits that while and the lease's term from when it first saw the write.
+// replicas. One node at a time gives orders, each under a permit of the duty
+// lease (package duty). Where more
+// loads are to be done than may run at once, the model with the smallest part of
+// its replicas current comes first.
 package weightorders
