Further homes of a model are picked in one sort, not one after the other

To see whether there are orders to give, each node works out which replicas keep up with which model every 2 s, the candidates for the lease ten times a second. Each further replica of a model was looked for among all, and each of those in the list of the model's own: the cube of the replicas. Change: the replicas that a model has not are sorted once, by how many models they have and by weight, and the first ones are taken. The order is the same: a replica that is picked leaves the others' counts as they are. A test compares both ways.

--- a/internal/weightorders/homes.go
+++ b/internal/weightorders/homes.go
@@ -34,11 +34,7 @@
 	}
 	for _, share := range shares {
 		most := min(len(replicas), int(math.Ceil(homeShare*share.part*float64(len(replicas)))))
-		for len(kept[share.model]) < most {
-			extra := leastShared(ordered, share.model, counts, kept[share.model])
-			if extra == nil {
-				break
-			}
+		for _, extra := range leastShared(ordered, share.model, counts, kept[share.model], most-len(kept[share.model])) {
 			kept[share.model] = append(kept[share.model], extra)
 			counts[extra.ID]++
 		}
@@ -58,20 +54,38 @@
 	return best
 }
 
-// leastShared is the replica with the fewest models that has not this one, and
-// among those the one of greatest weight.
-func leastShared(replicas []*directory.Replica, model string, counts map[string]int, has []*directory.Replica) *directory.Replica {
-	var best *directory.Replica
+// leastShared are some replicas that do not keep up with a model yet: those with
+// the fewest models, and among these those of greatest weight.
+func leastShared(replicas []*directory.Replica, model string, counts map[string]int, has []*directory.Replica, some int) []*directory.Replica {
+	if some <= 0 {
+		return nil
+	}
+	keeps := make(map[string]bool, len(has))
+	for _, replica := range has {
+		keeps[replica.ID] = true
+	}
+	var others []weighedReplica
 	for _, replica := range replicas {
-		if slices.Contains(has, replica) {
-			continue
-		}
-		if best == nil || counts[replica.ID] < counts[best.ID] ||
-			(counts[replica.ID] == counts[best.ID] && pairWeight(replica, model) > pairWeight(best, model)) {
-			best = replica
+		if !keeps[replica.ID] {
+			others = append(others, weighedReplica{Replica: replica, models: counts[replica.ID], weight: pairWeight(replica, model)})
 		}
 	}
-	return best
+	slices.SortFunc(others, func(a, b weighedReplica) int {
+		return cmp.Or(cmp.Compare(a.models, b.models), cmp.Compare(b.weight, a.weight), cmp.Compare(a.ID, b.ID))
+	})
+	least := make([]*directory.Replica, 0, some)
+	for _, other := range others[:min(some, len(others))] {
+		least = append(least, other.Replica)
+	}
+	return least
+}
+
+// weighedReplica is a replica with how many models it keeps up with and its weight
+// for a further one.
+type weighedReplica struct {
+	*directory.Replica
+	models int
+	weight uint64
 }
 
 func pairWeight(replica *directory.Replica, model string) uint64 {
--- /dev/null
+++ b/internal/weightorders/homes_test.go
@@ -0,0 +1,62 @@
+package weightorders
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/pathtally/pathtally/internal/directory"
+)
+
+// leastSharedOneByOne picks the replicas as they were picked before: each anew
+// from all that are left.
+func leastSharedOneByOne(replicas []*directory.Replica, model string, counts map[string]int, has []*directory.Replica, some int) []*directory.Replica {
+	var picked []*directory.Replica
+	for range some {
+		var best *directory.Replica
+		for _, replica := range replicas {
+			if slices.Contains(has, replica) || slices.Contains(picked, replica) {
+				continue
+			}
+			if best == nil || counts[replica.ID] < counts[best.ID] ||
+				(counts[replica.ID] == counts[best.ID] && pairWeight(replica, model) > pairWeight(best, model)) {
+				best = replica
+			}
+		}
+		if best == nil {
+			break
+		}
+		picked = append(picked, best)
+	}
+	return picked
+}
+
+func TestTheSameReplicasArePickedAtOnceAsOneByOne(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 6))
+	for range 100 {
+		all := replicas(1 + random.IntN(40))
+		counts := map[string]int{}
+		var has []*directory.Replica
+		for _, replica := range all {
+			counts[replica.ID] = random.IntN(3)
+			if random.IntN(3) == 0 {
+				has = append(has, replica)
+			}
+		}
+		some := random.IntN(45)
+		want := leastSharedOneByOne(all, "m", counts, has, some)
+		if got := leastShared(all, "m", counts, has, some); !slices.Equal(got, want) {
+			t.Fatalf("%d of %d replicas: other ones are picked", some, len(all))
+		}
+	}
+}
+
+// With 3,000 replicas one plan took seconds: each further replica was looked for
+// among all of them, and each of those in the list of the model's own.
+func BenchmarkHomesOfThreeThousandReplicas(b *testing.B) {
+	all := replicas(3000)
+	shares := sharesOf([]string{"a", "b", "c"}, map[string]float64{"a": 2, "b": 1, "c": 1})
+	for b.Loop() {
+		homes(all, shares)
+	}
+}
