A duty that the platform may come to have does not keep nodes from starting

Cause, found by reading: the platform's settings may gain fields and names, and a duty that the adapter did not know ended the process; so would a settings file with an API for duties and no length of windows.

--- a/internal/instance/adapter.go
+++ b/internal/instance/adapter.go
@@ -39,7 +39,7 @@
 	Orders func(pool *exchange.Pool) weightorders.Replicas
 	// Duties returns the client of the platform's API at an address, for those of
 	// the named duties that it takes.
-	Duties func(address string, named []string) (Duties, error)
+	Duties func(address string, named []string) Duties
 }
 
 // Duties are what the platform takes of one node for the whole deployment; nil
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -71,10 +71,7 @@
 func Start(configured settings.Settings, adapter Adapter) (*Instance, error) {
 	var duties Duties
 	if configured.DutyAPI != "" {
-		var err error
-		if duties, err = adapter.Duties(configured.DutyAPI, configured.Duties); err != nil {
-			return nil, err
-		}
+		duties = adapter.Duties(configured.DutyAPI, configured.Duties)
 	}
 	opened := &listeners{}
 	if !configured.Idle {
--- a/internal/usage/counter.go
+++ b/internal/usage/counter.go
@@ -60,8 +60,8 @@
 // numberAt is the number of the window that an instant lies in.
 func (c *Counter) numberAt(at time.Time) int64 { return int64(c.clock.Unix(at) / c.window) }
 
-// endOf is how long before an instant a window ended; negative while it lasts.
-func (c *Counter) endOf(number int64, at time.Time) time.Duration {
+// sinceEnd is how long before an instant a window ended; negative while it lasts.
+func (c *Counter) sinceEnd(number int64, at time.Time) time.Duration {
 	return c.clock.Unix(at) - time.Duration(number+1)*c.window
 }
 
--- a/internal/usage/report.go
+++ b/internal/usage/report.go
@@ -85,7 +85,7 @@
 		// have heard.
 		number, known = done+1, true
 	}
-	return number, known && s.counter.endOf(number, time.Now()) >= s.settleAfter()
+	return number, known && s.counter.sinceEnd(number, time.Now()) >= s.settleAfter()
 }
 
 // settleAfter is how long after its end a window is settled.
@@ -95,7 +95,7 @@
 
 // ranThrough tells whether this node has been running for the whole of a window.
 func (s *Service) ranThrough(number int64) bool {
-	return s.counter.endOf(number, s.started) < -s.config.Window
+	return s.counter.sinceEnd(number, s.started) < -s.config.Window
 }
 
 // takeOwn takes this node's own counts as another's.
@@ -108,7 +108,7 @@
 
 // reportOne settles and reports a window, and returns when to look again.
 func (s *Service) reportOne(ctx context.Context, number int64) time.Duration {
-	late := s.counter.endOf(number, time.Now())
+	late := s.counter.sinceEnd(number, time.Now())
 	if late > givenUpAfter*s.config.Late {
 		s.config.Logger.Info("usage of a window given up", "window", number, "lateMs", late.Milliseconds())
 		s.finish(number, outcomeGivenUp)
