Logs of batch jobs: ends that find no job, appends given up, readings of the store

Two promises broke: items reached replicas after the end of their job, and a result that had been read was gone. The logs could not tell the hypotheses apart: that an end was recorded or heard of by a node that had no job to stop left no line, nor did an append that the end of its job cut off, nor a reading of results from the store beside the owner's memory. Each has one now, and the line of an ended job says how many chunks it knows and whether one is on its way.

No logic is changed.

--- a/internal/batch/beat.go
+++ b/internal/batch/beat.go
@@ -64,6 +64,7 @@
 		}
 	}
 	for _, id := range beat.Ended {
+		s.logUnheldEnd(id, beat.Node)
 		if held := s.jobs[id]; held != nil && !held.ended {
 			// Whoever ended it took another node for the owner.
 			held.suspect = true
@@ -81,6 +82,16 @@
 	s.nudge()
 }
 
+// logUnheldEnd logs the end of a job that this node is taking over: there is no
+// job yet that it could stop. The mutex must be held.
+func (s *Service) logUnheldEnd(id, from string) {
+	standing := s.known[id]
+	if s.jobs[id] != nil || standing == nil || !standing.taking || standing.ended {
+		return
+	}
+	s.config.Logger.Info("end heard of while the batch job is taken over", "request", id, "from", from)
+}
+
 // endLocally stops a job that its caller has ended. The mutex must be held.
 func (s *Service) endLocally(id string) {
 	if standing := s.known[id]; standing != nil && !standing.ended {
@@ -95,7 +106,8 @@
 	held.cancel()
 	s.dropQueued(held)
 	held.notify()
-	s.config.Logger.Info("batch job ended", "request", id, "listed", len(held.listed), "items", len(held.items))
+	s.config.Logger.Info("batch job ended", "request", id, "listed", len(held.listed), "items", len(held.items),
+		"chunks", held.chunks, "appending", held.appending)
 }
 
 // beat sends heartbeats while this node has something to tell.
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -28,7 +28,9 @@
 	textsSaved time.Time
 	// saving is set while texts are on their way into the store.
 	saving bool
-	groups map[string]*group
+	// appending is set while a chunk is on its way into the store.
+	appending bool
+	groups    map[string]*group
 	// flushSoon is set when a group became whole, to append without delay.
 	flushSoon bool
 	flush     chan struct{}
--- a/internal/batch/publish.go
+++ b/internal/batch/publish.go
@@ -89,16 +89,16 @@
 	if len(written.Texts) > 0 {
 		published.textsSaved, published.saving = time.Now(), true
 	}
+	published.appending = true
 	s.mutex.Unlock()
 	began := time.Now()
 	standing, own, err := s.config.Journal.Append(published.ctx, published.id, index, written)
 	s.mutex.Lock()
-	published.saving = false
+	published.saving, published.appending = false, false
 	s.mutex.Unlock()
 	if err != nil {
-		if published.ctx.Err() == nil {
-			s.config.Logger.Error(err, "results not appended", "request", published.id, "chunk", index)
-		}
+		s.config.Logger.Error(err, "results not appended", "request", published.id, "chunk", index, "results", len(results),
+			"jobClosed", published.ctx.Err() != nil)
 		return published.ctx.Err() == nil
 	}
 	s.list(published, standing, own)
--- a/internal/batch/read.go
+++ b/internal/batch/read.go
@@ -170,9 +170,12 @@
 		// No more of it may run from now on, whatever the store answers.
 		s.noteEnded(id)
 	}
+	began := time.Now()
 	if err := s.config.Journal.End(ctx, id); err != nil {
+		s.config.Logger.Info("end of batch job not recorded", "request", id, "held", held != nil, "tookMs", time.Since(began).Milliseconds(), "error", err.Error())
 		return err
 	}
+	s.config.Logger.Info("end of batch job recorded", "request", id, "held", held != nil, "tookMs", time.Since(began).Milliseconds())
 	s.noteEnded(id)
 	if held != nil {
 		s.mutex.Lock()
--- a/internal/batch/stored.go
+++ b/internal/batch/stored.go
@@ -92,6 +92,8 @@
 	}
 	known.final = known.final || final
 	s.mutex.Unlock()
+	s.config.Logger.Info("batch job read from the store", "request", standing.ID, "ended", standing.Ended, "owner", standing.Record.Owner.Node,
+		"results", len(results), "chunks", added.chunks, "final", final)
 	return results, total, nil
 }
 
