--- a/internal/batch/harness_test.go
+++ b/internal/batch/harness_test.go
@@ -208,30 +208,56 @@
 	n.Answer(message, reply)
 }
 
-// gatedStore holds listings of results back while it has a gate, until that is
-// closed.
+// gate holds calls of one verb on one kind back until it is opened: reads before
+// they are made, creates when they are done and only the answer is on its way.
+type gate struct {
+	verb, kind string
+	open       chan struct{}
+	// reached counts the calls that wait or have waited.
+	reached atomic.Int32
+}
+
+// wait holds a call back; false if its context ended first.
+func (g *gate) wait(ctx context.Context, verb, kind string) bool {
+	if g == nil || g.verb != verb || g.kind != kind {
+		return true
+	}
+	g.reached.Add(1)
+	select {
+	case <-g.open:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// gatedStore is a store whose calls a gate may hold back.
 type gatedStore struct {
 	*metastore.Store
-	gate *atomic.Pointer[chan struct{}]
+	gate *atomic.Pointer[gate]
 }
 
 func (s gatedStore) List(ctx context.Context, kind, after string, freshness objectstore.Freshness) (objectstore.Page, error) {
-	if gate := s.gate.Load(); gate != nil && kind == KindResults {
-		select {
-		case <-*gate:
-		case <-ctx.Done():
-			return objectstore.Page{}, &objectstore.UnansweredError{Cause: ctx.Err()}
-		}
+	if !s.gate.Load().wait(ctx, "list", kind) {
+		return objectstore.Page{}, &objectstore.UnansweredError{Cause: ctx.Err()}
 	}
 	return s.Store.List(ctx, kind, after, freshness)
 }
 
+func (s gatedStore) Create(ctx context.Context, kind, name string, spec json.RawMessage) (objectstore.Object, error) {
+	object, err := s.Store.Create(ctx, kind, name, spec)
+	if !s.gate.Load().wait(ctx, "create", kind) {
+		return objectstore.Object{}, &objectstore.UnansweredError{Cause: ctx.Err()}
+	}
+	return object, err
+}
+
 // cluster is a set of nodes over one store and some engines.
 type cluster struct {
 	t     *testing.T
 	store *metastore.Store
-	// gate holds the nodes' listings of results back.
-	gate  atomic.Pointer[chan struct{}]
+	// gate holds calls of the nodes to the store back.
+	gate  atomic.Pointer[gate]
 	peers *testPeers
 	nodes []*testNode
 }
@@ -311,6 +337,13 @@
 	return node
 }
 
+// setGate has the nodes' calls of a verb on a kind wait until the gate is opened.
+func (c *cluster) setGate(verb, kind string) *gate {
+	made := &gate{verb: verb, kind: kind, open: make(chan struct{})}
+	c.gate.Store(made)
+	return made
+}
+
 func (c *cluster) setCut(name string, cut bool) {
 	c.peers.mutex.Lock()
 	defer c.peers.mutex.Unlock()
--- a/internal/batch/stored_test.go
+++ b/internal/batch/stored_test.go
@@ -110,14 +110,13 @@
 // s, and the next began anew.
 func TestAStoredJobIsReadOnAfterItsReaderGaveUp(t *testing.T) {
 	cluster := endedCluster(t)
-	gate := make(chan struct{})
-	cluster.gate.Store(&gate)
+	gate := cluster.setGate("list", KindResults)
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
 	if _, err := cluster.nodes[0].Read(ctx, "job", 0, 0); err == nil {
 		t.Fatal("read although the store holds the results back")
 	}
-	close(gate)
+	close(gate.open)
 	eventually(t, "the job has been read", func() bool {
 		cluster.nodes[0].mutex.Lock()
 		defer cluster.nodes[0].mutex.Unlock()
@@ -129,8 +128,7 @@
 // Readers that ask at the same time share one reading.
 func TestReadersShareOneReadingOfTheStore(t *testing.T) {
 	cluster := endedCluster(t)
-	gate := make(chan struct{})
-	cluster.gate.Store(&gate)
+	gate := cluster.setGate("list", KindResults)
 	node := cluster.nodes[0]
 	lists := cluster.store.Calls("list")
 	results := make(chan error, 20)
@@ -148,7 +146,7 @@
 		defer node.mutex.Unlock()
 		return len(node.storedLoads) == 1
 	})
-	close(gate)
+	close(gate.open)
 	for range cap(results) {
 		if err := <-results; err != nil {
 			t.Error(err)
@@ -162,8 +160,7 @@
 // What a node knows of an ended job may be forgotten while the job is read.
 func TestAJobForgottenWhileItIsReadIsReadWhole(t *testing.T) {
 	cluster := endedCluster(t)
-	gate := make(chan struct{})
-	cluster.gate.Store(&gate)
+	gate := cluster.setGate("list", KindResults)
 	node := cluster.nodes[0]
 	type answer struct {
 		page Page
@@ -182,7 +179,7 @@
 	node.mutex.Lock()
 	delete(node.known, "job")
 	node.mutex.Unlock()
-	close(gate)
+	close(gate.open)
 	if got := <-answers; got.err != nil || got.page.Total != 4 || len(got.page.Results) != 4 {
 		t.Errorf("%d results of %d, error %v", len(got.page.Results), got.page.Total, got.err)
 	}
--- a/standin/metastore/store.go
+++ b/standin/metastore/store.go
@@ -130,6 +130,14 @@
 	return s.put(kind, objectstore.Object{Name: name, Spec: encoded, Status: s.objects[kind][name].Status})
 }
 
+// Has tells whether an object stands, without faults.
+func (s *Store) Has(kind, name string) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	_, found := s.objects[kind][name]
+	return found
+}
+
 // put stores an object under the next revision. The mutex must be held.
 func (s *Store) put(kind string, object objectstore.Object) objectstore.Object {
 	if s.objects[kind] == nil {
