Ends of batch jobs hold for ids, and a job taken over is looked at before its start

Cause: an end could stop only a job that was held. One that came while a node read a job that it had taken over, or waited for the answer to its create, found none; what it left, the note of another node's job, was thrown away by the start. Only the look at the record every three seconds found it, as late as the bound for the last item.

Change: a register of ends by id, consulted before a job is started and where a job of another node's is noted. The record is read once more between the reading of a job and its start; that finds ends that were not told. A look counts from when it was sent, one that failed is repeated after 0.3 s and does not count, one sent before a doubt arose does not clear it, and the period is 1.5 s instead of 3.

--- a/internal/batch/accept.go
+++ b/internal/batch/accept.go
@@ -84,7 +84,7 @@
 func (s *Service) accept(pending *acceptance, deadline time.Time, arrival *Arrival) {
 	ctx, cancel := context.WithDeadline(s.base, deadline)
 	defer cancel()
-	id := arrival.ID
+	id, began := arrival.ID, time.Now()
 	record := Record{
 		Owner: s.config.Self, Epoch: 1, Route: arrival.Route, Host: arrival.Host, Tenant: arrival.Tenant, AcceptedMs: time.Now().UnixMilli(),
 	}
@@ -117,7 +117,7 @@
 		"bytes", len(arrival.Payload), "tenant", standing.Tenant)
 	switch {
 	case own && made:
-		s.start(id, arrival.Submission, standing, listing{})
+		s.start(id, arrival.Submission, standing, listing{}, began)
 	case own:
 		// An earlier try made it, or it was run here and forgotten.
 		go s.takeUpAgain(id)
--- a/internal/batch/beat.go
+++ b/internal/batch/beat.go
@@ -25,14 +25,11 @@
 		beat.Work = append(beat.Work, s.jobs[id].work())
 	}
 	beat.Leaving = s.leaving
-	s.ended = slices.DeleteFunc(s.ended, func(end recentEnd) bool { return time.Since(end.at) > endMemory })
 	for _, model := range slices.Sorted(maps.Keys(s.tolerances)) {
 		beat.Tolerances = append(beat.Tolerances, wire.ModelTolerance{Model: model, Versions: s.tolerances[model]})
 	}
 	beat.Lengths = s.recentLengths()
-	for _, end := range s.ended {
-		beat.Ended = append(beat.Ended, end.job)
-	}
+	beat.Ended = s.ends.toTell()
 }
 
 // TakeBeat takes another node's heartbeat.
@@ -67,7 +64,7 @@
 		s.logUnheldEnd(id, beat.Node)
 		if held := s.jobs[id]; held != nil && !held.ended {
 			// Whoever ended it took another node for the owner.
-			held.suspect = true
+			held.doubt()
 			contested = append(contested, held)
 		}
 		s.endLocally(id)
@@ -92,8 +89,10 @@
 	s.config.Logger.Info("end heard of while the batch job is taken over", "request", id, "from", from)
 }
 
-// endLocally stops a job that its caller has ended. The mutex must be held.
+// endLocally stops a job that its caller has ended, and keeps one that this node is
+// about to take up from being started. The mutex must be held.
 func (s *Service) endLocally(id string) {
+	s.ends.learn(id)
 	if standing := s.known[id]; standing != nil && !standing.ended {
 		standing.ended, standing.endedAt = true, time.Now()
 	}
--- a/internal/batch/foreign.go
+++ b/internal/batch/foreign.go
@@ -23,8 +23,6 @@
 	// idleBeats is how many beats go out after the last job has closed, so
 	// that all have heard of its end.
 	idleBeats = 3
-	// endMemory is for how long an end is told in heartbeats.
-	endMemory = 4 * time.Second
 )
 
 // foreign is a batch job that another node runs.
@@ -72,7 +70,10 @@
 		// The rank depends on who the owner is.
 		standing.membership = 0
 	}
-	if ended && !standing.ended {
+	if ended {
+		s.ends.learn(id)
+	}
+	if s.ends.has(id) && !standing.ended {
 		standing.ended, standing.endedAt = true, time.Now()
 	}
 	return standing
@@ -98,8 +99,12 @@
 	// pauseLimit is from which gap between looks this process counts as having
 	// stood still, so that others may have taken its jobs over.
 	pauseLimit = 800 * time.Millisecond
-	// confirmPeriod is how often the ownership of an open job is looked up.
-	confirmPeriod = 3 * time.Second
+	// confirmPeriod is how often the record of an open job is looked up. An owner to
+	// which an end was not told finds it there; with the time that a look may take it
+	// does so within the three seconds that platforms give for the last item.
+	confirmPeriod = 1500 * time.Millisecond
+	// confirmRetry is the time between looks while none has been answered.
+	confirmRetry = 300 * time.Millisecond
 )
 
 // unconfirmed returns the jobs whose ownership has to be looked up. After a
@@ -109,11 +114,17 @@
 	defer s.mutex.Unlock()
 	var due []*job
 	for _, held := range s.jobs {
-		held.suspect = held.suspect || (paused && !held.closed())
-		if held.suspect || (held.open() && time.Since(held.confirmed) > confirmPeriod) {
-			held.confirmed = time.Now()
-			due = append(due, held)
+		if paused && !held.closed() {
+			held.doubt()
+		}
+		if !held.suspect && (!held.open() || time.Since(held.confirmed) < confirmPeriod) {
+			continue
+		}
+		if time.Since(held.looked) < confirmRetry {
+			continue
 		}
+		held.looked = time.Now()
+		due = append(due, held)
 	}
 	return due
 }
@@ -136,6 +147,7 @@
 			delete(s.known, id)
 		}
 	}
+	s.ends.evict()
 	s.evictReplicas()
 	s.evictLengths()
 	s.evictWorks()
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -43,8 +43,13 @@
 	// may be so: the results here may then lack some that have been read.
 	displaced bool
 	suspect   bool
-	// confirmed is when the ownership was looked up last.
+	// doubted is when the job became suspect last: a look that began before shows
+	// nothing.
+	doubted time.Time
+	// confirmed is when the last look at the record that was answered began, and
+	// looked when the last one of all did.
 	confirmed time.Time
+	looked    time.Time
 	// changed is closed at each change that a waiting reader has to see.
 	changed chan struct{}
 	ctx     context.Context
@@ -92,6 +97,9 @@
 // closed tells whether nothing can be added to the job.
 func (j *job) closed() bool { return len(j.listed) >= len(j.items) }
 
+// doubt makes the job suspect until a look at its record that begins from now on.
+func (j *job) doubt() { j.suspect, j.doubted = true, time.Now() }
+
 // notify wakes the readers that wait.
 func (j *job) notify() {
 	close(j.changed)
--- a/internal/batch/publish.go
+++ b/internal/batch/publish.go
@@ -118,7 +118,7 @@
 // which knows only what stood before its own chunk.
 func (s *Service) settleOwner(held *job) {
 	s.mutex.Lock()
-	held.suspect = true
+	held.doubt()
 	s.mutex.Unlock()
 	for {
 		s.confirmOwner(held)
@@ -180,15 +180,16 @@
 func (s *Service) confirmOwner(held *job) {
 	ctx, cancel := context.WithTimeout(s.base, confirmTime)
 	defer cancel()
+	began := time.Now()
 	standing, err := s.config.Journal.Look(ctx, held.id)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	held.confirmed = time.Now()
 	if err != nil || s.jobs[held.id] != held {
 		return
 	}
+	held.confirmed = began
 	if standing.Record.Owner == s.config.Self {
-		held.suspect = false
+		held.suspect = held.suspect && began.Before(held.doubted)
 		if standing.Ended {
 			held.endKept = true
 			s.endLocally(held.id)
--- a/internal/batch/read.go
+++ b/internal/batch/read.go
@@ -190,5 +190,5 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.endLocally(id)
-	s.ended = append(s.ended, recentEnd{job: id, at: time.Now()})
+	s.ends.learnHere(id)
 }
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -50,7 +50,7 @@
 	replicas  map[string]*replicaState
 	uses      map[string]nodeUses
 	attempts  map[*attempt]bool
-	ended     []recentEnd
+	ends      endRegister
 	// tolerances gives by how many versions the weights of a model may be
 	// behind, the least of what any job has allowed.
 	tolerances map[string]int64
@@ -71,17 +71,11 @@
 	wake         chan struct{}
 }
 
-// recentEnd is a batch job ended lately, to be told to the other nodes.
-type recentEnd struct {
-	job string
-	at  time.Time
-}
-
 // NewService returns a service that does nothing before Run.
 func NewService(base context.Context, config Config) *Service {
 	return &Service{
 		config: config, base: base, metrics: newMetrics(config.Registry),
-		jobs: map[string]*job{}, known: map[string]*foreign{}, accepting: map[string]*acceptance{},
+		jobs: map[string]*job{}, known: map[string]*foreign{}, ends: newEndRegister(), accepting: map[string]*acceptance{},
 		replicas: map[string]*replicaState{}, uses: map[string]nodeUses{}, attempts: map[*attempt]bool{}, tolerances: map[string]int64{}, lengths: map[string]knownLength{}, works: map[string]knownWork{}, avoided: map[string]time.Time{}, storedLoads: map[string]*storedLoad{},
 		rewardBounds: map[string]*admission.Adaptive{},
 		wake:         make(chan struct{}, 1),
--- a/internal/batch/start.go
+++ b/internal/batch/start.go
@@ -9,15 +9,23 @@
 // clocks of owners differ.
 const giveUpMargin = 8 * time.Second
 
-// start takes up a job whose record names this node as its owner. The mutex
-// must not be held.
-func (s *Service) start(id string, submission *Submission, record Record, stands listing) {
+// start takes up a job whose record named this node as its owner at an instant. The
+// mutex must not be held.
+func (s *Service) start(id string, submission *Submission, record Record, stands listing, confirmed time.Time) {
 	s.mutex.Lock()
 	if standing := s.jobs[id]; standing != nil && !standing.displaced {
 		s.mutex.Unlock()
 		return
 	}
+	if s.ends.has(id) {
+		// It was ended while this node read it or waited for the store's word.
+		s.noteStanding(Standing{ID: id, Record: record, Ended: true})
+		s.mutex.Unlock()
+		s.config.Logger.Info("batch job not started: it has ended", "request", id, "epoch", record.Epoch)
+		return
+	}
 	started := s.newJob(id, submission, record, stands)
+	started.confirmed = confirmed
 	restored := started.restore(joinPieces(stands.pieces))
 	for _, itemID := range started.order {
 		if pending := started.items[itemID]; !pending.done {
@@ -42,7 +50,7 @@
 func (s *Service) newJob(id string, submission *Submission, record Record, stands listing) *job {
 	ctx, cancel := context.WithCancel(s.base)
 	made := &job{
-		id: id, submission: submission, record: record, accepted: time.Now(), confirmed: time.Now(), items: map[string]*item{},
+		id: id, submission: submission, record: record, accepted: time.Now(), items: map[string]*item{},
 		listed: stands.results, chunks: stands.chunks, groups: map[string]*group{}, flush: make(chan struct{}, 1), changed: make(chan struct{}),
 		ctx: ctx, cancel: cancel,
 	}
--- a/internal/batch/takeover.go
+++ b/internal/batch/takeover.go
@@ -49,12 +49,13 @@
 	s.loadJob(ctx, taken)
 }
 
-// loadJob reads a job that this node owns from the store and takes it up.
+// loadJob reads a job that this node owns from the store and takes it up, unless it
+// has ended meanwhile or is another node's.
 func (s *Service) loadJob(ctx context.Context, standing Standing) {
 	for ctx.Err() == nil {
 		submission, stands, err := s.readJob(ctx, standing)
 		if err == nil {
-			s.start(standing.ID, submission, standing.Record, stands)
+			s.startConfirmed(ctx, standing, submission, stands)
 			return
 		}
 		s.config.Logger.Error(err, "batch job not loaded", "request", standing.ID)
@@ -62,6 +63,30 @@
 	}
 }
 
+// startConfirmed looks at a job's record once more and starts the job if it is open
+// and this node's: the reading took a second or more from a slow store, and items of
+// a job that was ended meanwhile ran for three seconds.
+func (s *Service) startConfirmed(ctx context.Context, read Standing, submission *Submission, stands listing) {
+	for ctx.Err() == nil {
+		began := time.Now()
+		standing, err := s.config.Journal.Look(ctx, read.ID)
+		switch {
+		case err != nil:
+			s.config.Logger.Info("record of batch job not read before its start", "request", read.ID, "error", err.Error())
+			objectstore.Pause(ctx, readPause)
+			continue
+		case standing.Ended || standing.Record.Owner != s.config.Self:
+			s.config.Logger.Info("batch job not started", "request", read.ID, "ended", standing.Ended, "owner", standing.Record.Owner.Node)
+			s.mutex.Lock()
+			s.noteStanding(standing)
+			s.mutex.Unlock()
+		default:
+			s.start(read.ID, submission, standing.Record, stands, began)
+		}
+		return
+	}
+}
+
 // readJob reads a job's submission and what stands of its results, behind which
 // it sets a fence.
 func (s *Service) readJob(ctx context.Context, standing Standing) (*Submission, listing, error) {
