An append that a job's end meets is settled, and nothing is answered behind one that is not

Cause: the end of a batch job cancelled the append of results on its way into the store, and the unknown outcome was taken for 'not done'. The store had done it, so a reader of the store saw a result that the owner's memory lacked for good.

Ruled out: another owner (none ever was), and readers that keep too few results as final (both read 9 chunks, the owner had 8).

Another node is told so by a failure with a code of its own, and does not read the store in the owner's place.

--- a/internal/batch/beat.go
+++ b/internal/batch/beat.go
@@ -106,7 +106,7 @@
 	s.dropQueued(held)
 	held.notify()
 	s.config.Logger.Info("batch job ended", "request", id, "listed", len(held.listed), "items", len(held.items),
-		"chunks", held.chunks, "appending", held.appending)
+		"chunks", held.chunks, "unsettled", !held.unsettled.IsZero())
 }
 
 // beat sends heartbeats while this node has something to tell.
--- a/internal/batch/foreign.go
+++ b/internal/batch/foreign.go
@@ -139,6 +139,7 @@
 	defer s.mutex.Unlock()
 	for id, held := range s.jobs {
 		if held.endKept && time.Since(held.endedAt) > endedMemory {
+			held.cancelAppends()
 			delete(s.jobs, id)
 		}
 	}
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -28,8 +28,9 @@
 	textsSaved time.Time
 	// saving is set while texts are on their way into the store.
 	saving bool
-	// appending is set while a chunk is on its way into the store.
-	appending bool
+	// unsettled is since when results are on their way into the store, which may have
+	// them already; zero while none are.
+	unsettled time.Time
 	groups    map[string]*group
 	// flushSoon is set when a group became whole, to append without delay.
 	flushSoon bool
@@ -52,8 +53,13 @@
 	looked    time.Time
 	// changed is closed at each change that a waiting reader has to see.
 	changed chan struct{}
-	ctx     context.Context
-	cancel  context.CancelFunc
+	// ctx is that of the job's runs: it ends with the job.
+	ctx    context.Context
+	cancel context.CancelFunc
+	// appends is the context of writing to the store, which outlives the job's end: it
+	// ends when another node owns the job or this one forgets it.
+	appends       context.Context
+	cancelAppends context.CancelFunc
 }
 
 // group counts the items of a group that have no result yet.
@@ -106,6 +112,19 @@
 	j.changed = make(chan struct{})
 }
 
+// appendGrace is for how long results on their way into the store are taken for not
+// there yet: an append takes 10 to 30 ms, and nobody has read them there so soon.
+const appendGrace = 100 * time.Millisecond
+
+// isUnsettled tells whether results may stand behind those that are listed here. The
+// mutex must be held.
+func (j *job) isUnsettled() bool {
+	if j.unsettled.IsZero() {
+		return false
+	}
+	return j.ended || time.Since(j.unsettled) > appendGrace
+}
+
 // flushLater has the publisher append what is finished.
 func (j *job) flushLater() {
 	select {
--- a/internal/batch/peers.go
+++ b/internal/batch/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/pathtally/pathtally/internal/wire"
@@ -27,15 +28,19 @@
 	return true
 }
 
-func (s *Service) answerRead(question *wire.JobRead) *wire.JobPage {
+func (s *Service) answerRead(question *wire.JobRead) wire.Message {
 	patience := time.Duration(question.WaitMs) * time.Millisecond
-	page, held := s.readHeld(s.base, question.Job, int(question.After), patience)
-	if !held {
+	page, err := s.readHeld(s.base, question.Job, int(question.After), patience)
+	if errors.Is(err, errNotHeld) {
 		ctx, cancel := context.WithTimeout(s.base, peerMargin)
 		defer cancel()
-		if page, held = s.readEndedFor(ctx, question.Job, int(question.After)); !held {
-			return &wire.JobPage{}
-		}
+		page, err = s.readEndedFor(ctx, question.Job, int(question.After))
+	}
+	if errors.Is(err, ErrUnsettled) {
+		return &wire.Failure{Code: uint16(wire.CodeUncertain), Detail: err.Error()}
+	}
+	if err != nil {
+		return &wire.JobPage{}
 	}
 	results, err := encodeResults(page.Results)
 	if err != nil {
--- a/internal/batch/publish.go
+++ b/internal/batch/publish.go
@@ -89,16 +89,20 @@
 	if len(written.Texts) > 0 {
 		published.textsSaved, published.saving = time.Now(), true
 	}
-	published.appending = true
+	if len(results) > 0 {
+		published.unsettled = time.Now()
+	}
 	s.mutex.Unlock()
 	began := time.Now()
-	standing, own, err := s.config.Journal.Append(published.ctx, published.id, index, written)
+	// The end of the job does not cut the append off: the store may have done it, and a
+	// result that others read there would be missing here.
+	standing, own, err := s.config.Journal.Append(published.appends, published.id, index, written)
 	s.mutex.Lock()
-	published.saving, published.appending = false, false
+	published.saving = false
 	s.mutex.Unlock()
 	if err != nil {
 		s.config.Logger.Error(err, "results not appended", "request", published.id, "chunk", index, "results", len(results),
-			"jobClosed", published.ctx.Err() != nil)
+			"ended", published.ctx.Err() != nil)
 		return published.ctx.Err() == nil
 	}
 	s.list(published, standing, own)
@@ -157,6 +161,7 @@
 		}
 	}
 	published.finished = kept
+	published.unsettled = time.Time{}
 	published.notify()
 }
 
--- a/internal/batch/read.go
+++ b/internal/batch/read.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"time"
 
 	"github.com/pathtally/pathtally/internal/environment"
@@ -13,6 +14,9 @@
 	// peerMargin is what an answer of another node may take beyond the time
 	// that a reader waits.
 	peerMargin = 700 * time.Millisecond
+	// settleWait is for how much longer a reader waits where results are on their way
+	// into the store: as long as a create takes whose first answer was lost.
+	settleWait = 500 * time.Millisecond
 	// endTime bounds one question to the owner of a job that is to be ended.
 	endTime = 800 * time.Millisecond
 )
@@ -27,16 +31,18 @@
 // as told. ErrNoSuchJob is certain; other errors mean that this node cannot
 // tell.
 func (s *Service) Read(ctx context.Context, id string, after int, patience time.Duration) (Page, error) {
-	if page, held := s.readHeld(ctx, id, after, patience); held {
-		return page, nil
+	page, err := s.readHeld(ctx, id, after, patience)
+	if !errors.Is(err, errNotHeld) {
+		return page, err
 	}
 	if page, final := s.readFinal(id, after); final {
 		return page, nil
 	}
 	owner, known := s.ownerOf(id)
 	if known {
-		if page, err := s.readFrom(ctx, owner, id, after, patience); err == nil {
-			return page, nil
+		page, err := s.readFrom(ctx, owner, id, after, patience)
+		if err == nil || errors.Is(err, ErrUnsettled) {
+			return page, err
 		}
 	}
 	standing, err := s.config.Journal.Look(ctx, id)
@@ -44,43 +50,57 @@
 		return Page{}, err
 	}
 	if standing.Record.Owner != owner && standing.Record.Owner != s.config.Self {
-		if page, err := s.readFrom(ctx, standing.Record.Owner, id, after, patience); err == nil {
-			return page, nil
+		page, err := s.readFrom(ctx, standing.Record.Owner, id, after, patience)
+		if err == nil || errors.Is(err, ErrUnsettled) {
+			return page, err
 		}
 	}
 	return s.readStored(ctx, standing, after)
 }
 
-// readHeld reads a job that this node runs.
-func (s *Service) readHeld(ctx context.Context, id string, after int, patience time.Duration) (Page, bool) {
+// readHeld reads a job that this node runs. The error is errNotHeld, or ErrUnsettled
+// where this node cannot tell what stands at the position.
+func (s *Service) readHeld(ctx context.Context, id string, after int, patience time.Duration) (Page, error) {
 	limit := time.NewTimer(patience)
 	defer limit.Stop()
-	for {
+	settled := time.NewTimer(patience + settleWait)
+	defer settled.Stop()
+	for waited := false; ; {
 		s.mutex.Lock()
 		held := s.jobs[id]
 		if held == nil || held.suspect {
 			s.mutex.Unlock()
-			return Page{}, false
+			return Page{}, errNotHeld
 		}
-		page := Page{Total: len(held.items)}
-		if after < len(held.listed) {
-			page.Results = held.listed[after:len(held.listed):len(held.listed)]
-		}
-		changed, open := held.changed, held.open()
+		page := held.pageAfter(after)
+		changed, open, unsettled := held.changed, held.open(), held.isUnsettled()
 		s.mutex.Unlock()
-		if len(page.Results) > 0 || !open {
-			return page, true
+		switch {
+		case len(page.Results) > 0:
+			return page, nil
+		case !unsettled && (waited || !open):
+			return page, nil
+		case ctx.Err() != nil:
+			return Page{}, ErrUnsettled
 		}
 		select {
 		case <-changed:
 		case <-limit.C:
-			return page, true
+			waited = true
+		case <-settled.C:
+			return Page{}, ErrUnsettled
 		case <-ctx.Done():
-			return page, true
+			waited = true
 		}
 	}
 }
 
+// pageAfter is the page of the listed results behind a position. The mutex must be
+// held.
+func (j *job) pageAfter(after int) Page {
+	return pageAfter(j.listed[:len(j.listed):len(j.listed)], after, len(j.items))
+}
+
 // ownerOf tells which other node runs a job.
 func (s *Service) ownerOf(id string) (Owner, bool) {
 	s.mutex.Lock()
@@ -92,13 +112,17 @@
 	return standing.owner, true
 }
 
-// readFrom reads a job from the node that runs it.
+// readFrom reads a job from the node that runs it. The error is ErrUnsettled where
+// that node has said so.
 func (s *Service) readFrom(ctx context.Context, owner Owner, id string, after int, patience time.Duration) (Page, error) {
 	question := &wire.JobRead{Job: id, After: uint32(after), WaitMs: uint32(patience.Milliseconds())}
 	message, err := environment.Ask(ctx, s.config.Peers, owner.Address, question, patience+peerMargin)
 	if err != nil {
 		return Page{}, err
 	}
+	if failure, failed := message.(*wire.Failure); failed && failure.Code == uint16(wire.CodeUncertain) {
+		return Page{}, ErrUnsettled
+	}
 	page, ok := message.(*wire.JobPage)
 	if !ok || !page.Known {
 		return Page{}, ErrDisplaced
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -154,7 +154,7 @@
 		return
 	}
 	displaced.displaced = true
-	displaced.cancel()
+	displaced.cancelAppends()
 	displaced.notify()
 	delete(s.jobs, displaced.id)
 	s.dropQueued(displaced)
--- a/internal/batch/start.go
+++ b/internal/batch/start.go
@@ -48,11 +48,12 @@
 // newJob returns a job whose items have their ranks; those that are listed are
 // settled. The mutex must be held.
 func (s *Service) newJob(id string, submission *Submission, record Record, stands listing) *job {
-	ctx, cancel := context.WithCancel(s.base)
+	appends, cancelAppends := context.WithCancel(s.base)
+	ctx, cancel := context.WithCancel(appends)
 	made := &job{
 		id: id, submission: submission, record: record, accepted: time.Now(), items: map[string]*item{},
 		listed: stands.results, chunks: stands.chunks, groups: map[string]*group{}, flush: make(chan struct{}, 1), changed: make(chan struct{}),
-		ctx: ctx, cancel: cancel,
+		ctx: ctx, cancel: cancel, appends: appends, cancelAppends: cancelAppends,
 	}
 	if retention := s.retention(record); retention > 0 {
 		elapsed := max(0, time.Since(time.UnixMilli(record.AcceptedMs)))
--- a/internal/batch/stored.go
+++ b/internal/batch/stored.go
@@ -130,20 +130,23 @@
 	return page
 }
 
-// readEndedFor reads an ended job of this node's former process for another
-// node, so that one node reads the store for all.
-func (s *Service) readEndedFor(ctx context.Context, id string, after int) (Page, bool) {
+// readEndedFor reads an ended job of this node's former process for another node, so
+// that one node reads the store for all. The error is errNotHeld where the job is
+// none of these.
+func (s *Service) readEndedFor(ctx context.Context, id string, after int) (Page, error) {
 	if page, final := s.readFinal(id, after); final {
-		return page, true
+		return page, nil
 	}
 	standing, err := s.config.Journal.Look(ctx, id)
-	if err != nil || !standing.Ended || standing.Record.Owner.Node != s.config.Self.Node {
-		return Page{}, false
+	if err != nil {
+		return Page{}, err
+	}
+	if !standing.Ended || standing.Record.Owner.Node != s.config.Self.Node {
+		return Page{}, errNotHeld
 	}
 	page, err := s.readStored(ctx, standing, after)
 	if err != nil {
 		s.config.Logger.Info("stored batch job not read", "request", id, "error", err.Error())
-		return Page{}, false
 	}
-	return page, true
+	return page, err
 }
