A job ended at a former owner is looked up until its end is kept, and ends are pursued

Cause: a job that was ended here counted as settled. A former owner that an end reached before it knew of its successor never looked the record up again, dropped the word of an end from others, and showed its short list for as long as it lived.

Change: the store's answer to an end tells whose the job is, at no further call; a job that has ended here and whose end the store does not have is looked up like an open one; another owner's heartbeat makes a held job suspect until the record has been looked at. Ends have a file of their own.

--- a/internal/batch/beat.go
+++ b/internal/batch/beat.go
@@ -48,6 +48,7 @@
 	for _, id := range beat.Jobs {
 		if held := s.jobs[id]; held != nil {
 			if !beat.Leaving {
+				held.doubt()
 				contested = append(contested, held)
 			}
 			continue
@@ -62,7 +63,7 @@
 	}
 	for _, id := range beat.Ended {
 		s.logUnheldEnd(id, beat.Node)
-		if held := s.jobs[id]; held != nil && !held.ended {
+		if held := s.jobs[id]; held != nil && !held.endKept {
 			// Whoever ended it took another node for the owner.
 			held.doubt()
 			contested = append(contested, held)
--- /dev/null
+++ b/internal/batch/end.go
@@ -0,0 +1,113 @@
+package batch
+
+import (
+	"context"
+	"time"
+
+	"github.com/pathtally/pathtally/internal/environment"
+	"github.com/pathtally/pathtally/internal/wire"
+)
+
+// End ends a batch job: nothing more of it is run. A nil error is lasting.
+func (s *Service) End(ctx context.Context, id string) error {
+	s.mutex.Lock()
+	held := s.jobs[id]
+	kept := held != nil && held.endKept
+	s.mutex.Unlock()
+	switch {
+	case kept:
+		return nil
+	case held != nil:
+		return s.endHeld(ctx, held)
+	case s.endAtOwner(ctx, id):
+		return nil
+	}
+	if _, err := s.recordEnd(ctx, id); err != nil {
+		return err
+	}
+	s.noteEnded(id)
+	s.config.Table.Broadcast()
+	return nil
+}
+
+// endAtOwner has the owner of a job end it, and tells whether it has.
+func (s *Service) endAtOwner(ctx context.Context, id string) bool {
+	owner, known := s.ownerOf(id)
+	if !known {
+		return false
+	}
+	message, err := environment.Ask(ctx, s.config.Peers, owner.Address, &wire.JobEnd{Job: id}, endTime)
+	if _, done := message.(*wire.Done); !done || err != nil {
+		return false
+	}
+	s.noteEnded(id)
+	return true
+}
+
+// endHeld ends a job that this node runs. No more of it runs from now on, whatever
+// the store answers. An end that the store has not taken within the caller's time is
+// pursued: the caller may not repeat it, and a successor would run the job on.
+func (s *Service) endHeld(ctx context.Context, held *job) error {
+	s.noteEnded(held.id)
+	err := s.keepEnd(ctx, held)
+	if err != nil {
+		go s.pursueEnd(held)
+	}
+	return err
+}
+
+// keepEnd makes the end of a job that this node runs lasting. The store's answer
+// tells whether the job is this node's: a former owner that does not know of its
+// successor must not answer from what it held.
+func (s *Service) keepEnd(ctx context.Context, held *job) error {
+	began := time.Now()
+	standing, err := s.recordEnd(ctx, held.id)
+	if err != nil {
+		return err
+	}
+	s.mutex.Lock()
+	s.takeLook(held, standing, began)
+	s.mutex.Unlock()
+	s.config.Table.Broadcast()
+	return nil
+}
+
+// pursueEnd makes an end lasting after its caller's time, unless it is already.
+func (s *Service) pursueEnd(held *job) {
+	s.mutex.Lock()
+	pursued := held.pursued || held.endKept
+	held.pursued = true
+	s.mutex.Unlock()
+	if pursued {
+		return
+	}
+	ctx, cancel := context.WithTimeout(held.appends, backgroundTime)
+	defer cancel()
+	if err := s.keepEnd(ctx, held); err != nil {
+		s.config.Logger.Info("end of batch job given up", "request", held.id, "error", err.Error())
+	}
+	s.mutex.Lock()
+	held.pursued = false
+	s.mutex.Unlock()
+}
+
+// recordEnd has the store keep the end of a job, and returns the job as it stands.
+func (s *Service) recordEnd(ctx context.Context, id string) (Standing, error) {
+	began := time.Now()
+	standing, err := s.config.Journal.End(ctx, id)
+	took := time.Since(began).Milliseconds()
+	if err != nil {
+		s.config.Logger.Info("end of batch job not recorded", "request", id, "tookMs", took, "error", err.Error())
+		return Standing{}, err
+	}
+	s.config.Logger.Info("end of batch job recorded", "request", id, "owner", standing.Record.Owner.Node, "tookMs", took)
+	return standing, nil
+}
+
+// noteEnded stops a job here and has the other nodes told.
+func (s *Service) noteEnded(id string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.endLocally(id)
+	s.ends.learnHere(id)
+}
--- a/internal/batch/foreign.go
+++ b/internal/batch/foreign.go
@@ -117,7 +117,7 @@
 		if paused && !held.closed() {
 			held.doubt()
 		}
-		if !held.suspect && (!held.open() || time.Since(held.confirmed) < confirmPeriod) {
+		if !held.suspect && (!held.mayBeLost() || time.Since(held.confirmed) < confirmPeriod) {
 			continue
 		}
 		if time.Since(held.looked) < confirmRetry {
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -40,6 +40,8 @@
 	endedAt time.Time
 	// endKept tells that the store has the end.
 	endKept bool
+	// pursued is set while the end is being made lasting after its caller's time.
+	pursued bool
 	// displaced is set once another node owns the job, and suspect while that
 	// may be so: the results here may then lack some that have been read.
 	displaced bool
@@ -100,6 +102,10 @@
 // open tells whether the job still has work.
 func (j *job) open() bool { return !j.ended && !j.displaced && len(j.listed) < len(j.items) }
 
+// mayBeLost tells whether another node may take the job over: it is open, or the
+// store does not have its end.
+func (j *job) mayBeLost() bool { return j.open() || (j.ended && !j.endKept && !j.displaced) }
+
 // closed tells whether nothing can be added to the job.
 func (j *job) closed() bool { return len(j.listed) >= len(j.items) }
 
--- a/internal/batch/journal.go
+++ b/internal/batch/journal.go
@@ -297,22 +297,23 @@
 	return chunk{}, false, err
 }
 
-// End records that a batch job has been ended, until the store has answered.
-func (j *Journal) End(ctx context.Context, id string) error {
+// End records that a batch job has been ended, until the store has answered, and
+// returns the job as it stands then.
+func (j *Journal) End(ctx context.Context, id string) (Standing, error) {
 	spec, err := json.Marshal(status{Ended: true})
 	if err != nil {
-		return err
+		return Standing{}, err
 	}
 	for {
-		_, err := j.store.ReplaceStatus(ctx, KindJobs, id, spec, objectstore.Unconditional)
+		object, err := j.store.ReplaceStatus(ctx, KindJobs, id, spec, objectstore.Unconditional)
 		if err == nil {
-			return nil
+			return readStanding(object)
 		}
 		if errors.Is(err, objectstore.ErrNotFound) {
-			return ErrNoSuchJob
+			return Standing{}, ErrNoSuchJob
 		}
 		if !objectstore.Pause(ctx, endPause) {
-			return err
+			return Standing{}, err
 		}
 	}
 }
--- a/internal/batch/publish.go
+++ b/internal/batch/publish.go
@@ -189,7 +189,15 @@
 	standing, err := s.config.Journal.Look(ctx, held.id)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if err != nil || s.jobs[held.id] != held {
+	if err == nil {
+		s.takeLook(held, standing, began)
+	}
+}
+
+// takeLook takes what the store said of a held job's record to a call that began at
+// an instant. The mutex must be held.
+func (s *Service) takeLook(held *job, standing Standing, began time.Time) {
+	if s.jobs[held.id] != held {
 		return
 	}
 	held.confirmed = began
