Ended jobs are sealed when they are read from the store

Cause: results of an ended job counted as final eight seconds after the end. That bounds calls already sent; an owner that stood still or was cut off, and did not know of the end, appended later, and what was read there was missing at a node that had read the job before.

Change: whoever reads an ended job from the store appends a seal, an empty chunk behind all that stands, unless one is there. A former owner finds its place taken and looks the record up. What was read to a seal is final at once; the wait of eight seconds and the readings meanwhile are gone.

TestResultsAreReadAgainWhileOneMayBeAdded is replaced by TestNothingIsAddedBehindWhatWasReadOfAnEndedJob: it had a late append be carried out and shown, which the seal now keeps from being done; every node is checked instead of one. TestAnEndedJobIsSealedOnce is new.

--- a/internal/batch/beat.go
+++ b/internal/batch/beat.go
@@ -94,8 +94,8 @@
 // about to take up from being started. The mutex must be held.
 func (s *Service) endLocally(id string) {
 	s.ends.learn(id)
-	if standing := s.known[id]; standing != nil && !standing.ended {
-		standing.ended, standing.endedAt = true, time.Now()
+	if standing := s.known[id]; standing != nil {
+		standing.ended = true
 	}
 	held := s.jobs[id]
 	if held == nil || held.ended {
--- a/internal/batch/final_test.go
+++ b/internal/batch/final_test.go
@@ -89,7 +89,6 @@
 	if err := reader.End(context.Background(), "job"); err != nil {
 		t.Fatal(err)
 	}
-	reader.endedLongAgo("job")
 	if _, err := reader.Read(context.Background(), "job", 0, 0); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/batch/foreign.go
+++ b/internal/batch/foreign.go
@@ -49,10 +49,8 @@
 	chunks  int
 	// total is how many items the job has, 0 while unknown.
 	total int
-	// endedAt is when this node learnt of the end, and final is set once the
-	// results were read so long after it that none can be added.
-	endedAt time.Time
-	final   bool
+	// final is set once the results were read to a seal, so that none can be added.
+	final bool
 }
 
 func formatIncarnation(incarnation uint64) string { return strconv.FormatUint(incarnation, 36) }
@@ -73,9 +71,7 @@
 	if ended {
 		s.ends.learn(id)
 	}
-	if s.ends.has(id) && !standing.ended {
-		standing.ended, standing.endedAt = true, time.Now()
-	}
+	standing.ended = standing.ended || s.ends.has(id)
 	return standing
 }
 
--- a/internal/batch/journal.go
+++ b/internal/batch/journal.go
@@ -62,6 +62,8 @@
 	Results []Result `json:"results"`
 	// Texts are parts of the texts of items that were still running.
 	Texts []piece `json:"texts,omitempty"`
+	// Seal tells that the job had ended: nothing is added behind this chunk.
+	Seal bool `json:"seal,omitempty"`
 }
 
 // listing is what the chunks of a job hold.
@@ -71,6 +73,8 @@
 	pieces []piece
 	// chunks is the number of chunks in all.
 	chunks int
+	// sealed tells that the last one is a seal.
+	sealed bool
 }
 
 // add adds the next chunk.
@@ -78,6 +82,7 @@
 	l.results = append(l.results, next.Results...)
 	l.pieces = append(l.pieces, next.Texts...)
 	l.chunks++
+	l.sealed = next.Seal
 }
 
 // Journal keeps batch jobs in the metadata store.
--- a/internal/batch/publish.go
+++ b/internal/batch/publish.go
@@ -77,6 +77,10 @@
 // at its place. It tells whether there is more to write.
 func (s *Service) appendOnce(published *job) bool {
 	s.mutex.Lock()
+	if published.ended || published.displaced {
+		s.mutex.Unlock()
+		return false
+	}
 	results := boundedPart(published.finished)
 	published.flushSoon = false
 	published.serial++
--- a/internal/batch/stored.go
+++ b/internal/batch/stored.go
@@ -5,15 +5,15 @@
 	"time"
 )
 
-// lateCalls is for how long after a job's end its former owner's last append may
-// still be carried out: calls without an answer may be done seconds later.
-const lateCalls = 8 * time.Second
-
 // storedLoadTime bounds the reading of one job from the store: some megabytes over
 // the slowest links of a deployment, beside as many other jobs as a trainer has in
 // a minute.
 const storedLoadTime = 20 * time.Second
 
+// sealTime bounds the writing of a seal: a create and a second one beside it. A reader
+// waits for it once for each job.
+const sealTime = 700 * time.Millisecond
+
 // storedLoad is a reading of one job from the store under way. What it read is
 // set once done is closed.
 type storedLoad struct {
@@ -73,7 +73,6 @@
 	known := s.noteStanding(standing)
 	from := known.chunks
 	results, total = known.results, known.total
-	final := known.ended && time.Since(known.endedAt) > lateCalls
 	s.mutex.Unlock()
 	if total == 0 {
 		if total, err = s.readTotal(ctx, standing); err != nil {
@@ -84,19 +83,36 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	if standing.Ended {
+		added = s.seal(ctx, standing.ID, added)
+	}
 	results = append(results[:len(results):len(results)], added.results...)
 	s.mutex.Lock()
 	known.total = total
 	if added.chunks > known.chunks {
 		known.results, known.chunks = results, added.chunks
 	}
-	known.final = known.final || final
+	known.final = known.final || added.sealed
 	s.mutex.Unlock()
 	s.config.Logger.Info("batch job read from the store", "request", standing.ID, "ended", standing.Ended, "owner", standing.Record.Owner.Node,
-		"results", len(results), "chunks", added.chunks, "final", final)
+		"results", len(results), "chunks", added.chunks, "final", added.sealed)
 	return results, total, nil
 }
 
+// seal writes an empty chunk behind what stands of an ended job, unless one is there,
+// and returns what stands then. Nothing can be added from there on: its owner, which
+// may not know of the end, finds the place taken. Without it a result that the owner
+// lists later would be missing at a node that has read the job before.
+func (s *Service) seal(ctx context.Context, id string, stands listing) listing {
+	ctx, cancel := context.WithTimeout(ctx, sealTime)
+	defer cancel()
+	sealed, err := s.appendBehind(ctx, id, stands, chunk{Writer: s.writerName(), Seal: true})
+	if err != nil {
+		s.config.Logger.Info("ended batch job not sealed", "request", id, "error", err.Error())
+	}
+	return sealed
+}
+
 // readTotal reads how many items a job has.
 func (s *Service) readTotal(ctx context.Context, standing Standing) (int, error) {
 	payload, err := s.config.Journal.Payload(ctx, standing.ID, standing.Record.Parts)
--- a/internal/batch/stored_test.go
+++ b/internal/batch/stored_test.go
@@ -27,22 +27,11 @@
 
 func (c *cluster) storeReads() int { return c.store.Calls("get") + c.store.Calls("list") }
 
-// endedLongAgo has a node believe that it learnt of a job's end long ago.
-func (n *testNode) endedLongAgo(id string) {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	n.known[id].endedAt = time.Now().Add(-time.Minute)
-}
-
 func TestAnEndedJobIsReadFromTheStoreByItsOwnerOnly(t *testing.T) {
 	cluster := endedCluster(t)
 	if _, err := cluster.nodes[0].Read(context.Background(), "job", 0, 0); err != nil {
 		t.Fatal(err)
 	}
-	cluster.nodes[0].endedLongAgo("job")
-	if _, err := cluster.nodes[0].Read(context.Background(), "job", 0, 0); err != nil {
-		t.Fatal(err)
-	}
 	before := cluster.storeReads()
 	for _, node := range cluster.nodes {
 		for after := range 4 {
@@ -57,21 +46,44 @@
 	}
 }
 
-// An append of the former owner may be carried out seconds after the end.
-func TestResultsAreReadAgainWhileOneMayBeAdded(t *testing.T) {
+// An append of the former owner that comes after a reading of the ended job, however
+// late, is not carried out: every reading shows the same.
+func TestNothingIsAddedBehindWhatWasReadOfAnEndedJob(t *testing.T) {
 	cluster := endedCluster(t)
-	reader := cluster.nodes[0]
-	first, err := reader.Read(context.Background(), "job", 0, 0)
+	first, err := cluster.nodes[0].Read(context.Background(), "job", 0, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
+	journal := NewJournal(cluster.store)
+	stands, err := journal.Results(context.Background(), "job", 0)
+	if err != nil || !stands.sealed {
+		t.Fatalf("the results are sealed: %v, error %v", stands.sealed, err)
+	}
 	late := chunk{Writer: "late", Results: []Result{{ID: "late", State: Abandoned}}}
-	if _, _, err := NewJournal(cluster.store).Append(context.Background(), "job", reader.known["job"].chunks, late); err != nil {
-		t.Fatal(err)
+	standing, own, err := journal.Append(context.Background(), "job", stands.chunks-1, late)
+	if err != nil || own || !standing.Seal {
+		t.Errorf("a late append is done: %v, seal %v, error %v", own, standing.Seal, err)
+	}
+	for _, node := range cluster.nodes {
+		again, err := node.Read(context.Background(), "job", 0, 0)
+		if err != nil || len(again.Results) != len(first.Results) {
+			t.Errorf("%d results, then %d, error %v", len(first.Results), len(again.Results), err)
+		}
+	}
+}
+
+// However many nodes read an ended job from the store, one chunk is added to it.
+func TestAnEndedJobIsSealedOnce(t *testing.T) {
+	cluster := endedCluster(t)
+	cluster.setCut("node-0", true)
+	before := cluster.store.Calls("create")
+	for _, node := range cluster.nodes[1:] {
+		if _, err := node.Read(context.Background(), "job", 0, 0); err != nil {
+			t.Fatal(err)
+		}
 	}
-	again, err := reader.Read(context.Background(), "job", 0, 0)
-	if err != nil || len(again.Results) != len(first.Results)+1 {
-		t.Errorf("%d results, then %d, error %v", len(first.Results), len(again.Results), err)
+	if creates := cluster.store.Calls("create") - before; creates != 1 {
+		t.Errorf("%d creates, want one seal", creates)
 	}
 }
 
--- a/internal/batch/takeover.go
+++ b/internal/batch/takeover.go
@@ -110,16 +110,23 @@
 // may still append until it learns of its successor; from here on its appends
 // fail, and everything before is known.
 func (s *Service) fence(ctx context.Context, id string, stands listing) (listing, error) {
-	for {
-		standing, own, err := s.config.Journal.Append(ctx, id, stands.chunks, chunk{Writer: s.writerName()})
+	return s.appendBehind(ctx, id, stands, chunk{Writer: s.writerName()})
+}
+
+// appendBehind writes a chunk without results behind all that stands, and returns
+// what stands then. A seal is as good as the chunk.
+func (s *Service) appendBehind(ctx context.Context, id string, stands listing, empty chunk) (listing, error) {
+	for !stands.sealed {
+		standing, own, err := s.config.Journal.Append(ctx, id, stands.chunks, empty)
 		if err != nil {
-			return listing{}, err
+			return stands, err
 		}
 		stands.add(standing)
 		if own {
-			return stands, nil
+			break
 		}
 	}
+	return stands, nil
 }
 
 // readPause is the time between tries to read a job back.
