A grant is asked for again while its request has time

Cause: Client.Grant asked each seat once, gave up after 500 ms or at the first refusal, and made that the caller's no_quorum although the request had seconds left. Class: a time limit shorter than the wait it covers, with no retry within the deadline. In a run with log lines a claim was sent when a sync of 142 ms began; the next took 369 ms, and 500 ms after the sending the caller was refused. - the view is known to clients before its member has made it durable. A first sync of 474 ms had 40 requests of 40 refused within a millisecond each.

Ruled out: a view change (all nodes in view 1 before and after each refusal seen); a lost connection (the peer had been heard within the 500 ms); the duty goroutine (longest call logged 145 ms).

Change: a grant is asked for in rounds for 2 s or until the request's deadline, in the view then in force, with pauses and time limits that double. It is withdrawn only at the end. An attempt with a rival from a copy is no longer granted: asking again could have reached it after a view change and let a request run twice. A view whose claims rest for 15 minutes is refused at once.

Cost: where a majority is gone, callers are refused after 2 s instead of at most 0.5 s, and a grant is asked for up to 8 times. Registers still ask once.

--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -166,7 +166,7 @@
 		done:    make(chan struct{}),
 		machine: request.New(request.Config{
 			Unsafe: checked.key != "",
-			Claim:  quorum.Claim{Key: name + "/" + checked.key, Attempt: id, Fingerprint: checked.raw},
+			Claim:  quorum.Claim{Key: name + "/" + checked.key, Attempt: id, Fingerprint: checked.raw, Deadline: checked.deadline},
 			Request: engine.Request{
 				ID:          id,
 				Model:       checked.body.Model,
--- a/internal/quorum/claims.go
+++ b/internal/quorum/claims.go
@@ -41,7 +41,8 @@
 		record.Attempt = request.Attempt
 		record.Fingerprint = request.Fingerprint
 	}
-	if record.Attempt != request.Attempt || record.Outcome != wire.OutcomePending {
+	// A rival from a copy may have had the majority and been dispatched.
+	if record.Attempt != request.Attempt || len(record.Rivals) > 0 || record.Outcome != wire.OutcomePending {
 		return m.reply(wire.ClaimHeld, record)
 	}
 	return m.reply(wire.ClaimGranted, record)
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -21,6 +21,17 @@
 // that is lost leaves the key refused until its retention has passed.
 var withdrawRetries = []time.Duration{0, time.Second, 5 * time.Second}
 
+const (
+	// grantPatience is how long a grant is asked for again while a majority
+	// has neither agreed nor refused. A claim may wait for the sync that its
+	// seat's journal is at and for its own; the slowest syncs measured took
+	// 0.5 s, and this is twice two of them.
+	grantPatience = 2 * time.Second
+	// grantPause is the wait before the second asking, which each later one
+	// doubles. It is the time of a whole short request on an idle machine.
+	grantPause = 25 * time.Millisecond
+)
+
 // Client asks the members of the view in force. It belongs to one goroutine.
 type Client struct {
 	clock environment.Clock
@@ -48,6 +59,8 @@
 	Key         string
 	Attempt     string
 	Fingerprint uint64
+	// Deadline ends the asking for a grant; zero sets no end of its own.
+	Deadline time.Time
 }
 
 // GrantResult is the answer to Grant.
@@ -58,18 +71,17 @@
 	Holder *wire.ClaimReply
 }
 
-// Grant asks a majority to let an attempt run. When it is not granted the
-// attempt has been withdrawn and must never be dispatched.
+// Grant asks a majority to let an attempt run. Seats that do not answer in
+// time or do not serve the view yet are asked again for a while; the view may
+// change meanwhile. When it is not granted the attempt has been withdrawn and
+// must never be dispatched.
 func (c *Client) Grant(claim Claim, done func(GrantResult, error)) {
-	if c.view == nil {
-		done(GrantResult{}, merry.Wrap(ErrNoMajority))
-		return
-	}
-	round := &grantRound{client: c, claim: claim, need: c.view.Majority(), waiting: len(c.view.Seats), done: done}
-	request := &wire.ClaimRequest{Epoch: c.view.Epoch, Key: claim.Key, Attempt: claim.Attempt, Fingerprint: claim.Fingerprint, Operation: wire.ClaimGrant}
-	for _, seat := range c.view.Seats {
-		c.peers.Call(seat.Address, request, callTimeout, round.answered)
+	end := c.clock.Now().Add(grantPatience)
+	if !claim.Deadline.IsZero() && claim.Deadline.Before(end) {
+		end = claim.Deadline
 	}
+	asking := &grantAsking{client: c, claim: claim, end: end, timeout: callTimeout, pause: grantPause, done: done}
+	asking.ask()
 }
 
 // Complete stores the outcome and, where it is small, the answer.
@@ -98,16 +110,61 @@
 	}
 }
 
-// grantRound counts the answers to one Grant.
+// grantAsking is one Grant, which asks in rounds.
+type grantAsking struct {
+	client *Client
+	claim  Claim
+	// end is when no further round begins.
+	end time.Time
+	// timeout and pause are those of the next round and the wait before it.
+	timeout time.Duration
+	pause   time.Duration
+	done    func(GrantResult, error)
+}
+
+// ask begins a round in the view in force.
+func (a *grantAsking) ask() {
+	view := a.client.view
+	if view == nil {
+		a.again()
+		return
+	}
+	round := &grantRound{asking: a, need: view.Majority(), waiting: len(view.Seats)}
+	request := &wire.ClaimRequest{Epoch: view.Epoch, Key: a.claim.Key, Attempt: a.claim.Attempt, Fingerprint: a.claim.Fingerprint, Operation: wire.ClaimGrant}
+	for _, seat := range view.Seats {
+		a.client.peers.Call(seat.Address, request, a.timeout, round.answered)
+	}
+}
+
+// again asks anew after a pause, with more time to answer, as far as there is
+// time left and the view is to grant claims within it.
+func (a *grantAsking) again() {
+	pause, left := a.pause, a.end.Sub(a.client.clock.Now())
+	view := a.client.view
+	if pause >= left || (view != nil && view.ClaimsFrom > a.end.UnixMilli()) {
+		a.refuse(GrantResult{}, merry.Wrap(ErrNoMajority))
+		return
+	}
+	a.pause *= 2
+	a.timeout = min(2*a.timeout, left-pause)
+	a.client.clock.AfterFunc(pause, a.ask)
+}
+
+// refuse ends the asking for good: only now is the attempt withdrawn, since a
+// withdrawn one is never granted again.
+func (a *grantAsking) refuse(result GrantResult, err error) {
+	a.client.Withdraw(a.claim)
+	a.done(result, err)
+}
+
+// grantRound counts the answers to one round.
 type grantRound struct {
-	client   *Client
-	claim    Claim
+	asking   *grantAsking
 	need     int
 	waiting  int
 	granted  int
 	holder   *wire.ClaimReply
 	finished bool
-	done     func(GrantResult, error)
 }
 
 func (r *grantRound) answered(message wire.Message, err error) {
@@ -118,14 +175,15 @@
 	switch {
 	case r.finished:
 	case r.granted >= r.need:
-		r.finish(GrantResult{Granted: true}, nil)
+		r.finished = true
+		r.asking.done(GrantResult{Granted: true}, nil)
 	case r.granted+r.waiting < r.need:
-		r.client.Withdraw(r.claim)
+		r.finished = true
 		if r.holder != nil {
-			r.finish(GrantResult{Holder: r.holder}, nil)
+			r.asking.refuse(GrantResult{Holder: r.holder}, nil)
 			return
 		}
-		r.finish(GrantResult{}, merry.Wrap(ErrNoMajority))
+		r.asking.again()
 	}
 }
 
@@ -139,8 +197,3 @@
 		}
 	}
 }
-
-func (r *grantRound) finish(result GrantResult, err error) {
-	r.finished = true
-	r.done(result, err)
-}
--- a/internal/quorum/grant_test.go
+++ b/internal/quorum/grant_test.go
@@ -197,6 +197,65 @@
 	}
 }
 
+// TestGrantAsksNoLongerThanItsDeadline has a request with less time than a
+// grant would be asked for.
+func TestGrantAsksNoLongerThanItsDeadline(t *testing.T) {
+	const span = 700 * time.Millisecond
+	w := newGrantWorld(t)
+	w.view.Seats = append(w.view.Seats, seatNamed("b"), seatNamed("c"))
+	w.member.SetView(w.view)
+	w.client.SetView(w.view)
+	w.clock.run(time.Second)
+	w.grant(Claim{Key: "key", Attempt: "first", Deadline: w.clock.now.Add(span)})
+	w.clock.run(time.Minute)
+	if w.answers != 1 || !errors.Is(w.err, ErrNoMajority) || w.took > span {
+		t.Fatalf("%d answers, %+v, %v after %v", w.answers, w.result, w.err, w.took)
+	}
+}
+
+// TestGrantFollowsTheView has the view change after the first round.
+func TestGrantFollowsTheView(t *testing.T) {
+	w := newGrantWorld(t)
+	w.view.Seats = []Seat{seatNamed("gone")}
+	w.client.SetView(w.view)
+	w.grant(Claim{Key: "key", Attempt: "first"})
+	next := &View{Epoch: 2, Seats: []Seat{seatNamed("a")}}
+	w.member.SetView(next)
+	w.client.SetView(next)
+	w.clock.run(time.Minute)
+	if w.answers != 1 || !w.result.Granted {
+		t.Fatalf("%d answers, %+v, %v after %v", w.answers, w.result, w.err, w.took)
+	}
+}
+
+// TestGrantIsRefusedAtOnceWhileClaimsRest has a view that started over: no
+// claim is granted in it before its time, however often one asks.
+func TestGrantIsRefusedAtOnceWhileClaimsRest(t *testing.T) {
+	w := newGrantWorld(t)
+	w.view.ClaimsFrom = w.clock.now.Add(Retention).UnixMilli()
+	w.member.SetView(w.view)
+	w.client.SetView(w.view)
+	w.clock.run(time.Second)
+	w.grant(Claim{Key: "key", Attempt: "first"})
+	w.clock.run(time.Minute)
+	if w.answers != 1 || !errors.Is(w.err, ErrNoMajority) || w.took > 0 || w.peers.grants != 1 {
+		t.Fatalf("%d answers, %+v, %v after %v and %d askings", w.answers, w.result, w.err, w.took, w.peers.grants)
+	}
+}
+
+// TestGrantAsksSeldom bounds the messages of a grant that a member refuses at
+// once each time.
+func TestGrantAsksSeldom(t *testing.T) {
+	const most = 8
+	w := newGrantWorld(t)
+	w.client.SetView(w.view)
+	w.grant(Claim{Key: "key", Attempt: "first"})
+	w.clock.run(time.Minute)
+	if w.answers != 1 || !errors.Is(w.err, ErrNoMajority) || w.peers.grants > most {
+		t.Fatalf("%d answers, %+v, %v after %v and %d askings", w.answers, w.result, w.err, w.took, w.peers.grants)
+	}
+}
+
 // TestMergedClaimIsNotGrantedAgain asks again for an attempt that has a rival
 // from a copy: the rival may have been dispatched.
 func TestMergedClaimIsNotGrantedAgain(t *testing.T) {
--- a/internal/sim/gateway.go
+++ b/internal/sim/gateway.go
@@ -80,7 +80,7 @@
 	call := &gatewayCall{gateway: g, id: id, group: group, asked: asked, answer: answer}
 	call.machine = request.New(request.Config{
 		Unsafe: asked.Key != "",
-		Claim:  quorum.Claim{Key: asked.Group + "/" + asked.Key, Attempt: id, Fingerprint: xxhash.Sum64String(asked.Prompt)},
+		Claim:  quorum.Claim{Key: asked.Group + "/" + asked.Key, Attempt: id, Fingerprint: xxhash.Sum64String(asked.Prompt), Deadline: asked.Deadline},
 		Request: engine.Request{
 			ID: id, Model: group.Group.Spec.Model, Prompt: asked.Prompt, MaxTokens: asked.MaxTokens, Priority: group.Group.Spec.Priority,
 			Deadline: asked.Deadline, ChunkTokens: 1,
