Watches of kinds whose changes have a bound end after three seconds

Cause: a watch whose answer alone was lost was waited for up to 26.5 s, since nothing else shows it; its reader called itself current meanwhile, so that no follower asked elsewhere, and a configuration or a leaving replica reached nobody in its zone.

Weighed: a stale listing beside the watch, with revisions compared (a tenth of a call's price, but the whole list of replicas each time, over zones); the revisions of other zones' readers in heartbeats (no calls, another message); a shorter watch for all kinds. Chosen: watches of configurations, replicas and versions end after 3 s, those of nodes and retirements after 25 s as before.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -178,14 +178,14 @@
 func (i *Instance) runDuties(ctx context.Context) {
 	kinds := i.adapter.Kinds
 	decoder := i.adapter.Decoder
-	i.source.Add(kinds.Configuration, directory.ConfigurationSink{Table: i.directory, Decoder: decoder, Name: kinds.ConfigurationName})
-	i.source.Add(kinds.Replicas, directory.ReplicaSink{Table: i.directory, Decoder: decoder, KeepMissing: i.keepMissing})
-	i.source.Add(kinds.Versions, directory.VersionSink{Table: i.directory, Decoder: decoder})
-	i.source.Add(peering.Kind, i.peers)
+	i.source.Add(kinds.Configuration, directory.ConfigurationSink{Table: i.directory, Decoder: decoder, Name: kinds.ConfigurationName}, watchcache.PromptWait)
+	i.source.Add(kinds.Replicas, directory.ReplicaSink{Table: i.directory, Decoder: decoder, KeepMissing: i.keepMissing}, watchcache.PromptWait)
+	i.source.Add(kinds.Versions, directory.VersionSink{Table: i.directory, Decoder: decoder}, watchcache.PromptWait)
+	i.source.Add(peering.Kind, i.peers, watchcache.LongWait)
 	i.source.Add(kinds.Retirements, &retirements{
 		kind: kinds.Retirements, store: i.store, codec: i.adapter.Retirements, node: i.settings.Node, nodes: i.peers.Nodes,
 		logger: i.logger, ctx: ctx, pending: map[string]bool{},
-	})
+	}, watchcache.LongWait)
 	i.run(func() { i.source.Run(ctx) })
 	i.run(func() { i.peers.Join(ctx) })
 	i.run(func() { i.boundConnections(ctx) })
--- a/internal/watchcache/cache.go
+++ b/internal/watchcache/cache.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/pathtally/pathtally/internal/objectstore"
 )
@@ -18,6 +19,8 @@
 	kind   string
 	sink   Sink
 	notify func()
+	// wait is how long the store holds a watch without events.
+	wait time.Duration
 
 	mutex   sync.Mutex
 	listed  bool
@@ -37,8 +40,8 @@
 }
 
 // newCache returns an empty cache. Notify is called after each change.
-func newCache(kind string, sink Sink, notify func()) *Cache {
-	return &Cache{kind: kind, sink: sink, notify: notify, objects: map[string]objectstore.Object{}}
+func newCache(kind string, sink Sink, wait time.Duration, notify func()) *Cache {
+	return &Cache{kind: kind, sink: sink, wait: wait, notify: notify, objects: map[string]objectstore.Object{}}
 }
 
 // Revision is the store's revision of the copy, 0 before the first listing.
--- a/internal/watchcache/harness_test.go
+++ b/internal/watchcache/harness_test.go
@@ -181,7 +181,7 @@
 		Self: node.node, Store: node.store, Peers: link{cluster: c}, Nodes: c.list, Joined: func() bool { return true },
 		ProbeKind: "nodes", ProbeName: node.node.Name, Logger: klog.Background(), Registry: prometheus.NewRegistry(),
 	})
-	node.source.Add(testKind, node.sink)
+	node.source.Add(testKind, node.sink, PromptWait)
 	c.nodes = append(c.nodes, node)
 }
 
--- a/internal/watchcache/informer.go
+++ b/internal/watchcache/informer.go
@@ -13,8 +13,14 @@
 )
 
 const (
-	// watchWait is how long the store holds a watch without events.
-	watchWait = 25 * time.Second
+	// LongWait is how long the store holds a watch without events, of kinds whose
+	// changes have no bound: an answer costs a call.
+	LongWait = 25 * time.Second
+	// PromptWait is the same for kinds whose changes have to be in force within two
+	// seconds. A watch whose answer was lost says nothing more, and nothing but its end
+	// shows that. A platform that loses answers gives three seconds more; with the time
+	// for the answer the watch ends 4.5 s after it began, half a second before the bound.
+	PromptWait = 3 * time.Second
 	// gatherTime is how long an informer waits after a change before it
 	// watches on, so that changes close together cost one call. It is a small
 	// part of the bounds that changes have to be in force within.
@@ -61,7 +67,7 @@
 // NewInformer returns an informer that keeps a sink current, and has not
 // started.
 func NewInformer(store objectstore.Store, kind string, sink Sink, logger klog.Logger) *Informer {
-	return newInformer(store, newCache(kind, sink, func() {}), logger)
+	return newInformer(store, newCache(kind, sink, LongWait, func() {}), logger)
 }
 
 func newInformer(store objectstore.Store, cache *Cache, logger klog.Logger) *Informer {
@@ -166,7 +172,7 @@
 	}
 	results := make(chan result, 1)
 	go func() {
-		changes, err := i.store.Watch(ctx, i.cache.kind, from, watchWait)
+		changes, err := i.store.Watch(ctx, i.cache.kind, from, i.cache.wait)
 		results <- result{changes, err}
 	}()
 	var settled <-chan time.Time
--- a/internal/watchcache/source.go
+++ b/internal/watchcache/source.go
@@ -62,9 +62,10 @@
 	return source
 }
 
-// Add has a sink kept current with a kind. Call it before Run.
-func (s *Source) Add(kind string, sink Sink) {
-	s.caches = append(s.caches, newCache(kind, sink, s.notify))
+// Add has a sink kept current with a kind, with watches that the store holds for as
+// long as told: LongWait or PromptWait. Call it before Run.
+func (s *Source) Add(kind string, sink Sink, wait time.Duration) {
+	s.caches = append(s.caches, newCache(kind, sink, wait, s.notify))
 }
 
 // Run works until the context ends.
--- a/internal/watchcache/source_test.go
+++ b/internal/watchcache/source_test.go
@@ -157,7 +157,7 @@
 
 func TestCacheGoesForwardOnly(t *testing.T) {
 	sink := &recorder{}
-	cache := newCache(testKind, sink, func() {})
+	cache := newCache(testKind, sink, LongWait, func() {})
 	if cache.Advance(0, nil, 3, false) {
 		t.Error("changes are taken before a listing")
 	}
@@ -177,7 +177,7 @@
 }
 
 func TestNewsSinceARevision(t *testing.T) {
-	cache := newCache(testKind, &recorder{}, func() {})
+	cache := newCache(testKind, &recorder{}, LongWait, func() {})
 	if _, found := cache.Since(0); found {
 		t.Error("news of a kind that was never listed")
 	}
