--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -140,7 +140,7 @@
 func (s *Service) startAnew(work *item) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	work.progress, work.saved = progress{}, 0
+	work.startAnew()
 }
 
 // takeEvent takes the next event of an item's text and learns the replica's pace
--- a/internal/batch/text.go
+++ b/internal/batch/text.go
@@ -20,6 +20,9 @@
 	p.versions = append(p.versions, version)
 }
 
+// startAnew drops what the item's runs have made. The mutex must be held.
+func (i *item) startAnew() { i.progress, i.saved = progress{}, 0 }
+
 // text is the whole text.
 func (p *progress) text() string { return strings.Join(p.events, "\n") }
 
--- a/internal/batch/text_test.go
+++ b/internal/batch/text_test.go
@@ -113,3 +113,30 @@
 		t.Error("what has been saved is saved again")
 	}
 }
+
+// Symptom: a successor goes on with a text whose beginning was made by one weight
+// version and the rest by another, where the job allows one only.
+//
+// Sequence: a piece of an item's text is on its way into the store; the item meets a
+// newer version and its text is begun anew; the store answers.
+//
+// Cause: the answer counted the piece's events as saved of the text that had been
+// begun anew, whose next piece was then written behind those of the old one.
+func TestATextBegunAnewIsSavedFromItsBeginning(t *testing.T) {
+	work := &item{Item: &Item{ID: "a"}}
+	held := &job{items: map[string]*item{"a": work}, order: []string{"a"}}
+	made := func(events int, version int64) {
+		for range events {
+			work.progress.add("e", version)
+		}
+	}
+	made(25, 1)
+	first := held.unsavedTexts()
+	work.startAnew()
+	made(40, 2)
+	held.noteSaved(first)
+	joined := joinPieces(append(first, held.unsavedTexts()...))["a"]
+	if versions := joined.madeBy(); len(joined.events) != 40 || len(versions) != 1 {
+		t.Errorf("%d events of versions %v, want 40 of one", len(joined.events), versions)
+	}
+}
