A saved piece counts only for the text that it is a part of

Cause: the store's answer to a piece was matched by the piece's beginning alone. A text begun anew for another weight version has the same beginning, so its first events counted as saved and the next piece stood behind those of the old text.

Change: a piece remembers which of its item's texts it is from; that is not stored.

Before: 40 events of versions 1 and 2 joined. After: 40 of version 2.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -78,8 +78,10 @@
 	rank int
 
 	progress progress
-	// saved is how many events of the text the store has.
+	// saved is how many events of the text the store has, and texts how often the text
+	// was begun anew.
 	saved   int
+	texts   int
 	running *attempt
 	// runs counts the runs begun here.
 	runs int
--- a/internal/batch/text.go
+++ b/internal/batch/text.go
@@ -21,7 +21,10 @@
 }
 
 // startAnew drops what the item's runs have made. The mutex must be held.
-func (i *item) startAnew() { i.progress, i.saved = progress{}, 0 }
+func (i *item) startAnew() {
+	i.progress, i.saved = progress{}, 0
+	i.texts++
+}
 
 // text is the whole text.
 func (p *progress) text() string { return strings.Join(p.events, "\n") }
@@ -39,6 +42,8 @@
 	From     int      `json:"from"`
 	Events   []string `json:"events"`
 	Versions []int64  `json:"versions"`
+	// text tells which of the item's texts it is a part of, for its writer.
+	text int
 }
 
 const (
@@ -69,7 +74,7 @@
 			continue
 		}
 		part := piece{
-			Item: id, From: running.saved,
+			Item: id, From: running.saved, text: running.texts,
 			Events: running.progress.events[running.saved:made:made], Versions: running.progress.versions[running.saved:made:made],
 		}
 		for _, event := range part.Events {
@@ -83,7 +88,8 @@
 // noteSaved records which texts the store now has. The mutex must be held.
 func (j *job) noteSaved(pieces []piece) {
 	for _, part := range pieces {
-		if saved := j.items[part.Item]; saved != nil && saved.saved == part.From {
+		// The item may have begun another text while this one was on its way.
+		if saved := j.items[part.Item]; saved != nil && saved.saved == part.From && saved.texts == part.text {
 			saved.saved += len(part.Events)
 		}
 	}
