--- a/internal/batch/demand.go
+++ b/internal/batch/demand.go
@@ -24,7 +24,7 @@
 	for _, submitted := range j.submission.Items {
 		tokens += submitted.ExpectedTokens
 	}
-	return wire.JobWork{Job: j.id, Model: j.submission.Model, ExpectedTokens: uint64(tokens), Tenant: j.record.Tenant}
+	return wire.JobWork{Job: j.id, Model: j.submission.Model, ExpectedTokens: uint64(tokens), Tenant: j.record.Tenant, Epoch: uint32(j.record.Epoch)}
 }
 
 // noteDemand learns how much a batch job has to do. The mutex must be held.
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -316,6 +316,8 @@
 	ExpectedTokens uint64
 	// Tenant is whose job it is, empty where no tenants are declared.
 	Tenant string
+	// Epoch counts the job's owners, the sender included; 0 for unknown.
+	Epoch uint32
 }
 
 // ItemLength is how many events the text of an item of a batch job has: at
--- a/internal/wire/schema/peer.capnp
+++ b/internal/wire/schema/peer.capnp
@@ -301,6 +301,7 @@
   model @1 :Text;
   expectedTokens @2 :UInt64; # that all items of the job are expected to make, listed ones included
   tenant @3 :Text;          # whose job it is, empty where no tenants are declared
+  epoch @4 :UInt32;         # counts the job's owners, the sender included; 0 for unknown
 }
 
 struct ItemLength {
