Owners of batch jobs are told apart by epoch in heartbeats

Cause: whoever was heard last counted as a job's owner. A former owner that had been cut off said so until it looked the record up, so watchers asked it again, waited for its silence, and the owner doubted itself.

Change: the epoch that the store's record counts owners by decides: an earlier one changes nothing, and makes no job doubtful. A heartbeat without epochs counts as before, for nodes of an earlier release beside these.

--- a/internal/batch/authorize.go
+++ b/internal/batch/authorize.go
@@ -60,7 +60,7 @@
 
 // noteStanding records a batch job as the store has it. The mutex must be held.
 func (s *Service) noteStanding(standing Standing) *foreign {
-	noted := s.noteForeign(standing.ID, standing.Record.Owner, standing.Ended)
+	noted := s.noteForeign(standing.ID, standing.Record.Owner, standing.Record.Epoch, standing.Ended)
 	noted.tenant, noted.tenantKnown = standing.Record.Tenant, true
 	return noted
 }
--- a/internal/batch/beat.go
+++ b/internal/batch/beat.go
@@ -45,16 +45,18 @@
 	for _, work := range beat.Work {
 		s.noteDemand(work)
 	}
+	epochs := epochsOf(beat)
 	for _, id := range beat.Jobs {
 		if held := s.jobs[id]; held != nil {
-			if !beat.Leaving {
+			if !beat.Leaving && !isEarlier(epochs[id], held.record.Epoch) {
 				held.doubt()
 				contested = append(contested, held)
 			}
 			continue
 		}
-		standing := s.noteForeign(id, owner, false)
-		standing.heard, standing.leaving = time.Now(), beat.Leaving
+		if standing := s.noteForeign(id, owner, epochs[id], false); standing.owner == owner {
+			standing.heard, standing.leaving = time.Now(), beat.Leaving
+		}
 	}
 	for _, work := range beat.Work {
 		if standing := s.known[work.Job]; standing != nil {
@@ -80,6 +82,16 @@
 	s.nudge()
 }
 
+// epochsOf are the epochs in which a heartbeat's sender runs its jobs, where it tells
+// them.
+func epochsOf(beat *wire.NodeBeat) map[string]int {
+	epochs := make(map[string]int, len(beat.Work))
+	for _, work := range beat.Work {
+		epochs[work.Job] = int(work.Epoch)
+	}
+	return epochs
+}
+
 // logUnheldEnd logs the end of a job that this node is taking over: there is no
 // job yet that it could stop. The mutex must be held.
 func (s *Service) logUnheldEnd(id, from string) {
--- a/internal/batch/foreign.go
+++ b/internal/batch/foreign.go
@@ -28,6 +28,8 @@
 // foreign is a batch job that another node runs.
 type foreign struct {
 	owner Owner
+	// epoch is the owner's place among the job's owners, 0 for unknown.
+	epoch int
 	// heard is when the owner was heard to run it.
 	heard time.Time
 	ended bool
@@ -55,15 +57,17 @@
 
 func formatIncarnation(incarnation uint64) string { return strconv.FormatUint(incarnation, 36) }
 
-// noteForeign records who runs a job. The mutex must be held.
-func (s *Service) noteForeign(id string, owner Owner, ended bool) *foreign {
+// noteForeign records who runs a job in an epoch, 0 for unknown. An earlier epoch than
+// the one known changes nothing: a former owner says so until it has looked the record
+// up. The mutex must be held.
+func (s *Service) noteForeign(id string, owner Owner, epoch int, ended bool) *foreign {
 	standing := s.known[id]
 	if standing == nil {
 		standing = &foreign{}
 		s.known[id] = standing
 	}
-	if standing.owner != owner {
-		standing.owner, standing.leaving = owner, false
+	if standing.owner != owner && !isEarlier(epoch, standing.epoch) {
+		standing.owner, standing.epoch, standing.leaving = owner, epoch, false
 		standing.heard = time.Now()
 		// The rank depends on who the owner is.
 		standing.membership = 0
@@ -75,6 +79,9 @@
 	return standing
 }
 
+// isEarlier tells whether an epoch is known to be before another one.
+func isEarlier(epoch, other int) bool { return epoch > 0 && epoch < other }
+
 // watchOwners takes over the jobs whose owners have fallen silent.
 func (s *Service) watchOwners(ctx context.Context) {
 	last := time.Now()
--- a/internal/batch/publish.go
+++ b/internal/batch/publish.go
@@ -214,7 +214,7 @@
 		return
 	}
 	s.displace(held)
-	s.noteForeign(held.id, standing.Record.Owner, standing.Ended)
+	s.noteStanding(standing)
 }
 
 // confirmTime bounds a look at who owns a job.
--- a/internal/batch/takeover_test.go
+++ b/internal/batch/takeover_test.go
@@ -279,7 +279,7 @@
 		t.Fatal(err)
 	}
 	node.mutex.Lock()
-	node.noteForeign("job", node.jobs["job"].record.Owner, false)
+	node.noteForeign("job", node.jobs["job"].record.Owner, 0, false)
 	node.mutex.Unlock()
 	if orphans := node.orphans(); len(orphans) > 0 {
 		t.Errorf("to be taken over: %v", orphans)
--- a/internal/batch/watchers_test.go
+++ b/internal/batch/watchers_test.go
@@ -167,7 +167,7 @@
 		if next == node {
 			continue
 		}
-		node.noteForeign("job", next.config.Self, false)
+		node.noteForeign("job", next.config.Self, 0, false)
 		if got, want := node.cachedRank("job", standing), node.rank("job", next.config.Self.Node); got != want {
 			t.Errorf("owned by %s: rank %d, want %d", next.config.Self.Node, got, want)
 		}
