One queue for the two goroutines that work on batches

Unclear: loop.Loop and recordlog.FileLog each held the same queue: a slice under a mutex, a wake channel of one place, a flag for closing, and a goroutine that takes all that waits. Their ends differed in form only (one read the flag with the batch, the other afterwards and once more).

Changed: package workqueue holds that queue; both use it. Order, what is dropped after Close and that Close waits for what was added before are as they were.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -3,61 +3,35 @@
 package loop
 
 import (
-	"sync"
 	"time"
 
 	"github.com/pathtally/pathtally/internal/environment"
+	"github.com/pathtally/pathtally/internal/workqueue"
 )
 
 // Loop is a queue of calls and the goroutine that runs them in order. It
 // implements environment.Clock by the wall clock.
 type Loop struct {
-	mutex   sync.Mutex
-	calls   []func()
-	wake    chan struct{}
-	closing bool
-	done    chan struct{}
+	calls *workqueue.Queue[func()]
+	done  chan struct{}
 }
 
 // New starts a loop.
 func New() *Loop {
-	loop := &Loop{wake: make(chan struct{}, 1), done: make(chan struct{})}
+	loop := &Loop{calls: workqueue.New[func()](), done: make(chan struct{})}
 	go loop.run()
 	return loop
 }
 
 // Post queues a call; it never blocks. Calls posted after Close are dropped.
-func (l *Loop) Post(call func()) {
-	l.mutex.Lock()
-	if l.closing {
-		l.mutex.Unlock()
-		return
-	}
-	l.calls = append(l.calls, call)
-	l.mutex.Unlock()
-	l.signal()
-}
-
-func (l *Loop) signal() {
-	select {
-	case l.wake <- struct{}{}:
-	default:
-	}
-}
+func (l *Loop) Post(call func()) { l.calls.Add(call) }
 
 // Length is the number of calls waiting.
-func (l *Loop) Length() int {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return len(l.calls)
-}
+func (l *Loop) Length() int { return l.calls.Len() }
 
 // Close runs what was posted before and ends the goroutine.
 func (l *Loop) Close() {
-	l.mutex.Lock()
-	l.closing = true
-	l.mutex.Unlock()
-	l.signal()
+	l.calls.Close()
 	<-l.done
 }
 
@@ -91,16 +65,11 @@
 
 func (l *Loop) run() {
 	defer close(l.done)
-	for range l.wake {
-		l.mutex.Lock()
-		calls, closing := l.calls, l.closing
-		l.calls = nil
-		l.mutex.Unlock()
+	for open := true; open; {
+		var calls []func()
+		calls, open = l.calls.Take()
 		for _, call := range calls {
 			call()
 		}
-		if closing {
-			return
-		}
 	}
 }
--- a/internal/recordlog/filelog.go
+++ b/internal/recordlog/filelog.go
@@ -9,9 +9,10 @@
 	"path/filepath"
 	"slices"
 	"strings"
-	"sync"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/pathtally/pathtally/internal/workqueue"
 )
 
 const (
@@ -37,14 +38,12 @@
 // FileLog keeps segments as files of a folder. Appends run on one goroutine
 // of its own, which joins those that wait into one sync.
 type FileLog struct {
-	folder  string
-	post    func(func())
-	mutex   sync.Mutex
-	pending []appendRequest
-	wake    chan struct{}
-	closed  chan struct{}
-	closing bool
-	files   map[string]*os.File
+	folder   string
+	post     func(func())
+	requests *workqueue.Queue[appendRequest]
+	closed   chan struct{}
+	// files belong to the goroutine that writes.
+	files map[string]*os.File
 }
 
 type appendRequest struct {
@@ -60,72 +59,45 @@
 	if err := os.MkdirAll(folder, 0o755); err != nil {
 		return nil, &LogError{Path: folder, Cause: err}
 	}
-	log := &FileLog{folder: folder, post: post, wake: make(chan struct{}, 1), closed: make(chan struct{}), files: map[string]*os.File{}}
+	log := &FileLog{
+		folder: folder, post: post, requests: workqueue.New[appendRequest](), closed: make(chan struct{}), files: map[string]*os.File{},
+	}
 	go log.run()
 	return log, nil
 }
 
 // Append implements Log.
 func (l *FileLog) Append(segment string, record []byte, done func(error)) {
-	l.enqueue(appendRequest{segment: segment, data: record, done: done})
+	l.requests.Add(appendRequest{segment: segment, data: record, done: done})
 }
 
 // Remove implements Log.
-func (l *FileLog) Remove(segment string) { l.enqueue(appendRequest{segment: segment, remove: true}) }
-
-func (l *FileLog) enqueue(request appendRequest) {
-	l.mutex.Lock()
-	if l.closing {
-		// Nothing is promised for what comes after Close.
-		l.mutex.Unlock()
-		return
-	}
-	l.pending = append(l.pending, request)
-	l.mutex.Unlock()
-	l.signal()
-}
-
-func (l *FileLog) signal() {
-	select {
-	case l.wake <- struct{}{}:
-	default:
-	}
+func (l *FileLog) Remove(segment string) {
+	l.requests.Add(appendRequest{segment: segment, remove: true})
 }
 
 // Close ends the writing goroutine after what was appended before. Later
 // appends are dropped without an answer.
 func (l *FileLog) Close() {
-	l.mutex.Lock()
-	l.closing = true
-	l.mutex.Unlock()
-	l.signal()
+	l.requests.Close()
 	<-l.closed
 }
 
 func (l *FileLog) run() {
 	defer close(l.closed)
-	for range l.wake {
-		l.flush()
-		if l.isClosing() {
-			break
-		}
+	for open := true; open; {
+		var batch []appendRequest
+		batch, open = l.requests.Take()
+		l.flush(batch)
 	}
 	for _, file := range l.files {
 		file.Close()
 	}
 }
 
-func (l *FileLog) isClosing() bool {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return l.closing && len(l.pending) == 0
-}
-
-func (l *FileLog) flush() {
-	l.mutex.Lock()
-	batch := l.pending
-	l.pending = nil
-	l.mutex.Unlock()
+// flush carries out a batch, syncs each segment that it wrote to once, and
+// answers.
+func (l *FileLog) flush(batch []appendRequest) {
 	touched := map[string]error{}
 	for _, request := range batch {
 		if request.remove {
