Nodes are ranked by name in one place

Unclear: duty, watchcache and instance each made candidates of plain names, ranked them, and took the names out again or searched for their own.

Changed: rendezvous.RankNames does that; the three use it.

--- a/internal/duty/turn.go
+++ b/internal/duty/turn.go
@@ -70,28 +70,15 @@
 // first names the first nodes in rank to follow a holder.
 func (k *Keeper) first(count int, holder string) []string {
 	ranked := k.ranked(holder)
-	named := make([]string, 0, count+1)
-	for _, candidate := range ranked[:min(count, len(ranked))] {
-		named = append(named, candidate.ID)
-	}
-	return named
+	return ranked[:min(count, len(ranked))]
 }
 
 // ranked are the nodes other than a holder, in the order in which they follow
 // it.
-func (k *Keeper) ranked(holder string) []rendezvous.Candidate {
-	var others []rendezvous.Candidate
-	for _, node := range k.config.Nodes() {
-		if node != holder {
-			others = append(others, rendezvous.Candidate{ID: node})
-		}
-	}
-	return rendezvous.Rank(leaseName, others)
+func (k *Keeper) ranked(holder string) []string {
+	others := slices.DeleteFunc(slices.Clone(k.config.Nodes()), func(node string) bool { return node == holder })
+	return rendezvous.RankNames(leaseName, others)
 }
 
 // rank is this node's place among the candidates.
-func (k *Keeper) rank(holder string) int {
-	return slices.IndexFunc(k.ranked(holder), func(candidate rendezvous.Candidate) bool {
-		return candidate.ID == k.config.Node
-	})
-}
+func (k *Keeper) rank(holder string) int { return slices.Index(k.ranked(holder), k.config.Node) }
--- a/internal/instance/retirements.go
+++ b/internal/instance/retirements.go
@@ -106,9 +106,5 @@
 
 // rank is this node's place among those that may answer.
 func (r *retirements) rank(machine string) int {
-	var candidates []rendezvous.Candidate
-	for _, node := range r.nodes() {
-		candidates = append(candidates, rendezvous.Candidate{ID: node})
-	}
-	return slices.IndexFunc(rendezvous.Rank(machine, candidates), func(candidate rendezvous.Candidate) bool { return candidate.ID == r.node })
+	return slices.Index(rendezvous.RankNames(machine, r.nodes()), r.node)
 }
--- a/internal/rendezvous/rank_test.go
+++ b/internal/rendezvous/rank_test.go
@@ -34,3 +34,18 @@
 		t.Errorf("%d candidates share the keys, want the four largest", len(first))
 	}
 }
+
+func TestRankNamesOrdersAsRankDoes(t *testing.T) {
+	var names []string
+	var candidates []Candidate
+	for number := range 9 {
+		names = append(names, fmt.Sprint("node-", number))
+		candidates = append(candidates, Candidate{ID: names[number]})
+	}
+	ranked := RankNames("key", names)
+	for place, candidate := range Rank("key", candidates) {
+		if ranked[place] != candidate.ID {
+			t.Errorf("place %d has %s, want %s", place, ranked[place], candidate.ID)
+		}
+	}
+}
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -54,6 +54,19 @@
 	return ranked
 }
 
+// RankNames orders names as Rank does candidates.
+func RankNames(key string, names []string) []string {
+	candidates := make([]Candidate, len(names))
+	for i, name := range names {
+		candidates[i].ID = name
+	}
+	ranked := make([]string, len(names))
+	for i, candidate := range Rank(key, candidates) {
+		ranked[i] = candidate.ID
+	}
+	return ranked
+}
+
 // RankByCapacity orders candidates as Rank does, but those of about the greatest
 // capacity before those with less. Candidates that differ by less than a factor of
 // two or so share a class, so that a key's load is spread among all of them.
--- a/internal/watchcache/reader.go
+++ b/internal/watchcache/reader.go
@@ -29,15 +29,14 @@
 	}
 	maps.DeleteFunc(s.passedOver, func(_ string, until time.Time) bool { return !time.Now().Before(until) })
 	byName := map[string]Node{}
-	candidates := []rendezvous.Candidate{{ID: s.config.Self.Name}}
+	names := []string{s.config.Self.Name}
 	for _, node := range nodes {
 		if node.Zone == s.config.Self.Zone && node.Name != s.config.Self.Name && s.passedOver[node.Name].IsZero() {
 			byName[node.Name] = node
-			candidates = append(candidates, rendezvous.Candidate{ID: node.Name})
+			names = append(names, node.Name)
 		}
 	}
-	first := rendezvous.Rank(rankKey, candidates)[0].ID
-	reader, found := byName[first]
+	reader, found := byName[rendezvous.RankNames(rankKey, names)[0]]
 	return reader, found
 }
 
