Stand-ins on fasthttp answer with JSON through one function

Unclear: the engine and the platform stand-in each held the same writeJSON.

Changed: standin/answer holds it as answer.JSON.

--- a/standin/engine/export.go
+++ b/standin/engine/export.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	protocol "github.com/pathtally/pathtally/internal/engine"
+	"github.com/pathtally/pathtally/standin/answer"
 )
 
 // Drain refuses new work and, after the grace, hands every stream over.
@@ -64,7 +65,7 @@
 		refuse(ctx, fasthttp.StatusNotFound, "no such export", 0)
 		return
 	}
-	writeJSON(ctx, struct{}{})
+	answer.JSON(ctx, struct{}{})
 }
 
 func (s *Server) cancel(id string) {
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	protocol "github.com/pathtally/pathtally/internal/engine"
+	"github.com/pathtally/pathtally/standin/answer"
 )
 
 const weightTimeout = 30 * time.Second
@@ -31,7 +32,7 @@
 		return
 	}
 	s.signal()
-	writeJSON(ctx, s.status())
+	answer.JSON(ctx, s.status())
 }
 
 func (s *Server) carryOut(order protocol.Order) string {
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -11,6 +11,7 @@
 
 	protocol "github.com/pathtally/pathtally/internal/engine"
 	"github.com/pathtally/pathtally/internal/enginemodel"
+	"github.com/pathtally/pathtally/standin/answer"
 )
 
 // Paths besides those of the engine protocol.
@@ -179,7 +180,7 @@
 		s.mutex.Lock()
 		status := s.laggedStatus()
 		s.mutex.Unlock()
-		writeJSON(ctx, status)
+		answer.JSON(ctx, status)
 	case protocol.PathOrders:
 		s.order(ctx)
 	case protocol.PathCancel:
@@ -194,7 +195,7 @@
 			s.SetFaults(faults)
 		}
 	case PathRuns:
-		writeJSON(ctx, s.Runs(string(ctx.QueryArgs().Peek("prompt"))))
+		answer.JSON(ctx, s.Runs(string(ctx.QueryArgs().Peek("prompt"))))
 	case PathDrain:
 		go s.Drain(0)
 	default:
@@ -221,15 +222,5 @@
 
 func refuse(ctx *fasthttp.RequestCtx, status int, reason string, comeBack time.Duration) {
 	ctx.SetStatusCode(status)
-	writeJSON(ctx, protocol.ErrorBody{Reason: reason, RetryAfterMillis: comeBack.Milliseconds()})
-}
-
-func writeJSON(ctx *fasthttp.RequestCtx, body any) {
-	data, err := json.Marshal(body)
-	if err != nil {
-		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
-		return
-	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(data)
+	answer.JSON(ctx, protocol.ErrorBody{Reason: reason, RetryAfterMillis: comeBack.Milliseconds()})
 }
--- a/standin/platform/objects.go
+++ b/standin/platform/objects.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/pathtally/pathtally/internal/objectapi"
+	"github.com/pathtally/pathtally/standin/answer"
 	"github.com/pathtally/pathtally/standin/objects"
 )
 
@@ -19,7 +20,7 @@
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
 	}
-	writeJSON(ctx, objectapi.ObjectBody(object))
+	answer.JSON(ctx, objectapi.ObjectBody(object))
 }
 
 func (s *Server) put(ctx *fasthttp.RequestCtx, name string) {
@@ -41,7 +42,7 @@
 		ctx.Hijack(func(net.Conn) {})
 		return
 	}
-	writeJSON(ctx, objectapi.ObjectBody(object))
+	answer.JSON(ctx, objectapi.ObjectBody(object))
 }
 
 func (s *Server) loseAnswer() bool {
@@ -100,5 +101,5 @@
 	for _, object := range found {
 		body.Objects = append(body.Objects, objectapi.ObjectBody(object))
 	}
-	writeJSON(ctx, body)
+	answer.JSON(ctx, body)
 }
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/pathtally/pathtally/internal/environment"
 	"github.com/pathtally/pathtally/internal/objectapi"
+	"github.com/pathtally/pathtally/standin/answer"
 	"github.com/pathtally/pathtally/standin/objects"
 )
 
@@ -141,7 +142,7 @@
 		return
 	}
 	if path == PathCounts {
-		writeJSON(ctx, s.Counts())
+		answer.JSON(ctx, s.Counts())
 		return
 	}
 	s.mutex.Lock()
@@ -186,7 +187,7 @@
 		body.Machines = append(body.Machines, machine)
 	}
 	s.mutex.Unlock()
-	writeJSON(ctx, body)
+	answer.JSON(ctx, body)
 }
 
 func (s *Server) putMachine(ctx *fasthttp.RequestCtx) {
@@ -205,13 +206,3 @@
 	s.loads.Add(1)
 	ctx.SetBodyString("weights\n")
 }
-
-func writeJSON(ctx *fasthttp.RequestCtx, body any) {
-	data, err := json.Marshal(body)
-	if err != nil {
-		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
-		return
-	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(data)
-}
