The address told to peers and the defaults of spans have one place each

Unclear: process and instance both worked out the advertised peer address; three spans of the settings were given their default by hand although spanOr does that.

--- a/internal/instance/catchup.go
+++ b/internal/instance/catchup.go
@@ -17,10 +17,7 @@
 // watchCatchUp tells in the log when the starting node is up to date, and what
 // it lacks if it is not within the time of its settings.
 func (i *Instance) watchCatchUp(ctx context.Context) {
-	bound := i.current.Load().CatchUp.Std()
-	if bound <= 0 {
-		bound = defaultCatchUp
-	}
+	bound := spanOr(i.current.Load().CatchUp.Std(), defaultCatchUp)
 	late := false
 	for {
 		took := time.Since(i.started)
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -109,11 +109,7 @@
 		Zone: i.settings.Zone, Directory: i.directory, Dispatcher: dispatcher, Logger: i.logger, Metrics: forward.NewMetrics(i.registry),
 		Prompt: i.adapter.Headers.Prompt, VersionField: i.adapter.Jobs.VersionField(), Meter: (*usageMeter)(i),
 	})
-	advertised := i.settings.PeerAdvertised
-	if advertised == "" {
-		advertised = i.settings.Peer
-	}
-	self := batch.Owner{Node: i.settings.Node, Address: advertised, Incarnation: uint64(i.started.UnixNano())}
+	self := batch.Owner{Node: i.settings.Node, Address: i.settings.AdvertisedPeer(), Incarnation: uint64(i.started.UnixNano())}
 	i.transport = transport.Listen(peerListener, transport.Config{
 		Hello: wire.Hello{Protocol: wire.ProtocolVersion, Node: self.Node, Address: self.Address, Incarnation: self.Incarnation},
 		Post:  func(call func()) { go call() },
@@ -208,10 +204,7 @@
 // keepMissing is how long a replica whose entry vanished around an outage of
 // the store is kept.
 func (i *Instance) keepMissing() time.Duration {
-	drain := i.current.Load().Drain.Std()
-	if drain <= 0 {
-		drain = defaultDrain
-	}
+	drain := spanOr(i.current.Load().Drain.Std(), defaultDrain)
 	return time.Duration(missingShare * float64(drain))
 }
 
--- a/internal/instance/stop.go
+++ b/internal/instance/stop.go
@@ -46,10 +46,7 @@
 	i.handler.Closing.Store(true)
 	i.source.Leave()
 	i.handOverDuties()
-	grace := i.current.Load().Grace.Std()
-	if grace <= 0 {
-		grace = defaultGrace
-	}
+	grace := spanOr(i.current.Load().Grace.Std(), defaultGrace)
 	limit, handOver := begun.Add(grace-graceMargin), begun.Add(grace-handOverTime)
 	given := false
 	for time.Now().Before(limit) {
--- a/internal/instance/usage.go
+++ b/internal/instance/usage.go
@@ -24,14 +24,6 @@
 	})
 }
 
-// spanOr is a time of the settings, or its default where none is named.
-func spanOr(configured, standard time.Duration) time.Duration {
-	if configured <= 0 {
-		return standard
-	}
-	return configured
-}
-
 // peerProcess tells where a node is, and which of its processes was heard last.
 func (i *Instance) peerProcess(node string) (address string, incarnation uint64, known bool) {
 	peer, known := i.peers.Get(node)
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -87,12 +87,8 @@
 
 func (p *Process) assemble(peerListener net.Listener, policy rollout.Policy) error {
 	incarnation := uint64(time.Now().UnixMilli())
-	advertised := p.settings.PeerAdvertised
-	if advertised == "" {
-		advertised = p.settings.Peer
-	}
 	self := wire.Member{
-		ID: p.settings.Node, Address: advertised, HTTP: p.settings.HTTP, Zone: p.settings.Zone, Region: p.settings.Region,
+		ID: p.settings.Node, Address: p.settings.AdvertisedPeer(), HTTP: p.settings.HTTP, Zone: p.settings.Zone, Region: p.settings.Region,
 		Incarnation: incarnation, Storage: p.settings.DataFolder != "",
 	}
 	var err error
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -157,6 +157,14 @@
 	return loaded, nil
 }
 
+// AdvertisedPeer is the address that other nodes are told.
+func (s *Settings) AdvertisedPeer() string {
+	if s.PeerAdvertised != "" {
+		return s.PeerAdvertised
+	}
+	return s.Peer
+}
+
 // Parse reads settings from YAML; unknown names are refused.
 func Parse(data []byte, into *Settings) error {
 	if err := yaml.UnmarshalStrict(data, into); err != nil {
