Steps that stood twice in usage, watchcache, weightorders and sim

Unclear: forgetting settled counts, the choice of the channel that ends a watch, asking a replica and noting what it says, and killing a zone stood twice each.

Changed: forgetSettled, Informer.regained, Coordinator.look; the fault that kills a zone calls World.KillZone, which draws and kills in the same order.

--- a/internal/sim/faults.go
+++ b/internal/sim/faults.go
@@ -104,19 +104,7 @@
 		}
 	}},
 	{FaultZone, func(w *World) func() {
-		zone := w.randomNode().host.Zone
-		var killed []*Node
-		for _, n := range w.Nodes {
-			if n.host.Zone == zone && n.host.alive {
-				n.Kill()
-				killed = append(killed, n)
-			}
-		}
-		return func() {
-			for _, n := range killed {
-				n.restart()
-			}
-		}
+		return w.KillZone(w.randomNode().host.Zone)
 	}},
 }
 
--- a/internal/usage/report.go
+++ b/internal/usage/report.go
@@ -155,7 +155,13 @@
 	s.metrics.reports.WithLabelValues(outcome).Inc()
 	s.ObserveDone(number)
 	s.config.Changed()
-	before := number - ledgerLength
+	s.forgetSettled(number)
+}
+
+// forgetSettled drops the counts that no ledger holds any more once all windows
+// up to one are done.
+func (s *Service) forgetSettled(done int64) {
+	before := done - ledgerLength
 	s.collector.forget(before)
 	s.counter.forget(before)
 }
@@ -178,6 +184,5 @@
 		return
 	}
 	s.ObserveDone(beat.UsageDone)
-	s.collector.forget(beat.UsageDone - ledgerLength)
-	s.counter.forget(beat.UsageDone - ledgerLength)
+	s.forgetSettled(beat.UsageDone)
 }
--- a/internal/watchcache/informer.go
+++ b/internal/watchcache/informer.go
@@ -154,12 +154,18 @@
 	i.settled = time.NewTimer(settleTime)
 }
 
+// regained is closed when the store answers again after it did not; nil, so that
+// it never is, where nobody tells.
+func (i *Informer) regained() <-chan struct{} {
+	if i.Regained == nil {
+		return nil
+	}
+	return i.Regained()
+}
+
 // watch waits for changes, but not beyond the end of an outage.
 func (i *Informer) watch(ctx context.Context, from uint64) (objectstore.Changes, error) {
-	var regained <-chan struct{}
-	if i.Regained != nil {
-		regained = i.Regained()
-	}
+	regained := i.regained()
 	type result struct {
 		changes objectstore.Changes
 		err     error
@@ -227,10 +233,7 @@
 // beyond the end of an outage.
 func (i *Informer) awaitRetry(ctx context.Context) {
 	i.retry = min(max(retryPause, 2*i.retry), longestRetry)
-	var regained <-chan struct{}
-	if i.Regained != nil {
-		regained = i.Regained()
-	}
+	regained := i.regained()
 	timer := time.NewTimer(i.retry)
 	defer timer.Stop()
 	select {
--- a/internal/weightorders/load.go
+++ b/internal/weightorders/load.go
@@ -66,13 +66,10 @@
 
 // give gives the order and waits until the replica has the version.
 func (c *Coordinator) give(ctx context.Context, next task) error {
-	report, err := c.report(ctx, next.target)
-	if err != nil {
+	report, reached, err := c.look(ctx, next)
+	if err != nil || reached {
 		return err
 	}
-	if c.note(next, report) {
-		return nil
-	}
 	if !report.Busy {
 		c.config.OnChange(wire.ReplicaVersion{Replica: next.target.ID, Model: next.model, Version: next.version, Loading: true})
 		c.config.Changed()
@@ -116,13 +113,10 @@
 func (c *Coordinator) await(ctx context.Context, next task) error {
 	idle := 0
 	for {
-		report, err := c.report(ctx, next.target)
-		if err != nil {
+		report, reached, err := c.look(ctx, next)
+		if err != nil || reached {
 			return err
 		}
-		if c.note(next, report) {
-			return nil
-		}
 		if !report.Busy {
 			if idle++; idle >= idleReports {
 				return ErrUnanswered
@@ -134,16 +128,17 @@
 	}
 }
 
-// note records what a replica reports and tells whether it has the version.
-func (c *Coordinator) note(next task, report Report) bool {
+// look asks a replica once, records what it reports, and tells whether it has
+// reached the version.
+func (c *Coordinator) look(ctx context.Context, next task) (report Report, reached bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	report, err = c.config.Replicas.Report(ctx, next.target)
+	if err != nil {
+		return report, false, err
+	}
 	for model, version := range report.Versions {
 		c.learn(next.target.ID, model, version)
 	}
-	return report.Versions[next.model] >= next.version
-}
-
-func (c *Coordinator) report(ctx context.Context, target Target) (Report, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTime)
-	defer cancel()
-	return c.config.Replicas.Report(ctx, target)
+	return report, report.Versions[next.model] >= next.version, nil
 }
