instance: the assembly of a node in steps with names

Unclear: one function of 56 lines made all parts of a node in an order that only a reader of all of it could see; the file held memory, readiness and duties besides.

The base of the lease's nonce has a name.

--- /dev/null
+++ b/internal/instance/assemble.go
@@ -0,0 +1,105 @@
+package instance
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/pathtally/pathtally/internal/batch"
+	"github.com/pathtally/pathtally/internal/directory"
+	"github.com/pathtally/pathtally/internal/dispatch"
+	"github.com/pathtally/pathtally/internal/duty"
+	"github.com/pathtally/pathtally/internal/exchange"
+	"github.com/pathtally/pathtally/internal/forward"
+	"github.com/pathtally/pathtally/internal/ingress"
+	"github.com/pathtally/pathtally/internal/peering"
+	"github.com/pathtally/pathtally/internal/storerelay"
+	"github.com/pathtally/pathtally/internal/transport"
+	"github.com/pathtally/pathtally/internal/watchcache"
+	"github.com/pathtally/pathtally/internal/weightorders"
+	"github.com/pathtally/pathtally/internal/wire"
+)
+
+// nonceBase is the number base in which the lease names a process.
+const nonceBase = 36
+
+// assemble joins the parts of the node. Each step needs those before it.
+func (i *Instance) assemble(ctx context.Context, peerListener net.Listener, duties Duties) {
+	self := batch.Owner{Node: i.settings.Node, Address: i.settings.AdvertisedPeer(), Incarnation: uint64(i.started.UnixNano())}
+	dispatcher := i.assembleForwarding()
+	i.assemblePeers(ctx, peerListener, self)
+	i.assembleStore(self)
+	i.jobs = batch.NewService(ctx, batch.Config{
+		Self: self, Journal: batch.NewJournal(i.store), Codec: i.adapter.Jobs, Directory: i.directory, Dispatcher: dispatcher,
+		Forwarder: i.forwarder, Peers: i.transport, Table: i.peers, Logger: i.logger, Registry: i.registry,
+	})
+	i.assembleDuties(self, duties)
+	i.assembleIngress()
+}
+
+// assembleForwarding makes what brings requests to replicas.
+func (i *Instance) assembleForwarding() *dispatch.Dispatcher {
+	i.directory = directory.NewTable(i.settings.Zone, i.logger)
+	i.pool = exchange.NewPool(nil)
+	dispatcher := dispatch.New(i.pool, i.adapter.Headers)
+	i.forwarder = forward.New(forward.Config{
+		Zone: i.settings.Zone, Directory: i.directory, Dispatcher: dispatcher, Logger: i.logger, Metrics: forward.NewMetrics(i.registry),
+		Prompt: i.adapter.Headers.Prompt, VersionField: i.adapter.Jobs.VersionField(), Meter: (*usageMeter)(i),
+	})
+	return dispatcher
+}
+
+// assemblePeers makes the list of the other nodes and listens to them.
+func (i *Instance) assemblePeers(ctx context.Context, listener net.Listener, self batch.Owner) {
+	i.transport = transport.Listen(listener, transport.Config{
+		Hello: wire.Hello{Protocol: wire.ProtocolVersion, Node: self.Node, Address: self.Address, Incarnation: self.Incarnation},
+		Post:  func(call func()) { go call() },
+		Handler: func(_ string, message wire.Message, reply func(wire.Message)) {
+			// Peers may speak to this node before all of it is there.
+			<-i.assembled
+			i.handle(ctx, message, reply)
+		},
+	})
+	i.peers = peering.NewTable(peering.Config{
+		Node: self.Node, Address: self.Address, Zone: i.settings.Zone, Incarnation: self.Incarnation, Capacity: i.settings.Capacity(), Seeds: i.settings.Seeds,
+		Store: i.adapter.Store, Peers: i.transport, Logger: i.logger, Beat: i.fillBeat, OnBeat: i.takeBeat,
+		Watchers: i.watchers,
+	})
+}
+
+// assembleStore makes the copies of the metadata store and the way to it.
+func (i *Instance) assembleStore(self batch.Owner) {
+	i.source = watchcache.NewSource(watchcache.Config{
+		Self: watchcache.Node{Name: self.Node, Address: self.Address, Zone: i.settings.Zone}, Store: i.adapter.Store, Peers: i.transport,
+		Nodes: i.followable, Joined: i.peers.Joined, ProbeKind: peering.Kind, ProbeName: self.Node, Logger: i.logger, Registry: i.registry,
+	})
+	i.store = storerelay.New(storerelay.Config{
+		Own: i.adapter.Store, Peers: i.transport, Through: i.source.CurrentPeer, Logger: i.logger, Registry: i.registry,
+	})
+}
+
+// assembleDuties makes the lease and what is done under it.
+func (i *Instance) assembleDuties(self batch.Owner, duties Duties) {
+	i.lease = duty.NewLease(self.Node, strconv.FormatUint(self.Incarnation, nonceBase), i.settings.DutyLease.Std(), i.store)
+	i.duty = duty.NewKeeper(duty.Config{
+		Node: self.Node, Lease: i.lease, Logger: i.logger, Nodes: i.peers.Nodes, Heard: i.heard, Broadcast: i.peers.Broadcast,
+	})
+	i.weights = weightorders.NewCoordinator(weightorders.Config{
+		Keeper: i.duty, Directory: i.directory, Replicas: i.adapter.Orders(i.pool), Logger: i.logger, Registry: i.registry,
+		Load: i.jobs.Load, Tolerance: i.jobs.Tolerance, Demand: i.jobs.Demand, OnChange: i.jobs.NoteVersion, Changed: i.peers.Changed,
+	})
+	if duties.Usage != nil {
+		i.usage = i.newUsage(self, duties.Usage)
+	}
+}
+
+// assembleIngress makes what answers callers.
+func (i *Instance) assembleIngress() {
+	i.handler = ingress.NewHandler(ingress.Config{
+		Directory: i.directory, Forwarder: i.forwarder, Headers: i.adapter.Headers, Logger: i.logger,
+		Jobs: &batch.Front{Service: i.jobs, Headers: i.adapter.Headers}, BodyBytes: i.bodyBytes(),
+		Metrics: ingress.NewMetrics(i.registry), ConfigurationAge: i.source.Age,
+		KeyBound: func() time.Duration { return i.current.Load().KeyBound.Std() },
+	})
+}
--- /dev/null
+++ b/internal/instance/duties.go
@@ -0,0 +1,39 @@
+package instance
+
+import (
+	"context"
+
+	"github.com/pathtally/pathtally/internal/directory"
+	"github.com/pathtally/pathtally/internal/peering"
+)
+
+// runDuties starts what works beside the requests.
+func (i *Instance) runDuties(ctx context.Context) {
+	kinds := i.adapter.Kinds
+	decoder := i.adapter.Decoder
+	i.source.Add(kinds.Configuration, directory.ConfigurationSink{Table: i.directory, Decoder: decoder, Name: kinds.ConfigurationName})
+	i.source.Add(kinds.Replicas, directory.ReplicaSink{Table: i.directory, Decoder: decoder, KeepMissing: i.keepMissing})
+	i.source.Add(kinds.Versions, directory.VersionSink{Table: i.directory, Decoder: decoder})
+	i.source.Add(peering.Kind, i.peers)
+	i.source.Add(kinds.Retirements, &retirements{
+		kind: kinds.Retirements, store: i.store, codec: i.adapter.Retirements, node: i.settings.Node, nodes: i.peers.Nodes,
+		logger: i.logger, ctx: ctx, pending: map[string]bool{},
+	})
+	i.run(func() { i.source.Run(ctx) })
+	i.run(func() { i.peers.Join(ctx) })
+	i.run(func() { i.boundConnections(ctx) })
+	i.run(func() { i.watchCatchUp(ctx) })
+	i.run(func() { i.jobs.Run(ctx) })
+	i.run(func() { i.weights.Run(ctx) })
+	if i.usage != nil {
+		i.run(func() { i.usage.Run(ctx) })
+	}
+}
+
+func (i *Instance) run(duty func()) {
+	i.duties.Add(1)
+	go func() {
+		defer i.duties.Done()
+		duty()
+	}()
+}
--- a/internal/instance/servers.go
+++ b/internal/instance/servers.go
@@ -71,12 +71,3 @@
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: headerBytes}
 }
-
-// serveReadiness answers 200 while the node takes callers.
-func (i *Instance) serveReadiness(writer http.ResponseWriter, _ *http.Request) {
-	if i.Ready() {
-		writer.WriteHeader(http.StatusOK)
-		return
-	}
-	writer.WriteHeader(http.StatusServiceUnavailable)
-}
