forward: one attempt, the report and one event are steps of their own

Unclear: run.go held the run, the reading of one replica's answer and the log line; passEvents read, announced, passed on and judged the end.

--- a/internal/forward/errors.go
+++ b/internal/forward/errors.go
@@ -55,3 +55,15 @@
 func (e *StreamStatusError) Error() string {
 	return fmt.Sprintf("replica answered status %d", e.Status)
 }
+
+// BrokenStreamError is a stream that has begun and has no end.
+type BrokenStreamError struct {
+	Events int
+	Cause  error
+}
+
+// Error gives the cause.
+func (e *BrokenStreamError) Error() string { return "stream broken off: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *BrokenStreamError) Unwrap() error { return e.Cause }
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -3,23 +3,17 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/pathtally/pathtally/internal/directory"
 	"github.com/pathtally/pathtally/internal/dispatch"
 	"github.com/pathtally/pathtally/internal/exchange"
-	"github.com/pathtally/pathtally/internal/routing"
 )
 
-const (
-	// maxRefusals bounds how often one request is turned away by replicas
-	// before it is refused.
-	maxRefusals = 12
-	// bodyChunk is the least step in which bodies are read.
-	bodyChunk = 4 << 10
-)
+// maxRefusals bounds how often one request is turned away by replicas before it
+// is refused.
+const maxRefusals = 12
 
 // result is how one attempt ended.
 type result struct {
@@ -170,61 +164,6 @@
 	return true
 }
 
-// attempt sends a call to a replica and reads its whole answer.
-func (f *Forwarder) attempt(ctx context.Context, endpoint *routing.Endpoint, call *dispatch.Call) (*Whole, error) {
-	began := time.Now()
-	answer, err := f.config.Dispatcher.Send(ctx, endpoint, call)
-	if err != nil {
-		if ctx.Err() != nil {
-			endpoint.State.Latency.ObserveAtLeast(time.Since(began))
-		}
-		return nil, err
-	}
-	body, err := readWhole(answer)
-	if err != nil {
-		if ctx.Err() == nil {
-			endpoint.State.Failures.Add(1)
-		}
-		answer.Discard()
-		return nil, err
-	}
-	answer.Close()
-	endpoint.State.Latency.Observe(time.Since(began))
-	endpoint.State.Failures.Store(0)
-	return &Whole{Answer: answer, Body: body}, nil
-}
-
-// readWhole reads a body to its end.
-func readWhole(answer *dispatch.Answer) ([]byte, error) {
-	size := bodyChunk
-	if answer.Length >= 0 && answer.Length < exactBody {
-		size = int(answer.Length) + 1
-	}
-	body := make([]byte, 0, size)
-	for {
-		if len(body) == cap(body) {
-			body = append(body, 0)[:len(body)]
-		}
-		count, err := answer.Read(body[len(body):cap(body)])
-		body = body[:len(body)+count]
-		if errors.Is(err, io.EOF) {
-			return body, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-		if len(body) > longestAnswer {
-			return nil, &exchange.BrokenError{Address: answer.Endpoint.Address, Cause: ErrAnswerTooLong}
-		}
-	}
-}
-
-// longestAnswer bounds the body of one answer, in bytes.
-const longestAnswer = 64 << 20
-
-// exactBody is up to which named length a buffer is made at once.
-const exactBody = 1 << 20
-
 // expired ends a request whose time has run out or whose caller has left.
 func (r *run) expired(ctx context.Context) (*Whole, error) {
 	if r.failure != nil {
@@ -249,24 +188,3 @@
 	}
 	return nil, &RefusedError{Reason: ReasonAllFull, RetryAfter: comeBack, Cause: r.lastErr}
 }
-
-// report counts and logs how a request ended. Every one that was not served at
-// once is told; of the ordinary ones as many as the log has room for.
-func (r *run) report(whole *Whole, err error) {
-	took := time.Since(r.started)
-	config := r.forwarder.config
-	config.Metrics.observe(outcomeOf(err), took)
-	view := config.Directory.View()
-	known := []any{"request", r.call.ID, "route", r.route.Name, "attempts", r.counted, "refusals", r.refusals, "tookMs", took.Milliseconds(),
-		"configuration", view.Configuration.Version, "viewAgeMs", time.Since(view.Changed).Milliseconds()}
-	switch {
-	case err != nil:
-		config.Logger.Info("request not served", append(known, "error", err.Error())...)
-	case r.counted > 1 || r.refusals > 0 || took > r.objective:
-		config.Logger.Info("request served late or after retries", append(known, "replica", whole.Answer.Endpoint.Name)...)
-	case r.forwarder.ordinary.Allow():
-		config.Logger.Info("request served", append(known, "replica", whole.Answer.Endpoint.Name)...)
-	default:
-		config.Metrics.untold.Inc()
-	}
-}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -30,18 +30,6 @@
 	Event(raw string) error
 }
 
-// BrokenStreamError is a stream that has begun and has no end.
-type BrokenStreamError struct {
-	Events int
-	Cause  error
-}
-
-// Error gives the cause.
-func (e *BrokenStreamError) Error() string { return "stream broken off: " + e.Cause.Error() }
-
-// Unwrap returns the cause.
-func (e *BrokenStreamError) Unwrap() error { return e.Cause }
-
 // streamRun is one stream on its way. It belongs to one goroutine.
 type streamRun struct {
 	forwarder *Forwarder
@@ -178,8 +166,7 @@
 
 // passEvents passes events on to the end of a replica's stream.
 func (r *streamRun) passEvents(answer *dispatch.Answer, resumed bool, heard func()) error {
-	field := r.forwarder.config.VersionField
-	events := eventstream.NewReader(answer, field, r.after)
+	events := eventstream.NewReader(answer, r.forwarder.config.VersionField, r.after)
 	announce := resumed && answer.Verdict.Version > 0 && answer.Verdict.Version != r.version
 	if answer.Verdict.Version > 0 {
 		r.version = answer.Verdict.Version
@@ -187,33 +174,47 @@
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			if !answer.Framed && r.route.Resumable {
-				// Only a further replica can tell that nothing is missing.
-				return ErrSilent
-			}
-			answer.Endpoint.State.Failures.Store(0)
-			return nil
+			return r.ended(answer)
 		}
 		if err != nil {
 			answer.Discard()
 			return err
 		}
 		heard()
-		raw := event.Raw
-		if event.Version > 0 {
-			r.version = event.Version
-		} else if announce {
-			raw = versionLine(field, r.version) + raw
-		}
-		announce = false
-		if err := r.sink.Event(raw); err != nil {
+		if err := r.passEvent(event, announce); err != nil {
 			answer.Discard()
 			return err
 		}
-		if r.events == 0 && r.call.Metered {
-			r.forwarder.config.Meter.Began(r.call.Tenant, time.Now())
-		}
-		r.after = event.ID
-		r.events++
+		announce = false
+	}
+}
+
+// ended judges the end of a replica's stream after a whole event.
+func (r *streamRun) ended(answer *dispatch.Answer) error {
+	if !answer.Framed && r.route.Resumable {
+		// Only a further replica can tell that nothing is missing.
+		return ErrSilent
+	}
+	answer.Endpoint.State.Failures.Store(0)
+	return nil
+}
+
+// passEvent passes one event on. Where the caller is to be told of the weight
+// version and the event does not do so, a line of it goes before.
+func (r *streamRun) passEvent(event eventstream.Event, announce bool) error {
+	raw := event.Raw
+	if event.Version > 0 {
+		r.version = event.Version
+	} else if announce {
+		raw = versionLine(r.forwarder.config.VersionField, r.version) + raw
+	}
+	if err := r.sink.Event(raw); err != nil {
+		return err
+	}
+	if r.events == 0 && r.call.Metered {
+		r.forwarder.config.Meter.Began(r.call.Tenant, time.Now())
 	}
+	r.after = event.ID
+	r.events++
+	return nil
 }
