duty and watchcache: one job a file

Unclear: lease.go held the view, the reading, the writing and the sightings; keeper.go the turn, permits and the planned stop; informer.go the single watch too.

Changed: acquire.go, write.go, sighting.go, permit.go, release.go, watch.go, each with its constants; Ready has the steps workSince and acquire.

--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -17,12 +17,6 @@
 	// longestRetry bounds the time between tries to get the lease while the store
 	// does not answer.
 	longestRetry = time.Second
-	// unansweredMemory is for how long a call without an answer may yet arrive.
-	unansweredMemory = 8 * time.Second
-	// releaseTime bounds the giving up of the lease, and releaseLook is the time
-	// between looks at the calls still open.
-	releaseTime = 1200 * time.Millisecond
-	releaseLook = 10 * time.Millisecond
 )
 
 // Config is what a Keeper needs.
@@ -67,12 +61,7 @@
 // Ready has the lease for at least one call, or tells when to look again. It is
 // called while a duty has work to do.
 func (k *Keeper) Ready(ctx context.Context, duty string) (ready bool, again time.Duration) {
-	k.mutex.Lock()
-	if k.since[duty].IsZero() {
-		k.since[duty] = time.Now()
-	}
-	since := k.since[duty]
-	k.mutex.Unlock()
+	since := k.workSince(duty)
 	if k.config.Lease.Stopped() {
 		return false, longestRetry
 	}
@@ -84,6 +73,22 @@
 	if k.config.Lease.Remaining() >= reserve {
 		return true, 0
 	}
+	return k.acquire(ctx, duty)
+}
+
+// workSince is since when a duty has had work that nobody has done: now, unless
+// it had some before.
+func (k *Keeper) workSince(duty string) time.Time {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if k.since[duty].IsZero() {
+		k.since[duty] = time.Now()
+	}
+	return k.since[duty]
+}
+
+// acquire tries once to get the lease. acquiring must be held.
+func (k *Keeper) acquire(ctx context.Context, duty string) (ready bool, again time.Duration) {
 	pause, err := k.config.Lease.Acquire(ctx)
 	if err != nil {
 		k.retry = min(max(LookPeriod, 2*k.retry), longestRetry)
@@ -121,38 +126,6 @@
 	k.config.Broadcast()
 }
 
-// Permit allows one call under the lease.
-type Permit struct {
-	// Holder and Token are what the call names.
-	Holder string
-	Token  uint64
-	keeper *Keeper
-}
-
-// Begin allows a call that is sent at once, if the lease is valid now. Done is
-// called when it has ended.
-func (k *Keeper) Begin() (Permit, bool) {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	token, valid := k.config.Lease.Valid()
-	if !valid {
-		return Permit{}, false
-	}
-	k.open++
-	return Permit{Holder: k.config.Node, Token: token, keeper: k}, true
-}
-
-// Done tells that the call has ended, and whether it was answered: one that was
-// not may arrive yet.
-func (p Permit) Done(answered bool) {
-	p.keeper.mutex.Lock()
-	defer p.keeper.mutex.Unlock()
-	p.keeper.open--
-	if !answered {
-		p.keeper.unansweredAt = time.Now()
-	}
-}
-
 // Observe takes another node's word of the lease. A node may so learn that it
 // holds the lease itself: the process before this one did, and the same node need
 // not wait for it.
@@ -188,42 +161,3 @@
 // Tenure returns the token of this node's last renewal while no other node is
 // known to have followed it, else 0. Calls may need a further renewal.
 func (k *Keeper) Tenure() uint64 { return k.config.Lease.Tenure() }
-
-// Release ends this node's duties for a planned stop. The lease is given up if
-// that is safe, so that a successor need not wait; else it runs out.
-func (k *Keeper) Release(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, releaseTime)
-	defer cancel()
-	k.acquiring.Lock()
-	defer k.acquiring.Unlock()
-	mayRelease := k.config.Lease.stop()
-	if !mayRelease || !k.callsEnded(ctx) {
-		return
-	}
-	if err := k.config.Lease.release(ctx); err != nil {
-		k.config.Logger.Info("duty lease not released", "error", err.Error())
-		return
-	}
-	k.config.Logger.Info("duty lease released")
-	k.config.Broadcast()
-}
-
-// callsEnded waits until no call is open, and tells whether none may arrive yet.
-func (k *Keeper) callsEnded(ctx context.Context) bool {
-	for {
-		k.mutex.Lock()
-		open, late := k.open, time.Since(k.unansweredAt) < unansweredMemory && !k.unansweredAt.IsZero()
-		k.mutex.Unlock()
-		if late {
-			return false
-		}
-		if open == 0 {
-			return true
-		}
-		select {
-		case <-ctx.Done():
-			return false
-		case <-time.After(releaseLook):
-		}
-	}
-}
--- /dev/null
+++ b/internal/duty/write.go
@@ -0,0 +1,71 @@
+package duty
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/pathtally/pathtally/internal/objectstore"
+)
+
+// leaseSpec is the stored lease.
+type leaseSpec struct {
+	Node  string `json:"node"`
+	Nonce string `json:"nonce"`
+	// Writes counts the writes of one process, so that each of them changes
+	// the object and with it the revision that successors wait by.
+	Writes uint64 `json:"writes"`
+	// Released tells that the node sends no more calls.
+	Released bool `json:"released,omitempty"`
+}
+
+// write puts this node into the lease if it still stands as known, to hold it or
+// to give it up.
+func (l *Lease) write(ctx context.Context, revision uint64, release bool) error {
+	l.mutex.Lock()
+	l.writes++
+	spec, err := json.Marshal(leaseSpec{Node: l.state.node, Nonce: l.nonce, Writes: l.writes, Released: release})
+	l.mutex.Unlock()
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	sent := time.Now()
+	var object objectstore.Object
+	if revision == 0 {
+		object, err = l.store.Create(ctx, leaseKind, leaseName, spec)
+	} else {
+		object, err = l.store.Replace(ctx, leaseKind, leaseName, spec, revision)
+	}
+	return l.settle(sent, object, release, err)
+}
+
+// settle takes the outcome of a write.
+func (l *Lease) settle(sent time.Time, written objectstore.Object, release bool, err error) error {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	var conflict *objectstore.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		var standing leaseSpec
+		if unreadable := json.Unmarshal(conflict.Current.Spec, &standing); unreadable != nil {
+			l.state.unanswered()
+			return merry.Wrap(unreadable)
+		}
+		l.state.conflicted(time.Now(), standing.Node, conflict.Current.Revision, standing.Released)
+	case err != nil:
+		l.state.unanswered()
+	case release:
+		l.state.observe(time.Now(), l.state.node, written.Revision, true)
+	default:
+		l.state.wrote(sent, written.Revision)
+	}
+	return err
+}
+
+// release gives the lease up, so that a successor need not wait.
+func (l *Lease) release(ctx context.Context) error {
+	return l.write(ctx, l.Seen().Revision, true)
+}
--- a/internal/watchcache/informer.go
+++ b/internal/watchcache/informer.go
@@ -6,15 +6,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/ansel1/merry/v2"
 	"k8s.io/klog/v2"
 
 	"github.com/pathtally/pathtally/internal/objectstore"
 )
 
 const (
-	// watchWait is how long the store holds a watch without events.
-	watchWait = 25 * time.Second
 	// gatherTime is how long an informer waits after a change before it
 	// watches on, so that changes close together cost one call. It is a small
 	// part of the bounds that changes have to be in force within.
@@ -140,13 +137,6 @@
 	}
 }
 
-// errRegained ends a watch from before an outage of the store, and errSettling
-// one that began soon after.
-var (
-	errRegained = merry.Sentinel("store reachable again")
-	errSettling = merry.Sentinel("store settled after an outage")
-)
-
 // noteGap records that changes may have been missed, and that what the store
 // says in the next moments may lack some.
 func (i *Informer) noteGap() {
@@ -154,44 +144,6 @@
 	i.settled = time.NewTimer(settleTime)
 }
 
-// regained is closed when the store answers again after it did not; nil, so that
-// it never is, where nobody tells.
-func (i *Informer) regained() <-chan struct{} {
-	if i.Regained == nil {
-		return nil
-	}
-	return i.Regained()
-}
-
-// watch waits for changes, but not beyond the end of an outage.
-func (i *Informer) watch(ctx context.Context, from uint64) (objectstore.Changes, error) {
-	regained := i.regained()
-	type result struct {
-		changes objectstore.Changes
-		err     error
-	}
-	results := make(chan result, 1)
-	go func() {
-		changes, err := i.store.Watch(ctx, i.cache.kind, from, watchWait)
-		results <- result{changes, err}
-	}()
-	var settled <-chan time.Time
-	if i.settled != nil {
-		settled = i.settled.C
-	}
-	select {
-	case ended := <-results:
-		return ended.changes, ended.err
-	case <-settled:
-		i.settled = nil
-		return objectstore.Changes{}, errSettling
-	case <-regained:
-		return objectstore.Changes{}, errRegained
-	case <-ctx.Done():
-		return objectstore.Changes{}, ctx.Err()
-	}
-}
-
 // afterOutage tells whether there was an outage of late. A watch that began
 // before one may well be answered after it.
 func (i *Informer) afterOutage() bool {
