--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -76,29 +76,39 @@
 			return r.accept(event, hasData)
 		}
 		begun = true
-		event.Raw += line + "\n"
-		name, value, isField := strings.Cut(line, ":")
-		if !isField {
-			return Event{}, &MalformedError{Reason: "line is no field", Line: line}
+		isData, err := r.add(&event, line, hasData)
+		if err != nil {
+			return Event{}, err
 		}
-		value = strings.TrimPrefix(value, " ")
-		switch name {
-		case "id":
-			if event.ID, err = strconv.Atoi(value); err != nil {
-				return Event{}, &MalformedError{Reason: "event id is no number", Line: line}
-			}
-		case "data":
-			if hasData {
-				event.Data += "\n"
-			}
-			event.Data += value
-			hasData = true
-		case r.versionField:
-			if event.Version, err = strconv.ParseInt(strings.TrimSpace(value), 10, 64); err != nil {
-				return Event{}, &MalformedError{Reason: "weight version is no number", Line: line}
-			}
+		hasData = hasData || isData
+	}
+}
+
+// add adds a line to an event, and tells whether it is one of data.
+func (r *Reader) add(event *Event, line string, hasData bool) (isData bool, err error) {
+	event.Raw += line + "\n"
+	name, text, isField := strings.Cut(line, ":")
+	if !isField {
+		return false, &MalformedError{Reason: "line is no field", Line: line}
+	}
+	text = strings.TrimPrefix(text, " ")
+	switch name {
+	case "id":
+		if event.ID, err = strconv.Atoi(text); err != nil {
+			return false, &MalformedError{Reason: "event id is no number", Line: line}
+		}
+	case "data":
+		if hasData {
+			event.Data += "\n"
+		}
+		event.Data += text
+		return true, nil
+	case r.versionField:
+		if event.Version, err = strconv.ParseInt(strings.TrimSpace(text), 10, 64); err != nil {
+			return false, &MalformedError{Reason: "weight version is no number", Line: line}
 		}
 	}
+	return false, nil
 }
 
 // accept checks that an event follows the last one.
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -137,16 +137,9 @@
 	received := time.Now()
 	body, release, err := h.bodies.read(request, configuration.Limits.BodyBytes)
 	defer release()
-	switch {
-	case errors.Is(err, ErrNoRoom):
-		h.refuse(writer, id, http.StatusServiceUnavailable, err.Error(), roomWait)
-		return
-	case errors.Is(err, ErrBodyTooLarge):
-		h.refuse(writer, id, http.StatusRequestEntityTooLarge, err.Error(), 0)
+	if err != nil {
+		h.refuseBody(writer, id, route, err)
 		return
-	case err != nil:
-		h.config.Logger.Info("request not read", "request", id, "route", route.Name, "error", err.Error())
-		panic(http.ErrAbortHandler)
 	}
 	if route.Kind == directory.RouteBatch {
 		h.config.Jobs.Submit(writer, request, Submitted{Route: route, ID: id, Tenant: tenant, Body: body})
@@ -165,6 +158,20 @@
 	h.forward(writer, request, route, call)
 }
 
+// refuseBody answers a request whose body was not taken. One that is not whole
+// has nobody left to answer.
+func (h *Handler) refuseBody(writer http.ResponseWriter, id string, route *directory.Route, err error) {
+	switch {
+	case errors.Is(err, ErrNoRoom):
+		h.refuse(writer, id, http.StatusServiceUnavailable, err.Error(), roomWait)
+	case errors.Is(err, ErrBodyTooLarge):
+		h.refuse(writer, id, http.StatusRequestEntityTooLarge, err.Error(), 0)
+	default:
+		h.config.Logger.Info("request not read", "request", id, "route", route.Name, "error", err.Error())
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // deadline is when a request must have its answer here: by the caller's time
 // and the route's bound.
 func (h *Handler) deadline(header http.Header, route *directory.Route, received time.Time) time.Time {
