--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,9 +5,7 @@
 import (
 	"flag"
 	"fmt"
-	"net/netip"
 	"os"
-	"regexp"
 	"strings"
 	"time"
 
@@ -190,69 +188,3 @@
 		s.Grace = given.Grace
 	}
 }
-
-// requiredAddresses are the addresses that a node of this kind must have.
-func (s *Settings) requiredAddresses() []struct{ setting, value string } {
-	required := []struct{ setting, value string }{{"peer", s.Peer}, {"http", s.HTTP}, {"platform", s.Platform}}
-	if s.ObjectStore != "" {
-		required[2] = struct{ setting, value string }{"objectStore", s.ObjectStore}
-	}
-	if s.Idle {
-		// A node that serves nobody listens nowhere.
-		return nil
-	}
-	return required
-}
-
-var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,62}[a-z0-9])?$`)
-
-// Check returns everything that is wrong with the settings.
-func (s *Settings) Check() Errors {
-	var findings Errors
-	for _, name := range []struct{ setting, value string }{{"node", s.Node}, {"zone", s.Zone}, {"region", s.Region}} {
-		if !namePattern.MatchString(name.value) {
-			findings = append(findings, &Error{Setting: name.setting, Found: name.value, Allowed: "1 to 64 lower-case letters, digits, dots and dashes"})
-		}
-	}
-	addresses := s.requiredAddresses()
-	for _, optional := range []struct{ setting, value string }{{"readiness", s.Readiness}, {"metrics", s.Metrics}, {"dutyAPI", s.DutyAPI}} {
-		if optional.value != "" {
-			addresses = append(addresses, optional)
-		}
-	}
-	if s.ObjectStore != "" && s.Platform != "" {
-		findings = append(findings, &Error{Setting: "platform", Found: s.Platform, Allowed: "nothing where objectStore is given"})
-	}
-	if s.PeerAdvertised != "" {
-		addresses = append(addresses, struct{ setting, value string }{"peerAdvertised", s.PeerAdvertised})
-	}
-	for _, seed := range s.Seeds {
-		addresses = append(addresses, struct{ setting, value string }{"seeds", seed})
-	}
-	for _, address := range addresses {
-		if _, err := netip.ParseAddrPort(address.value); err != nil {
-			findings = append(findings, &Error{Setting: address.setting, Found: address.value, Allowed: "an IP address and a port, such as 127.0.0.1:7001"})
-		}
-	}
-	for _, span := range []struct {
-		setting string
-		value   v1.Duration
-	}{
-		{"dutyLease", s.DutyLease}, {"drain", s.Drain}, {"catchUp", s.CatchUp}, {"keyBound", s.KeyBound},
-		{"usageWindow", s.UsageWindow}, {"usageLate", s.UsageLate},
-	} {
-		if span.value < 0 {
-			findings = append(findings, &Error{Setting: span.setting, Found: span.value.Std().String(), Allowed: "a duration of 0 or more"})
-		}
-	}
-	if s.CPUShare < 0 || s.Cores < 0 {
-		findings = append(findings, &Error{Setting: "cpuShare, cores", Found: fmt.Sprint(s.CPUShare, ", ", s.Cores), Allowed: "numbers of 0 or more"})
-	}
-	if s.MemoryMB < 0 {
-		findings = append(findings, &Error{Setting: "memoryMB", Found: fmt.Sprint(s.MemoryMB), Allowed: "a number of megabytes, 0 or more"})
-	}
-	if s.Grace < 0 {
-		findings = append(findings, &Error{Setting: "grace", Found: s.Grace.Std().String(), Allowed: "a duration of 0 or more"})
-	}
-	return findings
-}
