rollout: asking stores, copying manifests and dispatching in steps

Changed: askStores, later, sampleGet; chooseSamples, gathered and manifestCopies; pickAnother and run are steps of dispatch.

--- a/internal/rollout/attempt.go
+++ b/internal/rollout/attempt.go
@@ -134,22 +134,37 @@
 	}
 }
 
+// dispatch sends an attempt to an engine, or parks it where none has room.
 func (s *Scheduler) dispatch(running *attempt, dispatch request.Dispatch, endpoint *routing.Endpoint) {
 	if endpoint == nil {
-		avoid := ""
-		if running.endpoint != nil {
-			avoid = running.endpoint.Name
-		}
-		running.endpoint = nil
-		picked, err := s.plan().Plan.Pick(s.query(running.slot, avoid))
-		if err != nil {
-			// The tokens so far are kept until an engine has room.
-			running.parked = &dispatch
-			s.parked = append(s.parked, running)
-			return
-		}
-		endpoint = picked
+		endpoint = s.pickAnother(running)
+	}
+	if endpoint == nil {
+		// The tokens so far are kept until an engine has room.
+		running.parked = &dispatch
+		s.parked = append(s.parked, running)
+		return
 	}
+	s.run(running, dispatch, endpoint)
+}
+
+// pickAnother picks an engine for an attempt, not the one that it was at; nil if
+// none has room.
+func (s *Scheduler) pickAnother(running *attempt) *routing.Endpoint {
+	avoid := ""
+	if running.endpoint != nil {
+		avoid = running.endpoint.Name
+	}
+	running.endpoint = nil
+	picked, err := s.plan().Plan.Pick(s.query(running.slot, avoid))
+	if err != nil {
+		return nil
+	}
+	return picked
+}
+
+// run starts an attempt's next stream at an engine.
+func (s *Scheduler) run(running *attempt, dispatch request.Dispatch, endpoint *routing.Endpoint) {
 	running.endpoint = endpoint
 	running.dispatch++
 	running.moving = false
--- a/internal/rollout/finish.go
+++ b/internal/rollout/finish.go
@@ -92,8 +92,8 @@
 			return
 		}
 		if err != nil {
-			s.config.Clock.AfterFunc(slotRetry, func() {
-				if !s.stopped && filled.state == slotScoring {
+			s.later(slotRetry, func() {
+				if filled.state == slotScoring {
 					s.score(filled, sample)
 				}
 			})
--- a/internal/rollout/recover.go
+++ b/internal/rollout/recover.go
@@ -27,11 +27,7 @@
 		case errors.Is(err, quorum.ErrSuperseded):
 			s.superseded()
 		case err != nil:
-			s.config.Clock.AfterFunc(sealRetry, func() {
-				if !s.stopped {
-					s.readManifest(step, revision, newest)
-				}
-			})
+			s.later(sealRetry, func() { s.readManifest(step, revision, newest) })
 		case value != nil:
 			s.readManifest(step, revision+1, value)
 		case newest != nil:
@@ -42,53 +38,72 @@
 	})
 }
 
+// listed are the samples of a step that stores hold, each with the copies of it
+// that they have.
+type listed map[wire.SampleReference]map[string]bool
+
+// add notes what one store holds.
+func (l listed) add(store wire.Member, found *wire.Samples) {
+	for _, sample := range found.Samples {
+		reference := wire.SampleReference{Slot: sample.Slot, Digest: sample.Digest}
+		if l[reference] == nil {
+			l[reference] = map[string]bool{}
+		}
+		l[reference][copyName(store)] = true
+	}
+}
+
 // listSamples asks the stores which samples of the step they hold.
 func (s *Scheduler) listSamples(step *stepState) {
 	stores := s.usableStores()
-	waiting, answered := len(stores), 0
-	holders := map[wire.SampleReference]map[string]bool{}
-	if waiting == 0 {
-		s.retryList(step)
+	if len(stores) == 0 {
+		s.later(sealRetry, func() { s.listSamples(step) })
 		return
 	}
+	answered, holders := 0, listed{}
 	request := &wire.SampleList{Trainer: s.config.Trainer, Step: step.request.Step}
-	for _, store := range stores {
-		s.config.Peers.Call(store.Address, request, storeTimeout, func(message wire.Message, err error) {
-			waiting--
-			if found, ok := message.(*wire.Samples); err == nil && ok {
-				answered++
-				for _, sample := range found.Samples {
-					reference := wire.SampleReference{Slot: sample.Slot, Digest: sample.Digest}
-					if holders[reference] == nil {
-						holders[reference] = map[string]bool{}
-					}
-					holders[reference][copyName(store)] = true
-				}
-			}
-			if waiting > 0 || s.stopped {
-				return
-			}
-			if answered == 0 {
-				s.retryList(step)
-				return
-			}
-			s.fetchListed(step, holders)
-		})
-	}
-}
-
-func (s *Scheduler) retryList(step *stepState) {
-	s.config.Clock.AfterFunc(sealRetry, func() {
-		if !s.stopped {
-			s.listSamples(step)
+	s.askStores(stores, request, func(store wire.Member, found *wire.Samples) {
+		answered++
+		holders.add(store, found)
+	}, func() {
+		if answered == 0 {
+			s.later(sealRetry, func() { s.listSamples(step) })
+			return
 		}
+		s.fetchListed(step, holders)
 	})
 }
 
 // fetchListed reads the samples found, so that their versions are known, and
-// then generates what is missing. For each slot the sample with the most
-// copies is taken.
-func (s *Scheduler) fetchListed(step *stepState, holders map[wire.SampleReference]map[string]bool) {
+// then generates what is missing.
+func (s *Scheduler) fetchListed(step *stepState, holders listed) {
+	references := chooseSamples(step, holders)
+	if len(references) == 0 {
+		s.generate(step)
+		return
+	}
+	var newest []byte
+	fetched := func() {
+		if newest == nil {
+			s.generate(step)
+			return
+		}
+		s.repropose(step, newest)
+	}
+	stores := s.usableStores()
+	if len(stores) == 0 {
+		fetched()
+		return
+	}
+	s.askStores(stores, s.sampleGet(step, references), func(_ wire.Member, found *wire.Samples) {
+		takeSamples(step, found)
+		newest = newestManifest(newest, found)
+	}, fetched)
+}
+
+// chooseSamples takes for each slot the sample with the most copies, and returns
+// what is to be read: these, and the copies of manifests.
+func chooseSamples(step *stepState, holders listed) []wire.SampleReference {
 	var references []wire.SampleReference
 	for _, reference := range slices.SortedFunc(maps.Keys(holders), wire.SampleReference.Compare) {
 		if reference.Slot == manifestSlot {
@@ -111,36 +126,7 @@
 			references = append(references, wire.SampleReference{Slot: held.index, Digest: held.digest})
 		}
 	}
-	if len(references) == 0 {
-		s.generate(step)
-		return
-	}
-	stores := s.usableStores()
-	waiting := len(stores)
-	var newest []byte
-	finished := func() {
-		if newest == nil {
-			s.generate(step)
-			return
-		}
-		s.repropose(step, newest)
-	}
-	request := &wire.SampleGet{Trainer: s.config.Trainer, Step: step.request.Step, References: references}
-	for _, store := range stores {
-		s.config.Peers.Call(store.Address, request, storeTimeout, func(message wire.Message, err error) {
-			waiting--
-			if found, ok := message.(*wire.Samples); err == nil && ok {
-				takeSamples(step, found)
-				newest = newestManifest(newest, found)
-			}
-			if waiting == 0 && !s.stopped {
-				finished()
-			}
-		})
-	}
-	if waiting == 0 {
-		finished()
-	}
+	return references
 }
 
 // newestManifest returns the manifest of the greatest revision among one known
--- a/internal/rollout/seal.go
+++ b/internal/rollout/seal.go
@@ -50,11 +50,7 @@
 			return
 		}
 		if err != nil {
-			s.config.Clock.AfterFunc(sealRetry, func() {
-				if !s.stopped {
-					s.propose(step, value)
-				}
-			})
+			s.later(sealRetry, func() { s.propose(step, value) })
 			return
 		}
 		s.copyManifest(step, decided, func() { s.adopt(step, decided) })
@@ -64,48 +60,8 @@
 // copyManifest leaves copies with the stores before the step is handed over,
 // so that the same manifest is found again if the quorum is lost as a whole.
 func (s *Scheduler) copyManifest(step *stepState, value []byte, done func()) {
-	digest := xxhash.Sum64(value)
-	holders := map[string]bool{}
-	var round func()
-	round = func() {
-		missing := s.config.Stores.Copies() - len(holders)
-		waiting := 0
-		again := func() {
-			s.config.Clock.AfterFunc(slotRetry, func() {
-				if !s.stopped {
-					round()
-				}
-			})
-		}
-		for _, store := range s.storesFor(step.request.Step, manifestSlot) {
-			if missing == 0 {
-				break
-			}
-			if holders[copyName(store)] {
-				continue
-			}
-			missing--
-			waiting++
-			s.put(store, step.request.Step, manifestSlot, digest, value, func(stored bool) {
-				waiting--
-				if stored {
-					holders[copyName(store)] = true
-				}
-				if waiting > 0 || s.stopped {
-					return
-				}
-				if len(holders) >= s.config.Stores.Copies() {
-					done()
-					return
-				}
-				again()
-			})
-		}
-		if waiting == 0 {
-			again()
-		}
-	}
-	round()
+	copies := &manifestCopies{scheduler: s, step: step.request.Step, value: value, digest: xxhash.Sum64(value), holders: map[string]bool{}, done: done}
+	copies.spread()
 }
 
 // adopt takes a decided manifest as the step's content and fetches whatever
@@ -166,41 +122,32 @@
 // missing: a store that is away may come back.
 func (s *Scheduler) gather(step *stepState, missing []wire.SampleReference) {
 	stores := s.usableStores()
-	waiting := len(stores)
-	retry := func() {
-		s.config.Clock.AfterFunc(sealRetry, func() {
-			if !s.stopped {
-				s.gather(step, missing)
-			}
-		})
+	if len(stores) == 0 {
+		s.later(sealRetry, func() { s.gather(step, missing) })
+		return
 	}
-	if waiting == 0 {
-		retry()
+	s.askStores(stores, s.sampleGet(step, missing), func(_ wire.Member, found *wire.Samples) {
+		takeSamples(step, found)
+	}, func() {
+		if step.phase == phaseSealing {
+			s.gathered(step, missing)
+		}
+	})
+}
+
+// gathered goes on when all stores have been asked once.
+func (s *Scheduler) gathered(step *stepState, missing []wire.SampleReference) {
+	lost := lostSlots(step)
+	if len(lost) == 0 {
+		s.sealed(step)
 		return
 	}
-	request := &wire.SampleGet{Trainer: s.config.Trainer, Step: step.request.Step, References: missing}
-	for _, store := range stores {
-		s.config.Peers.Call(store.Address, request, storeTimeout, func(message wire.Message, err error) {
-			waiting--
-			if found, ok := message.(*wire.Samples); err == nil && ok {
-				takeSamples(step, found)
-			}
-			if waiting > 0 || s.stopped || step.phase != phaseSealing {
-				return
-			}
-			lost := lostSlots(step)
-			if len(lost) == 0 {
-				s.sealed(step)
-				return
-			}
-			if s.config.Clock.Now().Sub(step.gathering) > lossPatience {
-				s.replace(step, lost)
-				return
-			}
-			s.answer(step, nil, merry.Wrap(ErrSampleLost))
-			retry()
-		})
+	if s.config.Clock.Now().Sub(step.gathering) > lossPatience {
+		s.replace(step, lost)
+		return
 	}
+	s.answer(step, nil, merry.Wrap(ErrSampleLost))
+	s.later(sealRetry, func() { s.gather(step, missing) })
 }
 
 // takeSamples puts samples that stores returned into their slots.
