process, node and standincommand: assembly in steps with names

Changed: assembleClients; assembleMembership, assembleQuorum, assembleUpkeep; writeCounts. The order is as it was.

--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -85,32 +85,52 @@
 		followed:   map[string]time.Duration{},
 		prompted:   map[string]uint64{},
 	}
-	core.relay = relay.NewStore(relay.Config{Peers: config.Peers, OnChange: core.documentChanged})
-	core.table = membership.New(membership.Config{
-		Self: config.Self, Seeds: config.Seeds, Clock: config.Clock, Random: config.Random, Peers: config.Peers, Period: config.ProbePeriod,
-		Documents:   core.relay.Versions,
-		OnDocuments: core.relay.Observe,
-		OnChange:    core.membersChanged,
+	core.assembleMembership()
+	core.assembleQuorum()
+	core.assembleUpkeep()
+	return core
+}
+
+// assembleMembership makes what is known of the other nodes and shared with them.
+func (c *Core) assembleMembership() {
+	c.relay = relay.NewStore(relay.Config{Peers: c.config.Peers, OnChange: c.documentChanged})
+	c.table = membership.New(membership.Config{
+		Self: c.config.Self, Seeds: c.config.Seeds, Clock: c.config.Clock, Random: c.config.Random, Peers: c.config.Peers, Period: c.config.ProbePeriod,
+		Documents:   c.relay.Versions,
+		OnDocuments: c.relay.Observe,
+		OnChange:    c.membersChanged,
+	})
+}
+
+// assembleQuorum makes this node's part in the quorum.
+func (c *Core) assembleQuorum() {
+	c.member = quorum.NewMember(quorum.MemberConfig{
+		ID: c.config.Self.ID, Identity: c.config.Self.Identity, Clock: c.config.Clock, Peers: c.config.Peers, Journal: c.config.Journal,
+	})
+	c.quorum = quorum.NewClient(c.config.Clock, c.config.Peers)
+	c.coordinator = quorum.NewCoordinator(quorum.CoordinatorConfig{
+		Clock: c.config.Clock, Peers: c.config.Peers, Objects: c.config.Objects, Members: c.table, OnView: c.publishView,
 	})
-	core.member = quorum.NewMember(quorum.MemberConfig{ID: config.Self.ID, Identity: config.Self.Identity, Clock: config.Clock, Peers: config.Peers, Journal: config.Journal})
-	core.quorum = quorum.NewClient(config.Clock, config.Peers)
-	core.coordinator = quorum.NewCoordinator(quorum.CoordinatorConfig{Clock: config.Clock, Peers: config.Peers, Objects: config.Objects, Members: core.table, OnView: core.publishView})
-	core.reader = reader.New(reader.Config{
-		Clock: config.Clock, Random: config.Random, Objects: config.Objects, Machines: config.Machines,
+}
+
+// assembleUpkeep makes what reads the configuration, competes for leases and
+// follows engines.
+func (c *Core) assembleUpkeep() {
+	c.reader = reader.New(reader.Config{
+		Clock: c.config.Clock, Random: c.config.Random, Objects: c.config.Objects, Machines: c.config.Machines,
 		Names:   map[string]func(environment.Object) (*relay.Document, error){quorum.DocumentName: viewDocument},
-		Publish: func(document *relay.Document) { core.relay.Publish(document) },
+		Publish: func(document *relay.Document) { c.relay.Publish(document) },
 	})
-	core.leases = lease.NewManager(lease.Config{
-		Self: core.processName(), Clock: config.Clock, Random: config.Random, Objects: config.Objects, Term: config.LeaseTerm,
-		Rank: core.leaseRank, YieldAfter: core.yieldAfter, OnAcquire: core.acquired, OnLose: core.lost,
+	c.leases = lease.NewManager(lease.Config{
+		Self: c.processName(), Clock: c.config.Clock, Random: c.config.Random, Objects: c.config.Objects, Term: c.config.LeaseTerm,
+		Rank: c.leaseRank, YieldAfter: c.yieldAfter, OnAcquire: c.acquired, OnLose: c.lost,
 	})
-	core.poller = poller.New(poller.Config{
-		Self: config.Self.ID, Clock: config.Clock, Random: config.Random, Peers: config.Peers, Engines: config.Engines,
-		ZoneMates: func() []wire.Member { return core.table.InZone(config.Self.Zone) },
-		Holders:   core.distantHolders,
-		Observe:   core.observeLoad,
+	c.poller = poller.New(poller.Config{
+		Self: c.config.Self.ID, Clock: c.config.Clock, Random: c.config.Random, Peers: c.config.Peers, Engines: c.config.Engines,
+		ZoneMates: func() []wire.Member { return c.table.InZone(c.config.Self.Zone) },
+		Holders:   c.distantHolders,
+		Observe:   c.observeLoad,
 	})
-	return core
 }
 
 // Start joins the other nodes and takes up duties.
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -85,20 +85,14 @@
 	return process, nil
 }
 
+// assemble joins the parts of the node.
 func (p *Process) assemble(peerListener net.Listener, policy rollout.Policy) error {
 	incarnation := uint64(time.Now().UnixMilli())
 	self := wire.Member{
 		ID: p.settings.Node, Address: p.settings.AdvertisedPeer(), HTTP: p.settings.HTTP, Zone: p.settings.Zone, Region: p.settings.Region,
 		Incarnation: incarnation, Storage: p.settings.DataFolder != "",
 	}
-	var err error
-	if p.engines, err = engine.NewHTTPClient(); err != nil {
-		return err
-	}
-	if p.objects, err = objectapi.NewClient(p.settings.Platform, p.loop.Post); err != nil {
-		return err
-	}
-	if p.scorer, err = scorer.NewClient(p.loop.Post); err != nil {
+	if err := p.assembleClients(); err != nil {
 		return err
 	}
 	random := rand.New(rand.NewPCG(incarnation, rendezvous.Hash(self.ID)))
@@ -126,6 +120,19 @@
 	return nil
 }
 
+// assembleClients makes the clients of the systems outside.
+func (p *Process) assembleClients() (err error) {
+	if p.engines, err = engine.NewHTTPClient(); err != nil {
+		return err
+	}
+	if p.objects, err = objectapi.NewClient(p.settings.Platform, p.loop.Post); err != nil {
+		return err
+	}
+	p.scorer, err = scorer.NewClient(p.loop.Post)
+	return err
+}
+
+// assembleServer makes what answers callers.
 func (p *Process) assembleServer(incarnation uint64) {
 	metrics := gateway.NewMetrics()
 	p.server = gateway.NewServer(gateway.Config{
--- a/internal/standincommand/run.go
+++ b/internal/standincommand/run.go
@@ -160,7 +160,11 @@
 	ctx := untilSignal()
 	running := trainer.New(config)
 	running.Run(ctx)
-	counts := running.Counts()
+	return writeCounts(stdout, running.Counts())
+}
+
+// writeCounts writes what a trainer has seen as one line of JSON.
+func writeCounts(stdout io.Writer, counts trainer.Counts) error {
 	report := struct {
 		trainer.Counts
 		IdlePercent float64 `json:"idle_percent"`
