Margins and divisors have names; figures say where they come from

Unclear: half of the grace's margin and half of the caller's time were bare numbers; loadPart was a divisor.

No value is changed.

--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -15,8 +15,10 @@
 )
 
 const (
-	// deadlineMargin is kept of the caller's time for the way back.
+	// deadlineMargin is kept of the caller's time for the way back, but no more
+	// than one in marginDivisor of that time.
 	deadlineMargin = 15 * time.Millisecond
+	marginDivisor  = 2
 	// unboundedTime is the deadline where neither the caller nor the route
 	// names one.
 	unboundedTime = 30 * time.Second
@@ -177,7 +179,7 @@
 func (h *Handler) deadline(header http.Header, route *directory.Route, received time.Time) time.Time {
 	deadline := received.Add(unboundedTime)
 	if wait, named := h.config.Headers.Deadline(header); named {
-		deadline = received.Add(max(wait-deadlineMargin, wait/2))
+		deadline = received.Add(max(wait-deadlineMargin, wait/marginDivisor))
 	}
 	if route.Timeout > 0 && received.Add(route.Timeout).Before(deadline) {
 		deadline = received.Add(route.Timeout)
--- a/internal/instance/connections.go
+++ b/internal/instance/connections.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// connectionShare is the part of a service's connections that the nodes
-	// use together; the rest is for replicas' health checks and for nodes that
+	// connectionShare is the part of a service's connections, between 0 and 1,
+	// that the nodes use together; the rest is for replicas' health checks and for nodes that
 	// are not known here.
 	connectionShare = 0.8
 	// connectionsPerSlot is how many connections for each slot of a replica a
--- a/internal/instance/stop.go
+++ b/internal/instance/stop.go
@@ -7,14 +7,17 @@
 
 const (
 	// leaveTime is how long a stopping node goes on taking requests: by then
-	// callers have been told to go elsewhere.
+	// callers have been told to go elsewhere (docs/OPERATIONS.md).
 	leaveTime = 3 * time.Second
 	// quietTime is how long no request must have come before a stopping node
 	// ends early.
 	quietTime = 1200 * time.Millisecond
-	// graceMargin is kept of the grace for closing.
+	// graceMargin is kept of the grace for closing, and closeTime is the part of it
+	// that the requests left get to end and the last counts to be pushed.
 	graceMargin = 900 * time.Millisecond
-	// defaultGrace holds where the settings name none.
+	closeTime   = graceMargin / 2
+	// defaultGrace holds where the settings name none. Those that were loaded from
+	// a file or flags always name one.
 	defaultGrace = 8 * time.Second
 	// handOverTime is what is kept of the grace for others to take over the batch
 	// jobs that this node has not finished by then.
@@ -59,7 +62,7 @@
 		}
 		time.Sleep(stopLook)
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), limit.Add(graceMargin/2))
+	ctx, cancel := context.WithDeadline(context.Background(), limit.Add(closeTime))
 	defer cancel()
 	i.front.Shutdown(ctx)
 	if i.usage != nil {
--- a/internal/instance/usage.go
+++ b/internal/instance/usage.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// defaultUsageWindow and defaultUsageLate hold where the settings name no
-	// times.
+	// defaultUsageWindow and defaultUsageLate hold where the settings (usageWindow,
+	// usageLate) name no times. The platform takes reports of windows of 5 s.
 	defaultUsageWindow = 5 * time.Second
 	defaultUsageLate   = 10 * time.Second
 )
--- a/internal/weightorders/coordinator.go
+++ b/internal/weightorders/coordinator.go
@@ -15,16 +15,19 @@
 )
 
 const (
-	// loadPart is the part of the replicas that load at a time, and leastLoads
-	// how many may in any case: more take longer each.
-	loadPart   = 5
-	leastLoads = 2
+	// loadDivisor gives the part of the replicas that load at a time, one in so
+	// many, and leastLoads how many may in any case: more take longer each. At
+	// two, 35 replicas of three models fell behind, at seven they did not
+	// (docs/PLATFORM.md, "Orders").
+	loadDivisor = 5
+	leastLoads  = 2
 	// lookPeriod is the time between looks while there is work, and outsiderPause
 	// that of nodes that are no candidates for the lease. They act once all
 	// candidates are gone, after patience of seconds.
 	lookPeriod    = 100 * time.Millisecond
 	outsiderPause = 2 * time.Second
-	// reportPause is the time between questions to a replica that loads.
+	// reportPause is the time between questions to a replica that loads. Asking
+	// each 40 ms made loads no shorter (docs/DECISIONS.md).
 	reportPause = 120 * time.Millisecond
 	// loadTime is about what a load takes, and loadLimit when it is given up.
 	loadTime  = 800 * time.Millisecond
@@ -149,7 +152,7 @@
 }
 
 // loadsAtOnce is how many replicas of all may load at a time.
-func loadsAtOnce(replicas int) int { return max(leastLoads, replicas/loadPart) }
+func loadsAtOnce(replicas int) int { return max(leastLoads, replicas/loadDivisor) }
 
 func (c *Coordinator) nudge() {
 	select {
--- a/internal/weightorders/homes.go
+++ b/internal/weightorders/homes.go
@@ -10,7 +10,8 @@
 )
 
 // homeShare is how many replicas keep up with one model, as a multiple of its
-// share. More give room where others are busy; each takes loads.
+// share. More give room where others are busy; each takes loads. Equal shares and
+// doubled ones were no better in trials (docs/PLATFORM.md, "Orders").
 const homeShare = 4.0 / 3
 
 // homes gives each model the replicas that keep up with it. First each replica
--- a/internal/weightorders/knowledge.go
+++ b/internal/weightorders/knowledge.go
@@ -27,7 +27,7 @@
 	return told
 }
 
-// toldLength bounds the changes that heartbeats repeat.
+// toldLength bounds how many changes heartbeats repeat.
 const toldLength = 24
 
 // tell keeps a change for the next heartbeats.
