Figures of forward, watchcache, duty and usage say their unit and source

Unclear: shares without a range, counts without what is counted, and spans whose reason stands only in the pages.

--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -12,7 +12,8 @@
 	// LookPeriod is the time between looks of a node that has a duty and not the
 	// lease.
 	LookPeriod = 100 * time.Millisecond
-	// reserve is the time that must be left of the lease for a call.
+	// reserve is the time that must be left of the lease for a call. A holder at
+	// work so renews the lease every SendWindow less this, 2.1 s.
 	reserve = 400 * time.Millisecond
 	// longestRetry bounds the time between tries to get the lease while the store
 	// does not answer.
--- a/internal/duty/release.go
+++ b/internal/duty/release.go
@@ -6,7 +6,8 @@
 )
 
 const (
-	// unansweredMemory is for how long a call without an answer may yet arrive.
+	// unansweredMemory is for how long a call without an answer may yet arrive:
+	// none is carried out later (docs/PLATFORM.md, "Who runs a job").
 	unansweredMemory = 8 * time.Second
 	// releaseTime bounds the giving up of the lease, and releaseLook is the time
 	// between looks at the calls still open.
--- a/internal/duty/state.go
+++ b/internal/duty/state.go
@@ -8,7 +8,7 @@
 	// takeoverMargin is added to the wait of a successor, for timers that fire
 	// late and calls on their way.
 	takeoverMargin = 200 * time.Millisecond
-	// DefaultTerm is the term where the settings name none.
+	// DefaultTerm is the term where the settings (dutyLease) name none.
 	DefaultTerm = 3 * time.Second
 )
 
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -16,15 +16,16 @@
 )
 
 const (
-	// hedgeShare is the part of the objective after which a request that may
-	// be repeated goes to a second replica as well.
+	// hedgeShare is the part of the objective, between 0 and 1, after which a
+	// request that may be repeated goes to a second replica as well.
 	hedgeShare = 0.5
 	// noObjective is the objective of a route that names none.
 	noObjective = time.Second
 	// comeBack is when refused callers are told to come back.
 	comeBack = 120 * time.Millisecond
 	// fullPause is the time before a request that every replica turned away is
-	// offered again, and fullShare the part of the objective until which it is.
+	// offered again, and fullShare the part of the objective, between 0 and 1,
+	// until which it is.
 	fullPause = 12 * time.Millisecond
 	fullShare = 0.2
 )
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -11,8 +11,8 @@
 	"github.com/pathtally/pathtally/internal/exchange"
 )
 
-// maxRefusals bounds how often one request is turned away by replicas before it
-// is refused.
+// maxRefusals bounds how often, in attempts, one request is turned away by
+// replicas before it is refused.
 const maxRefusals = 12
 
 // result is how one attempt ended.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -18,7 +18,7 @@
 	// before it is continued elsewhere, and leastSilence the least such time.
 	silentShare  = 2
 	leastSilence = 700 * time.Millisecond
-	// streamBreaks bounds how often one stream is continued.
+	// streamBreaks bounds how often, in attempts, one stream is continued.
 	streamBreaks = 6
 )
 
--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -15,8 +15,8 @@
 	ledgerKind = "usage"
 	ledgerName = "settled"
 	// ledgerLength is how many windows the ledger holds: those whose reports may
-	// yet be repeated by a further holder of the lease. Older ones are never
-	// reported again.
+	// yet be repeated by a further holder of the lease, a minute of windows of the
+	// usual length. Older ones are never reported again.
 	ledgerLength = 12
 )
 
--- a/internal/watchcache/cache.go
+++ b/internal/watchcache/cache.go
@@ -8,8 +8,8 @@
 	"github.com/pathtally/pathtally/internal/objectstore"
 )
 
-// historyLength bounds the changes that a cache keeps for followers; whoever
-// is further behind takes a whole listing.
+// historyLength bounds how many changes of one kind a cache keeps for followers;
+// whoever is further behind takes a whole listing.
 const historyLength = 256
 
 // Cache is the copy of one kind. It only goes forward: whatever is older than
--- a/internal/watchcache/follow.go
+++ b/internal/watchcache/follow.go
@@ -13,7 +13,9 @@
 
 const (
 	// pollWait is for how long a reader holds a poll without news, and
-	// pollMargin how much later its answer may come.
+	// pollMargin how much later its answer may come. After both a reader counts
+	// as silent; docs/PLATFORM.md ("Who reads the store") bounds by them how old
+	// copies may be.
 	pollWait   = 400 * time.Millisecond
 	pollMargin = 350 * time.Millisecond
 	// newsBound is after how long without word from a current reader this node
--- a/internal/watchcache/health.go
+++ b/internal/watchcache/health.go
@@ -15,7 +15,8 @@
 	// probePeriod is the time between two questions of a reading node to the
 	// store, and probeTime how long one may take. Together they bound for how
 	// long after an outage begins its followers go without news.
-	// troubledPeriod is the time between two questions during one.
+	// troubledPeriod is the time between two questions during one. Questions are
+	// answered from an old state, which costs a tenth of a call.
 	probePeriod    = 500 * time.Millisecond
 	probeTime      = 600 * time.Millisecond
 	troubledPeriod = 150 * time.Millisecond
--- a/internal/watchcache/informer.go
+++ b/internal/watchcache/informer.go
@@ -22,7 +22,8 @@
 	longestRetry = 2 * time.Second
 	// settleTime is how long after a gap everything is listed once more: a watch
 	// that began right after it may not hear what a store that is still
-	// recovering has forgotten.
+	// recovering has forgotten. A store that forgets its history leaves watches
+	// without a word for about a second; tests play up to 1.2 s of that.
 	settleTime = 1500 * time.Millisecond
 	// outageMemory is how long after a failure vanished entries may be due to
 	// the store and not to their owners.
