Failures of parsing and encoding on the platform have a type or a line in the log

The one of Keep-Alive is at verbosity 1, since it may come with each answer of a replica. The defaults are as they were.

--- a/internal/exchange/rest.go
+++ b/internal/exchange/rest.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"k8s.io/klog/v2"
 )
 
 const (
@@ -53,9 +55,12 @@
 		if !strings.EqualFold(strings.TrimSpace(name), "timeout") {
 			continue
 		}
-		if seconds, err := strconv.Atoi(strings.TrimSpace(value)); err == nil {
-			return time.Duration(seconds) * time.Second, true
+		seconds, err := strconv.Atoi(strings.TrimSpace(value))
+		if err != nil {
+			klog.Background().V(1).Info("time of a resting connection is no number, the usual one holds", "header", part, "usualMs", keepIdle.Milliseconds())
+			continue
 		}
+		return time.Duration(seconds) * time.Second, true
 	}
 	return 0, false
 }
--- a/internal/peering/join.go
+++ b/internal/peering/join.go
@@ -113,7 +113,7 @@
 func (t *Table) register(ctx context.Context) (isNew bool, err error) {
 	spec, err := json.Marshal(entry{Address: t.config.Address, Zone: t.config.Zone, Incarnation: t.config.Incarnation, Capacity: t.config.Capacity})
 	if err != nil {
-		return false, err
+		return false, &EntryError{Node: t.config.Node, Cause: err}
 	}
 	_, err = t.config.Store.Create(ctx, Kind, t.config.Node, spec)
 	var conflict *objectstore.ConflictError
@@ -121,7 +121,9 @@
 		return err == nil, err
 	}
 	standing, err := decodeEntry(conflict.Current)
-	if err == nil && standing.Address == t.config.Address && standing.Incarnation == t.config.Incarnation {
+	if err != nil {
+		t.config.Logger.Error(err, "own node entry is replaced")
+	} else if standing.Address == t.config.Address && standing.Incarnation == t.config.Incarnation {
 		return false, nil
 	}
 	_, err = t.config.Store.Replace(ctx, Kind, t.config.Node, spec, objectstore.Unconditional)
--- a/internal/peering/sink.go
+++ b/internal/peering/sink.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 
 	"github.com/pathtally/pathtally/internal/objectstore"
 )
@@ -14,10 +15,24 @@
 	Capacity    uint32 `json:"capacity,omitempty"`
 }
 
+// EntryError is a node's entry that cannot be read or written.
+type EntryError struct {
+	Node  string
+	Cause error
+}
+
+// Error names the node and the cause.
+func (e *EntryError) Error() string { return fmt.Sprintf("entry of node %s: %v", e.Node, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *EntryError) Unwrap() error { return e.Cause }
+
 func decodeEntry(object objectstore.Object) (entry, error) {
 	var decoded entry
-	err := json.Unmarshal(object.Spec, &decoded)
-	return decoded, err
+	if err := json.Unmarshal(object.Spec, &decoded); err != nil {
+		return entry{}, &EntryError{Node: object.Name, Cause: err}
+	}
+	return decoded, nil
 }
 
 // Replace takes a listing of the nodes' entries. Nodes that it lacks stay known:
