Dropped errors of the stack without a metadata store are told in the log

Unclear: leases, documents, machines, manifests and samples that could not be read or written were passed over or made anew without a word, as were messages to engines that were not sent; the simulator's history dropped unreadable deliveries.

Changed: a log line with the reason in engine, lease, node, reader and rollout, a line of the trace in sim. What follows is as it was. An answer of an engine in its own form still counts as a refusal if the reading of it failed behind that.

--- a/internal/engine/httpclient.go
+++ b/internal/engine/httpclient.go
@@ -11,6 +11,7 @@
 
 	"github.com/panjf2000/ants/v2"
 	"github.com/valyala/fasthttp"
+	"k8s.io/klog/v2"
 )
 
 const (
@@ -74,10 +75,18 @@
 
 // tell posts a stream's name without waiting for the answer.
 func (c *HTTPClient) tell(address, path, id string) {
-	_ = c.pool.Submit(func() {
+	err := c.pool.Submit(func() {
 		var ignored struct{}
-		_ = c.post(address, path, NameBody{ID: id}, orderTimeout, &ignored)
+		logNotTold(c.post(address, path, NameBody{ID: id}, orderTimeout, &ignored), address, path, id)
 	})
+	logNotTold(err, address, path, id)
+}
+
+// logNotTold tells why an engine may not have heard of something, if it may not.
+func logNotTold(err error, address, path, id string) {
+	if err != nil {
+		klog.Background().V(1).Info("engine not told", "address", address, "path", path, "id", id, "error", err.Error())
+	}
 }
 
 // Order implements Client, except that done runs on a pool goroutine.
@@ -194,7 +203,10 @@
 	}
 	defer response.CloseBodyStream()
 	if response.StatusCode() != fasthttp.StatusOK {
-		body, _ := readAll(response)
+		body, err := readAll(response)
+		if err != nil {
+			klog.Background().V(1).Info("refusal of an engine not read whole", "address", address, "status", response.StatusCode(), "error", err.Error())
+		}
 		sink(refusal(address, response.StatusCode(), body))
 		return
 	}
--- a/internal/lease/look.go
+++ b/internal/lease/look.go
@@ -6,6 +6,8 @@
 	"math"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/pathtally/pathtally/internal/environment"
 )
 
@@ -95,7 +97,8 @@
 		return
 	}
 	var record Record
-	if json.Unmarshal(object.Data, &record) != nil {
+	if err := json.Unmarshal(object.Data, &record); err != nil {
+		klog.Background().Error(err, "lease is not readable and counts as free", "lease", name, "version", object.Version)
 		record = Record{}
 	}
 	now := m.config.Clock.Now()
@@ -117,6 +120,7 @@
 	state := m.states[name]
 	data, err := json.Marshal(record)
 	if err != nil {
+		klog.Background().Error(err, "lease not written", "lease", name)
 		m.scheduleNext(name)
 		return
 	}
@@ -154,7 +158,9 @@
 		state.busy = false
 		var record Record
 		if err == nil {
-			err = json.Unmarshal(object.Data, &record)
+			if err = json.Unmarshal(object.Data, &record); err != nil {
+				klog.Background().Error(err, "lease is not readable", "lease", name, "version", object.Version)
+			}
 		}
 		if err == nil && state.held {
 			if record.Holder == m.config.Self && record.Token == state.record.Token {
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/pathtally/pathtally/internal/environment"
 )
 
@@ -172,6 +174,7 @@
 	m.lose(name)
 	data, err := json.Marshal(Record{Token: state.record.Token, Renewals: state.record.Renewals + 1})
 	if err != nil {
+		klog.Background().Error(err, "lease not released", "lease", name)
 		done()
 		return
 	}
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -5,6 +5,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+	"k8s.io/klog/v2"
+
 	v1 "github.com/pathtally/pathtally/api/v1"
 	"github.com/pathtally/pathtally/internal/environment"
 	"github.com/pathtally/pathtally/internal/fleet"
@@ -227,10 +230,7 @@
 	case reader.ConfigurationDocument:
 		c.applyConfiguration(document)
 	case quorum.DocumentName:
-		if view, err := quorum.ViewFromEntries(document.Entries); err == nil {
-			c.quorum.SetView(view)
-			c.member.SetView(view)
-		}
+		c.applyView(document)
 	case reader.MachinesDocument:
 		c.applyMachines(document)
 	}
@@ -239,9 +239,27 @@
 	}
 }
 
+// applyView brings a view of the quorum into force.
+func (c *Core) applyView(document *relay.Document) {
+	view, err := quorum.ViewFromEntries(document.Entries)
+	if err != nil {
+		c.logUnreadable(err, document)
+		return
+	}
+	c.quorum.SetView(view)
+	c.member.SetView(view)
+}
+
+// logUnreadable tells why a document is passed over, so that what was in force
+// stays so.
+func (c *Core) logUnreadable(err error, document *relay.Document) {
+	klog.Background().Error(err, "document is not readable", "node", c.config.Self.ID, "document", document.Name, "version", document.Version)
+}
+
 func (c *Core) applyConfiguration(document *relay.Document) {
 	set, err := v1.FromEntries(document.Entries)
 	if err != nil {
+		c.logUnreadable(err, document)
 		return
 	}
 	if c.generation == 0 {
@@ -259,9 +277,11 @@
 	machines := make(map[string]environment.Machine, len(document.Entries))
 	for address, data := range document.Entries {
 		var machine environment.Machine
-		if json.Unmarshal(data, &machine) == nil {
-			machines[address] = machine
+		if err := json.Unmarshal(data, &machine); err != nil {
+			klog.Background().Error(err, "machine is not readable and left out", "node", c.config.Self.ID, "address", address)
+			continue
 		}
+		machines[address] = machine
 	}
 	c.fleet.SetMachines(machines)
 	c.refreshViews()
@@ -269,15 +289,17 @@
 
 func (c *Core) publishView(view *quorum.View) {
 	entries, err := view.Entries()
-	if err == nil {
-		c.relay.Publish(relay.NewDocument(quorum.DocumentName, view.Epoch, entries))
+	if err != nil {
+		klog.Background().Error(err, "quorum view not published", "node", c.config.Self.ID, "epoch", view.Epoch)
+		return
 	}
+	c.relay.Publish(relay.NewDocument(quorum.DocumentName, view.Epoch, entries))
 }
 
 func viewDocument(object environment.Object) (*relay.Document, error) {
 	view := &quorum.View{}
 	if err := json.Unmarshal(object.Data, view); err != nil {
-		return nil, err
+		return nil, merry.Wrap(err)
 	}
 	entries, err := view.Entries()
 	return relay.NewDocument(quorum.DocumentName, view.Epoch, entries), err
--- a/internal/reader/reader.go
+++ b/internal/reader/reader.go
@@ -13,6 +13,8 @@
 	"slices"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/pathtally/pathtally/internal/environment"
 	"github.com/pathtally/pathtally/internal/relay"
 )
@@ -176,7 +178,11 @@
 func (r *Reader) publish(object environment.Object) {
 	if object.Name == ConfigurationDocument {
 		head := &Head{}
-		if json.Unmarshal(object.Data, head) == nil && head.Generation > 0 {
+		if err := json.Unmarshal(object.Data, head); err != nil {
+			logUnreadable(err, object)
+			return
+		}
+		if head.Generation > 0 {
 			r.config.Publish(head.Document())
 		}
 		return
@@ -185,9 +191,17 @@
 	if convert == nil {
 		return
 	}
-	if document, err := convert(object); err == nil {
-		r.config.Publish(document)
+	document, err := convert(object)
+	if err != nil {
+		logUnreadable(err, object)
+		return
 	}
+	r.config.Publish(document)
+}
+
+// logUnreadable tells why an object is passed over.
+func logUnreadable(err error, object environment.Object) {
+	klog.Background().Error(err, "object is not readable", "object", object.Name, "version", object.Version)
 }
 
 func (r *Reader) readMachines(round int) {
@@ -198,9 +212,12 @@
 		if err == nil && version > 0 {
 			entries := make(map[string][]byte, len(machines))
 			for _, machine := range machines {
-				if data, err := json.Marshal(machine); err == nil {
-					entries[machine.Address] = data
+				data, err := json.Marshal(machine)
+				if err != nil {
+					klog.Background().Error(err, "machine left out of the list", "address", machine.Address)
+					continue
 				}
+				entries[machine.Address] = data
 			}
 			r.config.Publish(relay.NewDocument(MachinesDocument, version, entries))
 		}
--- a/internal/rollout/finish.go
+++ b/internal/rollout/finish.go
@@ -83,6 +83,7 @@
 	filled.state = slotScoring
 	data, err := json.Marshal(sample)
 	if err != nil {
+		s.logNotEncoded(err, filled)
 		s.requeue(filled)
 		return
 	}
--- a/internal/rollout/keep.go
+++ b/internal/rollout/keep.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
+	"k8s.io/klog/v2"
 
 	"github.com/pathtally/pathtally/internal/rendezvous"
 	"github.com/pathtally/pathtally/internal/stream"
@@ -20,6 +21,7 @@
 func (s *Scheduler) keep(filled *slot, sample Sample) {
 	data, err := json.Marshal(sample)
 	if err != nil {
+		s.logNotEncoded(err, filled)
 		s.requeue(filled)
 		return
 	}
@@ -30,6 +32,11 @@
 	s.replicate(filled)
 }
 
+// logNotEncoded tells why a finished sample is generated anew.
+func (s *Scheduler) logNotEncoded(err error, filled *slot) {
+	klog.Background().Error(err, "sample not encoded and generated anew", "trainer", s.config.Trainer, "step", filled.step.request.Step, "slot", filled.index)
+}
+
 // copyName names one store's memory: a store that lost its disk is another.
 func copyName(store wire.Member) string {
 	return store.ID + "@" + strconv.FormatUint(store.Identity, 36)
--- a/internal/rollout/recover.go
+++ b/internal/rollout/recover.go
@@ -6,6 +6,8 @@
 	"maps"
 	"slices"
 
+	"k8s.io/klog/v2"
+
 	"github.com/pathtally/pathtally/internal/quorum"
 	"github.com/pathtally/pathtally/internal/stream"
 	"github.com/pathtally/pathtally/internal/wire"
@@ -146,7 +148,8 @@
 
 func revisionOf(value []byte) int {
 	var manifest Manifest
-	if json.Unmarshal(value, &manifest) != nil {
+	if err := json.Unmarshal(value, &manifest); err != nil {
+		klog.Background().Error(err, "manifest is not readable and passed over")
 		return -1
 	}
 	return manifest.Revision
@@ -165,8 +168,12 @@
 	var found []*slot
 	for _, held := range step.slots {
 		var sample Sample
-		if held.data != nil && json.Unmarshal(held.data, &sample) == nil {
-			held.oldest = stream.OldestVersion(sample.Segments)
+		if held.data != nil {
+			if err := json.Unmarshal(held.data, &sample); err != nil {
+				klog.Background().Error(err, "stored sample is not readable and generated anew", "trainer", s.config.Trainer, "step", step.request.Step, "slot", held.index)
+			} else {
+				held.oldest = stream.OldestVersion(sample.Segments)
+			}
 		}
 		if held.oldest >= s.bound(step) && held.oldest > 0 {
 			held.state = slotStoring
--- a/internal/rollout/seal.go
+++ b/internal/rollout/seal.go
@@ -8,6 +8,7 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/cespare/xxhash/v2"
+	"k8s.io/klog/v2"
 
 	"github.com/pathtally/pathtally/internal/quorum"
 	"github.com/pathtally/pathtally/internal/wire"
@@ -68,7 +69,10 @@
 // samples of it are not in memory.
 func (s *Scheduler) adopt(step *stepState, value []byte) {
 	manifest := &Manifest{}
-	if err := json.Unmarshal(value, manifest); err != nil || len(manifest.Samples) != len(step.slots) {
+	err := json.Unmarshal(value, manifest)
+	if err != nil || len(manifest.Samples) != len(step.slots) {
+		klog.Background().Error(err, "decided manifest does not fit the step", "trainer", s.config.Trainer, "step", step.request.Step,
+			"samples", len(manifest.Samples), "slots", len(step.slots))
 		s.answer(step, nil, merry.Wrap(ErrStepConflict))
 		return
 	}
--- a/internal/sim/history.go
+++ b/internal/sim/history.go
@@ -165,16 +165,24 @@
 func (h *History) delivered(trainer *Trainer, step uint64, body []byte, bound int64) {
 	delivery := Delivery{Trainer: trainer.config.Name, Step: step, Expected: trainer.config.Prompts * trainer.config.Samples, Body: body, At: h.at(), Bound: bound}
 	lines := bytes.Split(bytes.TrimSpace(body), []byte("\n"))
-	_ = json.Unmarshal(lines[0], &delivery.Manifest)
+	h.decode(lines[0], &delivery.Manifest)
 	for _, line := range lines[1:] {
 		var sample rollout.Sample
-		_ = json.Unmarshal(line, &sample)
+		h.decode(line, &sample)
 		delivery.Samples = append(delivery.Samples, sample)
 	}
 	h.deliveries = append(h.deliveries, delivery)
 	h.world.Trace("trainer %s got step %d revision %d", trainer.config.Name, step, delivery.Manifest.Revision)
 }
 
+// decode reads a line of a delivery. One that cannot be read is told in the trace
+// and left empty, so that the checks find it.
+func (h *History) decode(line []byte, into any) {
+	if err := json.Unmarshal(line, into); err != nil {
+		h.world.Trace("delivery is not readable: %v", err)
+	}
+}
+
 // boundAt is the trainer's bound in the generation that a node applied last.
 func (h *History) boundAt(node string) int64 {
 	for i := len(h.applies) - 1; i >= 0; i-- {
