--- a/internal/admission/waiter.go
+++ b/internal/admission/waiter.go
@@ -11,8 +11,10 @@
 // waiterHeap orders waiters by priority, then by arrival.
 type waiterHeap []*waiter
 
+// Len implements heap.Interface.
 func (h waiterHeap) Len() int { return len(h) }
 
+// Less implements heap.Interface.
 func (h waiterHeap) Less(i, j int) bool {
 	if h[i].priority != h[j].priority {
 		return h[i].priority > h[j].priority
@@ -20,6 +22,7 @@
 	return h[i].sequence < h[j].sequence
 }
 
+// Swap implements heap.Interface.
 func (h waiterHeap) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
 	h[i].index, h[j].index = i, j
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -161,4 +161,5 @@
 // httpStatusError is an HTTP answer other than 200.
 type httpStatusError struct{ code int }
 
+// Error names the status.
 func (e *httpStatusError) Error() string { return fmt.Sprintf("HTTP status %d", e.code) }
--- a/internal/recordlog/filelog.go
+++ b/internal/recordlog/filelog.go
@@ -213,6 +213,7 @@
 // damage is why a record cannot be read.
 type damage struct{ reason string }
 
+// Error gives the reason.
 func (d *damage) Error() string { return d.reason }
 
 func readRecord(reader io.Reader) ([]byte, error) {
--- a/internal/rollout/policy.go
+++ b/internal/rollout/policy.go
@@ -77,7 +77,7 @@
 	raceFactor = 6
 	raceShare  = 0.02
 	// overlapShare is the part of an engine's slots that overlapping steps
-	// fill. Measured on Kotuku, 40 steps, two seeds: 1.0 wasted 55,000 tokens
+	// fill. Measured over 40 steps, two seeds: 1.0 wasted 55,000 tokens
 	// on preempted and raced samples at 26.3 percent idle, 0.85 wasted 1,000 at
 	// 25.6, 0.7 none at 25.9, 0.5 none at 30.5.
 	overlapShare = 0.8
--- a/internal/sim/scheduler.go
+++ b/internal/sim/scheduler.go
@@ -62,8 +62,10 @@
 // callHeap orders calls by time, then by number.
 type callHeap []*scheduledCall
 
+// Len implements heap.Interface.
 func (h callHeap) Len() int { return len(h) }
 
+// Less implements heap.Interface.
 func (h callHeap) Less(i, j int) bool {
 	if !h[i].at.Equal(h[j].at) {
 		return h[i].at.Before(h[j].at)
@@ -71,6 +73,7 @@
 	return h[i].number < h[j].number
 }
 
+// Swap implements heap.Interface.
 func (h callHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
 
 // Push implements heap.Interface.
