rollout: samples and manifests choose the stores that lack a copy in one way

Unclear: replicate (40 lines) and the copies of manifests both walked the ranked stores and counted by hand which still lack a copy.

Changed: storesLacking for both; replicateLater for the two places that wait.

--- a/internal/rollout/keep.go
+++ b/internal/rollout/keep.go
@@ -59,27 +59,40 @@
 	return ranked
 }
 
+// storesLacking returns the first stores in rank for a slot that lack a copy, as
+// many as copies are missing.
+func (s *Scheduler) storesLacking(step uint64, slotIndex uint32, holders map[string]bool) []wire.Member {
+	missing := s.config.Stores.Copies() - len(holders)
+	var lacking []wire.Member
+	for _, store := range s.storesFor(step, slotIndex) {
+		if len(lacking) == missing {
+			break
+		}
+		if !holders[copyName(store)] {
+			lacking = append(lacking, store)
+		}
+	}
+	return lacking
+}
+
 // replicate puts a slot's sample on as many more stores as it needs.
 func (s *Scheduler) replicate(filled *slot) {
 	if s.stopped || filled.state != slotStoring {
 		return
 	}
-	missing := s.config.Stores.Copies() - len(filled.copies)
-	if missing <= 0 {
+	if len(filled.copies) >= s.config.Stores.Copies() {
 		s.filled(filled)
 		return
 	}
-	digest, waiting := filled.digest, 0
-	for _, store := range s.storesFor(filled.step.request.Step, filled.index) {
-		if missing == 0 {
-			break
-		}
-		if filled.copies[copyName(store)] {
-			continue
-		}
-		missing--
-		waiting++
-		s.put(store, filled.step.request.Step, filled.index, filled.digest, filled.data, func(stored bool) {
+	step, digest := filled.step.request.Step, filled.digest
+	lacking := s.storesLacking(step, filled.index, filled.copies)
+	waiting := len(lacking)
+	if waiting == 0 {
+		s.replicateLater(filled)
+		return
+	}
+	for _, store := range lacking {
+		s.put(store, step, filled.index, digest, filled.data, func(stored bool) {
 			waiting--
 			if s.stopped || filled.digest != digest || filled.state != slotStoring {
 				return
@@ -92,13 +105,14 @@
 				return
 			}
 			if waiting == 0 {
-				s.config.Clock.AfterFunc(slotRetry, func() { s.replicate(filled) })
+				s.replicateLater(filled)
 			}
 		})
 	}
-	if waiting == 0 {
-		s.config.Clock.AfterFunc(slotRetry, func() { s.replicate(filled) })
-	}
+}
+
+func (s *Scheduler) replicateLater(filled *slot) {
+	s.config.Clock.AfterFunc(slotRetry, func() { s.replicate(filled) })
 }
 
 func (s *Scheduler) put(store wire.Member, step uint64, index uint32, digest uint64, data []byte, done func(bool)) {
--- a/internal/rollout/manifestcopies.go
+++ b/internal/rollout/manifestcopies.go
@@ -1,7 +1,5 @@
 package rollout
 
-import "github.com/pathtally/pathtally/internal/wire"
-
 // manifestCopies are the copies of one manifest that stores are given.
 type manifestCopies struct {
 	scheduler *Scheduler
@@ -15,7 +13,7 @@
 
 // spread puts the manifest on as many more stores as it needs.
 func (m *manifestCopies) spread() {
-	chosen := m.choose()
+	chosen := m.scheduler.storesLacking(m.step, manifestSlot, m.holders)
 	waiting := len(chosen)
 	if waiting == 0 {
 		m.again()
@@ -34,22 +32,6 @@
 	}
 }
 
-// choose returns the first stores in rank that have none of the copies that are
-// missing.
-func (m *manifestCopies) choose() []wire.Member {
-	missing := m.scheduler.config.Stores.Copies() - len(m.holders)
-	var chosen []wire.Member
-	for _, store := range m.scheduler.storesFor(m.step, manifestSlot) {
-		if len(chosen) == missing {
-			break
-		}
-		if !m.holders[copyName(store)] {
-			chosen = append(chosen, store)
-		}
-	}
-	return chosen
-}
-
 // judge ends the work once there are enough copies.
 func (m *manifestCopies) judge() {
 	if len(m.holders) >= m.scheduler.config.Stores.Copies() {
