watchcache: what follows from a poll in steps with names

Unclear: staysWith (38 lines) judged five outcomes and did what each asks for; read made the informers besides running them.

Changed: leaveSilent, bearsDoubt and newInformers; the order of calls is as it was.

--- a/internal/watchcache/follow.go
+++ b/internal/watchcache/follow.go
@@ -69,26 +69,14 @@
 		s.passOver(reader.Name, leavingTime)
 		return false
 	case outcomeSilent:
-		s.noteUnsure()
-		s.passOver(reader.Name, silentTime)
-		if s.Age() > newsBound {
-			// A further silent reader would make it too late.
-			s.readDirectly()
-		}
+		s.leaveSilent(reader)
 		return false
 	case outcomeStarting:
 		if s.Age() < newsBound {
 			return true
 		}
 	case outcomeUnsure:
-		s.noteUnsure()
-		s.doubts++
-		if !answers(ctx, s.config.Store, s.config.ProbeKind, s.config.ProbeName) {
-			// The store is away from here too: whoever is followed knows no less
-			// than this node could.
-			s.doubts = 0
-		}
-		if s.doubts < unsureBound {
+		if s.bearsDoubt(ctx) {
 			objectstore.Sleep(ctx, unsurePause)
 			return true
 		}
@@ -98,6 +86,29 @@
 	return false
 }
 
+// leaveSilent turns from a reader that does not answer.
+func (s *Source) leaveSilent(reader Node) {
+	s.noteUnsure()
+	s.passOver(reader.Name, silentTime)
+	if s.Age() > newsBound {
+		// A further silent reader would make it too late.
+		s.readDirectly()
+	}
+}
+
+// bearsDoubt counts an answer of a reader that is not sure, and tells whether it
+// is followed on all the same.
+func (s *Source) bearsDoubt(ctx context.Context) bool {
+	s.noteUnsure()
+	s.doubts++
+	if !answers(ctx, s.config.Store, s.config.ProbeKind, s.config.ProbeName) {
+		// The store is away from here too: whoever is followed knows no less
+		// than this node could.
+		s.doubts = 0
+	}
+	return s.doubts < unsureBound
+}
+
 // readDirectly has this node read the store itself for some seconds.
 func (s *Source) readDirectly() { s.readAtLeast(directTime + rand.N(directSpread)) }
 
--- a/internal/watchcache/source.go
+++ b/internal/watchcache/source.go
@@ -103,15 +103,7 @@
 	var duties sync.WaitGroup
 	s.config.Logger.Info("reading the store directly")
 	s.metrics.reading.Set(1)
-	s.mutex.Lock()
-	for _, cache := range s.caches {
-		informer := newInformer(s.config.Store, cache, s.config.Logger)
-		informer.Failed, informer.Regained, informer.Troubled = s.health.noteFailed, s.health.Regained, s.lastUnsure
-		s.informers = append(s.informers, informer)
-	}
-	informers := s.informers
-	s.mutex.Unlock()
-	for _, informer := range informers {
+	for _, informer := range s.newInformers() {
 		duties.Go(func() { informer.Run(ctx) })
 	}
 	duties.Go(func() { s.health.probe(ctx, s.config.Store, s.config.ProbeKind, s.config.ProbeName) })
@@ -132,6 +124,19 @@
 	duties.Wait()
 }
 
+// newInformers returns an informer for each kind, and keeps them as those of this
+// node.
+func (s *Source) newInformers() []*Informer {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, cache := range s.caches {
+		informer := newInformer(s.config.Store, cache, s.config.Logger)
+		informer.Failed, informer.Regained, informer.Troubled = s.health.noteFailed, s.health.Regained, s.lastUnsure
+		s.informers = append(s.informers, informer)
+	}
+	return s.informers
+}
+
 // noteUnsure records that the copies may be behind: entries that are missing
 // soon after may be so because of the store.
 func (s *Source) noteUnsure() {
