--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -1,17 +1,12 @@
 package ingress
 
 import (
-	"errors"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"github.com/pathtally/pathtally/internal/directory"
 	"github.com/pathtally/pathtally/internal/dispatch"
-	"github.com/pathtally/pathtally/internal/forward"
 )
 
 const (
@@ -24,48 +19,8 @@
 	unboundedTime = 30 * time.Second
 	// unconfiguredWait is when to come back to a node without a configuration.
 	unconfiguredWait = 250 * time.Millisecond
-	// roomWait is when to come back with a body that there was no room for.
-	roomWait = 300 * time.Millisecond
 )
 
-// Jobs serves the calls about batch jobs.
-type Jobs interface {
-	// IsCall tells whether a request is a call about a batch job.
-	IsCall(request *http.Request) bool
-	// ServeCall answers such a call of a tenant's, empty for anybody.
-	ServeCall(writer http.ResponseWriter, request *http.Request, tenant string)
-	// Submit answers a new batch job of a tenant's.
-	Submit(writer http.ResponseWriter, request *http.Request, submitted Submitted)
-}
-
-// Submitted is a new batch job as it came.
-type Submitted struct {
-	Route *directory.Route
-	// ID is the caller's id of the job.
-	ID string
-	// Tenant is whose job it is, empty where no tenants are declared.
-	Tenant string
-	Body   []byte
-}
-
-// Config is what a Handler needs.
-type Config struct {
-	Directory *directory.Table
-	Forwarder *forward.Forwarder
-	Jobs      Jobs
-	Headers   Headers
-	Metrics   *Metrics
-	Logger    klog.Logger
-	// ConfigurationAge is for how long the configuration has not been known to
-	// be the newest.
-	ConfigurationAge func() time.Duration
-	// KeyBound is from which such age on no key is trusted; 0 for never.
-	KeyBound func() time.Duration
-	// BodyBytes bounds the bodies of all requests in progress together; 0 for
-	// no bound.
-	BodyBytes int64
-}
-
 // Handler answers callers.
 type Handler struct {
 	config Config
@@ -160,20 +115,6 @@
 	h.forward(writer, request, route, call)
 }
 
-// refuseBody answers a request whose body was not taken. One that is not whole
-// has nobody left to answer.
-func (h *Handler) refuseBody(writer http.ResponseWriter, id string, route *directory.Route, err error) {
-	switch {
-	case errors.Is(err, ErrNoRoom):
-		h.refuse(writer, id, http.StatusServiceUnavailable, err.Error(), roomWait)
-	case errors.Is(err, ErrBodyTooLarge):
-		h.refuse(writer, id, http.StatusRequestEntityTooLarge, err.Error(), 0)
-	default:
-		h.config.Logger.Info("request not read", "request", id, "route", route.Name, "error", err.Error())
-		panic(http.ErrAbortHandler)
-	}
-}
-
 // deadline is when a request must have its answer here: by the caller's time
 // and the route's bound.
 func (h *Handler) deadline(header http.Header, route *directory.Route, received time.Time) time.Time {
@@ -196,48 +137,3 @@
 	}
 	h.fail(writer, request, call, err)
 }
-
-// fail answers a request that has no answer of a replica's.
-func (h *Handler) fail(writer http.ResponseWriter, request *http.Request, call *dispatch.Call, err error) {
-	var refused *forward.RefusedError
-	var lost *forward.LostError
-	switch {
-	case request.Context().Err() != nil:
-		panic(http.ErrAbortHandler)
-	case errors.As(err, &refused):
-		h.refuse(writer, call.ID, http.StatusServiceUnavailable, refused.Reason, refused.RetryAfter)
-	case errors.As(err, &lost) && lost.Expired:
-		h.refuse(writer, call.ID, http.StatusGatewayTimeout, "the time for the request ran out", 0)
-	default:
-		h.refuse(writer, call.ID, http.StatusBadGateway, "no whole answer from a replica", 0)
-	}
-}
-
-// pass writes a replica's answer unchanged.
-func (h *Handler) pass(writer http.ResponseWriter, whole *forward.Whole) {
-	header := writer.Header()
-	passHead(header, whole.Answer.Header)
-	header.Set("Content-Length", strconv.Itoa(len(whole.Body)))
-	writer.WriteHeader(whole.Answer.Status)
-	writer.Write(whole.Body)
-}
-
-// refuse writes an answer of the node's own.
-func (h *Handler) refuse(writer http.ResponseWriter, id string, status int, reason string, after time.Duration) {
-	h.config.Headers.Refuse(writer.Header(), id, after)
-	writer.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	writer.WriteHeader(status)
-	writer.Write([]byte(reason + "\n"))
-	h.config.Logger.Info("answered by the node", "request", id, "status", status, "reason", reason)
-}
-
-// passHead copies the headers of a replica's answer.
-func passHead(header, from http.Header) {
-	for name, values := range withoutConnectionHeaders(from) {
-		header[name] = values
-	}
-	if header.Get("Content-Type") == "" {
-		// Without this, the library guesses a type.
-		header["Content-Type"] = nil
-	}
-}
--- /dev/null
+++ b/internal/ingress/jobs.go
@@ -0,0 +1,27 @@
+package ingress
+
+import (
+	"net/http"
+
+	"github.com/pathtally/pathtally/internal/directory"
+)
+
+// Jobs serves the calls about batch jobs.
+type Jobs interface {
+	// IsCall tells whether a request is a call about a batch job.
+	IsCall(request *http.Request) bool
+	// ServeCall answers such a call of a tenant's, empty for anybody.
+	ServeCall(writer http.ResponseWriter, request *http.Request, tenant string)
+	// Submit answers a new batch job of a tenant's.
+	Submit(writer http.ResponseWriter, request *http.Request, submitted Submitted)
+}
+
+// Submitted is a new batch job as it came.
+type Submitted struct {
+	Route *directory.Route
+	// ID is the caller's id of the job.
+	ID string
+	// Tenant is whose job it is, empty where no tenants are declared.
+	Tenant string
+	Body   []byte
+}
