--- a/internal/instance/usage.go
+++ b/internal/instance/usage.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// defaultUsageWindow and defaultUsageLate hold where the settings name no
-	// times.
+	// defaultUsageWindow and defaultUsageLate hold where the settings (usageWindow,
+	// usageLate) name no times. The platform takes reports of windows of 5 s.
 	defaultUsageWindow = 5 * time.Second
 	defaultUsageLate   = 10 * time.Second
 )
@@ -24,14 +24,6 @@
 	})
 }
 
-// spanOr is a time of the settings, or its default where none is named.
-func spanOr(configured, standard time.Duration) time.Duration {
-	if configured <= 0 {
-		return standard
-	}
-	return configured
-}
-
 // peerProcess tells where a node is, and which of its processes was heard last.
 func (i *Instance) peerProcess(node string) (address string, incarnation uint64, known bool) {
 	peer, known := i.peers.Get(node)
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -5,6 +5,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+	"k8s.io/klog/v2"
+
 	v1 "github.com/pathtally/pathtally/api/v1"
 	"github.com/pathtally/pathtally/internal/environment"
 	"github.com/pathtally/pathtally/internal/fleet"
@@ -85,32 +88,52 @@
 		followed:   map[string]time.Duration{},
 		prompted:   map[string]uint64{},
 	}
-	core.relay = relay.NewStore(relay.Config{Peers: config.Peers, OnChange: core.documentChanged})
-	core.table = membership.New(membership.Config{
-		Self: config.Self, Seeds: config.Seeds, Clock: config.Clock, Random: config.Random, Peers: config.Peers, Period: config.ProbePeriod,
-		Documents:   core.relay.Versions,
-		OnDocuments: core.relay.Observe,
-		OnChange:    core.membersChanged,
+	core.assembleMembership()
+	core.assembleQuorum()
+	core.assembleUpkeep()
+	return core
+}
+
+// assembleMembership makes what is known of the other nodes and shared with them.
+func (c *Core) assembleMembership() {
+	c.relay = relay.NewStore(relay.Config{Peers: c.config.Peers, OnChange: c.documentChanged})
+	c.table = membership.New(membership.Config{
+		Self: c.config.Self, Seeds: c.config.Seeds, Clock: c.config.Clock, Random: c.config.Random, Peers: c.config.Peers, Period: c.config.ProbePeriod,
+		Documents:   c.relay.Versions,
+		OnDocuments: c.relay.Observe,
+		OnChange:    c.membersChanged,
 	})
-	core.member = quorum.NewMember(quorum.MemberConfig{ID: config.Self.ID, Identity: config.Self.Identity, Clock: config.Clock, Peers: config.Peers, Journal: config.Journal})
-	core.quorum = quorum.NewClient(config.Clock, config.Peers)
-	core.coordinator = quorum.NewCoordinator(quorum.CoordinatorConfig{Clock: config.Clock, Peers: config.Peers, Objects: config.Objects, Members: core.table, OnView: core.publishView})
-	core.reader = reader.New(reader.Config{
-		Clock: config.Clock, Random: config.Random, Objects: config.Objects, Machines: config.Machines,
+}
+
+// assembleQuorum makes this node's part in the quorum.
+func (c *Core) assembleQuorum() {
+	c.member = quorum.NewMember(quorum.MemberConfig{
+		ID: c.config.Self.ID, Identity: c.config.Self.Identity, Clock: c.config.Clock, Peers: c.config.Peers, Journal: c.config.Journal,
+	})
+	c.quorum = quorum.NewClient(c.config.Clock, c.config.Peers)
+	c.coordinator = quorum.NewCoordinator(quorum.CoordinatorConfig{
+		Clock: c.config.Clock, Peers: c.config.Peers, Objects: c.config.Objects, Members: c.table, OnView: c.publishView,
+	})
+}
+
+// assembleUpkeep makes what reads the configuration, competes for leases and
+// follows engines.
+func (c *Core) assembleUpkeep() {
+	c.reader = reader.New(reader.Config{
+		Clock: c.config.Clock, Random: c.config.Random, Objects: c.config.Objects, Machines: c.config.Machines,
 		Names:   map[string]func(environment.Object) (*relay.Document, error){quorum.DocumentName: viewDocument},
-		Publish: func(document *relay.Document) { core.relay.Publish(document) },
+		Publish: func(document *relay.Document) { c.relay.Publish(document) },
 	})
-	core.leases = lease.NewManager(lease.Config{
-		Self: core.processName(), Clock: config.Clock, Random: config.Random, Objects: config.Objects, Term: config.LeaseTerm,
-		Rank: core.leaseRank, YieldAfter: core.yieldAfter, OnAcquire: core.acquired, OnLose: core.lost,
+	c.leases = lease.NewManager(lease.Config{
+		Self: c.processName(), Clock: c.config.Clock, Random: c.config.Random, Objects: c.config.Objects, Term: c.config.LeaseTerm,
+		Rank: c.leaseRank, YieldAfter: c.yieldAfter, OnAcquire: c.acquired, OnLose: c.lost,
 	})
-	core.poller = poller.New(poller.Config{
-		Self: config.Self.ID, Clock: config.Clock, Random: config.Random, Peers: config.Peers, Engines: config.Engines,
-		ZoneMates: func() []wire.Member { return core.table.InZone(config.Self.Zone) },
-		Holders:   core.distantHolders,
-		Observe:   core.observeLoad,
+	c.poller = poller.New(poller.Config{
+		Self: c.config.Self.ID, Clock: c.config.Clock, Random: c.config.Random, Peers: c.config.Peers, Engines: c.config.Engines,
+		ZoneMates: func() []wire.Member { return c.table.InZone(c.config.Self.Zone) },
+		Holders:   c.distantHolders,
+		Observe:   c.observeLoad,
 	})
-	return core
 }
 
 // Start joins the other nodes and takes up duties.
@@ -207,10 +230,7 @@
 	case reader.ConfigurationDocument:
 		c.applyConfiguration(document)
 	case quorum.DocumentName:
-		if view, err := quorum.ViewFromEntries(document.Entries); err == nil {
-			c.quorum.SetView(view)
-			c.member.SetView(view)
-		}
+		c.applyView(document)
 	case reader.MachinesDocument:
 		c.applyMachines(document)
 	}
@@ -219,9 +239,27 @@
 	}
 }
 
+// applyView brings a view of the quorum into force.
+func (c *Core) applyView(document *relay.Document) {
+	view, err := quorum.ViewFromEntries(document.Entries)
+	if err != nil {
+		c.logUnreadable(err, document)
+		return
+	}
+	c.quorum.SetView(view)
+	c.member.SetView(view)
+}
+
+// logUnreadable tells why a document is passed over, so that what was in force
+// stays so.
+func (c *Core) logUnreadable(err error, document *relay.Document) {
+	klog.Background().Error(err, "document is not readable", "node", c.config.Self.ID, "document", document.Name, "version", document.Version)
+}
+
 func (c *Core) applyConfiguration(document *relay.Document) {
 	set, err := v1.FromEntries(document.Entries)
 	if err != nil {
+		c.logUnreadable(err, document)
 		return
 	}
 	if c.generation == 0 {
@@ -239,9 +277,11 @@
 	machines := make(map[string]environment.Machine, len(document.Entries))
 	for address, data := range document.Entries {
 		var machine environment.Machine
-		if json.Unmarshal(data, &machine) == nil {
-			machines[address] = machine
+		if err := json.Unmarshal(data, &machine); err != nil {
+			klog.Background().Error(err, "machine is not readable and left out", "node", c.config.Self.ID, "address", address)
+			continue
 		}
+		machines[address] = machine
 	}
 	c.fleet.SetMachines(machines)
 	c.refreshViews()
@@ -249,15 +289,17 @@
 
 func (c *Core) publishView(view *quorum.View) {
 	entries, err := view.Entries()
-	if err == nil {
-		c.relay.Publish(relay.NewDocument(quorum.DocumentName, view.Epoch, entries))
+	if err != nil {
+		klog.Background().Error(err, "quorum view not published", "node", c.config.Self.ID, "epoch", view.Epoch)
+		return
 	}
+	c.relay.Publish(relay.NewDocument(quorum.DocumentName, view.Epoch, entries))
 }
 
 func viewDocument(object environment.Object) (*relay.Document, error) {
 	view := &quorum.View{}
 	if err := json.Unmarshal(object.Data, view); err != nil {
-		return nil, err
+		return nil, merry.Wrap(err)
 	}
 	entries, err := view.Entries()
 	return relay.NewDocument(quorum.DocumentName, view.Epoch, entries), err
--- a/internal/rollout/finish.go
+++ b/internal/rollout/finish.go
@@ -83,6 +83,7 @@
 	filled.state = slotScoring
 	data, err := json.Marshal(sample)
 	if err != nil {
+		s.logNotEncoded(err, filled)
 		s.requeue(filled)
 		return
 	}
@@ -92,8 +93,8 @@
 			return
 		}
 		if err != nil {
-			s.config.Clock.AfterFunc(slotRetry, func() {
-				if !s.stopped && filled.state == slotScoring {
+			s.later(slotRetry, func() {
+				if filled.state == slotScoring {
 					s.score(filled, sample)
 				}
 			})
--- a/internal/watchcache/informer.go
+++ b/internal/watchcache/informer.go
@@ -6,21 +6,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/ansel1/merry/v2"
 	"k8s.io/klog/v2"
 
 	"github.com/pathtally/pathtally/internal/objectstore"
 )
 
 const (
-	// LongWait is how long the store holds a watch without events, of kinds whose
-	// changes have no bound: an answer costs a call.
-	LongWait = 25 * time.Second
-	// PromptWait is the same for kinds whose changes have to be in force within two
-	// seconds. A watch whose answer was lost says nothing more, and nothing but its end
-	// shows that. A platform that loses answers gives three seconds more; with the time
-	// for the answer the watch ends 4.5 s after it began, half a second before the bound.
-	PromptWait = 3 * time.Second
 	// gatherTime is how long an informer waits after a change before it
 	// watches on, so that changes close together cost one call. It is a small
 	// part of the bounds that changes have to be in force within.
@@ -31,7 +22,8 @@
 	longestRetry = 2 * time.Second
 	// settleTime is how long after a gap everything is listed once more: a watch
 	// that began right after it may not hear what a store that is still
-	// recovering has forgotten.
+	// recovering has forgotten. A store that forgets its history leaves watches
+	// without a word for about a second; tests play up to 1.2 s of that.
 	settleTime = 1500 * time.Millisecond
 	// outageMemory is how long after a failure vanished entries may be due to
 	// the store and not to their owners.
@@ -146,13 +138,6 @@
 	}
 }
 
-// errRegained ends a watch from before an outage of the store, and errSettling
-// one that began soon after.
-var (
-	errRegained = merry.Sentinel("store reachable again")
-	errSettling = merry.Sentinel("store settled after an outage")
-)
-
 // noteGap records that changes may have been missed, and that what the store
 // says in the next moments may lack some.
 func (i *Informer) noteGap() {
@@ -160,38 +145,6 @@
 	i.settled = time.NewTimer(settleTime)
 }
 
-// watch waits for changes, but not beyond the end of an outage.
-func (i *Informer) watch(ctx context.Context, from uint64) (objectstore.Changes, error) {
-	var regained <-chan struct{}
-	if i.Regained != nil {
-		regained = i.Regained()
-	}
-	type result struct {
-		changes objectstore.Changes
-		err     error
-	}
-	results := make(chan result, 1)
-	go func() {
-		changes, err := i.store.Watch(ctx, i.cache.kind, from, i.cache.wait)
-		results <- result{changes, err}
-	}()
-	var settled <-chan time.Time
-	if i.settled != nil {
-		settled = i.settled.C
-	}
-	select {
-	case ended := <-results:
-		return ended.changes, ended.err
-	case <-settled:
-		i.settled = nil
-		return objectstore.Changes{}, errSettling
-	case <-regained:
-		return objectstore.Changes{}, errRegained
-	case <-ctx.Done():
-		return objectstore.Changes{}, ctx.Err()
-	}
-}
-
 // afterOutage tells whether there was an outage of late. A watch that began
 // before one may well be answered after it.
 func (i *Informer) afterOutage() bool {
@@ -233,10 +186,7 @@
 // beyond the end of an outage.
 func (i *Informer) awaitRetry(ctx context.Context) {
 	i.retry = min(max(retryPause, 2*i.retry), longestRetry)
-	var regained <-chan struct{}
-	if i.Regained != nil {
-		regained = i.Regained()
-	}
+	regained := i.regained()
 	timer := time.NewTimer(i.retry)
 	defer timer.Stop()
 	select {
