--- /dev/null
+++ b/internal/batch/late_create_test.go
@@ -0,0 +1,74 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"testing"
+
+	"github.com/pathtally/pathtally/internal/objectstore"
+	"github.com/pathtally/pathtally/standin/metastore"
+)
+
+// lateStore makes the record of a job at once and answers long after; further tries
+// have no answer at all.
+type lateStore struct {
+	*metastore.Store
+	tries  atomic.Int32
+	answer chan struct{}
+}
+
+func (s *lateStore) Create(ctx context.Context, kind, name string, spec json.RawMessage) (objectstore.Object, error) {
+	if kind != KindJobs {
+		return s.Store.Create(ctx, kind, name, spec)
+	}
+	if s.tries.Add(1) > 1 {
+		<-ctx.Done()
+		return objectstore.Object{}, &objectstore.UnansweredError{Cause: ctx.Err()}
+	}
+	object, err := s.Store.Create(ctx, kind, name, spec)
+	<-s.answer
+	return object, err
+}
+
+// Symptom: after a job was taken over from a node that had stood still while it
+// accepted the job, all nodes took that node for the owner again.
+//
+// Sequence: the store makes a job's record and its answer is long on the way; the
+// caller sends the job to another node, which finds the record, hears nothing of its
+// owner, and takes the job over; then the answer comes.
+//
+// Cause: the answer to a create tells who the owner was when it was done, and the
+// accepting node took it for who is.
+func TestAJobWhoseCreateWasAnsweredLateIsLookedAtFirst(t *testing.T) {
+	engine := heldEngine(t)
+	defer engine.release()
+	cluster := newCluster(t, 1, engine)
+	other := cluster.nodes[0]
+	slow := cluster.makeNode("node-1", []*testEngine{engine})
+	late := &lateStore{Store: cluster.store, answer: make(chan struct{})}
+	slow.config.Journal = NewJournal(late)
+	slow.table.Join(slow.ctx)
+	cluster.start(slow)
+	eventually(t, "the slow node has read which jobs there are", slow.Recovered)
+	accepted := make(chan error, 1)
+	go func() { accepted <- cluster.submit(slow, "job", 6) }()
+	eventually(t, "the record is made", func() bool { return cluster.store.Has(KindJobs, "job") })
+	if err := cluster.submit(other, "job", 6); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the other node has taken the job over", func() bool { return cluster.owner("job") == other })
+	close(late.answer)
+	if err := <-accepted; err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the slow node knows who owns the job", func() bool {
+		owner, known := slow.ownerOf("job")
+		return known && owner.Node == other.config.Self.Node
+	})
+	slow.mutex.Lock()
+	defer slow.mutex.Unlock()
+	if slow.jobs["job"] != nil || len(slow.replicas) > 0 {
+		t.Error("the slow node has run items of the job")
+	}
+}
