A job whose create was answered late is looked at before it is run

Cause: an answer that the store gave long after it had made a job's record was taken for who owns the job now.

--- a/internal/batch/accept.go
+++ b/internal/batch/accept.go
@@ -116,14 +116,19 @@
 	s.config.Logger.Info("batch job accepted", "request", id, "owner", standing.Owner.Node, "items", len(arrival.Submission.Items),
 		"bytes", len(arrival.Payload), "tenant", standing.Tenant)
 	switch {
-	case own && made:
+	case own && made && time.Since(began) < promptAnswer:
 		s.start(id, arrival.Submission, standing, listing{}, began)
 	case own:
-		// An earlier try made it, or it was run here and forgotten.
+		// An earlier try made it, it was run here and forgotten, or it may have been
+		// taken over while the answer was on its way.
 		go s.takeUpAgain(id)
 	}
 }
 
+// promptAnswer is how long an acceptance may take for its record to stand as it was
+// made: nobody takes a job over before its owner has been silent for longer.
+const promptAnswer = ownerSilence
+
 // takeUpAgain goes on with a job of this node's that is not held, unless it has
 // ended.
 func (s *Service) takeUpAgain(id string) {
