Ends are pursued whoever runs the job, seals are written beside the readers

A job is started only in the epoch that it was read in.

Readers of an ended job waited for its seal, each for 0.7 s while the store took no writes; the seal changes nothing of what they are shown and is written in the background, once for each pause. A node whose append has no answer reads the store behind its listing for readers of an open job, and leaves those of an ended one to the store and its seal: refusals, and the failure code that did not cross the wire, are gone.

Fields of a job that hold instants say so in their names.

--- a/internal/batch/beat.go
+++ b/internal/batch/beat.go
@@ -119,14 +119,14 @@
 	s.dropQueued(held)
 	held.notify()
 	s.config.Logger.Info("batch job ended", "request", id, "listed", len(held.listed), "items", len(held.items),
-		"chunks", held.chunks, "unsettled", !held.unsettled.IsZero())
+		"chunks", held.chunks, "appending", !held.appendingSince.IsZero())
 }
 
 // beat sends heartbeats while this node has something to tell.
 func (s *Service) beat(ctx context.Context) {
 	quiet := 0
 	for objectstore.Sleep(ctx, beatPeriod) {
-		if s.OpenJobs() > 0 {
+		if s.OpenJobs() > 0 || s.tellsEnds() {
 			quiet = 0
 		} else {
 			quiet++
@@ -137,6 +137,13 @@
 	}
 }
 
+// tellsEnds tells whether an end of late is to be told to the other nodes.
+func (s *Service) tellsEnds() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.ends.toTell()) > 0
+}
+
 // firstVersion is the weight version that replicas start with. Jobs that allow
 // it say nothing of how far behind later ones let the weights be.
 const firstVersion = 1
--- a/internal/batch/end.go
+++ b/internal/batch/end.go
@@ -8,7 +8,8 @@
 	"github.com/pathtally/pathtally/internal/wire"
 )
 
-// End ends a batch job: nothing more of it is run. A nil error is lasting.
+// End ends a batch job: nothing more of it is run. With a nil error the store has the
+// end; a caller that gets another one repeats it.
 func (s *Service) End(ctx context.Context, id string) error {
 	s.mutex.Lock()
 	held := s.jobs[id]
@@ -18,7 +19,7 @@
 	case kept:
 		return nil
 	case held != nil:
-		return s.endHeld(ctx, held)
+		return s.endHeld(ctx, id)
 	case s.endAtOwner(ctx, id):
 		return nil
 	}
@@ -45,49 +46,51 @@
 }
 
 // endHeld ends a job that this node runs. No more of it runs from now on, whatever
-// the store answers. An end that the store has not taken within the caller's time is
-// pursued: the caller may not repeat it, and a successor would run the job on.
-func (s *Service) endHeld(ctx context.Context, held *job) error {
-	s.noteEnded(held.id)
-	err := s.keepEnd(ctx, held)
+// the store answers.
+func (s *Service) endHeld(ctx context.Context, id string) error {
+	s.noteEnded(id)
+	err := s.keepEnd(ctx, id)
 	if err != nil {
-		go s.pursueEnd(held)
+		go s.pursueEnd(id)
 	}
 	return err
 }
 
-// keepEnd makes the end of a job that this node runs lasting. The store's answer
-// tells whether the job is this node's: a former owner that does not know of its
-// successor must not answer from what it held.
-func (s *Service) keepEnd(ctx context.Context, held *job) error {
+// keepEnd makes the end of a job lasting. The store's answer tells whose the job is: a
+// former owner that does not know of its successor must not answer from what it held.
+func (s *Service) keepEnd(ctx context.Context, id string) error {
 	began := time.Now()
-	standing, err := s.recordEnd(ctx, held.id)
+	standing, err := s.recordEnd(ctx, id)
 	if err != nil {
 		return err
 	}
 	s.mutex.Lock()
-	s.takeLook(held, standing, began)
+	if held := s.jobs[id]; held != nil {
+		s.takeLook(held, standing, began)
+	}
 	s.mutex.Unlock()
 	s.config.Table.Broadcast()
 	return nil
 }
 
-// pursueEnd makes an end lasting after its caller's time, unless it is already.
-func (s *Service) pursueEnd(held *job) {
+// pursueEnd makes an end lasting that the store did not take within its caller's time,
+// or that this node was only told of: the caller may not repeat it, and whoever takes
+// the job up later would run it on. It goes on when the job is another node's.
+func (s *Service) pursueEnd(id string) {
 	s.mutex.Lock()
-	pursued := held.pursued || held.endKept
-	held.pursued = true
+	pursued := s.pursued[id]
+	s.pursued[id] = true
 	s.mutex.Unlock()
 	if pursued {
 		return
 	}
-	ctx, cancel := context.WithTimeout(held.appends, backgroundTime)
+	ctx, cancel := context.WithTimeout(s.base, backgroundTime)
 	defer cancel()
-	if err := s.keepEnd(ctx, held); err != nil {
-		s.config.Logger.Info("end of batch job given up", "request", held.id, "error", err.Error())
+	if err := s.keepEnd(ctx, id); err != nil {
+		s.config.Logger.Info("end of batch job given up", "request", id, "error", err.Error())
 	}
 	s.mutex.Lock()
-	held.pursued = false
+	delete(s.pursued, id)
 	s.mutex.Unlock()
 }
 
--- a/internal/batch/ends_test.go
+++ b/internal/batch/ends_test.go
@@ -222,8 +222,8 @@
 func (c *cluster) awaitOwnersAnswer() {
 	c.t.Helper()
 	eventually(c.t, "the owner answers from memory", func() bool {
-		_, err := c.nodes[0].readHeld(context.Background(), "job", 0, 0)
-		return err == nil
+		_, held := c.nodes[0].readHeld(context.Background(), "job", 0, 0)
+		return held
 	})
 }
 
--- a/internal/batch/epoch_test.go
+++ b/internal/batch/epoch_test.go
@@ -69,13 +69,13 @@
 	node.mutex.Unlock()
 	for epoch, doubted := range map[uint32]bool{1: false, 3: true} {
 		node.mutex.Lock()
-		held.doubted = time.Time{}
+		held.doubtedAt = time.Time{}
 		node.mutex.Unlock()
 		node.TakeBeat(&wire.NodeBeat{
 			Node: "node-8", Address: "node-8", Incarnation: 1, Jobs: []string{"job"}, Work: []wire.JobWork{{Job: "job", Epoch: epoch}},
 		})
 		node.mutex.Lock()
-		if got := !held.doubted.IsZero(); got != doubted {
+		if got := !held.doubtedAt.IsZero(); got != doubted {
 			t.Errorf("a claim of epoch %d makes the job doubtful: %v", epoch, got)
 		}
 		node.mutex.Unlock()
--- a/internal/batch/errors.go
+++ b/internal/batch/errors.go
@@ -7,11 +7,6 @@
 )
 
 var (
-	// ErrUnsettled means that results of a batch job are on their way into the store,
-	// which may show them already.
-	ErrUnsettled = merry.Sentinel("results are being appended")
-	// errNotHeld means that this node does not run a batch job, or cannot be sure.
-	errNotHeld = merry.Sentinel("batch job is not held here")
 	// ErrOtherTenant means that another tenant has handed in a batch job under
 	// the same id.
 	ErrOtherTenant = merry.Sentinel("another tenant's batch job has this id")
--- a/internal/batch/foreign.go
+++ b/internal/batch/foreign.go
@@ -53,6 +53,8 @@
 	total int
 	// final is set once the results were read to a seal, so that none can be added.
 	final bool
+	// sealAfter is when a further seal may be tried.
+	sealAfter time.Time
 }
 
 func formatIncarnation(incarnation uint64) string { return strconv.FormatUint(incarnation, 36) }
@@ -120,13 +122,13 @@
 		if paused && !held.closed() {
 			held.doubt()
 		}
-		if !held.suspect && (!held.mayBeLost() || time.Since(held.confirmed) < confirmPeriod) {
+		if !held.suspect && (!held.mayBeLost() || time.Since(held.confirmedAt) < confirmPeriod) {
 			continue
 		}
-		if time.Since(held.looked) < confirmRetry {
+		if time.Since(held.lookedAt) < confirmRetry {
 			continue
 		}
-		held.looked = time.Now()
+		held.lookedAt = time.Now()
 		due = append(due, held)
 	}
 	return due
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -28,10 +28,10 @@
 	textsSaved time.Time
 	// saving is set while texts are on their way into the store.
 	saving bool
-	// unsettled is since when results are on their way into the store, which may have
-	// them already; zero while none are.
-	unsettled time.Time
-	groups    map[string]*group
+	// appendingSince is since when results are on their way into the store, which may
+	// have them already; zero while none are.
+	appendingSince time.Time
+	groups         map[string]*group
 	// flushSoon is set when a group became whole, to append without delay.
 	flushSoon bool
 	flush     chan struct{}
@@ -40,19 +40,17 @@
 	endedAt time.Time
 	// endKept tells that the store has the end.
 	endKept bool
-	// pursued is set while the end is being made lasting after its caller's time.
-	pursued bool
 	// displaced is set once another node owns the job, and suspect while that
 	// may be so: the results here may then lack some that have been read.
 	displaced bool
 	suspect   bool
-	// doubted is when the job became suspect last: a look that began before shows
+	// doubtedAt is when the job became suspect last: a look that began before shows
 	// nothing.
-	doubted time.Time
-	// confirmed is when the last look at the record that was answered began, and
-	// looked when the last one of all did.
-	confirmed time.Time
-	looked    time.Time
+	doubtedAt time.Time
+	// confirmedAt is when the last look at the record that was answered began, and
+	// lookedAt when the last one of all did.
+	confirmedAt time.Time
+	lookedAt    time.Time
 	// changed is closed at each change that a waiting reader has to see.
 	changed chan struct{}
 	// ctx is that of the job's runs: it ends with the job.
@@ -112,7 +110,7 @@
 func (j *job) closed() bool { return len(j.listed) >= len(j.items) }
 
 // doubt makes the job suspect until a look at its record that begins from now on.
-func (j *job) doubt() { j.suspect, j.doubted = true, time.Now() }
+func (j *job) doubt() { j.suspect, j.doubtedAt = true, time.Now() }
 
 // notify wakes the readers that wait.
 func (j *job) notify() {
@@ -121,16 +119,21 @@
 }
 
 // appendGrace is for how long results on their way into the store are taken for not
-// there yet: an append takes 10 to 30 ms, and nobody has read them there so soon.
+// there yet. Readers are promised that what was read stays from a second later on, and
+// an append takes 10 to 30 ms.
 const appendGrace = 100 * time.Millisecond
 
-// isUnsettled tells whether results may stand behind those that are listed here. The
+// isCertain tells whether what is held may be answered from: not where another node
+// may own the job, nor where an append that the end met has no answer yet. The mutex
+// must be held.
+func (j *job) isCertain() bool {
+	return j != nil && !j.suspect && !(j.ended && !j.appendingSince.IsZero())
+}
+
+// isAppending tells whether the store may have results that are not listed here. The
 // mutex must be held.
-func (j *job) isUnsettled() bool {
-	if j.unsettled.IsZero() {
-		return false
-	}
-	return j.ended || time.Since(j.unsettled) > appendGrace
+func (j *job) isAppending() bool {
+	return !j.appendingSince.IsZero() && time.Since(j.appendingSince) > appendGrace
 }
 
 // flushLater has the publisher append what is finished.
--- a/internal/batch/peers.go
+++ b/internal/batch/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/pathtally/pathtally/internal/wire"
@@ -28,19 +27,15 @@
 	return true
 }
 
-func (s *Service) answerRead(question *wire.JobRead) wire.Message {
+func (s *Service) answerRead(question *wire.JobRead) *wire.JobPage {
 	patience := time.Duration(question.WaitMs) * time.Millisecond
-	page, err := s.readHeld(s.base, question.Job, int(question.After), patience)
-	if errors.Is(err, errNotHeld) {
+	page, held := s.readHeld(s.base, question.Job, int(question.After), patience)
+	if !held {
 		ctx, cancel := context.WithTimeout(s.base, peerMargin)
 		defer cancel()
-		page, err = s.readEndedFor(ctx, question.Job, int(question.After))
-	}
-	if errors.Is(err, ErrUnsettled) {
-		return &wire.Failure{Code: uint16(wire.CodeUncertain), Detail: err.Error()}
-	}
-	if err != nil {
-		return &wire.JobPage{}
+		if page, held = s.readEndedFor(ctx, question.Job, int(question.After)); !held {
+			return &wire.JobPage{}
+		}
 	}
 	results, err := encodeResults(page.Results)
 	if err != nil {
--- a/internal/batch/publish.go
+++ b/internal/batch/publish.go
@@ -94,7 +94,7 @@
 		published.textsSaved, published.saving = time.Now(), true
 	}
 	if len(results) > 0 {
-		published.unsettled = time.Now()
+		published.appendingSince = time.Now()
 	}
 	s.mutex.Unlock()
 	began := time.Now()
@@ -165,7 +165,7 @@
 		}
 	}
 	published.finished = kept
-	published.unsettled = time.Time{}
+	published.appendingSince = time.Time{}
 	published.notify()
 }
 
@@ -204,12 +204,16 @@
 	if s.jobs[held.id] != held {
 		return
 	}
-	held.confirmed = began
+	held.confirmedAt = began
 	if standing.Record.Owner == s.config.Self {
-		held.suspect = held.suspect && began.Before(held.doubted)
-		if standing.Ended {
+		held.suspect = held.suspect && began.Before(held.doubtedAt)
+		switch {
+		case standing.Ended:
 			held.endKept = true
 			s.endLocally(held.id)
+		case held.ended:
+			// Whoever told of the end may be gone before the store had it.
+			go s.pursueEnd(held.id)
 		}
 		return
 	}
--- a/internal/batch/read.go
+++ b/internal/batch/read.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"time"
 
 	"github.com/pathtally/pathtally/internal/environment"
@@ -14,9 +13,9 @@
 	// peerMargin is what an answer of another node may take beyond the time
 	// that a reader waits.
 	peerMargin = 700 * time.Millisecond
-	// settleWait is for how much longer a reader waits where results are on their way
-	// into the store: as long as a create takes whose first answer was lost.
-	settleWait = 500 * time.Millisecond
+	// behindTime bounds a look behind an append on its way; with it an answer to
+	// another node stays within peerMargin.
+	behindTime = 500 * time.Millisecond
 	// endTime bounds one question to the owner of a job that is to be ended.
 	endTime = 800 * time.Millisecond
 )
@@ -31,18 +30,16 @@
 // as told. ErrNoSuchJob is certain; other errors mean that this node cannot
 // tell.
 func (s *Service) Read(ctx context.Context, id string, after int, patience time.Duration) (Page, error) {
-	page, err := s.readHeld(ctx, id, after, patience)
-	if !errors.Is(err, errNotHeld) {
-		return page, err
+	if page, held := s.readHeld(ctx, id, after, patience); held {
+		return page, nil
 	}
 	if page, final := s.readFinal(id, after); final {
 		return page, nil
 	}
 	owner, known := s.ownerOf(id)
 	if known {
-		page, err := s.readFrom(ctx, owner, id, after, patience)
-		if err == nil || errors.Is(err, ErrUnsettled) {
-			return page, err
+		if page, err := s.readFrom(ctx, owner, id, after, patience); err == nil {
+			return page, nil
 		}
 	}
 	standing, err := s.config.Journal.Look(ctx, id)
@@ -50,51 +47,61 @@
 		return Page{}, err
 	}
 	if standing.Record.Owner != owner && standing.Record.Owner != s.config.Self {
-		page, err := s.readFrom(ctx, standing.Record.Owner, id, after, patience)
-		if err == nil || errors.Is(err, ErrUnsettled) {
-			return page, err
+		if page, err := s.readFrom(ctx, standing.Record.Owner, id, after, patience); err == nil {
+			return page, nil
 		}
 	}
 	return s.readStored(ctx, standing, after)
 }
 
-// readHeld reads a job that this node runs. The error is errNotHeld, or ErrUnsettled
-// where this node cannot tell what stands at the position.
-func (s *Service) readHeld(ctx context.Context, id string, after int, patience time.Duration) (Page, error) {
+// readHeld reads a job that this node runs. False means that it does not, or cannot
+// be sure of what it holds: then the store is to be read.
+func (s *Service) readHeld(ctx context.Context, id string, after int, patience time.Duration) (Page, bool) {
 	limit := time.NewTimer(patience)
 	defer limit.Stop()
-	settled := time.NewTimer(patience + settleWait)
-	defer settled.Stop()
-	for waited := false; ; {
+	for patient := true; ; {
 		s.mutex.Lock()
 		held := s.jobs[id]
-		if held == nil || held.suspect {
+		if !held.isCertain() {
 			s.mutex.Unlock()
-			return Page{}, errNotHeld
+			return Page{}, false
 		}
-		page := held.pageAfter(after)
-		changed, open, unsettled := held.changed, held.open(), held.isUnsettled()
+		page, listed, chunks := held.pageAfter(after), len(held.listed), held.chunks
+		changed, open, appending := held.changed, held.open(), held.isAppending()
 		s.mutex.Unlock()
 		switch {
-		case len(page.Results) > 0:
-			return page, nil
-		case !unsettled && (waited || !open):
-			return page, nil
-		case ctx.Err() != nil:
-			return Page{}, ErrUnsettled
+		case len(page.Results) > 0 || !open:
+			return page, true
+		case !patient && appending:
+			page.Results = s.readBehind(ctx, id, chunks, after-listed)
+			return page, true
+		case !patient:
+			return page, true
 		}
 		select {
 		case <-changed:
 		case <-limit.C:
-			waited = true
-		case <-settled.C:
-			return Page{}, ErrUnsettled
+			patient = false
 		case <-ctx.Done():
-			waited = true
+			patient = false
 		}
 	}
 }
 
+// readBehind returns what the store has from a chunk on, but for some results: it may
+// have done an append that this node has no answer to, and shown its results to
+// others. Where it does not answer in time it shows them to nobody.
+func (s *Service) readBehind(ctx context.Context, id string, chunks, after int) []Result {
+	ctx, cancel := context.WithTimeout(ctx, behindTime)
+	defer cancel()
+	behind, err := s.config.Journal.Results(ctx, id, chunks)
+	if err != nil {
+		s.config.Logger.Info("nothing read behind an append on its way", "request", id, "chunk", chunks, "error", err.Error())
+		return nil
+	}
+	return pageAfter(behind.results, after, 0).Results
+}
+
 // pageAfter is the page of the listed results behind a position. The mutex must be
 // held.
 func (j *job) pageAfter(after int) Page {
@@ -112,17 +119,13 @@
 	return standing.owner, true
 }
 
-// readFrom reads a job from the node that runs it. The error is ErrUnsettled where
-// that node has said so.
+// readFrom reads a job from the node that runs it.
 func (s *Service) readFrom(ctx context.Context, owner Owner, id string, after int, patience time.Duration) (Page, error) {
 	question := &wire.JobRead{Job: id, After: uint32(after), WaitMs: uint32(patience.Milliseconds())}
 	message, err := environment.Ask(ctx, s.config.Peers, owner.Address, question, patience+peerMargin)
 	if err != nil {
 		return Page{}, err
 	}
-	if failure, failed := message.(*wire.Failure); failed && failure.Code == uint16(wire.CodeUncertain) {
-		return Page{}, ErrUnsettled
-	}
 	page, ok := message.(*wire.JobPage)
 	if !ok || !page.Known {
 		return Page{}, ErrDisplaced
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -51,6 +51,8 @@
 	uses      map[string]nodeUses
 	attempts  map[*attempt]bool
 	ends      endRegister
+	// pursued are the jobs whose end is being made lasting after its caller's time.
+	pursued map[string]bool
 	// tolerances gives by how many versions the weights of a model may be
 	// behind, the least of what any job has allowed.
 	tolerances map[string]int64
@@ -75,7 +77,7 @@
 func NewService(base context.Context, config Config) *Service {
 	return &Service{
 		config: config, base: base, metrics: newMetrics(config.Registry),
-		jobs: map[string]*job{}, known: map[string]*foreign{}, ends: newEndRegister(), accepting: map[string]*acceptance{},
+		jobs: map[string]*job{}, known: map[string]*foreign{}, ends: newEndRegister(), pursued: map[string]bool{}, accepting: map[string]*acceptance{},
 		replicas: map[string]*replicaState{}, uses: map[string]nodeUses{}, attempts: map[*attempt]bool{}, tolerances: map[string]int64{}, lengths: map[string]knownLength{}, works: map[string]knownWork{}, avoided: map[string]time.Time{}, storedLoads: map[string]*storedLoad{},
 		rewardBounds: map[string]*admission.Adaptive{},
 		wake:         make(chan struct{}, 1),
--- a/internal/batch/start.go
+++ b/internal/batch/start.go
@@ -22,10 +22,11 @@
 		s.noteStanding(Standing{ID: id, Record: record, Ended: true})
 		s.mutex.Unlock()
 		s.config.Logger.Info("batch job not started: it has ended", "request", id, "epoch", record.Epoch)
+		go s.pursueEnd(id)
 		return
 	}
 	started := s.newJob(id, submission, record, stands)
-	started.confirmed = confirmed
+	started.confirmedAt = confirmed
 	restored := started.restore(joinPieces(stands.pieces))
 	for _, itemID := range started.order {
 		if pending := started.items[itemID]; !pending.done {
--- a/internal/batch/stored.go
+++ b/internal/batch/stored.go
@@ -10,10 +10,6 @@
 // a minute.
 const storedLoadTime = 20 * time.Second
 
-// sealTime bounds the writing of a seal: a create and a second one beside it. A reader
-// waits for it once for each job.
-const sealTime = 700 * time.Millisecond
-
 // storedLoad is a reading of one job from the store under way. What it read is
 // set once done is closed.
 type storedLoad struct {
@@ -83,9 +79,6 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	if standing.Ended {
-		added = s.seal(ctx, standing.ID, added)
-	}
 	results = append(results[:len(results):len(results)], added.results...)
 	s.mutex.Lock()
 	known.total = total
@@ -93,26 +86,15 @@
 		known.results, known.chunks = results, added.chunks
 	}
 	known.final = known.final || added.sealed
+	if standing.Ended {
+		s.sealLater(standing.ID, known)
+	}
 	s.mutex.Unlock()
 	s.config.Logger.Info("batch job read from the store", "request", standing.ID, "ended", standing.Ended, "owner", standing.Record.Owner.Node,
 		"results", len(results), "chunks", added.chunks, "final", added.sealed)
 	return results, total, nil
 }
 
-// seal writes an empty chunk behind what stands of an ended job, unless one is there,
-// and returns what stands then. Nothing can be added from there on: its owner, which
-// may not know of the end, finds the place taken. Without it a result that the owner
-// lists later would be missing at a node that has read the job before.
-func (s *Service) seal(ctx context.Context, id string, stands listing) listing {
-	ctx, cancel := context.WithTimeout(ctx, sealTime)
-	defer cancel()
-	sealed, err := s.appendBehind(ctx, id, stands, chunk{Writer: s.writerName(), Seal: true})
-	if err != nil {
-		s.config.Logger.Info("ended batch job not sealed", "request", id, "error", err.Error())
-	}
-	return sealed
-}
-
 // readTotal reads how many items a job has.
 func (s *Service) readTotal(ctx context.Context, standing Standing) (int, error) {
 	payload, err := s.config.Journal.Payload(ctx, standing.ID, standing.Record.Parts)
@@ -146,23 +128,20 @@
 	return page
 }
 
-// readEndedFor reads an ended job of this node's former process for another node, so
-// that one node reads the store for all. The error is errNotHeld where the job is
-// none of these.
-func (s *Service) readEndedFor(ctx context.Context, id string, after int) (Page, error) {
+// readEndedFor reads an ended job of this node's former process for another
+// node, so that one node reads the store for all.
+func (s *Service) readEndedFor(ctx context.Context, id string, after int) (Page, bool) {
 	if page, final := s.readFinal(id, after); final {
-		return page, nil
+		return page, true
 	}
 	standing, err := s.config.Journal.Look(ctx, id)
-	if err != nil {
-		return Page{}, err
-	}
-	if !standing.Ended || standing.Record.Owner.Node != s.config.Self.Node {
-		return Page{}, errNotHeld
+	if err != nil || !standing.Ended || standing.Record.Owner.Node != s.config.Self.Node {
+		return Page{}, false
 	}
 	page, err := s.readStored(ctx, standing, after)
 	if err != nil {
 		s.config.Logger.Info("stored batch job not read", "request", id, "error", err.Error())
+		return Page{}, false
 	}
-	return page, err
+	return page, true
 }
--- a/internal/batch/stored_test.go
+++ b/internal/batch/stored_test.go
@@ -25,6 +25,15 @@
 	return made
 }
 
+// awaitSeal waits until a node's copy of the job is final.
+func (c *cluster) awaitSeal(node *testNode) {
+	c.t.Helper()
+	eventually(c.t, "the ended job is sealed", func() bool {
+		_, final := node.readFinal("job", 0)
+		return final
+	})
+}
+
 func (c *cluster) storeReads() int { return c.store.Calls("get") + c.store.Calls("list") }
 
 func TestAnEndedJobIsReadFromTheStoreByItsOwnerOnly(t *testing.T) {
@@ -32,6 +41,7 @@
 	if _, err := cluster.nodes[0].Read(context.Background(), "job", 0, 0); err != nil {
 		t.Fatal(err)
 	}
+	cluster.awaitSeal(cluster.nodes[0])
 	before := cluster.storeReads()
 	for _, node := range cluster.nodes {
 		for after := range 4 {
@@ -54,6 +64,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	cluster.awaitSeal(cluster.nodes[0])
 	journal := NewJournal(cluster.store)
 	stands, err := journal.Results(context.Background(), "job", 0)
 	if err != nil || !stands.sealed {
@@ -81,6 +92,7 @@
 		if _, err := node.Read(context.Background(), "job", 0, 0); err != nil {
 			t.Fatal(err)
 		}
+		cluster.awaitSeal(node)
 	}
 	if creates := cluster.store.Calls("create") - before; creates != 1 {
 		t.Errorf("%d creates, want one seal", creates)
@@ -101,7 +113,7 @@
 	looked := time.Now().Add(time.Hour)
 	node.mutex.Lock()
 	held := node.jobs["job"]
-	held.confirmed = looked
+	held.confirmedAt = looked
 	node.finish(held.items["job.0"], Result{ID: "job.0", State: Abandoned})
 	node.finish(held.items["job.1"], Result{ID: "job.1", State: Abandoned})
 	node.mutex.Unlock()
@@ -112,7 +124,7 @@
 	})
 	node.mutex.Lock()
 	defer node.mutex.Unlock()
-	if !held.confirmed.Equal(looked) {
+	if !held.confirmedAt.Equal(looked) {
 		t.Error("the append counts as a look at the job's record")
 	}
 }
--- a/internal/batch/takeover.go
+++ b/internal/batch/takeover.go
@@ -75,8 +75,8 @@
 			s.config.Logger.Info("record of batch job not read before its start", "request", read.ID, "error", err.Error())
 			objectstore.Pause(ctx, readPause)
 			continue
-		case standing.Ended || standing.Record.Owner != s.config.Self:
-			s.config.Logger.Info("batch job not started", "request", read.ID, "ended", standing.Ended, "owner", standing.Record.Owner.Node)
+		case standing.Ended || standing.Record.Owner != s.config.Self || standing.Record.Epoch != read.Record.Epoch:
+			s.config.Logger.Info("batch job not started", "request", read.ID, "ended", standing.Ended, "owner", standing.Record.Owner.Node, "epoch", standing.Record.Epoch)
 			s.mutex.Lock()
 			s.noteStanding(standing)
 			s.mutex.Unlock()
--- a/internal/wire/errors.go
+++ b/internal/wire/errors.go
@@ -12,8 +12,6 @@
 	CodeStaleToken
 	CodeNotServing
 	CodeStorage
-	// CodeUncertain means that the answer depends on a write whose outcome is unknown.
-	CodeUncertain
 )
 
 // RemoteError is a Failure that a peer answered.
