Soak: ends at random moments, power losses, slow store, silent connections

Prevents that items of an ended job run on, and that a result that was read is gone, without any run finding it.

--- a/standin/metastore/store.go
+++ b/standin/metastore/store.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -45,6 +47,10 @@
 	Name string
 }
 
+// Delay is how slow a call is: the time before it is carried out and from there
+// to its answer. It is carried out also if its caller does not wait.
+type Delay struct{ Before, After time.Duration }
+
 // Store is the stand-in. It is safe for use by many goroutines.
 type Store struct {
 	mutex    sync.Mutex
@@ -55,6 +61,7 @@
 	forgotten uint64
 	changed   chan struct{}
 	fault     func(Call) Fault
+	delay     func(Call) Delay
 	late      []func()
 	calls     map[string]int
 }
@@ -79,6 +86,30 @@
 	s.fault = fault
 }
 
+// SetDelay has every later call but watches ask how slow it is; nil for not at all.
+func (s *Store) SetDelay(delay func(Call) Delay) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.delay = delay
+}
+
+// delayOf is how slow a call is.
+func (s *Store) delayOf(call Call) Delay {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.delay == nil || call.Verb == "watch" {
+		return Delay{}
+	}
+	return s.delay(call)
+}
+
+// Objects returns what stands of a kind, without faults.
+func (s *Store) Objects(kind string) []objectstore.Object {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return slices.SortedFunc(maps.Values(s.objects[kind]), func(a, b objectstore.Object) int { return cmp.Compare(a.Revision, b.Revision) })
+}
+
 // Calls returns how many calls of a verb came.
 func (s *Store) Calls(verb string) int {
 	s.mutex.Lock()
@@ -175,6 +206,8 @@
 func (s *Store) read(ctx context.Context, verb, kind, name string) error {
 	switch s.enter(ctx, verb, kind, name) {
 	case Sound:
+		delay := s.delayOf(Call{Verb: verb, Kind: kind, Name: name})
+		time.Sleep(delay.Before + delay.After)
 		return nil
 	case Refused:
 		return &objectstore.RefusedError{Status: 503, Cause: ErrFault}
@@ -191,6 +224,9 @@
 	}
 	switch s.enter(ctx, verb, kind, name) {
 	case Sound:
+		delay := s.delayOf(Call{Verb: verb, Kind: kind, Name: name})
+		time.Sleep(delay.Before)
+		defer time.Sleep(delay.After)
 		return locked()
 	case Refused:
 		return objectstore.Object{}, &objectstore.RefusedError{Status: 503, Cause: ErrFault}
--- a/test/platform_harness_test.go
+++ b/test/platform_harness_test.go
@@ -228,8 +228,10 @@
 	body   string
 }
 
-// call is one request of a caller, on a connection of its own.
+// call is one request of a caller, on a connection of its own unless it has a
+// client.
 type call struct {
+	client  *http.Client
 	address string
 	method  string
 	host    string
@@ -252,7 +254,10 @@
 		request.Header[name] = values
 	}
 	request.Header.Set("Pathtally-Request-Id", c.id)
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}, Timeout: c.limit}
+	client := c.client
+	if client == nil {
+		client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}, Timeout: c.limit}
+	}
 	response, err := client.Do(request)
 	if err != nil {
 		return reply{}, err
--- a/test/proxy_test.go
+++ b/test/proxy_test.go
@@ -1,6 +1,8 @@
 package test
 
 import (
+	"errors"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -40,6 +42,8 @@
 	delay        atomic.Int64
 	mutex        sync.Mutex
 	open         map[net.Conn]bool
+	// silent are the connections that pass nothing for good.
+	silent map[net.Conn]bool
 }
 
 func newProxy(t *testing.T, target string) *proxy {
@@ -48,13 +52,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &proxy{listener: listener, open: map[net.Conn]bool{}}
+	p := &proxy{listener: listener, open: map[net.Conn]bool{}, silent: map[net.Conn]bool{}}
 	p.setTarget(target)
 	p.cutRequestAt.Store(-1)
 	go p.accept()
 	t.Cleanup(func() {
 		listener.Close()
 		p.set(proxyCut)
+		p.resetSilent()
 	})
 	return p
 }
@@ -80,6 +85,33 @@
 	}
 }
 
+// silence has the connections that are open now pass nothing for good, not even
+// their ends. New ones work.
+func (p *proxy) silence() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for connection := range p.open {
+		p.silent[connection] = true
+	}
+	clear(p.open)
+	return len(p.silent) / 2
+}
+
+func (p *proxy) isSilent(connection net.Conn) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.silent[connection]
+}
+
+// resetSilent ends the connections that pass nothing.
+func (p *proxy) resetSilent() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for connection := range p.silent {
+		reset(connection)
+	}
+}
+
 func reset(connection net.Conn) {
 	if tcp, ok := connection.(*net.TCPConn); ok {
 		tcp.SetLinger(0)
@@ -121,8 +153,12 @@
 }
 
 func (p *proxy) copy(to, from net.Conn, answers bool) {
-	defer to.Close()
-	defer from.Close()
+	defer func() {
+		from.Close()
+		if !p.isSilent(from) {
+			to.Close()
+		}
+	}()
 	buffer := make([]byte, proxyBuffer)
 	passed := int64(0)
 	for {
@@ -134,7 +170,7 @@
 		for proxyMode(p.mode.Load()) == proxyFreeze {
 			time.Sleep(proxyLook)
 		}
-		if answers && proxyMode(p.mode.Load()) == proxyOneWay {
+		if p.isSilent(from) || (answers && proxyMode(p.mode.Load()) == proxyOneWay) {
 			continue
 		}
 		limit, limited := p.limit(answers)
@@ -160,3 +196,66 @@
 	limit := p.cutRequestAt.Load()
 	return limit, limit >= 0
 }
+
+// A connection that fell silent passes nothing and does not end, whatever
+// becomes of the link; a new one works.
+func TestSilencedConnectionsStaySilent(t *testing.T) {
+	link := newProxy(t, startEcho(t))
+	old := dialEcho(t, link)
+	if count := link.silence(); count != 1 {
+		t.Errorf("%d connections were silenced, want 1", count)
+	}
+	link.set(proxyCut)
+	link.set(proxyPass)
+	fresh := dialEcho(t, link)
+	if _, err := old.Write([]byte("x")); err != nil {
+		t.Error(err)
+	}
+	old.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	var timeout net.Error
+	if _, err := old.Read(make([]byte, 1)); !errors.As(err, &timeout) || !timeout.Timeout() {
+		t.Errorf("the silent connection gave %v", err)
+	}
+	fresh.Close()
+}
+
+// startEcho returns the address of a server that sends back what it gets.
+func startEcho(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				io.Copy(connection, connection)
+				connection.Close()
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// dialEcho opens a connection through a proxy and sees that it works.
+func dialEcho(t *testing.T, link *proxy) net.Conn {
+	t.Helper()
+	connection, err := net.Dial("tcp", link.address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { connection.Close() })
+	connection.SetDeadline(time.Now().Add(startLimit))
+	if _, err := connection.Write([]byte("a")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(connection, make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	return connection
+}
--- a/test/soak_callers_test.go
+++ b/test/soak_callers_test.go
@@ -4,24 +4,30 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pathtally/pathtally/standin/replica"
 )
 
 const (
-	soakCallers = 4
-	callPause   = 15 * time.Millisecond
-	callTime    = 4 * time.Second
-	soakItems   = 24
+	soakCallers  = 4
+	soakTrainers = 4
+	callPause    = 15 * time.Millisecond
+	callTime     = 4 * time.Second
 	// stepTime is when a trainer gives a step up.
 	stepTime = 8 * time.Second
 	// wantedShare is the part of a step's results that its trainer waits for.
 	wantedShare = 0.9
 )
 
-// call sends one request to a node's process of now.
+// call sends one request to a node's process of now, on a connection of its own.
 func (w *soakWorld) call(node *soakNode, method, host, target, id string, body []byte, header http.Header) (reply, error) {
+	return w.callOn(nil, node, method, host, target, id, body, header)
+}
+
+// callOn is call for a caller that may have a client.
+func (w *soakWorld) callOn(client *http.Client, node *soakNode, method, host, target, id string, body []byte, header http.Header) (reply, error) {
 	process, _ := node.process()
 	header = header.Clone()
 	if header == nil {
@@ -29,22 +35,29 @@
 	}
 	header.Set("Pathtally-Deadline-Ms", fmt.Sprint(callTime.Milliseconds()))
 	return call{
-		address: process.http, method: method, host: host, target: target, id: id, body: body, header: header, limit: callTime + time.Second,
+		client: client, address: process.http, method: method, host: host, target: target, id: id, body: body, header: header, limit: callTime + time.Second,
 	}.do()
 }
 
-// callers send live requests to all nodes.
+// callers send live requests to all nodes. Every other one keeps its connections
+// open and uses them until the process is gone.
 func (w *soakWorld) callers(number int) {
+	from := newDraws(w.seed, streamCallers+uint64(number))
+	var client *http.Client
+	if number%2 == 1 {
+		client = &http.Client{Transport: &http.Transport{DisableCompression: true}, Timeout: callTime + time.Second}
+		defer client.CloseIdleConnections()
+	}
 	for count := 0; w.pause(callPause); count++ {
-		node := w.nodes[w.chance(len(w.nodes))]
+		node := w.nodeAt(from)
 		id := fmt.Sprintf("call.%d.%d", number, count)
-		switch w.chance(4) {
+		switch from.chance(4) {
 		case 0:
-			w.callOnce(node, &soakRequest{id: id, target: "/once/a%2Fb?q=%20" + id, body: "transfer " + id, once: true})
+			w.callOnce(client, node, &soakRequest{id: id, target: "/once/a%2Fb?q=%20" + id, body: "transfer " + id, once: true})
 		case 1:
-			w.callStream(node, &soakRequest{id: id, target: "/chat/" + id, body: "hello " + id})
+			w.callStream(client, node, &soakRequest{id: id, target: "/chat/" + id, body: "hello " + id})
 		default:
-			w.callOnce(node, &soakRequest{id: id, target: "/live/" + id, body: "look up " + id})
+			w.callOnce(client, node, &soakRequest{id: id, target: "/live/" + id, body: "look up " + id})
 		}
 	}
 }
@@ -59,19 +72,19 @@
 	}
 }
 
-func (w *soakWorld) callOnce(node *soakNode, request *soakRequest) {
+func (w *soakWorld) callOnce(client *http.Client, node *soakNode, request *soakRequest) {
 	w.record.sent(request)
-	answer, err := w.call(node, http.MethodPost, liveHost, request.target, request.id, []byte(request.body), nil)
+	answer, err := w.callOn(client, node, http.MethodPost, liveHost, request.target, request.id, []byte(request.body), nil)
 	w.note(request, answer, err)
 	if err == nil && answer.status == http.StatusOK && answer.body != "answer to "+request.id+": "+request.body {
 		w.record.fail("MIXED", "request %s got %q", request.id, answer.body)
 	}
 }
 
-func (w *soakWorld) callStream(node *soakNode, request *soakRequest) {
+func (w *soakWorld) callStream(client *http.Client, node *soakNode, request *soakRequest) {
 	w.record.sent(request)
 	prompt := http.Header{"Pathtally-Model": {draftModel}, "Pathtally-Token-Usage": {"10,10"}, "Pathtally-Prefix-Hash": {"ab:5," + fmt.Sprintf("%x", len(request.id)) + ":5"}}
-	answer, err := w.call(node, http.MethodPost, liveHost, request.target, request.id, []byte(request.body), prompt)
+	answer, err := w.callOn(client, node, http.MethodPost, liveHost, request.target, request.id, []byte(request.body), prompt)
 	w.note(request, answer, err)
 	if err == nil && answer.status == http.StatusOK && streamText(answer.body) != replica.Text(request.id) {
 		w.record.fail("ORDER", "stream %s looks complete with %q", request.id, streamText(answer.body))
@@ -79,20 +92,37 @@
 }
 
 // trainer asks for one step after the other.
-func (w *soakWorld) trainer() {
-	for step := int64(0); w.pause(0); step++ {
-		job := &soakJob{id: fmt.Sprintf("job%d", step), items: soakItems, least: max(1, step)}
+func (w *soakWorld) trainer(number int) {
+	for step := 0; w.pause(0); step++ {
+		job := drawJob(w.seed, number, step)
 		w.record.mutex.Lock()
 		w.record.jobs = append(w.record.jobs, job)
 		w.record.mutex.Unlock()
-		if w.submit(job, step) {
+		job.least = max(1, w.newestWeights()-1)
+		if w.submit(job, int64(step)) {
 			w.follow(job)
 			w.endJob(job)
 		}
-		w.store.Write("versions", draftModel, map[string]any{"model": draftModel, "version": step + 2})
+		if number == firstTrainer {
+			w.renewWeights()
+		}
 	}
 }
 
+func (w *soakWorld) newestWeights() int64 {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.weights
+}
+
+// renewWeights names the next version of the model's weights.
+func (w *soakWorld) renewWeights() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.weights++
+	w.store.Write("versions", draftModel, map[string]any{"model": draftModel, "version": w.weights})
+}
+
 // submit hands a job in until it is taken, and gives up after a while.
 func (w *soakWorld) submit(job *soakJob, step int64) bool {
 	var requests []map[string]any
@@ -110,7 +140,7 @@
 	}
 	promised := true
 	for end := time.Now().Add(stepTime); time.Now().Before(end); {
-		node := w.nodes[w.chance(len(w.nodes))]
+		node := w.nodeAt(job.draws)
 		answer, err := w.call(node, http.MethodPost, draftHost, "/drafts/"+job.id, job.id, body, nil)
 		if err == nil && answer.status == http.StatusAccepted {
 			w.record.mutex.Lock()
@@ -131,8 +161,12 @@
 
 // page reads results of a job at a node and judges them.
 func (w *soakWorld) page(node *soakNode, job *soakJob, from int) (reply, error) {
+	known := w.record.known(job)
 	answer, err := w.call(node, http.MethodGet, draftHost, fmt.Sprintf("/-/lots/%s?sinceRev=%d", job.id, from), "reader", nil,
 		http.Header{"Pathtally-Wait-Ms": {"300"}})
+	if err == nil && (answer.status == http.StatusNotFound || answer.status == http.StatusGone) {
+		w.record.fail("LOST", "job %s was accepted and %s answers %d", job.id, node.name, answer.status)
+	}
 	if err != nil || answer.status != http.StatusOK {
 		return answer, err
 	}
@@ -145,46 +179,56 @@
 		w.record.fail("MIXED", "job %s read at %s: total %d, next %d from %d with %d, %v", job.id, node.name, page.Total, page.NextToken, from, len(page.Results), err)
 		return answer, err
 	}
-	w.record.checkPage(job, from, page.Results, node.name)
+	w.record.checkPage(job, from, known, page.Results, node.name)
 	return answer, nil
 }
 
-// follow reads a job's results, now and then from an earlier position.
+// follow reads a job's results, now and then from an earlier position, until its
+// trainer ends it.
 func (w *soakWorld) follow(job *soakJob) {
-	wanted := int(wantedShare * float64(job.items))
+	restarts, since := w.restarts.Load(), time.Now()
 	for end := time.Now().Add(stepTime); time.Now().Before(end); {
-		w.record.mutex.Lock()
-		known := len(job.results)
-		w.record.mutex.Unlock()
-		if known >= wanted {
-			w.record.mutex.Lock()
-			w.record.steps++
-			w.record.mutex.Unlock()
+		known := w.record.known(job)
+		if known >= int(wantedShare*float64(job.items)) {
+			w.record.addStep()
 			return
 		}
-		from := known
-		if known > 0 && w.chance(4) == 0 {
-			from = w.chance(known)
+		if job.ending.kind == endAtRestart && w.restarts.Load() == restarts {
+			since = time.Now()
 		}
-		node := w.nodes[w.chance(len(w.nodes))]
-		answer, err := w.page(node, job, from)
-		if err == nil && (answer.status == http.StatusNotFound || answer.status == http.StatusGone) {
-			w.record.fail("LOST", "job %s was accepted and %s answers %d", job.id, node.name, answer.status)
+		if job.ending.kind != endAtShare && time.Since(since) >= job.ending.after {
+			return
+		}
+		from := known
+		if known > 0 && job.draws.chance(4) == 0 {
+			from = job.draws.chance(known)
 		}
+		w.page(w.nodeAt(job.draws), job, from)
 		if !w.pause(60 * time.Millisecond) {
 			return
 		}
 	}
 }
 
-// endJob ends a job until that is acknowledged, but not for ever.
+// endJob ends a job, some at two nodes at once and some again later.
 func (w *soakWorld) endJob(job *soakJob) {
+	var ends sync.WaitGroup
+	if job.ending.together {
+		ends.Go(func() { w.endOnce(job) })
+	}
+	w.endOnce(job)
+	ends.Wait()
+	if job.ending.again && w.pause(job.draws.span(0, time.Second)) {
+		w.endOnce(job)
+	}
+}
+
+// endOnce ends a job until that is acknowledged, but not for ever.
+func (w *soakWorld) endOnce(job *soakJob) {
 	for end := time.Now().Add(stepTime); time.Now().Before(end); {
-		answer, err := w.call(w.nodes[w.chance(len(w.nodes))], http.MethodDelete, draftHost, "/-/lots/"+job.id, "end", nil, nil)
+		answer, err := w.call(w.nodeAt(job.draws), http.MethodDelete, draftHost, "/-/lots/"+job.id, "end", nil, nil)
 		if err == nil && answer.status == http.StatusOK {
-			w.record.mutex.Lock()
-			job.ended = true
-			w.record.mutex.Unlock()
+			w.record.noteEnd(job)
 			return
 		}
 		if !w.pause(100 * time.Millisecond) {
@@ -193,6 +237,34 @@
 	}
 }
 
+const (
+	soakReaders = 6
+	readerPause = 40 * time.Millisecond
+	// recentJobs is how many of the newest jobs most reads are for.
+	recentJobs = 8
+)
+
+// reader reads jobs that are open or have ended at any node: the newest, and now
+// and then any, from where the results end or from an earlier position.
+func (w *soakWorld) reader(number int) {
+	from := newDraws(w.seed, streamReaders+uint64(number))
+	for w.pause(readerPause) {
+		jobs := w.record.accepted()
+		if len(jobs) == 0 {
+			continue
+		}
+		if from.chance(4) > 0 {
+			jobs = jobs[max(0, len(jobs)-recentJobs):]
+		}
+		job := jobs[from.chance(len(jobs))]
+		position := w.record.known(job)
+		if position > 0 && from.chance(2) == 0 {
+			position = max(0, position-1-from.chance(3))
+		}
+		w.page(w.nodeAt(from), job, position)
+	}
+}
+
 // replicaHeartbeats keeps the entries of engines current.
 func (w *soakWorld) replicaHeartbeats() {
 	told := map[string]int64{}
--- a/test/soak_checks_test.go
+++ b/test/soak_checks_test.go
@@ -27,11 +27,21 @@
 		return func(r *soakRecord) { prepare(r); r.checkRuns(seen) }
 	}
 	page := func(results ...listed) func(*soakRecord) {
-		return func(r *soakRecord) { r.checkPage(&soakJob{id: "j", least: 3, items: 9}, 0, results, "node") }
+		return func(r *soakRecord) { r.checkPage(&soakJob{id: "j", least: 3, items: 9}, 0, 0, results, "node") }
 	}
 	orders := func(heals []time.Time, seen ...replica.OrderSeen) func(*soakRecord) {
 		return func(r *soakRecord) { r.checkOrders("engine", seen, heals, map[uint64]string{}) }
 	}
+	at := func(id string, after time.Duration) replica.Run { return replica.Run{ID: id, At: now.Add(after)} }
+	pause := func(replica string, from, to time.Duration) *hiding {
+		return &hiding{replica: replica, from: now.Add(from), to: now.Add(to)}
+	}
+	ended := func(run replica.Run, hidings ...*hiding) func(*soakRecord) {
+		return func(r *soakRecord) {
+			r.jobs, r.hidings = []*soakJob{{id: "j", endedAt: now}, {id: "k"}}, hidings
+			r.checkEnded("engine", []replica.Run{run})
+		}
+	}
 	for _, test := range []struct {
 		name, rule string
 		judge      func(*soakRecord)
@@ -51,9 +61,35 @@
 		{"an item listed twice", "TWICE", page(whole, whole)},
 		{"a position with another result", "TWICE", func(r *soakRecord) {
 			job := &soakJob{id: "j", least: 3}
-			r.checkPage(job, 0, []listed{whole}, "one")
-			r.checkPage(job, 0, []listed{changed(func(l *listed) { l.Message = "other" })}, "two")
+			r.checkPage(job, 0, 0, []listed{whole}, "one")
+			r.checkPage(job, 0, 1, []listed{changed(func(l *listed) { l.Message = "other" })}, "two")
+		}},
+		{"a position that was read and is empty", "LOST", func(r *soakRecord) {
+			job := &soakJob{id: "j", least: 3, endedAt: now}
+			r.checkPage(job, 0, 0, []listed{whole}, "one")
+			r.checkPage(job, 0, 1, nil, "two")
+		}},
+		{"a position that was read while the page was on its way", "", func(r *soakRecord) {
+			job := &soakJob{id: "j", least: 3}
+			r.checkPage(job, 0, 0, []listed{whole}, "one")
+			r.checkPage(job, 0, 0, nil, "two")
+		}},
+		{"nothing behind the last position", "", func(r *soakRecord) {
+			job := &soakJob{id: "j", least: 3}
+			r.checkPage(job, 0, 0, []listed{whole}, "one")
+			r.checkPage(job, 1, 1, nil, "two")
 		}},
+		{"an item long after its job's end", "ENDED", ended(at("j.1", endBound+time.Second))},
+		{"a reward call long after its job's end", "ENDED", ended(at("score.j.1", endBound+time.Second))},
+		{"an item soon after its job's end", "", ended(at("j.1", endBound-time.Second))},
+		{"an item of a job that was not ended", "", ended(at("k.1", endBound+time.Second))},
+		{"an item while a node is paused", "", ended(at("j.1", endBound+time.Second), pause("", time.Second, 4*time.Second))},
+		{"an item soon after a node was woken", "", ended(at("j.1", 4*time.Second+endBound/2), pause("", -time.Second, 4*time.Second))},
+		{"an item long after a node was woken", "ENDED", ended(at("j.1", 5*time.Second+endBound), pause("", -time.Second, 4*time.Second))},
+		{"an item although the pause was before the end", "ENDED", ended(at("j.1", endBound+time.Second), pause("", -2*time.Second, -time.Second))},
+		{"an item although the pause was after the bound", "ENDED", ended(at("j.1", endBound+2*time.Second), pause("", endBound+time.Second, endBound+3*time.Second))},
+		{"an item that a frozen link held back", "", ended(at("j.1", endBound+time.Second), pause("engine", time.Second, endBound+time.Second))},
+		{"an item while another replica's link is frozen", "ENDED", ended(at("j.1", endBound+time.Second), pause("other", time.Second, endBound+time.Second))},
 		{"a text with a gap", "ORDER", page(changed(func(l *listed) { l.Message = "i-1" }))},
 		{"a result without a score", "MIXED", page(changed(func(l *listed) { l.Score = "" }))},
 		{"a result without versions", "VERSION", page(changed(func(l *listed) { l.Versions = nil }))},
--- a/test/soak_faults_test.go
+++ b/test/soak_faults_test.go
@@ -1,10 +1,13 @@
 package test
 
 import (
+	"encoding/json"
 	"fmt"
+	"slices"
 	"syscall"
 	"time"
 
+	"github.com/pathtally/pathtally/internal/batch"
 	"github.com/pathtally/pathtally/standin/metastore"
 	"github.com/pathtally/pathtally/standin/replica"
 )
@@ -13,23 +16,29 @@
 type soakFault struct {
 	name string
 	// inject begins the fault and returns what mends it; nil mends itself.
-	inject func(w *soakWorld) (what string, mend func())
+	inject func(w *soakWorld, from *draws) (what string, mend func())
 }
 
-// soakFaults are the kinds that a run draws from.
+// soakFaults are the kinds that a run draws from; some are listed more than once
+// to be drawn more often.
 var soakFaults = []soakFault{
 	{"node killed", killNode}, {"node stopped as planned", stopNode}, {"node paused", pauseNode}, {"settings changed", changeSettings},
 	{"store link", disturbStoreLink}, {"peer link", disturbPeerLink}, {"replica link", disturbReplicaLink},
 	{"store", disturbStore}, {"history forgotten", forgetHistory}, {"replica faults", spoilReplica}, {"replica crash", crashReplica},
-	{"replica drains", drainReplica}, {"replica vanishes", vanishReplica}, {"configurations", changeConfiguration},
+	{"power loss", powerLoss}, {"power loss", powerLoss}, {"power loss", powerLoss}, {"signals that overlap", signalSeries},
+	{"store slow", slowStore}, {"store slow", slowStore}, {"replica drains", drainReplica}, {"replica vanishes", vanishReplica}, {"configurations", changeConfiguration},
 }
 
 // restartPause is the time between the end of a process and its next start.
 const restartPause = 300 * time.Millisecond
 
-// anyNode draws a node that runs.
-func (w *soakWorld) anyNode() *soakNode {
-	first := w.chance(len(w.nodes))
+// anyNode draws a node that runs, more often than others the one with the newest
+// job: all jobs of a model are run by few nodes.
+func (w *soakWorld) anyNode(from *draws) *soakNode {
+	first := from.chance(len(w.nodes))
+	if owner := w.newestOwner(); from.chance(2) == 0 && owner >= 0 {
+		first = owner
+	}
 	for offset := range w.nodes {
 		if node := w.nodes[(first+offset)%len(w.nodes)]; !node.down.Load() {
 			return node
@@ -38,18 +47,32 @@
 	return nil
 }
 
+// newestOwner is the number of the node that owns the newest job as the store
+// has it, below 0 for none.
+func (w *soakWorld) newestOwner() int {
+	jobs := w.store.Objects(batch.KindJobs)
+	if len(jobs) == 0 {
+		return -1
+	}
+	var record batch.Record
+	if err := json.Unmarshal(jobs[len(jobs)-1].Spec, &record); err != nil {
+		return -1
+	}
+	return slices.IndexFunc(w.nodes, func(node *soakNode) bool { return node.name == record.Owner.Node })
+}
+
 // anyReplica draws a living replica of any service.
-func (w *soakWorld) anyReplica() *soakReplica {
+func (w *soakWorld) anyReplica(from *draws) *soakReplica {
 	service := "apps"
-	if w.chance(2) == 0 {
+	if from.chance(2) == 0 {
 		service = "engines"
 	}
 	living := w.ofService(service)
-	return living[w.chance(len(living))]
+	return living[from.chance(len(living))]
 }
 
-func killNode(w *soakWorld) (string, func()) {
-	node := w.anyNode()
+func killNode(w *soakWorld, from *draws) (string, func()) {
+	node := w.anyNode(from)
 	if node == nil {
 		return "none", nil
 	}
@@ -60,8 +83,8 @@
 	}
 }
 
-func stopNode(w *soakWorld) (string, func()) {
-	node := w.anyNode()
+func stopNode(w *soakWorld, from *draws) (string, func()) {
+	node := w.anyNode(from)
 	if node == nil {
 		return "none", nil
 	}
@@ -69,23 +92,28 @@
 	return node.name, func() { w.startNode(node) }
 }
 
-func pauseNode(w *soakWorld) (string, func()) {
-	node := w.anyNode()
+func pauseNode(w *soakWorld, from *draws) (string, func()) {
+	node := w.anyNode(from)
 	if node == nil {
 		return "none", nil
 	}
-	process, _ := node.process()
-	node.down.Store(true)
-	_ = process.command.Process.Signal(syscall.SIGSTOP)
-	return node.name, func() {
-		_ = process.command.Process.Signal(syscall.SIGCONT)
-		w.noteHeal()
-		node.down.Store(false)
+	wake := w.pauseProcess(node)
+	further := time.Duration(0)
+	if from.chance(3) == 0 {
+		further = from.span(0, longestPause)
+	}
+	return fmt.Sprintf("%s, %s longer", node.name, further), func() {
+		time.Sleep(further)
+		wake()
 	}
 }
 
-func changeSettings(w *soakWorld) (string, func()) {
-	node := w.anyNode()
+// longestPause is what a pause may last beyond the time of a fault, so that some
+// last for nine seconds.
+const longestPause = 5 * time.Second
+
+func changeSettings(w *soakWorld, from *draws) (string, func()) {
+	node := w.anyNode(from)
 	if node == nil {
 		return "none", nil
 	}
@@ -95,15 +123,20 @@
 }
 
 // disturb draws what happens to a link.
-func (w *soakWorld) disturb(link *proxy, whose string) (string, func()) {
-	switch w.chance(4) {
+func (w *soakWorld) disturb(from *draws, link *proxy, replica, whose string) (string, func()) {
+	seen := w.record.hide(replica)
+	switch from.chance(5) {
 	case 0:
+		// Those who use it notice by their own bounds.
+		whose += fmt.Sprintf(" silenced for good on %d connections", link.silence())
+		return whose, seen
+	case 1:
 		link.set(proxyCut)
 		whose += " reset"
-	case 1:
+	case 2:
 		link.set(proxyFreeze)
 		whose += " silenced"
-	case 2:
+	case 3:
 		link.set(proxyOneWay)
 		whose += " cut one way"
 	default:
@@ -116,35 +149,37 @@
 		// Bytes were lost on connections that were cut one way.
 		link.resetOpen()
 		w.noteHeal()
+		seen()
 	}
 }
 
-func disturbStoreLink(w *soakWorld) (string, func()) {
-	node := w.nodes[w.chance(len(w.nodes))]
-	return w.disturb(node.storeLink, node.name)
+func disturbStoreLink(w *soakWorld, from *draws) (string, func()) {
+	node := w.nodes[from.chance(len(w.nodes))]
+	return w.disturb(from, node.storeLink, "", node.name)
 }
 
-func disturbPeerLink(w *soakWorld) (string, func()) {
-	node := w.nodes[w.chance(len(w.nodes))]
-	return w.disturb(node.peerLink, node.name)
+func disturbPeerLink(w *soakWorld, from *draws) (string, func()) {
+	node := w.nodes[from.chance(len(w.nodes))]
+	return w.disturb(from, node.peerLink, "", node.name)
 }
 
-func disturbReplicaLink(w *soakWorld) (string, func()) {
-	disturbed := w.anyReplica()
-	return w.disturb(disturbed.link, disturbed.id)
+func disturbReplicaLink(w *soakWorld, from *draws) (string, func()) {
+	disturbed := w.anyReplica(from)
+	return w.disturb(from, disturbed.link, disturbed.id, disturbed.id)
 }
 
 // disturbStore makes the store itself misbehave for everybody.
-func disturbStore(w *soakWorld) (string, func()) {
+func disturbStore(w *soakWorld, from *draws) (string, func()) {
 	kinds := []struct {
 		name  string
 		fault metastore.Fault
 		share int
 	}{{"busy", metastore.Refused, 1}, {"silent", metastore.Silent, 1}, {"answers lost", metastore.Unanswered, 3}, {"writes late", metastore.Late, 3}}
-	drawn := kinds[w.chance(len(kinds))]
+	drawn := kinds[from.chance(len(kinds))]
+	seen := w.record.hide("")
 	w.store.SetFault(func(call metastore.Call) metastore.Fault {
 		isWrite := call.Verb == "create" || call.Verb == "replace" || call.Verb == "status"
-		if (drawn.share > 1 && !isWrite) || w.chance(drawn.share) != 0 {
+		if (drawn.share > 1 && !isWrite) || from.chance(drawn.share) != 0 {
 			return metastore.Sound
 		}
 		return drawn.fault
@@ -152,23 +187,106 @@
 	return drawn.name, func() {
 		w.store.SetFault(nil)
 		w.store.ApplyLate()
+		seen()
 	}
 }
 
-func forgetHistory(w *soakWorld) (string, func()) {
+const (
+	// fastestAnswer and slowestAnswer are what a slow store takes for an answer.
+	// Nodes wait longer than that for one.
+	fastestAnswer = 300 * time.Millisecond
+	slowestAnswer = time.Second
+)
+
+// slowStore has the store answer late, having carried the call out before or
+// after that time. Nobody is hidden by it.
+func slowStore(w *soakWorld, from *draws) (string, func()) {
+	w.store.SetDelay(func(metastore.Call) metastore.Delay {
+		slow := from.span(fastestAnswer, slowestAnswer)
+		if from.chance(2) == 0 {
+			return metastore.Delay{Before: slow}
+		}
+		return metastore.Delay{After: slow}
+	})
+	return "", func() { w.store.SetDelay(nil) }
+}
+
+// slowAfterRestart is for how long a store may be slow after a power loss.
+const slowAfterRestart = 4 * time.Second
+
+// powerLoss kills all nodes that run at once and starts them again, half of the
+// time before a slow store.
+func powerLoss(w *soakWorld, from *draws) (string, func()) {
+	var killed []*soakNode
+	for _, node := range w.nodes {
+		if !node.down.Load() {
+			killed = append(killed, node)
+		}
+	}
+	isSlow, pause := from.chance(2) == 0, from.span(0, restartPause)
+	mendStore := func() {}
+	if isSlow {
+		_, mendStore = slowStore(w, from)
+	}
+	w.killNodes(killed)
+	return fmt.Sprintf("%d nodes, store slow: %v", len(killed), isSlow), func() {
+		time.Sleep(pause)
+		w.startNodes(killed)
+		if isSlow {
+			time.Sleep(slowAfterRestart)
+		}
+		mendStore()
+	}
+}
+
+// signalSeries stops a node by signals that overlap.
+func signalSeries(w *soakWorld, from *draws) (string, func()) {
+	node := w.anyNode(from)
+	if node == nil {
+		return "none", nil
+	}
+	further := [][]syscall.Signal{
+		{syscall.SIGKILL}, {syscall.SIGHUP}, {syscall.SIGHUP, syscall.SIGKILL}, {syscall.SIGTERM}, {syscall.SIGSTOP, syscall.SIGCONT},
+		{syscall.SIGSTOP, syscall.SIGKILL}, {syscall.SIGHUP, syscall.SIGSTOP, syscall.SIGCONT, syscall.SIGHUP},
+	}[from.chance(7)]
+	process, _ := node.process()
+	node.down.Store(true)
+	seen := w.record.hide("")
+	_ = process.command.Process.Signal(syscall.SIGTERM)
+	for _, next := range further {
+		time.Sleep(from.span(0, longestBetween))
+		_ = process.command.Process.Signal(next)
+		if next == syscall.SIGCONT {
+			w.noteHeal()
+		}
+	}
+	return fmt.Sprintf("%s terminated, then %v", node.name, further), func() {
+		<-process.exited
+		seen()
+		w.restarts.Add(1)
+		w.keepLog(node, process)
+		w.startNode(node)
+	}
+}
+
+// longestBetween is the time between signals of a series at most: a planned stop
+// takes about as long.
+const longestBetween = 1500 * time.Millisecond
+
+func forgetHistory(w *soakWorld, from *draws) (string, func()) {
 	w.store.Forget()
 	return "", nil
 }
 
-func spoilReplica(w *soakWorld) (string, func()) {
-	spoiled := w.anyReplica()
+func spoilReplica(w *soakWorld, from *draws) (string, func()) {
+	spoiled := w.anyReplica(from)
 	spoiled.server.SetFaults(replica.Faults{CutEvery: 3, SurplusEvery: 4, WrongIDEvery: 5})
 	return spoiled.id, func() { spoiled.server.SetFaults(replica.Faults{}) }
 }
 
 // crashReplica ends a replica; its entry lapses later and another one comes.
-func crashReplica(w *soakWorld) (string, func()) {
-	crashed := w.anyReplica()
+func crashReplica(w *soakWorld, from *draws) (string, func()) {
+	crashed := w.anyReplica(from)
 	w.retire(crashed)
 	crashed.server.Close()
 	crashed.link.set(proxyCut)
@@ -179,8 +297,8 @@
 }
 
 // drainReplica has a replica say that it leaves; another one comes first.
-func drainReplica(w *soakWorld) (string, func()) {
-	leaving := w.anyReplica()
+func drainReplica(w *soakWorld, from *draws) (string, func()) {
+	leaving := w.anyReplica(from)
 	w.addReplica(leaving.service)
 	w.store.Write("servers", leaving.id, leaving.entry("draining"))
 	w.mutex.Lock()
@@ -199,8 +317,8 @@
 const drainServes = 2500 * time.Millisecond
 
 // vanishReplica takes a living replica's entry away for a while.
-func vanishReplica(w *soakWorld) (string, func()) {
-	vanished := w.anyReplica()
+func vanishReplica(w *soakWorld, from *draws) (string, func()) {
+	vanished := w.anyReplica(from)
 	w.store.Remove("servers", vanished.id)
 	return vanished.id, func() {
 		w.mutex.Lock()
@@ -214,8 +332,8 @@
 }
 
 // changeConfiguration writes several versions in quick succession.
-func changeConfiguration(w *soakWorld) (string, func()) {
-	count := 1 + w.chance(6)
+func changeConfiguration(w *soakWorld, from *draws) (string, func()) {
+	count := 1 + from.chance(6)
 	for range count {
 		w.configure()
 		time.Sleep(60 * time.Millisecond)
--- a/test/soak_record_test.go
+++ b/test/soak_record_test.go
@@ -29,7 +29,11 @@
 	// refused is set once every try was answered with a promise.
 	refused bool
 	results []listed
-	ended   bool
+	// endedAt is when an end of the job was acknowledged first, zero for never.
+	endedAt time.Time
+	ending  soakEnding
+	// draws decides what happens to this job.
+	draws *draws
 }
 
 // soakFinding is a promise that was broken.
@@ -45,6 +49,8 @@
 	logs     map[string][]byte
 	served   int
 	steps    int
+	// hidings are times in which word of an end may be late.
+	hidings []*hiding
 }
 
 func newSoakRecord() *soakRecord {
@@ -70,6 +76,42 @@
 	r.faults = append(r.faults, time.Now().Format("15:04:05.000")+" "+what)
 }
 
+// known is how many results of a job have been read.
+func (r *soakRecord) known(job *soakJob) int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return len(job.results)
+}
+
+// accepted lists the jobs that were taken.
+func (r *soakRecord) accepted() []*soakJob {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var taken []*soakJob
+	for _, job := range r.jobs {
+		if !job.accepted.IsZero() {
+			taken = append(taken, job)
+		}
+	}
+	return taken
+}
+
+// addStep counts a job that gave its trainer what it waited for.
+func (r *soakRecord) addStep() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.steps++
+}
+
+// noteEnd records that an end of a job was acknowledged.
+func (r *soakRecord) noteEnd(job *soakJob) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if job.endedAt.IsZero() {
+		job.endedAt = time.Now()
+	}
+}
+
 // sent records a request before it is sent.
 func (r *soakRecord) sent(request *soakRequest) {
 	r.mutex.Lock()
@@ -167,10 +209,14 @@
 }
 
 // checkPage judges a page of results by those read before: positions keep
-// what they held, and a result is whole and fresh.
-func (r *soakRecord) checkPage(job *soakJob, from int, page []listed, node string) {
+// what they held, and a result is whole and fresh. A position before known, the
+// number of those read before the page was asked for, is never empty.
+func (r *soakRecord) checkPage(job *soakJob, from, known int, page []listed, node string) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	if len(page) == 0 && from < known {
+		r.add("LOST", "job %s (ended %s) has nothing at position %d at %s, of %d read before", job.id, clock(job.endedAt), from, node, known)
+	}
 	for offset, result := range page {
 		position := from + offset
 		if position < len(job.results) {
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -28,11 +28,9 @@
 
 const (
 	// faultyTime is for how long faults come in one run.
-	faultyTime = 14 * time.Second
+	faultyTime = 18 * time.Second
 	// calmTime is for how long everything is left alone after the last fault.
 	calmTime = 6 * time.Second
-	// longestFault bounds how long one lasts.
-	longestFault = 3500 * time.Millisecond
 	// drainBound is within which a leaving replica gets its last request, and
 	// configurationBound within which a configuration is in force.
 	drainBound         = 2 * time.Second
@@ -62,7 +60,12 @@
 	for number := range soakCallers {
 		w.run(func() { w.callers(number) })
 	}
-	w.run(w.trainer)
+	for number := range soakTrainers {
+		w.run(func() { w.trainer(number) })
+	}
+	for number := range soakReaders {
+		w.run(func() { w.reader(number) })
+	}
 	w.run(w.replicaHeartbeats)
 	for _, node := range w.nodes {
 		w.run(func() { w.versionProber(node) })
@@ -71,6 +74,10 @@
 	w.calm()
 	close(w.ended)
 	w.duties.Wait()
+	w.readPastOwners()
+	w.readAllBack()
+	w.restartAll()
+	w.readAllBack()
 	w.judge()
 	w.report()
 }
@@ -78,23 +85,23 @@
 // injectFaults begins faults one after the other, at times two at once.
 func (w *soakWorld) injectFaults() {
 	var open sync.WaitGroup
-	for began := time.Now(); time.Since(began) < faultyTime; {
-		fault := soakFaults[w.chance(len(soakFaults))]
-		lasts := 300*time.Millisecond + time.Duration(w.chance(int(longestFault.Milliseconds())))*time.Millisecond
-		alone := w.chance(3) > 0
-		what, mend := fault.inject(w)
-		w.record.addFault(fmt.Sprintf("%s: %s, %s", fault.name, what, lasts))
+	began := time.Now()
+	for number := 0; time.Since(began) < faultyTime; number++ {
+		fault := drawFault(w.seed, number)
+		from := time.Now()
+		what, mend := fault.inject(w, fault.draws)
+		w.record.addFault(fmt.Sprintf("%s from %s: %s, %s", fault.name, clock(from), what, fault.lasts))
 		if mend != nil {
 			open.Go(func() {
-				time.Sleep(lasts)
+				time.Sleep(fault.lasts)
 				mend()
 				w.record.addFault(fmt.Sprintf("%s mended: %s", fault.name, what))
 			})
 		}
-		if alone {
+		if fault.alone {
 			open.Wait()
 		} else {
-			time.Sleep(lasts / 2)
+			time.Sleep(fault.lasts / 2)
 		}
 	}
 	open.Wait()
@@ -138,25 +145,90 @@
 	for _, seen := range w.everyReplica() {
 		runs = append(runs, seen.server.Runs()...)
 		w.record.checkOrders(seen.id, seen.server.Orders(), w.heals, owners)
+		w.record.checkEnded(seen.id, seen.server.Runs())
 	}
 	w.record.checkRuns(runs)
 	w.record.checkRefused(runs)
-	for _, job := range w.record.jobs {
-		if !job.accepted.IsZero() {
-			w.readBack(job)
-		}
-	}
 	if w.record.served == 0 || w.record.steps == 0 || len(runs) == 0 {
 		w.record.fail("TEST", "%d requests served, %d steps, %d runs: this run shows nothing", w.record.served, w.record.steps, len(runs))
 	}
 }
 
+const (
+	// readsAtOnce is how many jobs are read at a time once the load has ended.
+	readsAtOnce = 40
+	// pastOwners is how many of the newest jobs are read past their owners: so
+	// many fit into one pause.
+	pastOwners = 80
+)
+
+// forJobs does something for several jobs at a time.
+func forJobs(jobs []*soakJob, do func(*soakJob)) {
+	var all sync.WaitGroup
+	free := make(chan struct{}, readsAtOnce)
+	for _, job := range jobs {
+		free <- struct{}{}
+		all.Go(func() {
+			do(job)
+			<-free
+		})
+	}
+	all.Wait()
+}
+
+// readPastOwners pauses one half of the nodes after the other and reads at the
+// rest what the store has of the newest jobs.
+func (w *soakWorld) readPastOwners() {
+	jobs := w.record.accepted()
+	jobs = jobs[max(0, len(jobs)-pastOwners):]
+	half := len(w.nodes) / 2
+	for _, paused := range [][]*soakNode{w.nodes[:half], w.nodes[half:]} {
+		var wakes []func()
+		for _, node := range paused {
+			wakes = append(wakes, w.pauseProcess(node))
+		}
+		reader := w.nodes[half]
+		if paused[0] == reader {
+			reader = w.nodes[0]
+		}
+		forJobs(jobs, func(job *soakJob) { w.readOn(reader, job) })
+		for _, wake := range wakes {
+			wake()
+		}
+		for _, node := range paused {
+			w.awaitReady(node)
+		}
+	}
+}
+
+// readOn reads what a node has behind the results that are known.
+func (w *soakWorld) readOn(node *soakNode, job *soakJob) {
+	for range job.items {
+		known := w.record.known(job)
+		answer, err := w.page(node, job, known)
+		if err != nil || answer.status != http.StatusOK || w.record.known(job) == known {
+			return
+		}
+	}
+}
+
+// restartAll ends all nodes at once and starts them again, so that they have the
+// store alone to answer from.
+func (w *soakWorld) restartAll() {
+	w.killNodes(w.nodes)
+	w.startNodes(w.nodes)
+	for _, node := range w.nodes {
+		w.awaitReady(node)
+	}
+}
+
+func (w *soakWorld) readAllBack() { forJobs(w.record.accepted(), w.readBack) }
+
 // readBack reads a job from the start at every node: what was read stands.
 func (w *soakWorld) readBack(job *soakJob) {
-	known := len(job.results)
+	known := w.record.known(job)
 	for _, node := range w.nodes {
 		for position := 0; position < known; {
-			before := len(job.results)
 			answer, err := w.page(node, job, position)
 			if err != nil || answer.status != http.StatusOK {
 				w.record.fail("LOST", "job %s cannot be read at %s: status %d, %v", job.id, node.name, answer.status, err)
@@ -164,7 +236,7 @@
 			}
 			read := strings.Count(answer.body, `"state"`)
 			if read == 0 {
-				w.record.fail("LOST", "job %s has nothing at position %d at %s, of %d read before", job.id, position, node.name, before)
+				w.record.fail("LOST", "job %s has nothing at position %d at %s, of %d read before", job.id, position, node.name, known)
 				break
 			}
 			position += read
--- a/test/soak_world_test.go
+++ b/test/soak_world_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -19,9 +18,13 @@
 )
 
 const (
-	soakNodes   = 4
 	soakEngines = 5
 	soakApps    = 3
+	// engineSlots and the time between the events of a stream are such that the
+	// largest jobs last for some seconds.
+	engineSlots      = 6
+	shortestInterval = 50 * time.Millisecond
+	longestInterval  = 170 * time.Millisecond
 	// soakGrace is the grace of a planned stop in a soak.
 	soakGrace = 8 * time.Second
 )
@@ -67,7 +70,6 @@
 	nodes  []*soakNode
 
 	mutex    sync.Mutex
-	random   *rand.Rand
 	replicas []*soakReplica
 	// gone are replicas that have ended; what they ran still counts.
 	gone    []*soakReplica
@@ -77,6 +79,11 @@
 	versionAt time.Time
 	// heals are when links were healed or processes woken.
 	heals []time.Time
+	// weights is the newest version of the model's.
+	weights int64
+
+	// restarts counts the ends of node processes.
+	restarts atomic.Int64
 
 	record *soakRecord
 	ended  chan struct{}
@@ -87,7 +94,7 @@
 func newSoakWorld(t *testing.T, seed uint64) *soakWorld {
 	t.Helper()
 	w := &soakWorld{
-		t: t, seed: seed, folder: t.TempDir(), store: metastore.New(), random: rand.New(rand.NewPCG(seed, 1)),
+		t: t, seed: seed, folder: t.TempDir(), store: metastore.New(), weights: 1,
 		record: newSoakRecord(), ended: make(chan struct{}),
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -105,36 +112,40 @@
 		w.addReplica("apps")
 	}
 	w.configure()
-	for number := range soakNodes {
+	for number := range nodesOf(seed) {
 		w.nodes = append(w.nodes, &soakNode{
 			name: fmt.Sprintf("node-%d", number), storeLink: newProxy(t, w.server), peerLink: newProxy(t, w.server),
 		})
 	}
-	for _, node := range w.nodes {
-		w.startNode(node)
-	}
+	w.startNodes(w.nodes)
 	for _, node := range w.nodes {
 		w.awaitReady(node)
 	}
 	return w
 }
 
-// chance draws a number below a bound.
-func (w *soakWorld) chance(bound int) int {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	return w.random.IntN(bound)
+// startNodes starts several nodes at once.
+func (w *soakWorld) startNodes(nodes []*soakNode) {
+	var all sync.WaitGroup
+	for _, node := range nodes {
+		all.Go(func() { w.startNode(node) })
+	}
+	all.Wait()
 }
 
+// nodeAt draws a node.
+func (w *soakWorld) nodeAt(from *draws) *soakNode { return w.nodes[from.chance(len(w.nodes))] }
+
 // addReplica starts a replica and lists it.
 func (w *soakWorld) addReplica(service string) {
 	w.mutex.Lock()
 	w.made++
 	id := fmt.Sprintf("%s-%d", service, w.made)
+	drawn := newDraws(w.seed, streamReplicas+uint64(w.made))
 	w.mutex.Unlock()
 	config := replica.Config{ID: id, Slots: 16, Work: 3 * time.Millisecond}
 	if service == "engines" {
-		config = replica.Config{ID: id, Slots: 8, Model: draftModel, EventInterval: 15 * time.Millisecond, LoadTime: 150 * time.Millisecond}
+		config = replica.Config{ID: id, Slots: engineSlots, Model: draftModel, EventInterval: drawn.span(shortestInterval, longestInterval), LoadTime: 150 * time.Millisecond}
 	}
 	server, err := replica.Start(config)
 	if err != nil {
@@ -211,7 +222,7 @@
 	w.store.Write("config", "main", map[string]any{
 		"version": version, "routes": routes,
 		"services": []map[string]any{
-			{"name": "engines", "maxConns": 100, "engine": map[string]any{"slots": 8, "models": []map[string]any{{"name": draftModel}}}},
+			{"name": "engines", "maxConns": 100, "engine": map[string]any{"slots": engineSlots, "models": []map[string]any{{"name": draftModel}}}},
 			{"name": "apps", "maxConns": 100},
 		},
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
@@ -269,9 +280,19 @@
 	process, _ := node.process()
 	_ = process.command.Process.Signal(signal)
 	<-process.exited
+	w.restarts.Add(1)
 	w.keepLog(node, process)
 }
 
+// killNodes ends the processes of several nodes at once.
+func (w *soakWorld) killNodes(nodes []*soakNode) {
+	var all sync.WaitGroup
+	for _, node := range nodes {
+		all.Go(func() { w.stopNode(node, syscall.SIGKILL) })
+	}
+	all.Wait()
+}
+
 // keepLog adds what a process wrote to the record of the run.
 func (w *soakWorld) keepLog(node *soakNode, process *platformNode) {
 	process.mutex.Lock()
@@ -299,6 +320,20 @@
 	}
 }
 
+// pauseProcess stops a node's process where it is and returns what wakes it.
+func (w *soakWorld) pauseProcess(node *soakNode) func() {
+	process, _ := node.process()
+	node.down.Store(true)
+	seen := w.record.hide("")
+	_ = process.command.Process.Signal(syscall.SIGSTOP)
+	return func() {
+		_ = process.command.Process.Signal(syscall.SIGCONT)
+		w.noteHeal()
+		seen()
+		node.down.Store(false)
+	}
+}
+
 // noteHeal records that a link was healed or a process woken.
 func (w *soakWorld) noteHeal() {
 	w.mutex.Lock()
