--- a/test/soak_ends_test.go
+++ b/test/soak_ends_test.go
@@ -76,6 +76,19 @@
 	}
 }
 
+// ends counts the jobs whose end was acknowledged.
+func (r *soakRecord) ends() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	count := 0
+	for _, job := range r.jobs {
+		if !job.endedAt.IsZero() {
+			count++
+		}
+	}
+	return count
+}
+
 // jobOf is the job that an item or a reward call belongs to.
 func jobOf(id string) string {
 	id = strings.TrimPrefix(id, "score.")
--- /dev/null
+++ b/test/soak_reads_test.go
@@ -0,0 +1,81 @@
+package test
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pathtally/pathtally/internal/batch"
+	"github.com/pathtally/pathtally/standin/metastore"
+	"github.com/pathtally/pathtally/standin/replica"
+)
+
+// What a run reads at nodes finds a result that was read and is gone, and a job
+// that is gone.
+func TestSoakReadsFindLostResults(t *testing.T) {
+	for _, test := range []struct {
+		name, rule string
+		// shows tells what a read shows by how many came before: how many results,
+		// below 0 for no such job.
+		shows func(before int) int
+	}{
+		{"a result that stands", "", func(int) int { return 1 }},
+		{"a result that comes late", "", func(before int) int { return min(before, 1) }},
+		{"a result that is gone", "LOST", func(before int) int { return max(0, 1-before) }},
+		{"a job that is gone", "LOST", func(before int) int { return 1 - 2*before }},
+	} {
+		reads := 0
+		server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			results := []listed{{ID: "j.0", State: "succeeded", Message: replica.Text("j.0"), Score: "s", Versions: []int64{3}}}
+			shown := test.shows(reads)
+			reads++
+			if shown < 0 {
+				writer.WriteHeader(http.StatusNotFound)
+				return
+			}
+			from, _ := strconv.Atoi(request.URL.Query().Get("sinceRev"))
+			page := results[min(from, shown):shown]
+			json.NewEncoder(writer).Encode(map[string]any{"total": 9, "nextToken": from + len(page), "results": page})
+		}))
+		defer server.Close()
+		job := &soakJob{id: "j", items: 9, least: 3, accepted: time.Now(), endedAt: time.Now()}
+		node := &soakNode{name: "node", current: &platformNode{http: strings.TrimPrefix(server.URL, "http://")}}
+		w := &soakWorld{record: newSoakRecord(), nodes: []*soakNode{node}}
+		w.record.jobs = []*soakJob{job}
+		w.readOn(node, job)
+		reads = max(reads, 1)
+		w.readAllBack()
+		found := map[string]bool{}
+		for _, finding := range w.record.findings {
+			found[finding.rule] = true
+		}
+		if len(found) > 1 || (test.rule != "") != (len(found) == 1) || (test.rule != "" && !found[test.rule]) {
+			t.Errorf("%s: found %v, want %q", test.name, w.record.findings, test.rule)
+		}
+	}
+}
+
+// A slow call about a job is known while it lasts, by the job's name.
+func TestSlowCallsAreKnownByTheirJobs(t *testing.T) {
+	var slow slowCalls
+	slow.note(metastore.Call{Verb: "create", Kind: batch.KindResults, Name: "job1-2-000003"}, time.Minute)
+	slow.note(metastore.Call{Verb: "get", Kind: batch.KindPayloads, Name: "job1-2-0000"}, -time.Minute)
+	slow.note(metastore.Call{Verb: "list", Kind: "servers"}, time.Minute)
+	for _, test := range []struct {
+		kind, verb, job string
+		on              bool
+	}{
+		{batch.KindResults, "create", "job1-2", true},
+		{batch.KindResults, "create", "job1", false},
+		{batch.KindResults, "get", "job1-2", false},
+		{batch.KindPayloads, "get", "job1-2", false},
+	} {
+		if on := slow.isOn(test.kind, test.verb, test.job); on != test.on {
+			t.Errorf("%s of %s about %s: %v", test.verb, test.kind, test.job, on)
+		}
+	}
+}
