--- a/internal/batch/stored_test.go
+++ b/internal/batch/stored_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"testing"
 	"time"
+
+	"github.com/pathtally/pathtally/standin/metastore"
 )
 
 // endedCluster is a cluster whose first node ran a job to its end and was then
@@ -208,3 +210,31 @@
 		t.Errorf("%d results of %d, error %v", len(got.page.Results), got.page.Total, got.err)
 	}
 }
+
+// Symptom: a job is never taken over while another one has results whose id begins
+// with that of the first and a hyphen.
+//
+// Cause: the results of a job are listed by the beginning of their names, and those of
+// the other job were taken for chunks out of order.
+func TestResultsOfAJobWhoseIdBeginsAnothersAreRead(t *testing.T) {
+	journal := NewJournal(metastore.New())
+	for _, id := range []string{"run", "run-a", "run-", "run-000000"} {
+		for index := range 2 {
+			written := chunk{Writer: id, Results: []Result{{ID: id, State: Abandoned}}}
+			if _, _, err := journal.Append(context.Background(), id, index, written); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	for _, id := range []string{"run", "run-a", "run-", "run-000000"} {
+		stands, err := journal.Results(context.Background(), id, 0)
+		if err != nil || stands.chunks != 2 {
+			t.Fatalf("job %s: %d chunks, error %v", id, stands.chunks, err)
+		}
+		for _, result := range stands.results {
+			if result.ID != id {
+				t.Errorf("job %s shows a result of %s", id, result.ID)
+			}
+		}
+	}
+}
