Chunks of a job are told by their whole names

Cause: results were listed by the beginning of their names; a job whose id is another one's with a hyphen and more behind it sorts among them, and its chunks were taken for ones out of order. Change: a name counts only with the number behind the id. Before: 'lacks a part' for job run beside run-a; after: two chunks each. Tests of internal/batch on stored and ended jobs passed.

--- a/internal/batch/journal.go
+++ b/internal/batch/journal.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -93,7 +94,21 @@
 
 func partName(job string, part int) string { return fmt.Sprintf("%s-%04d", job, part) }
 
-func chunkName(job string, index int) string { return fmt.Sprintf("%s-%06d", job, index) }
+// chunkDigits is how many digits the number of a chunk has in its name.
+const chunkDigits = 6
+
+func chunkName(job string, index int) string { return fmt.Sprintf("%s-%0*d", job, chunkDigits, index) }
+
+// isChunkName tells whether a name is that of a chunk of a job: the id of another job
+// may begin with this one's and a hyphen.
+func isChunkName(job, name string) bool {
+	number, found := strings.CutPrefix(name, job+"-")
+	if !found || len(number) != chunkDigits {
+		return false
+	}
+	_, err := strconv.ParseUint(number, 10, 32)
+	return err == nil
+}
 
 // Accept makes a batch job lasting and tells whether this call made it. The
 // record that stands is returned: it is another's if the job had been taken
@@ -238,9 +253,13 @@
 			return listing{}, err
 		}
 		for _, object := range page.Objects {
+			after = object.Name
 			if !strings.HasPrefix(object.Name, id+"-") {
 				return read, nil
 			}
+			if !isChunkName(id, object.Name) {
+				continue
+			}
 			next, err := readChunk(object)
 			if err != nil {
 				return listing{}, err
@@ -249,7 +268,6 @@
 				return listing{}, ErrTruncated
 			}
 			read.add(next)
-			after = object.Name
 		}
 		if !page.More || len(page.Objects) == 0 {
 			return read, nil
