The test of a hand-over waits for the run and not for a moment of it

A run that goes on from an exported cache lasts some milliseconds there, and on a busy machine no question fell into them; the target's answer, one token and 'stop', was there in each failing run.

--- a/standin/engine/handover_test.go
+++ b/standin/engine/handover_test.go
@@ -76,18 +76,18 @@
 		t.Fatalf("the drained engine said %q, %v", said, err)
 	}
 	both := func() int { return source.Runs(prompt) + target.Runs(prompt) }
+	// take hands the request over to the target and waits for all that it says.
 	take := func(id string) {
-		post(t, target, protocol.CompletionBody{
+		t.Helper()
+		whole := post(t, target, protocol.CompletionBody{
 			RequestID: id, Prompt: prompt, MaxTokens: 4, KVSource: moved.Moved.Source, KVHandle: moved.Moved.Handle,
 		})
+		if said := whole(); !strings.Contains(said, "finish_reason") {
+			t.Fatalf("the target said %q to %s", said, id)
+		}
 	}
 	take("r.2")
-	runsBecome(t, 1, func() int {
-		if target.open() == 0 {
-			return 0
-		}
-		return both()
-	})
+	runsBecome(t, 1, both)
 	take("r.3")
 	runsBecome(t, 2, both)
 }
