--- a/internal/batch/leave.go
+++ b/internal/batch/leave.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// leaveSaving bounds how long the saving of texts is waited for before jobs
-	// are given away, and leaveLook is the time between looks at it.
+	// leaveSaving bounds how long the saving of texts and of ends is waited for before
+	// jobs are given away, and leaveLook is the time between looks at it.
 	leaveSaving = time.Second
 	leaveLook   = 10 * time.Millisecond
 )
@@ -13,7 +13,7 @@
 // the texts so far.
 func (s *Service) Leave() {
 	s.flushTexts()
-	for began := time.Now(); s.savingTexts() && time.Since(began) < leaveSaving; {
+	for began := time.Now(); s.isSaving() && time.Since(began) < leaveSaving; {
 		time.Sleep(leaveLook)
 	}
 	s.mutex.Lock()
@@ -32,10 +32,14 @@
 	}
 }
 
-// savingTexts tells whether a flush of texts has not come to its end.
-func (s *Service) savingTexts() bool {
+// isSaving tells whether a flush of texts has not come to its end, or an end is being
+// made lasting.
+func (s *Service) isSaving() bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if len(s.pursued) > 0 {
+		return true
+	}
 	for _, held := range s.jobs {
 		if held.open() && held.textsSaved.IsZero() && len(held.unsavedTexts()) > 0 {
 			return true
--- a/internal/instance/retirements.go
+++ b/internal/instance/retirements.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -43,17 +45,24 @@
 
 // Replace implements watchcache.Sink.
 func (r *retirements) Replace(objects []objectstore.Object, _ bool) {
+	listed := map[string]bool{}
 	for _, object := range objects {
+		listed[object.Name] = true
 		r.take(object)
 	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	maps.DeleteFunc(r.pending, func(machine string, _ bool) bool { return !listed[machine] })
 }
 
 // Apply implements watchcache.Sink.
 func (r *retirements) Apply(changes []objectstore.Change, _ bool) {
 	for _, change := range changes {
-		if !change.Gone {
-			r.take(change.Object)
+		if change.Gone {
+			r.forget(change.Object.Name)
+			continue
 		}
+		r.take(change.Object)
 	}
 }
 
@@ -92,12 +101,25 @@
 			return
 		}
 		r.logger.Info("retirement not answered", "machine", machine, "error", err.Error())
+		if errors.Is(err, objectstore.ErrNotFound) {
+			// The platform has withdrawn it.
+			r.forget(machine)
+			return
+		}
 		if !objectstore.Pause(r.ctx, retirementTurn) {
 			return
 		}
 	}
 }
 
+// forget has a retirement that is gone answered no more, and a later one of the same
+// machine answered anew.
+func (r *retirements) forget(machine string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	delete(r.pending, machine)
+}
+
 func (r *retirements) isPending(machine string) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
