--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -198,7 +198,7 @@
 	work := a.item
 	return []any{
 		"request", work.ID, "job", work.job.id, "group", work.Group, "replica", a.endpoint.Name, "run", work.runs,
-		"beganMs", a.begun.Sub(work.job.accepted).Milliseconds(), "firstMs", a.first.Milliseconds(), "tookMs", a.took.Milliseconds(),
+		"beganMs", a.begun.Sub(work.job.takenUp).Milliseconds(), "firstMs", a.first.Milliseconds(), "tookMs", a.took.Milliseconds(),
 		"longestGapMs", a.longestGap.Milliseconds(), "fromEvent", a.after, "events", a.events.Load(), "expectedTokens", work.ExpectedTokens,
 	}
 }
--- a/internal/batch/end.go
+++ b/internal/batch/end.go
@@ -65,8 +65,10 @@
 		return err
 	}
 	s.mutex.Lock()
+	// The others are told of it from now on, however long it took.
+	s.ends.learnHere(id)
 	if held := s.jobs[id]; held != nil {
-		s.takeLook(held, standing, began)
+		s.takeRecord(held, standing, began)
 	}
 	s.mutex.Unlock()
 	s.config.Table.Broadcast()
--- a/internal/batch/foreign.go
+++ b/internal/batch/foreign.go
@@ -68,7 +68,10 @@
 		standing = &foreign{}
 		s.known[id] = standing
 	}
-	if standing.owner != owner && !isEarlier(epoch, standing.epoch) {
+	switch {
+	case standing.owner == owner:
+		standing.epoch = max(standing.epoch, epoch)
+	case !isEarlier(epoch, standing.epoch):
 		standing.owner, standing.epoch, standing.leaving = owner, epoch, false
 		standing.heard = time.Now()
 		// The rank depends on who the owner is.
@@ -119,7 +122,7 @@
 	defer s.mutex.Unlock()
 	var due []*job
 	for _, held := range s.jobs {
-		if paused && !held.closed() {
+		if paused && !held.allListed() {
 			held.doubt()
 		}
 		if !held.suspect && (!held.mayBeLost() || time.Since(held.confirmedAt) < confirmPeriod) {
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -10,8 +10,8 @@
 	id         string
 	submission *Submission
 	record     Record
-	// accepted is when this node took the job up.
-	accepted time.Time
+	// takenUp is when this node took the job up.
+	takenUp time.Time
 	// givenUpAt is when items may be given up, zero for never.
 	givenUpAt time.Time
 
@@ -106,8 +106,8 @@
 // store does not have its end.
 func (j *job) mayBeLost() bool { return j.open() || (j.ended && !j.endKept && !j.displaced) }
 
-// closed tells whether nothing can be added to the job.
-func (j *job) closed() bool { return len(j.listed) >= len(j.items) }
+// allListed tells whether every item has a result in the store.
+func (j *job) allListed() bool { return len(j.listed) >= len(j.items) }
 
 // doubt makes the job suspect until a look at its record that begins from now on.
 func (j *job) doubt() { j.suspect, j.doubtedAt = true, time.Now() }
--- a/internal/batch/publish.go
+++ b/internal/batch/publish.go
@@ -109,9 +109,9 @@
 			"ended", published.ctx.Err() != nil)
 		return published.ctx.Err() == nil
 	}
-	s.list(published, standing, own)
+	s.takeChunk(published, standing, own)
 	s.config.Logger.Info("results listed", "request", published.id, "chunk", index, "results", len(standing.Results), "texts", len(standing.Texts),
-		"ageMs", time.Since(published.accepted).Milliseconds(), "tookMs", time.Since(began).Milliseconds())
+		"ageMs", time.Since(published.takenUp).Milliseconds(), "tookMs", time.Since(began).Milliseconds())
 	if !own {
 		s.config.Logger.Info("results of another node adopted", "request", published.id, "chunk", index, "writer", standing.Writer)
 		s.settleOwner(published)
@@ -144,8 +144,8 @@
 	return s.config.Self.Node + "@" + formatIncarnation(s.config.Self.Incarnation)
 }
 
-// list adds what the store now holds, in its order.
-func (s *Service) list(published *job, standing chunk, own bool) {
+// takeChunk adds what the store now holds, in its order.
+func (s *Service) takeChunk(published *job, standing chunk, own bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if own {
@@ -194,13 +194,13 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if err == nil {
-		s.takeLook(held, standing, began)
+		s.takeRecord(held, standing, began)
 	}
 }
 
-// takeLook takes what the store said of a held job's record to a call that began at
+// takeRecord takes what the store said of a held job's record to a call that began at
 // an instant. The mutex must be held.
-func (s *Service) takeLook(held *job, standing Standing, began time.Time) {
+func (s *Service) takeRecord(held *job, standing Standing, began time.Time) {
 	if s.jobs[held.id] != held {
 		return
 	}
--- a/internal/batch/replicas_test.go
+++ b/internal/batch/replicas_test.go
@@ -168,7 +168,7 @@
 	service := NewService(context.Background(), Config{Directory: table, Registry: prometheus.NewRegistry()})
 	now := time.Now()
 	waiting := func(id, route string, accepted time.Time, rank int) *item {
-		return &item{Item: &Item{ID: id}, rank: rank, job: &job{record: Record{Route: route}, accepted: accepted}}
+		return &item{Item: &Item{ID: id}, rank: rank, job: &job{record: Record{Route: route}, takenUp: accepted}}
 	}
 	service.queue = []*item{
 		waiting("a", "later", now.Add(-10*ageStep), 0), waiting("b", "first", now, 1), waiting("c", "first", now, 0), waiting("d", "first", now.Add(-2*ageStep), 2),
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -129,7 +129,7 @@
 		if order := priorities[a.job] - priorities[b.job]; order != 0 {
 			return order
 		}
-		if order := a.job.accepted.Truncate(ageStep).Compare(b.job.accepted.Truncate(ageStep)); order != 0 {
+		if order := a.job.takenUp.Truncate(ageStep).Compare(b.job.takenUp.Truncate(ageStep)); order != 0 {
 			return order
 		}
 		return a.rank - b.rank
--- a/internal/batch/start.go
+++ b/internal/batch/start.go
@@ -52,13 +52,13 @@
 	appends, cancelAppends := context.WithCancel(s.base)
 	ctx, cancel := context.WithCancel(appends)
 	made := &job{
-		id: id, submission: submission, record: record, accepted: time.Now(), items: map[string]*item{},
+		id: id, submission: submission, record: record, takenUp: time.Now(), items: map[string]*item{},
 		listed: stands.results, chunks: stands.chunks, groups: map[string]*group{}, flush: make(chan struct{}, 1), changed: make(chan struct{}),
 		ctx: ctx, cancel: cancel, appends: appends, cancelAppends: cancelAppends,
 	}
 	if retention := s.retention(record); retention > 0 {
 		elapsed := max(0, time.Since(time.UnixMilli(record.AcceptedMs)))
-		made.givenUpAt = made.accepted.Add(retention + giveUpMargin - min(elapsed, retention))
+		made.givenUpAt = made.takenUp.Add(retention + giveUpMargin - min(elapsed, retention))
 	}
 	ranks := rankItems(submission, s.lengths)
 	for _, submitted := range submission.Items {
--- a/internal/batch/takeover.go
+++ b/internal/batch/takeover.go
@@ -114,7 +114,7 @@
 }
 
 // appendBehind writes a chunk without results behind all that stands, and returns
-// what stands then. A seal is as good as the chunk.
+// what stands then. Where a seal stands, nothing is written.
 func (s *Service) appendBehind(ctx context.Context, id string, stands listing, empty chunk) (listing, error) {
 	for !stands.sealed {
 		standing, own, err := s.config.Journal.Append(ctx, id, stands.chunks, empty)
