--- a/internal/batch/ends_test.go
+++ b/internal/batch/ends_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/pathtally/pathtally/internal/wire"
 	"github.com/pathtally/pathtally/standin/metastore"
 )
 
@@ -237,3 +238,26 @@
 		}
 	}
 }
+
+// An end that is heard of between the last look at a job's record and its start keeps
+// the job from being started, and is made lasting.
+func TestAnEndHeardOfAfterTheLastLookKeepsAJobFromItsStart(t *testing.T) {
+	engine := heldEngine(t)
+	defer engine.release()
+	cluster := newCluster(t, 1, engine)
+	node := cluster.nodes[0]
+	made, payload := submission("job", 6)
+	record := Record{Owner: node.config.Self, Epoch: 1, Route: testRoute, Host: "drafts.example", AcceptedMs: time.Now().UnixMilli()}
+	if _, _, err := node.config.Journal.Accept(context.Background(), "job", record, payload); err != nil {
+		t.Fatal(err)
+	}
+	node.TakeBeat(&wire.NodeBeat{Node: "node-9", Address: "node-9", Incarnation: 1, Ended: []string{"job"}})
+	node.start("job", made, record, listing{}, time.Now())
+	if node.OpenJobs() != 0 || engine.runCount() != 0 {
+		t.Errorf("%d jobs and %d runs of a job that has ended", node.OpenJobs(), engine.runCount())
+	}
+	eventually(t, "the store has the end", func() bool {
+		standing, err := NewJournal(cluster.store).Look(context.Background(), "job")
+		return err == nil && standing.Ended
+	})
+}
