--- a/internal/batch/harness_test.go
+++ b/internal/batch/harness_test.go
@@ -116,7 +116,10 @@
 		writer.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	writer.Header().Set(headerVersion, strconv.FormatInt(version, 10))
+	if after < e.events {
+		// A replica with nothing to add has used no weights.
+		writer.Header().Set(headerVersion, strconv.FormatInt(version, 10))
+	}
 	writer.Header().Set("Content-Type", "text/event-stream")
 	writer.WriteHeader(http.StatusOK)
 	for number := after + 1; number <= e.events; number++ {
--- a/internal/batch/text_test.go
+++ b/internal/batch/text_test.go
@@ -1,8 +1,11 @@
 package batch
 
 import (
+	"context"
+	"fmt"
 	"reflect"
 	"testing"
+	"time"
 )
 
 func TestTextsAreJoinedFromTheirPieces(t *testing.T) {
@@ -140,3 +143,44 @@
 		t.Errorf("%d events of versions %v, want 40 of one", len(joined.events), versions)
 	}
 }
+
+// Symptom: an item of a job that was taken over is run some forty times a second until
+// its caller gives the job up, and the step waits for it.
+//
+// Sequence: the owner of a job is killed after it has saved the last events of an item
+// and before it has listed the result. The successor goes on behind the saved text.
+//
+// Cause: the text is whole, so the replica adds nothing and names no weight version;
+// that was taken for weights that are too old, and the next run began at once.
+//
+// Settled by the successor's log: 402 runs of one item in ten seconds, each "weights are
+// older than allowed" after some 28 ms, from event 28 of 28; the answers had status 200
+// and no version.
+func TestAnItemWhoseSavedTextIsWholeIsFinished(t *testing.T) {
+	const events = 40
+	cluster := newCluster(t, 0)
+	journal := NewJournal(cluster.store)
+	made, payload := submission("job", 2)
+	record := Record{Owner: Owner{Node: "gone", Address: "gone", Incarnation: 1}, Epoch: 1, Route: testRoute, Host: "drafts.example", AcceptedMs: time.Now().UnixMilli()}
+	if _, _, err := journal.Accept(context.Background(), "job", record, payload); err != nil {
+		t.Fatal(err)
+	}
+	var saved []piece
+	for _, submitted := range made.Items {
+		whole := piece{Item: submitted.ID}
+		for number := 1; number <= events; number++ {
+			whole.Events = append(whole.Events, fmt.Sprintf("%s.%d", submitted.ID, number))
+			whole.Versions = append(whole.Versions, 1)
+		}
+		saved = append(saved, whole)
+	}
+	if _, _, err := journal.Append(context.Background(), "job", 0, chunk{Writer: "gone", Texts: saved}); err != nil {
+		t.Fatal(err)
+	}
+	engine := startEngine(t, events)
+	node := cluster.addNode("node-0", []*testEngine{engine})
+	checkWhole(t, "job", cluster.readAll(node, "job", 2), 2, events)
+	if runs := engine.runCount(); runs != 2 {
+		t.Errorf("%d runs of two items", runs)
+	}
+}
