A replica that adds nothing to a text is not taken for one with old weights

Cause: an item whose events were all saved when its owner was killed is resumed behind its last event. The replica ends the stream at once and names no weight version, since it has used none; version 0 counted as too old, without a pause, until the trainer gave the step up after twelve seconds.

Change: a resumed run without a version goes on; an event without one is refused by a type of its own, with the pause of a broken run; an event of a version below the least is refused as the head of an answer was.

--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -92,9 +92,12 @@
 	}
 	version := answer.Verdict.Version
 	s.learnVersion(running.endpoint.Name, work.job.submission.Model, version)
-	if version < work.job.submission.MinVersion {
+	// A replica that has nothing to add to a text names no version: it is not to be
+	// taken for one with old weights, or the item runs on for ever.
+	addsNothing := version == 0 && len(work.progress.events) > 0
+	if err := checkVersion(version, work.job.submission.MinVersion); err != nil && !addsNothing {
 		answer.Discard()
-		return ErrOldWeights
+		return err
 	}
 	events := eventstream.NewReader(answer, s.config.Codec.VersionField(), len(work.progress.events))
 	for {
@@ -113,6 +116,10 @@
 			version = event.Version
 			s.learnVersion(running.endpoint.Name, work.job.submission.Model, version)
 		}
+		if err := checkVersion(version, work.job.submission.MinVersion); err != nil {
+			answer.Discard()
+			return err
+		}
 		if singleVersion && len(work.progress.versions) > 0 && work.progress.versions[0] != version {
 			s.startAnew(work)
 			answer.Discard()
@@ -122,6 +129,18 @@
 	}
 }
 
+// checkVersion tells why events of a weight version are not to be taken, where they
+// are not. Version 0 means that none was named.
+func checkVersion(version, least int64) error {
+	switch {
+	case version >= least:
+		return nil
+	case version == 0:
+		return ErrNoVersion
+	}
+	return ErrOldWeights
+}
+
 // learnVersion records a weight version that a replica's answer names.
 func (s *Service) learnVersion(replica, model string, version int64) {
 	if version <= 0 {
--- a/internal/batch/errors.go
+++ b/internal/batch/errors.go
@@ -26,6 +26,8 @@
 	ErrStalled = merry.Sentinel("run has stalled")
 	// ErrMoved means that a run was cut to go on at a faster replica.
 	ErrMoved = merry.Sentinel("run was moved")
+	// ErrNoVersion means that a replica names no weight version.
+	ErrNoVersion = merry.Sentinel("replica names no weight version")
 	// ErrOldWeights means that a replica's weights are older than allowed.
 	ErrOldWeights = merry.Sentinel("weights are older than allowed")
 )
