routing: one chain of filters for requests and items, words for places and warm-up

Cause: live requests and batch items picked replicas by two sets of conditions, so that each new reason not to send would have to be written twice.

Change: a Chain of filters, each with its reason; a pick that finds nobody names the filter that left nobody. dispatch is the one place through which everything goes to a replica, and looks at evacuation and slow start once more there. Fields for regions, homes, warm-up, scaling, spot and notices are read from the platform; nothing sets evacuations or bounds warm-up yet.

--- a/internal/batch/outcome.go
+++ b/internal/batch/outcome.go
@@ -31,8 +31,12 @@
 func (s *Service) judge(running *attempt, state *replicaState, err error) {
 	work := running.item
 	var notRun *dispatch.NotRunError
+	var withheld *dispatch.WithheldError
 	var status *ItemStatusError
 	switch {
+	case errors.As(err, &withheld):
+		// It was not sent: another replica, or a later moment, will do.
+		work.notBefore = time.Now().Add(breakPause)
 	case errors.As(err, &notRun) && notRun.OtherReplica:
 		state.blockedUntil = time.Now().Add(otherBlock)
 	case errors.As(err, &notRun):
--- a/internal/batch/placement.go
+++ b/internal/batch/placement.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pathtally/pathtally/internal/directory"
+	"github.com/pathtally/pathtally/internal/homes"
 	"github.com/pathtally/pathtally/internal/routing"
 )
 
@@ -41,6 +42,7 @@
 	route      string
 	model      string
 	minVersion int64
+	tenant     string
 }
 
 // placement picks replicas for many items in a row: what holds for all of them
@@ -102,15 +104,16 @@
 
 // of lists the replicas that an item may go to once they have a free slot.
 func (p *placement) of(waiting *item) []*place {
-	key := placeKey{route: waiting.job.record.Route, model: waiting.job.submission.Model, minVersion: waiting.job.submission.MinVersion}
+	key := placeKey{route: waiting.job.record.Route, model: waiting.job.submission.Model, minVersion: waiting.job.submission.MinVersion, tenant: waiting.job.record.Tenant}
 	places, known := p.places[key]
 	if known || p.view.Configuration == nil {
 		return places
 	}
 	if route := routeOf(p.view.Configuration, key.route); route != nil {
+		query := &routing.Query{Rollout: true, Homes: homes.Of(route.Homes, p.view.Configuration.Tenants.HomesOf(key.tenant))}
 		for _, target := range route.Targets {
 			if plan := p.view.Plans[target.Service]; plan != nil {
-				places = p.add(places, plan.Endpoints(), key)
+				places = p.add(places, plan.Endpoints(), key, query)
 			}
 		}
 	}
@@ -119,11 +122,14 @@
 }
 
 // add adds the replicas that are not barred from some items.
-func (p *placement) add(places []*place, endpoints []*routing.Endpoint, key placeKey) []*place {
+func (p *placement) add(places []*place, endpoints []*routing.Endpoint, key placeKey, query *routing.Query) []*place {
 	now := time.Now()
 	for _, endpoint := range endpoints {
 		state := p.service.replica(endpoint.Name)
 		known := p.service.version(p.view, endpoint.Name, key.model)
+		if !routing.ItemChain.Allow(query, endpoint) {
+			continue
+		}
 		if now.Before(state.blockedUntil) || state.loading(key.model) || (known > 0 && known < key.minVersion) {
 			continue
 		}
--- a/internal/directory/configuration.go
+++ b/internal/directory/configuration.go
@@ -57,6 +57,8 @@
 	// Retention the time after which its items may be given up.
 	CompletionObjective time.Duration
 	Retention           time.Duration
+	// Homes are the only regions in which the requests may be served; empty for all.
+	Homes []string
 }
 
 // Serves tells whether a service is one of the route's targets.
@@ -77,6 +79,21 @@
 	Models        []string
 }
 
+// Scaling bounds how many replicas of a service may be ordered, and gives what
+// they cost.
+type Scaling struct {
+	// Least and Most bound the replicas of each zone.
+	Least int
+	Most  int
+	// Boot is the time from an order until the replica serves.
+	Boot time.Duration
+	// SpotPrice is the price of replicas that may be taken away, as a part of the
+	// price of the others; 0 where there are none.
+	SpotPrice float64
+	// ZonePrices is the price of a replica in each zone, in any unit.
+	ZonePrices map[string]float64
+}
+
 // Service is a group of replicas that serve the same requests.
 type Service struct {
 	Name string
@@ -84,6 +101,12 @@
 	MaxConnections int
 	// Engine is nil for services that are no model engines.
 	Engine *Engine
+	// WarmUp is for how long a replica serves slowly after it has started, and
+	// WarmUpRate how many requests a second it bears meanwhile; 0 for no bound.
+	WarmUp     time.Duration
+	WarmUpRate float64
+	// Scaling is nil where replicas cannot be ordered.
+	Scaling *Scaling
 }
 
 // Limits bound what a caller may send.
--- a/internal/directory/plans.go
+++ b/internal/directory/plans.go
@@ -50,7 +50,7 @@
 		t.states[replica.ID] = state
 		t.logger.Info("replica added", "replica", replica.ID, "service", replica.Service, "address", replica.Address, "zone", replica.Zone)
 	}
-	return routing.NewReplicaEndpoint(replica.ID, replica.Address, replica.Zone, replica.Service, replica.Slots, state)
+	return routing.NewReplicaEndpoint(replica.ID, replica.Address, replica.Zone, t.regions[replica.Zone], replica.Service, replica.Slots, state)
 }
 
 // plansOf are the plans of all services; those of services that have not
--- a/internal/directory/replica.go
+++ b/internal/directory/replica.go
@@ -1,5 +1,7 @@
 package directory
 
+import "time"
+
 // ReplicaState is what a replica says of itself.
 type ReplicaState string
 
@@ -20,4 +22,11 @@
 	State   ReplicaState
 	// Versions gives the weight version of each model it holds.
 	Versions map[string]int64
+	// Warming is for how much longer it serves slowly, as it said when it wrote the
+	// entry.
+	Warming time.Duration
+	// Spot replicas may be taken away at short notice, a whole zone at once.
+	Spot bool
+	// Leaves is the time left to a replica that has been told to leave, 0 for unknown.
+	Leaves time.Duration
 }
--- a/internal/directory/table.go
+++ b/internal/directory/table.go
@@ -22,8 +22,10 @@
 // Table applies what the informers learn and publishes views. It is safe for
 // use by many goroutines.
 type Table struct {
-	zone   string
-	logger klog.Logger
+	zone string
+	// regions gives the region of each zone.
+	regions map[string]string
+	logger  klog.Logger
 
 	mutex sync.Mutex
 	// draining are the ids of replicas that have said they leave. They stay
@@ -38,10 +40,11 @@
 	changed chan struct{}
 }
 
-// NewTable returns an empty table for a node in a zone.
-func NewTable(zone string, logger klog.Logger) *Table {
+// NewTable returns an empty table for a node in a zone, given the region of each
+// zone.
+func NewTable(zone string, regions map[string]string, logger klog.Logger) *Table {
 	table := &Table{
-		zone: zone, logger: logger, draining: map[string]time.Time{}, missing: map[string]*time.Timer{},
+		zone: zone, regions: regions, logger: logger, draining: map[string]time.Time{}, missing: map[string]*time.Timer{},
 		states: map[string]*routing.EndpointState{}, changed: make(chan struct{}),
 	}
 	table.view.Store(&View{Replicas: map[string]*Replica{}, Named: map[string]int64{}, Plans: map[string]*routing.Plan{}})
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -46,10 +46,25 @@
 	a.Response.Discard()
 }
 
-// Send makes one attempt. Its error is a *NotRunError, an
+// admit tells why a replica is to get no request now. Everything that goes to a
+// replica passes here last: what a pick found may have changed since.
+func admit(endpoint *routing.Endpoint) error {
+	if endpoint.State.Evacuated() {
+		return &WithheldError{Replica: endpoint.Name, Reason: routing.ReasonEvacuated}
+	}
+	if !endpoint.State.SlowStart.Take() {
+		return &WithheldError{Replica: endpoint.Name, Reason: routing.ReasonSlowStart}
+	}
+	return nil
+}
+
+// Send makes one attempt. Its error is a *WithheldError, a *NotRunError, an
 // *exchange.NotSentError or an *exchange.BrokenError. The caller closes the
 // answer.
 func (d *Dispatcher) Send(ctx context.Context, endpoint *routing.Endpoint, call *Call) (*Answer, error) {
+	if err := admit(endpoint); err != nil {
+		return nil, err
+	}
 	header := call.Header.Clone()
 	d.headers.Prepare(header, Conditions{
 		Replica: endpoint.Name, Remaining: time.Until(call.Deadline), AfterEvent: call.AfterEvent, Version: call.Version,
--- a/internal/dispatch/errors.go
+++ b/internal/dispatch/errors.go
@@ -7,6 +7,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/pathtally/pathtally/internal/exchange"
+	"github.com/pathtally/pathtally/internal/routing"
 )
 
 // ErrForeignAnswer means that an answer belongs to another request.
@@ -28,9 +29,22 @@
 	return fmt.Sprintf("replica %s did not run the request: status %d", e.Replica, e.Status)
 }
 
+// WithheldError is a request that this node did not send, since the replica is to get
+// none: its zone is evacuated, or it warms up and bears no more now.
+type WithheldError struct {
+	Replica string
+	Reason  routing.Reason
+}
+
+// Error names the replica and the reason.
+func (e *WithheldError) Error() string {
+	return fmt.Sprintf("nothing sent to replica %s: it is %s", e.Replica, e.Reason)
+}
+
 // MayHaveRun tells whether a request that failed with an error may have run.
 func MayHaveRun(err error) bool {
 	var notRun *NotRunError
 	var notSent *exchange.NotSentError
-	return !errors.As(err, &notRun) && !errors.As(err, &notSent)
+	var withheld *WithheldError
+	return !errors.As(err, &notRun) && !errors.As(err, &notSent) && !errors.As(err, &withheld)
 }
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"time"
 
 	"github.com/pathtally/pathtally/internal/directory"
 	"github.com/pathtally/pathtally/internal/dispatch"
-	"github.com/pathtally/pathtally/internal/exchange"
 )
 
 // maxRefusals bounds how often, in attempts, one request is turned away by
@@ -105,16 +103,13 @@
 		return ended.whole, true
 	}
 	r.lastErr = ended.err
-	var notRun *dispatch.NotRunError
-	var notSent *exchange.NotSentError
-	switch {
-	case errors.As(ended.err, &notRun), errors.As(ended.err, &notSent):
+	if dispatch.MayHaveRun(ended.err) {
+		r.mayHaveRun = true
+	} else {
 		// It did not run there, so the attempt does not count.
 		r.counted--
 		r.refusals++
 		r.sent.ended(ended.replica, false, true)
-	default:
-		r.mayHaveRun = true
 	}
 	r.forwarder.config.Logger.V(1).Info("attempt failed", "request", r.call.ID, "replica", ended.replica, "error", ended.err.Error())
 	return nil, false
--- a/internal/instance/adapter.go
+++ b/internal/instance/adapter.go
@@ -20,6 +20,7 @@
 	Replicas          string
 	Versions          string
 	Retirements       string
+	Evacuations       string
 }
 
 // Adapter is what a node needs of the platform that it runs on.
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -5,6 +5,7 @@
 
 	"github.com/pathtally/pathtally/internal/admission"
 	"github.com/pathtally/pathtally/internal/rendezvous"
+	"github.com/pathtally/pathtally/internal/slowstart"
 )
 
 // targetRetryPercent is the share of an engine's successes that may be spent
@@ -16,9 +17,11 @@
 	Name    string
 	Address string
 	Zone    string
-	Model   string
-	Slots   int
-	Hash    uint64
+	// Region is the zone's, "" if it is not known.
+	Region string
+	Model  string
+	Slots  int
+	Hash   uint64
 	// Serves and Rollouts follow the engine's declared role.
 	Serves   bool
 	Rollouts bool
@@ -49,6 +52,9 @@
 	Latency LatencyAverage
 	// Retries bounds the retries sent to the engine.
 	Retries *admission.RetryBudget
+	// SlowStart bounds what the replica gets while it warms up.
+	SlowStart slowstart.Gate
+	evacuated atomic.Bool
 
 	view atomic.Pointer[EngineView]
 	// reportedInFlight is InFlight at the time of the newest view, so that
@@ -73,6 +79,12 @@
 // View returns what is known of the engine.
 func (s *EndpointState) View() *EngineView { return s.view.Load() }
 
+// SetEvacuated tells whether nothing is to be sent to the replica's zone.
+func (s *EndpointState) SetEvacuated(evacuated bool) { s.evacuated.Store(evacuated) }
+
+// Evacuated tells whether nothing is to be sent to the replica's zone.
+func (s *EndpointState) Evacuated() bool { return s.evacuated.Load() }
+
 // Excluded tells whether the engine gets no new work.
 func (e *Endpoint) Excluded() bool { return e.Cordoned || e.State.View().Excluded }
 
@@ -89,9 +101,9 @@
 
 // NewReplicaEndpoint returns the endpoint of a back end that takes both live
 // requests and rollouts of one service.
-func NewReplicaEndpoint(name, address, zone, service string, slots int, state *EndpointState) *Endpoint {
+func NewReplicaEndpoint(name, address, zone, region, service string, slots int, state *EndpointState) *Endpoint {
 	return &Endpoint{
-		Name: name, Address: address, Zone: zone, Model: service, Slots: max(1, slots), Hash: hashOf(name),
+		Name: name, Address: address, Zone: zone, Region: region, Model: service, Slots: max(1, slots), Hash: hashOf(name),
 		Serves: true, Rollouts: true, State: state,
 	}
 }
--- a/internal/routing/filter.go
+++ b/internal/routing/filter.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/pathtally/pathtally/internal/homes"
 )
 
 // Query is what a pick has to know of a request.
@@ -26,11 +28,15 @@
 	// MaxLoadShare bounds the load of an engine as a multiple of its slots,
 	// 0 for no bound.
 	MaxLoadShare float64
+	// Homes are the regions in which the request may be served.
+	Homes homes.Set
 }
 
 // Filter decides whether an engine may be picked.
 type Filter interface {
 	Allow(query *Query, endpoint *Endpoint) bool
+	// Reason is why the filter refuses.
+	Reason() Reason
 }
 
 // RoleFilter keeps rollouts and live requests to engines of their role.
@@ -44,6 +50,9 @@
 	return endpoint.Serves
 }
 
+// Reason implements Filter.
+func (RoleFilter) Reason() Reason { return ReasonRole }
+
 // AvailableFilter refuses engines that leave or do not answer.
 type AvailableFilter struct{}
 
@@ -52,6 +61,9 @@
 	return !endpoint.Excluded() && endpoint.Name != query.Avoid && !slices.Contains(query.Tried, endpoint.Name)
 }
 
+// Reason implements Filter.
+func (AvailableFilter) Reason() Reason { return ReasonUnavailable }
+
 // VersionFilter refuses engines on weights older than the request allows.
 type VersionFilter struct{}
 
@@ -60,6 +72,9 @@
 	return endpoint.Version() >= query.MinVersion
 }
 
+// Reason implements Filter.
+func (VersionFilter) Reason() Reason { return ReasonVersion }
+
 // CapacityFilter refuses engines whose load is at the bound.
 type CapacityFilter struct{}
 
@@ -67,3 +82,6 @@
 func (CapacityFilter) Allow(query *Query, endpoint *Endpoint) bool {
 	return query.MaxLoadShare == 0 || float64(endpoint.Load()) < query.MaxLoadShare*float64(endpoint.Slots)
 }
+
+// Reason implements Filter.
+func (CapacityFilter) Reason() Reason { return ReasonFull }
--- a/internal/routing/plan.go
+++ b/internal/routing/plan.go
@@ -27,14 +27,14 @@
 	// endpoints has those of the node's own zone first.
 	endpoints []*Endpoint
 	near      int
-	filters   []Filter
+	filters   Chain
 	scorers   []Scorer
 }
 
 // NewPlan returns a plan for a node in a zone.
 func NewPlan(zone string, endpoints []*Endpoint) *Plan {
 	plan := &Plan{
-		filters: []Filter{RoleFilter{}, AvailableFilter{}, VersionFilter{}, CapacityFilter{}},
+		filters: RequestChain,
 		scorers: []Scorer{LoadScorer{}, ZoneScorer{}, FailureScorer{}, LatencyScorer{}},
 	}
 	for _, endpoint := range endpoints {
@@ -65,7 +65,7 @@
 		best = p.scan(query)
 	}
 	if best == nil {
-		return nil, ErrNoEngineAvailable
+		return nil, &LeftNobodyError{Reason: p.filters.Explain(query, p.endpoints)}
 	}
 	return best, nil
 }
@@ -74,7 +74,7 @@
 	var best *Endpoint
 	bestScore := 0.0
 	consider := func(endpoint *Endpoint, bonus float64) {
-		if !p.allowed(query, endpoint) {
+		if !p.filters.Allow(query, endpoint) {
 			return
 		}
 		score := p.score(query, endpoint) + bonus
@@ -120,7 +120,7 @@
 	var best *Endpoint
 	bestScore := 0.0
 	for _, endpoint := range p.endpoints {
-		if !p.allowed(query, endpoint) {
+		if !p.filters.Allow(query, endpoint) {
 			continue
 		}
 		score := p.score(query, endpoint)
@@ -131,15 +131,6 @@
 	return best
 }
 
-func (p *Plan) allowed(query *Query, endpoint *Endpoint) bool {
-	for _, filter := range p.filters {
-		if !filter.Allow(query, endpoint) {
-			return false
-		}
-	}
-	return true
-}
-
 func (p *Plan) score(query *Query, endpoint *Endpoint) float64 {
 	total := 0.0
 	for _, scorer := range p.scorers {
--- /dev/null
+++ b/internal/routing/reason.go
@@ -0,0 +1,32 @@
+package routing
+
+import "fmt"
+
+// Reason tells why a replica may not be picked.
+type Reason string
+
+// The reasons, in the order in which they are looked for.
+const (
+	ReasonRole        Reason = "of another role"
+	ReasonUnavailable Reason = "leaving, silent or asked before"
+	ReasonEvacuated   Reason = "in an evacuated zone"
+	ReasonOutsideHome Reason = "outside the allowed regions"
+	ReasonVersion     Reason = "on older weights"
+	ReasonSlowStart   Reason = "warming up"
+	ReasonFull        Reason = "full"
+)
+
+// LeftNobodyError is a pick for which no replica was left. It is an
+// ErrNoEngineAvailable.
+type LeftNobodyError struct {
+	// Reason is that of the filter that refused the last replicas that were left.
+	Reason Reason
+}
+
+// Error gives the reason.
+func (e *LeftNobodyError) Error() string {
+	return fmt.Sprintf("%v: those left are %s", ErrNoEngineAvailable, e.Reason)
+}
+
+// Unwrap returns ErrNoEngineAvailable.
+func (e *LeftNobodyError) Unwrap() error { return ErrNoEngineAvailable }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -87,7 +87,7 @@
 		value   v1.Duration
 	}{
 		{"dutyLease", s.DutyLease}, {"drain", s.Drain}, {"catchUp", s.CatchUp}, {"keyBound", s.KeyBound},
-		{"usageWindow", s.UsageWindow}, {"usageLate", s.UsageLate},
+		{"usageWindow", s.UsageWindow}, {"usageLate", s.UsageLate}, {"evacuationBound", s.EvacuationBound},
 	} {
 		if span.value < 0 {
 			findings = append(findings, &Error{Setting: span.setting, Found: span.value.Std().String(), Allowed: allowedSpan})
@@ -101,6 +101,9 @@
 	if s.CPUShare < 0 || s.Cores < 0 {
 		findings = append(findings, &Error{Setting: "cpuShare, cores", Found: fmt.Sprint(s.CPUShare, ", ", s.Cores), Allowed: "numbers of 0 or more"})
 	}
+	if s.WarmUpOverage < 0 || s.WarmUpSlack < 0 {
+		findings = append(findings, &Error{Setting: "warmUpOverage, warmUpSlack", Found: fmt.Sprint(s.WarmUpOverage, ", ", s.WarmUpSlack), Allowed: "numbers of 0 or more"})
+	}
 	if s.MemoryMB < 0 {
 		findings = append(findings, &Error{Setting: "memoryMB", Found: fmt.Sprint(s.MemoryMB), Allowed: "a number of megabytes, 0 or more"})
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -22,6 +22,8 @@
 	Node   string `json:"node"`
 	Zone   string `json:"zone"`
 	Region string `json:"region"`
+	// Regions gives the region of each zone of the deployment.
+	Regions map[string]string `json:"regions"`
 	// Peer is the address on which other nodes reach this one, and HTTP the
 	// one for callers, trainers and operators.
 	Peer string `json:"peer"`
@@ -65,6 +67,13 @@
 	// KeyBound is how old a configuration may be, not known to be the newest, for
 	// its API keys to be trusted; zero trusts the last one known without bound.
 	KeyBound v1.Duration `json:"keyBound"`
+	// EvacuationBound is how long after the word that a zone is to be evacuated a
+	// request may still be sent there; zero means that zones are not evacuated.
+	EvacuationBound v1.Duration `json:"evacuationBound"`
+	// WarmUpOverage is how many times the rate that a replica bears while it warms up
+	// it may get in a second, and WarmUpSlack how many requests more.
+	WarmUpOverage float64 `json:"warmUpOverage"`
+	WarmUpSlack   float64 `json:"warmUpSlack"`
 	// DutyAPI is the address of the platform's API for what one node does for the
 	// whole deployment, and Duties the platform's names of what it takes; empty
 	// means that there is nothing of the kind to do.
--- a/internal/tenancy/table.go
+++ b/internal/tenancy/table.go
@@ -6,6 +6,9 @@
 	// Priority ranks the tenant's requests, 0 the most urgent; nil leaves that
 	// to the route.
 	Priority *int
+	// Homes are the only regions in which the tenant's requests may be served; empty
+	// for all.
+	Homes []string
 }
 
 // Declared is a tenant with its keys, as an operator declares it.
@@ -44,7 +47,7 @@
 		if tenant != nil {
 			findings = append(findings, &DeclarationError{Tenant: one.Name, Problem: problemTwice})
 		} else {
-			tenant = &Tenant{Name: one.Name, Priority: one.Priority}
+			tenant = &Tenant{Name: one.Name, Priority: one.Priority, Homes: one.Homes}
 			table.byName[one.Name] = tenant
 		}
 		findings = append(findings, table.addKeys(tenant, one.Keys, shared)...)
@@ -107,3 +110,12 @@
 	}
 	return route
 }
+
+// HomesOf are the only regions in which a tenant's requests may be served; empty for
+// all.
+func (t *Table) HomesOf(name string) []string {
+	if tenant := t.Named(name); tenant != nil {
+		return tenant.Homes
+	}
+	return nil
+}
--- a/internal/wire/schema/peer.capnp
+++ b/internal/wire/schema/peer.capnp
@@ -49,6 +49,8 @@
     jobSubmitted @37 :JobSubmitted;
     usagePush @38 :UsagePush;
     usageTaken @39 :UsageTaken;
+    permitAsk @40 :PermitAsk;
+    permitGrant @41 :PermitGrant;
   }
 }
 
@@ -438,3 +440,21 @@
 struct UsageTaken {
   unixMs @0 :Int64;         # what the receiver takes for the time
 }
+
+# The messages by which nodes share out what a replica that warms up may get.
+
+struct ReplicaCount {
+  replica @0 :Text;
+  count @1 :UInt32;         # requests
+}
+
+struct PermitAsk {
+  node @0 :Text;
+  incarnation @1 :UInt64;
+  wanted @2 :List(ReplicaCount);
+}
+
+struct PermitGrant {
+  granted @0 :List(ReplicaCount);
+  spanMs @1 :UInt32;        # for how long after it sent its question the asker may use them
+}
--- a/internal/wire/union.go
+++ b/internal/wire/union.go
@@ -184,6 +184,16 @@
 	return insert(schema.UsageTaken_TypeID, capnp.Struct(body), err, m)
 }
 
+func (m *PermitAsk) attach(root schema.Frame) error {
+	body, err := root.NewPermitAsk()
+	return insert(schema.PermitAsk_TypeID, capnp.Struct(body), err, m)
+}
+
+func (m *PermitGrant) attach(root schema.Frame) error {
+	body, err := root.NewPermitGrant()
+	return insert(schema.PermitGrant_TypeID, capnp.Struct(body), err, m)
+}
+
 func (m *WatchPoll) attach(root schema.Frame) error {
 	body, err := root.NewWatchPoll()
 	return insert(schema.WatchPoll_TypeID, capnp.Struct(body), err, m)
@@ -304,6 +314,12 @@
 	case schema.Frame_Which_usageTaken:
 		body, err := root.UsageTaken()
 		return extract[UsageTaken](schema.UsageTaken_TypeID, capnp.Struct(body), err)
+	case schema.Frame_Which_permitAsk:
+		body, err := root.PermitAsk()
+		return extract[PermitAsk](schema.PermitAsk_TypeID, capnp.Struct(body), err)
+	case schema.Frame_Which_permitGrant:
+		body, err := root.PermitGrant()
+		return extract[PermitGrant](schema.PermitGrant_TypeID, capnp.Struct(body), err)
 	case schema.Frame_Which_watchPoll:
 		body, err := root.WatchPoll()
 		return extract[WatchPoll](schema.WatchPoll_TypeID, capnp.Struct(body), err)
