--- /dev/null
+++ b/internal/autoscale/ledger.go
@@ -0,0 +1,82 @@
+package autoscale
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/pathtally/pathtally/internal/objectstore"
+)
+
+// ledgerKind is the kind of the objects that hold what was ordered, one a service.
+const ledgerKind = "replicaorders"
+
+// standing is what holds for a service: how many replicas each zone held before
+// anything was ordered, and how many were ordered last.
+type standing struct {
+	Base    map[string]int `json:"base"`
+	Ordered map[string]int `json:"ordered"`
+}
+
+// ledger keeps what was ordered of one service. It belongs to one goroutine.
+type ledger struct {
+	store    objectstore.Store
+	service  string
+	known    standing
+	revision uint64
+	read     bool
+}
+
+// load reads what the store holds, once.
+func (l *ledger) load(ctx context.Context) error {
+	if l.read {
+		return nil
+	}
+	object, err := l.store.Get(ctx, ledgerKind, l.service, objectstore.Linearizable)
+	if errors.Is(err, objectstore.ErrNotFound) {
+		l.known, l.revision, l.read = standing{Base: map[string]int{}, Ordered: map[string]int{}}, 0, true
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	return l.take(object)
+}
+
+func (l *ledger) take(object objectstore.Object) error {
+	var stored standing
+	if err := json.Unmarshal(object.Spec, &stored); err != nil {
+		return merry.Wrap(err)
+	}
+	if stored.Base == nil {
+		stored.Base = map[string]int{}
+	}
+	if stored.Ordered == nil {
+		stored.Ordered = map[string]int{}
+	}
+	l.known, l.revision, l.read = stored, object.Revision, true
+	return nil
+}
+
+// write makes a standing lasting before it is acted on. On an error what stands has
+// to be read anew.
+func (l *ledger) write(ctx context.Context, next standing) error {
+	spec, err := json.Marshal(next)
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	var object objectstore.Object
+	if l.revision == 0 {
+		object, err = l.store.Create(ctx, ledgerKind, l.service, spec)
+	} else {
+		object, err = l.store.Replace(ctx, ledgerKind, l.service, spec, l.revision)
+	}
+	if err != nil {
+		l.read = false
+		return err
+	}
+	l.known, l.revision = next, object.Revision
+	return nil
+}
--- /dev/null
+++ b/internal/autoscale/metrics.go
@@ -0,0 +1,56 @@
+package autoscale
+
+import (
+	"errors"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Outcomes of orders, as metrics name them.
+const (
+	outcomeTaken      = "taken"
+	outcomeNoneToHave = "none_to_have"
+	outcomeFailed     = "failed"
+)
+
+type metrics struct {
+	present *prometheus.GaugeVec
+	ordered *prometheus.GaugeVec
+	orders  *prometheus.CounterVec
+}
+
+func newMetrics(registry prometheus.Registerer) *metrics {
+	made := &metrics{
+		present: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "pathtally_replicas_present", Help: "Replicas that serve or warm up, of services whose replicas can be ordered.",
+		}, []string{"service", "zone"}),
+		ordered: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "pathtally_replicas_ordered", Help: "Replicas last ordered for a zone, as this node knows.",
+		}, []string{"service", "zone"}),
+		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pathtally_replica_orders_total", Help: "Orders of replicas sent by this node, by outcome.",
+		}, []string{"outcome"}),
+	}
+	registry.MustRegister(made.present, made.ordered, made.orders)
+	return made
+}
+
+func (m *metrics) show(seen *View, plan *plan) {
+	for zone, count := range seen.Present {
+		m.present.WithLabelValues(seen.Service, zone).Set(float64(count))
+	}
+	for zone, count := range plan.ledger.known.Ordered {
+		m.ordered.WithLabelValues(seen.Service, zone).Set(float64(count))
+	}
+}
+
+func (m *metrics) count(err error) {
+	switch {
+	case err == nil:
+		m.orders.WithLabelValues(outcomeTaken).Inc()
+	case errors.Is(err, ErrNoneToHave):
+		m.orders.WithLabelValues(outcomeNoneToHave).Inc()
+	default:
+		m.orders.WithLabelValues(outcomeFailed).Inc()
+	}
+}
--- /dev/null
+++ b/internal/autoscale/service.go
@@ -0,0 +1,237 @@
+package autoscale
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"k8s.io/klog/v2"
+
+	"github.com/pathtally/pathtally/internal/directory"
+	"github.com/pathtally/pathtally/internal/duty"
+	"github.com/pathtally/pathtally/internal/objectstore"
+)
+
+const (
+	// dutyName names the orders among the duties of the lease.
+	dutyName = "replica-orders"
+	// lookPeriod is the time between looks at the fleet and the work: short beside
+	// the time between two steps of a trainer.
+	lookPeriod = 500 * time.Millisecond
+	// orderTime bounds one order, and storeTime one call about the ledger.
+	orderTime = 900 * time.Millisecond
+	storeTime = 900 * time.Millisecond
+)
+
+// Config is what a Service needs.
+type Config struct {
+	Policy    Policy
+	Keeper    *duty.Keeper
+	Store     objectstore.Store
+	Platform  Platform
+	Directory *directory.Table
+	Logger    klog.Logger
+	Registry  prometheus.Registerer
+	// Work is how many items run at a service's replicas, and how many run or wait,
+	// on all nodes.
+	Work func(service string) (running, open int)
+}
+
+// Service orders replicas while this node holds the duty lease. Run alone uses it.
+type Service struct {
+	config   Config
+	metrics  *metrics
+	services map[string]*plan
+}
+
+// plan is what this node knows of the replicas of one service.
+type plan struct {
+	ledger ledger
+	peak   peak
+	// most is the greatest number of replicas seen in each zone before anything was
+	// ordered.
+	most map[string]int
+	// orderedAt is when a zone's last order was sent, and closedUntil until when it
+	// has none to give.
+	orderedAt   map[string]time.Time
+	closedUntil map[string]time.Time
+	// fewerSince is since when a zone has been wanted smaller, without a break.
+	fewerSince map[string]time.Time
+}
+
+// NewService returns a service that does nothing before Run.
+func NewService(config Config) *Service {
+	return &Service{config: config, metrics: newMetrics(config.Registry), services: map[string]*plan{}}
+}
+
+// Run works until the context ends.
+func (s *Service) Run(ctx context.Context) {
+	for objectstore.Sleep(ctx, lookPeriod) {
+		s.look(ctx, time.Now())
+	}
+}
+
+// look decides on each service whose replicas can be ordered.
+func (s *Service) look(ctx context.Context, now time.Time) {
+	view := s.config.Directory.View()
+	if view.Configuration == nil {
+		return
+	}
+	due := false
+	for name, service := range view.Configuration.Services {
+		if service.Scaling == nil || service.Engine == nil {
+			continue
+		}
+		plan := s.plan(name)
+		seen := s.see(view, &service, plan, now)
+		if !s.config.Keeper.IsCandidate() {
+			continue
+		}
+		for _, change := range plan.changes(Decide(s.config.Policy, seen, plan.base()), now) {
+			due = true
+			if ready, _ := s.config.Keeper.Ready(ctx, dutyName); ready {
+				s.change(ctx, plan, name, change, now)
+			}
+		}
+	}
+	if !due {
+		s.config.Keeper.Idle(dutyName)
+	}
+}
+
+func (s *Service) plan(service string) *plan {
+	standing := s.services[service]
+	if standing == nil {
+		standing = &plan{
+			ledger: ledger{store: s.config.Store, service: service}, most: map[string]int{},
+			orderedAt: map[string]time.Time{}, closedUntil: map[string]time.Time{}, fewerSince: map[string]time.Time{},
+		}
+		s.services[service] = standing
+	}
+	return standing
+}
+
+// see makes the view of a service.
+func (s *Service) see(view *directory.View, service *directory.Service, plan *plan, now time.Time) *View {
+	running, open := s.config.Work(service.Name)
+	plan.peak.add(now, running, open)
+	seen := &View{
+		Service: service.Name, Scaling: *service.Scaling, Slots: service.Engine.Slots, Present: map[string]int{}, Closed: map[string]bool{},
+	}
+	seen.Running, seen.Open = plan.peak.greatest()
+	for _, replica := range view.Replicas {
+		if replica.Service == service.Name {
+			seen.Present[replica.Zone]++
+		}
+	}
+	for zone, until := range plan.closedUntil {
+		seen.Closed[zone] = now.Before(until)
+	}
+	for _, endpoint := range view.Endpoints {
+		if endpoint.Model == service.Name && endpoint.State.Evacuated() {
+			seen.Closed[endpoint.Zone] = true
+		}
+	}
+	for zone, count := range seen.Present {
+		if plan.ledger.known.Ordered[zone] == 0 {
+			plan.most[zone] = max(plan.most[zone], count)
+		}
+	}
+	s.metrics.show(seen, plan)
+	return seen
+}
+
+// base is how many replicas each zone held before anything was ordered.
+func (p *plan) base() map[string]int {
+	base := maps.Clone(p.most)
+	for zone, count := range p.ledger.known.Base {
+		base[zone] = max(base[zone], count)
+	}
+	return base
+}
+
+// changes are the wanted numbers that are worth an order now.
+func (p *plan) changes(wanted []Wanted, now time.Time) []Wanted {
+	var due []Wanted
+	for _, want := range wanted {
+		standing := p.standing(want.Zone)
+		if want.Replicas >= standing {
+			delete(p.fewerSince, want.Zone)
+		} else if p.fewerSince[want.Zone].IsZero() {
+			p.fewerSince[want.Zone] = now
+		}
+		if p.isDue(want, standing, now) {
+			due = append(due, want)
+		}
+	}
+	return due
+}
+
+// standing is how many replicas a zone was last ordered to hold, or held before that.
+func (p *plan) standing(zone string) int {
+	if ordered := p.ledger.known.Ordered[zone]; ordered > 0 {
+		return ordered
+	}
+	return p.base()[zone]
+}
+
+func (p *plan) isDue(want Wanted, standing int, now time.Time) bool {
+	switch {
+	case now.Before(p.closedUntil[want.Zone]), now.Sub(p.orderedAt[want.Zone]) < leastGap:
+		return false
+	case want.Replicas >= standing:
+		return want.Replicas-standing >= leastChange
+	}
+	return standing-want.Replicas >= leastChange && now.Sub(p.fewerSince[want.Zone]) >= shrinkAfter
+}
+
+// change notes a wanted number in the ledger and orders it.
+func (s *Service) change(ctx context.Context, plan *plan, service string, want Wanted, now time.Time) {
+	if err := s.note(ctx, plan, want); err != nil {
+		s.config.Logger.Info("replicas not ordered", "service", service, "zone", want.Zone, "replicas", want.Replicas, "error", err.Error())
+		return
+	}
+	plan.orderedAt[want.Zone] = now
+	err := s.order(ctx, service, want)
+	s.metrics.count(err)
+	switch {
+	case errors.Is(err, ErrNoneToHave):
+		plan.closedUntil[want.Zone] = now.Add(refusedPause)
+	case err == nil:
+		s.config.Logger.Info("replicas ordered", "service", service, "zone", want.Zone, "replicas", want.Replicas, "reason", want.Reason)
+		return
+	}
+	s.config.Logger.Info("order of replicas not taken", "service", service, "zone", want.Zone, "replicas", want.Replicas, "error", err.Error())
+}
+
+// note makes an order lasting before it is sent.
+func (s *Service) note(ctx context.Context, plan *plan, want Wanted) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTime)
+	defer cancel()
+	if err := plan.ledger.load(ctx); err != nil {
+		return err
+	}
+	next := standing{Base: plan.base(), Ordered: maps.Clone(plan.ledger.known.Ordered)}
+	if next.Ordered[want.Zone] == want.Replicas {
+		return nil
+	}
+	next.Ordered[want.Zone] = want.Replicas
+	return plan.ledger.write(ctx, next)
+}
+
+// order sends one order under the lease.
+func (s *Service) order(ctx context.Context, service string, want Wanted) error {
+	permit, valid := s.config.Keeper.Begin()
+	if !valid {
+		return errNotHolder
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTime)
+	defer cancel()
+	err := s.config.Platform.Order(ctx, Order{
+		Service: service, Zone: want.Zone, Replicas: want.Replicas, Holder: permit.Holder, Token: permit.Token,
+	})
+	permit.Done(!errors.Is(err, ErrUnanswered))
+	return err
+}
--- a/internal/batch/demand.go
+++ b/internal/batch/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/pathtally/pathtally/internal/wire"
@@ -20,11 +21,14 @@
 
 // work tells how much a job has to do.
 func (j *job) work() wire.JobWork {
-	tokens := 0.0
+	tokens, open := 0.0, 0
+	for _, standing := range j.groups {
+		open += standing.open
+	}
 	for _, submitted := range j.submission.Items {
 		tokens += submitted.ExpectedTokens
 	}
-	return wire.JobWork{Job: j.id, Model: j.submission.Model, ExpectedTokens: uint64(tokens), Tenant: j.record.Tenant, Epoch: uint32(j.record.Epoch)}
+	return wire.JobWork{Job: j.id, Model: j.submission.Model, ExpectedTokens: uint64(tokens), Tenant: j.record.Tenant, Epoch: uint32(j.record.Epoch), Open: uint32(open)}
 }
 
 // noteDemand learns how much a batch job has to do. The mutex must be held.
@@ -55,3 +59,34 @@
 func (s *Service) evictWorks() {
 	maps.DeleteFunc(s.works, func(_ string, work knownWork) bool { return time.Since(work.at) > demandMemory })
 }
+
+// OpenWork is how many items of batch jobs run at a service's replicas, and how many
+// run or wait, on all nodes that have told so of late.
+func (s *Service) OpenWork(service string) (running, open int) {
+	view := s.config.Directory.View()
+	if view.Configuration == nil || view.Configuration.Services[service].Engine == nil {
+		return 0, 0
+	}
+	models := view.Configuration.Services[service].Engine.Models
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, held := range s.jobs {
+		if held.open() && slices.Contains(models, held.submission.Model) {
+			open += int(held.work().Open)
+		}
+	}
+	for _, uses := range s.uses {
+		if time.Since(uses.at) >= usesAge {
+			continue
+		}
+		for _, model := range models {
+			open += uses.open[model]
+		}
+	}
+	for id, load := range s.loads() {
+		if replica := view.Replicas[id]; replica != nil && replica.Service == service {
+			running += load
+		}
+	}
+	return running, open
+}
--- a/internal/batch/pace.go
+++ b/internal/batch/pace.go
@@ -92,7 +92,10 @@
 
 // usesOf reads what a heartbeat tells of replicas.
 func usesOf(beat *wire.NodeBeat) nodeUses {
-	uses := nodeUses{at: time.Now(), running: map[string]int{}, intervals: map[string]time.Duration{}}
+	uses := nodeUses{at: time.Now(), running: map[string]int{}, intervals: map[string]time.Duration{}, open: map[string]int{}}
+	for _, work := range beat.Work {
+		uses.open[work.Model] += int(work.Open)
+	}
 	for _, use := range beat.Uses {
 		uses.running[use.Replica] = int(use.Running)
 		if use.IntervalUs > 0 {
--- a/internal/batch/replicas.go
+++ b/internal/batch/replicas.go
@@ -40,6 +40,8 @@
 	running map[string]int
 	// intervals are the times between events that it has seen lately.
 	intervals map[string]time.Duration
+	// open is how many items of its jobs have no result yet, by model.
+	open map[string]int
 }
 
 // replica returns the state of a replica. The mutex must be held.
--- a/internal/instance/adapter.go
+++ b/internal/instance/adapter.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"github.com/pathtally/pathtally/internal/autoscale"
 	"github.com/pathtally/pathtally/internal/batch"
 	"github.com/pathtally/pathtally/internal/directory"
 	"github.com/pathtally/pathtally/internal/dispatch"
@@ -46,5 +47,6 @@
 // Duties are what the platform takes of one node for the whole deployment; nil
 // for what it does not.
 type Duties struct {
-	Usage usage.Platform
+	Usage    usage.Platform
+	Replicas autoscale.Platform
 }
--- a/internal/instance/assemble.go
+++ b/internal/instance/assemble.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/pathtally/pathtally/internal/autoscale"
 	"github.com/pathtally/pathtally/internal/batch"
 	"github.com/pathtally/pathtally/internal/directory"
 	"github.com/pathtally/pathtally/internal/dispatch"
@@ -92,6 +93,12 @@
 	if duties.Usage != nil {
 		i.usage = i.newUsage(self, duties.Usage)
 	}
+	if policy := autoscale.Policy(i.settings.ReplicaPolicy); duties.Replicas != nil && policy != autoscale.PolicyNone {
+		i.autoscale = autoscale.NewService(autoscale.Config{
+			Policy: policy, Keeper: i.duty, Store: i.store, Platform: duties.Replicas, Directory: i.directory, Logger: i.logger,
+			Registry: i.registry, Work: i.jobs.OpenWork,
+		})
+	}
 }
 
 // assembleIngress makes what answers callers.
--- a/internal/instance/duties.go
+++ b/internal/instance/duties.go
@@ -26,6 +26,9 @@
 	i.run(func() { i.watchCatchUp(ctx) })
 	i.run(func() { i.jobs.Run(ctx) })
 	i.run(func() { i.weights.Run(ctx) })
+	if i.autoscale != nil {
+		i.run(func() { i.autoscale.Run(ctx) })
+	}
 	if i.usage != nil {
 		i.run(func() { i.usage.Run(ctx) })
 	}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 
+	"github.com/pathtally/pathtally/internal/autoscale"
 	"github.com/pathtally/pathtally/internal/batch"
 	"github.com/pathtally/pathtally/internal/directory"
 	"github.com/pathtally/pathtally/internal/duty"
@@ -50,6 +51,8 @@
 	weights   *weightorders.Coordinator
 	// usage is nil where the platform takes no reports of it.
 	usage *usage.Service
+	// autoscale is nil where no replicas are ordered.
+	autoscale *autoscale.Service
 
 	// assembled is closed once all parts of the node are there.
 	assembled chan struct{}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -6,6 +6,7 @@
 	"regexp"
 
 	v1 "github.com/pathtally/pathtally/api/v1"
+	"github.com/pathtally/pathtally/internal/autoscale"
 )
 
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,62}[a-z0-9])?$`)
@@ -104,6 +105,9 @@
 	if s.WarmUpOverage < 0 || s.WarmUpSlack < 0 {
 		findings = append(findings, &Error{Setting: "warmUpOverage, warmUpSlack", Found: fmt.Sprint(s.WarmUpOverage, ", ", s.WarmUpSlack), Allowed: "numbers of 0 or more"})
 	}
+	if !autoscale.Policy(s.ReplicaPolicy).Valid() {
+		findings = append(findings, &Error{Setting: "replicaPolicy", Found: s.ReplicaPolicy, Allowed: "slots, work, or nothing"})
+	}
 	if s.MemoryMB < 0 {
 		findings = append(findings, &Error{Setting: "memoryMB", Found: fmt.Sprint(s.MemoryMB), Allowed: "a number of megabytes, 0 or more"})
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -79,6 +79,9 @@
 	// means that there is nothing of the kind to do.
 	DutyAPI string   `json:"dutyAPI"`
 	Duties  []string `json:"duties"`
+	// ReplicaPolicy is what the number of ordered replicas follows, as in package
+	// autoscale: slots or work; empty orders none.
+	ReplicaPolicy string `json:"replicaPolicy"`
 	// UsageWindow is the length of the windows that usage is reported for, and
 	// UsageLate how long after its end a window's report is due.
 	UsageWindow v1.Duration `json:"usageWindow"`
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -318,6 +318,8 @@
 	Tenant string
 	// Epoch counts the job's owners, the sender included; 0 for unknown.
 	Epoch uint32
+	// Open is how many of the job's items have no result yet.
+	Open uint32
 }
 
 // ItemLength is how many events the text of an item of a batch job has: at
--- a/internal/wire/schema/peer.capnp
+++ b/internal/wire/schema/peer.capnp
@@ -304,6 +304,7 @@
   expectedTokens @2 :UInt64; # that all items of the job are expected to make, listed ones included
   tenant @3 :Text;          # whose job it is, empty where no tenants are declared
   epoch @4 :UInt32;         # counts the job's owners, the sender included; 0 for unknown
+  open @5 :UInt32;          # items that have no result yet
 }
 
 struct ItemLength {
