--- a/internal/autoscale/service.go
+++ b/internal/autoscale/service.go
@@ -86,7 +86,7 @@
 		}
 		plan := s.plan(name)
 		seen := s.see(view, &service, plan, now)
-		if !s.config.Keeper.IsCandidate() {
+		if !s.config.Keeper.IsCandidate() || !s.knows(ctx, plan) {
 			continue
 		}
 		for _, change := range plan.changes(Decide(s.config.Policy, seen, plan.base()), now) {
@@ -101,6 +101,18 @@
 	}
 }
 
+// knows tells whether this node has read what was ordered before. It is read once, and
+// anew after another node has written it.
+func (s *Service) knows(ctx context.Context, plan *plan) bool {
+	ctx, cancel := context.WithTimeout(ctx, storeTime)
+	defer cancel()
+	if err := plan.ledger.load(ctx); err != nil {
+		s.config.Logger.Info("orders of replicas not read", "service", plan.ledger.service, "error", err.Error())
+		return false
+	}
+	return true
+}
+
 func (s *Service) plan(service string) *plan {
 	standing := s.services[service]
 	if standing == nil {
