--- a/internal/autoscale/decide.go
+++ b/internal/autoscale/decide.go
@@ -37,9 +37,9 @@
 		wanted[zone] = &Wanted{Zone: zone, Replicas: base[zone], Reason: ReasonBase}
 		if view.Closed[zone] {
 			lost += base[zone]
-			continue
+		} else if !view.Full[zone] {
+			open = append(open, zone)
 		}
-		open = append(open, zone)
 	}
 	total, reason := target(policy, view)
 	further := max(0, total-sum(base)) + lost
--- a/internal/autoscale/service.go
+++ b/internal/autoscale/service.go
@@ -53,10 +53,13 @@
 	// most is the greatest number of replicas seen in each zone before anything was
 	// ordered.
 	most map[string]int
-	// orderedAt is when a zone's last order was sent, and closedUntil until when it
-	// has none to give.
-	orderedAt   map[string]time.Time
-	closedUntil map[string]time.Time
+	// orderedAt is when a zone's last order was sent, and fullUntil until when it
+	// is taken to have none to give.
+	orderedAt map[string]time.Time
+	fullUntil map[string]time.Time
+	// taken is how many replicas of each zone the platform has taken an order for
+	// from this process: an order that it may not have taken is sent again.
+	taken map[string]int
 	// fewerSince is since when a zone has been wanted smaller, without a break.
 	fewerSince map[string]time.Time
 }
@@ -118,7 +121,8 @@
 	if standing == nil {
 		standing = &plan{
 			ledger: ledger{store: s.config.Store, service: service}, most: map[string]int{},
-			orderedAt: map[string]time.Time{}, closedUntil: map[string]time.Time{}, fewerSince: map[string]time.Time{},
+			orderedAt: map[string]time.Time{}, fullUntil: map[string]time.Time{}, fewerSince: map[string]time.Time{},
+			taken: map[string]int{},
 		}
 		s.services[service] = standing
 	}
@@ -130,7 +134,7 @@
 	running, open := s.config.Work(service.Name)
 	plan.peak.add(now, running, open)
 	seen := &View{
-		Service: service.Name, Scaling: *service.Scaling, Slots: service.Engine.Slots, Present: map[string]int{}, Closed: map[string]bool{},
+		Service: service.Name, Scaling: *service.Scaling, Slots: service.Engine.Slots, Present: map[string]int{}, Closed: map[string]bool{}, Full: map[string]bool{},
 	}
 	seen.Running, seen.Open = plan.peak.greatest()
 	for _, replica := range view.Replicas {
@@ -138,8 +142,8 @@
 			seen.Present[replica.Zone]++
 		}
 	}
-	for zone, until := range plan.closedUntil {
-		seen.Closed[zone] = now.Before(until)
+	for zone, until := range plan.fullUntil {
+		seen.Full[zone] = now.Before(until)
 	}
 	for _, endpoint := range view.Endpoints {
 		if endpoint.Model == service.Name && endpoint.State.Evacuated() {
@@ -191,14 +195,23 @@
 
 func (p *plan) isDue(want Wanted, standing int, now time.Time) bool {
 	switch {
-	case now.Before(p.closedUntil[want.Zone]), now.Sub(p.orderedAt[want.Zone]) < leastGap:
+	case now.Before(p.fullUntil[want.Zone]), now.Sub(p.orderedAt[want.Zone]) < leastGap:
 		return false
+	case p.isUnsettled(want.Zone):
+		return true
 	case want.Replicas >= standing:
 		return want.Replicas-standing >= leastChange
 	}
 	return standing-want.Replicas >= leastChange && now.Sub(p.fewerSince[want.Zone]) >= shrinkAfter
 }
 
+// isUnsettled tells whether the last order for a zone may not have been taken. A
+// further holder sends what stands once more: it changes nothing where it was taken.
+func (p *plan) isUnsettled(zone string) bool {
+	ordered := p.ledger.known.Ordered[zone]
+	return ordered > 0 && p.taken[zone] != ordered
+}
+
 // change notes a wanted number in the ledger and orders it.
 func (s *Service) change(ctx context.Context, plan *plan, service string, want Wanted, now time.Time) {
 	if err := s.note(ctx, plan, want); err != nil {
@@ -210,8 +223,9 @@
 	s.metrics.count(err)
 	switch {
 	case errors.Is(err, ErrNoneToHave):
-		plan.closedUntil[want.Zone] = now.Add(refusedPause)
+		plan.fullUntil[want.Zone] = now.Add(refusedPause)
 	case err == nil:
+		plan.taken[want.Zone] = want.Replicas
 		s.config.Logger.Info("replicas ordered", "service", service, "zone", want.Zone, "replicas", want.Replicas, "reason", want.Reason)
 		return
 	}
--- a/internal/autoscale/view.go
+++ b/internal/autoscale/view.go
@@ -10,19 +10,11 @@
 	Slots int
 	// Present counts the replicas of each zone that serve or warm up.
 	Present map[string]int
-	// Closed are the zones in which a replica would get no work: evacuated ones, and
-	// those that had none to give a moment ago.
+	// Closed are the zones whose replicas get no work, since they are evacuated, and
+	// Full those that had no further replica to give a moment ago.
 	Closed map[string]bool
+	Full   map[string]bool
 	// Running is how many items run, and Open how many run or wait, at the peak of late.
 	Running int
 	Open    int
 }
-
-// present is the number of replicas in all zones.
-func (v *View) present() int {
-	sum := 0
-	for _, count := range v.Present {
-		sum += count
-	}
-	return sum
-}
--- a/standin/dutyapi/server.go
+++ b/standin/dutyapi/server.go
@@ -24,6 +24,9 @@
 	At     time.Time
 }
 
+// Zone is a zone of a service.
+type Zone struct{ Service, Zone string }
+
 // Server is a running API.
 type Server struct {
 	listener net.Listener
@@ -31,6 +34,7 @@
 
 	mutex    sync.Mutex
 	reports  map[int64]Report
+	replicas map[Zone]int
 	findings []string
 	// token is the greatest seen, of holder; acted is when each holder called last.
 	token  uint64
@@ -46,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	api := &Server{listener: listener, reports: map[int64]Report{}, acted: map[string]time.Time{}}
+	api := &Server{listener: listener, reports: map[int64]Report{}, replicas: map[Zone]int{}, acted: map[string]time.Time{}}
 	api.server = &http.Server{Handler: api}
 	go api.server.Serve(listener)
 	return api, nil
@@ -72,6 +76,13 @@
 	return maps.Clone(s.reports)
 }
 
+// Replicas returns how many replicas were ordered last, by zone.
+func (s *Server) Replicas() map[Zone]int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return maps.Clone(s.replicas)
+}
+
 // Findings are the calls that broke a rule.
 func (s *Server) Findings() []string {
 	s.mutex.Lock()
@@ -79,16 +90,33 @@
 	return append([]string(nil), s.findings...)
 }
 
+// message is the body of a call: a report of usage, or an order of replicas.
+type message struct {
+	Window  *int64            `json:"windowId"`
+	Counts  map[string]uint64 `json:"counts"`
+	Service string            `json:"service"`
+	Zone    string            `json:"zone"`
+	Desired *int              `json:"desired"`
+}
+
+// isWhole tells whether a message has what its path wants.
+func (m *message) isWhole(path string) bool {
+	switch path {
+	case "/usage":
+		return m.Window != nil && m.Counts != nil
+	case "/scale":
+		return m.Service != "" && m.Zone != "" && m.Desired != nil
+	}
+	return false
+}
+
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	var body struct {
-		Window *int64            `json:"windowId"`
-		Counts map[string]uint64 `json:"counts"`
-	}
+	var body message
 	token, err := strconv.ParseUint(request.Header.Get("Pathtally-Fencing-Token"), 10, 64)
 	holder := request.Header.Get("Pathtally-Duty-Holder")
-	if request.Method != http.MethodPost || request.URL.Path != "/usage" || err != nil || holder == "" ||
-		json.NewDecoder(request.Body).Decode(&body) != nil || body.Window == nil || body.Counts == nil {
+	if request.Method != http.MethodPost || err != nil || holder == "" ||
+		json.NewDecoder(request.Body).Decode(&body) != nil || !body.isWhole(request.URL.Path) {
 		writer.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -99,6 +127,10 @@
 		return
 	}
 	s.judge(holder, token)
+	if body.Desired != nil {
+		s.replicas[Zone{Service: body.Service, Zone: body.Zone}] = *body.Desired
+		return
+	}
 	s.take(Report{Window: *body.Window, Holder: holder, Token: token, Counts: body.Counts, At: time.Now()})
 }
 
