--- a/internal/autoscale/service.go
+++ b/internal/autoscale/service.go
@@ -251,13 +251,13 @@
 func (s *Service) order(ctx context.Context, service string, want Wanted) error {
 	permit, valid := s.config.Keeper.Begin()
 	if !valid {
-		return errNotHolder
+		return duty.ErrFenced
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTime)
 	defer cancel()
 	err := s.config.Platform.Order(ctx, Order{
 		Service: service, Zone: want.Zone, Replicas: want.Replicas, Holder: permit.Holder, Token: permit.Token,
 	})
-	permit.Done(!errors.Is(err, ErrUnanswered))
+	permit.Done(!errors.Is(err, duty.ErrUnanswered))
 	return err
 }
--- a/internal/autoscale/service_test.go
+++ b/internal/autoscale/service_test.go
@@ -43,7 +43,7 @@
 	}
 	m.orders[order.Zone] = order.Replicas
 	if m.mute {
-		return ErrUnanswered
+		return duty.ErrUnanswered
 	}
 	return nil
 }
--- a/internal/usage/service_test.go
+++ b/internal/usage/service_test.go
@@ -56,7 +56,7 @@
 		b.reports[report.Window] = received{Report: report, late: late}
 	}
 	if time.Now().Before(b.away) {
-		return ErrUnanswered
+		return duty.ErrUnanswered
 	}
 	return nil
 }
