watchcache: a reader that does not know a kind is not followed

Cause: a follower asks for a kind that its reader, of an earlier version or without the setting, does not keep. The reader calls itself current, so the follower counted its copies as current and never listed that kind: a new node would never become ready.

Weighed: telling in the poll's answer which kinds a reader keeps, which is a change of the wire that earlier versions do not send. Run: go test ./internal/watchcache passes with it; the new test had no listing without.

--- a/internal/watchcache/cache.go
+++ b/internal/watchcache/cache.go
@@ -51,6 +51,13 @@
 	return c.at
 }
 
+// Listed tells whether there has been a first listing.
+func (c *Cache) Listed() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.listed
+}
+
 // Replace takes a whole listing unless it is older than the copy.
 func (c *Cache) Replace(objects []objectstore.Object, at uint64, afterOutage bool) bool {
 	c.mutex.Lock()
--- a/internal/watchcache/follow.go
+++ b/internal/watchcache/follow.go
@@ -139,12 +139,26 @@
 	}
 	s.take(poll, news)
 	outcome := outcomeOf(wire.Standing(news.Standing))
+	if outcome == outcomeCurrent && !s.listed() {
+		// A reader of an earlier version may not know all kinds.
+		return outcomeStarting
+	}
 	if outcome == outcomeCurrent {
 		s.notePeer(reader, news.Through)
 	}
 	return outcome
 }
 
+// listed tells whether every kind has been listed once.
+func (s *Source) listed() bool {
+	for _, cache := range s.caches {
+		if !cache.Listed() {
+			return false
+		}
+	}
+	return true
+}
+
 func outcomeOf(standing wire.Standing) string {
 	switch standing {
 	case wire.StandingCurrent:
--- a/internal/watchcache/source_test.go
+++ b/internal/watchcache/source_test.go
@@ -1,6 +1,7 @@
 package watchcache
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -295,3 +296,21 @@
 		c.await(c.nodes, "first", "3", bound)
 	})
 }
+
+// Nodes of an earlier version know fewer kinds. A follower of one waited for the first
+// listing of a new kind for as long as that node was first in rank.
+func TestReaderThatDoesNotKnowAKindIsNotFollowed(t *testing.T) {
+	inCluster(t, 3, func(c *cluster) {
+		c.store.Write("newer", "first", 1)
+		starting, sink := c.followers()[0], &recorder{}
+		starting.stop()
+		starting.source.Add("newer", sink, PromptWait)
+		ctx, cancel := context.WithCancel(c.t.Context())
+		starting.stop = cancel
+		go starting.source.Run(ctx)
+		settle(newsBound + bound)
+		if sink.spec("first") == "" {
+			t.Error("a kind that the reader does not know has not been listed")
+		}
+	})
+}
