directory: which zones are evacuated

Cause: nothing told the endpoints that their zone is evacuated.

Endpoints are told before the view is published, also those that appear or move later. Where evacuations are followed, every zone counts as evacuated until the first listing, so that no duty can send before it. An object for a zone without replicas is kept and has no effect. Weighed: refusing unknown zones, which would miss replicas that appear there later. Run: go test ./internal/directory.

--- /dev/null
+++ b/internal/directory/evacuation.go
@@ -0,0 +1,146 @@
+package directory
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pathtally/pathtally/internal/routing"
+)
+
+// endedMemory is for how long the end of an evacuation is remembered: replicas warm
+// up within seconds, and operators look at a zone for some minutes after.
+const endedMemory = 10 * time.Minute
+
+// EvacuationChange is the beginning or the end of a zone's evacuation.
+type EvacuationChange struct {
+	Zone  string
+	Ended bool
+}
+
+// AwaitEvacuations has every zone taken as evacuated until the evacuations have been
+// listed once. Call it before the first listing of replicas.
+func (t *Table) AwaitEvacuations() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	next := *t.view.Load()
+	next.EvacuationsAwaited = true
+	t.publishEvacuations(&next)
+}
+
+// SetEvacuations replaces the whole list of evacuated zones.
+func (t *Table) SetEvacuations(zones []string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	standing := t.view.Load()
+	var changes []EvacuationChange
+	for zone := range standing.Evacuated {
+		if !slices.Contains(zones, zone) {
+			changes = append(changes, EvacuationChange{Zone: zone, Ended: true})
+		}
+	}
+	for _, zone := range zones {
+		changes = append(changes, EvacuationChange{Zone: zone})
+	}
+	if len(changes) == 0 && !standing.EvacuationsAwaited {
+		return
+	}
+	next := *standing
+	next.EvacuationsAwaited = false
+	t.changeEvacuations(&next, changes)
+}
+
+// ApplyEvacuations takes changes that came together, oldest first.
+func (t *Table) ApplyEvacuations(changes []EvacuationChange) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	next := *t.view.Load()
+	t.changeEvacuations(&next, changes)
+}
+
+// changeEvacuations publishes a view with changed evacuations.
+func (t *Table) changeEvacuations(next *View, changes []EvacuationChange) {
+	next.Evacuated = cloneTimes(next.Evacuated)
+	next.EvacuationEnded = cloneTimes(next.EvacuationEnded)
+	maps.DeleteFunc(next.EvacuationEnded, func(_ string, at time.Time) bool { return time.Since(at) > endedMemory })
+	for _, change := range changes {
+		if change.Ended {
+			t.endEvacuation(next, change.Zone)
+		} else {
+			t.beginEvacuation(next, change.Zone)
+		}
+	}
+	t.publishEvacuations(next)
+}
+
+// beginEvacuation records that a zone is evacuated, unless it is known.
+func (t *Table) beginEvacuation(next *View, zone string) {
+	if _, known := next.Evacuated[zone]; known {
+		return
+	}
+	next.Evacuated[zone] = time.Now()
+	delete(next.EvacuationEnded, zone)
+	replicas := next.EndpointsIn(zone)
+	if len(replicas) == 0 {
+		t.logger.Info("evacuation of a zone without replicas", "evacuated", zone)
+		return
+	}
+	t.logger.Info("zone evacuated", "evacuated", zone, "replicas", len(replicas), "inFlight", next.InFlightIn(zone))
+}
+
+// endEvacuation records that a zone is no longer evacuated.
+func (t *Table) endEvacuation(next *View, zone string) {
+	since, known := next.Evacuated[zone]
+	if !known {
+		return
+	}
+	delete(next.Evacuated, zone)
+	next.EvacuationEnded[zone] = time.Now()
+	t.logger.Info("evacuation ended", "evacuated", zone, "replicas", len(next.EndpointsIn(zone)), "lastedMs", time.Since(since).Milliseconds(),
+		"inFlight", next.InFlightIn(zone))
+}
+
+// publishEvacuations publishes a view after its endpoints have been told.
+func (t *Table) publishEvacuations(next *View) {
+	markEvacuated(next)
+	t.publish(next)
+}
+
+// markEvacuated tells the endpoints of a view which of them are to get nothing.
+func markEvacuated(view *View) {
+	for _, endpoint := range view.Endpoints {
+		endpoint.State.SetEvacuated(view.IsEvacuated(endpoint.Zone))
+	}
+}
+
+// IsEvacuated tells whether nothing is to be sent to the replicas of a zone.
+func (v *View) IsEvacuated(zone string) bool {
+	_, evacuated := v.Evacuated[zone]
+	return evacuated || v.EvacuationsAwaited
+}
+
+// EndpointsIn lists the current replicas of a zone, in no order.
+func (v *View) EndpointsIn(zone string) []*routing.Endpoint {
+	var found []*routing.Endpoint
+	for _, endpoint := range v.Endpoints {
+		if endpoint.Zone == zone {
+			found = append(found, endpoint)
+		}
+	}
+	return found
+}
+
+// InFlightIn counts this node's requests in progress at the replicas of a zone.
+func (v *View) InFlightIn(zone string) int64 {
+	count := int64(0)
+	for _, endpoint := range v.EndpointsIn(zone) {
+		count += endpoint.State.InFlight.Load()
+	}
+	return count
+}
+
+func cloneTimes(times map[string]time.Time) map[string]time.Time {
+	clone := make(map[string]time.Time, len(times)+1)
+	maps.Copy(clone, times)
+	return clone
+}
--- /dev/null
+++ b/internal/directory/evacuation_test.go
@@ -0,0 +1,147 @@
+package directory
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pathtally/pathtally/standin/metastore"
+)
+
+// evacuations is a directory with replicas a and b in the zones of those names.
+type evacuations struct {
+	*testing.T
+	store *metastore.Store
+	table *Table
+}
+
+func inZone(zone string) *Replica {
+	replica := ready("s")
+	replica.Zone = zone
+	return replica
+}
+
+func withZones(t *testing.T, test func(e *evacuations)) {
+	bubble(t, func(t *testing.T, ctx context.Context, store *metastore.Store) {
+		store.Write("servers", "a", inZone("a"))
+		store.Write("servers", "b", inZone("b"))
+		e := &evacuations{T: t, store: store, table: informed(ctx, store)}
+		settle(time.Second)
+		test(e)
+	})
+}
+
+func (e *evacuations) begin(zone string) { e.store.Write("evacuations", zone, struct{}{}) }
+func (e *evacuations) end(zone string)   { e.store.Remove("evacuations", zone) }
+
+// want waits and checks which replicas are to get nothing.
+func (e *evacuations) want(within time.Duration, evacuated ...string) {
+	e.Helper()
+	settle(within)
+	var found []string
+	for id, endpoint := range e.table.View().Endpoints {
+		if endpoint.State.Evacuated() {
+			found = append(found, id)
+		}
+	}
+	slices.Sort(found)
+	if !slices.Equal(found, evacuated) {
+		e.Errorf("evacuated replicas are %v, want %v", found, evacuated)
+	}
+}
+
+func TestEvacuationIsHeardOfByWatch(t *testing.T) {
+	withZones(t, func(e *evacuations) {
+		e.begin("a")
+		e.want(time.Second, "a")
+	})
+}
+
+func TestEvacuationsOverlap(t *testing.T) {
+	withZones(t, func(e *evacuations) {
+		e.begin("a")
+		e.begin("b")
+		e.end("a")
+		e.want(time.Second, "b")
+	})
+}
+
+func TestEvacuationIsListedAfterForgottenHistory(t *testing.T) {
+	withZones(t, func(e *evacuations) {
+		e.store.SetFault(func(metastore.Call) metastore.Fault { return metastore.Silent })
+		settle(time.Second)
+		e.begin("a")
+		e.store.Forget()
+		e.store.SetFault(nil)
+		e.want(3*time.Second, "a")
+	})
+}
+
+func TestEvacuationTakenBackDuringACutEndsAfterIt(t *testing.T) {
+	withZones(t, func(e *evacuations) {
+		e.begin("a")
+		settle(time.Second)
+		e.store.SetFault(func(metastore.Call) metastore.Fault { return metastore.Silent })
+		settle(time.Second)
+		e.end("a")
+		e.want(time.Second, "a")
+		e.store.SetFault(nil)
+		e.want(3 * time.Second)
+	})
+}
+
+func TestEndOfAnEvacuationIsRemembered(t *testing.T) {
+	withZones(t, func(e *evacuations) {
+		e.begin("a")
+		settle(time.Second)
+		e.end("a")
+		settle(time.Second)
+		if ended := e.table.View().EvacuationEnded["a"]; time.Since(ended) > time.Second {
+			t.Errorf("the end is known as of %v", ended)
+		}
+	})
+}
+
+func TestEvacuationOfAnUnknownZoneHasNoEffect(t *testing.T) {
+	withZones(t, func(e *evacuations) {
+		e.begin("elsewhere")
+		e.want(time.Second)
+	})
+}
+
+func TestReplicaThatAppearsInAnEvacuatedZoneGetsNothing(t *testing.T) {
+	withZones(t, func(e *evacuations) {
+		e.begin("c")
+		settle(time.Second)
+		e.store.Write("servers", "c", inZone("c"))
+		e.want(time.Second, "c")
+	})
+}
+
+func TestReplicaThatMovesOutOfAnEvacuatedZoneIsUsed(t *testing.T) {
+	withZones(t, func(e *evacuations) {
+		e.begin("a")
+		settle(time.Second)
+		e.store.Write("servers", "a", inZone("b"))
+		e.want(time.Second)
+	})
+}
+
+// A node that starts may know its replicas before the evacuations.
+func TestNothingIsSentBeforeEvacuationsAreListed(t *testing.T) {
+	table := NewTable("a", nil, klog.Background())
+	table.AwaitEvacuations()
+	replica := inZone("a")
+	replica.ID = "a"
+	table.SetReplicas([]*Replica{replica}, 0)
+	if !table.View().Endpoints["a"].State.Evacuated() {
+		t.Error("a replica is used although it is not known whether its zone is evacuated")
+	}
+	table.SetEvacuations(nil)
+	if table.View().Endpoints["a"].State.Evacuated() {
+		t.Error("a replica is not used although no zone is evacuated")
+	}
+}
--- a/internal/directory/plans.go
+++ b/internal/directory/plans.go
@@ -32,6 +32,7 @@
 		}
 	}
 	next.Plans = t.plansOf(next.Endpoints, standing.Plans, changed)
+	markEvacuated(next)
 	t.publish(next)
 }
 
--- a/internal/directory/table_test.go
+++ b/internal/directory/table_test.go
@@ -46,9 +46,10 @@
 func informed(ctx context.Context, store *metastore.Store) *Table {
 	table := NewTable("zone", nil, klog.Background())
 	sinks := map[string]watchcache.Sink{
-		"config":   ConfigurationSink{Table: table, Decoder: jsonDecoder{}, Name: "main"},
-		"servers":  ReplicaSink{Table: table, Decoder: jsonDecoder{}, KeepMissing: func() time.Duration { return keepMissing }},
-		"versions": VersionSink{Table: table, Decoder: jsonDecoder{}},
+		"config":      ConfigurationSink{Table: table, Decoder: jsonDecoder{}, Name: "main"},
+		"servers":     ReplicaSink{Table: table, Decoder: jsonDecoder{}, KeepMissing: func() time.Duration { return keepMissing }},
+		"versions":    VersionSink{Table: table, Decoder: jsonDecoder{}},
+		"evacuations": EvacuationSink{Table: table},
 	}
 	for kind, sink := range sinks {
 		go watchcache.NewInformer(store, kind, sink, klog.Background()).Run(ctx)
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -19,6 +19,15 @@
 	Plans map[string]*routing.Plan
 	// Named gives the newest version that a trainer has named of each model.
 	Named map[string]int64
+	// Evacuated gives the zones whose replicas are to get nothing, each with when this
+	// node learnt of it.
+	Evacuated map[string]time.Time
+	// EvacuationEnded gives the zones whose evacuation has ended, each with when this
+	// node learnt of the end. Their replicas may be cold. Old ends are forgotten.
+	EvacuationEnded map[string]time.Time
+	// EvacuationsAwaited is true until the evacuations have been listed once, where
+	// they are followed: until then every zone counts as evacuated.
+	EvacuationsAwaited bool
 	// ReplicasKnown is false until the replicas have been listed once.
 	ReplicasKnown bool
 	// Changed is when the view was made.
