dispatch: sends that are withheld are counted by reason

Cause: a request that is not sent at the last look left no trace in the figures.

Change: a counter by reason. The error of the last look keeps its type until it is returned. Three tests' harnesses pass no metrics.

--- a/internal/batch/harness_test.go
+++ b/internal/batch/harness_test.go
@@ -321,7 +321,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c.t.Cleanup(cancel)
 	node := &testNode{ctx: ctx, cancel: cancel}
-	dispatcher := dispatch.New(exchange.NewPool(nil), testHeaders{})
+	dispatcher := dispatch.New(exchange.NewPool(nil), testHeaders{}, nil)
 	self := Owner{Node: name, Address: name, Incarnation: uint64(time.Now().UnixNano())}
 	node.table = peering.NewTable(peering.Config{
 		Node: name, Address: name, Incarnation: self.Incarnation, Store: c.store, Peers: link{c.peers, name}, Logger: logger,
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -13,11 +13,12 @@
 type Dispatcher struct {
 	pool    *exchange.Pool
 	headers Headers
+	metrics *Metrics
 }
 
-// New returns a dispatcher over a pool of connections.
-func New(pool *exchange.Pool, headers Headers) *Dispatcher {
-	return &Dispatcher{pool: pool, headers: headers}
+// New returns a dispatcher over a pool of connections. Metrics may be nil.
+func New(pool *exchange.Pool, headers Headers, metrics *Metrics) *Dispatcher {
+	return &Dispatcher{pool: pool, headers: headers, metrics: metrics}
 }
 
 // Answer is a replica's answer with its verdict.
@@ -48,7 +49,7 @@
 
 // admit tells why a replica is to get no request now. Everything that goes to a
 // replica passes here last: what a pick found may have changed since.
-func admit(endpoint *routing.Endpoint) error {
+func admit(endpoint *routing.Endpoint) *WithheldError {
 	if endpoint.State.Evacuated() {
 		return &WithheldError{Replica: endpoint.Name, Reason: routing.ReasonEvacuated}
 	}
@@ -62,8 +63,9 @@
 // *exchange.NotSentError or an *exchange.BrokenError. The caller closes the
 // answer.
 func (d *Dispatcher) Send(ctx context.Context, endpoint *routing.Endpoint, call *Call) (*Answer, error) {
-	if err := admit(endpoint); err != nil {
-		return nil, err
+	if withheld := admit(endpoint); withheld != nil {
+		d.metrics.countWithheld(withheld.Reason)
+		return nil, withheld
 	}
 	header := call.Header.Clone()
 	d.headers.Prepare(header, Conditions{
--- /dev/null
+++ b/internal/dispatch/metrics.go
@@ -0,0 +1,33 @@
+package dispatch
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/pathtally/pathtally/internal/routing"
+)
+
+// Metrics count what was not sent to replicas.
+type Metrics struct {
+	withheld *prometheus.CounterVec
+}
+
+// NewMetrics registers the metrics of dispatching.
+func NewMetrics(registry prometheus.Registerer) *Metrics {
+	metrics := &Metrics{withheld: prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "pathtally_sends_withheld_total", Help: "Requests that were picked a replica for and then not sent there, by reason.",
+	}, []string{"reason"})}
+	registry.MustRegister(metrics.withheld)
+	return metrics
+}
+
+// withheldNames name the reasons in the metrics.
+var withheldNames = map[routing.Reason]string{
+	routing.ReasonEvacuated: "evacuated",
+	routing.ReasonSlowStart: "slow_start",
+}
+
+func (m *Metrics) countWithheld(reason routing.Reason) {
+	if m != nil {
+		m.withheld.WithLabelValues(withheldNames[reason]).Inc()
+	}
+}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -96,7 +96,7 @@
 	}
 	table.SetReplicas(replicas, 0)
 	return New(Config{
-		Directory: table, Dispatcher: dispatch.New(exchange.NewPool(nil), testHeaders{}), Logger: klog.Background(),
+		Directory: table, Dispatcher: dispatch.New(exchange.NewPool(nil), testHeaders{}, nil), Logger: klog.Background(),
 		Metrics: NewMetrics(prometheus.NewRegistry()),
 	})
 }
--- a/internal/instance/assemble.go
+++ b/internal/instance/assemble.go
@@ -42,7 +42,7 @@
 func (i *Instance) assembleForwarding() *dispatch.Dispatcher {
 	i.directory = directory.NewTable(i.settings.Zone, i.settings.Regions, i.logger)
 	i.pool = exchange.NewPool(nil)
-	dispatcher := dispatch.New(i.pool, i.adapter.Headers)
+	dispatcher := dispatch.New(i.pool, i.adapter.Headers, dispatch.NewMetrics(i.registry))
 	i.forwarder = forward.New(forward.Config{
 		Zone: i.settings.Zone, Directory: i.directory, Dispatcher: dispatcher, Logger: i.logger, Metrics: forward.NewMetrics(i.registry),
 		Prompt: i.adapter.Headers.Prompt, VersionField: i.adapter.Jobs.VersionField(), Meter: (*usageMeter)(i),
--- a/test/virtual_test.go
+++ b/test/virtual_test.go
@@ -75,7 +75,7 @@
 	}
 	pool := exchange.NewPool(network.Dial)
 	t.Cleanup(func() { pool.SetBounds(map[string]exchange.Bound{}) })
-	dispatcher := dispatch.New(pool, platform.Headers{})
+	dispatcher := dispatch.New(pool, platform.Headers{}, nil)
 	registry := prometheus.NewRegistry()
 	peers := peering.NewTable(peering.Config{
 		Node: "node", Address: "node", Store: day.store, Peers: alone{}, Logger: logger,
