forward: a refusal says which filter left no replica

Cause: a service whose replicas all stand in evacuated zones was refused as "no replica is available", to come back in 120 ms: nothing is different then.

Change: where no replica at all would do, the reason of the filter goes before the general one. A replica that turned the request away before is no evacuated one, so what is left of a pick with replicas asked before gives no reason.

--- a/internal/forward/errors.go
+++ b/internal/forward/errors.go
@@ -40,6 +40,9 @@
 	ReasonNoReplica = "no replica is available"
 	ReasonAllFull   = "every replica turned it away"
 	ReasonExpired   = "the time ran out before a replica took it"
+	ReasonEvacuated = "every replica is in an evacuated zone"
+	ReasonNotAtHome = "no replica is in a region that may serve it"
+	ReasonWarmingUp = "every replica that may serve it warms up"
 )
 
 // ErrSilent means that a stream was cut because nothing came.
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -44,6 +44,9 @@
 	// mayHaveRun is set once an attempt ended without a promise.
 	mayHaveRun bool
 	lastErr    error
+	// unpicked is why no replica at all would do at the last pick, nil if some did or
+	// if those asked before were left out.
+	unpicked error
 	// failure is a whole answer of a replica that says it failed, and failures
 	// the number of those.
 	failure  *Whole
@@ -55,7 +58,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if !r.launch(ctx) {
-		return nil, &RefusedError{Reason: ReasonNoReplica, RetryAfter: comeBack, Cause: r.lastErr}
+		return nil, refusal(ReasonNoReplica, r.lastErr, r.unpicked)
 	}
 	hedge := time.NewTimer(r.hedgeDelay())
 	defer hedge.Stop()
@@ -144,8 +147,12 @@
 		if r.lastErr == nil {
 			r.lastErr = err
 		}
+		if len(r.asked) == 0 {
+			r.unpicked = err
+		}
 		return false
 	}
+	r.unpicked = nil
 	r.counted++
 	r.open++
 	call := *r.call
@@ -167,7 +174,7 @@
 	if r.mayHaveRun || r.open > 0 {
 		return nil, &LostError{Expired: true, Cause: ctx.Err()}
 	}
-	return nil, &RefusedError{Reason: ReasonExpired, RetryAfter: comeBack, Cause: r.lastErr}
+	return nil, refusal(ReasonExpired, r.lastErr, r.unpicked)
 }
 
 // giveUp ends a request that there is nothing left to try for.
@@ -181,5 +188,5 @@
 	if r.mayHaveRun {
 		return nil, &LostError{Cause: r.lastErr}
 	}
-	return nil, &RefusedError{Reason: ReasonAllFull, RetryAfter: comeBack, Cause: r.lastErr}
+	return nil, refusal(ReasonAllFull, r.lastErr, r.unpicked)
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -112,9 +112,13 @@
 	case r.counted > 0:
 		return &LostError{Expired: ctx.Err() != nil, Cause: err}
 	case len(r.asked) == 0 && r.refusals == 0:
-		return &RefusedError{Reason: ReasonNoReplica, RetryAfter: comeBack, Cause: err}
+		return refusal(ReasonNoReplica, err, err)
 	}
-	return &RefusedError{Reason: ReasonAllFull, RetryAfter: comeBack, Cause: err}
+	if len(r.asked) == 0 {
+		// No replica at all would do, not only none that is left.
+		return refusal(ReasonAllFull, err, err)
+	}
+	return refusal(ReasonAllFull, err, nil)
 }
 
 // attempt streams from one replica until the end.
