weightorders: no orders to replicas in evacuated zones

Cause: nothing further is to be sent there; and a model whose homes all stood in an evacuated zone would have had no replica left.

Change: the models of a service are shared among its replicas outside evacuated zones. Weighed: keeping the weights there current for the end: a load for each version of a time whose end nobody knows. Run: go test ./internal/weightorders.

--- a/internal/weightorders/plan.go
+++ b/internal/weightorders/plan.go
@@ -62,7 +62,8 @@
 }
 
 // tasks are all replicas that lack the named version of a model that they keep
-// up with.
+// up with. Those in evacuated zones are to get nothing, so the models are shared among
+// the others.
 func tasks(view *directory.View, known knowledge, demand map[string]float64) []task {
 	if view.Configuration == nil {
 		return nil
@@ -70,6 +71,9 @@
 	var open []task
 	byService := map[string][]*directory.Replica{}
 	for _, replica := range view.Replicas {
+		if view.IsEvacuated(replica.Zone) {
+			continue
+		}
 		byService[replica.Service] = append(byService[replica.Service], replica)
 	}
 	for name, replicas := range byService {
--- a/internal/weightorders/plan_test.go
+++ b/internal/weightorders/plan_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 
+	"k8s.io/klog/v2"
+
 	"github.com/pathtally/pathtally/internal/directory"
 )
 
@@ -163,3 +165,25 @@
 		t.Errorf("%d replicas take new jobs as they are, want 2", open[0].current)
 	}
 }
+
+// Replicas of an evacuated zone are to get nothing; no model is left to them alone.
+func TestModelsAreSharedAmongReplicasOutsideEvacuatedZones(t *testing.T) {
+	table := directory.NewTable("a", nil, klog.Background())
+	table.SetConfiguration(&directory.Configuration{Services: map[string]directory.Service{"s": {Engine: &directory.Engine{Models: []string{"m", "n"}}}}}, 1)
+	table.SetReplicas([]*directory.Replica{
+		{ID: "1", Service: "s", Zone: "a", State: directory.ReplicaReady}, {ID: "2", Service: "s", Zone: "b", State: directory.ReplicaReady},
+	}, 0)
+	table.SetVersion("m", 1)
+	table.SetVersion("n", 1)
+	table.SetEvacuations([]string{"b"})
+	models := map[string]bool{}
+	for _, open := range tasks(table.View(), known{}, nil) {
+		models[open.model] = true
+		if open.target.ID != "1" {
+			t.Errorf("replica %s is to be ordered", open.target.ID)
+		}
+	}
+	if len(models) != 2 {
+		t.Errorf("models that replicas are left for: %v", models)
+	}
+}
