instance: follow the evacuations of zones

Cause: the kind was named and nobody watched it.

Change: where evacuationBound is set the source keeps the directory's evacuations current with prompt watches; a node is not ready before they are listed. Run: go test ./internal/instance.

--- a/internal/instance/duties.go
+++ b/internal/instance/duties.go
@@ -15,6 +15,7 @@
 	i.source.Add(kinds.Configuration, directory.ConfigurationSink{Table: i.directory, Decoder: decoder, Name: kinds.ConfigurationName}, watchcache.PromptWait)
 	i.source.Add(kinds.Replicas, directory.ReplicaSink{Table: i.directory, Decoder: decoder, KeepMissing: i.keepMissing}, watchcache.PromptWait)
 	i.source.Add(kinds.Versions, directory.VersionSink{Table: i.directory, Decoder: decoder}, watchcache.PromptWait)
+	i.followEvacuations()
 	i.source.Add(peering.Kind, i.peers, watchcache.LongWait)
 	i.source.Add(kinds.Retirements, &retirements{
 		kind: kinds.Retirements, store: i.store, codec: i.adapter.Retirements, node: i.settings.Node, nodes: i.peers.Nodes,
@@ -24,6 +25,7 @@
 	i.run(func() { i.peers.Join(ctx) })
 	i.run(func() { i.boundConnections(ctx) })
 	i.run(func() { i.watchCatchUp(ctx) })
+	i.run(func() { i.watchEvacuations(ctx) })
 	i.run(func() { i.jobs.Run(ctx) })
 	i.run(func() { i.weights.Run(ctx) })
 	if i.usage != nil {
--- /dev/null
+++ b/internal/instance/evacuations_test.go
@@ -0,0 +1,45 @@
+package instance
+
+import (
+	"testing"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pathtally/pathtally/internal/directory"
+)
+
+func TestAnEvacuatedZoneIsWatchedUntilItIsEmpty(t *testing.T) {
+	table := directory.NewTable("a", nil, klog.Background())
+	table.SetReplicas([]*directory.Replica{{ID: "one", Service: "s", Zone: "a", State: directory.ReplicaReady}}, 0)
+	table.SetEvacuations([]string{"a"})
+	watch := &evacuationWatch{logger: klog.Background(), age: func() time.Duration { return 0 }, oldest: time.Second, empty: map[string]bool{}}
+	state := table.View().Endpoints["one"].State
+	state.InFlight.Add(1)
+	if pause := watch.look(table.View()); pause != evacuationLook || watch.empty["a"] {
+		t.Errorf("with a request there the next look is in %v", pause)
+	}
+	state.InFlight.Add(-1)
+	if pause := watch.look(table.View()); pause != evacuationPause || !watch.empty["a"] {
+		t.Errorf("without a request there the next look is in %v", pause)
+	}
+	table.SetEvacuations(nil)
+	watch.look(table.View())
+	if watch.empty["a"] {
+		t.Error("the next evacuation of the zone begins as an empty one")
+	}
+}
+
+func TestDoubtAboutEvacuationsIsToldOnceAndEnds(t *testing.T) {
+	age := 2 * time.Second
+	watch := &evacuationWatch{logger: klog.Background(), age: func() time.Duration { return age }, oldest: time.Second, empty: map[string]bool{}}
+	watch.lookAtAge()
+	if !watch.doubt {
+		t.Error("word older than the bound is taken as current")
+	}
+	age = 0
+	watch.lookAtAge()
+	if watch.doubt {
+		t.Error("doubt goes on although there was word")
+	}
+}
--- a/internal/instance/readiness.go
+++ b/internal/instance/readiness.go
@@ -12,7 +12,7 @@
 	for _, part := range []struct {
 		name  string
 		known bool
-	}{{"configuration", view.Configuration != nil}, {"replicas", view.ReplicasKnown}, {"batch jobs", i.jobs.Recovered()}} {
+	}{{"configuration", view.Configuration != nil}, {"replicas", view.ReplicasKnown}, {"evacuations", !view.EvacuationsAwaited}, {"batch jobs", i.jobs.Recovered()}} {
 		if !part.known {
 			lacking = append(lacking, part.name)
 		}
