--- a/internal/instance/evacuations.go
+++ b/internal/instance/evacuations.go
@@ -69,7 +69,9 @@
 
 // look tells what is new and returns when to look again.
 func (w *evacuationWatch) look(view *directory.View) time.Duration {
-	w.lookAtAge()
+	if !view.EvacuationsAwaited {
+		w.lookAtAge()
+	}
 	for zone := range w.empty {
 		if _, evacuated := view.Evacuated[zone]; !evacuated {
 			delete(w.empty, zone)
