slowstart: allotments for replicas that warm up

Chosen: the holder of the duty lease allots counts that expire by the asker's own clock, counted from the sending of its question.

Tests of directory, batch, duty, instance and routing pass; none for the new code yet.

--- a/internal/batch/placement.go
+++ b/internal/batch/placement.go
@@ -139,6 +139,9 @@
 			if state.failures.failing(now) {
 				shared.most = min(failingRuns, endpoint.Slots)
 			}
+			if left := endpoint.State.SlowStart.Left(); left < shared.most {
+				shared.most = min(shared.most, shared.load+left)
+			}
 			p.byName[endpoint.Name] = shared
 		}
 		places = append(places, shared)
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -106,6 +106,9 @@
 	return count
 }
 
+// LookAgain has the scheduler look again, for a replica that takes items again.
+func (s *Service) LookAgain() { s.nudge() }
+
 // nudge has the scheduler look again.
 func (s *Service) nudge() {
 	select {
--- /dev/null
+++ b/internal/directory/slowstart.go
@@ -0,0 +1,62 @@
+package directory
+
+import (
+	"time"
+
+	"github.com/pathtally/pathtally/internal/slowstart"
+)
+
+// SlowStart bounds what replicas get while they warm up.
+type SlowStart interface {
+	// SetWarming names all replicas that warm up. On return none of them gets more
+	// than is allotted.
+	SetWarming(warming []slowstart.Warming)
+}
+
+// SetSlowStart has replicas that warm up be bounded. It is called before the first
+// listing.
+func (t *Table) SetSlowStart(slowStart SlowStart) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.slowStart = slowStart
+}
+
+// closeGates bounds the replicas that warm up in a view before it is published, so
+// that no pick finds one of them without its bound. The mutex must be held.
+func (t *Table) closeGates(next *View) {
+	if t.slowStart == nil {
+		return
+	}
+	now := time.Now()
+	t.warmUps.observe(now, t.view.Load(), next)
+	t.slowStart.SetWarming(t.warmUps.warming(now, next))
+}
+
+// warming lists the replicas of a view that warm up at an instant, of services that
+// bear a bounded rate meanwhile.
+func (w warmUps) warming(now time.Time, view *View) []slowstart.Warming {
+	if view.Configuration == nil {
+		return nil
+	}
+	var warming []slowstart.Warming
+	for id, replica := range view.Replicas {
+		service := view.Configuration.Services[replica.Service]
+		if service.WarmUpRate <= 0 {
+			continue
+		}
+		if until := w.until(replica, view.EvacuationEnded, service.WarmUp); now.Before(until) {
+			warming = append(warming, slowstart.Warming{Replica: id, Gate: &view.Endpoints[id].State.SlowStart, Until: until})
+		}
+	}
+	return warming
+}
+
+// WarmUpRate is how many requests a second a replica bears while it warms up, 0 for a
+// replica that is not known or bears any.
+func (v *View) WarmUpRate(id string) float64 {
+	replica := v.Replicas[id]
+	if replica == nil || v.Configuration == nil {
+		return 0
+	}
+	return v.Configuration.Services[replica.Service].WarmUpRate
+}
--- a/internal/directory/table.go
+++ b/internal/directory/table.go
@@ -36,8 +36,12 @@
 	// missing are the replicas kept although their entries have vanished.
 	missing map[string]*time.Timer
 	states  map[string]*routing.EndpointState
-	view    atomic.Pointer[View]
-	changed chan struct{}
+	// warmUps are what is known of replicas that warm up, and slowStart is told of
+	// them; nil where what they get is not bounded.
+	warmUps   warmUps
+	slowStart SlowStart
+	view      atomic.Pointer[View]
+	changed   chan struct{}
 }
 
 // NewTable returns an empty table for a node in a zone, given the region of each
@@ -45,7 +49,7 @@
 func NewTable(zone string, regions map[string]string, logger klog.Logger) *Table {
 	table := &Table{
 		zone: zone, regions: regions, logger: logger, draining: map[string]time.Time{}, missing: map[string]*time.Timer{},
-		states: map[string]*routing.EndpointState{}, changed: make(chan struct{}),
+		states: map[string]*routing.EndpointState{}, warmUps: warmUps{}, changed: make(chan struct{}),
 	}
 	table.view.Store(&View{Replicas: map[string]*Replica{}, Named: map[string]int64{}, Plans: map[string]*routing.Plan{}})
 	return table
@@ -98,6 +102,7 @@
 
 func (t *Table) publish(next *View) {
 	next.Changed = time.Now()
+	t.closeGates(next)
 	t.view.Store(next)
 	close(t.changed)
 	t.changed = make(chan struct{})
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -19,6 +19,8 @@
 	Plans map[string]*routing.Plan
 	// Named gives the newest version that a trainer has named of each model.
 	Named map[string]int64
+	// EvacuationEnded gives when this node learnt that a zone's evacuation has ended.
+	EvacuationEnded map[string]time.Time
 	// ReplicasKnown is false until the replicas have been listed once.
 	ReplicasKnown bool
 	// Changed is when the view was made.
--- a/internal/duty/lease.go
+++ b/internal/duty/lease.go
@@ -55,6 +55,15 @@
 	return l.state.valid(time.Now())
 }
 
+// Held returns since when this process has held the lease without a break; false
+// unless calls may be sent now.
+func (l *Lease) Held() (since time.Time, valid bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	_, valid = l.state.valid(time.Now())
+	return l.state.since, valid
+}
+
 // Tenure returns the token of this node's last renewal while no other node is
 // known to have followed it, else 0.
 func (l *Lease) Tenure() uint64 {
--- a/internal/instance/assemble.go
+++ b/internal/instance/assemble.go
@@ -92,6 +92,10 @@
 	if duties.Usage != nil {
 		i.usage = i.newUsage(self, duties.Usage)
 	}
+	if i.settings.WarmUpOverage > 0 {
+		i.slowStart = i.newSlowStart()
+		i.directory.SetSlowStart(i.slowStart.asker)
+	}
 }
 
 // assembleIngress makes what answers callers.
--- a/internal/instance/duties.go
+++ b/internal/instance/duties.go
@@ -29,6 +29,10 @@
 	if i.usage != nil {
 		i.run(func() { i.usage.Run(ctx) })
 	}
+	if i.slowStart != nil {
+		i.run(func() { i.slowStart.asker.Run(ctx) })
+		i.run(func() { i.slowStart.allotter.Run(ctx) })
+	}
 }
 
 func (i *Instance) run(duty func()) {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -50,6 +50,8 @@
 	weights   *weightorders.Coordinator
 	// usage is nil where the platform takes no reports of it.
 	usage *usage.Service
+	// slowStart is nil where what replicas get while they warm up is not bounded.
+	slowStart *slowStart
 
 	// assembled is closed once all parts of the node are there.
 	assembled chan struct{}
--- a/internal/instance/peers.go
+++ b/internal/instance/peers.go
@@ -27,6 +27,10 @@
 		reply(i.usage.Take(push))
 		return
 	}
+	if ask, isAsk := message.(*wire.PermitAsk); isAsk && i.slowStart != nil {
+		reply(i.slowStart.answer(ask))
+		return
+	}
 	if !i.jobs.Answer(message, reply) {
 		reply(&wire.Failure{Detail: "unknown message"})
 	}
--- a/internal/instance/reload.go
+++ b/internal/instance/reload.go
@@ -37,5 +37,6 @@
 func sameFixed(a, b settings.Settings) bool {
 	return a.Node == b.Node && a.Zone == b.Zone && a.Region == b.Region && a.Peer == b.Peer && a.PeerAdvertised == b.PeerAdvertised && a.HTTP == b.HTTP &&
 		a.Readiness == b.Readiness && a.Metrics == b.Metrics && a.ObjectStore == b.ObjectStore && a.Idle == b.Idle &&
-		a.DutyAPI == b.DutyAPI && slices.Equal(a.Duties, b.Duties) && a.UsageWindow == b.UsageWindow && a.UsageLate == b.UsageLate
+		a.DutyAPI == b.DutyAPI && slices.Equal(a.Duties, b.Duties) && a.UsageWindow == b.UsageWindow && a.UsageLate == b.UsageLate &&
+		a.WarmUpOverage == b.WarmUpOverage && a.WarmUpSlack == b.WarmUpSlack
 }
--- /dev/null
+++ b/internal/slowstart/metrics.go
@@ -0,0 +1,37 @@
+package slowstart
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// allotterMetrics count what this node has allotted to all.
+type allotterMetrics struct {
+	allotted prometheus.Counter
+	refused  prometheus.Counter
+}
+
+func newAllotterMetrics(registry prometheus.Registerer) *allotterMetrics {
+	made := &allotterMetrics{
+		allotted: prometheus.NewCounter(prometheus.CounterOpts{Name: "pathtally_warmup_allotted_total", Help: "Requests to warming replicas that this node has allotted."}),
+		refused:  prometheus.NewCounter(prometheus.CounterOpts{Name: "pathtally_warmup_refused_total", Help: "Requests to warming replicas that this node was asked for and has not allotted."}),
+	}
+	registry.MustRegister(made.allotted, made.refused)
+	return made
+}
+
+// askerMetrics count what this node does with warming replicas.
+type askerMetrics struct {
+	warming prometheus.Gauge
+	asked   prometheus.Counter
+	got     prometheus.Counter
+	used    prometheus.Counter
+}
+
+func newAskerMetrics(registry prometheus.Registerer) *askerMetrics {
+	made := &askerMetrics{
+		warming: prometheus.NewGauge(prometheus.GaugeOpts{Name: "pathtally_warming_replicas", Help: "Replicas that warm up, as this node knows."}),
+		asked:   prometheus.NewCounter(prometheus.CounterOpts{Name: "pathtally_warmup_asked_total", Help: "Requests to warming replicas that this node has asked for."}),
+		got:     prometheus.NewCounter(prometheus.CounterOpts{Name: "pathtally_warmup_got_total", Help: "Requests to warming replicas that this node was allotted."}),
+		used:    prometheus.NewCounter(prometheus.CounterOpts{Name: "pathtally_warmup_used_total", Help: "Requests that this node has sent to warming replicas."}),
+	}
+	registry.MustRegister(made.warming, made.asked, made.got, made.used)
+	return made
+}
--- /dev/null
+++ b/internal/slowstart/warming.go
@@ -0,0 +1,11 @@
+package slowstart
+
+import "time"
+
+// Warming is a replica that warms up.
+type Warming struct {
+	Replica string
+	Gate    *Gate
+	// Until is when it is warm, by this node's steady clock.
+	Until time.Time
+}
