--- /dev/null
+++ b/internal/directory/warmups_test.go
@@ -0,0 +1,107 @@
+package directory
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pathtally/pathtally/internal/slowstart"
+)
+
+const testWarmUp = 3 * time.Second
+
+// warmingNames stands in for what bounds warming replicas.
+type warmingNames map[string]time.Time
+
+// SetWarming implements SlowStart.
+func (w warmingNames) SetWarming(warming []slowstart.Warming) {
+	clear(w)
+	for _, replica := range warming {
+		w[replica.Replica] = replica.Until
+	}
+}
+
+// warmingTable is a table with one service whose replicas bear a rate, and a replica
+// in its first listing.
+func warmingTable(rate float64) (*Table, warmingNames) {
+	table := NewTable("zone", nil, klog.Background())
+	warming := warmingNames{}
+	table.SetSlowStart(warming)
+	table.SetConfiguration(&Configuration{Version: 1, Services: map[string]Service{"s": {Name: "s", WarmUp: testWarmUp, WarmUpRate: rate}}}, 1)
+	table.SetReplicas([]*Replica{warmReplica("old", 0)}, 0)
+	return table, warming
+}
+
+func warmReplica(id string, left time.Duration) *Replica {
+	return &Replica{ID: id, Service: "s", Zone: "z", Slots: 1, State: ReplicaReady, Warming: left}
+}
+
+func change(table *Table, replica *Replica) {
+	table.ApplyReplicas([]ReplicaChange{{ID: replica.ID, Replica: replica}}, 0)
+}
+
+func (w warmingNames) expect(t *testing.T, id string, left time.Duration) {
+	t.Helper()
+	until, warms := w[id]
+	if warms != (left > 0) || (warms && time.Until(until) != left) {
+		t.Errorf("%s warms up: %v, for %v; want %v", id, warms, time.Until(until), left)
+	}
+}
+
+func TestTheEntryTellsHowLongAReplicaWarmsUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table, warming := warmingTable(7)
+		warming.expect(t, "old", 0)
+		change(table, warmReplica("old", 2*time.Second))
+		warming.expect(t, "old", 2*time.Second)
+		time.Sleep(time.Second)
+		// The same word again, with another change, is no news.
+		change(table, warmReplica("old", 2*time.Second))
+		warming.expect(t, "old", time.Second)
+		change(table, warmReplica("old", 0))
+		warming.expect(t, "old", 0)
+	})
+}
+
+func TestAReplicaThatAppearsWarmsUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table, warming := warmingTable(7)
+		change(table, warmReplica("new", 0))
+		change(table, warmReplica("told", time.Second))
+		warming.expect(t, "new", testWarmUp)
+		warming.expect(t, "told", time.Second)
+		warming.expect(t, "old", 0)
+	})
+}
+
+func TestAReplicaThatCameBackWarmsUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table, warming := warmingTable(7)
+		table.ApplyReplicas([]ReplicaChange{{ID: "old"}}, 0)
+		warming.expect(t, "old", 0)
+		change(table, warmReplica("old", 0))
+		warming.expect(t, "old", testWarmUp)
+	})
+}
+
+func TestAZoneWhoseEvacuationHasEndedWarmsUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table, warming := warmingTable(7)
+		table.mutex.Lock()
+		next := *table.view.Load()
+		next.EvacuationEnded = map[string]time.Time{"z": time.Now()}
+		table.publish(&next)
+		table.mutex.Unlock()
+		warming.expect(t, "old", testWarmUp)
+	})
+}
+
+func TestReplicasWithoutARateAreNotBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table, warming := warmingTable(0)
+		change(table, warmReplica("new", time.Second))
+		warming.expect(t, "new", 0)
+	})
+}
--- a/internal/slowstart/allotter.go
+++ b/internal/slowstart/allotter.go
@@ -128,6 +128,9 @@
 	a.summary = summary{}
 	a.ledger.Prune(a.config.Clock())
 	a.mutex.Unlock()
+	if told.questions == 0 {
+		return
+	}
 	a.config.Logger.Info("requests to warming replicas allotted", "questions", told.questions, "allotted", told.allotted, "refused", told.refused)
 }
 
--- /dev/null
+++ b/internal/slowstart/gate_test.go
@@ -0,0 +1,99 @@
+package slowstart
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"k8s.io/klog/v2"
+
+	"github.com/pathtally/pathtally/internal/wire"
+)
+
+var errNobody = merry.New("nobody is there")
+
+// runAsker runs an asker with one warming replica against whoever answers.
+func runAsker(ctx context.Context, answer func([]wire.ReplicaCount) ([]wire.ReplicaCount, error)) (*Asker, *Gate) {
+	asker := NewAsker(AskerConfig{
+		Ask: func(_ context.Context, wanted []wire.ReplicaCount) ([]wire.ReplicaCount, time.Duration, error) {
+			allotted, err := answer(wanted)
+			return allotted, Span, err
+		},
+		Clock: time.Now, Allotted: func() {}, Logger: klog.Background(), Registry: prometheus.NewRegistry(),
+	})
+	gate := &Gate{}
+	asker.SetWarming([]Warming{{Replica: "r", Gate: gate, Until: time.Now().Add(3 * time.Second)}})
+	go asker.Run(ctx)
+	return asker, gate
+}
+
+func TestWithoutAnAllotterTheGateStaysClosedUntilTheReplicaIsWarm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		questions := 0
+		_, gate := runAsker(ctx, func([]wire.ReplicaCount) ([]wire.ReplicaCount, error) {
+			questions++
+			return nil, errNobody
+		})
+		began := time.Now()
+		for time.Since(began) < 2990*time.Millisecond {
+			if gate.Take() || gate.Open() {
+				t.Fatal("a request passed without an allotment")
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		synctest.Wait()
+		if most := int(3*time.Second/askPause) + 1; questions == 0 || questions > most {
+			t.Errorf("%d questions, want 1 to %d", questions, most)
+		}
+		time.Sleep(20 * time.Millisecond)
+		if !gate.Take() {
+			t.Error("a warm replica gets nothing")
+		}
+	})
+}
+
+func TestAllotmentsRunOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		once := false
+		_, gate := runAsker(ctx, func(wanted []wire.ReplicaCount) ([]wire.ReplicaCount, error) {
+			if once {
+				return nil, nil
+			}
+			once = true
+			return []wire.ReplicaCount{{Replica: "r", Count: 2}}, nil
+		})
+		gate.Open()
+		synctest.Wait()
+		if left := gate.Left(); left != 2 || !gate.Take() {
+			t.Errorf("%d requests may be sent, want 2", left)
+		}
+		time.Sleep(Span)
+		if gate.Take() {
+			t.Error("what has run out was used")
+		}
+	})
+}
+
+func TestAReplicaWithoutARateIsAllottedNothing(t *testing.T) {
+	if most := worldLimits.most(0); most != 0 {
+		t.Errorf("%d requests may be allotted", most)
+	}
+	// As at a deployment with 7.7 requests a second, 1.5 times as many and 5 more.
+	if most, bound := worldLimits.most(worldRate), worldLimits.bound(worldRate); most != 13 || bound != 16 {
+		t.Errorf("%d requests may be allotted of %d, want 13 of 16", most, bound)
+	}
+}
+
+func TestASlowRateIsAllottedNoMoreThanTheBound(t *testing.T) {
+	limits := Limits{Overage: 1, Slack: margin}
+	if most := limits.most(0.1); most != 0 {
+		t.Errorf("%d requests may be allotted where %d may come, less %d", most, limits.bound(0.1), margin)
+	}
+}
--- /dev/null
+++ b/internal/slowstart/model_test.go
@@ -0,0 +1,83 @@
+package slowstart
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+const (
+	modelSeeds = 60
+	modelSpan  = 30 * time.Second
+)
+
+// busiest is the largest number of requests that left in any second.
+func busiest(sent []time.Duration) int {
+	sorted := slices.Sorted(slices.Values(sent))
+	most, first := 0, 0
+	for last, at := range sorted {
+		for at-sorted[first] >= time.Second {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
+// overrun plays seeds and returns the first that breaks the bound, and how many
+// requests were sent in all of them.
+func overrun(fault planted) (seed uint64, most, total int) {
+	for seed := range uint64(modelSeeds) {
+		played := newWorld(seed, fault)
+		played.run(modelSpan)
+		for _, sent := range played.sent {
+			total += len(sent)
+			if most := busiest(sent); most > worldLimits.bound(worldRate) {
+				return seed, most, total
+			}
+		}
+	}
+	return 0, 0, total
+}
+
+// TestNoSecondHasMoreThanTheBound plays several nodes with the product's ledgers,
+// askers and gates.
+func TestNoSecondHasMoreThanTheBound(t *testing.T) {
+	seed, most, total := overrun(planted{})
+	if most > 0 {
+		t.Errorf("seed %d: %d requests in a second", seed, most)
+	}
+	t.Logf("%d requests", total)
+}
+
+// TestACalmDeploymentUsesMostOfTheRate shows that the bound is not kept by sending
+// next to nothing.
+func TestACalmDeploymentUsesMostOfTheRate(t *testing.T) {
+	const leastShare = 0.8
+	played := newWorld(1, planted{})
+	played.calm = true
+	played.run(modelSpan)
+	for replica, sent := range played.sent {
+		if possible := worldRate * modelSpan.Seconds(); float64(len(sent)) < leastShare*possible {
+			t.Errorf("replica %s got %d requests of %.0f", replica, len(sent), possible)
+		}
+	}
+}
+
+func TestTheModelFindsPlantedFaults(t *testing.T) {
+	for _, fault := range []planted{
+		{name: "span counted from the answer", fromAnswer: true},
+		{name: "new holder allots at once", atOnce: true},
+		{name: "ledger is lost while the lease is held", forgets: true},
+		{name: "former holders go on", twice: true},
+		{name: "allotments that have run out are used", unused: true},
+	} {
+		t.Run(fault.name, func(t *testing.T) {
+			seed, most, _ := overrun(fault)
+			if most == 0 {
+				t.Error("was not found")
+			}
+			t.Logf("seed %d: %d requests in a second", seed, most)
+		})
+	}
+}
--- /dev/null
+++ b/internal/slowstart/model_world_test.go
@@ -0,0 +1,275 @@
+package slowstart
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"k8s.io/klog/v2"
+
+	"github.com/pathtally/pathtally/internal/wire"
+)
+
+const (
+	worldTick  = 5 * time.Millisecond
+	worldNodes = 6
+	// worldTerm is for how long nobody holds the lease after one that ran out, in the
+	// model: the shortest that package duty leaves between two holders' last and first
+	// calls.
+	worldTerm = 3 * time.Second
+	// longestWay is the longest way of a message, and longestSend the longest time from
+	// a gate to the network.
+	longestWay  = 900 * time.Millisecond
+	longestSend = 100 * time.Millisecond
+	worldRate   = 7.7
+)
+
+var worldLimits = Limits{Overage: 1.5, Slack: 5}
+
+// planted is a fault that the check has to find.
+type planted struct {
+	name string
+	// fromAnswer has askers count the span from the answer, atOnce new holders allot
+	// at once, forgets allotters lose their ledger while they hold the lease, twice
+	// former holders go on, and unused askers use what has run out.
+	fromAnswer, atOnce, forgets, twice, unused bool
+}
+
+// world is nodes that send to warming replicas, in true time since its start.
+type world struct {
+	fault  planted
+	random *rand.Rand
+	now    time.Duration
+	nodes  []*modelNode
+	due    []event
+	// holder holds the lease, in the process that had it, from since on; nobody does
+	// before free.
+	holder *process
+	since  time.Duration
+	valid  bool
+	free   time.Duration
+	// slow has all messages take long, and hoarding all nodes keep what they are
+	// allotted, to use it at the same moment.
+	slow, hoarding bool
+	// calm has nothing happen to the lease, the processes and the ways.
+	calm bool
+	// sent are the instants at which requests left for each replica.
+	sent map[string][]time.Duration
+}
+
+type event struct {
+	at  time.Duration
+	act func()
+}
+
+// modelNode is a node with a steady clock of its own.
+type modelNode struct {
+	rate    float64
+	offset  time.Duration
+	process *process
+	nextAsk time.Duration
+}
+
+// process is one process of a node. What it has in memory ends with it.
+type process struct {
+	world    *world
+	node     *modelNode
+	allotter *Allotter
+	asker    *Asker
+	gates    map[string]*Gate
+}
+
+func newWorld(seed uint64, fault planted) *world {
+	made := &world{fault: fault, random: rand.New(rand.NewPCG(seed, 1)), sent: map[string][]time.Duration{}}
+	for range worldNodes {
+		node := &modelNode{rate: 0.97 + 0.06*made.random.Float64(), offset: time.Duration(made.random.Int64N(int64(time.Hour)))}
+		made.nodes = append(made.nodes, node)
+		made.start(node)
+	}
+	return made
+}
+
+// at is an instant of true time by the node's clock.
+func (n *modelNode) at(now time.Duration) time.Time {
+	return time.Unix(0, 0).Add(n.offset + time.Duration(n.rate*float64(now)))
+}
+
+// start begins a new process of a node, in place of the one it has.
+func (w *world) start(node *modelNode) {
+	made := &process{world: w, node: node, gates: map[string]*Gate{"a": {}, "b": {}}}
+	clock := func() time.Time { return node.at(w.now) }
+	quiet := klog.LoggerWithValues(klog.Background()).V(9)
+	made.allotter = NewAllotter(AllotterConfig{
+		Limits: worldLimits, Lease: made, Rate: func(string) float64 { return worldRate }, Clock: clock, Logger: quiet, Registry: prometheus.NewRegistry(),
+	})
+	made.asker = NewAsker(AskerConfig{Clock: clock, Allotted: func() {}, Logger: quiet, Registry: prometheus.NewRegistry()})
+	var warming []Warming
+	for replica, gate := range made.gates {
+		warming = append(warming, Warming{Replica: replica, Gate: gate, Until: clock().Add(time.Hour)})
+	}
+	made.asker.SetWarming(warming)
+	if w.holder != nil && w.holder == node.process {
+		// The same node need not wait for itself.
+		w.holder, w.since = made, w.now
+	}
+	node.process = made
+}
+
+// Held implements Lease.
+func (p *process) Held() (time.Time, bool) {
+	if p.world.fault.atOnce {
+		return time.Time{}, p.holds()
+	}
+	return p.node.at(p.world.since), p.holds()
+}
+
+func (p *process) holds() bool { return p.world.holder == p && p.world.valid }
+
+// Ready implements Lease; the model gives and takes the lease itself.
+func (p *process) Ready(context.Context, string) (bool, time.Duration) { return p.holds(), 0 }
+
+// Idle implements Lease.
+func (p *process) Idle(string) {}
+
+// run lets a span pass.
+func (w *world) run(span time.Duration) {
+	for ; w.now < span; w.now += worldTick {
+		w.disrupt()
+		w.deliver()
+		burst := w.random.IntN(150) == 0
+		for _, node := range w.nodes {
+			w.send(node.process, burst)
+			if w.now >= node.nextAsk {
+				node.nextAsk = w.now + askPause
+				w.ask(node.process)
+			}
+		}
+	}
+}
+
+// disrupt lets something happen to the lease or to a process, about once a second.
+func (w *world) disrupt() {
+	if w.holder == nil && w.now >= w.free {
+		w.holder, w.since, w.valid = w.anyNode().process, w.now, true
+	}
+	if w.calm || w.random.IntN(200) > 0 {
+		return
+	}
+	switch w.random.IntN(8) {
+	case 0:
+		w.start(w.anyNode())
+	case 1:
+		// Given up: the next holder need not wait.
+		w.holder, w.free = nil, w.now
+	case 2:
+		w.holder, w.free = nil, w.now+worldTerm
+	case 3:
+		if w.holder != nil {
+			w.start(w.holder.node)
+		}
+	case 4:
+		// A renewal is late: nobody can have followed.
+		w.valid = !w.valid
+	case 5:
+		if w.fault.forgets && w.holder != nil {
+			w.holder.allotter.ledger = NewLedger()
+		}
+	case 6:
+		w.slow = !w.slow
+	case 7:
+		w.hoarding = !w.hoarding
+	}
+}
+
+func (w *world) anyNode() *modelNode { return w.nodes[w.random.IntN(len(w.nodes))] }
+
+// deliver carries out what is due.
+func (w *world) deliver() {
+	var later []event
+	due := w.due
+	w.due = nil
+	for _, next := range due {
+		if next.at > w.now {
+			later = append(later, next)
+			continue
+		}
+		next.act()
+	}
+	w.due = append(w.due, later...)
+}
+
+func (w *world) after(span time.Duration, act func()) {
+	w.due = append(w.due, event{at: w.now + span, act: act})
+}
+
+// way is how long a message takes.
+func (w *world) way() time.Duration {
+	if w.slow || (!w.calm && w.random.IntN(10) == 0) {
+		return time.Duration(w.random.Int64N(int64(longestWay)))
+	}
+	return time.Duration(w.random.Int64N(int64(10 * time.Millisecond)))
+}
+
+func (w *world) isLost() bool { return !w.calm && w.random.IntN(10) == 0 }
+
+// ask sends a process's question to the node that it takes for the holder.
+func (w *world) ask(from *process) {
+	wanted := from.asker.question()
+	if len(wanted) == 0 {
+		return
+	}
+	sent := from.node.at(w.now)
+	to := w.anyNode()
+	if w.holder != nil && (w.calm || w.random.IntN(5) > 0) {
+		to = w.holder.node
+	}
+	if w.isLost() {
+		return
+	}
+	w.after(w.way(), func() {
+		allotted := to.process.allotter.Allot(wanted)
+		if w.fault.twice && len(allotted) > 0 {
+			to.process.allotter.config.Lease = forever{to.process}
+		}
+		if w.isLost() {
+			return
+		}
+		w.after(w.way(), func() { w.answer(from, sent, allotted) })
+	})
+}
+
+func (w *world) answer(from *process, sent time.Time, allotted []wire.ReplicaCount) {
+	if from.node.process != from {
+		return
+	}
+	span := Span
+	if w.fault.fromAnswer {
+		sent = from.node.at(w.now)
+	}
+	if w.fault.unused {
+		span = time.Minute
+	}
+	from.asker.answered(sent, span, allotted)
+}
+
+// forever is a lease that everybody holds.
+type forever struct{ *process }
+
+// Held implements Lease.
+func (forever) Held() (time.Time, bool) { return time.Time{}, true }
+
+// send has a process use all that it has of a replica, at times, so that uses come
+// together.
+func (w *world) send(from *process, burst bool) {
+	for _, replica := range []string{"a", "b"} {
+		gate := from.gates[replica]
+		if !gate.Open() || (w.hoarding && !burst) || (!w.hoarding && w.random.IntN(8) > 0) {
+			continue
+		}
+		for gate.Take() {
+			delay := time.Duration(w.random.Int64N(int64(longestSend)))
+			w.sent[replica] = append(w.sent[replica], w.now+delay)
+		}
+	}
+}
