--- a/internal/batch/replicas_test.go
+++ b/internal/batch/replicas_test.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/pathtally/pathtally/internal/directory"
+	"github.com/pathtally/pathtally/internal/slowstart"
 )
 
 // A replica that was down or full used to be tried again every 80 ms, with as
@@ -137,6 +138,33 @@
 	}
 }
 
+// TestItemsGoToOthersWhileAReplicaWarmsUp has nobody who allots: the replica is left
+// alone until it is warm.
+func TestItemsGoToOthersWhileAReplicaWarmsUp(t *testing.T) {
+	service, waiting := placing(2)
+	asker := slowstart.NewAsker(slowstart.AskerConfig{Clock: time.Now, Logger: klog.Background(), Registry: prometheus.NewRegistry()})
+	gate := &service.config.Directory.View().Endpoints[replicaName(0)].State.SlowStart
+	asker.SetWarming([]slowstart.Warming{{Replica: replicaName(0), Gate: gate, Until: time.Now().Add(time.Hour)}})
+	if picked := picks(service, waiting); picked[replicaName(0)] != 0 || picked[replicaName(1)] != 6 {
+		t.Errorf("items went to %v", picked)
+	}
+	asker.SetWarming(nil)
+	if picked := picks(service, waiting); picked[replicaName(0)] != 6 {
+		t.Errorf("items went to %v once the replica was warm", picked)
+	}
+}
+
+// picks counts the items that are placed at each replica until all are full.
+func picks(service *Service, waiting *item) map[string]int {
+	placement := service.newPlacement()
+	picked := map[string]int{}
+	for chosen := placement.pick(waiting); chosen != nil; chosen = placement.pick(waiting) {
+		chosen.load++
+		picked[chosen.endpoint.Name]++
+	}
+	return picked
+}
+
 func TestPlacementPrefersReplicasInUseUntilTheyFill(t *testing.T) {
 	service, waiting := placing(2)
 	service.replica("replica-1").observed = time.Now()
--- a/internal/duty/doc.go
+++ b/internal/duty/doc.go
@@ -1,6 +1,7 @@
 // Package duty lets one node at a time do what is to be done once for the whole
-// deployment: order weights, report usage. One lease, an object in the metadata
-// store, covers all duties, so that one write keeps them all.
+// deployment: order weights, report usage, allot requests to warming replicas. One
+// lease, an object in the metadata store, covers all duties, so that one write keeps
+// them all.
 //
 // The receivers of duty calls need not check fencing tokens, so the lease is
 // fenced by time as well: its holder sends no call later than SendWindow after it
--- a/internal/duty/lease_test.go
+++ b/internal/duty/lease_test.go
@@ -160,3 +160,33 @@
 		}
 	})
 }
+
+// What a holder keeps in memory is whole only since its tenure began.
+func TestATenureBeginsAnewAfterAnotherHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := metastore.New()
+		one, two := newLease("one", store), newLease("two", store)
+		acquireNow(t, one)
+		began, _ := one.Held()
+		time.Sleep(2 * SendWindow)
+		if _, valid := one.Held(); valid {
+			t.Error("the lease is held beyond its window")
+		}
+		acquireNow(t, one)
+		if since, valid := one.Held(); !valid || !since.Equal(began) {
+			t.Errorf("held since %s, %v; nobody else has held it since %s", since, valid, began)
+		}
+		two.Observe(one.Seen())
+		time.Sleep(SendWindow + testTerm + takeoverMargin)
+		acquireNow(t, two)
+		if _, err := one.Acquire(t.Context()); err == nil {
+			t.Error("a lease that another holds was written")
+		}
+		time.Sleep(SendWindow + testTerm + takeoverMargin)
+		again := time.Now()
+		acquireNow(t, one)
+		if since, valid := one.Held(); !valid || since.Before(again) {
+			t.Errorf("held since %s, %v; another has held it meanwhile", since, valid)
+		}
+	})
+}
--- a/internal/slowstart/asker.go
+++ b/internal/slowstart/asker.go
@@ -19,9 +19,10 @@
 	askPause = 120 * time.Millisecond
 	// askTime bounds the wait for an answer: a later one would be worth little.
 	askTime = 350 * time.Millisecond
-	// mostWanted is how many requests to a replica are asked for at a time, so that
-	// the first node to ask leaves something for the others.
-	mostWanted = 4
+	// mostWanted is how many requests to a replica are asked for at a time: with one
+	// more than a single node can use between two questions, the first to ask leaves
+	// something for the others, and little runs out unused.
+	mostWanted = 2
 )
 
 // AskerConfig is what an Asker needs.
--- a/internal/slowstart/ledger.go
+++ b/internal/slowstart/ledger.go
@@ -11,11 +11,13 @@
 // Ledger holds what has been allotted of each replica. It is not safe for use by
 // many goroutines.
 type Ledger struct {
+	// window is for how long an entry counts.
+	window  time.Duration
 	entries map[string][]entry
 }
 
 // NewLedger returns a ledger with nothing in it.
-func NewLedger() *Ledger { return &Ledger{entries: map[string][]entry{}} }
+func NewLedger() *Ledger { return &Ledger{window: Window, entries: map[string][]entry{}} }
 
 // Allot notes up to a wanted number of requests to a replica and returns how many,
 // so that no window holds more than a number of them. Instants never go back.
@@ -41,7 +43,7 @@
 // forget drops what counts no more at an instant.
 func (l *Ledger) forget(replica string, at time.Time) {
 	noted := l.entries[replica]
-	for len(noted) > 0 && at.Sub(noted[0].at) > Window {
+	for len(noted) > 0 && at.Sub(noted[0].at) > l.window {
 		noted = noted[1:]
 	}
 	if len(noted) == 0 {
--- a/internal/slowstart/model_test.go
+++ b/internal/slowstart/model_test.go
@@ -71,6 +71,7 @@
 		{name: "ledger is lost while the lease is held", forgets: true},
 		{name: "former holders go on", twice: true},
 		{name: "allotments that have run out are used", unused: true},
+		{name: "ledger counts one second alone", short: true},
 	} {
 		t.Run(fault.name, func(t *testing.T) {
 			seed, most, _ := overrun(fault)
--- a/internal/slowstart/model_world_test.go
+++ b/internal/slowstart/model_world_test.go
@@ -23,6 +23,8 @@
 	longestWay  = 900 * time.Millisecond
 	longestSend = 100 * time.Millisecond
 	worldRate   = 7.7
+	// mostAsked is the largest number that askers of the model want at a time.
+	mostAsked = 8
 )
 
 var worldLimits = Limits{Overage: 1.5, Slack: 5}
@@ -32,8 +34,9 @@
 	name string
 	// fromAnswer has askers count the span from the answer, atOnce new holders allot
 	// at once, forgets allotters lose their ledger while they hold the lease, twice
-	// former holders go on, and unused askers use what has run out.
-	fromAnswer, atOnce, forgets, twice, unused bool
+	// former holders go on, unused askers use what has run out, and short ledgers count
+	// what was asked for within the second alone.
+	fromAnswer, atOnce, forgets, twice, unused, short bool
 }
 
 // world is nodes that send to warming replicas, in true time since its start.
@@ -103,6 +106,9 @@
 	made.allotter = NewAllotter(AllotterConfig{
 		Limits: worldLimits, Lease: made, Rate: func(string) float64 { return worldRate }, Clock: clock, Logger: quiet, Registry: prometheus.NewRegistry(),
 	})
+	if w.fault.short {
+		made.allotter.ledger.window = second
+	}
 	made.asker = NewAsker(AskerConfig{Clock: clock, Allotted: func() {}, Logger: quiet, Registry: prometheus.NewRegistry()})
 	var warming []Warming
 	for replica, gate := range made.gates {
@@ -219,6 +225,10 @@
 	if len(wanted) == 0 {
 		return
 	}
+	for i := range wanted {
+		// The bound is the allotter's business: askers may want any number.
+		wanted[i].Count = 1 + uint32(w.random.IntN(mostAsked))
+	}
 	sent := from.node.at(w.now)
 	to := w.anyNode()
 	if w.holder != nil && (w.calm || w.random.IntN(5) > 0) {
