slowstart: the gate of a replica that is gone stays closed

Cause: a replica that left the listing while it warmed up had its gate opened, so that a request which had chosen it before passed without an allotment.

Change: the asker is told which replicas are listed; of those that warm up no more it opens the gates of these alone. A test of each.

--- a/internal/batch/replicas_test.go
+++ b/internal/batch/replicas_test.go
@@ -143,12 +143,13 @@
 func TestItemsGoToOthersWhileAReplicaWarmsUp(t *testing.T) {
 	service, waiting := placing(2)
 	asker := slowstart.NewAsker(slowstart.AskerConfig{Clock: time.Now, Logger: klog.Background(), Registry: prometheus.NewRegistry()})
+	isListed := func(string) bool { return true }
 	gate := &service.config.Directory.View().Endpoints[replicaName(0)].State.SlowStart
-	asker.SetWarming([]slowstart.Warming{{Replica: replicaName(0), Gate: gate, Until: time.Now().Add(time.Hour)}})
+	asker.SetWarming([]slowstart.Warming{{Replica: replicaName(0), Gate: gate, Until: time.Now().Add(time.Hour)}}, isListed)
 	if picked := picks(service, waiting); picked[replicaName(0)] != 0 || picked[replicaName(1)] != 6 {
 		t.Errorf("items went to %v", picked)
 	}
-	asker.SetWarming(nil)
+	asker.SetWarming(nil, isListed)
 	if picked := picks(service, waiting); picked[replicaName(0)] != 6 {
 		t.Errorf("items went to %v once the replica was warm", picked)
 	}
--- a/internal/directory/slowstart.go
+++ b/internal/directory/slowstart.go
@@ -8,9 +8,9 @@
 
 // SlowStart bounds what replicas get while they warm up.
 type SlowStart interface {
-	// SetWarming names all replicas that warm up. On return none of them gets more
-	// than is allotted.
-	SetWarming(warming []slowstart.Warming)
+	// SetWarming names all replicas that warm up, and tells which replicas are listed.
+	// On return none of those that warm up gets more than is allotted.
+	SetWarming(warming []slowstart.Warming, isListed func(replica string) bool)
 }
 
 // SetSlowStart has replicas that warm up be bounded. It is called before the first
@@ -29,7 +29,8 @@
 	}
 	now := time.Now()
 	t.warmUps.observe(now, t.view.Load(), next)
-	t.slowStart.SetWarming(t.warmUps.warming(now, next))
+	isListed := func(replica string) bool { return next.Replicas[replica] != nil }
+	t.slowStart.SetWarming(t.warmUps.warming(now, next), isListed)
 }
 
 // warming lists the replicas of a view that warm up at an instant, of services that
--- a/internal/directory/warmups_test.go
+++ b/internal/directory/warmups_test.go
@@ -16,7 +16,7 @@
 type warmingNames map[string]time.Time
 
 // SetWarming implements SlowStart.
-func (w warmingNames) SetWarming(warming []slowstart.Warming) {
+func (w warmingNames) SetWarming(warming []slowstart.Warming, _ func(string) bool) {
 	clear(w)
 	for _, replica := range warming {
 		w[replica.Replica] = replica.Until
--- a/internal/slowstart/asker.go
+++ b/internal/slowstart/asker.go
@@ -59,8 +59,10 @@
 }
 
 // SetWarming names all replicas that warm up. On return their gates are closed but
-// for what is allotted, and those of all others are open.
-func (a *Asker) SetWarming(warming []Warming) {
+// for what is allotted. Those of other listed replicas are open; that of a replica
+// that is gone stays closed to requests which chose it before, until it would have
+// been warm.
+func (a *Asker) SetWarming(warming []Warming, isListed func(replica string) bool) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	named := make(map[string]bool, len(warming))
@@ -69,9 +71,13 @@
 		a.bound(replica)
 	}
 	for replica, kept := range a.kept {
-		if !named[replica] {
-			a.release(replica, kept)
+		if named[replica] {
+			continue
+		}
+		if isListed(replica) {
+			kept.gate.bounds.Store(nil)
 		}
+		a.forget(replica, kept)
 	}
 	a.metrics.warming.Set(float64(len(a.kept)))
 	a.wake()
@@ -82,7 +88,7 @@
 func (a *Asker) bound(replica Warming) {
 	kept := a.kept[replica.Replica]
 	if kept != nil && kept.gate != replica.Gate {
-		a.release(replica.Replica, kept)
+		a.forget(replica.Replica, kept)
 		kept = nil
 	}
 	if kept == nil {
@@ -99,9 +105,8 @@
 	}
 }
 
-// release opens a gate for good. The mutex must be held.
-func (a *Asker) release(replica string, kept *keptGate) {
-	kept.gate.bounds.Store(nil)
+// forget ends the keeping of a gate. The mutex must be held.
+func (a *Asker) forget(replica string, kept *keptGate) {
 	delete(a.kept, replica)
 	used := kept.counts.used.Load()
 	a.metrics.used.Add(float64(used))
@@ -156,7 +161,8 @@
 	now := a.config.Clock()
 	for replica, kept := range a.kept {
 		if !now.Before(kept.gate.bounds.Load().until) {
-			a.release(replica, kept)
+			kept.gate.bounds.Store(nil)
+			a.forget(replica, kept)
 		}
 	}
 	a.metrics.warming.Set(float64(len(a.kept)))
--- a/internal/slowstart/gate_test.go
+++ b/internal/slowstart/gate_test.go
@@ -13,6 +13,8 @@
 	"github.com/pathtally/pathtally/internal/wire"
 )
 
+func isListed(string) bool { return true }
+
 var errNobody = merry.New("nobody is there")
 
 // runAsker runs an asker with one warming replica against whoever answers.
@@ -25,7 +27,7 @@
 		Clock: time.Now, Allotted: func() {}, Logger: klog.Background(), Registry: prometheus.NewRegistry(),
 	})
 	gate := &Gate{}
-	asker.SetWarming([]Warming{{Replica: "r", Gate: gate, Until: time.Now().Add(3 * time.Second)}})
+	asker.SetWarming([]Warming{{Replica: "r", Gate: gate, Until: time.Now().Add(3 * time.Second)}}, isListed)
 	go asker.Run(ctx)
 	return asker, gate
 }
@@ -97,3 +99,27 @@
 		t.Errorf("%d requests may be allotted where %d may come, less %d", most, limits.bound(0.1), margin)
 	}
 }
+
+func TestTheGateOfAReplicaThatIsGoneStaysClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		asker, gate := runAsker(ctx, func([]wire.ReplicaCount) ([]wire.ReplicaCount, error) { return nil, errNobody })
+		asker.SetWarming(nil, func(string) bool { return false })
+		if gate.Take() {
+			t.Error("a request passed to a replica that has left while it warmed up")
+		}
+	})
+}
+
+func TestAReplicaThatSaysItIsWarmIsUsedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		asker, gate := runAsker(ctx, func([]wire.ReplicaCount) ([]wire.ReplicaCount, error) { return nil, errNobody })
+		asker.SetWarming(nil, isListed)
+		if !gate.Take() {
+			t.Error("a warm replica gets nothing")
+		}
+	})
+}
--- a/internal/slowstart/model_world_test.go
+++ b/internal/slowstart/model_world_test.go
@@ -114,7 +114,7 @@
 	for replica, gate := range made.gates {
 		warming = append(warming, Warming{Replica: replica, Gate: gate, Until: clock().Add(time.Hour)})
 	}
-	made.asker.SetWarming(warming)
+	made.asker.SetWarming(warming, isListed)
 	if w.holder != nil && w.holder == node.process {
 		// The same node need not wait for itself.
 		w.holder, w.since = made, w.now
