--- a/internal/batch/placement.go
+++ b/internal/batch/placement.go
@@ -127,10 +127,11 @@
 	for _, endpoint := range endpoints {
 		state := p.service.replica(endpoint.Name)
 		known := p.service.version(p.view, endpoint.Name, key.model)
-		if !routing.ItemChain.Allow(query, endpoint) {
+		if now.Before(state.blockedUntil) || state.loading(key.model) || (known > 0 && known < key.minVersion) {
 			continue
 		}
-		if now.Before(state.blockedUntil) || state.loading(key.model) || (known > 0 && known < key.minVersion) {
+		// Last, since a gate takes a look at it for demand.
+		if !routing.ItemChain.Allow(query, endpoint) {
 			continue
 		}
 		shared := p.byName[endpoint.Name]
--- a/internal/batch/replicas_test.go
+++ b/internal/batch/replicas_test.go
@@ -146,7 +146,13 @@
 	isListed := func(string) bool { return true }
 	gate := &service.config.Directory.View().Endpoints[replicaName(0)].State.SlowStart
 	asker.SetWarming([]slowstart.Warming{{Replica: replicaName(0), Gate: gate, Until: time.Now().Add(time.Hour)}}, isListed)
-	if picked := picks(service, waiting); picked[replicaName(0)] != 0 || picked[replicaName(1)] != 6 {
+	service.replica(replicaName(0)).loadingSince["m"] = time.Now()
+	picks(service, waiting)
+	if gate.Wanted() {
+		t.Error("an allotment is wanted for a replica that loads weights")
+	}
+	service.replica(replicaName(0)).loadingSince = map[string]time.Time{}
+	if picked := picks(service, waiting); !gate.Wanted() || picked[replicaName(0)] != 0 || picked[replicaName(1)] != 6 {
 		t.Errorf("items went to %v", picked)
 	}
 	asker.SetWarming(nil, isListed)
--- a/internal/slowstart/gate.go
+++ b/internal/slowstart/gate.go
@@ -34,3 +34,10 @@
 	}
 	return bounds.left()
 }
+
+// Wanted tells whether a request has found the gate closed since it was last asked
+// about.
+func (g *Gate) Wanted() bool {
+	bounds := g.bounds.Load()
+	return bounds != nil && bounds.counts.demand.Load() > 0
+}
