duty: a holder knows since when it is alone

Weighed: leaving it; or the instant since which no other node has held the lease, apart from the tenure, which counts for planned stops. Chosen: the latter. The search over the lease's states now also checks that no other node has called since, and finds a holder that forgets others.

--- a/internal/duty/lease.go
+++ b/internal/duty/lease.go
@@ -55,13 +55,13 @@
 	return l.state.valid(time.Now())
 }
 
-// Held returns since when this process has held the lease without a break; false
-// unless calls may be sent now.
+// Held returns since when no other node has held the lease, nor a former process of
+// this one; false unless calls may be sent now.
 func (l *Lease) Held() (since time.Time, valid bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	_, valid = l.state.valid(time.Now())
-	return l.state.since, valid
+	return l.state.alone, valid
 }
 
 // Tenure returns the token of this node's last renewal while no other node is
--- a/internal/duty/lease_test.go
+++ b/internal/duty/lease_test.go
@@ -161,8 +161,8 @@
 	})
 }
 
-// What a holder keeps in memory is whole only since its tenure began.
-func TestATenureBeginsAnewAfterAnotherHolder(t *testing.T) {
+// What a holder keeps in memory is whole only since no other node has held the lease.
+func TestAHolderKnowsSinceWhenItIsAlone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := metastore.New()
 		one, two := newLease("one", store), newLease("two", store)
--- a/internal/duty/model_key_test.go
+++ b/internal/duty/model_key_test.go
@@ -61,6 +61,7 @@
 		if node.state.token != 0 {
 			number(instant(node.state.until), instant(node.state.since))
 		}
+		number(instant(node.state.alone))
 		if node.ready {
 			number(rank(node.replaces))
 		}
--- a/internal/duty/model_steps_test.go
+++ b/internal/duty/model_steps_test.go
@@ -173,8 +173,18 @@
 		return w, false, fmt.Sprintf("both sent token %d", token)
 	case w.last == 1-i && time.Duration(w.now-w.acted[i])*modelTick < DefaultTerm:
 		return w, false, "calls in turns within the term"
+	case w.acted[1-i] > -modelAge && w.at(w.acted[1-i]).After(w.nodes[i].aloneSince(w, fault)):
+		return w, false, "the other has called since this one holds the lease alone"
 	}
 	w.last, w.token = i, token
 	w.acted[i] = w.now
 	return w, true, ""
 }
+
+// aloneSince is since when a node believes that no other has held the lease.
+func (n *modelNode) aloneSince(world modelWorld, fault planted) time.Time {
+	if fault.everAlone {
+		return world.at(-modelAge)
+	}
+	return n.state.alone
+}
--- a/internal/duty/model_test.go
+++ b/internal/duty/model_test.go
@@ -33,6 +33,8 @@
 	newest bool
 	// beyond has holders send calls after their window.
 	beyond bool
+	// everAlone has holders believe that no other node ever held the lease.
+	everAlone bool
 }
 
 // disruption is what may go wrong in a search. Without lost answers it gets much
@@ -94,6 +96,7 @@
 		{planted{name: "successors do not wait", noWait: true}, searches[0]},
 		{planted{name: "the newest revision is replaced", newest: true}, searches[0]},
 		{planted{name: "calls after the window", beyond: true}, searches[1]},
+		{planted{name: "other holders are forgotten", everAlone: true}, searches[1]},
 		{planted{name: "released after a short tenure", early: true}, searches[2]},
 	} {
 		wrong, worlds := search(test.fault, test.allowed, modelStates)
--- a/internal/duty/state.go
+++ b/internal/duty/state.go
@@ -32,6 +32,11 @@
 	token uint64
 	until time.Time
 	since time.Time
+	// alone is when this process sent the first of its writes since which no other
+	// node is known to have held the lease, zero where it sent none. A write without
+	// an answer ends the tenure and not this: another node's write would have been
+	// seen before the next write of this one's could be done.
+	alone time.Time
 	// stopped is set once this node wants the lease no more.
 	stopped bool
 }
@@ -49,7 +54,7 @@
 	}
 	s.revision, s.seen, s.holder, s.released = revision, now, holder, released
 	if holder != s.node {
-		s.token = 0
+		s.token, s.alone = 0, time.Time{}
 	}
 	return true
 }
@@ -81,6 +86,9 @@
 	if s.token == 0 {
 		s.since = sent
 	}
+	if s.alone.IsZero() {
+		s.alone = sent
+	}
 	s.revision, s.seen, s.holder, s.released, s.unsure = revision, sent, s.node, false, false
 	s.token, s.until = revision, sent.Add(SendWindow)
 }
--- a/internal/slowstart/lease.go
+++ b/internal/slowstart/lease.go
@@ -7,8 +7,8 @@
 
 // Lease is what the allotter needs of the duty lease.
 type Lease interface {
-	// Held returns since when this process has held the lease without a break, by its
-	// steady clock; false unless the lease is valid now.
+	// Held returns since when neither another node nor a former process of this one
+	// has held the lease, by the steady clock; false unless it is valid now.
 	Held() (since time.Time, valid bool)
 	// Ready has the lease, or tells when to look again.
 	Ready(ctx context.Context, duty string) (ready bool, again time.Duration)
