--- a/internal/batch/placement.go
+++ b/internal/batch/placement.go
@@ -127,10 +127,11 @@
 	for _, endpoint := range endpoints {
 		state := p.service.replica(endpoint.Name)
 		known := p.service.version(p.view, endpoint.Name, key.model)
-		if !routing.ItemChain.Allow(query, endpoint) {
+		if now.Before(state.blockedUntil) || state.loading(key.model) || (known > 0 && known < key.minVersion) {
 			continue
 		}
-		if now.Before(state.blockedUntil) || state.loading(key.model) || (known > 0 && known < key.minVersion) {
+		// Last, since a gate takes a look at it for demand.
+		if !routing.ItemChain.Allow(query, endpoint) {
 			continue
 		}
 		shared := p.byName[endpoint.Name]
@@ -139,6 +140,9 @@
 			if state.failures.failing(now) {
 				shared.most = min(failingRuns, endpoint.Slots)
 			}
+			if left := endpoint.State.SlowStart.Left(); left < shared.most {
+				shared.most = min(shared.most, shared.load+left)
+			}
 			p.byName[endpoint.Name] = shared
 		}
 		places = append(places, shared)
--- a/internal/instance/assemble.go
+++ b/internal/instance/assemble.go
@@ -99,6 +99,10 @@
 			Registry: i.registry, Work: i.jobs.OpenWork,
 		})
 	}
+	if i.settings.WarmUpOverage > 0 {
+		i.slowStart = i.newSlowStart()
+		i.directory.SetSlowStart(i.slowStart.asker)
+	}
 }
 
 // assembleIngress makes what answers callers.
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -53,6 +53,8 @@
 	usage *usage.Service
 	// autoscale is nil where no replicas are ordered.
 	autoscale *autoscale.Service
+	// slowStart is nil where what replicas get while they warm up is not bounded.
+	slowStart *slowStart
 
 	// assembled is closed once all parts of the node are there.
 	assembled chan struct{}
