Requests and streams go to replicas in their homes only

Cause: the forwarder set no homes, so that a request of a bound route or tenant could reach a replica anywhere.

Each send, a retry or hedge included, takes the homes of the configuration in force. Homes that name no known region are logged once for each configuration.

Weighed: the homes of the route as it was when the request came; a change would not hold for retries. The refusal is decided before the first pick and leaves the reasons of picks alone.

--- a/internal/directory/configuration.go
+++ b/internal/directory/configuration.go
@@ -129,13 +129,17 @@
 	TenantFindings []*tenancy.DeclarationError
 
 	byHost map[string][]*Route
+	// declaresHomes is set where some route or tenant has homes.
+	declaresHomes bool
 }
 
-// Index prepares the lookup of routes; call it once before Lookup.
+// Index prepares the lookup of routes and homes; call it once before these.
 func (c *Configuration) Index() {
 	c.byHost = map[string][]*Route{}
+	c.declaresHomes = c.Tenants.DeclaresHomes()
 	for i := range c.Routes {
 		route := &c.Routes[i]
+		c.declaresHomes = c.declaresHomes || len(route.Homes) > 0
 		host := strings.ToLower(route.Host)
 		c.byHost[host] = append(c.byHost[host], route)
 	}
--- /dev/null
+++ b/internal/directory/homes_test.go
@@ -0,0 +1,46 @@
+package directory
+
+import (
+	"testing"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pathtally/pathtally/internal/tenancy"
+)
+
+// errorCount is a log that counts its errors.
+type errorCount struct{ errors *int }
+
+func (errorCount) Init(klog.RuntimeInfo)            {}
+func (errorCount) Enabled(int) bool                 { return true }
+func (errorCount) Info(int, string, ...any)         {}
+func (c errorCount) Error(error, string, ...any)    { *c.errors++ }
+func (c errorCount) WithValues(...any) klog.LogSink { return c }
+func (c errorCount) WithName(string) klog.LogSink   { return c }
+
+func TestHomesThatNoRegionHasAreLoggedOnceForEachConfiguration(t *testing.T) {
+	errors := 0
+	table := NewTable("n1", map[string]string{"n1": "north", "s1": "south"}, klog.New(errorCount{&errors}))
+	tenants, _ := tenancy.NewTable([]tenancy.Declared{{Tenant: tenancy.Tenant{Name: "one", Homes: []string{"nowhere"}}}})
+	configuration := &Configuration{
+		Version: 1, Tenants: tenants, Routes: []Route{{Name: "bound", Homes: []string{"south", "atlantis"}}, {Name: "known", Homes: []string{"north"}}},
+	}
+	for range 3 {
+		table.SetConfiguration(configuration, 1)
+	}
+	if errors != 2 {
+		t.Errorf("%d lines, want one of the route and one of the tenant", errors)
+	}
+}
+
+func TestRequestsObeyTheHomesOfTheConfigurationInForce(t *testing.T) {
+	former := &Route{Name: "moved", Homes: []string{"north"}}
+	configuration := &Configuration{Routes: []Route{{Name: "moved", Homes: []string{"south"}}}}
+	configuration.Index()
+	if homes := configuration.HomesOf(former, "gone"); homes.Allows("north") || !homes.Allows("south") {
+		t.Errorf("allowed in %v, want south", homes.Regions())
+	}
+	if homes := configuration.HomesOf(&Route{Name: "dropped", Homes: []string{"west"}}, ""); !homes.Allows("west") || homes.Allows("south") {
+		t.Errorf("a route that is dropped: allowed in %v, want west", homes.Regions())
+	}
+}
--- a/internal/directory/table.go
+++ b/internal/directory/table.go
@@ -78,6 +78,7 @@
 	for _, finding := range configuration.TenantFindings {
 		t.logger.Error(finding, "tenant declaration passed over in part", "version", configuration.Version)
 	}
+	t.logUnknownHomes(configuration)
 	t.publish(&next)
 }
 
--- a/internal/forward/errors.go
+++ b/internal/forward/errors.go
@@ -40,6 +40,8 @@
 	ReasonNoReplica = "no replica is available"
 	ReasonAllFull   = "every replica turned it away"
 	ReasonExpired   = "the time ran out before a replica took it"
+	// ReasonOutsideHome refuses where a route or tenant names the only regions.
+	ReasonOutsideHome = "no replica in the allowed regions"
 )
 
 // ErrSilent means that a stream was cut because nothing came.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -94,7 +94,11 @@
 		forwarder: f, route: route, call: call, results: make(chan result, route.Attempts+maxRefusals),
 		repeatable: route.Kind == directory.RouteSafe, objective: objective, started: time.Now(), first: f.split.next(route),
 	}
-	whole, err := run.do(ctx)
+	var whole *Whole
+	err := f.checkHomes(route, call)
+	if err == nil {
+		whole, err = run.do(ctx)
+	}
 	run.report(whole, err)
 	if at, began := run.sent.began(); began && call.Metered {
 		f.config.Meter.Began(call.Tenant, at)
@@ -106,7 +110,7 @@
 // from the one whose turn it is.
 func (f *Forwarder) pick(route *directory.Route, first int, tried []string, call *dispatch.Call) (*routing.Endpoint, error) {
 	view := f.config.Directory.View()
-	query := &routing.Query{Zone: f.config.Zone, Tried: tried, Random: rand.Uint64(), Objective: plainObjective(route)}
+	query := &routing.Query{Zone: f.config.Zone, Tried: tried, Random: rand.Uint64(), Objective: plainObjective(route), Homes: view.Configuration.HomesOf(route, call.Tenant)}
 	if route.Sticky && f.config.Prompt != nil {
 		query.PrefixHash = f.config.Prompt(call.Header)
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -58,7 +58,10 @@
 	defer cancel()
 	run := &streamRun{forwarder: f, route: route, call: call, sink: sink, first: f.split.next(route), after: call.AfterEvent}
 	started := time.Now()
-	err := run.do(ctx)
+	err := f.checkHomes(route, call)
+	if err == nil {
+		err = run.do(ctx)
+	}
 	f.config.Metrics.observe(outcomeOf(err), time.Since(started))
 	if err != nil {
 		f.config.Logger.Info("stream not whole", "request", call.ID, "route", route.Name, "attempts", run.counted, "refusals", run.refusals,
--- /dev/null
+++ b/internal/homes/bounds_test.go
@@ -0,0 +1,33 @@
+package homes
+
+import (
+	"context"
+	"testing"
+)
+
+func TestNodesOfTheEntryRegionMayHaveABodyThatReplicasMayNot(t *testing.T) {
+	for _, test := range []struct {
+		name          string
+		homes         Set
+		entry, region string
+		replica, node bool
+	}{
+		{"not bound", Set{}, "north", "south", true, true},
+		{"not bound, region unknown", Set{}, "", "", true, true},
+		{"a home", Of([]string{"south"}, nil), "north", "south", true, true},
+		{"the entry region", Of([]string{"south"}, nil), "north", "north", false, true},
+		{"neither", Of([]string{"south"}, nil), "north", "west", false, false},
+		{"no home at all", Of([]string{"south"}, []string{"west"}), "north", "north", false, true},
+		{"entry region unknown", Of([]string{"south"}, nil), "", "north", false, false},
+		{"both unknown", Of([]string{"south"}, nil), "", "", false, false},
+		{"homes of two requests", Of([]string{"south", "west"}, nil).And(Of(nil, []string{"west"})), "north", "south", false, false},
+	} {
+		bounds := Within(test.homes, test.entry)
+		if replica, node := bounds.AllowsReplica(test.region), bounds.AllowsNode(test.region); replica != test.replica || node != test.node {
+			t.Errorf("%s: replica %v, node %v, want %v, %v", test.name, replica, node, test.replica, test.node)
+		}
+		if got := BoundsOf(WithBounds(context.Background(), bounds)).AllowsNode(test.region); got != test.node {
+			t.Errorf("%s: through a context: %v, want %v", test.name, got, test.node)
+		}
+	}
+}
--- /dev/null
+++ b/internal/homes/context.go
@@ -0,0 +1,21 @@
+package homes
+
+import "context"
+
+// boundsKey is the key of bounds in a context.
+type boundsKey struct{}
+
+// WithBounds returns a context for calls that carry a body with some bounds, one way
+// or the other.
+func WithBounds(ctx context.Context, bounds Bounds) context.Context {
+	if !bounds.homes.Bound() {
+		return ctx
+	}
+	return context.WithValue(ctx, boundsKey{}, bounds)
+}
+
+// BoundsOf returns the bounds of what the calls of a context carry.
+func BoundsOf(ctx context.Context) Bounds {
+	bounds, _ := ctx.Value(boundsKey{}).(Bounds)
+	return bounds
+}
--- a/internal/homes/set.go
+++ b/internal/homes/set.go
@@ -6,28 +6,21 @@
 // Set is every region.
 type Set struct {
 	// bound is set where only some regions are allowed: of an empty list, none.
-	bound   bool
+	bound bool
+	// regions are those of a configuration, which is not changed.
 	regions []string
 }
 
 // Of returns the regions that both lists allow. An empty list allows every region;
 // two lists that share none allow nowhere.
-func Of(route, tenant []string) Set {
-	switch {
-	case len(route) == 0 && len(tenant) == 0:
+func Of(route, tenant []string) Set { return listed(route).And(listed(tenant)) }
+
+// listed is the set of a list as it is declared.
+func listed(regions []string) Set {
+	if len(regions) == 0 {
 		return Set{}
-	case len(route) == 0:
-		return Set{bound: true, regions: slices.Clone(tenant)}
-	case len(tenant) == 0:
-		return Set{bound: true, regions: slices.Clone(route)}
-	}
-	both := Set{bound: true}
-	for _, region := range route {
-		if slices.Contains(tenant, region) {
-			both.regions = append(both.regions, region)
-		}
 	}
-	return both
+	return Set{bound: true, regions: regions}
 }
 
 // Bound tells whether some regions are not allowed.
@@ -41,3 +34,23 @@
 
 // Regions lists the allowed regions where only some are.
 func (s Set) Regions() []string { return s.regions }
+
+// Nowhere is the set of no region.
+func Nowhere() Set { return Set{bound: true} }
+
+// And returns the regions that both sets allow.
+func (s Set) And(other Set) Set {
+	switch {
+	case !s.bound:
+		return other
+	case !other.bound:
+		return s
+	}
+	both := Nowhere()
+	for _, region := range s.regions {
+		if slices.Contains(other.regions, region) {
+			both.regions = append(both.regions, region)
+		}
+	}
+	return both
+}
--- a/internal/tenancy/table.go
+++ b/internal/tenancy/table.go
@@ -22,6 +22,8 @@
 type Table struct {
 	byKey  map[digest]*Tenant
 	byName map[string]*Tenant
+	// declaresHomes is set where some tenant has homes.
+	declaresHomes bool
 }
 
 // Problems of a declaration.
@@ -49,6 +51,7 @@
 		} else {
 			tenant = &Tenant{Name: one.Name, Priority: one.Priority, Homes: one.Homes}
 			table.byName[one.Name] = tenant
+			table.declaresHomes = table.declaresHomes || len(one.Homes) > 0
 		}
 		findings = append(findings, table.addKeys(tenant, one.Keys, shared)...)
 	}
@@ -119,3 +122,20 @@
 	}
 	return nil
 }
+
+// DeclaresHomes tells whether some tenant's requests may be served in some regions only.
+func (t *Table) DeclaresHomes() bool { return t != nil && t.declaresHomes }
+
+// Homes lists the tenants that have homes, with them.
+func (t *Table) Homes() map[string][]string {
+	homes := map[string][]string{}
+	if !t.DeclaresHomes() {
+		return homes
+	}
+	for name, tenant := range t.byName {
+		if len(tenant.Homes) > 0 {
+			homes[name] = tenant.Homes
+		}
+	}
+	return homes
+}
