Bodies of batch jobs stay on nodes where they may be

Cause: the runner of a job, its watchers, its later owners and the node through which a call to the store is made were chosen without regard to regions.

A record names the region through which its job came and the routes of its reward calls; submissions between nodes and heartbeats tell them too, heartbeats only where homes are declared. Runner, watchers, ranks and takeovers count the nodes inside. The relay carries no body through a third region. Results are read chunk by chunk where homes are declared, since a listing's page holds those of other jobs. A job without a replica in its homes is refused before anything is written. The record counts the items, so that a reader needs no payload for the total.

--- a/internal/batch/accept.go
+++ b/internal/batch/accept.go
@@ -26,6 +26,9 @@
 	if s.isKnown(arrival.ID) {
 		return s.authorizeArrival(ctx, arrival)
 	}
+	if err := s.checkHomes(originOf(s.recordOf(arrival))); err != nil {
+		return err
+	}
 	accepted, runnerErr := s.submitToRunner(ctx, arrival)
 	if accepted {
 		return nil
@@ -85,9 +88,8 @@
 	ctx, cancel := context.WithDeadline(s.base, deadline)
 	defer cancel()
 	id, began := arrival.ID, time.Now()
-	record := Record{
-		Owner: s.config.Self, Epoch: 1, Route: arrival.Route, Host: arrival.Host, Tenant: arrival.Tenant, AcceptedMs: time.Now().UnixMilli(),
-	}
+	record := s.recordOf(arrival)
+	ctx = s.within(ctx, record)
 	standing, made, err := s.config.Journal.Accept(ctx, id, record, arrival.Payload)
 	if err == nil && standing.Tenant != record.Tenant {
 		err = ErrOtherTenant
@@ -98,7 +100,7 @@
 		close(pending.done)
 		longer, cancelLonger := context.WithTimeout(s.base, backgroundTime)
 		defer cancelLonger()
-		standing, made, err = s.config.Journal.Accept(longer, id, record, arrival.Payload)
+		standing, made, err = s.config.Journal.Accept(s.within(longer, record), id, record, arrival.Payload)
 	} else {
 		defer close(pending.done)
 	}
@@ -125,6 +127,14 @@
 	}
 }
 
+// recordOf is the record of a job that this node accepts.
+func (s *Service) recordOf(arrival *Arrival) Record {
+	return Record{
+		Owner: s.config.Self, Epoch: 1, Route: arrival.Route, Host: arrival.Host, Tenant: arrival.Tenant, Entry: arrival.Entry,
+		Scorers: s.scorersOf(arrival.Submission), Items: len(arrival.Submission.Items), AcceptedMs: time.Now().UnixMilli(),
+	}
+}
+
 // promptAnswer is how long an acceptance may take for its record to stand as it was
 // made: nobody takes a job over before its owner has been silent for longer.
 const promptAnswer = ownerSilence
--- a/internal/batch/arrival.go
+++ b/internal/batch/arrival.go
@@ -9,6 +9,8 @@
 	Host  string
 	// Tenant is whose job it is, empty where no tenants are declared.
 	Tenant string
+	// Entry is the region of the node that the caller connected to.
+	Entry string
 	// Payload is the submission as its caller sent it, and Submission what it
 	// says.
 	Payload    []byte
--- a/internal/batch/authorize.go
+++ b/internal/batch/authorize.go
@@ -62,5 +62,6 @@
 func (s *Service) noteStanding(standing Standing) *foreign {
 	noted := s.noteForeign(standing.ID, standing.Record.Owner, standing.Record.Epoch, standing.Ended)
 	noted.tenant, noted.tenantKnown = standing.Record.Tenant, true
+	noted.noteOrigin(originOf(standing.Record))
 	return noted
 }
--- a/internal/batch/beat.go
+++ b/internal/batch/beat.go
@@ -22,7 +22,7 @@
 	}
 	slices.Sort(beat.Jobs)
 	for _, id := range beat.Jobs {
-		beat.Work = append(beat.Work, s.jobs[id].work())
+		beat.Work = append(beat.Work, s.workOf(s.jobs[id]))
 	}
 	beat.Leaving = s.leaving
 	for _, model := range slices.Sorted(maps.Keys(s.tolerances)) {
@@ -61,6 +61,9 @@
 	for _, work := range beat.Work {
 		if standing := s.known[work.Job]; standing != nil {
 			standing.tenant, standing.tenantKnown = work.Tenant, true
+			if len(work.Routes) > 0 {
+				standing.noteOrigin(origin{routes: work.Routes, tenant: work.Tenant, entry: work.Entry})
+			}
 		}
 	}
 	for _, id := range beat.Ended {
--- a/internal/batch/demand.go
+++ b/internal/batch/demand.go
@@ -27,6 +27,17 @@
 	return wire.JobWork{Job: j.id, Model: j.submission.Model, ExpectedTokens: uint64(tokens), Tenant: j.record.Tenant, Epoch: uint32(j.record.Epoch)}
 }
 
+// workOf is what heartbeats tell of a job. Where no homes are declared nobody asks
+// where its bodies may be.
+func (s *Service) workOf(held *job) wire.JobWork {
+	work := held.work()
+	if s.config.Directory.View().Configuration.DeclaresHomes() {
+		bound := originOf(held.record)
+		work.Routes, work.Entry = bound.routes, bound.entry
+	}
+	return work
+}
+
 // noteDemand learns how much a batch job has to do. The mutex must be held.
 func (s *Service) noteDemand(work wire.JobWork) {
 	if _, known := s.works[work.Job]; known || work.Model == "" {
--- a/internal/batch/errors.go
+++ b/internal/batch/errors.go
@@ -12,6 +12,8 @@
 	ErrOtherTenant = merry.Sentinel("another tenant's batch job has this id")
 	// ErrCredentials means that an item of a batch job carries credentials.
 	ErrCredentials = merry.Sentinel("an item must not carry credentials: it runs for the tenant that hands the batch job in")
+	// ErrOutside means that a node may not have the bodies of a batch job.
+	ErrOutside = merry.Sentinel("the node is outside the allowed regions")
 	// ErrNoSuchJob means that the store has no such batch job.
 	ErrNoSuchJob = merry.Sentinel("no such batch job")
 	// ErrNoSuchItem means that a batch job has no such item.
--- a/internal/batch/foreign.go
+++ b/internal/batch/foreign.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/pathtally/pathtally/internal/directory"
 	"github.com/pathtally/pathtally/internal/objectstore"
 	"github.com/pathtally/pathtally/internal/rendezvous"
 )
@@ -36,10 +37,16 @@
 	// tenant is whose job it is, if tenantKnown.
 	tenant      string
 	tenantKnown bool
+	// origin decides where the job's bodies may be; nil while it is not known.
+	origin *origin
+	// told is set once the log says that the job waits for a node that may have it.
+	told bool
 	// rank is this node's place among those that may take the job over, as
 	// worked out for a membership.
 	rank       int
 	membership uint64
+	// rankedIn is the configuration that the rank was worked out in.
+	rankedIn *directory.Configuration
 	// leaving is set when the owner gives its jobs away.
 	leaving bool
 	taking  bool
@@ -189,6 +196,10 @@
 		if standing.ended || standing.taking || time.Now().Before(standing.notBefore) {
 			continue
 		}
+		if s.isOutsider(standing) {
+			s.logWaiting(id, standing)
+			continue
+		}
 		if time.Since(standing.heard) > s.patience(id, standing) {
 			standing.taking = true
 			orphans[id] = standing.owner
@@ -220,9 +231,10 @@
 	return rank + ownerSilence
 }
 
-// rank is this node's place among those that may take a job over.
-func (s *Service) rank(id, owner string) int {
-	nodes := s.config.Table.Nodes()
+// rank is this node's place among those that may take a job over. The mutex must be
+// held.
+func (s *Service) rank(id string, standing *foreign) int {
+	nodes, owner := s.insiders(standing.origin, s.config.Table.Nodes()), standing.owner.Node
 	if owner == s.config.Self.Node {
 		owner = ""
 	}
@@ -233,8 +245,9 @@
 
 // cachedRank is this node's rank for a job. The mutex must be held.
 func (s *Service) cachedRank(id string, standing *foreign) int {
-	if membership := s.config.Table.Membership(); standing.membership != membership+1 {
-		standing.rank, standing.membership = s.rank(id, standing.owner.Node), membership+1
+	membership, configuration := s.config.Table.Membership()+1, s.config.Directory.View().Configuration
+	if standing.membership != membership || standing.rankedIn != configuration {
+		standing.rank, standing.membership, standing.rankedIn = s.rank(id, standing), membership, configuration
 	}
 	return standing.rank
 }
--- a/internal/batch/front.go
+++ b/internal/batch/front.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/pathtally/pathtally/internal/forward"
 	"github.com/pathtally/pathtally/internal/ingress"
 )
 
@@ -19,6 +20,10 @@
 	callTime = 1300 * time.Millisecond
 	// comeBack is when callers are told to come back to a refused call.
 	comeBack = 200 * time.Millisecond
+	// homelessWait is when to come back with a job that no replica may run: a replica
+	// that is started or a configuration that is changed is known everywhere some
+	// seconds later.
+	homelessWait = 2 * time.Second
 	// longestWait bounds how long a reader may have a call held.
 	longestWait = 2 * time.Second
 )
@@ -54,7 +59,8 @@
 	ctx, cancel := context.WithTimeout(f.Service.base, patience-answerMargin)
 	defer cancel()
 	err = f.Service.Submit(ctx, &Arrival{
-		ID: id, Route: route.Name, Host: route.Host, Tenant: submitted.Tenant, Payload: submitted.Body, Submission: submission,
+		ID: id, Route: route.Name, Host: route.Host, Tenant: submitted.Tenant, Entry: f.Service.config.Region, Payload: submitted.Body,
+		Submission: submission,
 	})
 	var notTaken *NotTakenError
 	switch {
@@ -63,6 +69,8 @@
 		writer.WriteHeader(http.StatusAccepted)
 	case errors.Is(err, ErrOtherTenant):
 		f.refuse(writer, id, http.StatusConflict, err, 0)
+	case errors.Is(err, forward.ErrNoHome):
+		f.refuse(writer, id, http.StatusServiceUnavailable, err, homelessWait)
 	case errors.As(err, &notTaken):
 		f.refuse(writer, id, http.StatusServiceUnavailable, err, comeBack)
 	default:
--- a/internal/batch/harness_test.go
+++ b/internal/batch/harness_test.go
@@ -263,8 +263,15 @@
 	gate  atomic.Pointer[gate]
 	peers *testPeers
 	nodes []*testNode
+	// places are where nodes and engines are, by their names; each region is one zone
+	// of its name. homes are the route's.
+	places map[string]string
+	homes  []string
 }
 
+// regions are those that the nodes know.
+var regions = map[string]string{"north": "north", "south": "south", "west": "west"}
+
 const testRoute = "drafts"
 
 func newCluster(t *testing.T, nodes int, engines ...*testEngine) *cluster {
@@ -302,19 +309,13 @@
 func (c *cluster) makeNode(name string, engines []*testEngine) *testNode {
 	c.t.Helper()
 	logger := klog.Background()
-	table := directory.NewTable("zone", nil, logger)
-	table.SetConfiguration(&directory.Configuration{
-		Version: 1,
-		Routes: []directory.Route{{
-			Name: testRoute, Host: "drafts.example", Prefix: "/d/", Kind: directory.RouteBatch, Attempts: 3,
-			Targets: []directory.Target{{Service: "engines", Weight: 1}},
-		}},
-		Services: map[string]directory.Service{"engines": {Name: "engines"}},
-	}, 1)
+	table := directory.NewTable(c.places[name], regions, logger)
+	c.configure(table, 1)
 	var replicas []*directory.Replica
 	for number, engine := range engines {
+		id := fmt.Sprintf("engine-%d", number)
 		replicas = append(replicas, &directory.Replica{
-			ID: fmt.Sprintf("engine-%d", number), Service: "engines", Address: engine.address, Slots: 8, State: directory.ReplicaReady,
+			ID: id, Service: "engines", Address: engine.address, Zone: c.places[id], Slots: 8, State: directory.ReplicaReady,
 		})
 	}
 	table.SetReplicas(replicas, 0)
@@ -324,14 +325,14 @@
 	dispatcher := dispatch.New(exchange.NewPool(nil), testHeaders{})
 	self := Owner{Node: name, Address: name, Incarnation: uint64(time.Now().UnixNano())}
 	node.table = peering.NewTable(peering.Config{
-		Node: name, Address: name, Incarnation: self.Incarnation, Store: c.store, Peers: link{c.peers, name}, Logger: logger,
+		Node: name, Address: name, Zone: c.places[name], Incarnation: self.Incarnation, Store: c.store, Peers: link{c.peers, name}, Logger: logger,
 		Beat: func(beat *wire.NodeBeat) { node.FillBeat(beat) }, OnBeat: func(beat *wire.NodeBeat) { node.TakeBeat(beat) },
 		Watchers: func() []string { return node.Watchers() },
 	})
 	node.Service = NewService(ctx, Config{
 		Self: self, Journal: NewJournal(gatedStore{c.store, &c.gate}), Codec: testCodec{}, Directory: table, Dispatcher: dispatcher,
 		Forwarder: forward.New(forward.Config{Directory: table, Dispatcher: dispatcher, Logger: logger, Metrics: forward.NewMetrics(prometheus.NewRegistry())}),
-		Peers:     link{c.peers, name}, Table: node.table, Logger: logger, Registry: prometheus.NewRegistry(),
+		Peers:     link{c.peers, name}, Table: node.table, Region: c.places[name], Logger: logger, Registry: prometheus.NewRegistry(),
 	})
 	c.peers.mutex.Lock()
 	c.peers.services[name] = node
@@ -340,6 +341,18 @@
 	return node
 }
 
+// configure brings a version of the cluster's configuration into force at a node.
+func (c *cluster) configure(table *directory.Table, version uint64) {
+	table.SetConfiguration(&directory.Configuration{
+		Version: version,
+		Routes: []directory.Route{{
+			Name: testRoute, Host: "drafts.example", Prefix: "/d/", Kind: directory.RouteBatch, Attempts: 3,
+			Targets: []directory.Target{{Service: "engines", Weight: 1}}, Homes: c.homes,
+		}},
+		Services: map[string]directory.Service{"engines": {Name: "engines"}},
+	}, version)
+}
+
 // setGate has the nodes' calls of a verb on a kind wait until the gate is opened.
 func (c *cluster) setGate(verb, kind string) *gate {
 	made := &gate{verb: verb, kind: kind, open: make(chan struct{})}
--- /dev/null
+++ b/internal/batch/homes.go
@@ -0,0 +1,168 @@
+package batch
+
+import (
+	"context"
+	"slices"
+
+	"github.com/pathtally/pathtally/internal/directory"
+	"github.com/pathtally/pathtally/internal/forward"
+	"github.com/pathtally/pathtally/internal/homes"
+)
+
+// origin is what decides where the bodies of a batch job may be. The homes themselves
+// are those of the configuration in force.
+type origin struct {
+	// routes are those whose requests the job holds: its own first, then its scorers'.
+	routes []string
+	tenant string
+	// entry is the region through which the job came, "" for unknown.
+	entry string
+}
+
+func originOf(record Record) origin {
+	return origin{routes: append([]string{record.Route}, record.Scorers...), tenant: record.Tenant, entry: record.Entry}
+}
+
+// noteOrigin records where a job of another node's comes from.
+func (f *foreign) noteOrigin(from origin) {
+	if f.origin == nil {
+		// The rank depends on it.
+		f.membership = 0
+	}
+	f.origin = &from
+}
+
+// scorersOf names the routes of a submission's reward calls.
+func (s *Service) scorersOf(submission *Submission) []string {
+	var named []string
+	for _, submitted := range submission.Items {
+		if submitted.Reward == nil {
+			continue
+		}
+		if route := s.rewardRoute(submitted.Reward); route != nil && !slices.Contains(named, route.Name) {
+			named = append(named, route.Name)
+		}
+	}
+	return named
+}
+
+// boundsOf is where the bodies of a job may be. A route or tenant that is declared no
+// more may have had any homes: where the others have some, its bodies stay in the
+// region through which they came. The same holds while no configuration is known.
+func (s *Service) boundsOf(from origin) homes.Bounds {
+	configuration := s.config.Directory.View().Configuration
+	if configuration == nil {
+		return homes.Within(homes.Nowhere(), from.entry)
+	}
+	if !configuration.DeclaresHomes() {
+		return homes.Bounds{}
+	}
+	allowed := homes.Set{}
+	for _, name := range from.routes {
+		allowed = allowed.And(bodyHomes(configuration, name, from.tenant))
+	}
+	return homes.Within(allowed, from.entry)
+}
+
+// bodyHomes are the regions whose nodes may have the body of a tenant's request.
+func bodyHomes(configuration *directory.Configuration, route, tenant string) homes.Set {
+	standing := configuration.Named(route)
+	if standing == nil || (tenant != "" && configuration.Tenants.Named(tenant) == nil) {
+		return homes.Nowhere()
+	}
+	return configuration.HomesOf(standing, tenant)
+}
+
+// within returns a context for the store's calls that carry bodies of a job.
+func (s *Service) within(ctx context.Context, record Record) context.Context {
+	return homes.WithBounds(ctx, s.boundsOf(originOf(record)))
+}
+
+// withinHeld is within for a job that this node runs.
+func (s *Service) withinHeld(ctx context.Context, id string) context.Context {
+	s.mutex.Lock()
+	held := s.jobs[id]
+	s.mutex.Unlock()
+	if held == nil {
+		return homes.WithBounds(ctx, homes.Within(homes.Nowhere(), s.config.Region))
+	}
+	return s.within(ctx, held.record)
+}
+
+// insiders are those of some nodes that may have the bodies of a job, in the same
+// order; all while its origin is not known.
+func (s *Service) insiders(from *origin, nodes []string) []string {
+	if from == nil {
+		return nodes
+	}
+	bounds := s.boundsOf(*from)
+	if !bounds.Homes().Bound() {
+		return nodes
+	}
+	return slices.DeleteFunc(slices.Clone(nodes), func(node string) bool { return !bounds.AllowsNode(s.regionOf(node)) })
+}
+
+// regionOf is the region of a node, "" if it is not known.
+func (s *Service) regionOf(node string) string {
+	if node == s.config.Self.Node {
+		return s.config.Region
+	}
+	peer, _ := s.config.Table.Get(node)
+	return s.config.Directory.RegionOf(peer.Zone)
+}
+
+// isOutsider tells whether this node may not have the bodies of a job of another
+// node's, as far as it is known where that comes from. The mutex must be held.
+func (s *Service) isOutsider(standing *foreign) bool {
+	return standing.origin != nil && !s.boundsOf(*standing.origin).AllowsNode(s.config.Region)
+}
+
+// logWaiting says once of a job that no other node known may take it over. The mutex
+// must be held.
+func (s *Service) logWaiting(id string, standing *foreign) {
+	if standing.told || len(successors(s.insiders(standing.origin, s.config.Table.Nodes()), standing.owner.Node)) > 0 {
+		return
+	}
+	standing.told = true
+	s.config.Logger.Info("batch job waits for a node in its allowed regions, should its owner fall silent", "request", id,
+		"owner", standing.owner.Node, "allowed", s.boundsOf(*standing.origin).Homes().Regions(), "entry", standing.origin.entry)
+}
+
+// logKept says of which jobs this node cannot give away, since no other node known may
+// have them: they go on once there is one. The mutex must be held.
+func (s *Service) logKept() {
+	nodes := s.config.Table.Nodes()
+	for id, held := range s.jobs {
+		from := originOf(held.record)
+		if held.open() && len(successors(s.insiders(&from, nodes), s.config.Self.Node)) == 0 {
+			s.config.Logger.Info("batch job given to nobody: no other node is in its allowed regions", "request", id,
+				"allowed", s.boundsOf(from).Homes().Regions(), "entry", from.entry)
+		}
+	}
+}
+
+// checkHomes refuses a job of which some request has no replica that may serve it.
+func (s *Service) checkHomes(from origin) error {
+	view := s.config.Directory.View()
+	if !view.Configuration.DeclaresHomes() {
+		return nil
+	}
+	for _, name := range from.routes {
+		route := view.Configuration.Named(name)
+		if route != nil && !view.HasReplica(route, view.Configuration.HomesOf(route, from.tenant)) {
+			s.metrics.homeless.Inc()
+			return &NotTakenError{Cause: forward.ErrNoHome}
+		}
+	}
+	return nil
+}
+
+// checkOffered refuses a job that another node hands to this one and that this one
+// may not have: the two may know different configurations.
+func (s *Service) checkOffered(arrival *Arrival) error {
+	from := originOf(s.recordOf(arrival))
+	if !s.boundsOf(from).AllowsNode(s.config.Region) {
+		return &NotTakenError{Cause: ErrOutside}
+	}
+	return s.checkHomes(from)
+}
--- a/internal/batch/journal.go
+++ b/internal/batch/journal.go
@@ -46,6 +46,13 @@
 	Parts int    `json:"parts"`
 	// Tenant is whose job it is, empty where no tenants were declared.
 	Tenant string `json:"tenant,omitempty"`
+	// Entry is the region of the node that the caller connected to, and Scorers the
+	// routes of the job's reward calls: with Route and Tenant they say where its bodies
+	// may be. Jobs from before there were homes name neither.
+	Entry   string   `json:"entry,omitempty"`
+	Scorers []string `json:"scorers,omitempty"`
+	// Items is the number of items, 0 for unknown.
+	Items int `json:"items,omitempty"`
 	// AcceptedMs is the owner's time of day at the acceptance, in milliseconds.
 	AcceptedMs int64 `json:"acceptedMs"`
 }
@@ -87,11 +94,20 @@
 }
 
 // Journal keeps batch jobs in the metadata store.
-type Journal struct{ store objectstore.Store }
+type Journal struct {
+	store objectstore.Store
+	// apart tells whether a job's results are to be read without those of others; nil
+	// for never.
+	apart func() bool
+}
 
 // NewJournal returns a journal.
 func NewJournal(store objectstore.Store) *Journal { return &Journal{store: store} }
 
+// ReadApart has results read chunk by chunk while a condition holds: the pages of a
+// listing hold results of other jobs too, which may be bound to other regions.
+func (j *Journal) ReadApart(condition func() bool) { j.apart = condition }
+
 func partName(job string, part int) string { return fmt.Sprintf("%s-%04d", job, part) }
 
 // chunkDigits is how many digits the number of a chunk has in its name.
@@ -241,7 +257,7 @@
 
 // Results reads what stands from a chunk on.
 func (j *Journal) Results(ctx context.Context, id string, from int) (listing, error) {
-	if from > 0 {
+	if from > 0 || (j.apart != nil && j.apart()) {
 		return j.furtherResults(ctx, id, from)
 	}
 	read := listing{}
--- a/internal/batch/leave.go
+++ b/internal/batch/leave.go
@@ -18,6 +18,7 @@
 	}
 	s.mutex.Lock()
 	s.leaving = true
+	s.logKept()
 	s.mutex.Unlock()
 	s.config.Table.Broadcast()
 }
--- a/internal/batch/metrics.go
+++ b/internal/batch/metrics.go
@@ -7,6 +7,7 @@
 	runs      prometheus.Counter
 	moved     prometheus.Counter
 	takeovers prometheus.Counter
+	homeless  prometheus.Counter
 	results   *prometheus.CounterVec
 }
 
@@ -15,8 +16,9 @@
 		runs:      prometheus.NewCounter(prometheus.CounterOpts{Name: "pathtally_item_runs_total", Help: "Runs of items begun at replicas."}),
 		moved:     prometheus.NewCounter(prometheus.CounterOpts{Name: "pathtally_item_moves_total", Help: "Runs cut to go on at another replica."}),
 		takeovers: prometheus.NewCounter(prometheus.CounterOpts{Name: "pathtally_job_takeovers_total", Help: "Batch jobs taken over from other nodes."}),
+		homeless:  prometheus.NewCounter(prometheus.CounterOpts{Name: "pathtally_jobs_without_home_total", Help: "Batch jobs refused because no replica is in the allowed regions."}),
 		results:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "pathtally_item_results_total", Help: "Items by how they ended."}, []string{"state"}),
 	}
-	registry.MustRegister(made.runs, made.moved, made.takeovers, made.results)
+	registry.MustRegister(made.runs, made.moved, made.takeovers, made.homeless, made.results)
 	return made
 }
--- a/internal/batch/publish.go
+++ b/internal/batch/publish.go
@@ -100,7 +100,7 @@
 	began := time.Now()
 	// The end of the job does not cut the append off: the store may have done it, and a
 	// result that others read there would be missing here.
-	standing, own, err := s.config.Journal.Append(published.appends, published.id, index, written)
+	standing, own, err := s.config.Journal.Append(s.within(published.appends, published.record), published.id, index, written)
 	s.mutex.Lock()
 	published.saving = false
 	s.mutex.Unlock()
--- a/internal/batch/read.go
+++ b/internal/batch/read.go
@@ -94,7 +94,7 @@
 func (s *Service) readBehind(ctx context.Context, id string, chunks, after int) []Result {
 	ctx, cancel := context.WithTimeout(ctx, behindTime)
 	defer cancel()
-	behind, err := s.config.Journal.Results(ctx, id, chunks)
+	behind, err := s.config.Journal.Results(s.withinHeld(ctx, id), id, chunks)
 	if err != nil {
 		s.config.Logger.Info("nothing read behind an append on its way", "request", id, "chunk", chunks, "error", err.Error())
 		return nil
@@ -155,7 +155,7 @@
 	if err != nil {
 		return nil, err
 	}
-	payload, err := s.config.Journal.Payload(ctx, id, standing.Record.Parts)
+	payload, err := s.config.Journal.Payload(s.within(ctx, standing.Record), id, standing.Record.Parts)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -41,11 +41,11 @@
 // the error is then not nil where the other node may have accepted it already.
 func (s *Service) submitToRunner(ctx context.Context, arrival *Arrival) (bool, error) {
 	id := arrival.ID
-	address, found := s.findRunner(ctx, id, arrival.Submission.Model)
+	address, found := s.findRunner(ctx, arrival)
 	if !found {
 		return false, nil
 	}
-	submit := &wire.JobSubmit{Job: id, Route: arrival.Route, Host: arrival.Host, Payload: arrival.Payload, Tenant: arrival.Tenant}
+	submit := &wire.JobSubmit{Job: id, Route: arrival.Route, Host: arrival.Host, Payload: arrival.Payload, Tenant: arrival.Tenant, Entry: arrival.Entry}
 	reply, err := environment.Ask(ctx, s.config.Peers, address, submit, time.Duration(runnerPart*float64(timeLeft(ctx))))
 	if err != nil {
 		s.config.Logger.Info("runner of batch job lost", "request", id, "runner", address, "error", err.Error())
@@ -63,14 +63,17 @@
 	return true, nil
 }
 
-// findRunner returns the address of the first node in rank for a model's jobs
-// that would take one; false if that is this node or none answers.
-func (s *Service) findRunner(ctx context.Context, id, model string) (string, bool) {
+// findRunner returns the address of the first node in rank for the jobs of an
+// arrival's model that may have it and would take it; false if that is this node or
+// none answers.
+func (s *Service) findRunner(ctx context.Context, arrival *Arrival) (string, bool) {
+	model := arrival.Submission.Model
 	if model == "" {
 		return "", false
 	}
 	asked := 0
-	for _, candidate := range s.runners(model) {
+	bound := originOf(s.recordOf(arrival))
+	for _, candidate := range s.insiders(&bound, s.runners(model)) {
 		if candidate == s.config.Self.Node || asked >= runnersAsked {
 			return "", false
 		}
@@ -79,7 +82,7 @@
 			continue
 		}
 		asked++
-		reply, err := environment.Ask(ctx, s.config.Peers, peer.Address, &wire.JobOffer{Job: id}, offerTime)
+		reply, err := environment.Ask(ctx, s.config.Peers, peer.Address, &wire.JobOffer{Job: arrival.ID}, offerTime)
 		if _, willing := reply.(*wire.Done); willing && err == nil {
 			return peer.Address, true
 		}
@@ -146,9 +149,15 @@
 	}
 	ctx, cancel := context.WithTimeout(s.base, submitTime)
 	defer cancel()
-	err = s.submitHere(ctx, &Arrival{
-		ID: question.Job, Route: question.Route, Host: question.Host, Tenant: question.Tenant, Payload: question.Payload, Submission: submission,
-	})
+	arrival := &Arrival{
+		ID: question.Job, Route: question.Route, Host: question.Host, Tenant: question.Tenant, Entry: question.Entry, Payload: question.Payload,
+		Submission: submission,
+	}
+	if err := s.checkOffered(arrival); err != nil {
+		reply(&wire.JobSubmitted{Outcome: wire.OutcomeNotRun, Detail: err.Error()})
+		return
+	}
+	err = s.submitHere(ctx, arrival)
 	var notTaken *NotTakenError
 	switch {
 	case err == nil:
--- a/internal/batch/seal.go
+++ b/internal/batch/seal.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/pathtally/pathtally/internal/homes"
 )
 
 const (
@@ -32,7 +34,10 @@
 	from := behind.chunks
 	ctx, cancel := context.WithTimeout(s.base, sealTime)
 	defer cancel()
-	behind, err := s.appendBehind(ctx, id, behind, chunk{Writer: s.writerName(), Seal: true})
+	s.mutex.Lock()
+	bounds := s.boundsOf(*known.origin)
+	s.mutex.Unlock()
+	behind, err := s.appendBehind(homes.WithBounds(ctx, bounds), id, behind, chunk{Writer: s.writerName(), Seal: true})
 	if err != nil {
 		s.config.Logger.Info("ended batch job not sealed", "request", id, "error", err.Error())
 		return
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -27,8 +27,10 @@
 	Forwarder  *forward.Forwarder
 	Peers      environment.Peers
 	Table      *peering.Table
-	Logger     klog.Logger
-	Registry   prometheus.Registerer
+	// Region is the one that this node is in, "" for unknown.
+	Region   string
+	Logger   klog.Logger
+	Registry prometheus.Registerer
 }
 
 // Service takes batch jobs, runs those of this node, and answers for all. It
--- a/internal/batch/stored.go
+++ b/internal/batch/stored.go
@@ -68,8 +68,9 @@
 	s.mutex.Lock()
 	known := s.noteStanding(standing)
 	from := known.chunks
-	results, total = known.results, known.total
+	results, total = known.results, max(known.total, standing.Record.Items)
 	s.mutex.Unlock()
+	ctx = s.within(ctx, standing.Record)
 	if total == 0 {
 		if total, err = s.readTotal(ctx, standing); err != nil {
 			return nil, 0, err
@@ -81,7 +82,19 @@
 	}
 	results = append(results[:len(results):len(results)], added.results...)
 	s.mutex.Lock()
-	known.total = total
+	if known.total = total; !s.isOutsider(known) {
+		s.keepStored(standing, known, results, added)
+	}
+	s.mutex.Unlock()
+	s.config.Logger.Info("batch job read from the store", "request", standing.ID, "ended", standing.Ended, "owner", standing.Record.Owner.Node,
+		"results", len(results), "chunks", added.chunks, "final", added.sealed)
+	return results, total, nil
+}
+
+// keepStored keeps what was read of a job, so that the next reading goes on behind it.
+// A node that may not have the job's bodies keeps nothing: it has shown them to a
+// caller of its own, and reads them anew for the next. The mutex must be held.
+func (s *Service) keepStored(standing Standing, known *foreign, results []Result, added listing) {
 	if added.chunks > known.chunks {
 		known.results, known.chunks = results, added.chunks
 	}
@@ -89,10 +102,6 @@
 	if standing.Ended {
 		s.sealLater(standing.ID, known)
 	}
-	s.mutex.Unlock()
-	s.config.Logger.Info("batch job read from the store", "request", standing.ID, "ended", standing.Ended, "owner", standing.Record.Owner.Node,
-		"results", len(results), "chunks", added.chunks, "final", added.sealed)
-	return results, total, nil
 }
 
 // readTotal reads how many items a job has.
--- a/internal/batch/takeover.go
+++ b/internal/batch/takeover.go
@@ -34,9 +34,9 @@
 		return
 	}
 	s.mutex.Lock()
-	s.noteStanding(standing)
+	outsider := s.isOutsider(s.noteStanding(standing))
 	s.mutex.Unlock()
-	if standing.Ended || standing.Record.Owner != gone {
+	if standing.Ended || standing.Record.Owner != gone || outsider {
 		return
 	}
 	taken, err := s.config.Journal.TakeOver(ctx, standing, s.config.Self)
@@ -90,6 +90,7 @@
 // readJob reads a job's submission and what stands of its results, behind which
 // it sets a fence.
 func (s *Service) readJob(ctx context.Context, standing Standing) (*Submission, listing, error) {
+	ctx = s.within(ctx, standing.Record)
 	payload, err := s.config.Journal.Payload(ctx, standing.ID, standing.Record.Parts)
 	if err != nil {
 		return nil, listing{}, err
--- a/internal/batch/watchers.go
+++ b/internal/batch/watchers.go
@@ -27,16 +27,16 @@
 func (s *Service) Watchers() []string {
 	nodes := s.config.Table.Nodes()
 	s.mutex.Lock()
-	var open []string
+	open := map[string]origin{}
 	for id, held := range s.jobs {
 		if held.open() {
-			open = append(open, id)
+			open[id] = originOf(held.record)
 		}
 	}
 	s.mutex.Unlock()
 	var named []string
-	for _, id := range open {
-		for _, candidate := range firstOf(id, successors(nodes, s.config.Self.Node)) {
+	for id, bound := range open {
+		for _, candidate := range firstOf(id, successors(s.insiders(&bound, nodes), s.config.Self.Node)) {
 			named = append(named, candidate.ID)
 		}
 	}
--- a/internal/batch/watchers_test.go
+++ b/internal/batch/watchers_test.go
@@ -168,7 +168,7 @@
 			continue
 		}
 		node.noteForeign("job", next.config.Self, 0, false)
-		if got, want := node.cachedRank("job", standing), node.rank("job", next.config.Self.Node); got != want {
+		if got, want := node.cachedRank("job", standing), node.rank("job", &foreign{owner: next.config.Self}); got != want {
 			t.Errorf("owned by %s: rank %d, want %d", next.config.Self.Node, got, want)
 		}
 	}
--- a/internal/instance/assemble.go
+++ b/internal/instance/assemble.go
@@ -30,9 +30,11 @@
 	dispatcher := i.assembleForwarding()
 	i.assemblePeers(ctx, peerListener, self)
 	i.assembleStore(self)
+	journal := batch.NewJournal(i.store)
+	journal.ReadApart(func() bool { return i.directory.View().Configuration.DeclaresHomes() })
 	i.jobs = batch.NewService(ctx, batch.Config{
-		Self: self, Journal: batch.NewJournal(i.store), Codec: i.adapter.Jobs, Directory: i.directory, Dispatcher: dispatcher,
-		Forwarder: i.forwarder, Peers: i.transport, Table: i.peers, Logger: i.logger, Registry: i.registry,
+		Self: self, Journal: journal, Codec: i.adapter.Jobs, Directory: i.directory, Dispatcher: dispatcher,
+		Forwarder: i.forwarder, Peers: i.transport, Table: i.peers, Region: i.settings.Region, Logger: i.logger, Registry: i.registry,
 	})
 	i.assembleDuties(self, duties)
 	i.assembleIngress()
@@ -75,7 +77,7 @@
 		Nodes: i.followable, Joined: i.peers.Joined, ProbeKind: peering.Kind, ProbeName: self.Node, Logger: i.logger, Registry: i.registry,
 	})
 	i.store = storerelay.New(storerelay.Config{
-		Own: i.adapter.Store, Peers: i.transport, Through: i.source.CurrentPeer, Logger: i.logger, Registry: i.registry,
+		Own: i.adapter.Store, Peers: i.transport, Through: i.source.CurrentPeer, Region: i.regionAt, Logger: i.logger, Registry: i.registry,
 	})
 }
 
--- a/internal/instance/peers.go
+++ b/internal/instance/peers.go
@@ -76,3 +76,8 @@
 	peer, _ := i.peers.Get(node)
 	return peer.Heard
 }
+
+// regionAt is the region of the node at an address, "" if it is not known.
+func (i *Instance) regionAt(address string) string {
+	return i.directory.RegionOf(i.peers.ZoneAt(address))
+}
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -121,6 +121,18 @@
 	return *peer, true
 }
 
+// ZoneAt is the zone of the peer at an address, "" if it is not known.
+func (t *Table) ZoneAt(address string) string {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, peer := range t.peers {
+		if peer.Address == address {
+			return peer.Zone
+		}
+	}
+	return ""
+}
+
 // Peers returns all peers known.
 func (t *Table) Peers() []Peer {
 	t.mutex.Lock()
--- a/internal/storerelay/relay.go
+++ b/internal/storerelay/relay.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/pathtally/pathtally/internal/environment"
+	"github.com/pathtally/pathtally/internal/homes"
 	"github.com/pathtally/pathtally/internal/objectstore"
 	"github.com/pathtally/pathtally/internal/objectwire"
 	"github.com/pathtally/pathtally/internal/wire"
@@ -35,7 +36,9 @@
 	Peers environment.Peers
 	// Through returns the address of a node that the store answers now, if one
 	// is known.
-	Through  func() (address string, known bool)
+	Through func() (address string, known bool)
+	// Region is the region of the node at an address, "" if it is not known.
+	Region   func(address string) string
 	Logger   klog.Logger
 	Registry prometheus.Registerer
 }
@@ -127,7 +130,7 @@
 // A call that had no answer is never made again here: it may have been done.
 // The reply is nil if the call was not made through another node.
 func (r *Relay) do(ctx context.Context, call *wire.StoreCall, own func() error) (*wire.StoreReply, error) {
-	if address, known := r.config.Through(); known && r.isTroubled() {
+	if address, known := r.helper(ctx); known && r.isTroubled() {
 		return r.through(ctx, address, call)
 	}
 	err := own()
@@ -141,7 +144,7 @@
 		return nil, err
 	case errors.As(err, &refused):
 		r.noteFailed()
-		if address, known := r.config.Through(); known {
+		if address, known := r.helper(ctx); known {
 			return r.through(ctx, address, call)
 		}
 		return nil, err
@@ -150,6 +153,21 @@
 	return nil, err
 }
 
+// helper returns the address of a node through which a call may be made. One that
+// carries a body which that node's region may not have is made on this node's own way
+// alone, and fails as it does there.
+func (r *Relay) helper(ctx context.Context) (address string, known bool) {
+	address, known = r.config.Through()
+	bounds := homes.BoundsOf(ctx)
+	if !known || !bounds.Homes().Bound() || bounds.AllowsNode(r.config.Region(address)) {
+		return address, known
+	}
+	if r.isTroubled() {
+		r.relayed.WithLabelValues("outside homes").Inc()
+	}
+	return "", false
+}
+
 // through makes a call through another node.
 func (r *Relay) through(ctx context.Context, address string, call *wire.StoreCall) (*wire.StoreReply, error) {
 	message, err := environment.Ask(ctx, r.config.Peers, address, call, relayTime)
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -318,6 +318,11 @@
 	Tenant string
 	// Epoch counts the job's owners, the sender included; 0 for unknown.
 	Epoch uint32
+	// Routes are those whose requests the job holds, its own first and then its
+	// scorers'; empty for unknown.
+	Routes []string
+	// Entry is the region through which the job came, empty for unknown.
+	Entry string
 }
 
 // ItemLength is how many events the text of an item of a batch job has: at
@@ -378,6 +383,8 @@
 	Payload []byte
 	// Tenant is whose job it is, empty where no tenants are declared.
 	Tenant string
+	// Entry is the region of the node that the caller connected to.
+	Entry string
 }
 
 // JobSubmitted answers a JobSubmit.
--- a/internal/wire/schema/peer.capnp
+++ b/internal/wire/schema/peer.capnp
@@ -304,6 +304,8 @@
   expectedTokens @2 :UInt64; # that all items of the job are expected to make, listed ones included
   tenant @3 :Text;          # whose job it is, empty where no tenants are declared
   epoch @4 :UInt32;         # counts the job's owners, the sender included; 0 for unknown
+  routes @5 :List(Text);    # whose requests the job holds: its own first, then its scorers'
+  entry @6 :Text;           # region through which the job came, empty for unknown
 }
 
 struct ItemLength {
@@ -354,6 +356,7 @@
   host @2 :Text;
   payload @3 :Data;         # the submission as its caller sent it
   tenant @4 :Text;          # whose job it is, empty where no tenants are declared
+  entry @5 :Text;           # region of the node that the caller connected to
 }
 
 struct JobSubmitted {
