Processes in three regions: bound requests stay at home

Real nodes behind proxies to the store and from their peers, replicas in three regions. The stand-in replicas tell what each got; the proxies of the nodes outside look for the bodies of bound items on the wire. A frozen owner is followed by a node inside; with the store open to the region outside alone a bound job is refused and no body passes there.

The harness gained regions and homes, and the making of a payload became a function of its own.

--- a/test/platform_harness_test.go
+++ b/test/platform_harness_test.go
@@ -40,6 +40,13 @@
 	// duties takes usage reports, in windows of a length; nil for none.
 	duties      *dutyapi.Server
 	usageWindow time.Duration
+	// regions are those of nodes, engines and apps in turn, each with one zone of its
+	// name; nil for one zone.
+	regions []string
+	// homes are those of routes, by name.
+	homes map[string][]string
+	// links are those of the nodes, where there are regions.
+	links map[int]*nodeLinks
 }
 
 // platformNode is one node process.
@@ -59,12 +66,15 @@
 	tenants              []map[string]any
 	// usageWindow has usage reported, in windows of that length.
 	usageWindow time.Duration
+	// regions and homes are those of the deployment.
+	regions []string
+	homes   map[string][]string
 }
 
 // deployPlatform starts stand-ins and nodes.
 func deployPlatform(t *testing.T, shaped shape) *platformDeployment {
 	t.Helper()
-	d := &platformDeployment{t: t, store: metastore.New(), folder: t.TempDir(), tenants: shaped.tenants}
+	d := &platformDeployment{t: t, store: metastore.New(), folder: t.TempDir(), tenants: shaped.tenants, regions: shaped.regions, homes: shaped.homes, links: map[int]*nodeLinks{}}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -93,22 +103,22 @@
 
 func (d *platformDeployment) startReplicas(shaped shape) {
 	d.t.Helper()
-	start := func(config replica.Config, service string) *replica.Server {
+	start := func(config replica.Config, service string, number int) *replica.Server {
 		started, err := replica.Start(config)
 		if err != nil {
 			d.t.Fatal(err)
 		}
 		d.t.Cleanup(started.Close)
-		d.store.Write("servers", config.ID, started.Entry(service, "zone-a"))
+		d.store.Write("servers", config.ID, started.Entry(service, d.zoneOf(number)))
 		return started
 	}
 	for number := range shaped.engines {
 		d.engines = append(d.engines, start(replica.Config{
 			ID: fmt.Sprintf("engine-%d", number), Slots: 8, Model: draftModel, EventInterval: shaped.eventInterval, LoadTime: 100 * time.Millisecond,
-		}, "engines"))
+		}, "engines", number))
 	}
 	for number := range shaped.apps {
-		d.apps = append(d.apps, start(replica.Config{ID: fmt.Sprintf("app-%d", number), Slots: 16, Work: time.Millisecond}, "apps"))
+		d.apps = append(d.apps, start(replica.Config{ID: fmt.Sprintf("app-%d", number), Slots: 16, Work: time.Millisecond}, "apps", number))
 	}
 }
 
@@ -135,6 +145,11 @@
 		},
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	}
+	for _, route := range configuration["routes"].([]map[string]any) {
+		if homes := d.homes[route["name"].(string)]; homes != nil {
+			route["allowedRegions"] = homes
+		}
+	}
 	if d.tenants != nil {
 		configuration["tenants"] = d.tenants
 	}
@@ -144,8 +159,8 @@
 // settingsOf is the settings file of a node.
 func (d *platformDeployment) settingsOf(number int, grace string) string {
 	path := filepath.Join(d.folder, fmt.Sprintf("node-%d.yaml", number))
-	settings := fmt.Sprintf("node: node-%d\nzone: zone-a\nregion: region\nhttp: 127.0.0.1:0\npeer: 127.0.0.1:0\nreadiness: 127.0.0.1:0\n"+
-		"metrics: 127.0.0.1:0\nobjectStore: %s\ngrace: %s\n", number, d.address, grace)
+	settings := fmt.Sprintf("node: node-%d\nhttp: 127.0.0.1:0\npeer: 127.0.0.1:0\nreadiness: 127.0.0.1:0\nmetrics: 127.0.0.1:0\ngrace: %s\n", number, grace)
+	settings += d.placeOf(number)
 	if d.duties != nil {
 		settings += fmt.Sprintf("dutyAPI: %s\nduties: [metering]\nusageWindow: %s\nusageLate: %s\n", d.duties.Address(), d.usageWindow, usageLate)
 	}
@@ -159,12 +174,15 @@
 	d.t.Helper()
 	node := &platformNode{program: start(d.t, 0, "pathtally", "node", "-settings", d.settingsOf(number, "6s"), "-v")}
 	go node.collect()
-	var started struct{ HTTP, Readiness, Metrics string }
+	var started struct{ HTTP, Readiness, Metrics, Peer string }
 	d.eventually("the node has started", func() bool {
 		line := node.find("node started")
 		return line != nil && json.Unmarshal(line, &started) == nil
 	})
 	node.http, node.readiness, node.metrics = started.HTTP, started.Readiness, started.Metrics
+	if links := d.links[number]; links != nil {
+		links.peer.setTarget(started.Peer)
+	}
 	d.nodes = append(d.nodes, node)
 	return node
 }
@@ -290,6 +308,16 @@
 
 // submitAs hands in a batch job with headers of its caller's.
 func (d *platformDeployment) submitAs(node *platformNode, header http.Header, job string, items int, least int64) {
+	d.t.Helper()
+	body := d.payload(job, items, least)
+	d.eventually("the batch job is taken", func() bool {
+		answer, err := d.send(node, http.MethodPost, draftHost, "/drafts/"+job, job, body, header)
+		return err == nil && answer.status == http.StatusAccepted
+	})
+}
+
+// payload is a batch job as a trainer sends it.
+func (d *platformDeployment) payload(job string, items int, least int64) []byte {
 	d.t.Helper()
 	var requests []map[string]any
 	for number := range items {
@@ -299,10 +327,7 @@
 	if err != nil {
 		d.t.Fatal(err)
 	}
-	d.eventually("the batch job is taken", func() bool {
-		answer, err := d.send(node, http.MethodPost, draftHost, "/drafts/"+job, job, body, header)
-		return err == nil && answer.status == http.StatusAccepted
-	})
+	return body
 }
 
 // listed is a result as a trainer reads it.
--- a/test/proxy_test.go
+++ b/test/proxy_test.go
@@ -1,6 +1,7 @@
 package test
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -40,8 +41,12 @@
 	// bytes of requests have passed.
 	cutRequestAt atomic.Int64
 	delay        atomic.Int64
-	mutex        sync.Mutex
-	open         map[net.Conn]bool
+	// marker is looked for in all bytes that come, and marked counts the times that it
+	// was found; empty looks for nothing.
+	marker string
+	marked atomic.Int64
+	mutex  sync.Mutex
+	open   map[net.Conn]bool
 	// silent are the connections that pass nothing for good.
 	silent map[net.Conn]bool
 }
@@ -161,11 +166,13 @@
 	}()
 	buffer := make([]byte, proxyBuffer)
 	passed := int64(0)
+	var tail []byte
 	for {
 		count, err := from.Read(buffer)
 		if err != nil {
 			return
 		}
+		tail = p.look(append(tail, buffer[:count]...))
 		time.Sleep(time.Duration(p.delay.Load()))
 		for proxyMode(p.mode.Load()) == proxyFreeze {
 			time.Sleep(proxyLook)
@@ -187,6 +194,16 @@
 	}
 }
 
+// look looks for the marker and returns the end of the bytes, in which the next marker
+// may have begun.
+func (p *proxy) look(seen []byte) []byte {
+	if p.marker == "" {
+		return nil
+	}
+	p.marked.Add(int64(bytes.Count(seen, []byte(p.marker))))
+	return bytes.Clone(seen[max(0, len(seen)-len(p.marker)+1):])
+}
+
 // limit is how many bytes of a direction pass before the connection is reset.
 func (p *proxy) limit(answers bool) (int64, bool) {
 	if answers {
