Homes: what to look at when a request is refused in its region, ranks kept until they change

A node outside works its rank out once for each configuration and membership, in place of its bounds at every look at the owners (150 ms, each open job, each node). The membership counter rises with a peer's zone too, since ranks depend on it.

--- a/internal/batch/foreign.go
+++ b/internal/batch/foreign.go
@@ -196,8 +196,8 @@
 		if standing.ended || standing.taking || time.Now().Before(standing.notBefore) {
 			continue
 		}
-		if s.isOutsider(standing) {
-			s.logWaiting(id, standing)
+		if s.cachedRank(id, standing) < 0 {
+			// This node is outside the regions where the job's bodies may be.
 			continue
 		}
 		if time.Since(standing.heard) > s.patience(id, standing) {
@@ -231,14 +231,18 @@
 	return rank + ownerSilence
 }
 
-// rank is this node's place among those that may take a job over. The mutex must be
-// held.
+// rank is this node's place among those that may take a job over, negative where it
+// may not. The mutex must be held.
 func (s *Service) rank(id string, standing *foreign) int {
 	nodes, owner := s.insiders(standing.origin, s.config.Table.Nodes()), standing.owner.Node
 	if owner == s.config.Self.Node {
 		owner = ""
 	}
-	return slices.IndexFunc(rendezvous.Rank(id, successors(nodes, owner)), func(candidate rendezvous.Candidate) bool {
+	candidates := successors(nodes, owner)
+	if len(candidates) == 0 {
+		s.logWaiting(id, standing)
+	}
+	return slices.IndexFunc(rendezvous.Rank(id, candidates), func(candidate rendezvous.Candidate) bool {
 		return candidate.ID == s.config.Self.Node
 	})
 }
--- a/internal/batch/homes.go
+++ b/internal/batch/homes.go
@@ -120,7 +120,7 @@
 // logWaiting says once of a job that no other node known may take it over. The mutex
 // must be held.
 func (s *Service) logWaiting(id string, standing *foreign) {
-	if standing.told || len(successors(s.insiders(standing.origin, s.config.Table.Nodes()), standing.owner.Node)) > 0 {
+	if standing.told || standing.ended {
 		return
 	}
 	standing.told = true
--- a/internal/directory/homes.go
+++ b/internal/directory/homes.go
@@ -18,7 +18,7 @@
 	if c == nil {
 		return homes.Of(route.Homes, nil)
 	}
-	if c.declaresHomes {
+	if c.declaresHomes || len(route.Homes) > 0 {
 		if standing := c.Named(route.Name); standing != nil {
 			route = standing
 		}
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -41,7 +41,7 @@
 	mutex  sync.Mutex
 	seeds  []string
 	peers  map[string]*Peer
-	// membership counts the changes of the set of peers.
+	// membership counts the changes of the set of peers and of their zones.
 	membership uint64
 	joined     bool
 	// isNew is set where this node had no entry when it joined.
@@ -82,8 +82,9 @@
 		return
 	}
 	standing.Address, standing.Incarnation = peer.Address, peer.Incarnation
-	if peer.Zone != "" {
+	if peer.Zone != "" && peer.Zone != standing.Zone {
 		standing.Zone = peer.Zone
+		t.membership++
 	}
 	if peer.Capacity > 0 {
 		standing.Capacity = peer.Capacity
@@ -169,8 +170,8 @@
 	return capacities
 }
 
-// Membership counts the changes of the set of nodes, so that what was worked
-// out from Nodes can be kept until it changes.
+// Membership counts the changes of the set of nodes and of their zones, so that
+// what was worked out from these can be kept until it changes.
 func (t *Table) Membership() uint64 {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
