--- a/internal/batch/homes.go
+++ b/internal/batch/homes.go
@@ -120,7 +120,7 @@
 // logWaiting says once of a job that no other node known may take it over. The mutex
 // must be held.
 func (s *Service) logWaiting(id string, standing *foreign) {
-	if standing.told || standing.ended {
+	if standing.told || standing.ended || s.config.Directory.View().Configuration == nil {
 		return
 	}
 	standing.told = true
--- a/internal/batch/journal.go
+++ b/internal/batch/journal.go
@@ -48,7 +48,7 @@
 	Tenant string `json:"tenant,omitempty"`
 	// Entry is the region of the node that the caller connected to, and Scorers the
 	// routes of the job's reward calls: with Route and Tenant they say where its bodies
-	// may be. Jobs from before there were homes name neither.
+	// may be. Records of earlier versions name neither.
 	Entry   string   `json:"entry,omitempty"`
 	Scorers []string `json:"scorers,omitempty"`
 	// Items is the number of items, 0 for unknown.
