--- a/internal/forward/errors.go
+++ b/internal/forward/errors.go
@@ -41,8 +41,9 @@
 	ReasonAllFull   = "every replica turned it away"
 	ReasonExpired   = "the time ran out before a replica took it"
 	ReasonEvacuated = "every replica is in an evacuated zone"
-	ReasonNotAtHome = "no replica is in a region that may serve it"
 	ReasonWarmingUp = "every replica that may serve it warms up"
+	// ReasonOutsideHome refuses where a route or tenant names the only regions.
+	ReasonOutsideHome = "no replica in the allowed regions"
 )
 
 // ErrSilent means that a stream was cut because nothing came.
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -26,7 +26,7 @@
 	case routing.ReasonEvacuated:
 		refused.Reason, refused.RetryAfter = ReasonEvacuated, evacuatedWait
 	case routing.ReasonOutsideHome:
-		refused.Reason = ReasonNotAtHome
+		refused.Reason, refused.RetryAfter = ReasonOutsideHome, homesWait
 	case routing.ReasonSlowStart:
 		refused.Reason = ReasonWarmingUp
 	}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -320,6 +320,11 @@
 	Epoch uint32
 	// Open is how many of the job's items have no result yet.
 	Open uint32
+	// Routes are those whose requests the job holds, its own first and then its
+	// scorers'; empty for unknown.
+	Routes []string
+	// Entry is the region through which the job came, empty for unknown.
+	Entry string
 }
 
 // ItemLength is how many events the text of an item of a batch job has: at
@@ -380,6 +385,8 @@
 	Payload []byte
 	// Tenant is whose job it is, empty where no tenants are declared.
 	Tenant string
+	// Entry is the region of the node that the caller connected to.
+	Entry string
 }
 
 // JobSubmitted answers a JobSubmit.
--- a/internal/wire/schema/peer.capnp
+++ b/internal/wire/schema/peer.capnp
@@ -305,6 +305,8 @@
   tenant @3 :Text;          # whose job it is, empty where no tenants are declared
   epoch @4 :UInt32;         # counts the job's owners, the sender included; 0 for unknown
   open @5 :UInt32;          # items that have no result yet
+  routes @6 :List(Text);    # whose requests the job holds: its own first, then its scorers'
+  entry @7 :Text;           # region through which the job came, empty for unknown
 }
 
 struct ItemLength {
@@ -355,6 +357,7 @@
   host @2 :Text;
   payload @3 :Data;         # the submission as its caller sent it
   tenant @4 :Text;          # whose job it is, empty where no tenants are declared
+  entry @5 :Text;           # region of the node that the caller connected to
 }
 
 struct JobSubmitted {
