--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/pathtally/pathtally/internal/dispatch"
 	"github.com/pathtally/pathtally/internal/eventstream"
+	"github.com/pathtally/pathtally/internal/exchange"
 	"github.com/pathtally/pathtally/internal/routing"
 )
 
@@ -79,7 +80,7 @@
 	call := &dispatch.Call{
 		ID: work.ID, Method: http.MethodPost, Target: work.Target, Host: host, Header: work.Header, Body: work.Body,
 		Deadline: time.Now().Add(attemptTime), AfterEvent: len(work.progress.events), Rank: dispatch.RankOf(running.priority),
-		Tenant: work.job.record.Tenant,
+		Tenant: work.job.record.Tenant, Purpose: exchange.PurposeItem,
 	}
 	answer, err := s.config.Dispatcher.Send(ctx, running.endpoint, call)
 	if err != nil {
--- a/internal/batch/reward.go
+++ b/internal/batch/reward.go
@@ -9,6 +9,7 @@
 	"github.com/pathtally/pathtally/internal/admission"
 	"github.com/pathtally/pathtally/internal/directory"
 	"github.com/pathtally/pathtally/internal/dispatch"
+	"github.com/pathtally/pathtally/internal/exchange"
 	"github.com/pathtally/pathtally/internal/forward"
 	"github.com/pathtally/pathtally/internal/objectstore"
 )
@@ -55,7 +56,7 @@
 		if route != nil {
 			call := &dispatch.Call{
 				ID: reward.ID, Method: http.MethodPost, Target: reward.Target, Host: reward.Host, Header: reward.Header, Body: reward.Body,
-				Tenant: work.job.record.Tenant,
+				Tenant: work.job.record.Tenant, Purpose: exchange.PurposeScorer,
 			}
 			whole, err := s.callScorer(work.job.ctx, route, call)
 			if err == nil {
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/pathtally/pathtally/internal/exchange"
 )
 
 // Call is a request on its way to replicas.
@@ -29,6 +31,8 @@
 	// Metered marks a request that counts as its tenant's usage. Items of batch
 	// jobs and calls of their scorers do not.
 	Metered bool
+	// Purpose is what the request is for; empty means a caller's request.
+	Purpose exchange.Purpose
 	// Rank is the priority of a generation among others at a model engine, the
 	// first of them 1; 0 leaves it to the engine.
 	Rank int
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -70,7 +70,7 @@
 		Replica: endpoint.Name, Remaining: time.Until(call.Deadline), AfterEvent: call.AfterEvent, Version: call.Version,
 		Rank: call.Rank, Tenant: call.Tenant,
 	})
-	request := &exchange.Request{Method: call.Method, Target: call.Target, Host: call.Host, Header: header, Body: call.Body}
+	request := &exchange.Request{Method: call.Method, Target: call.Target, Host: call.Host, Header: header, Body: call.Body, Purpose: call.Purpose}
 	endpoint.State.InFlight.Add(1)
 	response, err := d.pool.Send(ctx, endpoint.Address, request, call.Once)
 	if err != nil {
--- a/internal/exchange/bounds.go
+++ b/internal/exchange/bounds.go
@@ -20,16 +20,18 @@
 	return p.bounds[address].Resting
 }
 
-// reserve counts a new connection to an address unless its bound is reached.
-func (p *Pool) reserve(address string) bool {
+// reserve counts a new connection to an address unless its bound is reached, and
+// tells how many others there are.
+func (p *Pool) reserve(address string) (others int, reserved bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if bound, bounded := p.bounds[address]; bounded && p.open[address] >= bound.Open {
-		return false
+	others = p.open[address]
+	if bound, bounded := p.bounds[address]; bounded && others >= bound.Open {
+		return others, false
 	}
 	p.open[address]++
 	p.Counts.Open.Add(1)
-	return true
+	return others, true
 }
 
 // release counts a connection as gone.
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -30,6 +30,8 @@
 	open   map[string]int
 	bounds map[string]Bound
 	Counts Counts
+	// Metrics are nil for none. They are set before the first request.
+	Metrics *Metrics
 }
 
 // NewPool returns an empty pool. A nil dial means TCP.
@@ -44,7 +46,7 @@
 // asks for a connection on which a request can hardly cross the peer's close.
 // The error is a *NotSentError or a *BrokenError.
 func (p *Pool) Send(ctx context.Context, address string, request *Request, young bool) (*Response, error) {
-	conn, err := p.take(ctx, address, young)
+	conn, err := p.take(ctx, address, request.Purpose, young)
 	if err != nil {
 		return nil, &NotSentError{Address: address, Cause: err}
 	}
@@ -63,11 +65,14 @@
 }
 
 // take returns a sound kept connection or a new one.
-func (p *Pool) take(ctx context.Context, address string, young bool) (*connection, error) {
-	if kept := p.takeKept(address, young); kept != nil {
+func (p *Pool) take(ctx context.Context, address string, purpose Purpose, young bool) (*connection, error) {
+	kept, unfit := p.takeKept(address, young)
+	if kept != nil {
+		p.Metrics.noteReused(purpose)
 		return kept, nil
 	}
-	if !p.reserve(address) {
+	others, reserved := p.reserve(address)
+	if !reserved {
 		return nil, ErrTooManyConnections
 	}
 	raw, err := p.dial(ctx, address)
@@ -76,16 +81,17 @@
 		return nil, err
 	}
 	p.Counts.Dialed.Add(1)
+	p.Metrics.noteDialed(purpose, reasonOf(unfit, others))
 	return newConnection(address, raw), nil
 }
 
 // takeKept returns a sound kept connection, nil for none. Those that are found
-// to be of no use are closed.
-func (p *Pool) takeKept(address string, young bool) *connection {
-	for {
+// to be of no use are closed and counted.
+func (p *Pool) takeKept(address string, young bool) (kept *connection, unfit int) {
+	for ; ; unfit++ {
 		conn := p.pop(address)
 		if conn == nil {
-			return nil
+			return nil, unfit
 		}
 		if young && time.Since(conn.rested) > youngTime {
 			p.discard(conn)
@@ -93,7 +99,7 @@
 		}
 		if conn.sound() == nil {
 			p.Counts.Reused.Add(1)
-			return conn
+			return conn, unfit
 		}
 		p.Counts.Unsound.Add(1)
 		p.discard(conn)
--- /dev/null
+++ b/internal/exchange/purpose.go
@@ -0,0 +1,24 @@
+package exchange
+
+// Purpose is what a request is for.
+type Purpose string
+
+// The purposes of requests.
+const (
+	// PurposeLive is the request of a caller.
+	PurposeLive Purpose = "live"
+	// PurposeItem is an item of a batch job, and PurposeScorer the call of its scorer.
+	PurposeItem   Purpose = "item"
+	PurposeScorer Purpose = "scorer"
+	// PurposeReport asks a replica for its weights, and PurposeOrder orders others.
+	PurposeReport Purpose = "report"
+	PurposeOrder  Purpose = "order"
+)
+
+// Or is the purpose, or another one where none is named.
+func (p Purpose) Or(other Purpose) Purpose {
+	if p == "" {
+		return other
+	}
+	return p
+}
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -14,6 +14,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Purpose is what the request is for, in the pool's figures.
+	Purpose Purpose
 }
 
 // writeHead writes the request line and the headers.
--- a/internal/instance/assemble.go
+++ b/internal/instance/assemble.go
@@ -42,6 +42,7 @@
 func (i *Instance) assembleForwarding() *dispatch.Dispatcher {
 	i.directory = directory.NewTable(i.settings.Zone, i.settings.Regions, i.logger)
 	i.pool = exchange.NewPool(nil)
+	i.pool.Metrics = exchange.NewMetrics(i.registry)
 	dispatcher := dispatch.New(i.pool, i.adapter.Headers)
 	i.forwarder = forward.New(forward.Config{
 		Zone: i.settings.Zone, Directory: i.directory, Dispatcher: dispatcher, Logger: i.logger, Metrics: forward.NewMetrics(i.registry),
