A reader has the store again as soon as the store answers it

Cause: calls that a reader sent during an outage of the store fail up to 1.5 s after its end, and each failure took the reader for cut off once more; its listings waited for those answers, and one silent probe held the next one up for 0.6 s.

Ruled out: more doubts before a follower reads itself, which would make it later where its reader alone is cut off.

Change: a failure of a call older than an answered question says nothing; probes of an outage are asked beside silent ones; listings are begun anew at the end of an outage, as watches are; a node asked for help reads only if the store answers it.

The informer's test passes the time of its question, nothing else of it changed.

--- a/internal/watchcache/answer.go
+++ b/internal/watchcache/answer.go
@@ -15,6 +15,10 @@
 // beyond the time that the poll names. A node that is polled reads the store.
 func (s *Source) Answer(ctx context.Context, poll *wire.WatchPoll) *wire.WatchNews {
 	s.metrics.answered.Inc()
+	if poll.Direct && !s.reads() && !answers(ctx, s.config.Store, s.config.ProbeKind, s.config.ProbeName) {
+		// The store is away for both: reading it would help nobody.
+		return &wire.WatchNews{Standing: uint8(wire.StandingUnsure)}
+	}
 	s.readAtLeast(polledTime)
 	limit := time.NewTimer(min(longestHold, time.Duration(poll.WaitMs)*time.Millisecond))
 	defer limit.Stop()
--- a/internal/watchcache/health.go
+++ b/internal/watchcache/health.go
@@ -31,29 +31,40 @@
 	mutex    sync.Mutex
 	troubled bool
 	failedAt time.Time
-	regained chan struct{}
+	// failedAsked and answeredAsked are when the newest call without an answer and
+	// the newest one with an answer were sent.
+	failedAsked   time.Time
+	answeredAsked time.Time
+	regained      chan struct{}
 }
 
 func newStoreHealth(logger klog.Logger, notify func()) *storeHealth {
 	return &storeHealth{logger: logger, notify: notify, regained: make(chan struct{})}
 }
 
-// noteFailed records a call without an answer.
-func (h *storeHealth) noteFailed() {
+// noteFailed records that a call sent at an instant had no answer. One that is older
+// than a question that was answered says nothing of now: calls sent during an outage
+// fail long after its end.
+func (h *storeHealth) noteFailed(asked time.Time) {
 	h.mutex.Lock()
-	changed := !h.troubled
-	h.troubled, h.failedAt = true, time.Now()
+	h.failedAt = time.Now()
+	changed := false
+	if asked.After(h.answeredAsked) {
+		changed = !h.troubled
+		h.troubled, h.failedAsked = true, latest(h.failedAsked, asked)
+	}
 	h.mutex.Unlock()
 	if changed {
 		h.notify()
 	}
 }
 
-// noteAnswered records an answer to a new question. After an outage it has
-// everybody who waits for an old answer ask anew.
-func (h *storeHealth) noteAnswered() {
+// noteAnswered records the answer to a question sent at an instant. After an outage it
+// has everybody who waits for an old answer ask anew.
+func (h *storeHealth) noteAnswered(asked time.Time) {
 	h.mutex.Lock()
-	changed := h.troubled
+	h.answeredAsked = latest(h.answeredAsked, asked)
+	changed := h.troubled && !asked.Before(h.failedAsked)
 	if changed {
 		h.troubled = false
 		close(h.regained)
@@ -66,6 +77,13 @@
 	}
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // lastFailed is when a call was last without an answer.
 func (h *storeHealth) lastFailed() time.Time {
 	h.mutex.Lock()
@@ -98,24 +116,35 @@
 }
 
 // probe asks the store until the context ends. Watches alone do not show an
-// outage: they wait for long in any case.
+// outage: they wait for long in any case. During one, questions are asked beside those
+// that have no answer yet, so that its end shows within one period.
 func (h *storeHealth) probe(ctx context.Context, store objectstore.Store, kind, name string) {
+	var open sync.WaitGroup
+	defer open.Wait()
 	for {
-		period := probePeriod
-		if h.isTroubled() {
-			period = troubledPeriod
+		if !h.isTroubled() {
+			if !objectstore.Sleep(ctx, probePeriod) {
+				return
+			}
+			h.ask(ctx, store, kind, name)
+			continue
 		}
-		if !objectstore.Sleep(ctx, period) {
+		if !objectstore.Sleep(ctx, troubledPeriod) {
 			return
 		}
-		answered := answers(ctx, store, kind, name)
-		switch {
-		case ctx.Err() != nil:
-			return
-		case answered:
-			h.noteAnswered()
-		default:
-			h.noteFailed()
-		}
+		open.Go(func() { h.ask(ctx, store, kind, name) })
+	}
+}
+
+// ask asks the store once.
+func (h *storeHealth) ask(ctx context.Context, store objectstore.Store, kind, name string) {
+	asked := time.Now()
+	answered := answers(ctx, store, kind, name)
+	switch {
+	case ctx.Err() != nil:
+	case answered:
+		h.noteAnswered(asked)
+	default:
+		h.noteFailed(asked)
 	}
 }
--- a/internal/watchcache/informer.go
+++ b/internal/watchcache/informer.go
@@ -45,8 +45,9 @@
 	retry time.Duration
 	// current is set while the last call to the store was answered.
 	current atomic.Bool
-	// Failed is called after each call without an answer; it may be nil.
-	Failed func()
+	// Failed is called after each call without an answer with when it was sent; it
+	// may be nil.
+	Failed func(asked time.Time)
 	// Regained returns a channel that is closed when the store answers again
 	// after it did not. A watch from before may never end: its answer may have
 	// been lost, and then its connection says nothing more. Nil for never.
@@ -69,8 +70,15 @@
 // Run works until the context ends.
 func (i *Informer) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := i.relist(ctx); err != nil {
-			i.fail(ctx, "list", err)
+		asked := time.Now()
+		err := i.relist(ctx)
+		if errors.Is(err, errRegained) {
+			i.logger.Info("listing anew", "kind", i.cache.kind, "reason", err.Error())
+			i.noteGap()
+			continue
+		}
+		if err != nil {
+			i.fail(ctx, "list", asked, err)
 			continue
 		}
 		i.follow(ctx)
@@ -79,30 +87,37 @@
 
 // relist reads everything and hands it to the sink.
 func (i *Informer) relist(ctx context.Context) error {
-	var objects []objectstore.Object
-	var at uint64
+	listed, err := untilRegained(ctx, i.regained(), nil, func() (objectstore.Page, error) { return i.list(ctx) })
+	if err != nil {
+		return err
+	}
+	if !i.cache.Replace(listed.Objects, listed.At, i.afterOutage()) {
+		// An older state than the one known is never shown.
+		return &objectstore.UnansweredError{Cause: objectstore.ErrHistoryGone}
+	}
+	i.succeed()
+	return nil
+}
+
+// list reads all pages as one.
+func (i *Informer) list(ctx context.Context) (objectstore.Page, error) {
+	var listed objectstore.Page
 	after := ""
 	for {
 		page, err := i.store.List(ctx, i.cache.kind, after, objectstore.Linearizable)
 		if err != nil {
-			return err
+			return objectstore.Page{}, err
 		}
-		objects = append(objects, page.Objects...)
-		if at == 0 {
+		listed.Objects = append(listed.Objects, page.Objects...)
+		if listed.At == 0 {
 			// Changes between the pages come again in the watch.
-			at = page.At
+			listed.At = page.At
 		}
 		if !page.More || len(page.Objects) == 0 {
-			break
+			return listed, nil
 		}
 		after = page.Objects[len(page.Objects)-1].Name
 	}
-	if !i.cache.Replace(objects, at, i.afterOutage()) {
-		// An older state than the one known is never shown.
-		return &objectstore.UnansweredError{Cause: objectstore.ErrHistoryGone}
-	}
-	i.succeed()
-	return nil
 }
 
 // follow watches until there may be a gap in what it hears or the context ends.
@@ -112,6 +127,7 @@
 func (i *Informer) follow(ctx context.Context) {
 	for ctx.Err() == nil {
 		from := i.cache.Revision()
+		asked := time.Now()
 		changes, err := i.watch(ctx, from)
 		if errors.Is(err, errRegained) || errors.Is(err, errSettling) {
 			i.logger.Info("listing anew", "kind", i.cache.kind, "from", from, "reason", err.Error())
@@ -125,7 +141,7 @@
 			return
 		}
 		if err != nil {
-			i.fail(ctx, "watch", err)
+			i.fail(ctx, "watch", asked, err)
 			return
 		}
 		if ctx.Err() != nil || !i.cache.Advance(from, changes.Events, changes.At, i.afterOutage()) {
@@ -166,7 +182,7 @@
 	}
 }
 
-func (i *Informer) fail(ctx context.Context, call string, err error) {
+func (i *Informer) fail(ctx context.Context, call string, asked time.Time, err error) {
 	if ctx.Err() != nil {
 		return
 	}
@@ -177,7 +193,7 @@
 		i.logger.Error(err, "store unreachable", "kind", i.cache.kind, "call", call)
 	}
 	if i.Failed != nil {
-		i.Failed()
+		i.Failed(asked)
 	}
 	i.awaitRetry(ctx)
 }
--- a/internal/watchcache/informer_test.go
+++ b/internal/watchcache/informer_test.go
@@ -75,7 +75,7 @@
 			store.mutex.Unlock()
 			close(cut)
 			synctest.Wait()
-			health.noteAnswered()
+			health.noteAnswered(time.Now())
 			settle(deaf / 2)
 			store.Write(testKind, "first", 2)
 			store.Forget()
--- a/internal/watchcache/source.go
+++ b/internal/watchcache/source.go
@@ -157,6 +157,13 @@
 	return s.unsureAt
 }
 
+// reads tells whether this node reads the store, which may not answer it.
+func (s *Source) reads() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.informers) > 0
+}
+
 // isCurrent tells whether this node reads the store and the store answers it.
 func (s *Source) isCurrent() bool {
 	if s.health.isTroubled() {
--- a/internal/watchcache/source_test.go
+++ b/internal/watchcache/source_test.go
@@ -256,6 +256,37 @@
 	})
 }
 
+// Calls sent during an outage fail up to 1.5 s after its end. They do not make the
+// reader unsure once more, which would have all its followers read the store: at its
+// return that is when it can bear least.
+func TestAfterAnOutageItsReaderAloneReadsOn(t *testing.T) {
+	for phase := range 8 {
+		inCluster(t, 10, func(c *cluster) {
+			reader, followers := c.readers()[0], c.followers()
+			for _, node := range c.nodes {
+				node.store.cut.Store(true)
+			}
+			settle(5*time.Second + time.Duration(phase)*77*time.Millisecond)
+			for _, node := range c.nodes {
+				node.store.cut.Store(false)
+			}
+			c.store.Write(testKind, "first", 2)
+			c.await(c.nodes, "first", "2", time.Second)
+			settle(4 * time.Second)
+			reading := 0
+			for _, node := range followers {
+				if node.store.calls.Load() > 0 {
+					reading++
+				}
+			}
+			// One may have been asked for help just before the reader had the store again.
+			if reading > 1 {
+				t.Errorf("phase %d: %d nodes read the store besides %s", phase, reading, reader.node.Name)
+			}
+		})
+	}
+}
+
 // While the store is away, its readers ask for little: they wait for the probe
 // to be answered.
 func TestOutageCostsFewCalls(t *testing.T) {
--- a/internal/watchcache/watch.go
+++ b/internal/watchcache/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -31,35 +32,47 @@
 
 // watch waits for changes, but not beyond the end of an outage.
 func (i *Informer) watch(ctx context.Context, from uint64) (objectstore.Changes, error) {
-	regained := i.regained()
+	var settled <-chan time.Time
+	if i.settled != nil {
+		settled = i.settled.C
+	}
+	changes, err := untilRegained(ctx, i.regained(), settled, func() (objectstore.Changes, error) {
+		return i.store.Watch(ctx, i.cache.kind, from, i.cache.wait)
+	})
+	if errors.Is(err, errSettling) {
+		i.settled = nil
+	}
+	return changes, err
+}
+
+// untilRegained makes a call to the store, but waits for its answer no longer than
+// until the store answers again after it did not, or has settled after that: what was
+// asked before may never be answered.
+func untilRegained[T any](ctx context.Context, regained <-chan struct{}, settled <-chan time.Time, call func() (T, error)) (T, error) {
 	type result struct {
-		changes objectstore.Changes
-		err     error
+		value T
+		err   error
 	}
 	results := make(chan result, 1)
 	go func() {
-		changes, err := i.store.Watch(ctx, i.cache.kind, from, i.cache.wait)
-		results <- result{changes, err}
+		value, err := call()
+		results <- result{value, err}
 	}()
-	var settled <-chan time.Time
-	if i.settled != nil {
-		settled = i.settled.C
-	}
+	var none T
 	select {
 	case ended := <-results:
-		return ended.changes, ended.err
+		return ended.value, ended.err
 	case <-settled:
-		i.settled = nil
-		return objectstore.Changes{}, errSettling
+		return none, errSettling
 	case <-regained:
-		return objectstore.Changes{}, errRegained
+		return none, errRegained
 	case <-ctx.Done():
-		return objectstore.Changes{}, ctx.Err()
+		return none, ctx.Err()
 	}
 }
 
-// errRegained ends a watch from before an outage of the store, and errSettling
-// one that began soon after.
+// errRegained ends a call from before the end of an outage of the store, and
+// errSettling a watch that began soon after.
 var (
 	errRegained = merry.Sentinel("store reachable again")
 	errSettling = merry.Sentinel("store settled after an outage")
