One node reads the store for a small deployment, else one a region

Change: the widest area with at most 128 nodes has one reader. A reader that is silent or unsure is left for that of the next narrower area; a node taken up so begins to read at once, without the answer of the poll it had under way, and has 0.15 s to be current.

Tests: area_test.go: one reader for all regions, one a region in a large deployment, regions that lose each other, loss of the reader, a store that turns a third of the nodes away. All the tests of before stand as they were; the harness has zones now.

--- /dev/null
+++ b/internal/watchcache/area_test.go
@@ -0,0 +1,101 @@
+package watchcache
+
+import (
+	"testing"
+	"time"
+)
+
+// twoRegions has two zones in each of two regions.
+var twoRegions = map[string]string{"east-a": "east", "east-b": "east", "west-a": "west", "west-b": "west"}
+
+// One node reads for a small deployment, whatever its zones and regions.
+func TestOneNodeReadsForAllRegions(t *testing.T) {
+	inZones(t, 5, twoRegions, func(c *cluster) {
+		if readers := c.readers(); len(readers) != 1 {
+			t.Errorf("%d nodes read the store", len(readers))
+		}
+		c.store.Write(testKind, "first", 2)
+		c.await(c.nodes, "first", "2", soon)
+	})
+}
+
+// A reader answers no more than it can bear: where the deployment is larger, each
+// region has its own.
+func TestALargeDeploymentHasOneReaderARegion(t *testing.T) {
+	inZones(t, mostFollowers/4+1, twoRegions, func(c *cluster) {
+		readers := c.readers()
+		if len(readers) != 2 || twoRegions[readers[0].node.Zone] == twoRegions[readers[1].node.Zone] {
+			t.Errorf("%d nodes read the store", len(readers))
+		}
+	})
+}
+
+// Regions that lose each other have news in time, each by a reader of its own, and
+// one reader for both afterwards.
+func TestRegionsThatLoseEachOtherReadOnTheirOwn(t *testing.T) {
+	for phase := range 6 {
+		inZones(t, 5, twoRegions, func(c *cluster) {
+			settle(time.Duration(phase) * 77 * time.Millisecond)
+			c.parted.Store(true)
+			c.store.Write(testKind, "first", 2)
+			c.await(c.nodes, "first", "2", bound)
+			settle(3 * time.Second)
+			if readers := c.readers(); len(readers) > 3 {
+				t.Errorf("phase %d: %d nodes read the store while regions are apart", phase, len(readers))
+			}
+			c.parted.Store(false)
+			settle(40 * time.Second)
+			if readers := c.readers(); len(readers) != 1 {
+				t.Errorf("phase %d: %d nodes read the store in the end", phase, len(readers))
+			}
+		})
+	}
+}
+
+// A reader that is lost or that the store turns away costs one reader for each zone
+// at the most, and no follower is late: all of them reading the store is what a store
+// in trouble bears least.
+func TestLossOfTheReaderOfAllCostsFewReaders(t *testing.T) {
+	for _, trouble := range troubles {
+		t.Run(trouble.name, func(t *testing.T) {
+			for phase := range 8 {
+				inZones(t, 8, twoRegions, func(c *cluster) {
+					reader, followers := c.readers()[0], c.followers()
+					settle(time.Duration(phase) * 77 * time.Millisecond)
+					trouble.begin(reader)
+					settle(time.Duration(phase%3) * 130 * time.Millisecond)
+					c.store.Write(testKind, "first", 2)
+					c.await(followers, "first", "2", bound)
+					settle(2 * time.Second)
+					if readers := c.readers(); len(readers) > len(twoRegions) {
+						t.Errorf("phase %d: %d nodes read the store", phase, len(readers))
+					}
+				})
+			}
+		})
+	}
+}
+
+// The store turns a good part of the nodes away, the reader among them: the others
+// have news as early as if each zone had its own reader.
+func TestStoreThatTurnsManyNodesAwayDelaysNewsWithinTheBound(t *testing.T) {
+	for phase := range 8 {
+		inZones(t, 8, twoRegions, func(c *cluster) {
+			settle(time.Duration(phase) * 77 * time.Millisecond)
+			reader := c.readers()[0]
+			var served []*testNode
+			for number, node := range c.nodes {
+				if node == reader || (number+phase)%3 == 0 {
+					node.store.cut.Store(true)
+				} else {
+					served = append(served, node)
+				}
+			}
+			c.store.Write(testKind, "first", 2)
+			c.await(served, "first", "2", bound)
+			settle(3 * time.Second)
+			c.store.Write(testKind, "first", 3)
+			c.await(c.nodes, "first", "3", bound)
+		})
+	}
+}
--- a/internal/watchcache/config.go
+++ b/internal/watchcache/config.go
@@ -18,9 +18,11 @@
 // Config is what a Source needs.
 type Config struct {
 	// Self is this node.
-	Self  Node
-	Store objectstore.Store
-	Peers environment.Peers
+	Self Node
+	// Regions gives the region of each zone; empty where none is known.
+	Regions map[string]string
+	Store   objectstore.Store
+	Peers   environment.Peers
 	// Nodes lists the other nodes known, and Joined tells whether the list has
 	// been read.
 	Nodes  func() []Node
--- a/internal/watchcache/follow.go
+++ b/internal/watchcache/follow.go
@@ -27,6 +27,10 @@
 	// may answer this node a little before the reader has noticed.
 	unsurePause = 300 * time.Millisecond
 	unsureBound = 2
+	// doubtWait is for how long a reader holds the poll of a node that has just left
+	// one that was unsure: a listing of the store takes less, and whoever has none
+	// then is likely to be turned away too.
+	doubtWait = 150 * time.Millisecond
 )
 
 // The outcomes of polls, as metrics name them.
@@ -42,6 +46,11 @@
 func (s *Source) follow(ctx context.Context, reader Node) {
 	s.config.Logger.Info("following the store through a reader", "reader", reader.Name)
 	s.doubts = 0
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.mutex.Lock()
+	s.stopFollowing = cancel
+	s.mutex.Unlock()
 	for {
 		if next, found := s.reader(); !found || next != reader {
 			return
@@ -62,7 +71,7 @@
 func (s *Source) staysWith(ctx context.Context, reader Node, outcome string) bool {
 	switch outcome {
 	case outcomeCurrent:
-		s.doubts = 0
+		s.doubts, s.doubtSince = 0, time.Time{}
 		s.noteNews()
 		return true
 	case outcomeLeaving:
@@ -72,7 +81,8 @@
 		s.leaveSilent(reader)
 		return false
 	case outcomeStarting:
-		if s.Age() < newsBound {
+		// One taken up because another was unsure has had its time.
+		if s.Age() < newsBound && s.doubtSince.IsZero() {
 			return true
 		}
 	case outcomeUnsure:
@@ -80,6 +90,10 @@
 			objectstore.Sleep(ctx, unsurePause)
 			return true
 		}
+		s.passOver(reader.Name, unsureTime)
+		if s.narrow(unsureTime) && time.Since(s.doubtSince) < newsBound {
+			return false
+		}
 	}
 	s.passOver(reader.Name, unsureTime)
 	s.readDirectly()
@@ -90,6 +104,7 @@
 func (s *Source) leaveSilent(reader Node) {
 	s.noteUnsure()
 	s.passOver(reader.Name, silentTime)
+	s.narrow(silentTime)
 	if s.Age() > newsBound {
 		// A further silent reader would make it too late.
 		s.readDirectly()
@@ -100,12 +115,16 @@
 // is followed on all the same.
 func (s *Source) bearsDoubt(ctx context.Context) bool {
 	s.noteUnsure()
-	s.doubts++
 	if !answers(ctx, s.config.Store, s.config.ProbeKind, s.config.ProbeName) {
 		// The store is away from here too: whoever is followed knows no less
 		// than this node could.
-		s.doubts = 0
+		s.doubts, s.doubtSince = 0, time.Time{}
+		return true
 	}
+	if s.doubtSince.IsZero() {
+		s.doubtSince = time.Now()
+	}
+	s.doubts++
 	return s.doubts < unsureBound
 }
 
@@ -128,7 +147,11 @@
 
 // poll asks a reader once, takes its news and tells how it went.
 func (s *Source) poll(ctx context.Context, reader Node, direct bool) string {
-	poll := &wire.WatchPoll{WaitMs: uint32(pollWait.Milliseconds()), Direct: direct}
+	wait := pollWait
+	if !direct && !s.doubtSince.IsZero() {
+		wait = doubtWait
+	}
+	poll := &wire.WatchPoll{WaitMs: uint32(wait.Milliseconds()), Direct: direct}
 	for _, cache := range s.caches {
 		poll.Kinds = append(poll.Kinds, wire.KindRevision{Kind: cache.kind, Revision: cache.Revision()})
 	}
--- a/internal/watchcache/harness_test.go
+++ b/internal/watchcache/harness_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -119,15 +121,27 @@
 	stop context.CancelFunc
 }
 
-// cluster is a zone of nodes over one store, on the virtual clock.
+// cluster is nodes over one store, on the virtual clock.
 type cluster struct {
 	t     *testing.T
 	store *metastore.Store
 	nodes []*testNode
+	// regions gives the region of each zone, and parted tells that regions cannot
+	// reach each other.
+	regions map[string]string
+	parted  atomic.Bool
 }
 
-// call is a node's link to the others.
-type link struct{ cluster *cluster }
+// reach tells whether a message from one node arrives at another.
+func (c *cluster) reach(from, to Node) bool {
+	return !c.parted.Load() || c.regions[from.Zone] == c.regions[to.Zone]
+}
+
+// link is a node's way to the others.
+type link struct {
+	cluster *cluster
+	node    Node
+}
 
 func (link) Send(string, wire.Message)        {}
 func (link) Broadcast([]string, wire.Message) {}
@@ -137,7 +151,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
 		for _, node := range l.cluster.nodes {
-			if node.node.Address == address && !node.dead.Load() {
+			if node.node.Address == address && !node.dead.Load() && l.cluster.reach(l.node, node.node) {
 				news := node.source.Answer(ctx, message.(*wire.WatchPoll))
 				if !node.dead.Load() && ctx.Err() == nil {
 					done(news, nil)
@@ -150,13 +164,23 @@
 	}()
 }
 
-// inCluster runs a test with a number of nodes that have all joined.
+// inCluster runs a test with a number of nodes of one zone that have all joined.
 func inCluster(t *testing.T, count int, test func(*cluster)) {
+	inZones(t, count, nil, test)
+}
+
+// inZones runs a test with a number of nodes in each zone of some regions, or in one
+// zone where none is given.
+func inZones(t *testing.T, count int, regions map[string]string, test func(*cluster)) {
+	zones := slices.Sorted(maps.Keys(regions))
+	if len(zones) == 0 {
+		zones = []string{"zone"}
+	}
 	synctest.Test(t, func(t *testing.T) {
-		cluster := &cluster{t: t, store: metastore.New()}
+		cluster := &cluster{t: t, store: metastore.New(), regions: regions}
 		cluster.store.Write(testKind, "first", 1)
-		for number := range count {
-			cluster.add(t, number)
+		for number := range count * len(zones) {
+			cluster.add(number, zones[number%len(zones)])
 		}
 		for _, node := range cluster.nodes {
 			ctx, cancel := context.WithCancel(t.Context())
@@ -172,13 +196,13 @@
 	})
 }
 
-func (c *cluster) add(t *testing.T, number int) {
+func (c *cluster) add(number int, zone string) {
 	node := &testNode{
-		node:  Node{Name: fmt.Sprintf("node-%d", number), Address: fmt.Sprintf("address-%d", number), Zone: "zone"},
+		node:  Node{Name: fmt.Sprintf("node-%d", number), Address: fmt.Sprintf("address-%d", number), Zone: zone},
 		store: &cutStore{Store: c.store}, sink: &recorder{},
 	}
 	node.source = NewSource(Config{
-		Self: node.node, Store: node.store, Peers: link{cluster: c}, Nodes: c.list, Joined: func() bool { return true },
+		Self: node.node, Regions: c.regions, Store: node.store, Peers: link{cluster: c, node: node.node}, Nodes: c.list, Joined: func() bool { return true },
 		ProbeKind: "nodes", ProbeName: node.node.Name, Logger: klog.Background(), Registry: prometheus.NewRegistry(),
 	})
 	node.source.Add(testKind, node.sink, PromptWait)
--- a/internal/watchcache/reader.go
+++ b/internal/watchcache/reader.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// rankKey is what the nodes of a zone are ranked for.
+	// rankKey is what the nodes of an area are ranked for.
 	rankKey = "store-reader"
 	// silentTime is for how long a node that did not answer is passed over,
 	// unsureTime one that the store does not answer, and leavingTime one that
@@ -18,8 +18,8 @@
 	leavingTime = 15 * time.Second
 )
 
-// reader returns the node to follow, the first in rank of this zone, unless
-// this node is to read itself.
+// reader returns the node to follow, the first in rank of the area that stands,
+// unless this node is to read itself.
 func (s *Source) reader() (Node, bool) {
 	nodes := s.config.Nodes()
 	s.mutex.Lock()
@@ -30,8 +30,9 @@
 	maps.DeleteFunc(s.passedOver, func(_ string, until time.Time) bool { return !time.Now().Before(until) })
 	byName := map[string]Node{}
 	names := []string{s.config.Self.Name}
-	for _, node := range nodes {
-		if node.Zone == s.config.Self.Zone && node.Name != s.config.Self.Name && s.passedOver[node.Name].IsZero() {
+	standing, _ := s.standingArea(nodes)
+	for _, node := range standing.nodes {
+		if s.passedOver[node.Name].IsZero() {
 			byName[node.Name] = node
 			names = append(names, node.Name)
 		}
--- a/internal/watchcache/source.go
+++ b/internal/watchcache/source.go
@@ -34,10 +34,15 @@
 	mutex sync.Mutex
 	// informers are those that run while this node reads.
 	informers []*Informer
+	// stopFollowing ends the following under way: a node that is to read itself must
+	// not wait for its reader's answer first.
+	stopFollowing context.CancelFunc
 	// readUntil is until when this node reads, whoever is first in rank.
 	readUntil time.Time
 	// passedOver are nodes that are not followed, each until a time.
 	passedOver map[string]time.Time
+	// leftAreas are kinds of areas whose reader is not followed, each until a time.
+	leftAreas map[string]time.Time
 	// unsureAt is when the copies were last known to be unsure, and newsAt when
 	// they were last known to be current.
 	unsureAt time.Time
@@ -49,15 +54,17 @@
 	helpedAt time.Time
 	leaving  bool
 	// doubts counts in a row how often the reader was unsure although the store
-	// answered this node. It belongs to Run.
-	doubts int
+	// answered this node, and doubtSince is since when readers have been so. They
+	// belong to Run.
+	doubts     int
+	doubtSince time.Time
 	// changed is closed at each change of a copy or of the standing.
 	changed chan struct{}
 }
 
 // NewSource returns a source that has not started.
 func NewSource(config Config) *Source {
-	source := &Source{config: config, metrics: newMetrics(config.Registry), passedOver: map[string]time.Time{}, changed: make(chan struct{})}
+	source := &Source{config: config, metrics: newMetrics(config.Registry), passedOver: map[string]time.Time{}, leftAreas: map[string]time.Time{}, changed: make(chan struct{})}
 	source.health = newStoreHealth(config.Logger, source.notify)
 	return source
 }
@@ -118,6 +125,7 @@
 		}
 	}
 	cancel()
+	s.doubtSince = time.Time{}
 	s.mutex.Lock()
 	s.informers = nil
 	s.mutex.Unlock()
@@ -186,6 +194,9 @@
 	if until := time.Now().Add(span); until.After(s.readUntil) {
 		s.readUntil = until
 	}
+	if s.stopFollowing != nil {
+		s.stopFollowing()
+	}
 }
 
 // notify wakes whoever waits for a change.
