Live requests go to replicas in the node's own rank: near ones first

Ruled out: ranks where replicas report their load (the product's own interface): there drawing spreads by what is known of all nodes' requests.

Change: plans over the platform's replicas are ordered by zone, region, then rendezvous hashing with the node's name; the first four that a request may go to are compared, and further ones while the best of these has a quarter of its slots taken by this node. Times of answers under a quarter of the objective count alike.

Tests: ranked_test.go. In others NewTable takes the node's name, nothing else changed.

--- a/internal/batch/harness_test.go
+++ b/internal/batch/harness_test.go
@@ -302,7 +302,7 @@
 func (c *cluster) makeNode(name string, engines []*testEngine) *testNode {
 	c.t.Helper()
 	logger := klog.Background()
-	table := directory.NewTable("zone", nil, logger)
+	table := directory.NewTable("node", "zone", nil, logger)
 	table.SetConfiguration(&directory.Configuration{
 		Version: 1,
 		Routes: []directory.Route{{
--- a/internal/batch/replicas_test.go
+++ b/internal/batch/replicas_test.go
@@ -99,7 +99,7 @@
 
 // placing returns a service that knows so many replicas, and an item for them.
 func placing(count int) (*Service, *item) {
-	table := directory.NewTable("zone", nil, klog.Background())
+	table := directory.NewTable("node", "zone", nil, klog.Background())
 	var listed []*directory.Replica
 	for number := range count {
 		listed = append(listed, &directory.Replica{
@@ -163,7 +163,7 @@
 }
 
 func TestItemsOfMoreUrgentRoutesWaitInFront(t *testing.T) {
-	table := directory.NewTable("zone", nil, klog.Background())
+	table := directory.NewTable("node", "zone", nil, klog.Background())
 	table.SetConfiguration(&directory.Configuration{Version: 1, Routes: []directory.Route{{Name: "later", Priority: 1}, {Name: "first"}}}, 1)
 	service := NewService(context.Background(), Config{Directory: table, Registry: prometheus.NewRegistry()})
 	now := time.Now()
--- a/internal/batch/service_test.go
+++ b/internal/batch/service_test.go
@@ -164,7 +164,7 @@
 // The states of replicas that were gone used to be kept until the process
 // ended.
 func TestReplicasThatAreGoneAreForgotten(t *testing.T) {
-	table := directory.NewTable("zone", nil, klog.Background())
+	table := directory.NewTable("node", "zone", nil, klog.Background())
 	table.SetReplicas([]*directory.Replica{{ID: "listed", State: directory.ReplicaReady}}, 0)
 	service := NewService(t.Context(), Config{Directory: table, Registry: prometheus.NewRegistry()})
 	service.replica("listed")
--- a/internal/directory/plans.go
+++ b/internal/directory/plans.go
@@ -68,7 +68,7 @@
 	plans := maps.Clone(standing)
 	for service := range changed {
 		if members := byService[service]; len(members) > 0 {
-			plans[service] = routing.NewPlan(t.zone, members)
+			plans[service] = routing.NewRankedPlan(t.place, members)
 		} else {
 			delete(plans, service)
 		}
--- a/internal/directory/table.go
+++ b/internal/directory/table.go
@@ -22,7 +22,7 @@
 // Table applies what the informers learn and publishes views. It is safe for
 // use by many goroutines.
 type Table struct {
-	zone string
+	place routing.Place
 	// regions gives the region of each zone.
 	regions map[string]string
 	logger  klog.Logger
@@ -42,9 +42,9 @@
 
 // NewTable returns an empty table for a node in a zone, given the region of each
 // zone.
-func NewTable(zone string, regions map[string]string, logger klog.Logger) *Table {
+func NewTable(node, zone string, regions map[string]string, logger klog.Logger) *Table {
 	table := &Table{
-		zone: zone, regions: regions, logger: logger, draining: map[string]time.Time{}, missing: map[string]*time.Timer{},
+		place: routing.Place{Node: node, Zone: zone, Region: regions[zone]}, regions: regions, logger: logger, draining: map[string]time.Time{}, missing: map[string]*time.Timer{},
 		states: map[string]*routing.EndpointState{}, changed: make(chan struct{}),
 	}
 	table.view.Store(&View{Replicas: map[string]*Replica{}, Named: map[string]int64{}, Plans: map[string]*routing.Plan{}})
--- a/internal/directory/table_test.go
+++ b/internal/directory/table_test.go
@@ -44,7 +44,7 @@
 
 // informed runs the informers of a table on the virtual clock.
 func informed(ctx context.Context, store *metastore.Store) *Table {
-	table := NewTable("zone", nil, klog.Background())
+	table := NewTable("node", "zone", nil, klog.Background())
 	sinks := map[string]watchcache.Sink{
 		"config":   ConfigurationSink{Table: table, Decoder: jsonDecoder{}, Name: "main"},
 		"servers":  ReplicaSink{Table: table, Decoder: jsonDecoder{}, KeepMissing: func() time.Duration { return keepMissing }},
@@ -215,7 +215,7 @@
 		store := &deafStore{Store: metastore.New(), kind: "servers"}
 		store.Write("servers", "one", ready("s"))
 		store.deaf.Store(true)
-		table := NewTable("zone", nil, klog.Background())
+		table := NewTable("node", "zone", nil, klog.Background())
 		regained := make(chan struct{})
 		informer := watchcache.NewInformer(store, "servers", ReplicaSink{Table: table, Decoder: jsonDecoder{}, KeepMissing: func() time.Duration { return keepMissing }}, klog.Background())
 		informer.Regained = func() <-chan struct{} { return regained }
@@ -237,7 +237,7 @@
 // Ids of replicas that had left used to be kept until the process ended.
 func TestReplicasThatLeftLongAgoAreForgotten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := NewTable("zone", nil, klog.Background())
+		table := NewTable("node", "zone", nil, klog.Background())
 		leaving := ready("s")
 		leaving.ID, leaving.State = "one", ReplicaDraining
 		table.ApplyReplicas([]ReplicaChange{{ID: "one", Replica: leaving}}, 0)
@@ -259,7 +259,7 @@
 // Each change of an entry used to rebuild every plan, on every node: with a
 // thousand replicas a new version of weights cost a million endpoints.
 func TestChangesThatNoPlanDependsOnLeaveThePlans(t *testing.T) {
-	table := NewTable("zone", nil, klog.Background())
+	table := NewTable("node", "zone", nil, klog.Background())
 	replica := func(id, service, address string, version int64) ReplicaChange {
 		return ReplicaChange{ID: id, Replica: &Replica{
 			ID: id, Service: service, Address: address, Slots: 4, State: ReplicaReady, Versions: map[string]int64{"m": version},
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -86,7 +86,7 @@
 
 // newForwarder returns a forwarder before backends of one service.
 func newForwarder(backends ...*backend) *Forwarder {
-	table := directory.NewTable("zone", nil, klog.Background())
+	table := directory.NewTable("node", "zone", nil, klog.Background())
 	table.SetConfiguration(&directory.Configuration{Version: 1}, 1)
 	var replicas []*directory.Replica
 	for number, started := range backends {
--- a/internal/instance/assemble.go
+++ b/internal/instance/assemble.go
@@ -40,7 +40,7 @@
 
 // assembleForwarding makes what brings requests to replicas.
 func (i *Instance) assembleForwarding() *dispatch.Dispatcher {
-	i.directory = directory.NewTable(i.settings.Zone, i.settings.Regions, i.logger)
+	i.directory = directory.NewTable(i.settings.Node, i.settings.Zone, i.settings.Regions, i.logger)
 	i.pool = exchange.NewPool(nil)
 	i.pool.Metrics = exchange.NewMetrics(i.registry)
 	dispatcher := dispatch.New(i.pool, i.adapter.Headers)
--- a/internal/routing/plan.go
+++ b/internal/routing/plan.go
@@ -27,8 +27,10 @@
 	// endpoints has those of the node's own zone first.
 	endpoints []*Endpoint
 	near      int
-	filters   Chain
-	scorers   []Scorer
+	// ranked tells that the endpoints stand in the order in which they are preferred.
+	ranked  bool
+	filters Chain
+	scorers []Scorer
 }
 
 // NewPlan returns a plan for a node in a zone.
@@ -54,22 +56,30 @@
 // Endpoints lists the engines of the plan.
 func (p *Plan) Endpoints() []*Endpoint { return p.endpoints }
 
-// Pick returns the best of a few candidates; only when none of them will do
-// does it look at all.
+// Pick returns the best of a few candidates, drawn or first in rank; only when none
+// of them will do does it look at all.
 func (p *Plan) Pick(query *Query) (*Endpoint, error) {
 	if len(p.endpoints) == 0 {
 		return nil, ErrNoEngineDeclared
 	}
-	best := p.draw(query)
-	if best == nil {
-		best = p.scan(query)
-	}
+	best := p.candidate(query)
 	if best == nil {
 		return nil, &LeftNobodyError{Reason: p.filters.Explain(query, p.endpoints)}
 	}
 	return best, nil
 }
 
+// candidate is the engine to pick, nil for none.
+func (p *Plan) candidate(query *Query) *Endpoint {
+	if p.ranked {
+		return p.first(query)
+	}
+	if drawn := p.draw(query); drawn != nil {
+		return drawn
+	}
+	return p.scan(query)
+}
+
 func (p *Plan) draw(query *Query) *Endpoint {
 	var best *Endpoint
 	bestScore := 0.0
--- /dev/null
+++ b/internal/routing/ranked_test.go
@@ -0,0 +1,91 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// replicasOf returns replicas without requests, one after the other in some zones of
+// the regions that their first letter names.
+func replicasOf(count int, zones ...string) []*Endpoint {
+	endpoints := make([]*Endpoint, count)
+	for number := range endpoints {
+		zone, state := zones[number%len(zones)], NewEndpointState()
+		state.SetView(EngineView{})
+		endpoints[number] = NewReplicaEndpoint(fmt.Sprintf("replica-%d", number), "", zone, zone[:1], "service", 8, state)
+	}
+	return endpoints
+}
+
+func pickOne(t *testing.T, plan *Plan) *Endpoint {
+	t.Helper()
+	picked, err := plan.Pick(&Query{Zone: "e1", Objective: 200 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return picked
+}
+
+// Requests one after the other go to one replica, whatever small differences there
+// are in its answers, and to one further away only when the nearer ones are gone.
+func TestRankedPlanKeepsToTheNearestReplica(t *testing.T) {
+	plan := NewRankedPlan(Place{Node: "node", Zone: "e1", Region: "e"}, replicasOf(6, "w1", "e2", "e1"))
+	for _, zones := range [][]string{{"e1", "e1"}, {"e2", "e2"}, {"w1", "w1"}} {
+		for _, zone := range zones {
+			picked := pickOne(t, plan)
+			if picked.Zone != zone {
+				t.Fatalf("picked %s in %s, want one in %s", picked.Name, picked.Zone, zone)
+			}
+			for number := range 20 {
+				picked.State.Latency.Observe(time.Duration(20+number) * time.Millisecond)
+				if again := pickOne(t, plan); again != picked {
+					t.Fatalf("went from %s to %s", picked.Name, again.Name)
+				}
+			}
+			picked.State.SetView(EngineView{Excluded: true})
+		}
+	}
+}
+
+func TestRankedPlanLeavesAReplicaThatFailsOrIsSlow(t *testing.T) {
+	plan := NewRankedPlan(Place{Node: "node", Zone: "e1"}, replicasOf(6, "e1"))
+	failing := pickOne(t, plan)
+	failing.State.Failures.Add(1)
+	slow := pickOne(t, plan)
+	if slow == failing {
+		t.Fatal("a failing replica is picked")
+	}
+	slow.State.Latency.Observe(300 * time.Millisecond)
+	if third := pickOne(t, plan); third == failing || third == slow {
+		t.Error("a slow replica is picked")
+	}
+}
+
+// The nodes of a zone have different first replicas, so that its replicas get alike.
+func TestRankedPlansOfManyNodesUseAllReplicasAlike(t *testing.T) {
+	replicas := replicasOf(8, "e1")
+	counts := map[string]int{}
+	for number := range 400 {
+		counts[pickOne(t, NewRankedPlan(Place{Node: fmt.Sprintf("node-%d", number), Zone: "e1"}, replicas)).Name]++
+	}
+	for _, replica := range replicas {
+		if counts[replica.Name] < 25 || counts[replica.Name] > 80 {
+			t.Errorf("%s is the first of %d of 400 nodes", replica.Name, counts[replica.Name])
+		}
+	}
+}
+
+// A node with many requests at once spreads them over more and more replicas.
+func TestRankedPlanGrowsWithTheLoad(t *testing.T) {
+	replicas := replicasOf(12, "e1", "w1")
+	plan := NewRankedPlan(Place{Node: "node", Zone: "e1", Region: "e"}, replicas)
+	for range 48 {
+		pickOne(t, plan).State.InFlight.Add(1)
+	}
+	for _, replica := range replicas {
+		if count := replica.State.InFlight.Load(); count < 3 || count > 5 {
+			t.Errorf("%s in %s got %d of 48", replica.Name, replica.Zone, count)
+		}
+	}
+}
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -13,6 +13,11 @@
 	latencyWeight  = 0.5
 )
 
+// easyLatency is up to which part of the objective the time of answers is all the
+// same: shorter ones differ by chance, and each change of the replica may take a new
+// connection.
+const easyLatency = 0.25
+
 // worstLatency bounds what a slow engine is marked down by, as a multiple of
 // the objective.
 const worstLatency = 2.0
@@ -26,7 +31,8 @@
 	if query.Objective <= 0 {
 		return 0
 	}
-	return -latencyWeight * min(worstLatency, float64(endpoint.State.Latency.Now())/float64(query.Objective))
+	took := float64(endpoint.State.Latency.Now()) / float64(query.Objective)
+	return -latencyWeight * max(0, min(worstLatency, took)-easyLatency)
 }
 
 // LoadScorer prefers engines with free slots.
--- a/internal/weightorders/coordinator_test.go
+++ b/internal/weightorders/coordinator_test.go
@@ -58,7 +58,7 @@
 }
 
 func newFleet() *fleet {
-	f := &fleet{store: metastore.New(), table: directory.NewTable("zone", nil, klog.Background()), replicas: &orderedReplicas{versions: map[string]int64{}}}
+	f := &fleet{store: metastore.New(), table: directory.NewTable("node", "zone", nil, klog.Background()), replicas: &orderedReplicas{versions: map[string]int64{}}}
 	f.table.SetConfiguration(&directory.Configuration{Version: 1, Services: map[string]directory.Service{"s": {Engine: &directory.Engine{Models: []string{"m"}}}}}, 1)
 	f.table.SetReplicas([]*directory.Replica{{ID: "a", Service: "s", State: directory.ReplicaReady}, {ID: "b", Service: "s", State: directory.ReplicaReady}}, 0)
 	return f
--- a/test/virtual_test.go
+++ b/test/virtual_test.go
@@ -64,7 +64,7 @@
 	(&platformDeployment{store: day.store}).configure(1)
 
 	logger := klog.Background()
-	table := directory.NewTable("zone-a", nil, logger)
+	table := directory.NewTable("node", "zone-a", nil, logger)
 	decoder := platform.Decoder{}
 	for kind, sink := range map[string]watchcache.Sink{
 		"config":   directory.ConfigurationSink{Table: table, Decoder: decoder, Name: "main"},
