Results and texts are appended together, once a second until most groups are whole

Ruled out: longer than the texts' second, which would cost an owner's successor more than it does now.

Change: appends are a second apart, results and texts in one chunk, until four fifths of the desired groups are whole; from then on whole groups go at once, as before.

--- a/internal/batch/publish.go
+++ b/internal/batch/publish.go
@@ -11,33 +11,40 @@
 // publish appends the finished results of a job, and the texts of long items on
 // their way, until the job ends.
 func (s *Service) publish(published *job) {
-	saving := time.NewTicker(textPeriod)
+	saving := time.NewTimer(textPeriod)
 	defer saving.Stop()
+	appended := time.Now()
 	for {
 		select {
 		case <-published.ctx.Done():
 			return
 		case <-published.flush:
-			s.gather(published)
+			s.gather(published, appended)
 		case <-saving.C:
 		}
+		appended = time.Now()
 		for s.appendOnce(published) {
-			s.gather(published)
+			s.gather(published, appended)
+			appended = time.Now()
 		}
+		saving.Reset(textPeriod)
 	}
 }
 
 const (
 	// groupGather is how long results wait for others once a group is whole and
-	// its trainer may soon have what it waits for, and resultGather before that.
+	// its trainer may soon have what it waits for. Before that nobody waits for
+	// single results, and appends are resultGather apart, as savings of texts are:
+	// an owner that is lost costs the running of what finished since.
 	groupGather  = 40 * time.Millisecond
-	resultGather = 500 * time.Millisecond
+	resultGather = textPeriod
 	gatherLook   = 20 * time.Millisecond
 )
 
-// gather waits a little, so that results close together are one object.
-func (s *Service) gather(published *job) {
-	limit := time.Now().Add(resultGather)
+// gather waits a little after the last append, so that results close together are
+// one object.
+func (s *Service) gather(published *job, appended time.Time) {
+	limit := appended.Add(resultGather)
 	for time.Now().Before(limit) {
 		s.mutex.Lock()
 		soon := (published.flushSoon && published.nearlyWhole()) || published.remaining() == 0
--- a/internal/batch/publish_test.go
+++ b/internal/batch/publish_test.go
@@ -1,8 +1,16 @@
 package batch
 
 import (
+	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"k8s.io/klog/v2"
+
+	"github.com/pathtally/pathtally/standin/metastore"
 )
 
 func TestGroupsAreListedWithoutDelayOnceMostAreWhole(t *testing.T) {
@@ -33,3 +41,58 @@
 		}
 	}
 }
+
+// Every append is a call to the store. While a trainer has far to go, its results and
+// the texts of its long items go there together, once a second; what it waits for in
+// the end goes at once.
+func TestResultsAndTextsAreAppendedTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := metastore.New()
+		service := &Service{config: Config{Journal: NewJournal(store), Logger: klog.Background()}, metrics: newMetrics(prometheus.NewRegistry())}
+		held := &job{
+			id: "job", submission: &Submission{Desired: 2}, items: map[string]*item{}, groups: map[string]*group{},
+			flush: make(chan struct{}, 1), changed: make(chan struct{}), ctx: ctx, cancel: cancel, appends: ctx, takenUp: time.Now(),
+		}
+		// Both groups have one long item, which is done last.
+		for number := range 42 {
+			id := fmt.Sprint(number)
+			name := fmt.Sprint(number % 2)
+			if held.groups[name] == nil {
+				held.groups[name] = &group{}
+			}
+			held.groups[name].open++
+			held.items[id] = &item{Item: &Item{ID: id, Group: name}, job: held, group: held.groups[name]}
+			held.order = append(held.order, id)
+		}
+		finish := func(id string) {
+			service.mutex.Lock()
+			defer service.mutex.Unlock()
+			service.finish(held.items[id], Result{ID: id, State: Succeeded})
+		}
+		go service.publish(held)
+		for number := range 40 {
+			time.Sleep(100 * time.Millisecond)
+			service.mutex.Lock()
+			for range 2 {
+				held.items["40"].progress.add("e", 1)
+			}
+			service.mutex.Unlock()
+			finish(fmt.Sprint(number))
+		}
+		if chunks := store.Calls("create"); chunks > 4 {
+			t.Errorf("%d appends in four seconds", chunks)
+		}
+		if saved := held.items["40"].saved; saved < 50 {
+			t.Errorf("%d of 80 events are saved", saved)
+		}
+		finish("40")
+		finish("41")
+		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
+		if len(held.listed) != 42 {
+			t.Errorf("%d of 42 results are listed 0.1 s after the last", len(held.listed))
+		}
+		cancel()
+	})
+}
