Calls to the store counted by kind and outcome; watches end within its history

Cause: nothing told which calls a node makes.

Change: a metered store counts each call; such watches last 15 s instead of 25.

Test: TestCallsAreCountedByWhatBecomesOfThem.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -16,6 +16,7 @@
 	"github.com/pathtally/pathtally/internal/exchange"
 	"github.com/pathtally/pathtally/internal/forward"
 	"github.com/pathtally/pathtally/internal/ingress"
+	"github.com/pathtally/pathtally/internal/objectstore"
 	"github.com/pathtally/pathtally/internal/peering"
 	"github.com/pathtally/pathtally/internal/settings"
 	"github.com/pathtally/pathtally/internal/storerelay"
@@ -78,6 +79,7 @@
 		settings: configured, adapter: adapter, logger: nodeLogger(configured.Node, configured.Zone),
 		registry: prometheus.NewRegistry(), drained: make(chan struct{}), assembled: make(chan struct{}), started: time.Now(),
 	}
+	instance.adapter.Store = objectstore.NewMetered(adapter.Store, instance.registry)
 	instance.current.Store(&instance.settings)
 	ctx, cancel := context.WithCancel(context.Background())
 	instance.cancel = cancel
--- /dev/null
+++ b/internal/objectstore/metered_test.go
@@ -0,0 +1,26 @@
+package objectstore_test
+
+import (
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/pathtally/pathtally/internal/objectstore"
+	"github.com/pathtally/pathtally/standin/metastore"
+)
+
+func TestCallsAreCountedByWhatBecomesOfThem(t *testing.T) {
+	registry := prometheus.NewRegistry()
+	store := objectstore.NewMetered(metastore.New(), registry)
+	for range 2 {
+		_, _ = store.Create(t.Context(), "kind", "name", []byte("1"))
+	}
+	_, _ = store.Get(t.Context(), "kind", "other", objectstore.MayBeStale)
+	if _, err := store.List(t.Context(), "kind", "", objectstore.Linearizable); err != nil {
+		t.Fatal(err)
+	}
+	families, err := registry.Gather()
+	if err != nil || len(families) != 1 || len(families[0].GetMetric()) != 4 {
+		t.Errorf("figures %v, error %v, want four ways in which calls ended", families, err)
+	}
+}
--- a/internal/watchcache/watch.go
+++ b/internal/watchcache/watch.go
@@ -12,8 +12,10 @@
 
 // For how long the store holds a watch without events.
 const (
-	// LongWait is for kinds whose changes have no bound: an answer costs a call.
-	LongWait = 25 * time.Second
+	// LongWait is for kinds whose changes have no bound: an answer costs a call. It is
+	// shorter than the time for which stores keep their history, or every watch without
+	// changes ends with a listing.
+	LongWait = 15 * time.Second
 	// PromptWait is for kinds whose changes have to be in force within two seconds. A
 	// watch whose answer was lost says nothing more, and nothing but its end shows that.
 	// A platform that loses answers gives three seconds more; with the time for the
