A node that does not answer is tried ever less often as a reader

Cause: a machine that is gone for good stays in the list of nodes; each eight seconds its former followers polled it for 0.75 s. With one reader for all these are all nodes.

Change: the time doubles up to 64 s while it stays silent, and only the first silence takes its followers to narrower areas.

Test: TestAReaderThatIsGoneIsTriedEverLessOften.

--- a/internal/watchcache/area_test.go
+++ b/internal/watchcache/area_test.go
@@ -99,3 +99,22 @@
 		})
 	}
 }
+
+// A machine that is gone for good stays in the list of nodes. Its former followers try
+// it ever less often, since each try keeps them without news, and follow one reader
+// in between.
+func TestAReaderThatIsGoneIsTriedEverLessOften(t *testing.T) {
+	inZones(t, 5, twoRegions, func(c *cluster) {
+		lost, followers := c.readers()[0], c.followers()
+		lost.dead.Store(true)
+		lost.stop()
+		settle(time.Minute)
+		if readers := c.readers(); len(readers) != 1 {
+			t.Errorf("%d nodes read the store a minute later", len(readers))
+		}
+		settle(2 * time.Minute)
+		if tries := lost.polledDead.Load(); tries > int64(6*len(followers)) {
+			t.Errorf("%d tries of %d nodes in three minutes", tries, len(followers))
+		}
+	})
+}
--- a/internal/watchcache/follow.go
+++ b/internal/watchcache/follow.go
@@ -103,8 +103,9 @@
 // leaveSilent turns from a reader that does not answer.
 func (s *Source) leaveSilent(reader Node) {
 	s.noteUnsure()
-	s.passOver(reader.Name, silentTime)
-	s.narrow(silentTime)
+	if s.passOverSilent(reader.Name) {
+		s.narrow(silentTime)
+	}
 	if s.Age() > newsBound {
 		// A further silent reader would make it too late.
 		s.readDirectly()
@@ -160,6 +161,7 @@
 	if err != nil || !isNews {
 		return outcomeSilent
 	}
+	s.noteHeard(reader.Name)
 	s.take(poll, news)
 	outcome := outcomeOf(wire.Standing(news.Standing))
 	if outcome == outcomeCurrent {
--- a/internal/watchcache/harness_test.go
+++ b/internal/watchcache/harness_test.go
@@ -118,7 +118,9 @@
 	sink   *recorder
 	// dead nodes answer nobody.
 	dead atomic.Bool
-	stop context.CancelFunc
+	// polledDead counts the polls of this node since it is dead.
+	polledDead atomic.Int64
+	stop       context.CancelFunc
 }
 
 // cluster is nodes over one store, on the virtual clock.
@@ -151,6 +153,9 @@
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
 		for _, node := range l.cluster.nodes {
+			if node.node.Address == address && node.dead.Load() {
+				node.polledDead.Add(1)
+			}
 			if node.node.Address == address && !node.dead.Load() && l.cluster.reach(l.node, node.node) {
 				news := node.source.Answer(ctx, message.(*wire.WatchPoll))
 				if !node.dead.Load() && ctx.Err() == nil {
--- a/internal/watchcache/reader.go
+++ b/internal/watchcache/reader.go
@@ -10,12 +10,15 @@
 const (
 	// rankKey is what the nodes of an area are ranked for.
 	rankKey = "store-reader"
-	// silentTime is for how long a node that did not answer is passed over,
-	// unsureTime one that the store does not answer, and leavingTime one that
-	// stops.
-	silentTime  = 8 * time.Second
-	unsureTime  = 4 * time.Second
-	leavingTime = 15 * time.Second
+	// silentTime is for how long a node that did not answer is passed over, twice as
+	// long each time in a row up to longestSilent: one whose machine is gone for good
+	// stays in the list of nodes, and each try keeps its followers without news.
+	// unsureTime is the time for one that the store does not answer, and leavingTime
+	// that for one that stops.
+	silentTime    = 8 * time.Second
+	longestSilent = 64 * time.Second
+	unsureTime    = 4 * time.Second
+	leavingTime   = 15 * time.Second
 )
 
 // reader returns the node to follow, the first in rank of the area that stands,
@@ -47,3 +50,22 @@
 	defer s.mutex.Unlock()
 	s.passedOver[node] = time.Now().Add(span)
 }
+
+// passOverSilent has a node that did not answer not followed for a time, and tells
+// whether it had answered before.
+func (s *Source) passOverSilent(node string) (first bool) {
+	s.mutex.Lock()
+	last, again := s.silences[node]
+	span := min(max(silentTime, 2*last), longestSilent)
+	s.silences[node] = span
+	s.mutex.Unlock()
+	s.passOver(node, span)
+	return !again
+}
+
+// noteHeard records that a node has answered.
+func (s *Source) noteHeard(node string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.silences, node)
+}
--- a/internal/watchcache/source.go
+++ b/internal/watchcache/source.go
@@ -41,6 +41,8 @@
 	readUntil time.Time
 	// passedOver are nodes that are not followed, each until a time.
 	passedOver map[string]time.Time
+	// silences are for how long nodes were passed over that have not answered since.
+	silences map[string]time.Duration
 	// leftAreas are kinds of areas whose reader is not followed, each until a time.
 	leftAreas map[string]time.Time
 	// unsureAt is when the copies were last known to be unsure, and newsAt when
@@ -64,7 +66,7 @@
 
 // NewSource returns a source that has not started.
 func NewSource(config Config) *Source {
-	source := &Source{config: config, metrics: newMetrics(config.Registry), passedOver: map[string]time.Time{}, leftAreas: map[string]time.Time{}, changed: make(chan struct{})}
+	source := &Source{config: config, metrics: newMetrics(config.Registry), passedOver: map[string]time.Time{}, silences: map[string]time.Duration{}, leftAreas: map[string]time.Time{}, changed: make(chan struct{})}
 	source.health = newStoreHealth(config.Logger, source.notify)
 	return source
 }
