Items go to the replicas that keep up with their model first

Change: the coordinator of weights, which works the shares out on every node, tells batch which replicas keep up with each model; others are a full load behind.

--- a/internal/weightorders/plan.go
+++ b/internal/weightorders/plan.go
@@ -61,13 +61,12 @@
 	return open
 }
 
-// tasks are all replicas that lack the named version of a model that they keep
-// up with.
-func tasks(view *directory.View, known knowledge, demand map[string]float64) []task {
+// homesOf gives each model the replicas that keep up with it.
+func homesOf(view *directory.View, demand map[string]float64) map[string][]*directory.Replica {
+	all := map[string][]*directory.Replica{}
 	if view.Configuration == nil {
-		return nil
+		return all
 	}
-	var open []task
 	byService := map[string][]*directory.Replica{}
 	for _, replica := range view.Replicas {
 		byService[replica.Service] = append(byService[replica.Service], replica)
@@ -78,9 +77,19 @@
 		}
 		service := view.Configuration.Services[name]
 		for model, kept := range homes(replicas, sharesOf(service.Engine.Models, demand)) {
-			open = append(open, tasksOf(known, model, view.Named[model], kept)...)
+			all[model] = append(all[model], kept...)
 		}
 	}
+	return all
+}
+
+// tasks are all replicas that lack the named version of a model that they keep
+// up with.
+func tasks(view *directory.View, known knowledge, homes map[string][]*directory.Replica) []task {
+	var open []task
+	for model, kept := range homes {
+		open = append(open, tasksOf(known, model, view.Named[model], kept)...)
+	}
 	return open
 }
 
