Connections to a replica that has just been listed rest at once

Ruled out: to let connections to unknown addresses rest, since those to replicas that are gone did so until the process ended once.

Change: bounds are set as soon as there are replicas and at each change, a second apart at least.

Test: TestConnectionsToANewReplicaRestAtOnce; without the change neither connection of it rests.

--- a/internal/instance/connections.go
+++ b/internal/instance/connections.go
@@ -23,17 +23,22 @@
 )
 
 // boundConnections keeps the bounds of the connections to replicas current,
-// until the context ends. Connections to replicas that are gone are closed.
+// until the context ends. Connections to replicas that are gone are closed. A change
+// is in force at once unless the one before it is as young as boundsPause: until then
+// connections to a new replica do not rest.
 func (i *Instance) boundConnections(ctx context.Context) {
 	for {
 		changed := i.directory.Changed()
-		i.pool.SetBounds(connectionBounds(i.directory.View(), len(i.peers.Nodes())))
+		// A starting node knows no replica yet: bounds would close what it opens.
+		if view := i.directory.View(); view.Configuration != nil && len(view.Replicas) > 0 {
+			i.pool.SetBounds(connectionBounds(view, len(i.peers.Nodes())))
+			objectstore.Sleep(ctx, boundsPause)
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-changed:
 		}
-		objectstore.Sleep(ctx, boundsPause)
 	}
 }
 
--- a/internal/instance/connections_test.go
+++ b/internal/instance/connections_test.go
@@ -1,10 +1,19 @@
 package instance
 
 import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
 	"testing"
+	"testing/synctest"
+
+	"k8s.io/klog/v2"
 
 	"github.com/pathtally/pathtally/internal/directory"
 	"github.com/pathtally/pathtally/internal/exchange"
+	"github.com/pathtally/pathtally/internal/peering"
 )
 
 // A service's bound on connections used to be read and not kept to.
@@ -30,3 +39,55 @@
 		}
 	}
 }
+
+// A replica gets its bounds when it is listed, and before a starting node knows any
+// its connections rest: all nodes started anew used to close what they had opened in
+// their first second.
+func TestConnectionsToANewReplicaRestAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		node := &Instance{
+			directory: directory.NewTable("node", "zone", nil, klog.Background()),
+			peers:     peering.NewTable(peering.Config{Node: "node"}),
+			pool: exchange.NewPool(func(context.Context, string) (net.Conn, error) {
+				near, far := net.Pipe()
+				go answerAll(far)
+				return near, nil
+			}),
+		}
+		go node.boundConnections(ctx)
+		ask := func(address string) {
+			answer, err := node.pool.Send(ctx, address, &exchange.Request{Method: http.MethodGet, Target: "/", Host: "host", Header: http.Header{}}, false)
+			if err != nil {
+				t.Fatal(err)
+			}
+			io.Copy(io.Discard, answer)
+			answer.Close()
+			synctest.Wait()
+		}
+		ask("early")
+		if open := node.pool.Counts.Open.Load(); open != 1 {
+			t.Errorf("%d connections rest before any replica is known", open)
+		}
+		node.directory.SetConfiguration(&directory.Configuration{Version: 1, Services: map[string]directory.Service{"s": {MaxConnections: 10}}}, 1)
+		node.directory.SetReplicas([]*directory.Replica{{ID: "a", Service: "s", Address: "listed", Slots: 2, State: directory.ReplicaReady}}, 0)
+		synctest.Wait()
+		ask("listed")
+		if open := node.pool.Counts.Open.Load(); open != 1 {
+			t.Errorf("%d connections rest, want that to the replica listed", open)
+		}
+		cancel()
+		node.pool.SetBounds(map[string]exchange.Bound{})
+	})
+}
+
+// answerAll answers the requests on a connection.
+func answerAll(connection net.Conn) {
+	requests := bufio.NewReader(connection)
+	for {
+		if _, err := http.ReadRequest(requests); err != nil {
+			return
+		}
+		io.WriteString(connection, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	}
+}
