--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -89,7 +89,7 @@
 // to be of no use are closed and counted.
 func (p *Pool) takeKept(address string, young bool) (kept *connection, unfit int) {
 	for ; ; unfit++ {
-		conn := p.pop(address, young)
+		conn := p.pop(address)
 		if conn == nil {
 			return nil, unfit
 		}
--- a/internal/exchange/rest.go
+++ b/internal/exchange/rest.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -17,23 +16,18 @@
 	restMargin = 700 * time.Millisecond
 )
 
-// pop takes a resting connection to an address, nil for none. Young asks for the one
-// used last, which is the least likely to have been closed. Others take the one that
-// has rested longest: so all are used by turns, and those that many requests at once
-// have opened are still there when as many come again.
-func (p *Pool) pop(address string, young bool) *connection {
+// pop takes the resting connection to an address that was used last, nil for
+// none.
+func (p *Pool) pop(address string) *connection {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	resting := p.idle[address]
 	if len(resting) == 0 {
 		return nil
 	}
-	number := 0
-	if young {
-		number = len(resting) - 1
-	}
-	conn := resting[number]
-	p.idle[address] = slices.Delete(resting, number, number+1)
+	// The one used last is the least likely to have been closed.
+	conn := resting[len(resting)-1]
+	p.idle[address] = resting[:len(resting)-1]
 	return conn
 }
 
