--- a/internal/autoscale/service_test.go
+++ b/internal/autoscale/service_test.go
@@ -89,7 +89,7 @@
 
 // start runs a node that orders replicas of a fleet of 12.
 func (w *world) start(ctx context.Context, name string) *Service {
-	table := directory.NewTable("a", nil, klog.Background())
+	table := directory.NewTable("node", "a", nil, klog.Background())
 	table.SetConfiguration(&directory.Configuration{Version: 1, Services: map[string]directory.Service{"model": {
 		Name: "model", Engine: &directory.Engine{Slots: 8}, Scaling: &directory.Scaling{Least: 1, Most: 10},
 	}}}, 1)
--- a/internal/batch/harness_test.go
+++ b/internal/batch/harness_test.go
@@ -309,7 +309,7 @@
 func (c *cluster) makeNode(name string, engines []*testEngine) *testNode {
 	c.t.Helper()
 	logger := klog.Background()
-	table := directory.NewTable(c.places[name], regions, logger)
+	table := directory.NewTable("node", c.places[name], regions, logger)
 	c.configure(table, 1)
 	var replicas []*directory.Replica
 	for number, engine := range engines {
--- a/internal/batch/replicas_test.go
+++ b/internal/batch/replicas_test.go
@@ -100,7 +100,7 @@
 
 // placing returns a service that knows so many replicas, and an item for them.
 func placing(count int) (*Service, *item) {
-	table := directory.NewTable("zone", nil, klog.Background())
+	table := directory.NewTable("node", "zone", nil, klog.Background())
 	var listed []*directory.Replica
 	for number := range count {
 		listed = append(listed, &directory.Replica{
@@ -187,6 +187,22 @@
 	}
 }
 
+// Replicas that keep up with the items' model are filled before others get any, and
+// no item waits while those have room.
+func TestPlacementFillsTheReplicasThatKeepUpWithAModelFirst(t *testing.T) {
+	service, waiting := placing(3)
+	service.SetKeepers(map[string]map[string]bool{"m": {"replica-1": true}})
+	placement := service.newPlacement()
+	order := ""
+	for chosen := placement.pick(waiting); chosen != nil; chosen = placement.pick(waiting) {
+		chosen.load++
+		order += chosen.endpoint.Name[len("replica-"):]
+	}
+	if len(order) != 18 || order[:6] != "111111" {
+		t.Errorf("items went to %s", order)
+	}
+}
+
 func BenchmarkPlacementOf200ItemsAmong3000Replicas(b *testing.B) {
 	service, waiting := placing(3000)
 	for b.Loop() {
@@ -198,7 +214,7 @@
 }
 
 func TestItemsOfMoreUrgentRoutesWaitInFront(t *testing.T) {
-	table := directory.NewTable("zone", nil, klog.Background())
+	table := directory.NewTable("node", "zone", nil, klog.Background())
 	table.SetConfiguration(&directory.Configuration{Version: 1, Routes: []directory.Route{{Name: "later", Priority: 1}, {Name: "first"}}}, 1)
 	service := NewService(context.Background(), Config{Directory: table, Registry: prometheus.NewRegistry()})
 	now := time.Now()
--- a/internal/directory/evacuation_test.go
+++ b/internal/directory/evacuation_test.go
@@ -132,7 +132,7 @@
 
 // A node that starts may know its replicas before the evacuations.
 func TestNothingIsSentBeforeEvacuationsAreListed(t *testing.T) {
-	table := NewTable("a", nil, klog.Background())
+	table := NewTable("node", "a", nil, klog.Background())
 	table.AwaitEvacuations()
 	replica := inZone("a")
 	replica.ID = "a"
--- a/internal/directory/homes_test.go
+++ b/internal/directory/homes_test.go
@@ -20,7 +20,7 @@
 
 func TestHomesThatNoRegionHasAreLoggedOnceForEachConfiguration(t *testing.T) {
 	errors := 0
-	table := NewTable("n1", map[string]string{"n1": "north", "s1": "south"}, klog.New(errorCount{&errors}))
+	table := NewTable("node", "n1", map[string]string{"n1": "north", "s1": "south"}, klog.New(errorCount{&errors}))
 	tenants, _ := tenancy.NewTable([]tenancy.Declared{{Tenant: tenancy.Tenant{Name: "one", Homes: []string{"nowhere"}}}})
 	configuration := &Configuration{
 		Version: 1, Tenants: tenants, Routes: []Route{{Name: "bound", Homes: []string{"south", "atlantis"}}, {Name: "known", Homes: []string{"north"}}},
--- a/internal/directory/warmups_test.go
+++ b/internal/directory/warmups_test.go
@@ -26,7 +26,7 @@
 // warmingTable is a table with one service whose replicas bear a rate, and a replica
 // in its first listing.
 func warmingTable(rate float64) (*Table, warmingNames) {
-	table := NewTable("zone", nil, klog.Background())
+	table := NewTable("node", "zone", nil, klog.Background())
 	warming := warmingNames{}
 	table.SetSlowStart(warming)
 	table.SetConfiguration(&Configuration{Version: 1, Services: map[string]Service{"s": {Name: "s", WarmUp: testWarmUp, WarmUpRate: rate}}}, 1)
--- a/internal/forward/homes_test.go
+++ b/internal/forward/homes_test.go
@@ -16,7 +16,7 @@
 	t.Helper()
 	northern, southern = startBackend(t, north), startBackend(t, south)
 	forwarder = newForwarder()
-	table := directory.NewTable("n1", map[string]string{"n1": "north", "s1": "south"}, forwarder.config.Logger)
+	table := directory.NewTable("node", "n1", map[string]string{"n1": "north", "s1": "south"}, forwarder.config.Logger)
 	forwarder.config.Directory = table
 	declared, _ := tenancy.NewTable(tenants)
 	table.SetConfiguration(&directory.Configuration{Version: 1, Tenants: declared}, 1)
--- a/internal/instance/assemble.go
+++ b/internal/instance/assemble.go
@@ -43,8 +43,9 @@
 
 // assembleForwarding makes what brings requests to replicas.
 func (i *Instance) assembleForwarding() *dispatch.Dispatcher {
-	i.directory = directory.NewTable(i.settings.Zone, i.settings.Regions, i.logger)
+	i.directory = directory.NewTable(i.settings.Node, i.settings.Zone, i.settings.Regions, i.logger)
 	i.pool = exchange.NewPool(nil)
+	i.pool.Metrics = exchange.NewMetrics(i.registry)
 	dispatcher := dispatch.New(i.pool, i.adapter.Headers, dispatch.NewMetrics(i.registry))
 	i.forwarder = forward.New(forward.Config{
 		Zone: i.settings.Zone, Directory: i.directory, Dispatcher: dispatcher, Logger: i.logger, Metrics: forward.NewMetrics(i.registry),
@@ -74,7 +75,7 @@
 // assembleStore makes the copies of the metadata store and the way to it.
 func (i *Instance) assembleStore(self batch.Owner) {
 	i.source = watchcache.NewSource(watchcache.Config{
-		Self: watchcache.Node{Name: self.Node, Address: self.Address, Zone: i.settings.Zone}, Store: i.adapter.Store, Peers: i.transport,
+		Self: watchcache.Node{Name: self.Node, Address: self.Address, Zone: i.settings.Zone}, Regions: i.settings.Regions, Store: i.adapter.Store, Peers: i.transport,
 		Nodes: i.followable, Joined: i.peers.Joined, ProbeKind: peering.Kind, ProbeName: self.Node, Logger: i.logger, Registry: i.registry,
 	})
 	i.store = storerelay.New(storerelay.Config{
@@ -91,6 +92,7 @@
 	i.weights = weightorders.NewCoordinator(weightorders.Config{
 		Keeper: i.duty, Directory: i.directory, Replicas: i.adapter.Orders(i.pool), Logger: i.logger, Registry: i.registry,
 		Load: i.jobs.Load, Tolerance: i.jobs.Tolerance, Demand: i.jobs.Demand, OnChange: i.jobs.NoteVersion, Changed: i.peers.Changed,
+		OnKeepers: i.jobs.SetKeepers,
 	})
 	if duties.Usage != nil {
 		i.usage = i.newUsage(self, duties.Usage)
--- a/internal/instance/evacuations_test.go
+++ b/internal/instance/evacuations_test.go
@@ -10,7 +10,7 @@
 )
 
 func TestAnEvacuatedZoneIsWatchedUntilItIsEmpty(t *testing.T) {
-	table := directory.NewTable("a", nil, klog.Background())
+	table := directory.NewTable("node", "a", nil, klog.Background())
 	table.SetReplicas([]*directory.Replica{{ID: "one", Service: "s", Zone: "a", State: directory.ReplicaReady}}, 0)
 	table.SetEvacuations([]string{"a"})
 	watch := &evacuationWatch{logger: klog.Background(), age: func() time.Duration { return 0 }, oldest: time.Second, empty: map[string]bool{}}
--- a/internal/weightorders/plan_test.go
+++ b/internal/weightorders/plan_test.go
@@ -168,7 +168,7 @@
 
 // Replicas of an evacuated zone are to get nothing; no model is left to them alone.
 func TestModelsAreSharedAmongReplicasOutsideEvacuatedZones(t *testing.T) {
-	table := directory.NewTable("a", nil, klog.Background())
+	table := directory.NewTable("node", "a", nil, klog.Background())
 	table.SetConfiguration(&directory.Configuration{Services: map[string]directory.Service{"s": {Engine: &directory.Engine{Models: []string{"m", "n"}}}}}, 1)
 	table.SetReplicas([]*directory.Replica{
 		{ID: "1", Service: "s", Zone: "a", State: directory.ReplicaReady}, {ID: "2", Service: "s", Zone: "b", State: directory.ReplicaReady},
