batch: decisions of placement in a package of their own

Cause: rank, order, pick, pace, stall and move were methods of the batch service, in between locks and goroutines, so that a load pattern could only be tried with nodes and sockets.

Change: internal/placement takes views of items, runs and replicas and gives back decisions, without I/O or clock. batch collects the views in a pool and carries the decisions out. Eligibility goes through routing.ItemChain as before. Tests of the rank moved along; those that need a service's state stay. Behaviour is unchanged.

--- a/internal/batch/failing.go
+++ b/internal/batch/failing.go
@@ -17,8 +17,6 @@
 	// replica that gets no items is tried again: it counts as failing for some 4 s
 	// after it has failed throughout.
 	failureHalfLife = 3 * time.Second
-	// failingRuns is how many items run at a failing replica at most.
-	failingRuns = 1
 	// failedAnswers is how many times the attempts of its route an item may fail
 	// before it is given up, where the replicas are to blame. The platform forbids
 	// a further run after three times as many.
--- a/internal/batch/lengths.go
+++ b/internal/batch/lengths.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"github.com/pathtally/pathtally/internal/placement"
 	"github.com/pathtally/pathtally/internal/wire"
 )
 
@@ -11,32 +12,17 @@
 // without. Trainers send such items again with one of their next jobs.
 const lengthMemory = 60 * time.Second
 
-// knownLength is what earlier runs of an item have shown of its length.
+// knownLength is what earlier runs of an item have shown of its length, and when.
 type knownLength struct {
-	// events is the number of events that its text has: exactly so many where
-	// whole is set, else at least as many.
-	events int
-	whole  bool
-	at     time.Time
+	placement.Length
+	at time.Time
 }
 
-// expected is the number of events to reckon with. A text that was not whole
-// is taken to go on for a while.
-func (k knownLength) expected() int {
-	if k.whole {
-		return k.events
-	}
-	return k.events + unseenEvents
-}
-
-// unseenEvents is how much longer than seen a text is taken to be that was cut.
-const unseenEvents = 20
-
 // expectedEvents is how many events earlier runs let expect of an item, 0 where
 // there were none. The mutex must be held.
 func (s *Service) expectedEvents(id string) int {
 	if length, known := s.lengths[id]; known {
-		return length.expected()
+		return length.Expected()
 	}
 	return 0
 }
@@ -57,7 +43,7 @@
 		if left.group.open == 0 || left.seen() == 0 {
 			continue
 		}
-		length := knownLength{events: left.seen(), whole: left.done, at: time.Now()}
+		length := knownLength{Length: placement.Length{Events: left.seen(), Whole: left.done}, at: time.Now()}
 		s.lengths[left.ID] = length
 		s.toldLengths = append(s.toldLengths, toldLength{item: left.ID, length: length})
 	}
@@ -77,7 +63,7 @@
 	for _, told := range s.toldLengths {
 		if time.Since(told.length.at) < endMemory {
 			kept = append(kept, told)
-			recent = append(recent, wire.ItemLength{Item: told.item, Events: uint32(told.length.events), Whole: told.length.whole})
+			recent = append(recent, wire.ItemLength{Item: told.item, Events: uint32(told.length.Events), Whole: told.length.Whole})
 		}
 	}
 	s.toldLengths = kept
@@ -88,7 +74,7 @@
 // held.
 func (s *Service) takeLengths(told []wire.ItemLength) {
 	for _, length := range told {
-		s.lengths[length.Item] = knownLength{events: int(length.Events), whole: length.Whole, at: time.Now()}
+		s.lengths[length.Item] = knownLength{Length: placement.Length{Events: int(length.Events), Whole: length.Whole}, at: time.Now()}
 	}
 }
 
--- a/internal/batch/pace.go
+++ b/internal/batch/pace.go
@@ -1,9 +1,9 @@
 package batch
 
 import (
-	"slices"
 	"time"
 
+	"github.com/pathtally/pathtally/internal/placement"
 	"github.com/pathtally/pathtally/internal/wire"
 )
 
@@ -14,39 +14,17 @@
 	// paceMemory is for how long it is believed where nobody has seen it since:
 	// most differences are those of the machines.
 	paceMemory = 60 * time.Second
-	// leastPaced is how many replicas must have a pace for one to be slow.
-	leastPaced = 3
-	// slowRatio is from how many times the usual interval between events a
-	// replica counts as slow, and leastInterval below which none does.
-	slowRatio     = 1.7
-	leastInterval = 10 * time.Millisecond
 )
 
-// paces are the times between events of a run at each replica where they are
-// known.
-type paces struct {
-	intervals map[string]time.Duration
-	// usual is the median, and least the shortest; zero if too few are known.
-	usual time.Duration
-	least time.Duration
-}
-
 // paces returns the paces known now. The mutex must be held.
-func (s *Service) paces() paces {
-	known := paces{intervals: map[string]time.Duration{}}
-	var sorted []time.Duration
+func (s *Service) paces() placement.Paces {
+	intervals := map[string]time.Duration{}
 	for id, state := range s.replicas {
 		if interval := s.interval(id, state); interval > 0 {
-			known.intervals[id] = interval
-			sorted = append(sorted, interval)
+			intervals[id] = interval
 		}
 	}
-	if len(sorted) < leastPaced {
-		return known
-	}
-	slices.Sort(sorted)
-	known.usual, known.least = max(sorted[(len(sorted)-1)/2], leastInterval), max(sorted[0], leastInterval)
-	return known
+	return placement.NewPaces(intervals)
 }
 
 // interval is the time between events at a replica: as this node has seen it
@@ -68,20 +46,6 @@
 	return 0
 }
 
-// slow tells whether a replica's events come much more slowly than the usual.
-func (p paces) slow(id string) bool {
-	return p.usual > 0 && float64(p.intervals[id]) > slowRatio*float64(p.usual)
-}
-
-// excess is how much longer a replica's events take than the fastest's, as a
-// part of these; 0 where it is not known.
-func (p paces) excess(id string) float64 {
-	if p.least == 0 || p.intervals[id] <= p.least {
-		return 0
-	}
-	return float64(p.intervals[id])/float64(p.least) - 1
-}
-
 // recentMicroseconds is the pace to be told to other nodes, 0 for none.
 func (r *replicaState) recentMicroseconds() uint32 {
 	if time.Since(r.observed) > paceAge {
--- a/internal/batch/pace_test.go
+++ b/internal/batch/pace_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/pathtally/pathtally/internal/placement"
 )
 
 // paced returns a service that has seen replicas at the given intervals, in
@@ -45,12 +47,12 @@
 
 func TestSlowReplicasAreUsedLast(t *testing.T) {
 	service, waiting := paced(40, 40, 40, 52, 140)
-	placement := service.newPlacement()
+	pool := service.newPool()
 	taken := map[string]int{}
-	for range 3 * placement.view.Plans["engines"].Endpoints()[0].Slots {
-		chosen := placement.pick(waiting)
-		chosen.load++
-		taken[chosen.endpoint.Name]++
+	for range 3 * pool.view.Plans["engines"].Endpoints()[0].Slots {
+		chosen := pool.pick(waiting)
+		chosen.Load++
+		taken[chosen.Name]++
 	}
 	if taken[replicaName(4)] > 0 {
 		t.Errorf("the slow replica got %d items while others had room", taken[replicaName(4)])
@@ -62,10 +64,10 @@
 
 // running adds a run of an item at a replica that has made some events.
 func (s *Service) addRun(replica string, events int64, work *item) *attempt {
-	placement := s.newPlacement()
-	for _, place := range placement.of(work) {
-		if place.endpoint.Name == replica {
-			added := &attempt{item: work, endpoint: place.endpoint, begun: time.Now()}
+	pool := s.newPool()
+	for _, candidate := range pool.of(work) {
+		if candidate.Name == replica {
+			added := &attempt{item: work, endpoint: pool.endpoints[replica], begun: time.Now()}
 			added.events.Store(events)
 			work.running = added
 			s.attempts[added] = true
@@ -96,7 +98,8 @@
 		run := service.addRun(replicaName(0), test.events, work)
 		moved := false
 		run.cancel = func(reason error) { moved = reason == ErrMoved }
-		service.moveToFaster(service.newPlacement())
+		pool := service.newPool()
+		move(placement.Moves(pool.paces, []*placement.Run{pool.runOf(run)}))
 		if moved != test.moved {
 			t.Errorf("%s: moved is %t", test.name, moved)
 		}
--- /dev/null
+++ b/internal/batch/pool.go
@@ -0,0 +1,112 @@
+package batch
+
+import (
+	"time"
+
+	"github.com/pathtally/pathtally/internal/directory"
+	"github.com/pathtally/pathtally/internal/homes"
+	"github.com/pathtally/pathtally/internal/placement"
+	"github.com/pathtally/pathtally/internal/routing"
+)
+
+// poolKey names the items that may go to the same replicas.
+type poolKey struct {
+	route      string
+	model      string
+	minVersion int64
+	tenant     string
+}
+
+// pool is the replicas that items may go to, as views for many decisions in a row:
+// what holds for all items is worked out once. The service's mutex must be held while
+// it is used.
+type pool struct {
+	service *Service
+	view    *directory.View
+	now     time.Time
+	paces   placement.Paces
+	// loads are the items that run at each replica, from all nodes.
+	loads    map[string]int
+	replicas map[poolKey][]*placement.Replica
+	// byName joins the views of one replica, since they share its slots.
+	byName    map[string]*placement.Replica
+	endpoints map[string]*routing.Endpoint
+}
+
+// newPool returns the replicas as the directory shows them now. The mutex must be
+// held.
+func (s *Service) newPool() *pool {
+	return &pool{
+		service: s, view: s.config.Directory.View(), now: time.Now(), paces: s.paces(), loads: s.loads(),
+		replicas: map[poolKey][]*placement.Replica{}, byName: map[string]*placement.Replica{}, endpoints: map[string]*routing.Endpoint{},
+	}
+}
+
+// loads are the items that run at each replica, from all nodes. The mutex must
+// be held.
+func (s *Service) loads() map[string]int {
+	loads := make(map[string]int, len(s.replicas))
+	for id, state := range s.replicas {
+		loads[id] = state.running
+	}
+	for _, uses := range s.uses {
+		if time.Since(uses.at) < usesAge {
+			for id, running := range uses.running {
+				loads[id] += running
+			}
+		}
+	}
+	return loads
+}
+
+// pick returns the replica for an item, nil for none.
+func (p *pool) pick(waiting *item) *placement.Replica {
+	return placement.Pick(p.of(waiting), waiting.failedAt)
+}
+
+// of lists the replicas that have the weights for an item, are not loading, and that
+// it may go to once they have a free slot.
+func (p *pool) of(waiting *item) []*placement.Replica {
+	key := poolKey{route: waiting.job.record.Route, model: waiting.job.submission.Model, minVersion: waiting.job.submission.MinVersion, tenant: waiting.job.record.Tenant}
+	replicas, known := p.replicas[key]
+	if known || p.view.Configuration == nil {
+		return replicas
+	}
+	if route := routeOf(p.view.Configuration, key.route); route != nil {
+		query := &routing.Query{Rollout: true, Homes: homes.Of(route.Homes, p.view.Configuration.Tenants.HomesOf(key.tenant))}
+		for _, target := range route.Targets {
+			if plan := p.view.Plans[target.Service]; plan != nil {
+				replicas = p.add(replicas, plan.Endpoints(), key, query)
+			}
+		}
+	}
+	p.replicas[key] = replicas
+	return replicas
+}
+
+// add adds the replicas that are not barred from some items.
+func (p *pool) add(replicas []*placement.Replica, endpoints []*routing.Endpoint, key poolKey, query *routing.Query) []*placement.Replica {
+	for _, endpoint := range endpoints {
+		state := p.service.replica(endpoint.Name)
+		known := p.service.version(p.view, endpoint.Name, key.model)
+		if !routing.ItemChain.Allow(query, endpoint) {
+			continue
+		}
+		if p.now.Before(state.blockedUntil) || state.loading(key.model) || (known > 0 && known < key.minVersion) {
+			continue
+		}
+		replicas = append(replicas, p.replicaOf(endpoint, state))
+	}
+	return replicas
+}
+
+// replicaOf returns the one view of a replica.
+func (p *pool) replicaOf(endpoint *routing.Endpoint, state *replicaState) *placement.Replica {
+	if shared := p.byName[endpoint.Name]; shared != nil {
+		return shared
+	}
+	condition := placement.Condition{Failing: state.failures.failing(p.now), SinceEvent: p.now.Sub(state.observed)}
+	made := placement.NewReplica(endpoint.Name, endpoint.Slots, p.loads[endpoint.Name], p.paces, condition)
+	p.byName[endpoint.Name], p.endpoints[endpoint.Name] = made, endpoint
+	return made
+}
--- a/internal/batch/replicas_test.go
+++ b/internal/batch/replicas_test.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/pathtally/pathtally/internal/directory"
+	"github.com/pathtally/pathtally/internal/placement"
 )
 
 // A replica that was down or full used to be tried again every 80 ms, with as
@@ -80,17 +81,17 @@
 		service.replica(replicaName(0)).failures.observe(true, now)
 	}
 	waiting.failedAt = []string{replicaName(1)}
-	placement := service.newPlacement()
+	pool := service.newPool()
 	counts := map[string]int{}
-	for chosen := placement.pick(waiting); chosen != nil; chosen = placement.pick(waiting) {
-		chosen.load++
-		counts[chosen.endpoint.Name]++
+	for chosen := pool.pick(waiting); chosen != nil; chosen = pool.pick(waiting) {
+		chosen.Load++
+		counts[chosen.Name]++
 	}
-	if counts[replicaName(0)] != failingRuns || counts[replicaName(1)] != 0 || counts[replicaName(2)] != 6 {
+	if counts[replicaName(0)] != placement.FailingRuns || counts[replicaName(1)] != 0 || counts[replicaName(2)] != 6 {
 		t.Errorf("items went to %v", counts)
 	}
 	waiting.failedAt = []string{replicaName(0), replicaName(1), replicaName(2)}
-	if placement = service.newPlacement(); placement.pick(waiting) == nil {
+	if pool = service.newPool(); pool.pick(waiting) == nil {
 		t.Error("an item that has failed everywhere goes nowhere")
 	}
 }
@@ -122,17 +123,17 @@
 	service.replica("replica-2").block(time.Minute)
 	service.replica("replica-3").versions["m"] = 4
 	service.replica("replica-4").loadingSince["m"] = time.Now()
-	placement := service.newPlacement()
+	pool := service.newPool()
 	taken := map[string]int{}
-	for chosen := placement.pick(waiting); chosen != nil; chosen = placement.pick(waiting) {
-		chosen.load++
-		taken[chosen.endpoint.Name]++
+	for chosen := pool.pick(waiting); chosen != nil; chosen = pool.pick(waiting) {
+		chosen.Load++
+		taken[chosen.Name]++
 	}
 	if taken["replica-1"] != 4 || taken["replica-3"] != 6 || len(taken) != 2 {
 		t.Errorf("items went to %v", taken)
 	}
 	waiting.job.submission.MinVersion = 4
-	if chosen := service.newPlacement().pick(waiting); chosen == nil || chosen.endpoint.Name != "replica-3" {
+	if chosen := service.newPool().pick(waiting); chosen == nil || chosen.Name != "replica-3" {
 		t.Error("an item went to a replica on older weights than it allows")
 	}
 }
@@ -140,12 +141,12 @@
 func TestPlacementPrefersReplicasInUseUntilTheyFill(t *testing.T) {
 	service, waiting := placing(2)
 	service.replica("replica-1").observed = time.Now()
-	placement := service.newPlacement()
+	pool := service.newPool()
 	order := ""
 	for range 5 {
-		chosen := placement.pick(waiting)
-		chosen.load++
-		order += chosen.endpoint.Name[len("replica-"):]
+		chosen := pool.pick(waiting)
+		chosen.Load++
+		order += chosen.Name[len("replica-"):]
 	}
 	if order[:2] != "11" || !strings.Contains(order, "0") {
 		t.Errorf("items went to %s", order)
@@ -155,9 +156,9 @@
 func BenchmarkPlacementOf200ItemsAmong3000Replicas(b *testing.B) {
 	service, waiting := placing(3000)
 	for b.Loop() {
-		placement := service.newPlacement()
+		pool := service.newPool()
 		for range 200 {
-			placement.pick(waiting).load++
+			pool.pick(waiting).Load++
 		}
 	}
 }
@@ -166,6 +167,7 @@
 	table := directory.NewTable("zone", nil, klog.Background())
 	table.SetConfiguration(&directory.Configuration{Version: 1, Routes: []directory.Route{{Name: "later", Priority: 1}, {Name: "first"}}}, 1)
 	service := NewService(context.Background(), Config{Directory: table, Registry: prometheus.NewRegistry()})
+	const ageStep = 2 * time.Second
 	now := time.Now()
 	waiting := func(id, route string, accepted time.Time, rank int) *item {
 		return &item{Item: &Item{ID: id}, rank: rank, job: &job{record: Record{Route: route}, takenUp: accepted}}
--- a/internal/batch/scheduler.go
+++ b/internal/batch/scheduler.go
@@ -4,17 +4,13 @@
 	"context"
 	"slices"
 	"time"
+
+	"github.com/pathtally/pathtally/internal/placement"
 )
 
 const (
 	// lookPeriod is the time between looks at runs that may have stalled.
 	lookPeriod = 100 * time.Millisecond
-	// startPatience is how long a run may take to its first event, and
-	// eventPatience how long between events.
-	startPatience = 900 * time.Millisecond
-	eventPatience = 500 * time.Millisecond
-	// loadPatience is added while the replica changes weights.
-	loadPatience = 2500 * time.Millisecond
 	// idleLook is the time between looks while nothing is to be done.
 	idleLook = 2 * time.Second
 )
@@ -49,7 +45,7 @@
 	if len(s.queue) == 0 {
 		return len(s.attempts) > 0
 	}
-	placement := s.newPlacement()
+	pool := s.newPool()
 	full := map[*job]bool{}
 	s.queue = slices.DeleteFunc(s.queue, func(waiting *item) bool {
 		if waiting.done || waiting.job.ended || waiting.job.displaced {
@@ -61,13 +57,13 @@
 		if s.expire(waiting) {
 			return true
 		}
-		chosen := placement.pick(waiting)
+		chosen := pool.pick(waiting)
 		if chosen == nil {
 			full[waiting.job] = true
 			return false
 		}
-		chosen.load++
-		s.launch(waiting, chosen.endpoint)
+		chosen.Load++
+		s.launch(waiting, pool.endpoints[chosen.Name])
 		return true
 	})
 	return len(s.queue) > 0 || len(s.attempts) > 0
@@ -90,31 +86,37 @@
 	if len(s.attempts) == 0 {
 		return
 	}
-	placement := s.newPlacement()
+	pool := s.newPool()
+	runs := make([]*placement.Run, 0, len(s.attempts))
 	for running := range s.attempts {
-		state := s.replica(running.endpoint.Name)
-		patience := startPatience
-		if running.events.Load() > 0 {
-			patience = eventPatience
-		}
-		if state.loading(running.item.job.submission.Model) {
-			patience += loadPatience
-		}
+		run := pool.runOf(running)
+		runs = append(runs, run)
 		switch {
-		case placement.view.Replicas[running.endpoint.Name] == nil && !s.leavingReplicaMayFinish(running):
+		case pool.view.Replicas[running.endpoint.Name] == nil && !placement.MayFinish(run):
 			running.cut(ErrMoved)
-		case running.idle() > patience:
-			state.blockedUntil = time.Now().Add(stallBlock)
+		case placement.Stalled(run):
+			s.replica(running.endpoint.Name).blockedUntil = time.Now().Add(stallBlock)
 			running.cut(ErrStalled)
 		}
 	}
-	s.moveToFaster(placement)
+	move(placement.Moves(pool.paces, runs))
 }
 
-// leavingReplicaMayFinish tells whether a run at a replica that leaves is left
-// there: leaving replicas go on serving for a while.
-func (s *Service) leavingReplicaMayFinish(running *attempt) bool {
-	return running.idle() < eventPatience
+// move cuts runs that are to go on at other replicas.
+func move(moves []placement.Move) {
+	for _, next := range moves {
+		next.Run.Key.(*attempt).cut(ErrMoved)
+	}
+}
+
+// runOf is the view of a run.
+func (p *pool) runOf(running *attempt) *placement.Run {
+	work := running.item
+	return &placement.Run{
+		Key: running, Replica: running.endpoint.Name, Replicas: p.of(work), FailedAt: work.failedAt,
+		Events: int(running.events.Load()), Rest: placement.Remaining(work.expected, work.seen()), Idle: running.idle(),
+		Loading: p.service.replica(running.endpoint.Name).loading(work.job.submission.Model),
+	}
 }
 
 // stallBlock is how long a replica gets no items after one stalled there.
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -15,6 +15,7 @@
 	"github.com/pathtally/pathtally/internal/environment"
 	"github.com/pathtally/pathtally/internal/forward"
 	"github.com/pathtally/pathtally/internal/peering"
+	"github.com/pathtally/pathtally/internal/placement"
 )
 
 // Config is what a Service needs.
@@ -114,9 +115,7 @@
 	}
 }
 
-// sortQueue orders the items that wait: those of more urgent tenants or routes
-// first, then older jobs where they differ by much, then by rank. The mutex must
-// be held.
+// sortQueue orders the items that wait. The mutex must be held.
 func (s *Service) sortQueue() {
 	priorities := map[*job]int{}
 	configuration := s.config.Directory.View().Configuration
@@ -125,15 +124,10 @@
 			priorities[waiting.job] = priorityOf(configuration, waiting.job.record)
 		}
 	}
-	slices.SortStableFunc(s.queue, func(a, b *item) int {
-		if order := priorities[a.job] - priorities[b.job]; order != 0 {
-			return order
-		}
-		if order := a.job.takenUp.Truncate(ageStep).Compare(b.job.takenUp.Truncate(ageStep)); order != 0 {
-			return order
-		}
-		return a.rank - b.rank
-	})
+	view := func(waiting *item) placement.Item {
+		return placement.Item{Priority: priorities[waiting.job], TakenUp: waiting.job.takenUp, Rank: waiting.rank}
+	}
+	slices.SortStableFunc(s.queue, func(a, b *item) int { return placement.Compare(view(a), view(b)) })
 }
 
 // priorityOf is the rank of a job's items, 0 the most urgent: that of its tenant,
@@ -167,6 +161,3 @@
 func (s *Service) dropQueued(dropped *job) {
 	s.queue = slices.DeleteFunc(s.queue, func(waiting *item) bool { return waiting.job == dropped })
 }
-
-// ageStep is the difference in age from which an older job goes first.
-const ageStep = 2 * time.Second
--- a/internal/batch/start.go
+++ b/internal/batch/start.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/pathtally/pathtally/internal/placement"
 )
 
 // giveUpMargin is added to the time after which items may be given up, since the
@@ -60,7 +62,7 @@
 		elapsed := max(0, time.Since(time.UnixMilli(record.AcceptedMs)))
 		made.givenUpAt = made.takenUp.Add(retention + giveUpMargin - min(elapsed, retention))
 	}
-	ranks := rankItems(submission, s.lengths)
+	ranks := s.ranksOf(submission)
 	for _, submitted := range submission.Items {
 		standing := made.groups[submitted.Group]
 		if standing == nil {
@@ -79,6 +81,19 @@
 	return made
 }
 
+// ranksOf gives the items of a submission their order of work. The mutex must be held.
+func (s *Service) ranksOf(submission *Submission) map[string]int {
+	lengths := map[string]placement.Length{}
+	items := make([]placement.Submitted, 0, len(submission.Items))
+	for _, submitted := range submission.Items {
+		items = append(items, placement.Submitted{ID: submitted.ID, Group: submitted.Group, ExpectedTokens: submitted.ExpectedTokens})
+		if length, known := s.lengths[submitted.ID]; known {
+			lengths[submitted.ID] = length.Length
+		}
+	}
+	return placement.Rank(items, submission.Desired, lengths)
+}
+
 // settle marks an item as listed or finished.
 func (j *job) settle(id string) {
 	settled := j.items[id]
--- a/internal/batch/takeover_test.go
+++ b/internal/batch/takeover_test.go
@@ -311,6 +311,6 @@
 	eventually(t, "the other node knows the lengths", func() bool {
 		cluster.nodes[1].mutex.Lock()
 		defer cluster.nodes[1].mutex.Unlock()
-		return len(cluster.nodes[1].lengths) == 6 && cluster.nodes[1].lengths["job.0"].events == 1
+		return len(cluster.nodes[1].lengths) == 6 && cluster.nodes[1].lengths["job.0"].Events == 1
 	})
 }
--- /dev/null
+++ b/internal/placement/length.go
@@ -0,0 +1,35 @@
+package placement
+
+// Length is what earlier runs of an item have shown of its text.
+type Length struct {
+	// Events is the number of events that the text has: exactly so many where
+	// Whole is set, else at least as many.
+	Events int
+	Whole  bool
+}
+
+// Expected is the number of events to reckon with, 0 for nothing known. A text that
+// was not whole is taken to go on for a while.
+func (l Length) Expected() int {
+	if l.Whole || l.Events == 0 {
+		return l.Events
+	}
+	return l.Events + unseenEvents
+}
+
+// unseenEvents is how much longer than seen a text is taken to be that was cut.
+const unseenEvents = 20
+
+// Remaining is how many events an item is expected to make yet, of which so many are
+// expected in all (0 for nothing known) and so many made.
+func Remaining(expected, made int) int {
+	if expected > made {
+		return expected - made
+	}
+	return int(remainingShare * float64(made))
+}
+
+// remainingShare is the part of what an item has made so far that it is expected to
+// make yet where its length is not known: of long texts, those that have come far go
+// on for long.
+const remainingShare = 0.6
--- /dev/null
+++ b/internal/placement/paces.go
@@ -0,0 +1,53 @@
+package placement
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// leastPaced is how many replicas must have a pace for one to be slow.
+	leastPaced = 3
+	// slowRatio is from how many times the usual interval between events a replica
+	// counts as slow, and leastInterval below which none does.
+	slowRatio     = 1.7
+	leastInterval = 10 * time.Millisecond
+)
+
+// Paces are the times between events of a run at each replica where they are known.
+type Paces struct {
+	intervals map[string]time.Duration
+	// usual is the median, and least the shortest; zero if too few are known.
+	usual time.Duration
+	least time.Duration
+}
+
+// NewPaces returns the paces of replicas whose intervals are known.
+func NewPaces(intervals map[string]time.Duration) Paces {
+	known := Paces{intervals: intervals}
+	sorted := make([]time.Duration, 0, len(intervals))
+	for _, interval := range intervals {
+		sorted = append(sorted, interval)
+	}
+	if len(sorted) < leastPaced {
+		return known
+	}
+	slices.Sort(sorted)
+	known.usual = max(sorted[(len(sorted)-1)/2], leastInterval)
+	known.least = max(sorted[0], leastInterval)
+	return known
+}
+
+// slow tells whether a replica's events come much more slowly than the usual.
+func (p Paces) slow(replica string) bool {
+	return p.usual > 0 && float64(p.intervals[replica]) > slowRatio*float64(p.usual)
+}
+
+// excess is how much longer a replica's events take than the fastest's, as a part of
+// these; 0 where it is not known.
+func (p Paces) excess(replica string) float64 {
+	if p.least == 0 || p.intervals[replica] <= p.least {
+		return 0
+	}
+	return float64(p.intervals[replica])/float64(p.least) - 1
+}
--- /dev/null
+++ b/internal/placement/rank.go
@@ -0,0 +1,53 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Submitted is an item as its job was handed in.
+type Submitted struct {
+	ID    string
+	Group string
+	// ExpectedTokens is the caller's estimate of the answer's length, 0 for none.
+	ExpectedTokens float64
+}
+
+// Rank decides in which order the items of a job are run, as a rank for each. The
+// trainer waits for so many whole groups (0 for all), whichever they are, but for those
+// that it has asked for before, which it waits for in any case. These go first, the
+// longest of their items in front: earlier runs have shown that they are long. Of the
+// others, the groups expected to be longest that the trainer need not wait for go
+// last. Of the rest the quarter expected longest goes first, since it decides when the
+// rest is whole, and then the shortest: they soon make room for each other, so that
+// those among them that are long unforeseen are not begun late.
+func Rank(items []Submitted, desired int, lengths map[string]Length) map[string]int {
+	groups := groupsOf(items, lengths)
+	slices.SortStableFunc(groups, func(a, b *group) int { return cmp.Compare(b.length, a.length) })
+	markSpare(groups, desired)
+	var carried, wanted, spare []Submitted
+	for _, group := range groups {
+		switch {
+		case group.carried:
+			carried = append(carried, group.items...)
+		case group.spare:
+			spare = append(spare, group.items...)
+		default:
+			wanted = append(wanted, group.items...)
+		}
+	}
+	slices.SortStableFunc(wanted, func(a, b Submitted) int { return cmp.Compare(b.ExpectedTokens, a.ExpectedTokens) })
+	slices.Reverse(wanted[len(wanted)/longestPart:])
+	slices.SortStableFunc(carried, func(a, b Submitted) int {
+		return cmp.Compare(lengths[b.ID].Expected(), lengths[a.ID].Expected())
+	})
+	ranks := map[string]int{}
+	for _, item := range slices.Concat(carried, wanted, spare) {
+		ranks[item.ID] = len(ranks)
+	}
+	return ranks
+}
+
+// longestPart is the part of the items that go first because they are expected to be
+// the longest.
+const longestPart = 4
--- a/internal/batch/order_test.go
+++ b/internal/placement/rank_test.go
@@ -1,4 +1,4 @@
-package batch
+package placement
 
 import (
 	"fmt"
@@ -8,8 +8,8 @@
 )
 
 // ranked lists the items of a submission in their order of work.
-func ranked(submission *Submission, lengths map[string]knownLength) string {
-	ranks := rankItems(submission, lengths)
+func ranked(submission submission, lengths map[string]Length) string {
+	ranks := Rank(submission.items, submission.desired, lengths)
 	ids := make([]string, len(ranks))
 	for id, rank := range ranks {
 		ids[rank] = id
@@ -17,20 +17,26 @@
 	return strings.Join(ids, " ")
 }
 
+// submission is a job as it is handed in.
+type submission struct {
+	items   []Submitted
+	desired int
+}
+
 // submissionOf makes groups a, b, ... of two items each, with the lengths
 // expected.
-func submissionOf(desired int, lengths ...float64) *Submission {
-	made := &Submission{Desired: desired}
+func submissionOf(desired int, lengths ...float64) submission {
+	made := submission{desired: desired}
 	for place, length := range lengths {
 		group := string(rune('a' + place/2))
-		made.Items = append(made.Items, &Item{ID: fmt.Sprintf("%s%d", group, place%2), Group: group, ExpectedTokens: length})
+		made.items = append(made.items, Submitted{ID: fmt.Sprintf("%s%d", group, place%2), Group: group, ExpectedTokens: length})
 	}
 	return made
 }
 
 func TestItemsThatCameBackGoFirstTheLongestInFront(t *testing.T) {
 	submission := submissionOf(0, 1, 1, 9, 8, 1, 1)
-	lengths := map[string]knownLength{"c0": {events: 30, whole: true}, "c1": {events: 20}, "a0": {events: 90, whole: true}}
+	lengths := map[string]Length{"c0": {Events: 30, Whole: true}, "c1": {Events: 20}, "a0": {Events: 90, Whole: true}}
 	order := strings.Fields(ranked(submission, lengths))
 	// c1 was cut after 20 events and is taken to have 20 more; a1 has come back
 	// with its group, and nothing is known of it.
