--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -50,7 +50,9 @@
 	ctx, cancel := context.WithCancelCause(waiting.job.ctx)
 	running := &attempt{item: waiting, endpoint: endpoint, cancel: cancel, begun: time.Now(), after: len(waiting.progress.events)}
 	waiting.running = running
-	waiting.runs++
+	if waiting.runs++; waiting.runs == 1 {
+		waiting.waited = running.begun.Sub(waiting.job.takenUp)
+	}
 	s.attempts[running] = true
 	s.replica(endpoint.Name).running++
 	s.metrics.runs.Inc()
@@ -177,12 +179,8 @@
 	}
 	running.longestGap = max(running.longestGap, interval)
 	state := s.replica(running.endpoint.Name)
-	state.observed, state.blocks = time.Now(), 0
-	if state.interval == 0 {
-		state.interval = interval
-		return
-	}
-	state.interval += time.Duration(paceShare * float64(interval-state.interval))
+	state.observed, state.blocks, state.unproven = time.Now(), 0, false
+	state.pace.Observe(interval, state.running)
 }
 
 // ran ends a run: the item is done with, waits for another run, or failed.
@@ -193,11 +191,12 @@
 	delete(s.attempts, running)
 	state := s.replica(running.endpoint.Name)
 	state.running--
-	work.running = nil
+	work.running, work.lastRun = nil, running
 	work.events = max(work.events, len(work.progress.events))
 	defer s.nudge()
 	if err == nil {
 		state.failures.observe(false, time.Now())
+		s.eventRate(work.job.submission.Model).Observe(work.ExpectedTokens, len(work.progress.events))
 	}
 	if work.job.ended || work.job.displaced || err == nil {
 		return
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/pathtally/pathtally/internal/placement"
 )
 
 // job is a batch job that this node runs. The service's mutex guards it.
@@ -14,6 +16,10 @@
 	takenUp time.Time
 	// givenUpAt is when items may be given up, zero for never.
 	givenUpAt time.Time
+	// due is when the job is to be whole, zero for no such time, and objective how long
+	// after its acceptance that is.
+	due       time.Time
+	objective time.Duration
 
 	items map[string]*item
 	// order lists the items as submitted.
@@ -65,6 +71,9 @@
 // group counts the items of a group that have no result yet.
 type group struct {
 	open int
+	// carried is set where an earlier job ended without the group, so that the trainer
+	// waits for it in any case.
+	carried bool
 }
 
 // item is the state of one item on its way. The service's mutex guards it.
@@ -72,8 +81,10 @@
 	*Item
 	job   *job
 	group *group
-	// rank is the item's place in the order of work.
-	rank int
+	// rank is the item's place in the order of work of its job.
+	rank placement.Rank
+	// urgent is set while it waits and its job has no time to lose with it.
+	urgent bool
 
 	progress progress
 	// saved is how many events of the text the store has, and texts how often the text
@@ -95,6 +106,12 @@
 	failedAt    []string
 	// breaks counts runs that ended without a reason that the item gave.
 	breaks int
+	// stalls counts runs that were cut because nothing came.
+	stalls int
+	// waited is how long after the job's start here the first run began, and lastRun the
+	// run that ended last.
+	waited  time.Duration
+	lastRun *attempt
 	// notBefore is when the item may run again.
 	notBefore time.Time
 }
--- a/internal/batch/publish.go
+++ b/internal/batch/publish.go
@@ -35,46 +35,45 @@
 	// groupGather is how long results wait for others once a group is whole and
 	// its trainer may soon have what it waits for. Before that nobody waits for
 	// single results, and appends are resultGather apart, as savings of texts are:
-	// an owner that is lost costs the running of what finished since.
+	// an owner that is lost costs the running of what finished since. From that long
+	// before the job is due they are dueGather apart, since whole groups count for
+	// less afterwards.
 	groupGather  = 40 * time.Millisecond
 	resultGather = textPeriod
-	gatherLook   = 20 * time.Millisecond
+	dueGather    = 500 * time.Millisecond
+	// endGather is how much longer results wait for texts that are about to end.
+	endGather  = 500 * time.Millisecond
+	gatherLook = 20 * time.Millisecond
 )
 
-// gather waits a little after the last append, so that results close together are
-// one object.
+// gather waits a little after the last append, so that results close together are one
+// object.
 func (s *Service) gather(published *job, appended time.Time) {
-	limit := appended.Add(resultGather)
-	for time.Now().Before(limit) {
-		s.mutex.Lock()
-		soon := (published.flushSoon && published.nearlyWhole()) || published.remaining() == 0
-		s.mutex.Unlock()
-		if soon {
-			objectstore.Sleep(published.ctx, groupGather)
+	for {
+		pause, done := s.gatherPause(published, time.Since(appended))
+		if pause > 0 && !objectstore.Sleep(published.ctx, pause) {
 			return
 		}
-		if !objectstore.Sleep(published.ctx, gatherLook) {
+		if done {
 			return
 		}
 	}
 }
 
-// nearlyPart is the part of the desired groups from which on each whole one is
-// listed without delay.
-const nearlyPart = 0.8
-
-// nearlyWhole tells whether so many groups are whole that the trainer may soon
-// have what it waits for; without a trainer any whole group counts. The mutex
-// must be held.
-func (j *job) nearlyWhole() bool {
-	whole := 0
-	for _, group := range j.groups {
-		if group.open == 0 {
-			whole++
-		}
-	}
-	desired := min(len(j.groups), max(j.submission.Desired, 1))
-	return float64(whole) >= nearlyPart*float64(desired)
+// gatherPause is how long results are gathered yet before another look, or with done
+// before they are listed.
+func (s *Service) gatherPause(published *job, waited time.Duration) (pause time.Duration, done bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	switch {
+	case published.hasDesired() && published.listsSoon(time.Now()):
+		return 0, true
+	case published.listsSoon(time.Now()):
+		return groupGather, true
+	case waited >= published.gatherTime(time.Now(), s.eventRate(published.submission.Model).Longest()):
+		return 0, true
+	}
+	return gatherLook, false
 }
 
 // remaining counts the items without a result.
@@ -91,7 +90,7 @@
 	results := boundedPart(published.finished)
 	published.flushSoon = false
 	published.serial++
-	written := chunk{Writer: s.writerName(), Serial: published.serial, Results: results, Texts: published.unsavedTexts()}
+	written := chunk{Writer: s.writerName(), Serial: published.serial, Results: results, Texts: published.unsavedTexts(len(results) > 0)}
 	index := published.chunks
 	if len(results) == 0 && len(written.Texts) == 0 {
 		s.mutex.Unlock()
--- a/internal/batch/publish_test.go
+++ b/internal/batch/publish_test.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 
+	"github.com/pathtally/pathtally/internal/directory"
 	"github.com/pathtally/pathtally/standin/metastore"
 )
 
@@ -49,7 +50,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		store := metastore.New()
-		service := &Service{config: Config{Journal: NewJournal(store), Logger: klog.Background()}, metrics: newMetrics(prometheus.NewRegistry())}
+		service := NewService(ctx, Config{
+			Journal: NewJournal(store), Directory: directory.NewTable("node", "zone", nil, klog.Background()), Logger: klog.Background(), Registry: prometheus.NewRegistry(),
+		})
 		held := &job{
 			id: "job", submission: &Submission{Desired: 2}, items: map[string]*item{}, groups: map[string]*group{},
 			flush: make(chan struct{}, 1), changed: make(chan struct{}), ctx: ctx, cancel: cancel, appends: ctx, takenUp: time.Now(),
@@ -96,3 +99,47 @@
 		cancel()
 	})
 }
+
+// Readers come back half a second after each answer. Results that were listed some
+// hundredths of a second before the last group that a trainer waited for used to make it
+// wait that long for this one.
+func TestResultsBeforeTheLastDesiredGroupAreListedWithIt(t *testing.T) {
+	now := time.Now()
+	const longest = 146
+	for _, test := range []struct {
+		name    string
+		whole   int
+		due     time.Time
+		carried bool
+		events  int
+		soon    bool
+		limit   time.Duration
+	}{
+		{"most whole, due later", 9, now.Add(2 * time.Second), false, 80, false, resultGather},
+		{"most whole, the last about to end", 9, now.Add(2 * time.Second), false, 140, false, resultGather + endGather},
+		{"fewer whole, two about to end", 8, now.Add(2 * time.Second), false, 140, false, resultGather},
+		{"most whole, just due", 9, now.Add(-lateGrace / 2), false, 80, false, dueGather},
+		{"most whole, late", 9, now.Add(-time.Second), false, 80, true, dueGather},
+		{"most whole, no time named", 9, time.Time{}, false, 140, true, resultGather},
+		{"half whole, late", 5, now.Add(-time.Second), false, 80, false, dueGather},
+		{"as many whole as desired", 10, now.Add(2 * time.Second), false, 80, true, resultGather},
+		{"as many whole as desired, not one that came back", 10, now.Add(2 * time.Second), true, 80, false, resultGather},
+		{"as many whole as desired, one that came back about to end", 10, now.Add(2 * time.Second), true, 140, false, resultGather + endGather},
+	} {
+		held := &job{submission: &Submission{Desired: 10}, due: test.due, flushSoon: true, groups: map[string]*group{}, items: map[string]*item{}}
+		for number := range 12 {
+			name, made := fmt.Sprint(number), &group{}
+			if number >= test.whole {
+				made.open, made.carried = 1, test.carried && number == test.whole
+				held.items[name] = &item{Item: &Item{ID: name}, group: made}
+			}
+			held.groups[name] = made
+		}
+		if next := held.items[fmt.Sprint(test.whole)]; next != nil {
+			next.events = test.events
+		}
+		if soon, limit := held.listsSoon(now), held.gatherTime(now, longest); soon != test.soon || limit != test.limit {
+			t.Errorf("%s: %t within %s", test.name, soon, limit)
+		}
+	}
+}
--- a/internal/batch/replicas.go
+++ b/internal/batch/replicas.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/pathtally/pathtally/internal/directory"
+	"github.com/pathtally/pathtally/internal/placement"
 	"github.com/pathtally/pathtally/internal/wire"
 )
 
@@ -12,8 +13,6 @@
 	usesAge = 1500 * time.Millisecond
 	// loadingAge is for how long a replica is believed to load weights.
 	loadingAge = 4 * time.Second
-	// paceShare is the part of a new interval in a replica's average.
-	paceShare = 0.25
 )
 
 // replicaState is what this node has seen of a replica as a place for items.
@@ -22,6 +21,9 @@
 	running int
 	// blockedUntil is when it is worth trying again after it turned work away.
 	blockedUntil time.Time
+	// unproven is set from a run that broke off before its first event until the next
+	// event.
+	unproven bool
 	// blocks counts how often in a row it gave nothing when it was tried.
 	blocks   int
 	versions map[string]int64
@@ -29,8 +31,8 @@
 	loadingSince map[string]time.Time
 	// failures is how many of its runs it says have failed.
 	failures failureRate
-	// interval is the average time between events of a run, 0 if unknown.
-	interval time.Duration
+	// pace is that of its runs as this node has seen it, lastly at observed.
+	pace     placement.Pace
 	observed time.Time
 }
 
--- a/internal/batch/scheduler.go
+++ b/internal/batch/scheduler.go
@@ -4,17 +4,17 @@
 	"context"
 	"slices"
 	"time"
+
+	"github.com/pathtally/pathtally/internal/placement"
 )
 
 const (
 	// lookPeriod is the time between looks at runs that may have stalled.
 	lookPeriod = 100 * time.Millisecond
-	// startPatience is how long a run may take to its first event, and
-	// eventPatience how long between events.
-	startPatience = 900 * time.Millisecond
-	eventPatience = 500 * time.Millisecond
-	// loadPatience is added while the replica changes weights.
-	loadPatience = 2500 * time.Millisecond
+	// pausedLook is the time between two looks from which on this process counts as
+	// having stood still. What came meanwhile has yet to be read, so that all runs
+	// seem to have stalled: they are looked at the next time.
+	pausedLook = 4 * lookPeriod
 	// idleLook is the time between looks while nothing is to be done.
 	idleLook = 2 * time.Second
 )
@@ -23,6 +23,7 @@
 func (s *Service) schedule(ctx context.Context) {
 	timer := time.NewTimer(idleLook)
 	defer timer.Stop()
+	inspected := time.Now()
 	for {
 		changed := s.config.Directory.Changed()
 		busy := s.assign()
@@ -30,13 +31,22 @@
 		if busy {
 			wait = lookPeriod
 		}
-		timer.Reset(wait)
+		// Wakes come more often than looks are due where many nodes run jobs, so the
+		// time of the next look does not start anew with each.
+		timer.Reset(max(0, wait-time.Since(inspected)))
 		select {
 		case <-ctx.Done():
 			return
 		case <-s.wake:
 		case <-changed:
 		case <-timer.C:
+		}
+		since := time.Since(inspected)
+		if since < lookPeriod {
+			continue
+		}
+		inspected = time.Now()
+		if since < pausedLook {
 			s.inspect()
 		}
 	}
@@ -49,7 +59,7 @@
 	if len(s.queue) == 0 {
 		return len(s.attempts) > 0
 	}
-	placement := s.newPlacement()
+	pool := s.newPool()
 	full := map[*job]bool{}
 	s.queue = slices.DeleteFunc(s.queue, func(waiting *item) bool {
 		if waiting.done || waiting.job.ended || waiting.job.displaced {
@@ -61,13 +71,13 @@
 		if s.expire(waiting) {
 			return true
 		}
-		chosen := placement.pick(waiting)
+		chosen := pool.pick(waiting)
 		if chosen == nil {
 			full[waiting.job] = true
 			return false
 		}
-		chosen.load++
-		s.launch(waiting, chosen.endpoint)
+		chosen.Load++
+		s.launch(waiting, pool.endpoints[chosen.Name])
 		return true
 	})
 	return len(s.queue) > 0 || len(s.attempts) > 0
@@ -90,31 +100,39 @@
 	if len(s.attempts) == 0 {
 		return
 	}
-	placement := s.newPlacement()
+	pool := s.newPool()
+	runs := make([]*placement.Run, 0, len(s.attempts))
 	for running := range s.attempts {
-		state := s.replica(running.endpoint.Name)
-		patience := startPatience
-		if running.events.Load() > 0 {
-			patience = eventPatience
-		}
-		if state.loading(running.item.job.submission.Model) {
-			patience += loadPatience
-		}
+		run := pool.runOf(running)
+		runs = append(runs, run)
 		switch {
-		case placement.view.Replicas[running.endpoint.Name] == nil && !s.leavingReplicaMayFinish(running):
-			running.cut(ErrMoved)
-		case running.idle() > patience:
-			state.blockedUntil = time.Now().Add(stallBlock)
-			running.cut(ErrStalled)
+		case pool.view.Replicas[running.endpoint.Name] == nil && !placement.MayFinish(run):
+			running.cut(&CutError{Cause: ErrMoved, Reason: placement.ReasonGone})
+		case placement.Stalled(pool.paces, run):
+			state := s.replica(running.endpoint.Name)
+			state.blockedUntil, state.unproven = time.Now().Add(stallBlock), true
+			running.cut(&CutError{Cause: ErrStalled, Reason: placement.ReasonStalled})
 		}
 	}
-	s.moveToFaster(placement)
+	move(placement.Moves(pool.paces, runs))
 }
 
-// leavingReplicaMayFinish tells whether a run at a replica that leaves is left
-// there: leaving replicas go on serving for a while.
-func (s *Service) leavingReplicaMayFinish(running *attempt) bool {
-	return running.idle() < eventPatience
+// move cuts runs that are to go on at other replicas.
+func move(moves []placement.Move) {
+	for _, next := range moves {
+		next.Run.Key.(*attempt).cut(&CutError{Cause: ErrMoved, Reason: next.Reason})
+	}
+}
+
+// runOf is the view of a run.
+func (p *pool) runOf(running *attempt) *placement.Run {
+	work := running.item
+	return &placement.Run{
+		Key: running, Replica: running.endpoint.Name, Replicas: p.of(work), FailedAt: work.failedAt,
+		Events: int(running.events.Load()), Rest: p.service.rest(work), Idle: running.idle(),
+		Due: !work.job.due.IsZero(), Left: work.job.due.Sub(p.now),
+		Loading: p.service.replica(running.endpoint.Name).loading(work.job.submission.Model),
+	}
 }
 
 // stallBlock is how long a replica gets no items after one stalled there.
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -15,6 +15,7 @@
 	"github.com/pathtally/pathtally/internal/environment"
 	"github.com/pathtally/pathtally/internal/forward"
 	"github.com/pathtally/pathtally/internal/peering"
+	"github.com/pathtally/pathtally/internal/placement"
 )
 
 // Config is what a Service needs.
@@ -62,7 +63,10 @@
 	tolerances map[string]int64
 	// lengths are what earlier runs have shown of items that jobs ended
 	// without, and toldLengths those that this node tells the others of.
-	lengths     map[string]knownLength
+	lengths map[string]knownLength
+	// eventRates are how many events the texts of each model have for each token
+	// expected.
+	eventRates  map[string]*placement.EventRate
 	toldLengths []toldLength
 	// works are what batch jobs of late had to do, by id.
 	works map[string]knownWork
@@ -82,7 +86,7 @@
 	return &Service{
 		config: config, base: base, metrics: newMetrics(config.Registry),
 		jobs: map[string]*job{}, known: map[string]*foreign{}, ends: newEndRegister(), pursued: map[string]bool{}, accepting: map[string]*acceptance{},
-		replicas: map[string]*replicaState{}, uses: map[string]nodeUses{}, attempts: map[*attempt]bool{}, tolerances: map[string]int64{}, lengths: map[string]knownLength{}, works: map[string]knownWork{}, avoided: map[string]time.Time{}, storedLoads: map[string]*storedLoad{},
+		replicas: map[string]*replicaState{}, uses: map[string]nodeUses{}, attempts: map[*attempt]bool{}, tolerances: map[string]int64{}, lengths: map[string]knownLength{}, eventRates: map[string]*placement.EventRate{}, works: map[string]knownWork{}, avoided: map[string]time.Time{}, storedLoads: map[string]*storedLoad{},
 		rewardBounds: map[string]*admission.Adaptive{},
 		wake:         make(chan struct{}, 1),
 	}
@@ -121,28 +125,6 @@
 	}
 }
 
-// sortQueue orders the items that wait: those of more urgent tenants or routes
-// first, then older jobs where they differ by much, then by rank. The mutex must
-// be held.
-func (s *Service) sortQueue() {
-	priorities := map[*job]int{}
-	configuration := s.config.Directory.View().Configuration
-	for _, waiting := range s.queue {
-		if _, known := priorities[waiting.job]; !known {
-			priorities[waiting.job] = priorityOf(configuration, waiting.job.record)
-		}
-	}
-	slices.SortStableFunc(s.queue, func(a, b *item) int {
-		if order := priorities[a.job] - priorities[b.job]; order != 0 {
-			return order
-		}
-		if order := a.job.takenUp.Truncate(ageStep).Compare(b.job.takenUp.Truncate(ageStep)); order != 0 {
-			return order
-		}
-		return a.rank - b.rank
-	})
-}
-
 // priorityOf is the rank of a job's items, 0 the most urgent: that of its tenant,
 // else that of its route.
 func priorityOf(configuration *directory.Configuration, record Record) int {
@@ -174,6 +156,3 @@
 func (s *Service) dropQueued(dropped *job) {
 	s.queue = slices.DeleteFunc(s.queue, func(waiting *item) bool { return waiting.job == dropped })
 }
-
-// ageStep is the difference in age from which an older job goes first.
-const ageStep = 2 * time.Second
--- a/internal/batch/start.go
+++ b/internal/batch/start.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/pathtally/pathtally/internal/placement"
 )
 
 // giveUpMargin is added to the time after which items may be given up, since the
@@ -60,7 +62,8 @@
 		elapsed := max(0, time.Since(time.UnixMilli(record.AcceptedMs)))
 		made.givenUpAt = made.takenUp.Add(retention + giveUpMargin - min(elapsed, retention))
 	}
-	ranks := rankItems(submission, s.lengths)
+	made.due, made.objective = s.dueOf(record)
+	ranks := s.ranksOf(submission)
 	for _, submitted := range submission.Items {
 		standing := made.groups[submitted.Group]
 		if standing == nil {
@@ -68,6 +71,7 @@
 			made.groups[submitted.Group] = standing
 		}
 		standing.open++
+		standing.carried = standing.carried || ranks[submitted.ID].Carried
 		made.order = append(made.order, submitted.ID)
 		made.items[submitted.ID] = &item{
 			Item: submitted, job: made, group: standing, rank: ranks[submitted.ID], expected: s.expectedEvents(submitted.ID),
@@ -79,6 +83,19 @@
 	return made
 }
 
+// ranksOf gives the items of a submission their order of work. The mutex must be held.
+func (s *Service) ranksOf(submission *Submission) map[string]placement.Rank {
+	lengths := map[string]placement.Length{}
+	items := make([]placement.Submitted, 0, len(submission.Items))
+	for _, submitted := range submission.Items {
+		items = append(items, placement.Submitted{ID: submitted.ID, Group: submitted.Group, ExpectedTokens: submitted.ExpectedTokens})
+		if length, known := s.lengths[submitted.ID]; known {
+			lengths[submitted.ID] = length.Length
+		}
+	}
+	return placement.RankItems(items, submission.Desired, lengths)
+}
+
 // settle marks an item as listed or finished.
 func (j *job) settle(id string) {
 	settled := j.items[id]
@@ -89,6 +106,20 @@
 	settled.group.open--
 }
 
+// dueOf is when a job is to be whole and how long after its acceptance that is; zero for
+// a route that names no time.
+func (s *Service) dueOf(record Record) (time.Time, time.Duration) {
+	configuration := s.config.Directory.View().Configuration
+	if configuration == nil {
+		return time.Time{}, 0
+	}
+	route := routeOf(configuration, record.Route)
+	if route == nil || route.CompletionObjective == 0 {
+		return time.Time{}, 0
+	}
+	return time.UnixMilli(record.AcceptedMs).Add(route.CompletionObjective), route.CompletionObjective
+}
+
 // retention is after how long items of a job may be given up, 0 for never.
 func (s *Service) retention(record Record) time.Duration {
 	configuration := s.config.Directory.View().Configuration
--- /dev/null
+++ b/internal/placement/run.go
@@ -0,0 +1,37 @@
+package placement
+
+import "time"
+
+// Run is a run of an item at a replica.
+type Run struct {
+	// Key identifies the run to the caller.
+	Key any
+	// Replica is where it runs, and Replicas are those where its item may run.
+	Replica  string
+	Replicas []*Replica
+	// FailedAt names the replicas that have failed the item.
+	FailedAt []string
+	// Events is how many events the run has made, and Rest how many its item is
+	// expected to make yet.
+	Events int
+	Rest   int
+	// Due tells that its job has a time to be whole, and Left how long that is yet.
+	Due  bool
+	Left time.Duration
+	// Idle is how long nothing has come.
+	Idle time.Duration
+	// Loading tells that its replica changes weights.
+	Loading bool
+}
+
+// wish is what the run's item asks of another replica.
+func (r *Run) wish() Wish { return Wish{FailedAt: r.FailedAt, Urgent: true} }
+
+// restAt is how long the rest takes where an event takes so long.
+func (r *Run) restAt(interval time.Duration) time.Duration { return time.Duration(r.Rest) * interval }
+
+// endsInTime tells whether the run ends before its job is due, with something to spare,
+// where an event takes so long; true for a job that has no such time.
+func (r *Run) endsInTime(interval, spare time.Duration) bool {
+	return !r.Due || r.restAt(interval)+spare <= r.Left
+}
