--- a/internal/directory/evacuation.go
+++ b/internal/directory/evacuation.go
@@ -81,7 +81,7 @@
 	next.Evacuated[zone] = time.Now()
 	delete(next.EvacuationEnded, zone)
 	replicas := next.EndpointsIn(zone)
-	if len(replicas) == 0 {
+	if len(replicas) == 0 && next.ReplicasKnown {
 		t.logger.Info("evacuation of a zone without replicas", "evacuated", zone)
 		return
 	}
