--- a/internal/weightorders/plan_test.go
+++ b/internal/weightorders/plan_test.go
@@ -177,7 +177,7 @@
 	table.SetVersion("n", 1)
 	table.SetEvacuations([]string{"b"})
 	models := map[string]bool{}
-	for _, open := range tasks(table.View(), known{}, nil) {
+	for _, open := range tasks(table.View(), known{}, homesOf(table.View(), nil)) {
 		models[open.model] = true
 		if open.target.ID != "1" {
 			t.Errorf("replica %s is to be ordered", open.target.ID)
