slowstart: gates and questions in files of their own, quieter asker

Change: the first of several questions without an answer is logged; views without a warming replica wake nobody. No change of what is allotted or sent.

--- a/internal/slowstart/asker.go
+++ b/internal/slowstart/asker.go
@@ -42,77 +42,19 @@
 	config  AskerConfig
 	metrics *askerMetrics
 	wanted  chan struct{}
+	// unanswered counts the questions in a row without an answer, of which the first
+	// is logged. It belongs to Run.
+	unanswered int
 
 	mutex sync.Mutex
 	kept  map[string]*keptGate
 }
 
-// keptGate is the gate of a replica that warms up.
-type keptGate struct {
-	gate   *Gate
-	counts *gateCounts
-}
-
 // NewAsker returns an asker that asks nothing before Run.
 func NewAsker(config AskerConfig) *Asker {
 	return &Asker{config: config, metrics: newAskerMetrics(config.Registry), wanted: make(chan struct{}, 1), kept: map[string]*keptGate{}}
 }
 
-// SetWarming names all replicas that warm up. On return their gates are closed but
-// for what is allotted. Those of other listed replicas are open; that of a replica
-// that is gone stays closed to requests which chose it before, until it would have
-// been warm.
-func (a *Asker) SetWarming(warming []Warming, isListed func(replica string) bool) {
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	named := make(map[string]bool, len(warming))
-	for _, replica := range warming {
-		named[replica.Replica] = true
-		a.bound(replica)
-	}
-	for replica, kept := range a.kept {
-		if named[replica] {
-			continue
-		}
-		if isListed(replica) {
-			kept.gate.bounds.Store(nil)
-		}
-		a.forget(replica, kept)
-	}
-	a.metrics.warming.Set(float64(len(a.kept)))
-	a.wake()
-}
-
-// bound closes the gate of a replica, or changes until when it is closed. The mutex
-// must be held.
-func (a *Asker) bound(replica Warming) {
-	kept := a.kept[replica.Replica]
-	if kept != nil && kept.gate != replica.Gate {
-		a.forget(replica.Replica, kept)
-		kept = nil
-	}
-	if kept == nil {
-		kept = &keptGate{gate: replica.Gate, counts: &gateCounts{}}
-		a.kept[replica.Replica] = kept
-		kept.gate.bounds.Store(&bounds{until: replica.Until, clock: a.config.Clock, counts: kept.counts, wake: a.wake})
-		a.config.Logger.Info("replica warms up", "replica", replica.Replica, "forMs", replica.Until.Sub(a.config.Clock()).Milliseconds())
-		return
-	}
-	if standing := kept.gate.bounds.Load(); !standing.until.Equal(replica.Until) {
-		next := *standing
-		next.until = replica.Until
-		kept.gate.bounds.Store(&next)
-	}
-}
-
-// forget ends the keeping of a gate. The mutex must be held.
-func (a *Asker) forget(replica string, kept *keptGate) {
-	delete(a.kept, replica)
-	used := kept.counts.used.Load()
-	a.metrics.used.Add(float64(used))
-	a.config.Logger.Info("replica is warm or gone", "replica", replica, "sentMeanwhile", used)
-}
-
 // wake has Run look for what is wanted.
 func (a *Asker) wake() {
 	select {
@@ -138,36 +80,6 @@
 	}
 }
 
-// idleLook is the time between looks while nothing warms up; what begins to wakes
-// the asker.
-const idleLook = time.Minute
-
-// untilNextEnd is the time until the next replica is warm.
-func (a *Asker) untilNextEnd() time.Duration {
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	now := a.config.Clock()
-	next := idleLook
-	for _, kept := range a.kept {
-		next = min(next, kept.gate.bounds.Load().until.Sub(now))
-	}
-	return max(0, next)
-}
-
-// releaseWarm opens the gates of the replicas that have become warm.
-func (a *Asker) releaseWarm() {
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	now := a.config.Clock()
-	for replica, kept := range a.kept {
-		if !now.Before(kept.gate.bounds.Load().until) {
-			kept.gate.bounds.Store(nil)
-			a.forget(replica, kept)
-		}
-	}
-	a.metrics.warming.Set(float64(len(a.kept)))
-}
-
 // ask asks once for all that is wanted.
 func (a *Asker) ask(ctx context.Context) {
 	wanted := a.question()
@@ -179,9 +91,13 @@
 	defer cancel()
 	allotted, span, err := a.config.Ask(ctx, wanted)
 	if err != nil {
-		a.config.Logger.V(1).Info("no answer about warming replicas", "error", err.Error())
+		a.unanswered++
+		if a.unanswered == 1 {
+			a.config.Logger.Info("no answer about warming replicas", "replicas", len(wanted), "error", err.Error())
+		}
 		return
 	}
+	a.unanswered = 0
 	a.answered(sent, span, allotted)
 }
 
@@ -191,6 +107,9 @@
 	defer a.mutex.Unlock()
 	var wanted []wire.ReplicaCount
 	for replica, kept := range a.kept {
+		if !kept.gate.Wanted() {
+			continue
+		}
 		demand := min(int(kept.counts.demand.Swap(0)), mostWanted) - kept.gate.Left()
 		if demand > 0 {
 			wanted = append(wanted, wire.ReplicaCount{Replica: replica, Count: uint32(demand)})
