--- a/internal/batch/placement.go
+++ b/internal/batch/placement.go
@@ -135,7 +135,7 @@
 		}
 		shared := p.byName[endpoint.Name]
 		if shared == nil {
-			shared = &place{endpoint: endpoint, load: p.loads[endpoint.Name], most: endpoint.Slots, bias: p.bias(endpoint.Name, state, now) + p.service.away(endpoint.Name, key.model)}
+			shared = &place{endpoint: endpoint, load: p.loads[endpoint.Name], most: endpoint.Slots, bias: p.bias(endpoint.Name, state, now)}
 			if state.failures.failing(now) {
 				shared.most = min(failingRuns, endpoint.Slots)
 			}
--- a/internal/batch/replicas_test.go
+++ b/internal/batch/replicas_test.go
@@ -152,22 +152,6 @@
 	}
 }
 
-// Replicas that keep up with the items' model are filled before others get any, and
-// no item waits while those have room.
-func TestPlacementFillsTheReplicasThatKeepUpWithAModelFirst(t *testing.T) {
-	service, waiting := placing(3)
-	service.SetKeepers(map[string]map[string]bool{"m": {"replica-1": true}})
-	placement := service.newPlacement()
-	order := ""
-	for chosen := placement.pick(waiting); chosen != nil; chosen = placement.pick(waiting) {
-		chosen.load++
-		order += chosen.endpoint.Name[len("replica-"):]
-	}
-	if len(order) != 18 || order[:6] != "111111" {
-		t.Errorf("items went to %s", order)
-	}
-}
-
 func BenchmarkPlacementOf200ItemsAmong3000Replicas(b *testing.B) {
 	service, waiting := placing(3000)
 	for b.Loop() {
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -48,11 +48,9 @@
 	accepting map[string]*acceptance
 	queue     []*item
 	replicas  map[string]*replicaState
-	// keepers are the replicas that keep up with each model.
-	keepers  map[string]map[string]bool
-	uses     map[string]nodeUses
-	attempts map[*attempt]bool
-	ends     endRegister
+	uses      map[string]nodeUses
+	attempts  map[*attempt]bool
+	ends      endRegister
 	// pursued are the jobs whose end is being made lasting after its caller's time.
 	pursued map[string]bool
 	// tolerances gives by how many versions the weights of a model may be
--- a/internal/instance/assemble.go
+++ b/internal/instance/assemble.go
@@ -89,7 +89,6 @@
 	i.weights = weightorders.NewCoordinator(weightorders.Config{
 		Keeper: i.duty, Directory: i.directory, Replicas: i.adapter.Orders(i.pool), Logger: i.logger, Registry: i.registry,
 		Load: i.jobs.Load, Tolerance: i.jobs.Tolerance, Demand: i.jobs.Demand, OnChange: i.jobs.NoteVersion, Changed: i.peers.Changed,
-		OnKeepers: i.jobs.SetKeepers,
 	})
 	if duties.Usage != nil {
 		i.usage = i.newUsage(self, duties.Usage)
--- a/internal/weightorders/coordinator.go
+++ b/internal/weightorders/coordinator.go
@@ -57,8 +57,6 @@
 	// have to do with it.
 	OnChange func(change wire.ReplicaVersion)
 	Changed  func()
-	// OnKeepers is told which replicas keep up with each model; nil is not.
-	OnKeepers func(keepers map[string]map[string]bool)
 }
 
 // Coordinator gives orders while it holds the lease. It is safe for use by
@@ -122,13 +120,8 @@
 // step gives the orders that are due and returns when to look again.
 func (c *Coordinator) step(ctx context.Context) time.Duration {
 	view := c.config.Directory.View()
-	if view.Configuration == nil {
-		return outsiderPause
-	}
 	c.forgetGone(view.Replicas)
-	homes := homesOf(view, c.plannedDemand())
-	c.tellKeepers(homes)
-	open := tasks(view, c, homes)
+	open := tasks(view, c, c.plannedDemand())
 	open = slices.DeleteFunc(open, c.isUnderWay)
 	c.mutex.Lock()
 	idle := len(open) == 0 && len(c.loading) == 0
--- a/internal/weightorders/coordinator_test.go
+++ b/internal/weightorders/coordinator_test.go
@@ -54,16 +54,7 @@
 	replicas     *orderedReplicas
 	mutex        sync.Mutex
 	coordinators []*Coordinator
-	// keepers are those told last.
-	keepers map[string]map[string]bool
-	stop    context.CancelFunc
-}
-
-// keep takes which replicas keep up with each model.
-func (f *fleet) keep(keepers map[string]map[string]bool) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	f.keepers = keepers
+	stop         context.CancelFunc
 }
 
 func newFleet() *fleet {
@@ -86,7 +77,7 @@
 		made := NewCoordinator(Config{
 			Keeper: keeper, Directory: f.table, Replicas: f.replicas, Logger: klog.Background(), Registry: prometheus.NewRegistry(),
 			Load: func(string) int { return 0 }, Tolerance: func(string) int64 { return 0 }, Demand: func() map[string]float64 { return nil }, OnChange: f.list,
-			Changed: func() { f.tell(keeper) }, OnKeepers: f.keep,
+			Changed: func() { f.tell(keeper) },
 		})
 		coordinators = append(coordinators, made)
 	}
@@ -187,21 +178,3 @@
 		time.Sleep(time.Minute)
 	})
 }
-
-// Also nodes that are no candidates for the lease learn soon which replicas keep up
-// with a model: they run batch jobs.
-func TestAllNodesLearnWhichReplicasKeepUp(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet()
-		f.start(t.Context(), "first", "one")
-		time.Sleep(3 * time.Second)
-		f.mutex.Lock()
-		keepers := f.keepers["m"]
-		f.mutex.Unlock()
-		if len(keepers) != 2 || !keepers["a"] || !keepers["b"] {
-			t.Errorf("replicas that keep up: %v", keepers)
-		}
-		f.stop()
-		time.Sleep(time.Minute)
-	})
-}
--- a/internal/weightorders/plan.go
+++ b/internal/weightorders/plan.go
@@ -61,12 +61,13 @@
 	return open
 }
 
-// homesOf gives each model the replicas that keep up with it.
-func homesOf(view *directory.View, demand map[string]float64) map[string][]*directory.Replica {
-	all := map[string][]*directory.Replica{}
+// tasks are all replicas that lack the named version of a model that they keep
+// up with.
+func tasks(view *directory.View, known knowledge, demand map[string]float64) []task {
 	if view.Configuration == nil {
-		return all
+		return nil
 	}
+	var open []task
 	byService := map[string][]*directory.Replica{}
 	for _, replica := range view.Replicas {
 		byService[replica.Service] = append(byService[replica.Service], replica)
@@ -77,19 +78,9 @@
 		}
 		service := view.Configuration.Services[name]
 		for model, kept := range homes(replicas, sharesOf(service.Engine.Models, demand)) {
-			all[model] = append(all[model], kept...)
+			open = append(open, tasksOf(known, model, view.Named[model], kept)...)
 		}
 	}
-	return all
-}
-
-// tasks are all replicas that lack the named version of a model that they keep
-// up with.
-func tasks(view *directory.View, known knowledge, homes map[string][]*directory.Replica) []task {
-	var open []task
-	for model, kept := range homes {
-		open = append(open, tasksOf(known, model, view.Named[model], kept)...)
-	}
 	return open
 }
 
