--- a/internal/batch/pool.go
+++ b/internal/batch/pool.go
@@ -61,8 +61,7 @@
 
 // pick returns the replica for an item, nil for none.
 func (p *pool) pick(waiting *item) *placement.Replica {
-	wish := placement.Wish{FailedAt: waiting.failedAt, Urgent: waiting.urgent, Keepers: p.service.keepers[waiting.job.submission.Model]}
-	return placement.Pick(p.of(waiting), wish)
+	return placement.Pick(p.of(waiting), placement.Wish{FailedAt: waiting.failedAt, Urgent: waiting.urgent})
 }
 
 // of lists the replicas that have the weights for an item, are not loading, and that
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -8,21 +8,6 @@
 	FailedAt []string
 	// Urgent is set where a replica that does not answer would cost the item its time.
 	Urgent bool
-	// Keepers are the replicas that keep up with the item's model; empty for unknown.
-	Keepers map[string]bool
-}
-
-// awayBias puts replicas that do not keep up with a model behind those that do, in
-// full loads: they take its items once the others are full. Their weights are soon too
-// old for it, and the connections to them of no more use.
-const awayBias = 1.0
-
-// use is how much a replica is used as the item sees it, in full loads.
-func (w *Wish) use(replica *Replica) float64 {
-	if len(w.Keepers) == 0 || w.Keepers[replica.Name] {
-		return replica.use()
-	}
-	return replica.use() + awayBias
 }
 
 // Pick returns the least used replica that has room, nil for none. An item goes to no
@@ -36,10 +21,10 @@
 			continue
 		}
 		if wish.Urgent && candidate.unproven {
-			unproven = wish.lessUsed(unproven, candidate)
+			unproven = lessUsed(unproven, candidate)
 			continue
 		}
-		best = wish.lessUsed(best, candidate)
+		best = lessUsed(best, candidate)
 	}
 	if best == nil {
 		return unproven
@@ -49,8 +34,8 @@
 
 // lessUsed is the less used one of two replicas, the first if both are alike; the first
 // may be nil.
-func (w *Wish) lessUsed(first, second *Replica) *Replica {
-	if first == nil || w.use(second) < w.use(first) {
+func lessUsed(first, second *Replica) *Replica {
+	if first == nil || second.use() < first.use() {
 		return second
 	}
 	return first
