batch: runs are looked at each tenth of a second, paces are averaged over a second

Cause: the scheduler looked at its runs after a tenth of a second without a wake.

Ruled out: the process standing still; it logged other work all the while.

Change: the time of the next look does not start anew with each wake. Paces are now averaged over a second of time, whatever the number of runs.

--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -177,11 +177,7 @@
 	running.longestGap = max(running.longestGap, interval)
 	state := s.replica(running.endpoint.Name)
 	state.observed, state.blocks = time.Now(), 0
-	if state.interval == 0 {
-		state.interval = interval
-		return
-	}
-	state.interval += time.Duration(paceShare * float64(interval-state.interval))
+	state.pace.Observe(interval, state.running)
 }
 
 // ran ends a run: the item is done with, waits for another run, or failed.
--- a/internal/batch/pace.go
+++ b/internal/batch/pace.go
@@ -32,8 +32,8 @@
 // held.
 func (s *Service) interval(id string, state *replicaState) time.Duration {
 	age := time.Since(state.observed)
-	if state.interval > 0 && age < paceAge {
-		return state.interval
+	if state.pace.Interval > 0 && age < paceAge {
+		return state.pace.Interval
 	}
 	for _, uses := range s.uses {
 		if interval := uses.intervals[id]; interval > 0 && time.Since(uses.at) < usesAge {
@@ -41,7 +41,7 @@
 		}
 	}
 	if age < paceMemory {
-		return state.interval
+		return state.pace.Interval
 	}
 	return 0
 }
@@ -51,7 +51,7 @@
 	if time.Since(r.observed) > paceAge {
 		return 0
 	}
-	return uint32(r.interval.Microseconds())
+	return uint32(r.pace.Interval.Microseconds())
 }
 
 // usesOf reads what a heartbeat tells of replicas.
--- a/internal/batch/replicas.go
+++ b/internal/batch/replicas.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/pathtally/pathtally/internal/directory"
+	"github.com/pathtally/pathtally/internal/placement"
 	"github.com/pathtally/pathtally/internal/wire"
 )
 
@@ -12,8 +13,6 @@
 	usesAge = 1500 * time.Millisecond
 	// loadingAge is for how long a replica is believed to load weights.
 	loadingAge = 4 * time.Second
-	// paceShare is the part of a new interval in a replica's average.
-	paceShare = 0.25
 )
 
 // replicaState is what this node has seen of a replica as a place for items.
@@ -29,8 +28,8 @@
 	loadingSince map[string]time.Time
 	// failures is how many of its runs it says have failed.
 	failures failureRate
-	// interval is the average time between events of a run, 0 if unknown.
-	interval time.Duration
+	// pace is that of its runs as this node has seen it, lastly at observed.
+	pace     placement.Pace
 	observed time.Time
 }
 
--- a/internal/batch/scheduler.go
+++ b/internal/batch/scheduler.go
@@ -19,6 +19,7 @@
 func (s *Service) schedule(ctx context.Context) {
 	timer := time.NewTimer(idleLook)
 	defer timer.Stop()
+	inspected := time.Now()
 	for {
 		changed := s.config.Directory.Changed()
 		busy := s.assign()
@@ -26,14 +27,19 @@
 		if busy {
 			wait = lookPeriod
 		}
-		timer.Reset(wait)
+		// Wakes come more often than looks are due where many nodes run jobs, so the
+		// time of the next look does not start anew with each.
+		timer.Reset(max(0, wait-time.Since(inspected)))
 		select {
 		case <-ctx.Done():
 			return
 		case <-s.wake:
 		case <-changed:
 		case <-timer.C:
+		}
+		if time.Since(inspected) >= lookPeriod {
 			s.inspect()
+			inspected = time.Now()
 		}
 	}
 }
--- /dev/null
+++ b/internal/batch/scheduler_test.go
@@ -0,0 +1,36 @@
+package batch
+
+import (
+	"testing"
+	"time"
+)
+
+// Each look at the runs used to wait for a tenth of a second without a wake. Where
+// several nodes run jobs their heartbeats alone wake the scheduler more often than
+// that, and stalled runs were left for seconds.
+func TestRunsAreLookedAtHoweverOftenTheSchedulerIsWoken(t *testing.T) {
+	engine := startEngine(t, 3)
+	engine.hold, engine.holdAt = make(chan struct{}), 1
+	cluster := newCluster(t, 1, engine)
+	node := cluster.nodes[0]
+	go func() {
+		for node.ctx.Err() == nil {
+			node.nudge()
+			time.Sleep(lookPeriod / 5)
+		}
+	}()
+	if err := cluster.submit(node, "job", 2); err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	eventually(t, "stalled runs are cut and begun again", func() bool {
+		engine.mutex.Lock()
+		defer engine.mutex.Unlock()
+		return engine.runs["job.0"] > 1 && engine.runs["job.1"] > 1
+	})
+	if took := time.Since(began); took > 5*time.Second {
+		t.Errorf("it took %s", took)
+	}
+	engine.release()
+	checkWhole(t, "job", cluster.readAll(node, "job", 2), 2, 3)
+}
--- /dev/null
+++ b/internal/placement/pace_test.go
@@ -0,0 +1,37 @@
+package placement
+
+import (
+	"testing"
+	"time"
+)
+
+// The average used to follow the events of eight runs within one interval, so that a
+// prompt that was read between them had the runs moved.
+func TestPaceIsThatOfASecondHoweverManyRuns(t *testing.T) {
+	const usual = 50 * time.Millisecond
+	for _, runs := range []int{1, 8} {
+		var pace Pace
+		round := func(interval time.Duration) {
+			for range runs {
+				pace.Observe(interval, runs)
+			}
+		}
+		for range 20 {
+			round(usual)
+		}
+		round(2 * usual)
+		if float64(pace.Interval) > moveRatio*float64(usual) {
+			t.Errorf("%d runs: %s after one interval twice as long", runs, pace.Interval)
+		}
+		for range 40 {
+			round(usual)
+		}
+		spent := time.Duration(0)
+		for ; float64(pace.Interval) < slowRatio*float64(usual); spent += 3 * usual {
+			round(3 * usual)
+		}
+		if spent > time.Second {
+			t.Errorf("%d runs: a replica that is three times slower counts as slow after %s", runs, spent)
+		}
+	}
+}
