batch: long and cut items of all jobs go first, by slack

Cause: items waited by the age of their job in steps of two seconds, then by rank.

Items whose expected rest takes three tenths of their job's time, and those whose run was cut, go before all others, least slack in front. The others keep their order, since the shortest first finds early those that turn out long.

Compared: by age alone (before); long items first.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/pathtally/pathtally/internal/placement"
 )
 
 // job is a batch job that this node runs. The service's mutex guards it.
@@ -14,6 +16,10 @@
 	takenUp time.Time
 	// givenUpAt is when items may be given up, zero for never.
 	givenUpAt time.Time
+	// due is when the job is to be whole, zero for no such time, and objective how long
+	// after its acceptance that is.
+	due       time.Time
+	objective time.Duration
 
 	items map[string]*item
 	// order lists the items as submitted.
@@ -72,8 +78,8 @@
 	*Item
 	job   *job
 	group *group
-	// rank is the item's place in the order of work.
-	rank int
+	// rank is the item's place in the order of work of its job.
+	rank placement.Rank
 
 	progress progress
 	// saved is how many events of the text the store has, and texts how often the text
--- /dev/null
+++ b/internal/batch/queue.go
@@ -0,0 +1,59 @@
+package batch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pathtally/pathtally/internal/directory"
+	"github.com/pathtally/pathtally/internal/placement"
+)
+
+// queued is an item that waits, with its view.
+type queued struct {
+	view placement.Item
+	item *item
+}
+
+// sortQueue orders the items that wait. The mutex must be held.
+func (s *Service) sortQueue() {
+	configuration := s.config.Directory.View().Configuration
+	interval := s.paces().Usual()
+	views := make([]queued, 0, len(s.queue))
+	for _, waiting := range s.queue {
+		views = append(views, queued{view: s.viewOf(waiting, configuration, interval), item: waiting})
+	}
+	slices.SortStableFunc(views, func(a, b queued) int { return placement.Compare(a.view, b.view) })
+	for place, next := range views {
+		s.queue[place] = next.item
+	}
+}
+
+// viewOf is an item that waits as decisions see it, where runs make an event at an
+// interval. The mutex must be held.
+func (s *Service) viewOf(waiting *item, configuration *directory.Configuration, interval time.Duration) placement.Item {
+	return placement.Item{
+		Priority: priorityOf(configuration, waiting.job.record), TakenUp: waiting.job.takenUp,
+		Rank: waiting.rank.Place, Spare: waiting.rank.Spare, Begun: len(waiting.progress.events) > 0,
+		Due: waiting.job.due, Objective: waiting.job.objective, Rest: time.Duration(s.rest(waiting)) * interval,
+	}
+}
+
+// rest is how many events an item is expected to make yet, 0 for unknown. The mutex
+// must be held.
+func (s *Service) rest(work *item) int {
+	expected := work.expected
+	if expected == 0 && work.Item != nil {
+		expected = s.eventRate(work.job.submission.Model).Expect(work.ExpectedTokens)
+	}
+	return placement.Remaining(expected, work.seen())
+}
+
+// eventRate is that of a model. The mutex must be held.
+func (s *Service) eventRate(model string) *placement.EventRate {
+	rate := s.eventRates[model]
+	if rate == nil {
+		rate = &placement.EventRate{}
+		s.eventRates[model] = rate
+	}
+	return rate
+}
--- a/internal/batch/replicas_test.go
+++ b/internal/batch/replicas_test.go
@@ -170,7 +170,7 @@
 	const ageStep = 2 * time.Second
 	now := time.Now()
 	waiting := func(id, route string, accepted time.Time, rank int) *item {
-		return &item{Item: &Item{ID: id}, rank: rank, job: &job{record: Record{Route: route}, takenUp: accepted}}
+		return &item{Item: &Item{ID: id}, rank: placement.Rank{Place: rank}, job: &job{record: Record{Route: route}, submission: &Submission{}, takenUp: accepted}}
 	}
 	service.queue = []*item{
 		waiting("a", "later", now.Add(-10*ageStep), 0), waiting("b", "first", now, 1), waiting("c", "first", now, 0), waiting("d", "first", now.Add(-2*ageStep), 2),
--- a/internal/batch/scheduler.go
+++ b/internal/batch/scheduler.go
@@ -120,7 +120,7 @@
 	work := running.item
 	return &placement.Run{
 		Key: running, Replica: running.endpoint.Name, Replicas: p.of(work), FailedAt: work.failedAt,
-		Events: int(running.events.Load()), Rest: placement.Remaining(work.expected, work.seen()), Idle: running.idle(),
+		Events: int(running.events.Load()), Rest: p.service.rest(work), Idle: running.idle(),
 		Loading: p.service.replica(running.endpoint.Name).loading(work.job.submission.Model),
 	}
 }
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -59,7 +59,10 @@
 	tolerances map[string]int64
 	// lengths are what earlier runs have shown of items that jobs ended
 	// without, and toldLengths those that this node tells the others of.
-	lengths     map[string]knownLength
+	lengths map[string]knownLength
+	// eventRates are how many events the texts of each model have for each token
+	// expected.
+	eventRates  map[string]*placement.EventRate
 	toldLengths []toldLength
 	// works are what batch jobs of late had to do, by id.
 	works map[string]knownWork
@@ -79,7 +82,7 @@
 	return &Service{
 		config: config, base: base, metrics: newMetrics(config.Registry),
 		jobs: map[string]*job{}, known: map[string]*foreign{}, ends: newEndRegister(), pursued: map[string]bool{}, accepting: map[string]*acceptance{},
-		replicas: map[string]*replicaState{}, uses: map[string]nodeUses{}, attempts: map[*attempt]bool{}, tolerances: map[string]int64{}, lengths: map[string]knownLength{}, works: map[string]knownWork{}, avoided: map[string]time.Time{}, storedLoads: map[string]*storedLoad{},
+		replicas: map[string]*replicaState{}, uses: map[string]nodeUses{}, attempts: map[*attempt]bool{}, tolerances: map[string]int64{}, lengths: map[string]knownLength{}, eventRates: map[string]*placement.EventRate{}, works: map[string]knownWork{}, avoided: map[string]time.Time{}, storedLoads: map[string]*storedLoad{},
 		rewardBounds: map[string]*admission.Adaptive{},
 		wake:         make(chan struct{}, 1),
 	}
@@ -115,21 +118,6 @@
 	}
 }
 
-// sortQueue orders the items that wait. The mutex must be held.
-func (s *Service) sortQueue() {
-	priorities := map[*job]int{}
-	configuration := s.config.Directory.View().Configuration
-	for _, waiting := range s.queue {
-		if _, known := priorities[waiting.job]; !known {
-			priorities[waiting.job] = priorityOf(configuration, waiting.job.record)
-		}
-	}
-	view := func(waiting *item) placement.Item {
-		return placement.Item{Priority: priorities[waiting.job], TakenUp: waiting.job.takenUp, Rank: waiting.rank}
-	}
-	slices.SortStableFunc(s.queue, func(a, b *item) int { return placement.Compare(view(a), view(b)) })
-}
-
 // priorityOf is the rank of a job's items, 0 the most urgent: that of its tenant,
 // else that of its route.
 func priorityOf(configuration *directory.Configuration, record Record) int {
--- a/internal/batch/start.go
+++ b/internal/batch/start.go
@@ -62,6 +62,7 @@
 		elapsed := max(0, time.Since(time.UnixMilli(record.AcceptedMs)))
 		made.givenUpAt = made.takenUp.Add(retention + giveUpMargin - min(elapsed, retention))
 	}
+	made.due, made.objective = s.dueOf(record)
 	ranks := s.ranksOf(submission)
 	for _, submitted := range submission.Items {
 		standing := made.groups[submitted.Group]
@@ -82,7 +83,7 @@
 }
 
 // ranksOf gives the items of a submission their order of work. The mutex must be held.
-func (s *Service) ranksOf(submission *Submission) map[string]int {
+func (s *Service) ranksOf(submission *Submission) map[string]placement.Rank {
 	lengths := map[string]placement.Length{}
 	items := make([]placement.Submitted, 0, len(submission.Items))
 	for _, submitted := range submission.Items {
@@ -91,7 +92,7 @@
 			lengths[submitted.ID] = length.Length
 		}
 	}
-	return placement.Rank(items, submission.Desired, lengths)
+	return placement.RankItems(items, submission.Desired, lengths)
 }
 
 // settle marks an item as listed or finished.
@@ -104,6 +105,20 @@
 	settled.group.open--
 }
 
+// dueOf is when a job is to be whole and how long after its acceptance that is; zero for
+// a route that names no time.
+func (s *Service) dueOf(record Record) (time.Time, time.Duration) {
+	configuration := s.config.Directory.View().Configuration
+	if configuration == nil {
+		return time.Time{}, 0
+	}
+	route := routeOf(configuration, record.Route)
+	if route == nil || route.CompletionObjective == 0 {
+		return time.Time{}, 0
+	}
+	return time.UnixMilli(record.AcceptedMs).Add(route.CompletionObjective), route.CompletionObjective
+}
+
 // retention is after how long items of a job may be given up, 0 for never.
 func (s *Service) retention(record Record) time.Duration {
 	configuration := s.config.Directory.View().Configuration
--- /dev/null
+++ b/internal/placement/eventrate.go
@@ -0,0 +1,40 @@
+package placement
+
+const (
+	// rateMemory is how many texts of late an event rate mostly rests on.
+	rateMemory = 500
+	// leastTexts is how many texts must have ended for a rate to be believed.
+	leastTexts = 20
+)
+
+// EventRate learns how many events texts have for each token that was expected of
+// them: what a caller calls a token need not be what an engine puts into an event.
+// The zero value knows nothing.
+type EventRate struct {
+	texts  int
+	events float64
+	tokens float64
+	// longest is the most events of any text.
+	longest int
+}
+
+// Observe takes a text that is whole.
+func (r *EventRate) Observe(expectedTokens float64, events int) {
+	r.longest = max(r.longest, events)
+	if expectedTokens <= 0 {
+		return
+	}
+	const kept = 1 - 1.0/rateMemory
+	r.texts++
+	r.events = r.events*kept + float64(events)
+	r.tokens = r.tokens*kept + expectedTokens
+}
+
+// Expect is how many events a text of so many expected tokens is likely to have, 0 for
+// nothing known. None is expected to be longer than the longest so far.
+func (r *EventRate) Expect(expectedTokens float64) int {
+	if r.texts < leastTexts || r.tokens == 0 {
+		return 0
+	}
+	return min(r.longest, int(expectedTokens*r.events/r.tokens))
+}
--- a/internal/placement/item.go
+++ b/internal/placement/item.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Item is an item that waits for a replica.
 type Item struct {
@@ -10,19 +13,63 @@
 	TakenUp time.Time
 	// Rank is its place in its job's order.
 	Rank int
+	// Due is when its job is to be whole; zero for no such time.
+	Due time.Time
+	// Objective is the time that its job has in all.
+	Objective time.Duration
+	// Rest is how long a run to its end is expected to take, 0 for unknown.
+	Rest time.Duration
+	// Begun is set where earlier runs have made a part of it.
+	Begun bool
+	// Spare is set where the trainer need not wait for its group.
+	Spare bool
 }
 
+const (
+	// longPart is the part of its job's time from which on an item counts as long:
+	// with the factor of two or so by which texts outgrow what is expected of them, a
+	// wait behind shorter ones may cost its group.
+	longPart = 0.3
+	// ageStep is the difference in age from which an older job goes first.
+	ageStep = 2 * time.Second
+)
+
 // Compare orders items that wait: those of more urgent tenants or routes first, then
-// those of older jobs where they differ by much, then by rank.
+// the long ones and those whose run was cut, of any job, the one with the least slack in
+// front; then the items of older jobs where they differ by much, then by rank. The
+// former are one in twenty, so they hardly hold up the others, and decide when their
+// groups are whole.
 func Compare(a, b Item) int {
 	if order := a.Priority - b.Priority; order != 0 {
 		return order
 	}
+	if order := cmp.Compare(a.class(), b.class()); order != 0 {
+		return order
+	}
+	if a.class() == classUrgent {
+		if order := a.latestStart().Compare(b.latestStart()); order != 0 {
+			return order
+		}
+	}
 	if order := a.TakenUp.Truncate(ageStep).Compare(b.TakenUp.Truncate(ageStep)); order != 0 {
 		return order
 	}
 	return a.Rank - b.Rank
 }
 
-// ageStep is the difference in age from which an older job goes first.
-const ageStep = 2 * time.Second
+// The classes of items that wait, in their order.
+const (
+	classUrgent = iota
+	classOther
+)
+
+func (i Item) class() int {
+	isLong := float64(i.Rest) >= longPart*float64(i.Objective)
+	if !i.Due.IsZero() && !i.Spare && (isLong || i.Begun) {
+		return classUrgent
+	}
+	return classOther
+}
+
+// latestStart is when it has to begin for its job to be whole in time.
+func (i Item) latestStart() time.Time { return i.Due.Add(-i.Rest) }
--- /dev/null
+++ b/internal/placement/item_test.go
@@ -0,0 +1,93 @@
+package placement
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// step is a job of a trainer that comes at an instant.
+type step struct {
+	at    time.Duration
+	items int
+}
+
+const (
+	testInterval  = 50 * time.Millisecond
+	testObjective = 7500 * time.Millisecond
+	testSlots     = 360
+)
+
+// timedItem is an item of a replayed step.
+type timedItem struct {
+	view   Item
+	at     time.Duration
+	events int
+}
+
+// lengthOf draws the events of a text and what is expected of it: half of the texts
+// have 11 events or fewer, one in twenty 65 or more, and none more than 146.
+func lengthOf(source *rand.Rand) (events, expected int) {
+	const median, spread, error, longest = 11, 1.0, 0.45, 146
+	known := source.NormFloat64() * spread
+	exp := func(x float64) int { return min(longest, max(1, int(median*math.Exp(x)))) }
+	return exp(known + source.NormFloat64()*error), exp(known)
+}
+
+// replay runs the items of some steps in the order of Compare at so many slots, and
+// returns how long after their step's arrival the items began, those that turned out
+// long apart.
+func replay(steps []step, compare func(a, b Item) int) (long, other []time.Duration) {
+	source := rand.New(rand.NewPCG(1, 2))
+	start := time.Unix(1000, 0)
+	var coming, waiting []*timedItem
+	for _, next := range steps {
+		for rank := range next.items {
+			events, expected := lengthOf(source)
+			coming = append(coming, &timedItem{at: next.at, events: events, view: Item{
+				TakenUp: start.Add(next.at), Rank: rank, Due: start.Add(next.at + testObjective), Objective: testObjective,
+				Rest: time.Duration(expected) * testInterval,
+			}})
+		}
+	}
+	var running []time.Duration
+	for now := time.Duration(0); len(coming)+len(waiting) > 0; now += 10 * time.Millisecond {
+		for len(coming) > 0 && coming[0].at <= now {
+			waiting, coming = append(waiting, coming[0]), coming[1:]
+		}
+		running = slices.DeleteFunc(running, func(end time.Duration) bool { return end <= now })
+		slices.SortStableFunc(waiting, func(a, b *timedItem) int { return compare(a.view, b.view) })
+		for len(waiting) > 0 && len(running) < testSlots {
+			next := waiting[0]
+			waiting = waiting[1:]
+			running = append(running, now+time.Duration(next.events)*testInterval)
+			if next.view.Rest >= testObjective/3 {
+				long = append(long, now-next.at)
+			} else {
+				other = append(other, now-next.at)
+			}
+		}
+	}
+	return long, other
+}
+
+// Steps of several trainers come within two seconds of each other, and the short items
+// of the first ones used to fill the slots before the long ones of the last.
+func TestLongItemsBeginAtOnceWhereStepsCrowd(t *testing.T) {
+	steps := []step{{0, 464}, {300 * time.Millisecond, 272}, {900 * time.Millisecond, 272}, {1500 * time.Millisecond, 464}}
+	byAge := func(a, b Item) int {
+		a.Due, b.Due = time.Time{}, time.Time{}
+		return Compare(a, b)
+	}
+	before, _ := replay(steps, byAge)
+	long, other := replay(steps, Compare)
+	if most := slices.Max(long); most > 100*time.Millisecond {
+		t.Errorf("a long item began %s after its step came, by age alone %s", most, slices.Max(before))
+	}
+	if slices.Max(before) < 4*slices.Max(long) {
+		t.Errorf("by age alone the last long item began after %s: the load does not crowd the slots", slices.Max(before))
+	}
+	t.Logf("the last long item began %s after its step came, by age alone %s; the last other one %s", slices.Max(long), slices.Max(before), slices.Max(other))
+}
--- a/internal/placement/paces.go
+++ b/internal/placement/paces.go
@@ -38,6 +38,9 @@
 	return known
 }
 
+// Usual is the median interval, 0 if too few are known.
+func (p Paces) Usual() time.Duration { return p.usual }
+
 // slow tells whether a replica's events come much more slowly than the usual.
 func (p Paces) slow(replica string) bool {
 	return p.usual > 0 && float64(p.intervals[replica]) > slowRatio*float64(p.usual)
--- a/internal/placement/rank.go
+++ b/internal/placement/rank.go
@@ -13,7 +13,15 @@
 	ExpectedTokens float64
 }
 
-// Rank decides in which order the items of a job are run, as a rank for each. The
+// Rank is what an item's place among those of its job is.
+type Rank struct {
+	// Place is its place in the order of work.
+	Place int
+	// Spare is set where the trainer need not wait for its group.
+	Spare bool
+}
+
+// RankItems decides in which order the items of a job are run, as a rank for each. The
 // trainer waits for so many whole groups (0 for all), whichever they are, but for those
 // that it has asked for before, which it waits for in any case. These go first, the
 // longest of their items in front: earlier runs have shown that they are long. Of the
@@ -21,7 +29,7 @@
 // last. Of the rest the quarter expected longest goes first, since it decides when the
 // rest is whole, and then the shortest: they soon make room for each other, so that
 // those among them that are long unforeseen are not begun late.
-func Rank(items []Submitted, desired int, lengths map[string]Length) map[string]int {
+func RankItems(items []Submitted, desired int, lengths map[string]Length) map[string]Rank {
 	groups := groupsOf(items, lengths)
 	slices.SortStableFunc(groups, func(a, b *group) int { return cmp.Compare(b.length, a.length) })
 	markSpare(groups, desired)
@@ -41,9 +49,9 @@
 	slices.SortStableFunc(carried, func(a, b Submitted) int {
 		return cmp.Compare(lengths[b.ID].Expected(), lengths[a.ID].Expected())
 	})
-	ranks := map[string]int{}
-	for _, item := range slices.Concat(carried, wanted, spare) {
-		ranks[item.ID] = len(ranks)
+	ranks := map[string]Rank{}
+	for place, item := range slices.Concat(carried, wanted, spare) {
+		ranks[item.ID] = Rank{Place: place, Spare: place >= len(items)-len(spare)}
 	}
 	return ranks
 }
--- a/internal/placement/rank_test.go
+++ b/internal/placement/rank_test.go
@@ -9,10 +9,10 @@
 
 // ranked lists the items of a submission in their order of work.
 func ranked(submission submission, lengths map[string]Length) string {
-	ranks := Rank(submission.items, submission.desired, lengths)
+	ranks := RankItems(submission.items, submission.desired, lengths)
 	ids := make([]string, len(ranks))
 	for id, rank := range ranks {
-		ids[rank] = id
+		ids[rank.Place] = id
 	}
 	return strings.Join(ids, " ")
 }
