placement: moves by the time that is left, stalls by slack

Cause: a run moved for a fifth only, and a stall counted after 0.5 s, which is more than the longest texts have to spare.

Change: runs know when their job is due and, from the caller's tokens, how much is expected yet. A text that is late where it runs moves to where it is in time. A process that stood still looks once more before it cuts runs: they all seem to have stalled.

--- a/internal/batch/scheduler.go
+++ b/internal/batch/scheduler.go
@@ -11,6 +11,10 @@
 const (
 	// lookPeriod is the time between looks at runs that may have stalled.
 	lookPeriod = 100 * time.Millisecond
+	// pausedLook is the time between two looks from which on this process counts as
+	// having stood still. What came meanwhile has yet to be read, so that all runs
+	// seem to have stalled: they are looked at the next time.
+	pausedLook = 4 * lookPeriod
 	// idleLook is the time between looks while nothing is to be done.
 	idleLook = 2 * time.Second
 )
@@ -37,9 +41,13 @@
 		case <-changed:
 		case <-timer.C:
 		}
-		if time.Since(inspected) >= lookPeriod {
+		since := time.Since(inspected)
+		if since < lookPeriod {
+			continue
+		}
+		inspected = time.Now()
+		if since < pausedLook {
 			s.inspect()
-			inspected = time.Now()
 		}
 	}
 }
@@ -100,7 +108,7 @@
 		switch {
 		case pool.view.Replicas[running.endpoint.Name] == nil && !placement.MayFinish(run):
 			running.cut(ErrMoved)
-		case placement.Stalled(run):
+		case placement.Stalled(pool.paces, run):
 			s.replica(running.endpoint.Name).blockedUntil = time.Now().Add(stallBlock)
 			running.cut(ErrStalled)
 		}
@@ -121,6 +129,7 @@
 	return &placement.Run{
 		Key: running, Replica: running.endpoint.Name, Replicas: p.of(work), FailedAt: work.failedAt,
 		Events: int(running.events.Load()), Rest: p.service.rest(work), Idle: running.idle(),
+		Due: !work.job.due.IsZero(), Left: work.job.due.Sub(p.now),
 		Loading: p.service.replica(running.endpoint.Name).loading(work.job.submission.Model),
 	}
 }
--- a/internal/placement/move.go
+++ b/internal/placement/move.go
@@ -15,6 +15,12 @@
 	// moveRatio is how many times faster the other replica must be at the least:
 	// smaller differences come and go with the load.
 	moveRatio = 1.2
+	// rescueGain is the least time that a move must be expected to save a text that is
+	// not whole in time where it runs, and is where it would go.
+	rescueGain = 200 * time.Millisecond
+	// moveCost is what a move itself takes, a connection and the reading of the text so
+	// far.
+	moveCost = 100 * time.Millisecond
 	// movedEvents is how many events a run must have made before it is moved: the
 	// first ones tell little of a replica's pace.
 	movedEvents = 2
@@ -39,7 +45,7 @@
 		if best == nil {
 			continue
 		}
-		if gain := paces.gain(run, best.Name); gain > moveGain {
+		if gain := paces.gain(run, best.Name); gain > 0 {
 			wanted = append(wanted, Move{Run: run, Gain: gain})
 		}
 	}
@@ -49,7 +55,7 @@
 		if count >= movesPerLook || target == nil {
 			return decided
 		}
-		if paces.gain(next.Run, target.Name) > moveGain {
+		if paces.gain(next.Run, target.Name) > 0 {
 			target.Load++
 			decided = append(decided, next)
 		}
@@ -57,14 +63,18 @@
 	return decided
 }
 
-// gain is the time that a run is expected to save at another replica.
+// gain is the time that a run is expected to save at another replica, 0 if it is to stay
+// where it is.
 func (p Paces) gain(run *Run, target string) time.Duration {
-	here, there := p.intervals[run.Replica], p.intervals[target]
-	if there == 0 {
-		there = p.usual
+	here, there := p.intervals[run.Replica], p.at(target)
+	if here == 0 || there == 0 {
+		return 0
 	}
-	if float64(here) < moveRatio*float64(there) {
+	gain := run.restAt(here) - run.restAt(there)
+	isFaster := float64(here) >= moveRatio*float64(there) && gain > moveGain
+	isRescued := !run.endsInTime(here, 0) && run.endsInTime(there, moveCost) && gain > rescueGain
+	if !isFaster && !isRescued {
 		return 0
 	}
-	return time.Duration(run.Rest) * (here - there)
+	return gain
 }
--- a/internal/placement/paces.go
+++ b/internal/placement/paces.go
@@ -41,6 +41,15 @@
 // Usual is the median interval, 0 if too few are known.
 func (p Paces) Usual() time.Duration { return p.usual }
 
+// at is the interval to reckon with at a replica: its own, else the usual one; 0 for
+// neither known.
+func (p Paces) at(replica string) time.Duration {
+	if interval := p.intervals[replica]; interval > 0 {
+		return interval
+	}
+	return p.usual
+}
+
 // slow tells whether a replica's events come much more slowly than the usual.
 func (p Paces) slow(replica string) bool {
 	return p.usual > 0 && float64(p.intervals[replica]) > slowRatio*float64(p.usual)
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -15,8 +15,20 @@
 	// expected to make yet.
 	Events int
 	Rest   int
+	// Due tells that its job has a time to be whole, and Left how long that is yet.
+	Due  bool
+	Left time.Duration
 	// Idle is how long nothing has come.
 	Idle time.Duration
 	// Loading tells that its replica changes weights.
 	Loading bool
 }
+
+// restAt is how long the rest takes where an event takes so long.
+func (r *Run) restAt(interval time.Duration) time.Duration { return time.Duration(r.Rest) * interval }
+
+// endsInTime tells whether the run ends before its job is due, with something to spare,
+// where an event takes so long; true for a job that has no such time.
+func (r *Run) endsInTime(interval, spare time.Duration) bool {
+	return !r.Due || r.restAt(interval)+spare <= r.Left
+}
--- a/internal/placement/stall.go
+++ b/internal/placement/stall.go
@@ -7,24 +7,40 @@
 	// how long between events.
 	startPatience = 900 * time.Millisecond
 	eventPatience = 500 * time.Millisecond
+	// tightPatience is how many intervals may pass between events of a text that has
+	// less than tightSlack to spare, leastPatience the least such time: a replica that
+	// reads another item's prompt makes none for an interval or two.
+	tightPatience = 4
+	leastPatience = 200 * time.Millisecond
+	tightSlack    = time.Second
 	// loadPatience is added while the replica changes weights.
 	loadPatience = 2500 * time.Millisecond
 )
 
 // Stalled tells whether nothing has come from a run for too long.
-func Stalled(run *Run) bool { return run.Idle > run.patience() }
+func Stalled(paces Paces, run *Run) bool { return run.Idle > run.patience(paces) }
 
 // MayFinish tells whether a run at a replica that leaves is left there: leaving
 // replicas go on serving for a while.
 func MayFinish(run *Run) bool { return run.Idle < eventPatience }
 
-func (r *Run) patience() time.Duration {
+func (r *Run) patience(paces Paces) time.Duration {
 	patience := startPatience
 	if r.Events > 0 {
-		patience = eventPatience
+		patience = r.eventPatience(paces)
 	}
 	if r.Loading {
 		patience += loadPatience
 	}
 	return patience
 }
+
+// eventPatience is how long the run may take between events. A text without slack is
+// better begun again elsewhere after some intervals than waited for.
+func (r *Run) eventPatience(paces Paces) time.Duration {
+	interval := paces.at(r.Replica)
+	if interval == 0 || r.endsInTime(interval, tightSlack) {
+		return eventPatience
+	}
+	return min(eventPatience, max(leastPatience, tightPatience*interval))
+}
