placement: urgent items try replicas that may be down last

Cause: replicas that had gone have no load and came first.

Change: a replica that broke a run off before its first event, or from which nothing came, is unproven until its next event; long items and cut ones go there last.

--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -176,7 +176,7 @@
 	}
 	running.longestGap = max(running.longestGap, interval)
 	state := s.replica(running.endpoint.Name)
-	state.observed, state.blocks = time.Now(), 0
+	state.observed, state.blocks, state.unproven = time.Now(), 0, false
 	state.pace.Observe(interval, state.running)
 }
 
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -80,6 +80,8 @@
 	group *group
 	// rank is the item's place in the order of work of its job.
 	rank placement.Rank
+	// urgent is set while it waits and its job has no time to lose with it.
+	urgent bool
 
 	progress progress
 	// saved is how many events of the text the store has, and texts how often the text
--- a/internal/batch/outcome.go
+++ b/internal/batch/outcome.go
@@ -51,6 +51,7 @@
 	default:
 		if running.events.Load() == 0 {
 			// It may be down: trying it with one item after the other helps none.
+			state.unproven = true
 			state.block(breakBlock)
 		}
 		work.breaks++
--- a/internal/batch/pool.go
+++ b/internal/batch/pool.go
@@ -61,7 +61,7 @@
 
 // pick returns the replica for an item, nil for none.
 func (p *pool) pick(waiting *item) *placement.Replica {
-	return placement.Pick(p.of(waiting), waiting.failedAt)
+	return placement.Pick(p.of(waiting), placement.Wish{FailedAt: waiting.failedAt, Urgent: waiting.urgent})
 }
 
 // of lists the replicas that have the weights for an item, are not loading, and that
@@ -105,7 +105,7 @@
 	if shared := p.byName[endpoint.Name]; shared != nil {
 		return shared
 	}
-	condition := placement.Condition{Failing: state.failures.failing(p.now), SinceEvent: p.now.Sub(state.observed)}
+	condition := placement.Condition{Failing: state.failures.failing(p.now), Unproven: state.unproven, SinceEvent: p.now.Sub(state.observed)}
 	made := placement.NewReplica(endpoint.Name, endpoint.Slots, p.loads[endpoint.Name], p.paces, condition)
 	p.byName[endpoint.Name], p.endpoints[endpoint.Name] = made, endpoint
 	return made
--- a/internal/batch/queue.go
+++ b/internal/batch/queue.go
@@ -24,6 +24,7 @@
 	}
 	slices.SortStableFunc(views, func(a, b queued) int { return placement.Compare(a.view, b.view) })
 	for place, next := range views {
+		next.item.urgent = next.view.IsUrgent()
 		s.queue[place] = next.item
 	}
 }
--- a/internal/batch/replicas.go
+++ b/internal/batch/replicas.go
@@ -21,6 +21,9 @@
 	running int
 	// blockedUntil is when it is worth trying again after it turned work away.
 	blockedUntil time.Time
+	// unproven is set from a run that broke off before its first event until the next
+	// event.
+	unproven bool
 	// blocks counts how often in a row it gave nothing when it was tried.
 	blocks   int
 	versions map[string]int64
--- a/internal/batch/scheduler.go
+++ b/internal/batch/scheduler.go
@@ -109,7 +109,8 @@
 		case pool.view.Replicas[running.endpoint.Name] == nil && !placement.MayFinish(run):
 			running.cut(ErrMoved)
 		case placement.Stalled(pool.paces, run):
-			s.replica(running.endpoint.Name).blockedUntil = time.Now().Add(stallBlock)
+			state := s.replica(running.endpoint.Name)
+			state.blockedUntil, state.unproven = time.Now().Add(stallBlock), true
 			running.cut(ErrStalled)
 		}
 	}
--- a/internal/placement/item.go
+++ b/internal/placement/item.go
@@ -64,12 +64,17 @@
 )
 
 func (i Item) class() int {
-	isLong := float64(i.Rest) >= longPart*float64(i.Objective)
-	if !i.Due.IsZero() && !i.Spare && (isLong || i.Begun) {
+	if i.IsUrgent() {
 		return classUrgent
 	}
 	return classOther
 }
 
+// IsUrgent tells whether the item is long or was cut, so that a wait may cost its group.
+func (i Item) IsUrgent() bool {
+	isLong := float64(i.Rest) >= longPart*float64(i.Objective)
+	return !i.Due.IsZero() && !i.Spare && (isLong || i.Begun)
+}
+
 // latestStart is when it has to begin for its job to be whole in time.
 func (i Item) latestStart() time.Time { return i.Due.Add(-i.Rest) }
--- a/internal/placement/move.go
+++ b/internal/placement/move.go
@@ -41,7 +41,7 @@
 		if run.Events < movedEvents {
 			continue
 		}
-		best := Pick(run.Replicas, run.FailedAt)
+		best := Pick(run.Replicas, run.wish())
 		if best == nil {
 			continue
 		}
@@ -51,7 +51,7 @@
 	}
 	slices.SortStableFunc(wanted, func(a, b Move) int { return cmp.Compare(b.Gain, a.Gain) })
 	for count, next := range wanted {
-		target := Pick(next.Run.Replicas, next.Run.FailedAt)
+		target := Pick(next.Run.Replicas, next.Run.wish())
 		if count >= movesPerLook || target == nil {
 			return decided
 		}
--- /dev/null
+++ b/internal/placement/move_test.go
@@ -0,0 +1,59 @@
+package placement
+
+import (
+	"testing"
+	"time"
+)
+
+// pacesOf returns the paces of replicas a, b, ... from intervals in milliseconds.
+func pacesOf(intervals ...int) Paces {
+	known := map[string]time.Duration{}
+	for number, interval := range intervals {
+		known[string(rune('a'+number))] = time.Duration(interval) * time.Millisecond
+	}
+	return NewPaces(known)
+}
+
+func TestRunsThatWouldEndLateMoveToWhereTheyEndInTime(t *testing.T) {
+	paces := pacesOf(56, 50, 50)
+	for _, test := range []struct {
+		name  string
+		rest  int
+		left  time.Duration
+		due   bool
+		moved bool
+	}{
+		{"late here, in time there", 100, 5400 * time.Millisecond, true, true},
+		{"in time here", 100, 6 * time.Second, true, false},
+		{"late wherever it runs", 100, 4 * time.Second, true, false},
+		{"late here, and hardly sooner there", 20, 1100 * time.Millisecond, true, false},
+		{"no time named", 100, 0, false, false},
+	} {
+		run := &Run{Replica: "a", Replicas: replicas(0, 0, 0)[1:], Events: 10, Rest: test.rest, Due: test.due, Left: test.left}
+		if moves := Moves(paces, []*Run{run}); (len(moves) == 1) != test.moved {
+			t.Errorf("%s: %d moves", test.name, len(moves))
+		}
+	}
+}
+
+func TestTextsWithoutSlackAreCutAfterSomeIntervals(t *testing.T) {
+	paces := pacesOf(50, 50, 50, 140)
+	for _, test := range []struct {
+		name    string
+		run     Run
+		stalled bool
+	}{
+		{"without slack", Run{Replica: "a", Events: 60, Rest: 80, Due: true, Left: 4 * time.Second, Idle: 220 * time.Millisecond}, true},
+		{"without slack, an interval or two", Run{Replica: "a", Events: 60, Rest: 80, Due: true, Left: 4 * time.Second, Idle: 150 * time.Millisecond}, false},
+		{"without slack where events are slow", Run{Replica: "d", Events: 60, Rest: 80, Due: true, Left: 4 * time.Second, Idle: 400 * time.Millisecond}, false},
+		{"with slack", Run{Replica: "a", Events: 60, Rest: 10, Due: true, Left: 4 * time.Second, Idle: 400 * time.Millisecond}, false},
+		{"with slack, for long", Run{Replica: "a", Events: 60, Rest: 10, Due: true, Left: 4 * time.Second, Idle: 600 * time.Millisecond}, true},
+		{"no time named", Run{Replica: "a", Events: 60, Rest: 80, Idle: 400 * time.Millisecond}, false},
+		{"not begun", Run{Replica: "a", Rest: 140, Due: true, Left: 7 * time.Second, Idle: 400 * time.Millisecond}, false},
+		{"weights change", Run{Replica: "a", Events: 60, Rest: 80, Due: true, Left: 4 * time.Second, Loading: true, Idle: 600 * time.Millisecond}, false},
+	} {
+		if got := Stalled(paces, &test.run); got != test.stalled {
+			t.Errorf("%s: %t", test.name, got)
+		}
+	}
+}
--- a/internal/placement/replica.go
+++ b/internal/placement/replica.go
@@ -27,6 +27,8 @@
 	Load int
 	// Most is how many items may run there.
 	Most int
+	// unproven is set where it has broken runs off since its last event.
+	unproven bool
 	// bias is added to the use when replicas are compared, in full loads.
 	bias float64
 }
@@ -35,6 +37,9 @@
 type Condition struct {
 	// Failing tells that it answers its runs with failures.
 	Failing bool
+	// Unproven tells that it has broken a run off before the first event and sent none
+	// since: it may be down.
+	Unproven bool
 	// SinceEvent is how long ago it sent this node an event.
 	SinceEvent time.Duration
 }
@@ -42,7 +47,7 @@
 // NewReplica returns the view of a replica in some condition. Slow and failing ones
 // come last.
 func NewReplica(name string, slots, load int, paces Paces, condition Condition) *Replica {
-	made := &Replica{Name: name, Slots: slots, Load: load, Most: slots, bias: paceBias * paces.excess(name)}
+	made := &Replica{Name: name, Slots: slots, Load: load, Most: slots, unproven: condition.Unproven, bias: paceBias * paces.excess(name)}
 	if condition.Failing {
 		made.Most = min(FailingRuns, slots)
 	}
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -24,6 +24,9 @@
 	Loading bool
 }
 
+// wish is what the run's item asks of another replica.
+func (r *Run) wish() Wish { return Wish{FailedAt: r.FailedAt, Urgent: true} }
+
 // restAt is how long the rest takes where an event takes so long.
 func (r *Run) restAt(interval time.Duration) time.Duration { return time.Duration(r.Rest) * interval }
 
