batch: reasons of moves and of late jobs

One line for each run that is cut names why, and one at the end of a job that is late: its owner changed, it began late, a run stalled, runs broke off, slow replica, long text. Both are counted by reason.

--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -49,7 +49,9 @@
 	ctx, cancel := context.WithCancelCause(waiting.job.ctx)
 	running := &attempt{item: waiting, endpoint: endpoint, cancel: cancel, begun: time.Now(), after: len(waiting.progress.events)}
 	waiting.running = running
-	waiting.runs++
+	if waiting.runs++; waiting.runs == 1 {
+		waiting.waited = running.begun.Sub(waiting.job.takenUp)
+	}
 	s.attempts[running] = true
 	s.replica(endpoint.Name).running++
 	s.metrics.runs.Inc()
@@ -188,7 +190,7 @@
 	delete(s.attempts, running)
 	state := s.replica(running.endpoint.Name)
 	state.running--
-	work.running = nil
+	work.running, work.lastRun = nil, running
 	work.events = max(work.events, len(work.progress.events))
 	defer s.nudge()
 	if err == nil {
--- a/internal/batch/beat.go
+++ b/internal/batch/beat.go
@@ -115,6 +115,7 @@
 	}
 	held.ended, held.endedAt = true, time.Now()
 	s.keepLengths(held)
+	s.tellLateness(held)
 	held.cancel()
 	s.dropQueued(held)
 	held.notify()
--- a/internal/batch/errors.go
+++ b/internal/batch/errors.go
@@ -4,6 +4,8 @@
 	"fmt"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/pathtally/pathtally/internal/placement"
 )
 
 var (
@@ -32,6 +34,19 @@
 	ErrOldWeights = merry.Sentinel("weights are older than allowed")
 )
 
+// CutError is a run that was cut to go on elsewhere.
+type CutError struct {
+	// Cause is ErrMoved or ErrStalled, and Reason why it is worth it.
+	Cause  error
+	Reason placement.Reason
+}
+
+// Error gives the cause and the reason.
+func (e *CutError) Error() string { return fmt.Sprintf("%v: %s", e.Cause, e.Reason) }
+
+// Unwrap returns the cause.
+func (e *CutError) Unwrap() error { return e.Cause }
+
 // UncertainError is a batch job that may or may not be taken later.
 type UncertainError struct{ Cause error }
 
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -103,6 +103,12 @@
 	failedAt    []string
 	// breaks counts runs that ended without a reason that the item gave.
 	breaks int
+	// stalls counts runs that were cut because nothing came.
+	stalls int
+	// waited is how long after the job's start here the first run began, and lastRun the
+	// run that ended last.
+	waited  time.Duration
+	lastRun *attempt
 	// notBefore is when the item may run again.
 	notBefore time.Time
 }
--- /dev/null
+++ b/internal/batch/lateness.go
@@ -0,0 +1,58 @@
+package batch
+
+import (
+	"time"
+
+	"github.com/pathtally/pathtally/internal/placement"
+)
+
+// tellLateness logs why a job was late that ends now, where it was. The mutex must be
+// held.
+func (s *Service) tellLateness(ended *job) {
+	if ended.due.IsZero() || !time.Now().After(ended.due) {
+		return
+	}
+	last := ended.lastItem()
+	if last == nil {
+		return
+	}
+	reason := placement.WhyLate(s.paces(), last.course())
+	s.metrics.late.WithLabelValues(string(reason)).Inc()
+	s.config.Logger.Info("batch job was late", "request", ended.id, "reason", string(reason), "lateMs", time.Since(ended.due).Milliseconds(),
+		"item", last.ID, "replica", last.lastRun.endpoint.Name, "waitedMs", last.waited.Milliseconds(), "runs", last.runs, "events", last.events)
+}
+
+// lastItem is the item with a result whose last run ended last, nil for none. The mutex
+// must be held.
+func (j *job) lastItem() *item {
+	var last *item
+	for _, id := range j.order {
+		candidate := j.items[id]
+		if !candidate.done || candidate.lastRun == nil {
+			continue
+		}
+		if last == nil || candidate.lastRun.endedAt().After(last.lastRun.endedAt()) {
+			last = candidate
+		}
+	}
+	return last
+}
+
+// course is how the item went. The mutex must be held.
+func (i *item) course() placement.Course {
+	return placement.Course{
+		Epoch: i.job.record.Epoch, Waited: i.waited, Stalls: i.stalls, Breaks: i.breaks, Interval: i.lastRun.interval(),
+	}
+}
+
+// endedAt is when a run that has ended did so.
+func (a *attempt) endedAt() time.Time { return a.begun.Add(a.took) }
+
+// interval is the mean time between events of a run that has ended, 0 for too few.
+func (a *attempt) interval() time.Duration {
+	gaps := a.events.Load() - 1
+	if gaps <= 0 {
+		return 0
+	}
+	return (a.took - a.first) / time.Duration(gaps)
+}
--- a/internal/batch/metrics.go
+++ b/internal/batch/metrics.go
@@ -5,7 +5,8 @@
 // metrics count what becomes of batch jobs and their items.
 type metrics struct {
 	runs      prometheus.Counter
-	moved     prometheus.Counter
+	moved     *prometheus.CounterVec
+	late      *prometheus.CounterVec
 	takeovers prometheus.Counter
 	results   *prometheus.CounterVec
 }
@@ -13,10 +14,11 @@
 func newMetrics(registry prometheus.Registerer) *metrics {
 	made := &metrics{
 		runs:      prometheus.NewCounter(prometheus.CounterOpts{Name: "pathtally_item_runs_total", Help: "Runs of items begun at replicas."}),
-		moved:     prometheus.NewCounter(prometheus.CounterOpts{Name: "pathtally_item_moves_total", Help: "Runs cut to go on at another replica."}),
+		moved:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "pathtally_item_moves_total", Help: "Runs cut to go on at another replica, by why."}, []string{"reason"}),
+		late:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "pathtally_jobs_late_total", Help: "Batch jobs that ended later than their route names, by why."}, []string{"reason"}),
 		takeovers: prometheus.NewCounter(prometheus.CounterOpts{Name: "pathtally_job_takeovers_total", Help: "Batch jobs taken over from other nodes."}),
 		results:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "pathtally_item_results_total", Help: "Items by how they ended."}, []string{"state"}),
 	}
-	registry.MustRegister(made.runs, made.moved, made.takeovers, made.results)
+	registry.MustRegister(made.runs, made.moved, made.late, made.takeovers, made.results)
 	return made
 }
--- a/internal/batch/outcome.go
+++ b/internal/batch/outcome.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pathtally/pathtally/internal/dispatch"
+	"github.com/pathtally/pathtally/internal/placement"
 )
 
 const (
@@ -33,6 +34,7 @@
 	var notRun *dispatch.NotRunError
 	var withheld *dispatch.WithheldError
 	var status *ItemStatusError
+	var cut *CutError
 	switch {
 	case errors.As(err, &withheld):
 		// It was not sent: another replica, or a later moment, will do.
@@ -41,8 +43,11 @@
 		state.blockedUntil = time.Now().Add(otherBlock)
 	case errors.As(err, &notRun):
 		state.block(fullBlock)
-	case errors.Is(err, ErrMoved), errors.Is(err, ErrStalled):
-		s.metrics.moved.Inc()
+	case errors.As(err, &cut):
+		s.metrics.moved.WithLabelValues(string(cut.Reason)).Inc()
+		if cut.Reason == placement.ReasonStalled {
+			work.stalls++
+		}
 	case errors.Is(err, ErrOldWeights):
 	case errors.As(err, &status) && status.Status == refusedStatus:
 		s.abandon(work, "a replica says it can never be done")
--- a/internal/batch/pace_test.go
+++ b/internal/batch/pace_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -97,7 +98,7 @@
 		work.expected = test.expected
 		run := service.addRun(replicaName(0), test.events, work)
 		moved := false
-		run.cancel = func(reason error) { moved = reason == ErrMoved }
+		run.cancel = func(reason error) { moved = errors.Is(reason, ErrMoved) }
 		pool := service.newPool()
 		move(placement.Moves(pool.paces, []*placement.Run{pool.runOf(run)}))
 		if moved != test.moved {
--- a/internal/batch/scheduler.go
+++ b/internal/batch/scheduler.go
@@ -107,11 +107,11 @@
 		runs = append(runs, run)
 		switch {
 		case pool.view.Replicas[running.endpoint.Name] == nil && !placement.MayFinish(run):
-			running.cut(ErrMoved)
+			running.cut(&CutError{Cause: ErrMoved, Reason: placement.ReasonGone})
 		case placement.Stalled(pool.paces, run):
 			state := s.replica(running.endpoint.Name)
 			state.blockedUntil, state.unproven = time.Now().Add(stallBlock), true
-			running.cut(ErrStalled)
+			running.cut(&CutError{Cause: ErrStalled, Reason: placement.ReasonStalled})
 		}
 	}
 	move(placement.Moves(pool.paces, runs))
@@ -120,7 +120,7 @@
 // move cuts runs that are to go on at other replicas.
 func move(moves []placement.Move) {
 	for _, next := range moves {
-		next.Run.Key.(*attempt).cut(ErrMoved)
+		next.Run.Key.(*attempt).cut(&CutError{Cause: ErrMoved, Reason: next.Reason})
 	}
 }
 
--- /dev/null
+++ b/internal/placement/lateness.go
@@ -0,0 +1,54 @@
+package placement
+
+import "time"
+
+// Lateness is why a job was whole late.
+type Lateness string
+
+// What makes a job late, the first that holds.
+const (
+	LateRestart  Lateness = "its owner changed"
+	LateNoSlot   Lateness = "began late: no replica had room or the weights"
+	LateStall    Lateness = "a run stalled"
+	LateBreaks   Lateness = "runs broke off"
+	LateReplica  Lateness = "slow replica"
+	LateLongText Lateness = "long text"
+)
+
+const (
+	// lateBegin is the wait before its first run from which on an item began late.
+	lateBegin = 300 * time.Millisecond
+	// lateRatio is from how many times the usual interval a replica made its job late.
+	lateRatio = 1.05
+)
+
+// Course is how the item went that its job waited for last.
+type Course struct {
+	// Epoch is the place of the job's owner among its owners, from 1.
+	Epoch int
+	// Waited is how long after the job's start here its first run began.
+	Waited time.Duration
+	// Stalls is how many of its runs were cut because nothing came, and Breaks how many
+	// ended for no reason of the item's.
+	Stalls int
+	Breaks int
+	// Interval is the mean time between events of its last run.
+	Interval time.Duration
+}
+
+// WhyLate names what made a job late whose last item went so.
+func WhyLate(paces Paces, course Course) Lateness {
+	switch {
+	case course.Epoch > 1:
+		return LateRestart
+	case course.Waited > lateBegin:
+		return LateNoSlot
+	case course.Stalls > 0:
+		return LateStall
+	case course.Breaks > 0:
+		return LateBreaks
+	case paces.usual > 0 && float64(course.Interval) > lateRatio*float64(paces.usual):
+		return LateReplica
+	}
+	return LateLongText
+}
--- a/internal/placement/move.go
+++ b/internal/placement/move.go
@@ -31,6 +31,8 @@
 	Run *Run
 	// Gain is the time that it is expected to save.
 	Gain time.Duration
+	// Reason is why it is worth it.
+	Reason Reason
 }
 
 // Moves returns the runs that gain most by going on at a faster replica, as long as
@@ -45,8 +47,8 @@
 		if best == nil {
 			continue
 		}
-		if gain := paces.gain(run, best.Name); gain > 0 {
-			wanted = append(wanted, Move{Run: run, Gain: gain})
+		if move, pays := paces.moveTo(run, best.Name); pays {
+			wanted = append(wanted, move)
 		}
 	}
 	slices.SortStableFunc(wanted, func(a, b Move) int { return cmp.Compare(b.Gain, a.Gain) })
@@ -55,26 +57,26 @@
 		if count >= movesPerLook || target == nil {
 			return decided
 		}
-		if paces.gain(next.Run, target.Name) > 0 {
+		if move, pays := paces.moveTo(next.Run, target.Name); pays {
 			target.Load++
-			decided = append(decided, next)
+			decided = append(decided, move)
 		}
 	}
 	return decided
 }
 
-// gain is the time that a run is expected to save at another replica, 0 if it is to stay
-// where it is.
-func (p Paces) gain(run *Run, target string) time.Duration {
+// moveTo is a run's move to another replica, and whether it is worth it.
+func (p Paces) moveTo(run *Run, target string) (Move, bool) {
 	here, there := p.intervals[run.Replica], p.at(target)
 	if here == 0 || there == 0 {
-		return 0
+		return Move{}, false
 	}
 	gain := run.restAt(here) - run.restAt(there)
-	isFaster := float64(here) >= moveRatio*float64(there) && gain > moveGain
-	isRescued := !run.endsInTime(here, 0) && run.endsInTime(there, moveCost) && gain > rescueGain
-	if !isFaster && !isRescued {
-		return 0
+	switch {
+	case float64(here) >= moveRatio*float64(there) && gain > moveGain:
+		return Move{Run: run, Gain: gain, Reason: ReasonFaster}, true
+	case !run.endsInTime(here, 0) && run.endsInTime(there, moveCost) && gain > rescueGain:
+		return Move{Run: run, Gain: gain, Reason: ReasonInTime}, true
 	}
-	return gain
+	return Move{}, false
 }
