batch: texts ride along with results, items that are late in any case yield

Cause: what a text has made since its last saving is made again after its owner's loss; chunks of results were written between savings without them. Items of jobs that could not be in time any more went first, by least slack.

Long items that are expected more than a second late stand with the others.

--- a/internal/batch/leave.go
+++ b/internal/batch/leave.go
@@ -41,7 +41,7 @@
 		return true
 	}
 	for _, held := range s.jobs {
-		if held.open() && held.textsSaved.IsZero() && len(held.unsavedTexts()) > 0 {
+		if held.open() && held.textsSaved.IsZero() && len(held.unsavedTexts(false)) > 0 {
 			return true
 		}
 		if held.saving {
--- a/internal/batch/publish.go
+++ b/internal/batch/publish.go
@@ -121,7 +121,7 @@
 	results := boundedPart(published.finished)
 	published.flushSoon = false
 	published.serial++
-	written := chunk{Writer: s.writerName(), Serial: published.serial, Results: results, Texts: published.unsavedTexts()}
+	written := chunk{Writer: s.writerName(), Serial: published.serial, Results: results, Texts: published.unsavedTexts(len(results) > 0)}
 	index := published.chunks
 	if len(results) == 0 && len(written.Texts) == 0 {
 		s.mutex.Unlock()
--- a/internal/batch/queue.go
+++ b/internal/batch/queue.go
@@ -35,7 +35,7 @@
 	return placement.Item{
 		Priority: priorityOf(configuration, waiting.job.record), TakenUp: waiting.job.takenUp,
 		Rank: waiting.rank.Place, Spare: waiting.rank.Spare, Begun: len(waiting.progress.events) > 0,
-		Due: waiting.job.due, Objective: waiting.job.objective, Rest: time.Duration(s.rest(waiting)) * interval,
+		Due: waiting.job.due, Left: time.Until(waiting.job.due), Objective: waiting.job.objective, Rest: time.Duration(s.rest(waiting)) * interval,
 	}
 }
 
--- a/internal/batch/text_test.go
+++ b/internal/batch/text_test.go
@@ -107,12 +107,12 @@
 		"short": {progress: text(leastText - 1)}, "long": {progress: text(3 * leastText)},
 		"saved": {progress: text(3 * leastText), saved: 3*leastText - leastPiece + 1}, "done": {progress: text(3 * leastText), done: true},
 	}, order: []string{"short", "long", "saved", "done"}}
-	pieces := held.unsavedTexts()
+	pieces := held.unsavedTexts(false)
 	if len(pieces) != 1 || pieces[0].Item != "long" || len(pieces[0].Events) != 3*leastText {
 		t.Fatalf("to be saved: %v", pieces)
 	}
 	held.noteSaved(pieces)
-	if held.items["long"].saved != 3*leastText || len(held.unsavedTexts()) != 0 {
+	if held.items["long"].saved != 3*leastText || len(held.unsavedTexts(false)) != 0 {
 		t.Error("what has been saved is saved again")
 	}
 }
@@ -134,11 +134,11 @@
 		}
 	}
 	made(25, 1)
-	first := held.unsavedTexts()
+	first := held.unsavedTexts(false)
 	work.startAnew()
 	made(40, 2)
 	held.noteSaved(first)
-	joined := joinPieces(append(first, held.unsavedTexts()...))["a"]
+	joined := joinPieces(append(first, held.unsavedTexts(false)...))["a"]
 	if versions := joined.madeBy(); len(joined.events) != 40 || len(versions) != 1 {
 		t.Errorf("%d events of versions %v, want 40 of one", len(joined.events), versions)
 	}
@@ -184,3 +184,19 @@
 		t.Errorf("%d runs of two items", runs)
 	}
 }
+
+// What a text has made since the last saving is made again after its owner's loss. A
+// chunk of results that is written anyway takes it along.
+func TestTextsRideAlongWithResults(t *testing.T) {
+	running := &item{Item: &Item{ID: "long"}}
+	for number := range 2 * leastText {
+		running.progress.add(fmt.Sprint(number), 1)
+	}
+	held := &job{items: map[string]*item{"long": running}, order: []string{"long"}, textsSaved: time.Now().Add(-ridePeriod - time.Millisecond)}
+	if pieces := held.unsavedTexts(false); len(pieces) != 0 {
+		t.Errorf("%d texts saved alone before it is time", len(pieces))
+	}
+	if pieces := held.unsavedTexts(true); len(pieces) != 1 {
+		t.Errorf("%d texts saved with results, want 1", len(pieces))
+	}
+}
--- a/internal/placement/item.go
+++ b/internal/placement/item.go
@@ -13,8 +13,10 @@
 	TakenUp time.Time
 	// Rank is its place in its job's order.
 	Rank int
-	// Due is when its job is to be whole; zero for no such time.
-	Due time.Time
+	// Due is when its job is to be whole; zero for no such time. Left is how long that
+	// is yet.
+	Due  time.Time
+	Left time.Duration
 	// Objective is the time that its job has in all.
 	Objective time.Duration
 	// Rest is how long a run to its end is expected to take, 0 for unknown.
@@ -30,6 +32,9 @@
 	// with the factor of two or so by which texts outgrow what is expected of them, a
 	// wait behind shorter ones may cost its group.
 	longPart = 0.3
+	// lostMargin is by how much an item has to be expected late to be taken for lost:
+	// lengths are expected no more closely than that.
+	lostMargin = time.Second
 	// ageStep is the difference in age from which an older job goes first.
 	ageStep = 2 * time.Second
 )
@@ -70,10 +75,13 @@
 	return classOther
 }
 
-// IsUrgent tells whether the item is long or was cut, so that a wait may cost its group.
+// IsUrgent tells whether the item is long or was cut, so that a wait may cost its group
+// the time that it has. One whose time cannot be kept yields to those that can keep
+// theirs.
 func (i Item) IsUrgent() bool {
 	isLong := float64(i.Rest) >= longPart*float64(i.Objective)
-	return !i.Due.IsZero() && !i.Spare && (isLong || i.Begun)
+	isLost := i.Rest > i.Left+lostMargin
+	return !i.Due.IsZero() && !i.Spare && !isLost && (isLong || i.Begun)
 }
 
 // latestStart is when it has to begin for its job to be whole in time.
--- a/internal/placement/item_test.go
+++ b/internal/placement/item_test.go
@@ -58,6 +58,9 @@
 			waiting, coming = append(waiting, coming[0]), coming[1:]
 		}
 		running = slices.DeleteFunc(running, func(end time.Duration) bool { return end <= now })
+		for _, next := range waiting {
+			next.view.Left = next.at + testObjective - now
+		}
 		slices.SortStableFunc(waiting, func(a, b *timedItem) int { return compare(a.view, b.view) })
 		for len(waiting) > 0 && len(running) < testSlots {
 			next := waiting[0]
@@ -91,3 +94,16 @@
 	}
 	t.Logf("the last long item began %s after its step came, by age alone %s; the last other one %s", slices.Max(long), slices.Max(before), slices.Max(other))
 }
+
+func TestItemsThatCannotBeInTimeYieldToThoseThatCan(t *testing.T) {
+	start := time.Unix(1000, 0)
+	older := Item{TakenUp: start, Due: start.Add(testObjective), Left: time.Second, Objective: testObjective, Rest: 5 * time.Second, Begun: true}
+	newer := Item{TakenUp: start.Add(6 * time.Second), Due: start.Add(13500 * time.Millisecond), Left: 7 * time.Second, Objective: testObjective, Rest: 5 * time.Second}
+	if Compare(newer, older) >= 0 {
+		t.Error("an item whose job is late in any case goes before one whose job can be whole in time")
+	}
+	older.Rest = 1800 * time.Millisecond
+	if Compare(older, newer) >= 0 {
+		t.Error("an item that was cut and may be in time waits behind one with more slack")
+	}
+}
