--- a/internal/placement/pick_test.go
+++ b/internal/placement/pick_test.go
@@ -27,6 +27,11 @@
 	if got := Pick(some, Wish{}); got != down {
 		t.Errorf("another item goes to %s, and nobody finds out whether the replica is back", got.Name)
 	}
+	down.Load++
+	if got := Pick(some, Wish{}); got == down {
+		t.Error("two items at once go to a replica that may be down")
+	}
+	down.Load--
 	if got := Pick([]*Replica{down}, Wish{Urgent: true}); got != down {
 		t.Error("an urgent item has nowhere to go")
 	}
--- a/internal/placement/replica.go
+++ b/internal/placement/replica.go
@@ -17,6 +17,9 @@
 	warmTime = 4 * time.Second
 	// FailingRuns is how many items run at a failing replica at most.
 	FailingRuns = 1
+	// unprovenRuns is how many more items an unproven one gets at once: each may be a
+	// connection in vain.
+	unprovenRuns = 1
 )
 
 // Replica is a replica that items may go to.
@@ -51,6 +54,9 @@
 	if condition.Failing {
 		made.Most = min(FailingRuns, slots)
 	}
+	if condition.Unproven {
+		made.Most = min(made.Most, load+unprovenRuns)
+	}
 	if condition.Failing || paces.slow(name) {
 		made.bias += slowPenalty
 	}
