batch: listing waits for groups that came back and for texts about to end

Cause: as many groups as desired were whole, but the trainer also waits for those that it has asked for before; and half a second of gathering ended while the last texts were at 140 of 146 events.

Change: both are waited for, the latter for half a second more. Whole groups of a job that is due are held for 0.2 s more before they count as late.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -71,6 +71,9 @@
 // group counts the items of a group that have no result yet.
 type group struct {
 	open int
+	// carried is set where an earlier job ended without the group, so that the trainer
+	// waits for it in any case.
+	carried bool
 }
 
 // item is the state of one item on its way. The service's mutex guards it.
--- /dev/null
+++ b/internal/batch/listing.go
@@ -0,0 +1,85 @@
+package batch
+
+import "time"
+
+const (
+	// nearlyPart is the part of the desired groups from which on each whole one of a
+	// late job is listed without delay.
+	nearlyPart = 0.8
+	// lateGrace is how long after its job was due a group may still be held back: what
+	// readers see half a second later the platform takes for in time for a little while.
+	lateGrace = 200 * time.Millisecond
+	// lastEvents is how many events before the longest length known a text counts as
+	// about to end: half a second's.
+	lastEvents = 10
+)
+
+// listsSoon tells whether what is finished is to be listed with little delay: all is, or
+// a group became whole and the trainer then has what it waits for or is late already. A
+// reader that is answered comes back half a second later, so results listed shortly
+// before the last ones that a trainer waits for would put these off. The mutex must be
+// held.
+func (j *job) listsSoon(now time.Time) bool {
+	if j.remaining() == 0 {
+		return true
+	}
+	late := j.due.IsZero() || now.After(j.due.Add(lateGrace))
+	return j.flushSoon && (j.hasDesired() || (late && j.nearlyWhole()))
+}
+
+// gatherTime is how long results wait for others at most: longer where texts that are
+// about to end, of which the longest has so many events, make the job whole. The mutex
+// must be held.
+func (j *job) gatherTime(longest int) time.Duration {
+	if longest == 0 || j.due.IsZero() || j.hasDesired() {
+		return resultGather
+	}
+	aboutToEnd := func(waited *item) bool { return waited.seen() >= longest-lastEvents }
+	if j.has(aboutToEnd) {
+		return 2 * resultGather
+	}
+	return resultGather
+}
+
+// hasDesired tells whether the trainer has what it waits for. The mutex must be held.
+func (j *job) hasDesired() bool { return j.has(func(*item) bool { return false }) }
+
+// has tells whether the trainer would have what it waits for if some of the items
+// without a result had one: as many whole groups as it desires, and all of those that it
+// has asked for before. The mutex must be held.
+func (j *job) has(isSettled func(*item) bool) bool {
+	open := map[*group]int{}
+	for _, standing := range j.groups {
+		open[standing] = standing.open
+	}
+	for _, waited := range j.items {
+		if !waited.done && waited.group != nil && isSettled(waited) {
+			open[waited.group]--
+		}
+	}
+	whole := 0
+	for standing, left := range open {
+		if left == 0 {
+			whole++
+		} else if standing.carried {
+			return false
+		}
+	}
+	return whole >= j.desired()
+}
+
+// nearlyWhole tells whether so many groups are whole that the trainer may soon
+// have what it waits for; without a trainer any whole group counts. The mutex
+// must be held.
+func (j *job) nearlyWhole() bool {
+	whole := 0
+	for _, standing := range j.groups {
+		if standing.open == 0 {
+			whole++
+		}
+	}
+	return float64(whole) >= nearlyPart*float64(j.desired())
+}
+
+// desired is how many whole groups the trainer waits for, 1 without a trainer.
+func (j *job) desired() int { return min(len(j.groups), max(j.submission.Desired, 1)) }
--- a/internal/batch/publish.go
+++ b/internal/batch/publish.go
@@ -37,76 +37,33 @@
 
 // gather waits a little, so that results close together are one object.
 func (s *Service) gather(published *job) {
-	began := time.Now()
-	for {
-		s.mutex.Lock()
-		now := time.Now()
-		soon, last, limit := published.listsSoon(now), published.hasDesired(), published.gatherTime(began)
-		s.mutex.Unlock()
-		switch {
-		case soon && last:
-			return
-		case soon:
-			objectstore.Sleep(published.ctx, groupGather)
+	for began := time.Now(); ; {
+		pause, done := s.gatherPause(published, time.Since(began))
+		if pause > 0 && !objectstore.Sleep(published.ctx, pause) {
 			return
 		}
-		if now.Sub(began) >= limit || !objectstore.Sleep(published.ctx, gatherLook) {
+		if done {
 			return
 		}
 	}
 }
 
-// listsSoon tells whether what is finished is to be listed with little delay: all is, or
-// a group became whole and the trainer then has what it waits for or is late already. A
-// reader that is answered comes back half a second later, so results listed shortly
-// before the last ones that a trainer waits for would put these off. The mutex must be
-// held.
-func (j *job) listsSoon(now time.Time) bool {
-	if j.remaining() == 0 {
-		return true
-	}
-	late := j.due.IsZero() || now.After(j.due)
-	return j.flushSoon && (j.hasDesired() || (late && j.nearlyWhole()))
-}
-
-// gatherTime is how long results that began to be gathered wait at most: no longer than
-// until their job is due. The mutex must be held.
-func (j *job) gatherTime(began time.Time) time.Duration {
-	if j.due.IsZero() || began.After(j.due) {
-		return resultGather
-	}
-	return min(resultGather, j.due.Sub(began))
-}
-
-// hasDesired tells whether as many groups are whole as the trainer waits for. The mutex
-// must be held.
-func (j *job) hasDesired() bool { return j.wholeGroups() >= j.desired() }
-
-// nearlyPart is the part of the desired groups from which on each whole one of a late
-// job is listed without delay.
-const nearlyPart = 0.8
-
-// nearlyWhole tells whether so many groups are whole that the trainer may soon
-// have what it waits for; without a trainer any whole group counts. The mutex
-// must be held.
-func (j *job) nearlyWhole() bool {
-	return float64(j.wholeGroups()) >= nearlyPart*float64(j.desired())
-}
-
-// wholeGroups counts the groups whose items all have a result. The mutex must be held.
-func (j *job) wholeGroups() int {
-	whole := 0
-	for _, group := range j.groups {
-		if group.open == 0 {
-			whole++
-		}
-	}
-	return whole
+// gatherPause is how long results are gathered yet before another look, or with done
+// before they are listed.
+func (s *Service) gatherPause(published *job, waited time.Duration) (pause time.Duration, done bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	switch {
+	case published.hasDesired() && published.listsSoon(time.Now()):
+		return 0, true
+	case published.listsSoon(time.Now()):
+		return groupGather, true
+	case waited >= published.gatherTime(s.eventRate(published.submission.Model).Longest()):
+		return 0, true
+	}
+	return gatherLook, false
 }
 
-// desired is how many whole groups the trainer waits for, 1 without a trainer.
-func (j *job) desired() int { return min(len(j.groups), max(j.submission.Desired, 1)) }
-
 // remaining counts the items without a result.
 func (j *job) remaining() int { return len(j.items) - len(j.listed) - len(j.finished) }
 
--- a/internal/batch/start.go
+++ b/internal/batch/start.go
@@ -71,6 +71,7 @@
 			made.groups[submitted.Group] = standing
 		}
 		standing.open++
+		standing.carried = standing.carried || ranks[submitted.ID].Carried
 		made.order = append(made.order, submitted.ID)
 		made.items[submitted.ID] = &item{
 			Item: submitted, job: made, group: standing, rank: ranks[submitted.ID], expected: s.expectedEvents(submitted.ID),
--- a/internal/placement/eventrate.go
+++ b/internal/placement/eventrate.go
@@ -30,6 +30,9 @@
 	r.tokens = r.tokens*kept + expectedTokens
 }
 
+// Longest is the most events of any text, 0 for none seen.
+func (r *EventRate) Longest() int { return r.longest }
+
 // Expect is how many events a text of so many expected tokens is likely to have, 0 for
 // nothing known. None is expected to be longer than the longest so far.
 func (r *EventRate) Expect(expectedTokens float64) int {
--- a/internal/placement/rank.go
+++ b/internal/placement/rank.go
@@ -17,8 +17,10 @@
 type Rank struct {
 	// Place is its place in the order of work.
 	Place int
-	// Spare is set where the trainer need not wait for its group.
-	Spare bool
+	// Spare is set where the trainer need not wait for its group, and Carried where it
+	// waits for it in any case, since an earlier job ended without the group.
+	Spare   bool
+	Carried bool
 }
 
 // RankItems decides in which order the items of a job are run, as a rank for each. The
@@ -51,7 +53,7 @@
 	})
 	ranks := map[string]Rank{}
 	for place, item := range slices.Concat(carried, wanted, spare) {
-		ranks[item.ID] = Rank{Place: place, Spare: place >= len(items)-len(spare)}
+		ranks[item.ID] = Rank{Place: place, Spare: place >= len(items)-len(spare), Carried: place < len(carried)}
 	}
 	return ranks
 }
