placement: texts that are late move for a tenth, none is expected beyond the longest

Cause: a text was only rescued where it would be in time elsewhere. One with 55 ms an event ended 0.7 s late and stood, since the rest expected of it went beyond the longest text there is, and so seemed late everywhere.

Change: the rest is bounded by the longest text known. A text that is late where it runs moves for a tenth in pace and 0.3 s.

--- a/internal/placement/length.go
+++ b/internal/placement/length.go
@@ -21,12 +21,17 @@
 const unseenEvents = 20
 
 // Remaining is how many events an item is expected to make yet, of which so many are
-// expected in all (0 for nothing known) and so many made.
-func Remaining(expected, made int) int {
+// expected in all (0 for nothing known) and so many made. None is expected to outgrow
+// the longest text known, 0 for none.
+func Remaining(expected, made, longest int) int {
+	rest := int(remainingShare * float64(made))
 	if expected > made {
-		return expected - made
+		rest = expected - made
 	}
-	return int(remainingShare * float64(made))
+	if longest > made {
+		rest = min(rest, longest-made)
+	}
+	return rest
 }
 
 // remainingShare is the part of what an item has made so far that it is expected to
--- a/internal/placement/move.go
+++ b/internal/placement/move.go
@@ -15,12 +15,9 @@
 	// moveRatio is how many times faster the other replica must be at the least:
 	// smaller differences come and go with the load.
 	moveRatio = 1.2
-	// rescueGain is the least time that a move must be expected to save a text that is
-	// not whole in time where it runs, and is where it would go.
-	rescueGain = 200 * time.Millisecond
-	// moveCost is what a move itself takes, a connection and the reading of the text so
-	// far.
-	moveCost = 100 * time.Millisecond
+	// lateMoveRatio and lateGain are the same for a text that is late where it runs.
+	lateMoveRatio = 1.1
+	lateGain      = 300 * time.Millisecond
 	// movedEvents is how many events a run must have made before it is moved: the
 	// first ones tell little of a replica's pace.
 	movedEvents = 2
@@ -72,11 +69,12 @@
 		return Move{}, false
 	}
 	gain := run.restAt(here) - run.restAt(there)
+	ratio := float64(here) / float64(there)
 	switch {
-	case float64(here) >= moveRatio*float64(there) && gain > moveGain:
+	case ratio >= moveRatio && gain > moveGain:
 		return Move{Run: run, Gain: gain, Reason: ReasonFaster}, true
-	case !run.endsInTime(here, 0) && run.endsInTime(there, moveCost) && gain > rescueGain:
-		return Move{Run: run, Gain: gain, Reason: ReasonInTime}, true
+	case ratio >= lateMoveRatio && gain > lateGain && !run.endsInTime(here, 0):
+		return Move{Run: run, Gain: gain, Reason: ReasonLate}, true
 	}
 	return Move{}, false
 }
--- a/internal/placement/reason.go
+++ b/internal/placement/reason.go
@@ -7,9 +7,9 @@
 const (
 	// ReasonFaster is a replica that is much faster.
 	ReasonFaster Reason = "faster replica"
-	// ReasonInTime is a replica where the text ends in time, which it does not where it
+	// ReasonLate is a replica that is somewhat faster, for a text that is late where it
 	// runs.
-	ReasonInTime Reason = "in time there alone"
+	ReasonLate Reason = "late where it runs"
 	// ReasonGone is a replica whose entry is gone.
 	ReasonGone Reason = "replica is gone"
 	// ReasonStalled is a run from which nothing comes.
