timeline: moves with their reason, why steps were late

Cause: moves were known by the whole text of their error, to which the reason has been added, so that none was counted.

Change: known by how the text begins; the reason for which an owner found a step late has a column.

--- a/internal/timeline/holdup.go
+++ b/internal/timeline/holdup.go
@@ -38,7 +38,8 @@
 const (
 	// oldWeights is told of a replica with older weights than allowed.
 	oldWeights = "weights are older than allowed"
-	// moved is told of a run that goes on at another replica.
+	// moved begins what is told of a run that goes on at another replica; the reason
+	// follows.
 	moved = "run was moved"
 )
 
--- a/internal/timeline/record.go
+++ b/internal/timeline/record.go
@@ -15,6 +15,7 @@
 	messageTakenUp  = "batch job started"
 	messageTaken    = "batch job taken over"
 	messageEnded    = "batch job ended"
+	messageLate     = "batch job was late"
 	messageListed   = "results listed"
 	messageFinished = "item finished"
 	messageEarly    = "run ended early"
@@ -35,6 +36,7 @@
 	Replica string    `json:"replica"`
 	Model   string    `json:"model"`
 	Error   string    `json:"error"`
+	Reason  string    `json:"reason"`
 
 	Step       int   `json:"step"`
 	MinVersion int64 `json:"minVersion"`
--- a/internal/timeline/step.go
+++ b/internal/timeline/step.go
@@ -33,6 +33,8 @@
 	RunAgain int `json:"runAgain"`
 	// Last is what the step waited for at its end, nil if nothing finished.
 	Last *Holdup `json:"last,omitempty"`
+	// Late is why its owner found it late at its end, empty where it was not.
+	Late string `json:"late,omitempty"`
 	// Bound is the shortest time that the step could have taken.
 	Bound float64 `json:"bound"`
 
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -4,6 +4,7 @@
 	"io"
 	"math"
 	"slices"
+	"strings"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -63,6 +64,10 @@
 		if step := r.steps[read.Request]; step != nil {
 			step.Takeovers++
 		}
+	case messageLate:
+		if step := r.steps[read.Request]; step != nil {
+			step.Late = read.Reason
+		}
 	case messageEnded:
 		if step := r.steps[read.Request]; step != nil && step.end == 0 {
 			step.end = read.at
@@ -164,7 +169,7 @@
 		}
 	}
 	for _, run := range s.early {
-		if run.Error == moved {
+		if strings.HasPrefix(run.Error, moved) {
 			s.Moves++
 		}
 	}
