batch: a slow process looks at its runs as well

Cause: runs were passed over whenever the last look was 0.4 s ago, so that a process that is slow throughout would never have looked at them.

Change: they are passed over once after a pause, not twice in a row. Views of runs carry the caller's number instead of a value of any type.

--- /dev/null
+++ b/internal/batch/lookout.go
@@ -0,0 +1,28 @@
+package batch
+
+import "time"
+
+// pausedLook is the time between two looks from which on this process counts as having
+// stood still. What came meanwhile has yet to be read, so that all runs seem to have
+// stalled.
+const pausedLook = 4 * lookPeriod
+
+// lookout tells when the runs are to be looked at.
+type lookout struct {
+	// last is when they were, or were passed over.
+	last time.Time
+	// passedOver is set where they were passed over the last time.
+	passedOver bool
+}
+
+// isDue tells whether the runs are to be looked at now. After a pause they are passed
+// over once, and not again: a process that is slow throughout has to look as well.
+func (l *lookout) isDue(now time.Time) bool {
+	since := now.Sub(l.last)
+	if since < lookPeriod {
+		return false
+	}
+	l.last = now
+	l.passedOver = since >= pausedLook && !l.passedOver
+	return !l.passedOver
+}
--- a/internal/batch/pace_test.go
+++ b/internal/batch/pace_test.go
@@ -100,7 +100,7 @@
 		moved := false
 		run.cancel = func(reason error) { moved = errors.Is(reason, ErrMoved) }
 		pool := service.newPool()
-		move(placement.Moves(pool.paces, []*placement.Run{pool.runOf(run)}))
+		move([]*attempt{run}, placement.Moves(pool.paces, []*placement.Run{pool.runOf(0, run)}))
 		if moved != test.moved {
 			t.Errorf("%s: moved is %t", test.name, moved)
 		}
--- a/internal/batch/scheduler.go
+++ b/internal/batch/scheduler.go
@@ -11,10 +11,6 @@
 const (
 	// lookPeriod is the time between looks at runs that may have stalled.
 	lookPeriod = 100 * time.Millisecond
-	// pausedLook is the time between two looks from which on this process counts as
-	// having stood still. What came meanwhile has yet to be read, so that all runs
-	// seem to have stalled: they are looked at the next time.
-	pausedLook = 4 * lookPeriod
 	// idleLook is the time between looks while nothing is to be done.
 	idleLook = 2 * time.Second
 )
@@ -23,7 +19,7 @@
 func (s *Service) schedule(ctx context.Context) {
 	timer := time.NewTimer(idleLook)
 	defer timer.Stop()
-	inspected := time.Now()
+	looks := lookout{last: time.Now()}
 	for {
 		changed := s.config.Directory.Changed()
 		busy := s.assign()
@@ -33,7 +29,7 @@
 		}
 		// Wakes come more often than looks are due where many nodes run jobs, so the
 		// time of the next look does not start anew with each.
-		timer.Reset(max(0, wait-time.Since(inspected)))
+		timer.Reset(max(0, wait-time.Since(looks.last)))
 		select {
 		case <-ctx.Done():
 			return
@@ -41,12 +37,7 @@
 		case <-changed:
 		case <-timer.C:
 		}
-		since := time.Since(inspected)
-		if since < lookPeriod {
-			continue
-		}
-		inspected = time.Now()
-		if since < pausedLook {
+		if looks.isDue(time.Now()) {
 			s.inspect()
 		}
 	}
@@ -102,9 +93,10 @@
 	}
 	pool := s.newPool()
 	runs := make([]*placement.Run, 0, len(s.attempts))
+	attempts := make([]*attempt, 0, len(s.attempts))
 	for running := range s.attempts {
-		run := pool.runOf(running)
-		runs = append(runs, run)
+		run := pool.runOf(len(attempts), running)
+		runs, attempts = append(runs, run), append(attempts, running)
 		switch {
 		case pool.view.Replicas[running.endpoint.Name] == nil && !placement.MayFinish(run):
 			running.cut(&CutError{Cause: ErrMoved, Reason: placement.ReasonGone})
@@ -114,21 +106,21 @@
 			running.cut(&CutError{Cause: ErrStalled, Reason: placement.ReasonStalled})
 		}
 	}
-	move(placement.Moves(pool.paces, runs))
+	move(attempts, placement.Moves(pool.paces, runs))
 }
 
 // move cuts runs that are to go on at other replicas.
-func move(moves []placement.Move) {
+func move(attempts []*attempt, moves []placement.Move) {
 	for _, next := range moves {
-		next.Run.Key.(*attempt).cut(&CutError{Cause: ErrMoved, Reason: next.Reason})
+		attempts[next.Run.Index].cut(&CutError{Cause: ErrMoved, Reason: next.Reason})
 	}
 }
 
-// runOf is the view of a run.
-func (p *pool) runOf(running *attempt) *placement.Run {
+// runOf is the view of a run, the how many'th of those that are looked at.
+func (p *pool) runOf(index int, running *attempt) *placement.Run {
 	work := running.item
 	return &placement.Run{
-		Key: running, Replica: running.endpoint.Name, Replicas: p.of(work), FailedAt: work.failedAt,
+		Index: index, Replica: running.endpoint.Name, Replicas: p.of(work), FailedAt: work.failedAt,
 		Events: int(running.events.Load()), Rest: p.service.rest(work), Idle: running.idle(),
 		Due: !work.job.due.IsZero(), Left: work.job.due.Sub(p.now),
 		Loading: p.service.replica(running.endpoint.Name).loading(work.job.submission.Model),
--- a/internal/batch/scheduler_test.go
+++ b/internal/batch/scheduler_test.go
@@ -34,3 +34,22 @@
 	engine.release()
 	checkWhole(t, "job", cluster.readAll(node, "job", 2), 2, 3)
 }
+
+func TestRunsArePassedOverOnceAfterAPause(t *testing.T) {
+	now := time.Now()
+	looks := lookout{last: now}
+	for _, test := range []struct {
+		after time.Duration
+		due   bool
+	}{
+		{lookPeriod / 2, false}, {lookPeriod, true}, {3 * lookPeriod, true},
+		{2 * pausedLook, false}, {lookPeriod, true},
+		// A process that is slow throughout.
+		{2 * pausedLook, false}, {2 * pausedLook, true}, {2 * pausedLook, false}, {2 * pausedLook, true},
+	} {
+		now = now.Add(test.after)
+		if got := looks.isDue(now); got != test.due {
+			t.Errorf("after %s: %t", test.after, got)
+		}
+	}
+}
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -4,8 +4,8 @@
 
 // Run is a run of an item at a replica.
 type Run struct {
-	// Key identifies the run to the caller.
-	Key any
+	// Index is the caller's number of the run.
+	Index int
 	// Replica is where it runs, and Replicas are those where its item may run.
 	Replica  string
 	Replicas []*Replica
