--- a/internal/storerelay/relay.go
+++ b/internal/storerelay/relay.go
@@ -37,6 +37,9 @@
 	// Through returns the address of a node that the store answers now, if one
 	// is known.
 	Through func() (address string, known bool)
+	// Others lists addresses of further nodes that may carry large calls, the best
+	// first; nil for none.
+	Others func() []string
 	// Region is the region of the node at an address, "" if it is not known.
 	Region   func(address string) string
 	Logger   klog.Logger
