--- a/internal/storerelay/helpers_test.go
+++ b/internal/storerelay/helpers_test.go
@@ -93,6 +93,7 @@
 		if took := time.Since(began); took > 2*time.Second {
 			t.Errorf("it took %s", took)
 		}
+		time.Sleep(2 * relayTime)
 	})
 }
 
@@ -111,5 +112,6 @@
 		if l.sent["second"] == 0 || l.sent["first"] != before {
 			t.Errorf("sent %v", l.sent)
 		}
+		time.Sleep(2 * relayTime)
 	})
 }
