storerelay: large calls go through other nodes than the reader, each once at a time

Cause: while the store turned a third of the nodes away, owners of batch jobs wrote chunks of up to a megabyte through the one node that they follow, which answers the polls of all its followers on a small link; a create without an answer is tried anew beside itself after 0.5 s, up to four times, so that the same bytes filled the link until none arrived in its time.

Ruled out: fewer tries for large objects, which would come late after an outage of the whole store; smaller chunks alone, since each waits for the one before.

--- a/internal/instance/assemble.go
+++ b/internal/instance/assemble.go
@@ -79,7 +79,7 @@
 		Nodes: i.followable, Joined: i.peers.Joined, ProbeKind: peering.Kind, ProbeName: self.Node, Logger: i.logger, Registry: i.registry,
 	})
 	i.store = storerelay.New(storerelay.Config{
-		Own: i.adapter.Store, Peers: i.transport, Through: i.source.CurrentPeer, Region: i.regionAt, Logger: i.logger, Registry: i.registry,
+		Own: i.adapter.Store, Peers: i.transport, Through: i.source.CurrentPeer, Others: i.helpers, Region: i.regionAt, Logger: i.logger, Registry: i.registry,
 	})
 }
 
--- /dev/null
+++ b/internal/storerelay/carried.go
@@ -0,0 +1,83 @@
+package storerelay
+
+import (
+	"context"
+	"hash/fnv"
+	"sync"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/pathtally/pathtally/internal/objectstore"
+	"github.com/pathtally/pathtally/internal/wire"
+)
+
+// callKey names a call; two calls with the same key ask for the same.
+type callKey struct {
+	verb     uint8
+	kind     string
+	name     string
+	revision uint64
+	length   int
+	sum      uint64
+}
+
+func keyOf(call *wire.StoreCall) callKey {
+	sum := fnv.New64a()
+	sum.Write(call.Content)
+	return callKey{verb: call.Verb, kind: call.Kind, name: call.Name, revision: call.Revision, length: len(call.Content), sum: sum.Sum64()}
+}
+
+// carriage is a large call on its way through another node.
+type carriage struct {
+	done  chan struct{}
+	reply *wire.StoreReply
+	err   error
+}
+
+// carried are the large calls on their way. Whoever makes the same call once more
+// meanwhile waits for the first: sending it twice makes both late.
+type carried struct {
+	mutex sync.Mutex
+	open  map[callKey]*carriage
+}
+
+// once makes a call unless the same is on its way, and returns what became of it.
+func (c *carried) once(ctx context.Context, call *wire.StoreCall, make func() (*wire.StoreReply, error)) (*wire.StoreReply, error) {
+	if len(call.Content) < largeCall {
+		return make()
+	}
+	key := keyOf(call)
+	standing, first := c.begin(key)
+	if first {
+		standing.reply, standing.err = make()
+		c.end(key, standing)
+		return standing.reply, standing.err
+	}
+	select {
+	case <-standing.done:
+		return standing.reply, standing.err
+	case <-ctx.Done():
+		return nil, &objectstore.UnansweredError{Cause: merry.Wrap(ctx.Err())}
+	}
+}
+
+func (c *carried) begin(key callKey) (standing *carriage, first bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if standing = c.open[key]; standing != nil {
+		return standing, false
+	}
+	if c.open == nil {
+		c.open = map[callKey]*carriage{}
+	}
+	standing = &carriage{done: make(chan struct{})}
+	c.open[key] = standing
+	return standing, true
+}
+
+func (c *carried) end(key callKey, ended *carriage) {
+	c.mutex.Lock()
+	delete(c.open, key)
+	c.mutex.Unlock()
+	close(ended.done)
+}
--- a/internal/storerelay/helpers_test.go
+++ b/internal/storerelay/helpers_test.go
@@ -52,6 +52,11 @@
 			return
 		}
 		time.Sleep(wait)
+		if wire.StoreVerb(call.Verb) == wire.StoreGet {
+			_, err := l.store.Get(context.Background(), call.Kind, call.Name, objectstore.MayBeStale)
+			done(replyTo(err), nil)
+			return
+		}
 		_, err := l.store.Create(context.Background(), call.Kind, call.Name, call.Content)
 		done(replyTo(err), nil)
 	}()
--- a/internal/storerelay/relay.go
+++ b/internal/storerelay/relay.go
@@ -12,7 +12,6 @@
 	"k8s.io/klog/v2"
 
 	"github.com/pathtally/pathtally/internal/environment"
-	"github.com/pathtally/pathtally/internal/homes"
 	"github.com/pathtally/pathtally/internal/objectstore"
 	"github.com/pathtally/pathtally/internal/objectwire"
 	"github.com/pathtally/pathtally/internal/wire"
@@ -51,6 +50,8 @@
 type Relay struct {
 	config  Config
 	relayed *prometheus.CounterVec
+	helpers helpers
+	carried carried
 
 	mutex sync.Mutex
 	// failedAt is when a call of this node's own failed last.
@@ -133,8 +134,10 @@
 // A call that had no answer is never made again here: it may have been done.
 // The reply is nil if the call was not made through another node.
 func (r *Relay) do(ctx context.Context, call *wire.StoreCall, own func() error) (*wire.StoreReply, error) {
-	if address, known := r.helper(ctx); known && r.isTroubled() {
-		return r.through(ctx, address, call)
+	if r.isTroubled() {
+		if addresses := r.helpersFor(ctx, call); len(addresses) > 0 {
+			return r.throughAny(ctx, addresses, call)
+		}
 	}
 	err := own()
 	var refused *objectstore.RefusedError
@@ -147,8 +150,8 @@
 		return nil, err
 	case errors.As(err, &refused):
 		r.noteFailed()
-		if address, known := r.helper(ctx); known {
-			return r.through(ctx, address, call)
+		if addresses := r.helpersFor(ctx, call); len(addresses) > 0 {
+			return r.throughAny(ctx, addresses, call)
 		}
 		return nil, err
 	}
@@ -156,19 +159,24 @@
 	return nil, err
 }
 
-// helper returns the address of a node through which a call may be made. One that
-// carries a body which that node's region may not have is made on this node's own way
-// alone, and fails as it does there.
-func (r *Relay) helper(ctx context.Context) (address string, known bool) {
-	address, known = r.config.Through()
-	bounds := homes.BoundsOf(ctx)
-	if !known || !bounds.Homes().Bound() || bounds.AllowsNode(r.config.Region(address)) {
-		return address, known
-	}
-	if r.isTroubled() {
-		r.relayed.WithLabelValues("outside homes").Inc()
-	}
-	return "", false
+// throughAny makes a call through the first of some nodes that does not refuse it.
+func (r *Relay) throughAny(ctx context.Context, addresses []string, call *wire.StoreCall) (*wire.StoreReply, error) {
+	return r.carried.once(ctx, call, func() (reply *wire.StoreReply, err error) {
+		err = &objectstore.RefusedError{Cause: errRelayed}
+		for _, address := range addresses {
+			if !r.carries(ctx, address, call) {
+				r.helpers.avoid(address)
+				continue
+			}
+			reply, err = r.through(ctx, address, call)
+			var refused *objectstore.RefusedError
+			if !errors.As(err, &refused) {
+				return reply, err
+			}
+			r.helpers.avoid(address)
+		}
+		return reply, err
+	})
 }
 
 // through makes a call through another node.
@@ -177,6 +185,9 @@
 	reply, isReply := message.(*wire.StoreReply)
 	if err != nil || !isReply {
 		r.relayed.WithLabelValues("silent").Inc()
+		if ctx.Err() == nil {
+			r.helpers.avoid(address)
+		}
 		return nil, &objectstore.UnansweredError{Cause: merry.Wrap(environment.ErrPeerUnreachable, merry.WithCause(err))}
 	}
 	r.relayed.WithLabelValues(nameOf(wire.StoreOutcome(reply.Outcome))).Inc()
