A node without a configuration takes no batch job over

Cause: while it knew no configuration, a node took itself, in the entry region, for the only one that may have a job, since it knew no region of others; after a power loss all nodes tried each job at once. It waits for the configuration now: it could run no item before.

By the log of one failure the rule is not the cause: the owner answered an empty page behind an append on its way, whose chunk another reader had been shown, because the store had not answered its look within 0.5 s. So this failure may come back, on any commit.

--- a/internal/batch/homes.go
+++ b/internal/batch/homes.go
@@ -48,11 +48,12 @@
 
 // boundsOf is where the bodies of a job may be. A route or tenant that is declared no
 // more may have had any homes: where the others have some, its bodies stay in the
-// region through which they came. The same holds while no configuration is known.
+// region through which they came. A node that knows no configuration yet takes no
+// node, itself included, for one that may have them.
 func (s *Service) boundsOf(from origin) homes.Bounds {
 	configuration := s.config.Directory.View().Configuration
 	if configuration == nil {
-		return homes.Within(homes.Nowhere(), from.entry)
+		return homes.Within(homes.Nowhere(), "")
 	}
 	if !configuration.DeclaresHomes() {
 		return homes.Bounds{}
--- a/internal/batch/homes_test.go
+++ b/internal/batch/homes_test.go
@@ -8,6 +8,9 @@
 	"testing"
 	"time"
 
+	"k8s.io/klog/v2"
+
+	"github.com/pathtally/pathtally/internal/directory"
 	"github.com/pathtally/pathtally/internal/forward"
 	"github.com/pathtally/pathtally/internal/objectstore"
 	"github.com/pathtally/pathtally/internal/wire"
@@ -246,3 +249,12 @@
 		t.Error("a job of a route that is dropped leaves the region through which it came")
 	}
 }
+
+// A node that has just started may not know the configuration yet.
+func TestANodeWithoutAConfigurationTakesNothingOver(t *testing.T) {
+	started := &Service{config: Config{Region: "north", Directory: directory.NewTable("north", regions, klog.Background())}}
+	from := originOf(Record{Route: testRoute, Entry: "north"})
+	if started.boundsOf(from).AllowsNode("north") || !started.isOutsider(&foreign{origin: &from}) {
+		t.Error("it takes itself for one that may have the job")
+	}
+}
