--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -177,9 +177,7 @@
 		return
 	}
 	running.longestGap = max(running.longestGap, interval)
-	state := s.replica(running.endpoint.Name)
-	state.observed, state.blocks, state.unproven = time.Now(), 0, false
-	state.pace.Observe(interval, state.running)
+	s.replica(running.endpoint.Name).observe(interval, time.Now())
 }
 
 // ran ends a run: the item is done with, waits for another run, or failed.
--- a/internal/batch/pace.go
+++ b/internal/batch/pace.go
@@ -47,6 +47,16 @@
 	return 0
 }
 
+// observe takes the time between two events of a run there. A pace that nobody has
+// seen for a while is learnt anew: the replica may have been slow then.
+func (r *replicaState) observe(interval time.Duration, now time.Time) {
+	if now.Sub(r.observed) > paceAge {
+		r.pace = placement.Pace{}
+	}
+	r.pace.Observe(interval, r.running)
+	r.observed, r.blocks, r.unproven = now, 0, false
+}
+
 // recentMicroseconds is the pace to be told to other nodes, 0 for none.
 func (r *replicaState) recentMicroseconds() uint32 {
 	if time.Since(r.observed) > paceAge {
--- a/internal/batch/pace_test.go
+++ b/internal/batch/pace_test.go
@@ -46,6 +46,23 @@
 	}
 }
 
+// Replicas that had been slow were remembered so, and the first runs there after it
+// were moved though their events came as fast as elsewhere.
+func TestPaceIsLearntAnewAfterAWhileWithoutRuns(t *testing.T) {
+	now := time.Now()
+	state := &replicaState{pace: placement.NewPace(140 * time.Millisecond), observed: now, running: 1}
+	state.observe(50*time.Millisecond, now.Add(time.Second))
+	if got := state.pace.Interval(); got < 130*time.Millisecond {
+		t.Errorf("%s after one event a second later", got)
+	}
+	for number := range 6 {
+		state.observe(50*time.Millisecond, now.Add(2*paceAge+time.Duration(number)*50*time.Millisecond))
+	}
+	if got := state.pace.Interval(); got != 50*time.Millisecond {
+		t.Errorf("%s after six events a while later", got)
+	}
+}
+
 func TestSlowReplicasAreUsedLast(t *testing.T) {
 	service, waiting := paced(40, 40, 40, 52, 140)
 	pool := service.newPool()
