--- a/internal/batch/homes_test.go
+++ b/internal/batch/homes_test.go
@@ -252,7 +252,7 @@
 
 // A node that has just started may not know the configuration yet.
 func TestANodeWithoutAConfigurationTakesNothingOver(t *testing.T) {
-	started := &Service{config: Config{Region: "north", Directory: directory.NewTable("north", regions, klog.Background())}}
+	started := &Service{config: Config{Region: "north", Directory: directory.NewTable("node", "north", regions, klog.Background())}}
 	from := originOf(Record{Route: testRoute, Entry: "north"})
 	if started.boundsOf(from).AllowsNode("north") || !started.isOutsider(&foreign{origin: &from}) {
 		t.Error("it takes itself for one that may have the job")
