Test that fails: an owner that cannot look behind its append shows an empty page

The logs of one failure show the owner with an append on its way and 'nothing read behind an append on its way' before it.

--- /dev/null
+++ b/internal/batch/unsure_test.go
@@ -0,0 +1,32 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pathtally/pathtally/standin/metastore"
+)
+
+// Symptom: a position that a caller had read was empty at the owner of an open job.
+//
+// Sequence: an append is done by the store and its answer is lost; another node, which
+// the owner does not answer, reads the results from the store. Then the store answers
+// nobody. The owner, which cannot look behind its append, showed an empty page.
+func TestAnOwnerThatCannotLookBehindItsAppendSaysSo(t *testing.T) {
+	cluster, held := unlistedResults(t)
+	cluster.store.SetFault(func(call metastore.Call) metastore.Fault {
+		if call.Kind == KindResults && call.Verb == "create" {
+			return metastore.Unanswered
+		}
+		return metastore.Sound
+	})
+	held.flushLater()
+	eventually(t, "the results are in the store", func() bool { return cluster.store.Has(KindResults, chunkName("job", 0)) })
+	read := cluster.readBesideOwner()
+	time.Sleep(2 * appendGrace)
+	cluster.store.SetFault(func(metastore.Call) metastore.Fault { return metastore.Silent })
+	cluster.checkNothingGone("while the store answers nobody", read)
+	cluster.store.SetFault(nil)
+	cluster.awaitOwnersAnswer()
+	cluster.checkNothingGone("once the store answers", read)
+}
