batch: an owner that cannot look behind its append does not show an empty page

Cause: while an append has no answer the owner looks at the store for what stands behind its listing; where the store did not answer that either it answered with what it had, though the append may be done and its results shown to others.

Ruled out: waiting longer, since the reader's time ends; an empty page with the promise of another look, which the reader has no way to tell from nothing.

Change: what is listed by then is shown; where that is nothing and the append still has no answer, the read goes on to the store as where nobody holds the job, and ends in 503 if that does not answer.

--- a/internal/batch/read.go
+++ b/internal/batch/read.go
@@ -73,7 +73,11 @@
 		case len(page.Results) > 0 || !open:
 			return page, true
 		case !patient && appending:
-			page.Results = s.readBehind(ctx, id, chunks, after-listed)
+			behind, err := s.readBehind(ctx, id, chunks, after-listed)
+			if err != nil {
+				return s.readListed(id, after)
+			}
+			page.Results = behind
 			return page, true
 		case !patient:
 			return page, true
@@ -88,18 +92,31 @@
 	}
 }
 
+// readListed reads what is listed of a job that this node runs. False where that is
+// nothing and an append has no answer yet: its results may have been shown to others.
+func (s *Service) readListed(id string, after int) (Page, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	held := s.jobs[id]
+	if !held.isCertain() {
+		return Page{}, false
+	}
+	page := held.pageAfter(after)
+	return page, len(page.Results) > 0 || !held.isAppending()
+}
+
 // readBehind returns what the store has from a chunk on, but for some results: it may
 // have done an append that this node has no answer to, and shown its results to
-// others. Where it does not answer in time it shows them to nobody.
-func (s *Service) readBehind(ctx context.Context, id string, chunks, after int) []Result {
+// others.
+func (s *Service) readBehind(ctx context.Context, id string, chunks, after int) ([]Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, behindTime)
 	defer cancel()
 	behind, err := s.config.Journal.Results(s.withinHeld(ctx, id), id, chunks)
 	if err != nil {
 		s.config.Logger.Info("nothing read behind an append on its way", "request", id, "chunk", chunks, "error", err.Error())
-		return nil
+		return nil, err
 	}
-	return pageAfter(behind.results, after, 0).Results
+	return pageAfter(behind.results, after, 0).Results, nil
 }
 
 // pageAfter is the page of the listed results behind a position. The mutex must be
