--- a/test/soak_checks_test.go
+++ b/test/soak_checks_test.go
@@ -104,6 +104,12 @@
 		{"requests before the bound", "", func(r *soakRecord) {
 			r.checkDrained("app", now, time.Second, []replica.Run{{ID: "a", At: now.Add(time.Second / 2)}})
 		}},
+		{"a request in an evacuated zone", "EVAC", func(r *soakRecord) {
+			r.checkEvacuated("app", now, now.Add(2*time.Second), []replica.Run{{ID: "a", At: now.Add(time.Second)}})
+		}},
+		{"requests before the bound of an evacuation and after it", "", func(r *soakRecord) {
+			r.checkEvacuated("app", now, now.Add(time.Second), []replica.Run{{ID: "a", At: now.Add(-time.Second)}, {ID: "b", At: now.Add(2 * time.Second)}})
+		}},
 	} {
 		record := newSoakRecord()
 		test.judge(record)
--- a/test/soak_record_test.go
+++ b/test/soak_record_test.go
@@ -217,6 +217,16 @@
 	}
 }
 
+// checkEvacuated judges the runs of a replica whose zone was evacuated while nothing
+// else was disturbed, from the bound on until the evacuation was taken back.
+func (r *soakRecord) checkEvacuated(name string, bound, end time.Time, runs []replica.Run) {
+	for _, run := range runs {
+		if run.At.After(bound) && run.At.Before(end) {
+			r.fail("EVAC", "request %s reached %s %s after the bound of its zone's evacuation", run.ID, name, run.At.Sub(bound))
+		}
+	}
+}
+
 // checkPage judges a page of results by those read before: positions keep
 // what they held, and a result is whole and fresh. A position before known, the
 // number of those read before the page was asked for, is never empty.
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -142,6 +142,7 @@
 	}
 	time.Sleep(time.Second)
 	w.record.checkDrained(leaving.id, drainedAt, drainBound, leaving.server.Runs())
+	w.evacuate()
 }
 
 const (
--- a/test/soak_world_test.go
+++ b/test/soak_world_test.go
@@ -56,6 +56,8 @@
 	service string
 	server  *replica.Server
 	link    *proxy
+	// zone is where it stands.
+	zone string
 	// drainedAt is when the store had its entry as leaving, zero for never.
 	drainedAt time.Time
 }
@@ -143,6 +145,7 @@
 	w.made++
 	id := fmt.Sprintf("%s-%d", service, w.made)
 	drawn := newDraws(w.seed, streamReplicas+uint64(w.made))
+	zone := soakZones[w.made%len(soakZones)]
 	w.mutex.Unlock()
 	config := replica.Config{ID: id, Slots: 16, Work: 3 * time.Millisecond}
 	if service == "engines" {
@@ -153,7 +156,7 @@
 		w.t.Error(err)
 		return
 	}
-	started := &soakReplica{id: id, service: service, server: server, link: newProxy(w.t, server.Address())}
+	started := &soakReplica{id: id, service: service, zone: zone, server: server, link: newProxy(w.t, server.Address())}
 	w.t.Cleanup(server.Close)
 	w.store.Write("servers", id, started.entry("ready"))
 	w.mutex.Lock()
@@ -162,7 +165,7 @@
 }
 
 func (r *soakReplica) entry(state string) map[string]any {
-	entry := r.server.Entry(r.service, "zone-a")
+	entry := r.server.Entry(r.service, r.zone)
 	entry["address"], entry["state"] = r.link.address(), state
 	return entry
 }
@@ -247,7 +250,7 @@
 	w.t.Helper()
 	path := filepath.Join(w.folder, node.name+".yaml")
 	settings := fmt.Sprintf("node: %s\nzone: zone-a\nregion: region\nhttp: 127.0.0.1:0\npeer: 127.0.0.1:0\npeerAdvertised: %s\n"+
-		"readiness: 127.0.0.1:0\nmetrics: 127.0.0.1:0\nobjectStore: %s\ngrace: %s\ndutyLease: 3s\ndrain: 2s\nmemoryMB: 200\n",
+		"readiness: 127.0.0.1:0\nmetrics: 127.0.0.1:0\nobjectStore: %s\ngrace: %s\ndutyLease: 3s\ndrain: 2s\nmemoryMB: 200\nevacuationBound: 3s\n",
 		node.name, node.peerLink.address(), node.storeLink.address(), soakGrace)
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		w.t.Error(err)
