--- a/internal/storerelay/relay.go
+++ b/internal/storerelay/relay.go
@@ -48,10 +48,10 @@
 // Relay is a store that calls through another node where the store turns this
 // one away. It is safe for use by many goroutines.
 type Relay struct {
-	config  Config
-	relayed *prometheus.CounterVec
-	helpers helpers
-	carried carried
+	config   Config
+	relayed  *prometheus.CounterVec
+	helpers  helpers
+	onTheWay relayedCalls
 
 	mutex sync.Mutex
 	// failedAt is when a call of this node's own failed last.
@@ -161,7 +161,7 @@
 
 // throughAny makes a call through the first of some nodes that does not refuse it.
 func (r *Relay) throughAny(ctx context.Context, addresses []string, call *wire.StoreCall) (*wire.StoreReply, error) {
-	return r.carried.once(ctx, call, func() (reply *wire.StoreReply, err error) {
+	return r.onTheWay.once(ctx, call, func() (reply *wire.StoreReply, err error) {
 		err = &objectstore.RefusedError{Cause: errRelayed}
 		for _, address := range addresses {
 			if !r.carries(ctx, address, call) {
--- a/internal/storerelay/carried.go
+++ b/internal/storerelay/relayed_calls.go
@@ -27,29 +27,29 @@
 	return callKey{verb: call.Verb, kind: call.Kind, name: call.Name, revision: call.Revision, length: len(call.Content), sum: sum.Sum64()}
 }
 
-// carriage is a large call on its way through another node.
-type carriage struct {
+// relayedCall is a large call on its way through another node.
+type relayedCall struct {
 	done  chan struct{}
 	reply *wire.StoreReply
 	err   error
 }
 
-// carried are the large calls on their way. Whoever makes the same call once more
-// meanwhile waits for the first: sending it twice makes both late.
-type carried struct {
+// relayedCalls are the large calls on their way through other nodes. Whoever makes the
+// same call once more meanwhile waits for the first: sending it twice makes both late.
+type relayedCalls struct {
 	mutex sync.Mutex
-	open  map[callKey]*carriage
+	open  map[callKey]*relayedCall
 }
 
 // once makes a call unless the same is on its way, and returns what became of it.
-func (c *carried) once(ctx context.Context, call *wire.StoreCall, make func() (*wire.StoreReply, error)) (*wire.StoreReply, error) {
+func (c *relayedCalls) once(ctx context.Context, call *wire.StoreCall, send func() (*wire.StoreReply, error)) (*wire.StoreReply, error) {
 	if len(call.Content) < largeCall {
-		return make()
+		return send()
 	}
 	key := keyOf(call)
 	standing, first := c.begin(key)
 	if first {
-		standing.reply, standing.err = make()
+		standing.reply, standing.err = send()
 		c.end(key, standing)
 		return standing.reply, standing.err
 	}
@@ -61,21 +61,23 @@
 	}
 }
 
-func (c *carried) begin(key callKey) (standing *carriage, first bool) {
+// begin returns the call with a key, and whether it is to be sent now.
+func (c *relayedCalls) begin(key callKey) (standing *relayedCall, first bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if standing = c.open[key]; standing != nil {
 		return standing, false
 	}
 	if c.open == nil {
-		c.open = map[callKey]*carriage{}
+		c.open = map[callKey]*relayedCall{}
 	}
-	standing = &carriage{done: make(chan struct{})}
+	standing = &relayedCall{done: make(chan struct{})}
 	c.open[key] = standing
 	return standing, true
 }
 
-func (c *carried) end(key callKey, ended *carriage) {
+// end forgets a call and wakes those that wait for it.
+func (c *relayedCalls) end(key callKey, ended *relayedCall) {
 	c.mutex.Lock()
 	delete(c.open, key)
 	c.mutex.Unlock()
