--- a/internal/storerelay/helpers.go
+++ b/internal/storerelay/helpers.go
@@ -20,8 +20,8 @@
 	// answeredMemory is for how long a node that has just been answered is taken to be,
 	// and questionTime bounds the question to one that is not known to be: it is the
 	// way to it and to the store, several times over.
-	answeredMemory  = 2 * time.Second
-	questionTime = 200 * time.Millisecond
+	answeredMemory = 2 * time.Second
+	questionTime   = 200 * time.Millisecond
 )
 
 // helpers remembers which nodes carry calls and which did not. It is safe for use by
