autoscale: what is known of one service has its own file

service.go held the loop and the plan of a service; the comment of greatest named something else, and the fields of ledger did not say what they are worth.

--- a/internal/autoscale/ledger.go
+++ b/internal/autoscale/ledger.go
@@ -22,11 +22,13 @@
 
 // ledger keeps what was ordered of one service. It belongs to one goroutine.
 type ledger struct {
-	store    objectstore.Store
-	service  string
-	known    standing
+	store   objectstore.Store
+	service string
+	known   standing
+	// revision is that of the stored object, 0 while there is none.
 	revision uint64
-	read     bool
+	// read is set while known is what the store is believed to hold.
+	read bool
 }
 
 // load reads what the store holds, once.
@@ -45,6 +47,7 @@
 	return l.take(object)
 }
 
+// take decodes what the store holds.
 func (l *ledger) take(object objectstore.Object) error {
 	var stored standing
 	if err := json.Unmarshal(object.Spec, &stored); err != nil {
--- a/internal/autoscale/metrics.go
+++ b/internal/autoscale/metrics.go
@@ -13,6 +13,7 @@
 	outcomeFailed     = "failed"
 )
 
+// metrics show how many replicas there are and were ordered, and count orders.
 type metrics struct {
 	present *prometheus.GaugeVec
 	ordered *prometheus.GaugeVec
@@ -35,6 +36,7 @@
 	return made
 }
 
+// show sets the numbers of one service.
 func (m *metrics) show(seen *View, plan *plan) {
 	for zone, count := range seen.Present {
 		m.present.WithLabelValues(seen.Service, zone).Set(float64(count))
@@ -44,6 +46,7 @@
 	}
 }
 
+// count counts an order by what became of it.
 func (m *metrics) count(err error) {
 	switch {
 	case err == nil:
--- a/internal/autoscale/peak.go
+++ b/internal/autoscale/peak.go
@@ -5,14 +5,14 @@
 	"time"
 )
 
-// sample is how much work there was at an instant.
+// sample is how many items ran, and how many ran or waited, at an instant.
 type sample struct {
 	at      time.Time
 	running int
 	open    int
 }
 
-// peak keeps the greatest work of late.
+// peak keeps the work of the last peakMemory.
 type peak struct{ samples []sample }
 
 // add takes the work of now and forgets what is too old to plan for.
@@ -21,7 +21,8 @@
 	p.samples = slices.DeleteFunc(p.samples, func(old sample) bool { return now.Sub(old.at) > peakMemory })
 }
 
-// running and open are the greatest of late.
+// greatest returns the most items that ran, and the most that ran or waited, at any
+// instant that is kept.
 func (p *peak) greatest() (running, open int) {
 	for _, one := range p.samples {
 		running, open = max(running, one.running), max(open, one.open)
--- a/internal/autoscale/service.go
+++ b/internal/autoscale/service.go
@@ -46,24 +46,6 @@
 	services map[string]*plan
 }
 
-// plan is what this node knows of the replicas of one service.
-type plan struct {
-	ledger ledger
-	peak   peak
-	// most is the greatest number of replicas seen in each zone before anything was
-	// ordered.
-	most map[string]int
-	// orderedAt is when a zone's last order was sent, and fullUntil until when it
-	// is taken to have none to give.
-	orderedAt map[string]time.Time
-	fullUntil map[string]time.Time
-	// taken is how many replicas of each zone the platform has taken an order for
-	// from this process: an order that it may not have taken is sent again.
-	taken map[string]int
-	// fewerSince is since when a zone has been wanted smaller, without a break.
-	fewerSince map[string]time.Time
-}
-
 // NewService returns a service that does nothing before Run.
 func NewService(config Config) *Service {
 	return &Service{config: config, metrics: newMetrics(config.Registry), services: map[string]*plan{}}
@@ -88,7 +70,7 @@
 			continue
 		}
 		plan := s.plan(name)
-		seen := s.see(view, &service, plan, now)
+		seen := s.viewOf(view, &service, plan, now)
 		if !s.config.Keeper.IsCandidate() || !s.knows(ctx, plan) {
 			continue
 		}
@@ -116,21 +98,18 @@
 	return true
 }
 
+// plan returns what is known of a service, which is nothing at first.
 func (s *Service) plan(service string) *plan {
 	standing := s.services[service]
 	if standing == nil {
-		standing = &plan{
-			ledger: ledger{store: s.config.Store, service: service}, most: map[string]int{},
-			orderedAt: map[string]time.Time{}, fullUntil: map[string]time.Time{}, fewerSince: map[string]time.Time{},
-			taken: map[string]int{},
-		}
+		standing = newPlan(s.config.Store, service)
 		s.services[service] = standing
 	}
 	return standing
 }
 
-// see makes the view of a service.
-func (s *Service) see(view *directory.View, service *directory.Service, plan *plan, now time.Time) *View {
+// viewOf makes the view of a service, and notes in the plan what it shows.
+func (s *Service) viewOf(view *directory.View, service *directory.Service, plan *plan, now time.Time) *View {
 	running, open := s.config.Work(service.Name)
 	plan.peak.add(now, running, open)
 	seen := &View{
@@ -152,66 +131,13 @@
 	}
 	for zone, count := range seen.Present {
 		if plan.ledger.known.Ordered[zone] == 0 {
-			plan.most[zone] = max(plan.most[zone], count)
+			plan.mostSeen[zone] = max(plan.mostSeen[zone], count)
 		}
 	}
 	s.metrics.show(seen, plan)
 	return seen
 }
 
-// base is how many replicas each zone held before anything was ordered.
-func (p *plan) base() map[string]int {
-	base := maps.Clone(p.most)
-	for zone, count := range p.ledger.known.Base {
-		base[zone] = max(base[zone], count)
-	}
-	return base
-}
-
-// changes are the wanted numbers that are worth an order now.
-func (p *plan) changes(wanted []Wanted, now time.Time) []Wanted {
-	var due []Wanted
-	for _, want := range wanted {
-		standing := p.standing(want.Zone)
-		if want.Replicas >= standing {
-			delete(p.fewerSince, want.Zone)
-		} else if p.fewerSince[want.Zone].IsZero() {
-			p.fewerSince[want.Zone] = now
-		}
-		if p.isDue(want, standing, now) {
-			due = append(due, want)
-		}
-	}
-	return due
-}
-
-// standing is how many replicas a zone was last ordered to hold, or held before that.
-func (p *plan) standing(zone string) int {
-	if ordered := p.ledger.known.Ordered[zone]; ordered > 0 {
-		return ordered
-	}
-	return p.base()[zone]
-}
-
-func (p *plan) isDue(want Wanted, standing int, now time.Time) bool {
-	switch {
-	case now.Before(p.fullUntil[want.Zone]), now.Sub(p.orderedAt[want.Zone]) < leastGap:
-		return false
-	case p.isUnsettled(want.Zone):
-		return true
-	case want.Replicas >= standing:
-		return want.Replicas-standing >= leastChange
-	}
-	return standing-want.Replicas >= leastChange && now.Sub(p.fewerSince[want.Zone]) >= shrinkAfter
-}
-
-// isUnsettled tells whether the last order for a zone may not have been taken. A
-// further holder sends what stands once more: it changes nothing where it was taken.
-func (p *plan) isUnsettled(zone string) bool {
-	ordered := p.ledger.known.Ordered[zone]
-	return ordered > 0 && p.taken[zone] != ordered
-}
-
 // change notes a wanted number in the ledger and orders it.
 func (s *Service) change(ctx context.Context, plan *plan, service string, want Wanted, now time.Time) {
 	if err := s.note(ctx, plan, want); err != nil {
