placement, batch: names that say what they hold

longPart (a share) and longestPart (a divisor) stood in one package; Course, lookout, homeless and ride are figures of speech; of, has and told needed their comments.

--- a/internal/batch/beat.go
+++ b/internal/batch/beat.go
@@ -118,7 +118,7 @@
 	}
 	held.ended, held.endedAt = true, time.Now()
 	s.keepLengths(held)
-	s.tellLateness(held)
+	s.logLateness(held)
 	held.cancel()
 	s.dropQueued(held)
 	held.notify()
--- a/internal/batch/foreign.go
+++ b/internal/batch/foreign.go
@@ -39,8 +39,8 @@
 	tenantKnown bool
 	// origin decides where the job's bodies may be; nil while it is not known.
 	origin *origin
-	// told is set once the log says that the job waits for a node that may have it.
-	told bool
+	// waitLogged is set once the log says that the job waits for a node that may have it.
+	waitLogged bool
 	// rank is this node's place among those that may take the job over, as
 	// worked out for a membership.
 	rank       int
--- a/internal/batch/front.go
+++ b/internal/batch/front.go
@@ -20,10 +20,10 @@
 	callTime = 1300 * time.Millisecond
 	// comeBack is when callers are told to come back to a refused call.
 	comeBack = 200 * time.Millisecond
-	// homelessWait is when to come back with a job that no replica may run: a replica
+	// withoutHomeWait is when to come back with a job that no replica may run: a replica
 	// that is started or a configuration that is changed is known everywhere some
 	// seconds later.
-	homelessWait = 2 * time.Second
+	withoutHomeWait = 2 * time.Second
 	// longestWait bounds how long a reader may have a call held.
 	longestWait = 2 * time.Second
 )
@@ -70,7 +70,7 @@
 	case errors.Is(err, ErrOtherTenant):
 		f.refuse(writer, id, http.StatusConflict, err, 0)
 	case errors.Is(err, forward.ErrNoHome):
-		f.refuse(writer, id, http.StatusServiceUnavailable, err, homelessWait)
+		f.refuse(writer, id, http.StatusServiceUnavailable, err, withoutHomeWait)
 	case errors.As(err, &notTaken):
 		f.refuse(writer, id, http.StatusServiceUnavailable, err, comeBack)
 	default:
--- a/internal/batch/homes.go
+++ b/internal/batch/homes.go
@@ -121,10 +121,10 @@
 // logWaiting says once of a job that no other node known may take it over. The mutex
 // must be held.
 func (s *Service) logWaiting(id string, standing *foreign) {
-	if standing.told || standing.ended || s.config.Directory.View().Configuration == nil {
+	if standing.waitLogged || standing.ended || s.config.Directory.View().Configuration == nil {
 		return
 	}
-	standing.told = true
+	standing.waitLogged = true
 	s.config.Logger.Info("batch job waits for a node in its allowed regions, should its owner fall silent", "request", id,
 		"owner", standing.owner.Node, "allowed", s.boundsOf(*standing.origin).Homes().Regions(), "entry", standing.origin.entry)
 }
@@ -151,7 +151,7 @@
 	for _, name := range from.routes {
 		route := view.Configuration.Named(name)
 		if route != nil && !view.HasReplica(route, view.Configuration.HomesOf(route, from.tenant)) {
-			s.metrics.homeless.Inc()
+			s.metrics.withoutHome.Inc()
 			return &NotTakenError{Cause: forward.ErrNoHome}
 		}
 	}
--- a/internal/batch/homes_test.go
+++ b/internal/batch/homes_test.go
@@ -129,7 +129,7 @@
 			t.Errorf("a node outside runs the job: %v, and has read %d payloads", node.runs("job"), reads[number].count(KindPayloads))
 		}
 		node.mutex.Lock()
-		if !node.known["job"].told {
+		if !node.known["job"].waitLogged {
 			t.Error("nothing is said of a job that waits")
 		}
 		node.mutex.Unlock()
--- a/internal/batch/lateness.go
+++ b/internal/batch/lateness.go
@@ -6,9 +6,9 @@
 	"github.com/pathtally/pathtally/internal/placement"
 )
 
-// tellLateness logs why a job was late that ends now, where it was. The mutex must be
+// logLateness logs why a job was late that ends now, where it was. The mutex must be
 // held.
-func (s *Service) tellLateness(ended *job) {
+func (s *Service) logLateness(ended *job) {
 	if ended.due.IsZero() || !time.Now().After(ended.due) {
 		return
 	}
@@ -16,7 +16,7 @@
 	if last == nil {
 		return
 	}
-	reason := placement.WhyLate(s.paces(), last.course())
+	reason := placement.WhyLate(s.paces(), last.history())
 	s.metrics.late.WithLabelValues(string(reason)).Inc()
 	s.config.Logger.Info("batch job was late", "request", ended.id, "reason", string(reason), "lateMs", time.Since(ended.due).Milliseconds(),
 		"item", last.ID, "replica", last.lastRun.endpoint.Name, "waitedMs", last.waited.Milliseconds(), "runs", last.runs, "events", last.events)
@@ -38,9 +38,9 @@
 	return last
 }
 
-// course is how the item went. The mutex must be held.
-func (i *item) course() placement.Course {
-	return placement.Course{
+// history is what happened to the item. The mutex must be held.
+func (i *item) history() placement.History {
+	return placement.History{
 		Epoch: i.job.record.Epoch, Waited: i.waited, Stalls: i.stalls, Breaks: i.breaks, Interval: i.lastRun.interval(),
 	}
 }
--- a/internal/batch/listing.go
+++ b/internal/batch/listing.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	// nearlyPart is the part of the desired groups from which on each whole one of a
-	// late job is listed without delay.
-	nearlyPart = 0.8
+	// nearlyWholeShare is the part of the desired groups, between 0 and 1, from which on
+	// each whole one of a late job is listed without delay.
+	nearlyWholeShare = 0.8
 	// lateGrace is how long after its job was due a group may still be held back: what
 	// readers see half a second later the platform takes for in time for a little while.
 	lateGrace = 200 * time.Millisecond
@@ -39,19 +39,19 @@
 		return limit
 	}
 	aboutToEnd := func(waited *item) bool { return waited.seen() >= longest-lastEvents }
-	if j.has(aboutToEnd) {
+	if j.hasDesiredIf(aboutToEnd) {
 		return limit + endGather
 	}
 	return limit
 }
 
 // hasDesired tells whether the trainer has what it waits for. The mutex must be held.
-func (j *job) hasDesired() bool { return j.has(func(*item) bool { return false }) }
+func (j *job) hasDesired() bool { return j.hasDesiredIf(func(*item) bool { return false }) }
 
-// has tells whether the trainer would have what it waits for if some of the items
+// hasDesiredIf tells whether the trainer would have what it waits for if some of the items
 // without a result had one: as many whole groups as it desires, and all of those that it
 // has asked for before. The mutex must be held.
-func (j *job) has(isSettled func(*item) bool) bool {
+func (j *job) hasDesiredIf(isSettled func(*item) bool) bool {
 	open := map[*group]int{}
 	for _, standing := range j.groups {
 		open[standing] = standing.open
@@ -82,7 +82,7 @@
 			whole++
 		}
 	}
-	return float64(whole) >= nearlyPart*float64(j.desired())
+	return float64(whole) >= nearlyWholeShare*float64(j.desired())
 }
 
 // desired is how many whole groups the trainer waits for, 1 without a trainer.
--- a/internal/batch/lookout.go
+++ b/internal/batch/lookschedule.go
@@ -7,8 +7,8 @@
 // stalled.
 const pausedLook = 4 * lookPeriod
 
-// lookout tells when the runs are to be looked at.
-type lookout struct {
+// lookSchedule tells when the runs are to be looked at.
+type lookSchedule struct {
 	// last is when they were, or were passed over.
 	last time.Time
 	// passedOver is set where they were passed over the last time.
@@ -17,12 +17,12 @@
 
 // isDue tells whether the runs are to be looked at now. After a pause they are passed
 // over once, and not again: a process that is slow throughout has to look as well.
-func (l *lookout) isDue(now time.Time) bool {
-	since := now.Sub(l.last)
+func (s *lookSchedule) isDue(now time.Time) bool {
+	since := now.Sub(s.last)
 	if since < lookPeriod {
 		return false
 	}
-	l.last = now
-	l.passedOver = since >= pausedLook && !l.passedOver
-	return !l.passedOver
+	s.last = now
+	s.passedOver = since >= pausedLook && !s.passedOver
+	return !s.passedOver
 }
--- a/internal/batch/metrics.go
+++ b/internal/batch/metrics.go
@@ -4,23 +4,23 @@
 
 // metrics count what becomes of batch jobs and their items.
 type metrics struct {
-	runs      prometheus.Counter
-	moved     *prometheus.CounterVec
-	late      *prometheus.CounterVec
-	takeovers prometheus.Counter
-	homeless  prometheus.Counter
-	results   *prometheus.CounterVec
+	runs        prometheus.Counter
+	moved       *prometheus.CounterVec
+	late        *prometheus.CounterVec
+	takeovers   prometheus.Counter
+	withoutHome prometheus.Counter
+	results     *prometheus.CounterVec
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
 	made := &metrics{
-		runs:      prometheus.NewCounter(prometheus.CounterOpts{Name: "pathtally_item_runs_total", Help: "Runs of items begun at replicas."}),
-		moved:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "pathtally_item_moves_total", Help: "Runs cut to go on at another replica, by why."}, []string{"reason"}),
-		late:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "pathtally_jobs_late_total", Help: "Batch jobs that ended later than their route names, by why."}, []string{"reason"}),
-		takeovers: prometheus.NewCounter(prometheus.CounterOpts{Name: "pathtally_job_takeovers_total", Help: "Batch jobs taken over from other nodes."}),
-		homeless:  prometheus.NewCounter(prometheus.CounterOpts{Name: "pathtally_jobs_without_home_total", Help: "Batch jobs refused because no replica is in the allowed regions."}),
-		results:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "pathtally_item_results_total", Help: "Items by how they ended."}, []string{"state"}),
+		runs:        prometheus.NewCounter(prometheus.CounterOpts{Name: "pathtally_item_runs_total", Help: "Runs of items begun at replicas."}),
+		moved:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "pathtally_item_moves_total", Help: "Runs cut to go on at another replica, by why."}, []string{"reason"}),
+		late:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "pathtally_jobs_late_total", Help: "Batch jobs that ended later than their route names, by why."}, []string{"reason"}),
+		takeovers:   prometheus.NewCounter(prometheus.CounterOpts{Name: "pathtally_job_takeovers_total", Help: "Batch jobs taken over from other nodes."}),
+		withoutHome: prometheus.NewCounter(prometheus.CounterOpts{Name: "pathtally_jobs_without_home_total", Help: "Batch jobs refused because no replica is in the allowed regions."}),
+		results:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "pathtally_item_results_total", Help: "Items by how they ended."}, []string{"state"}),
 	}
-	registry.MustRegister(made.runs, made.moved, made.late, made.takeovers, made.homeless, made.results)
+	registry.MustRegister(made.runs, made.moved, made.late, made.takeovers, made.withoutHome, made.results)
 	return made
 }
--- a/internal/batch/pace_test.go
+++ b/internal/batch/pace_test.go
@@ -83,7 +83,7 @@
 // running adds a run of an item at a replica that has made some events.
 func (s *Service) addRun(replica string, events int64, work *item) *attempt {
 	pool := s.newPool()
-	for _, candidate := range pool.of(work) {
+	for _, candidate := range pool.replicasFor(work) {
 		if candidate.Name == replica {
 			added := &attempt{item: work, endpoint: pool.endpoints[replica], begun: time.Now()}
 			added.events.Store(events)
--- a/internal/batch/pool.go
+++ b/internal/batch/pool.go
@@ -61,12 +61,12 @@
 
 // pick returns the replica for an item, nil for none.
 func (p *pool) pick(waiting *item) *placement.Replica {
-	return placement.Pick(p.of(waiting), placement.Wish{FailedAt: waiting.failedAt, Urgent: waiting.urgent})
+	return placement.Pick(p.replicasFor(waiting), placement.Wish{FailedAt: waiting.failedAt, Urgent: waiting.urgent})
 }
 
-// of lists the replicas that have the weights for an item, are not loading, and that
+// replicasFor lists the replicas that have the weights for an item, are not loading, and that
 // it may go to once they have a free slot.
-func (p *pool) of(waiting *item) []*placement.Replica {
+func (p *pool) replicasFor(waiting *item) []*placement.Replica {
 	key := poolKey{route: waiting.job.record.Route, model: waiting.job.submission.Model, minVersion: waiting.job.submission.MinVersion, tenant: waiting.job.record.Tenant}
 	replicas, known := p.replicas[key]
 	if known || p.view.Configuration == nil {
--- a/internal/batch/scheduler.go
+++ b/internal/batch/scheduler.go
@@ -19,7 +19,7 @@
 func (s *Service) schedule(ctx context.Context) {
 	timer := time.NewTimer(idleLook)
 	defer timer.Stop()
-	looks := lookout{last: time.Now()}
+	looks := lookSchedule{last: time.Now()}
 	for {
 		changed := s.config.Directory.Changed()
 		busy := s.assign()
@@ -116,11 +116,11 @@
 	}
 }
 
-// runOf is the view of a run, the how many'th of those that are looked at.
+// runOf is the view of a run, given its index among those that are looked at.
 func (p *pool) runOf(index int, running *attempt) *placement.Run {
 	work := running.item
 	return &placement.Run{
-		Index: index, Replica: running.endpoint.Name, Replicas: p.of(work), FailedAt: work.failedAt,
+		Index: index, Replica: running.endpoint.Name, Replicas: p.replicasFor(work), FailedAt: work.failedAt,
 		Events: int(running.events.Load()), Rest: p.service.rest(work), Idle: running.idle(),
 		Due: !work.job.due.IsZero(), Left: work.job.due.Sub(p.now),
 		Loading: p.service.replica(running.endpoint.Name).loading(work.job.submission.Model),
--- a/internal/batch/scheduler_test.go
+++ b/internal/batch/scheduler_test.go
@@ -37,7 +37,7 @@
 
 func TestRunsArePassedOverOnceAfterAPause(t *testing.T) {
 	now := time.Now()
-	looks := lookout{last: now}
+	looks := lookSchedule{last: now}
 	for _, test := range []struct {
 		after time.Duration
 		due   bool
--- a/internal/batch/text.go
+++ b/internal/batch/text.go
@@ -48,10 +48,10 @@
 
 const (
 	// textPeriod is the time between two savings of the texts of running items, and
-	// ridePeriod that where results are written anyway: the call costs the same, and
-	// what was not saved is made again after the owner's loss.
-	textPeriod = time.Second
-	ridePeriod = 400 * time.Millisecond
+	// besideResultsPeriod that where results are written anyway: the call costs the
+	// same, and what was not saved is made again after the owner's loss.
+	textPeriod          = time.Second
+	besideResultsPeriod = 400 * time.Millisecond
 	// leastText is how many events an item must have made for its text to be
 	// saved, and leastPiece how many of these must be new. Shorter texts are as
 	// soon made again as read back.
@@ -62,12 +62,12 @@
 )
 
 // unsavedTexts are the parts of the texts of running items that the store lacks,
-// as far as one object holds them; none before it is time, which is sooner where they
-// ride along with results. The mutex must be held.
-func (j *job) unsavedTexts(ride bool) []piece {
+// as far as one object holds them; none before it is time, which is sooner where
+// results are written with them. The mutex must be held.
+func (j *job) unsavedTexts(besideResults bool) []piece {
 	period := textPeriod
-	if ride {
-		period = ridePeriod
+	if besideResults {
+		period = besideResultsPeriod
 	}
 	if time.Since(j.textsSaved) < period {
 		return nil
--- a/internal/batch/text_test.go
+++ b/internal/batch/text_test.go
@@ -192,7 +192,7 @@
 	for number := range 2 * leastText {
 		running.progress.add(fmt.Sprint(number), 1)
 	}
-	held := &job{items: map[string]*item{"long": running}, order: []string{"long"}, textsSaved: time.Now().Add(-ridePeriod - time.Millisecond)}
+	held := &job{items: map[string]*item{"long": running}, order: []string{"long"}, textsSaved: time.Now().Add(-besideResultsPeriod - time.Millisecond)}
 	if pieces := held.unsavedTexts(false); len(pieces) != 0 {
 		t.Errorf("%d texts saved alone before it is time", len(pieces))
 	}
--- a/internal/forward/homes.go
+++ b/internal/forward/homes.go
@@ -24,6 +24,6 @@
 	if view.HasReplica(route, view.Configuration.HomesOf(route, call.Tenant)) {
 		return nil
 	}
-	f.config.Metrics.homeless.Inc()
+	f.config.Metrics.withoutHome.Inc()
 	return &RefusedError{Reason: ReasonOutsideHome, RetryAfter: homesWait, Cause: ErrNoHome}
 }
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -9,10 +9,10 @@
 
 // Metrics count how live requests end.
 type Metrics struct {
-	requests *prometheus.CounterVec
-	latency  prometheus.Histogram
-	untold   prometheus.Counter
-	homeless prometheus.Counter
+	requests    *prometheus.CounterVec
+	latency     prometheus.Histogram
+	untold      prometheus.Counter
+	withoutHome prometheus.Counter
 }
 
 // latencyBuckets are the bounds of the latency histogram, in seconds.
@@ -25,8 +25,8 @@
 		latency:  prometheus.NewHistogram(prometheus.HistogramOpts{Name: "pathtally_forward_seconds", Help: "Time from a whole live request to its whole answer.", Buckets: latencyBuckets}),
 	}
 	metrics.untold = prometheus.NewCounter(prometheus.CounterOpts{Name: "pathtally_log_lines_left_out_total", Help: "Log lines of requests served at once that were left out."})
-	metrics.homeless = prometheus.NewCounter(prometheus.CounterOpts{Name: "pathtally_requests_without_home_total", Help: "Live requests refused because no replica is in the allowed regions."})
-	registry.MustRegister(metrics.requests, metrics.latency, metrics.untold, metrics.homeless)
+	metrics.withoutHome = prometheus.NewCounter(prometheus.CounterOpts{Name: "pathtally_requests_without_home_total", Help: "Live requests refused because no replica is in the allowed regions."})
+	registry.MustRegister(metrics.requests, metrics.latency, metrics.untold, metrics.withoutHome)
 	return metrics
 }
 
--- a/internal/placement/item.go
+++ b/internal/placement/item.go
@@ -28,10 +28,10 @@
 }
 
 const (
-	// longPart is the part of its job's time from which on an item counts as long:
-	// with the factor of two or so by which texts outgrow what is expected of them, a
-	// wait behind shorter ones may cost its group.
-	longPart = 0.3
+	// longShare is the part of its job's time, between 0 and 1, from which on an item
+	// counts as long: with the factor of two or so by which texts outgrow what is
+	// expected of them, a wait behind shorter ones may cost its group.
+	longShare = 0.3
 	// lostMargin is by how much an item has to be expected late to be taken for lost:
 	// lengths are expected no more closely than that.
 	lostMargin = time.Second
@@ -79,7 +79,7 @@
 // the time that it has. One whose time cannot be kept yields to those that can keep
 // theirs.
 func (i Item) IsUrgent() bool {
-	isLong := float64(i.Rest) >= longPart*float64(i.Objective)
+	isLong := float64(i.Rest) >= longShare*float64(i.Objective)
 	isLost := i.Rest > i.Left+lostMargin
 	return !i.Due.IsZero() && !i.Spare && !isLost && (isLong || i.Begun)
 }
--- a/internal/placement/lateness.go
+++ b/internal/placement/lateness.go
@@ -22,8 +22,8 @@
 	lateRatio = 1.05
 )
 
-// Course is how the item went that its job waited for last.
-type Course struct {
+// History is what happened to the item that its job waited for last.
+type History struct {
 	// Epoch is the place of the job's owner among its owners, from 1.
 	Epoch int
 	// Waited is how long after the job's start here its first run began.
@@ -36,18 +36,19 @@
 	Interval time.Duration
 }
 
-// WhyLate names what made a job late whose last item went so.
-func WhyLate(paces Paces, course Course) Lateness {
+// WhyLate names what made a job late, given the history of the item that it waited for
+// last.
+func WhyLate(paces Paces, history History) Lateness {
 	switch {
-	case course.Epoch > 1:
+	case history.Epoch > 1:
 		return LateRestart
-	case course.Waited > lateBegin:
+	case history.Waited > lateBegin:
 		return LateNoSlot
-	case course.Stalls > 0:
+	case history.Stalls > 0:
 		return LateStall
-	case course.Breaks > 0:
+	case history.Breaks > 0:
 		return LateBreaks
-	case paces.usual > 0 && float64(course.Interval) > lateRatio*float64(paces.usual):
+	case paces.usual > 0 && float64(history.Interval) > lateRatio*float64(paces.usual):
 		return LateReplica
 	}
 	return LateLongText
--- a/internal/placement/length.go
+++ b/internal/placement/length.go
@@ -1,5 +1,15 @@
 package placement
 
+const (
+	// unseenEvents is how many events longer than seen a text is taken to be that was
+	// cut.
+	unseenEvents = 20
+	// remainingShare is the part of what an item has made so far that it is expected to
+	// make yet where its length is not known: of long texts, those that have come far go
+	// on for long.
+	remainingShare = 0.6
+)
+
 // Length is what earlier runs of an item have shown of its text.
 type Length struct {
 	// Events is the number of events that the text has: exactly so many where
@@ -17,12 +27,9 @@
 	return l.Events + unseenEvents
 }
 
-// unseenEvents is how much longer than seen a text is taken to be that was cut.
-const unseenEvents = 20
-
-// Remaining is how many events an item is expected to make yet, of which so many are
-// expected in all (0 for nothing known) and so many made. None is expected to outgrow
-// the longest text known, 0 for none.
+// Remaining is how many events an item is expected to make yet, given how many are
+// expected in all (0 for nothing known), how many it has made, and how many the longest
+// text known has (0 for none): no item is expected to outgrow that.
 func Remaining(expected, made, longest int) int {
 	rest := int(remainingShare * float64(made))
 	if expected > made {
@@ -33,8 +40,3 @@
 	}
 	return rest
 }
-
-// remainingShare is the part of what an item has made so far that it is expected to
-// make yet where its length is not known: of long texts, those that have come far go
-// on for long.
-const remainingShare = 0.6
--- a/internal/placement/rank.go
+++ b/internal/placement/rank.go
@@ -5,6 +5,10 @@
 	"slices"
 )
 
+// longestFirstDivisor is into how many parts the items are divided by their expected
+// length, of which the longest goes first: a quarter of the items.
+const longestFirstDivisor = 4
+
 // Submitted is an item as its job was handed in.
 type Submitted struct {
 	ID    string
@@ -47,7 +51,7 @@
 		}
 	}
 	slices.SortStableFunc(wanted, func(a, b Submitted) int { return cmp.Compare(b.ExpectedTokens, a.ExpectedTokens) })
-	slices.Reverse(wanted[len(wanted)/longestPart:])
+	slices.Reverse(wanted[len(wanted)/longestFirstDivisor:])
 	slices.SortStableFunc(carried, func(a, b Submitted) int {
 		return cmp.Compare(lengths[b.ID].Expected(), lengths[a.ID].Expected())
 	})
@@ -57,7 +61,3 @@
 	}
 	return ranks
 }
-
-// longestPart is the part of the items that go first because they are expected to be
-// the longest.
-const longestPart = 4
