slowstart, instance, watchcache: names of the field, areas by name instead of by index

askTime, askedTime, askPause and leaseLook told little apart; doubt was staleness; kept[1] was the region. EvacuationBound's comment said sent where the code and OPERATIONS count arrival.

--- a/internal/instance/evacuations.go
+++ b/internal/instance/evacuations.go
@@ -35,7 +35,7 @@
 	}, func() float64 { return float64(len(i.directory.View().Evacuated)) }))
 }
 
-// watchEvacuations tells in the log how evacuations proceed, until the context ends.
+// watchEvacuations logs how evacuations proceed, until the context ends.
 func (i *Instance) watchEvacuations(ctx context.Context) {
 	bound := i.settings.EvacuationBound.Std()
 	if bound <= 0 {
@@ -54,23 +54,23 @@
 	}
 }
 
-// evacuationWatch is what has been told of the evacuations that stand. It belongs to
+// evacuationWatch is what has been logged of the evacuations that stand. It belongs to
 // one goroutine.
 type evacuationWatch struct {
 	logger klog.Logger
-	// age is for how long the evacuations have not been known to be current, and oldest
-	// from when on that is told.
-	age    func() time.Duration
-	oldest time.Duration
-	doubt  bool
+	// age is for how long the evacuations have not been known to be current, oldest the
+	// age from which on that is logged, and isStale whether it has been.
+	age     func() time.Duration
+	oldest  time.Duration
+	isStale bool
 	// empty are the evacuated zones at which no request of this node is left.
 	empty map[string]bool
 }
 
-// look tells what is new and returns when to look again.
+// look logs what is new and returns when to look again.
 func (w *evacuationWatch) look(view *directory.View) time.Duration {
 	if !view.EvacuationsAwaited {
-		w.lookAtAge()
+		w.logAge()
 	}
 	for zone := range w.empty {
 		if _, evacuated := view.Evacuated[zone]; !evacuated {
@@ -89,13 +89,13 @@
 	return evacuationPause
 }
 
-// lookAtAge tells when this node can no longer say whether its evacuations are current,
+// logAge logs when this node can no longer say whether its evacuations are current,
 // and when it can again.
-func (w *evacuationWatch) lookAtAge() {
+func (w *evacuationWatch) logAge() {
 	age := w.age()
-	if doubt := age > w.oldest; doubt != w.doubt {
-		w.doubt = doubt
-		if doubt {
+	if stale := age > w.oldest; stale != w.isStale {
+		w.isStale = stale
+		if stale {
 			w.logger.Info("evacuations not known to be current", "ageMs", age.Milliseconds(), "oldestMs", w.oldest.Milliseconds())
 		} else {
 			w.logger.Info("evacuations known to be current again")
--- a/internal/instance/evacuations_test.go
+++ b/internal/instance/evacuations_test.go
@@ -33,13 +33,13 @@
 func TestDoubtAboutEvacuationsIsToldOnceAndEnds(t *testing.T) {
 	age := 2 * time.Second
 	watch := &evacuationWatch{logger: klog.Background(), age: func() time.Duration { return age }, oldest: time.Second, empty: map[string]bool{}}
-	watch.lookAtAge()
-	if !watch.doubt {
+	watch.logAge()
+	if !watch.isStale {
 		t.Error("word older than the bound is taken as current")
 	}
 	age = 0
-	watch.lookAtAge()
-	if watch.doubt {
+	watch.logAge()
+	if watch.isStale {
 		t.Error("doubt goes on although there was word")
 	}
 }
--- a/internal/instance/slowstart.go
+++ b/internal/instance/slowstart.go
@@ -34,8 +34,8 @@
 	instance *Instance
 	asker    *slowstart.Asker
 	allotter *slowstart.Allotter
-	// turn counts the nodes that were asked in vain, so that the next one is. It
-	// belongs to the asker's goroutine.
+	// turn counts the nodes that were asked in vain: the next question goes to the
+	// next node. It belongs to the asker's goroutine.
 	turn int
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -68,7 +68,7 @@
 	// its API keys to be trusted; zero trusts the last one known without bound.
 	KeyBound v1.Duration `json:"keyBound"`
 	// EvacuationBound is how long after the word that a zone is to be evacuated a
-	// request may still be sent there; zero means that zones are not evacuated.
+	// request may still arrive there; zero means that zones are not evacuated.
 	EvacuationBound v1.Duration `json:"evacuationBound"`
 	// WarmUpOverage is how many times the rate that a replica bears while it warms up
 	// it may get in a second, and WarmUpSlack how many requests more.
--- a/internal/slowstart/allotment.go
+++ b/internal/slowstart/allotment.go
@@ -12,6 +12,7 @@
 	left  atomic.Int64
 }
 
+// newAllotment returns an allotment of which nothing has been used.
 func newAllotment(count int, until time.Time) *allotment {
 	made := &allotment{until: until}
 	made.left.Store(int64(count))
--- a/internal/slowstart/allotter.go
+++ b/internal/slowstart/allotter.go
@@ -14,11 +14,11 @@
 const (
 	// dutyName names the allotting among the duties of the lease.
 	dutyName = "slow-start"
-	// leaseLook is the time between looks whether the lease is about to run out.
-	leaseLook = 100 * time.Millisecond
-	// askedTime is for how long after a question the lease is kept: askers ask again
-	// within some tenths of a second as long as anything warms up.
-	askedTime = time.Second
+	// leaseCheckInterval is the time between looks whether the lease is about to run out.
+	leaseCheckInterval = 100 * time.Millisecond
+	// askedRecently is for how long after a question the lease is kept: askers ask
+	// again within some tenths of a second as long as anything warms up.
+	askedRecently = time.Second
 )
 
 // AllotterConfig is what an Allotter needs.
@@ -75,13 +75,14 @@
 		if count > 0 {
 			allotted = append(allotted, wire.ReplicaCount{Replica: want.Replica, Count: uint32(count)})
 		}
-		a.note(int(want.Count), count)
+		a.count(int(want.Count), count)
 	}
 	return allotted
 }
 
-// note counts what became of one replica's part of a question. The mutex must be held.
-func (a *Allotter) note(wanted, allotted int) {
+// count adds what became of one replica's part of a question to the summary and the
+// metrics. The mutex must be held.
+func (a *Allotter) count(wanted, allotted int) {
 	a.summary.questions++
 	a.summary.allotted += allotted
 	a.summary.refused += wanted - allotted
@@ -105,9 +106,9 @@
 func (a *Allotter) keep(ctx context.Context) {
 	defer a.config.Lease.Idle(dutyName)
 	for ctx.Err() == nil && a.wasAsked() {
-		pause := leaseLook
+		pause := leaseCheckInterval
 		if ready, again := a.config.Lease.Ready(ctx, dutyName); !ready {
-			pause = min(max(again, leaseLook), askedTime)
+			pause = min(max(again, leaseCheckInterval), askedRecently)
 		}
 		wait(ctx, pause)
 	}
@@ -118,20 +119,20 @@
 func (a *Allotter) wasAsked() bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	return a.config.Clock().Sub(a.askedAt) < askedTime
+	return a.config.Clock().Sub(a.askedAt) < askedRecently
 }
 
 // report logs what was allotted since the last report.
 func (a *Allotter) report() {
 	a.mutex.Lock()
-	told := a.summary
+	reported := a.summary
 	a.summary = summary{}
 	a.ledger.Prune(a.config.Clock())
 	a.mutex.Unlock()
-	if told.questions == 0 {
+	if reported.questions == 0 {
 		return
 	}
-	a.config.Logger.Info("requests to warming replicas allotted", "questions", told.questions, "allotted", told.allotted, "refused", told.refused)
+	a.config.Logger.Info("requests to warming replicas allotted", "questions", reported.questions, "allotted", reported.allotted, "refused", reported.refused)
 }
 
 // wait waits for a span or until the context ends.
--- a/internal/slowstart/asker.go
+++ b/internal/slowstart/asker.go
@@ -14,11 +14,11 @@
 )
 
 const (
-	// askPause is the least time between two questions: an allotment lives several
+	// askInterval is the least time between two questions: an allotment lives several
 	// times as long, and a replica that warms up takes a request in about this time.
-	askPause = 120 * time.Millisecond
-	// askTime bounds the wait for an answer: a later one would be worth little.
-	askTime = 350 * time.Millisecond
+	askInterval = 120 * time.Millisecond
+	// askTimeout bounds the wait for an answer: a later one would be worth little.
+	askTimeout = 350 * time.Millisecond
 	// mostWanted is how many requests to a replica are asked for at a time: with one
 	// more than a single node can use between two questions, the first to ask leaves
 	// something for the others, and little runs out unused.
@@ -74,7 +74,7 @@
 		case <-a.wanted:
 			a.releaseWarm()
 			a.ask(ctx)
-			wait(ctx, askPause)
+			wait(ctx, askInterval)
 		}
 		timer.Stop()
 	}
@@ -87,7 +87,7 @@
 		return
 	}
 	sent := a.config.Clock()
-	ctx, cancel := context.WithTimeout(ctx, askTime)
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	allotted, span, err := a.config.Ask(ctx, wanted)
 	if err != nil {
--- a/internal/slowstart/bounds.go
+++ b/internal/slowstart/bounds.go
@@ -20,11 +20,13 @@
 
 // gateCounts count what happened at one gate. They outlive its bounds.
 type gateCounts struct {
-	// demand counts the requests that found the gate closed since the last question.
+	// demand counts the requests that found the gate closed since the last question,
+	// and used those that were let through against an allotment.
 	demand atomic.Int64
 	used   atomic.Int64
 }
 
+// open tells whether a request could be sent now, and notes one that could not.
 func (b *bounds) open() bool {
 	if b.left() > 0 {
 		return true
@@ -33,6 +35,7 @@
 	return false
 }
 
+// take uses up one allotted request, and notes one for which there was none.
 func (b *bounds) take() bool {
 	now := b.clock()
 	if !now.Before(b.until) {
@@ -48,6 +51,7 @@
 	return false
 }
 
+// left is how many requests could be sent now.
 func (b *bounds) left() int {
 	now := b.clock()
 	if !now.Before(b.until) {
--- a/internal/slowstart/gate_test.go
+++ b/internal/slowstart/gate_test.go
@@ -49,7 +49,7 @@
 			time.Sleep(10 * time.Millisecond)
 		}
 		synctest.Wait()
-		if most := int(3*time.Second/askPause) + 1; questions == 0 || questions > most {
+		if most := int(3*time.Second/askInterval) + 1; questions == 0 || questions > most {
 			t.Errorf("%d questions, want 1 to %d", questions, most)
 		}
 		time.Sleep(20 * time.Millisecond)
--- a/internal/slowstart/keeping.go
+++ b/internal/slowstart/keeping.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// idleCheckInterval is the time between looks while nothing warms up. A replica that
+// begins to warm up wakes the asker before.
+const idleCheckInterval = time.Minute
+
 // keptGate is the gate of a replica that warms up.
 type keptGate struct {
 	gate   *Gate
@@ -66,16 +70,12 @@
 	a.config.Logger.Info("replica is warm or gone", "replica", replica, "sentMeanwhile", used)
 }
 
-// idleLook is the time between looks while nothing warms up; what begins to wakes
-// the asker.
-const idleLook = time.Minute
-
 // untilNextEnd is the time until the next replica is warm.
 func (a *Asker) untilNextEnd() time.Duration {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	now := a.config.Clock()
-	next := idleLook
+	next := idleCheckInterval
 	for _, kept := range a.kept {
 		next = min(next, kept.gate.bounds.Load().until.Sub(now))
 	}
--- a/internal/slowstart/lease.go
+++ b/internal/slowstart/lease.go
@@ -8,10 +8,10 @@
 // Lease is what the allotter needs of the duty lease.
 type Lease interface {
 	// Held returns since when neither another node nor a former process of this one
-	// has held the lease, by the steady clock; false unless it is valid now.
+	// has held the lease, by the steady clock, and whether it is valid now.
 	Held() (since time.Time, valid bool)
-	// Ready has the lease, or tells when to look again.
+	// Ready acquires or renews the lease for a duty, or tells when to look again.
 	Ready(ctx context.Context, duty string) (ready bool, again time.Duration)
-	// Idle tells that a duty has nothing to do.
+	// Idle says that a duty has nothing to do, so that the lease need not be kept for it.
 	Idle(duty string)
 }
--- a/internal/slowstart/model_world_test.go
+++ b/internal/slowstart/model_world_test.go
@@ -147,7 +147,7 @@
 		for _, node := range w.nodes {
 			w.send(node.process, burst)
 			if w.now >= node.nextAsk {
-				node.nextAsk = w.now + askPause
+				node.nextAsk = w.now + askInterval
 				w.ask(node.process)
 			}
 		}
--- a/internal/watchcache/area.go
+++ b/internal/watchcache/area.go
@@ -22,39 +22,42 @@
 )
 
 // areas are those of this node that one reader can answer, widest first, among some
-// other nodes. The zone is always one of them.
+// other nodes. The zone is always one of them; a wider one is left out where it adds no
+// node to the next narrower.
 func (s *Source) areas(nodes []Node) []area {
 	self := s.config.Self
 	region := s.config.Regions[self.Zone]
-	kept := []area{{kind: kindZone}, {kind: kindRegion}, {kind: kindDeployment}}
+	zone, inRegion, all := area{kind: kindZone}, area{kind: kindRegion}, area{kind: kindDeployment}
 	for _, node := range nodes {
 		if node.Name == self.Name {
 			continue
 		}
-		kept[2].nodes = append(kept[2].nodes, node)
+		all.nodes = append(all.nodes, node)
 		if node.Zone == self.Zone {
-			kept[0].nodes = append(kept[0].nodes, node)
+			zone.nodes = append(zone.nodes, node)
 		}
 		if node.Zone == self.Zone || (region != "" && s.config.Regions[node.Zone] == region) {
-			kept[1].nodes = append(kept[1].nodes, node)
+			inRegion.nodes = append(inRegion.nodes, node)
 		}
 	}
+	narrowestFirst := []area{zone, inRegion, all}
 	var widestFirst []area
-	for number := len(kept) - 1; number > 0; number-- {
-		if wide := kept[number]; len(wide.nodes) < mostFollowers && len(wide.nodes) > len(kept[number-1].nodes) {
+	for i := len(narrowestFirst) - 1; i > 0; i-- {
+		if wide := narrowestFirst[i]; len(wide.nodes) < mostFollowers && len(wide.nodes) > len(narrowestFirst[i-1].nodes) {
 			widestFirst = append(widestFirst, wide)
 		}
 	}
-	return append(widestFirst, kept[0])
+	return append(widestFirst, zone)
 }
 
-// standingArea is the widest area whose reader this node has not left. The mutex must
-// be held.
+// standingArea is the widest area whose reader this node has not left, or the narrowest
+// where it has left all of them. The mutex must be held.
 func (s *Source) standingArea(nodes []Node) (standing area, narrowest bool) {
 	areas := s.areas(nodes)
-	for number, candidate := range areas {
-		if number == len(areas)-1 || !time.Now().Before(s.leftAreas[candidate.kind]) {
-			return candidate, number == len(areas)-1
+	for i, candidate := range areas {
+		last := i == len(areas)-1
+		if last || !time.Now().Before(s.leftAreas[candidate.kind]) {
+			return candidate, last
 		}
 	}
 	return area{}, true
--- a/internal/watchcache/health.go
+++ b/internal/watchcache/health.go
@@ -77,6 +77,7 @@
 	}
 }
 
+// latest is the later of two instants.
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
