--- a/internal/directory/table.go
+++ b/internal/directory/table.go
@@ -48,7 +48,8 @@
 // zone.
 func NewTable(node, zone string, regions map[string]string, logger klog.Logger) *Table {
 	table := &Table{
-		place: routing.Place{Node: node, Zone: zone, Region: regions[zone]}, regions: regions, logger: logger, draining: map[string]time.Time{}, missing: map[string]*time.Timer{},
+		place: routing.Place{Node: node, Zone: zone, Region: regions[zone]}, regions: regions, logger: logger,
+		draining: map[string]time.Time{}, missing: map[string]*time.Timer{},
 		states: map[string]*routing.EndpointState{}, warmUps: warmUps{}, changed: make(chan struct{}),
 	}
 	table.view.Store(&View{Replicas: map[string]*Replica{}, Named: map[string]int64{}, Plans: map[string]*routing.Plan{}})
