--- a/internal/batch/beat.go
+++ b/internal/batch/beat.go
@@ -34,8 +34,6 @@
 
 // TakeBeat takes another node's heartbeat.
 func (s *Service) TakeBeat(beat *wire.NodeBeat) {
-	owner := Owner{Node: beat.Node, Address: beat.Address, Incarnation: beat.Incarnation}
-	var contested []*job
 	s.mutex.Lock()
 	s.uses[beat.Node] = usesOf(beat)
 	for _, told := range beat.Tolerances {
@@ -45,6 +43,24 @@
 	for _, work := range beat.Work {
 		s.noteDemand(work)
 	}
+	contested := s.takeRunning(beat)
+	s.takeOrigins(beat.Work)
+	contested = append(contested, s.takeEnded(beat)...)
+	s.mutex.Unlock()
+	for _, version := range beat.Versions {
+		s.NoteVersion(version)
+	}
+	for _, held := range contested {
+		go s.confirmOwner(held)
+	}
+	s.nudge()
+}
+
+// takeRunning notes which jobs a heartbeat's sender runs, and returns those of this
+// node's that it may own instead. The mutex must be held.
+func (s *Service) takeRunning(beat *wire.NodeBeat) []*job {
+	var contested []*job
+	owner := Owner{Node: beat.Node, Address: beat.Address, Incarnation: beat.Incarnation}
 	epochs := epochsOf(beat)
 	for _, id := range beat.Jobs {
 		if held := s.jobs[id]; held != nil {
@@ -58,7 +74,13 @@
 			standing.heard, standing.leaving = time.Now(), beat.Leaving
 		}
 	}
-	for _, work := range beat.Work {
+	return contested
+}
+
+// takeOrigins notes whose the jobs of other nodes are and where they come from. The
+// mutex must be held.
+func (s *Service) takeOrigins(works []wire.JobWork) {
+	for _, work := range works {
 		if standing := s.known[work.Job]; standing != nil {
 			standing.tenant, standing.tenantKnown = work.Tenant, true
 			if len(work.Routes) > 0 {
@@ -66,6 +88,12 @@
 			}
 		}
 	}
+}
+
+// takeEnded ends the jobs that a heartbeat says have ended, and returns those of this
+// node's whose ends it has not kept itself. The mutex must be held.
+func (s *Service) takeEnded(beat *wire.NodeBeat) []*job {
+	var contested []*job
 	for _, id := range beat.Ended {
 		s.logUnheldEnd(id, beat.Node)
 		if held := s.jobs[id]; held != nil && !held.endKept {
@@ -75,14 +103,7 @@
 		}
 		s.endLocally(id)
 	}
-	s.mutex.Unlock()
-	for _, version := range beat.Versions {
-		s.NoteVersion(version)
-	}
-	for _, held := range contested {
-		go s.confirmOwner(held)
-	}
-	s.nudge()
+	return contested
 }
 
 // epochsOf are the epochs in which a heartbeat's sender runs its jobs, where it tells
--- a/internal/batch/publish.go
+++ b/internal/batch/publish.go
@@ -82,27 +82,10 @@
 // appendOnce writes one chunk of finished results and lists what then stands
 // at its place. It tells whether there is more to write.
 func (s *Service) appendOnce(published *job) bool {
-	s.mutex.Lock()
-	if published.ended || published.displaced {
-		s.mutex.Unlock()
+	written, index, due := s.nextChunk(published)
+	if !due {
 		return false
 	}
-	results := boundedPart(published.finished)
-	published.flushSoon = false
-	published.serial++
-	written := chunk{Writer: s.writerName(), Serial: published.serial, Results: results, Texts: published.unsavedTexts(len(results) > 0)}
-	index := published.chunks
-	if len(results) == 0 && len(written.Texts) == 0 {
-		s.mutex.Unlock()
-		return false
-	}
-	if len(written.Texts) > 0 {
-		published.textsSaved, published.saving = time.Now(), true
-	}
-	if len(results) > 0 {
-		published.appendingSince = time.Now()
-	}
-	s.mutex.Unlock()
 	began := time.Now()
 	// The end of the job does not cut the append off: the store may have done it, and a
 	// result that others read there would be missing here.
@@ -111,7 +94,7 @@
 	published.saving = false
 	s.mutex.Unlock()
 	if err != nil {
-		s.config.Logger.Error(err, "results not appended", "request", published.id, "chunk", index, "results", len(results),
+		s.config.Logger.Error(err, "results not appended", "request", published.id, "chunk", index, "results", len(written.Results),
 			"ended", published.ctx.Err() != nil)
 		return published.ctx.Err() == nil
 	}
@@ -127,6 +110,30 @@
 	return len(published.finished) > 0 && published.ctx.Err() == nil
 }
 
+// nextChunk is what is to be written of a job now, and at which place; false if that is
+// nothing.
+func (s *Service) nextChunk(published *job) (written chunk, index int, due bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if published.ended || published.displaced {
+		return chunk{}, 0, false
+	}
+	results := boundedPart(published.finished)
+	published.flushSoon = false
+	published.serial++
+	written = chunk{Writer: s.writerName(), Serial: published.serial, Results: results, Texts: published.unsavedTexts(len(results) > 0)}
+	if len(results) == 0 && len(written.Texts) == 0 {
+		return chunk{}, 0, false
+	}
+	if len(written.Texts) > 0 {
+		published.textsSaved, published.saving = time.Now(), true
+	}
+	if len(results) > 0 {
+		published.appendingSince = time.Now()
+	}
+	return written, published.chunks, true
+}
+
 // settleOwner finds out whether this node still owns a job in which another
 // has written. Until then it appends nothing: the other may be its successor,
 // which knows only what stood before its own chunk.
