--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -102,6 +102,13 @@
 		answer.Discard()
 		return err
 	}
+	return s.takeEvents(running, answer, version, singleVersion)
+}
+
+// takeEvents reads the events of an answer to its end. The version is the answer's
+// until an event names another.
+func (s *Service) takeEvents(running *attempt, answer *dispatch.Answer, version int64, singleVersion bool) error {
+	work := running.item
 	events := eventstream.NewReader(answer, s.config.Codec.VersionField(), len(work.progress.events))
 	for {
 		event, err := events.Next()
--- a/internal/batch/foreign.go
+++ b/internal/batch/foreign.go
@@ -197,7 +197,8 @@
 			continue
 		}
 		if s.cachedRank(id, standing) < 0 {
-			// This node is outside the regions where the job's bodies may be.
+			// This node may not take it over: it is outside the regions where the job's
+			// bodies may be.
 			continue
 		}
 		if time.Since(standing.heard) > s.patience(id, standing) {
--- a/internal/batch/homes.go
+++ b/internal/batch/homes.go
@@ -118,8 +118,9 @@
 	return standing.origin != nil && !s.boundsOf(*standing.origin).AllowsNode(s.config.Region)
 }
 
-// logWaiting says once of a job that no other node known may take it over. The mutex
-// must be held.
+// logWaiting says once of a job that no other node known may take it over. Its origin
+// is known, since every node may take over a job whose origin is not. The mutex must be
+// held.
 func (s *Service) logWaiting(id string, standing *foreign) {
 	if standing.waitLogged || standing.ended || s.config.Directory.View().Configuration == nil {
 		return
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -84,7 +84,9 @@
 	return &Service{
 		config: config, base: base, metrics: newMetrics(config.Registry),
 		jobs: map[string]*job{}, known: map[string]*foreign{}, ends: newEndRegister(), pursued: map[string]bool{}, accepting: map[string]*acceptance{},
-		replicas: map[string]*replicaState{}, uses: map[string]nodeUses{}, attempts: map[*attempt]bool{}, tolerances: map[string]int64{}, lengths: map[string]knownLength{}, eventRates: map[string]*placement.EventRate{}, works: map[string]knownWork{}, avoided: map[string]time.Time{}, storedLoads: map[string]*storedLoad{},
+		replicas: map[string]*replicaState{}, uses: map[string]nodeUses{}, attempts: map[*attempt]bool{},
+		tolerances: map[string]int64{}, lengths: map[string]knownLength{}, eventRates: map[string]*placement.EventRate{},
+		works: map[string]knownWork{}, avoided: map[string]time.Time{}, storedLoads: map[string]*storedLoad{},
 		rewardBounds: map[string]*admission.Adaptive{},
 		wake:         make(chan struct{}, 1),
 	}
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -25,7 +25,9 @@
 		latency:  prometheus.NewHistogram(prometheus.HistogramOpts{Name: "pathtally_forward_seconds", Help: "Time from a whole live request to its whole answer.", Buckets: latencyBuckets}),
 	}
 	metrics.untold = prometheus.NewCounter(prometheus.CounterOpts{Name: "pathtally_log_lines_left_out_total", Help: "Log lines of requests served at once that were left out."})
-	metrics.withoutHome = prometheus.NewCounter(prometheus.CounterOpts{Name: "pathtally_requests_without_home_total", Help: "Live requests refused because no replica is in the allowed regions."})
+	metrics.withoutHome = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "pathtally_requests_without_home_total", Help: "Live requests refused because no replica is in the allowed regions.",
+	})
 	registry.MustRegister(metrics.requests, metrics.latency, metrics.untold, metrics.withoutHome)
 	return metrics
 }
--- a/internal/watchcache/source.go
+++ b/internal/watchcache/source.go
@@ -66,7 +66,10 @@
 
 // NewSource returns a source that has not started.
 func NewSource(config Config) *Source {
-	source := &Source{config: config, metrics: newMetrics(config.Registry), passedOver: map[string]time.Time{}, silences: map[string]time.Duration{}, leftAreas: map[string]time.Time{}, changed: make(chan struct{})}
+	source := &Source{
+		config: config, metrics: newMetrics(config.Registry), passedOver: map[string]time.Time{}, silences: map[string]time.Duration{},
+		leftAreas: map[string]time.Time{}, changed: make(chan struct{}),
+	}
 	source.health = newStoreHealth(config.Logger, source.notify)
 	return source
 }
