--- a/internal/homes/context.go
+++ b/internal/homes/context.go
@@ -5,8 +5,8 @@
 // boundsKey is the key of bounds in a context.
 type boundsKey struct{}
 
-// WithBounds returns a context for calls that carry a body with some bounds, one way
-// or the other.
+// WithBounds returns a context for calls that carry a body with some bounds, in the
+// call or in its answer. Bounds that allow every region are left out.
 func WithBounds(ctx context.Context, bounds Bounds) context.Context {
 	if !bounds.homes.Bound() {
 		return ctx
--- a/internal/objectstore/metered.go
+++ b/internal/objectstore/metered.go
@@ -27,8 +27,8 @@
 	return &Metered{store: store, calls: calls}
 }
 
-// note counts a call.
-func (m *Metered) note(call, kind string, err error) {
+// count counts a call.
+func (m *Metered) count(call, kind string, err error) {
 	m.calls.WithLabelValues(call, kind, outcomeOf(err)).Inc()
 }
 
@@ -62,41 +62,41 @@
 // List implements Store.
 func (m *Metered) List(ctx context.Context, kind, after string, freshness Freshness) (Page, error) {
 	page, err := m.store.List(ctx, kind, after, freshness)
-	m.note(readCall("list", freshness), kind, err)
+	m.count(readCall("list", freshness), kind, err)
 	return page, err
 }
 
 // Get implements Store.
 func (m *Metered) Get(ctx context.Context, kind, name string, freshness Freshness) (Object, error) {
 	object, err := m.store.Get(ctx, kind, name, freshness)
-	m.note(readCall("get", freshness), kind, err)
+	m.count(readCall("get", freshness), kind, err)
 	return object, err
 }
 
 // Watch implements Store.
 func (m *Metered) Watch(ctx context.Context, kind string, from uint64, wait time.Duration) (Changes, error) {
 	changes, err := m.store.Watch(ctx, kind, from, wait)
-	m.note("watch", kind, err)
+	m.count("watch", kind, err)
 	return changes, err
 }
 
 // Create implements Store.
 func (m *Metered) Create(ctx context.Context, kind, name string, spec json.RawMessage) (Object, error) {
 	object, err := m.store.Create(ctx, kind, name, spec)
-	m.note("create", kind, err)
+	m.count("create", kind, err)
 	return object, err
 }
 
 // Replace implements Store.
 func (m *Metered) Replace(ctx context.Context, kind, name string, spec json.RawMessage, revision uint64) (Object, error) {
 	object, err := m.store.Replace(ctx, kind, name, spec, revision)
-	m.note("replace", kind, err)
+	m.count("replace", kind, err)
 	return object, err
 }
 
 // ReplaceStatus implements Store.
 func (m *Metered) ReplaceStatus(ctx context.Context, kind, name string, status json.RawMessage, revision uint64) (Object, error) {
 	object, err := m.store.ReplaceStatus(ctx, kind, name, status, revision)
-	m.note("replace_status", kind, err)
+	m.count("replace_status", kind, err)
 	return object, err
 }
--- a/internal/placement/eventrate.go
+++ b/internal/placement/eventrate.go
@@ -1,7 +1,7 @@
 package placement
 
 const (
-	// rateMemory is how many texts of late an event rate mostly rests on.
+	// rateMemory is how many of the last texts an event rate mostly rests on.
 	rateMemory = 500
 	// leastTexts is how many texts must have ended for a rate to be believed.
 	leastTexts = 20
@@ -33,8 +33,9 @@
 // Longest is the most events of any text, 0 for none seen.
 func (r *EventRate) Longest() int { return r.longest }
 
-// Expect is how many events a text of so many expected tokens is likely to have, 0 for
-// nothing known. None is expected to be longer than the longest so far.
+// Expect is how many events a text is likely to have, given how many tokens are
+// expected of it; 0 for nothing known. None is expected to be longer than the longest
+// so far.
 func (r *EventRate) Expect(expectedTokens float64) int {
 	if r.texts < leastTexts || r.tokens == 0 {
 		return 0
--- a/internal/placement/item.go
+++ b/internal/placement/item.go
@@ -42,7 +42,7 @@
 // Compare orders items that wait: those of more urgent tenants or routes first, then
 // the long ones and those whose run was cut, of any job, the one with the least slack in
 // front; then the items of older jobs where they differ by much, then by rank. The
-// former are one in twenty, so they hardly hold up the others, and decide when their
+// long and cut ones are few, so they hardly hold up the others, and decide when their
 // groups are whole.
 func Compare(a, b Item) int {
 	if order := a.Priority - b.Priority; order != 0 {
--- a/internal/placement/length.go
+++ b/internal/placement/length.go
@@ -12,8 +12,8 @@
 
 // Length is what earlier runs of an item have shown of its text.
 type Length struct {
-	// Events is the number of events that the text has: exactly so many where
-	// Whole is set, else at least as many.
+	// Events is the number of events that the text has where Whole is set, else the
+	// least that it has.
 	Events int
 	Whole  bool
 }
--- a/internal/placement/pace.go
+++ b/internal/placement/pace.go
@@ -31,8 +31,8 @@
 	return p.average
 }
 
-// Observe takes the time between two events of a run, beside which the replica has so
-// many runs of this node, itself included.
+// Observe takes the time between two events of a run, and how many runs of this node
+// the replica has, that one included.
 func (p *Pace) Observe(interval time.Duration, runs int) {
 	part := interval / time.Duration(max(1, runs))
 	p.seen = min(p.seen+part, paceTime)
--- a/internal/placement/rank.go
+++ b/internal/placement/rank.go
@@ -28,13 +28,13 @@
 }
 
 // RankItems decides in which order the items of a job are run, as a rank for each. The
-// trainer waits for so many whole groups (0 for all), whichever they are, but for those
-// that it has asked for before, which it waits for in any case. These go first, the
-// longest of their items in front: earlier runs have shown that they are long. Of the
-// others, the groups expected to be longest that the trainer need not wait for go
-// last. Of the rest the quarter expected longest goes first, since it decides when the
-// rest is whole, and then the shortest: they soon make room for each other, so that
-// those among them that are long unforeseen are not begun late.
+// trainer waits for a desired number of whole groups (0 for all), whichever they are,
+// but for those that it has asked for before, which it waits for in any case. These go
+// first, the longest of their items in front: earlier runs have shown that they are
+// long. Of the others, the groups expected to be longest that the trainer need not wait
+// for go last. Of the rest the quarter expected longest goes first, since it decides
+// when the rest is whole, and then the shortest: they soon make room for each other, so
+// that those among them that are long unforeseen are not begun late.
 func RankItems(items []Submitted, desired int, lengths map[string]Length) map[string]Rank {
 	groups := groupsOf(items, lengths)
 	slices.SortStableFunc(groups, func(a, b *group) int { return cmp.Compare(b.length, a.length) })
--- a/internal/placement/stall.go
+++ b/internal/placement/stall.go
@@ -8,7 +8,7 @@
 	startPatience = 900 * time.Millisecond
 	eventPatience = 500 * time.Millisecond
 	// tightStart is how long a text that has less than tightSlack to spare may take to
-	// its first event: 98 in 100 are there in a third of a second.
+	// its first event: a replica that is well sends it sooner.
 	tightStart = 400 * time.Millisecond
 	// tightPatience is how many intervals may pass between events of a text that has
 	// less than tightSlack to spare, leastPatience the least such time: a replica that
--- a/internal/routing/filter_place.go
+++ b/internal/routing/filter_place.go
@@ -23,9 +23,9 @@
 // SlowStartFilter refuses replicas that warm up and bear no more requests now.
 type SlowStartFilter struct{}
 
-// Allow implements Filter. A live request takes what is allotted already; it wants an
-// allotment only if no other replica is left (Plan.Pick), so that not every node that
-// callers reach asks for one.
+// Allow implements Filter. A live request takes what is allotted already. This look
+// asks for no further allotment, as Open does: Plan.Pick asks only if no other replica
+// is left, so that not every node that callers reach asks for one.
 func (SlowStartFilter) Allow(query *Query, endpoint *Endpoint) bool {
 	if query.Rollout {
 		return endpoint.State.SlowStart.Open()
--- a/internal/routing/plan.go
+++ b/internal/routing/plan.go
@@ -81,7 +81,8 @@
 	return p.scan(query)
 }
 
-// wantWarming notes that requests want to go to the replicas that warm up.
+// wantWarming notes that requests want to go to the replicas that warm up: a gate that
+// is found closed has this node ask for an allotment.
 func (p *Plan) wantWarming() {
 	for _, endpoint := range p.endpoints {
 		endpoint.State.SlowStart.Open()
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -13,9 +13,9 @@
 	latencyWeight  = 0.5
 )
 
-// easyLatency is up to which part of the objective the time of answers is all the
-// same: shorter ones differ by chance, and each change of the replica may take a new
-// connection.
+// easyLatency is the part of the objective, between 0 and 1, up to which all answers
+// count as equally fast: shorter times differ by chance, and each change of the replica
+// may take a new connection.
 const easyLatency = 0.25
 
 // worstLatency bounds what a slow engine is marked down by, as a multiple of
