--- a/internal/placement/rank.go
+++ b/internal/placement/rank.go
@@ -5,6 +5,10 @@
 	"slices"
 )
 
+// longestFirstDivisor is into how many parts the items are divided by their expected
+// length, of which the longest goes first: a quarter of the items.
+const longestFirstDivisor = 4
+
 // Submitted is an item as its job was handed in.
 type Submitted struct {
 	ID    string
@@ -24,13 +28,13 @@
 }
 
 // RankItems decides in which order the items of a job are run, as a rank for each. The
-// trainer waits for so many whole groups (0 for all), whichever they are, but for those
-// that it has asked for before, which it waits for in any case. These go first, the
-// longest of their items in front: earlier runs have shown that they are long. Of the
-// others, the groups expected to be longest that the trainer need not wait for go
-// last. Of the rest the quarter expected longest goes first, since it decides when the
-// rest is whole, and then the shortest: they soon make room for each other, so that
-// those among them that are long unforeseen are not begun late.
+// trainer waits for a desired number of whole groups (0 for all), whichever they are,
+// but for those that it has asked for before, which it waits for in any case. These go
+// first, the longest of their items in front: earlier runs have shown that they are
+// long. Of the others, the groups expected to be longest that the trainer need not wait
+// for go last. Of the rest the quarter expected longest goes first, since it decides
+// when the rest is whole, and then the shortest: they soon make room for each other, so
+// that those among them that are long unforeseen are not begun late.
 func RankItems(items []Submitted, desired int, lengths map[string]Length) map[string]Rank {
 	groups := groupsOf(items, lengths)
 	slices.SortStableFunc(groups, func(a, b *group) int { return cmp.Compare(b.length, a.length) })
@@ -47,7 +51,7 @@
 		}
 	}
 	slices.SortStableFunc(wanted, func(a, b Submitted) int { return cmp.Compare(b.ExpectedTokens, a.ExpectedTokens) })
-	slices.Reverse(wanted[len(wanted)/longestPart:])
+	slices.Reverse(wanted[len(wanted)/longestFirstDivisor:])
 	slices.SortStableFunc(carried, func(a, b Submitted) int {
 		return cmp.Compare(lengths[b.ID].Expected(), lengths[a.ID].Expected())
 	})
@@ -57,7 +61,3 @@
 	}
 	return ranks
 }
-
-// longestPart is the part of the items that go first because they are expected to be
-// the longest.
-const longestPart = 4
