What the reading of the whole diff found

- Replicas of a zone whose evacuation ends stay closed until what they get while they warm up is bounded (test; red without it).
- A look at runs for moves asks for no allotments at warming replicas; runs that are cut in the same look take no room of moves; one run without a target ends no others' moves.
- A change of the setting regions is told to need a new start.

--- a/internal/batch/pool.go
+++ b/internal/batch/pool.go
@@ -22,6 +22,9 @@
 // it is used.
 type pool struct {
 	service *Service
+	// running is set where the items run already: they want nothing of replicas that
+	// warm up.
+	running bool
 	view    *directory.View
 	now     time.Time
 	paces   placement.Paces
@@ -73,7 +76,7 @@
 		return replicas
 	}
 	if route := routeOf(p.view.Configuration, key.route); route != nil {
-		query := &routing.Query{Rollout: true, Homes: homes.Of(route.Homes, p.view.Configuration.Tenants.HomesOf(key.tenant))}
+		query := &routing.Query{Rollout: true, Waiting: !p.running, Homes: homes.Of(route.Homes, p.view.Configuration.Tenants.HomesOf(key.tenant))}
 		for _, target := range route.Targets {
 			if plan := p.view.Plans[target.Service]; plan != nil {
 				replicas = p.add(replicas, plan.Endpoints(), key, query)
--- a/internal/batch/scheduler.go
+++ b/internal/batch/scheduler.go
@@ -92,11 +92,12 @@
 		return
 	}
 	pool := s.newPool()
+	pool.running = true
 	runs := make([]*placement.Run, 0, len(s.attempts))
 	attempts := make([]*attempt, 0, len(s.attempts))
 	for running := range s.attempts {
 		run := pool.runOf(len(attempts), running)
-		runs, attempts = append(runs, run), append(attempts, running)
+		attempts = append(attempts, running)
 		switch {
 		case pool.view.Replicas[running.endpoint.Name] == nil && !placement.MayFinish(run):
 			running.cut(&CutError{Cause: ErrMoved, Reason: placement.ReasonGone})
@@ -104,6 +105,8 @@
 			state := s.replica(running.endpoint.Name)
 			state.blockedUntil, state.unproven = time.Now().Add(stallBlock), true
 			running.cut(&CutError{Cause: ErrStalled, Reason: placement.ReasonStalled})
+		default:
+			runs = append(runs, run)
 		}
 	}
 	move(attempts, placement.Moves(pool.paces, runs))
--- a/internal/directory/evacuation.go
+++ b/internal/directory/evacuation.go
@@ -102,14 +102,29 @@
 
 // publishEvacuations publishes a view after its endpoints have been told.
 func (t *Table) publishEvacuations(next *View) {
-	markEvacuated(next)
+	closeEvacuated(next)
 	t.publish(next)
+	openOthers(next)
 }
 
-// markEvacuated tells the endpoints of a view which of them are to get nothing.
-func markEvacuated(view *View) {
+// closeEvacuated tells the endpoints of a view that are to get nothing, before it is
+// published.
+func closeEvacuated(view *View) {
 	for _, endpoint := range view.Endpoints {
-		endpoint.State.SetEvacuated(view.IsEvacuated(endpoint.Zone))
+		if view.IsEvacuated(endpoint.Zone) {
+			endpoint.State.SetEvacuated(true)
+		}
+	}
+}
+
+// openOthers tells the other endpoints of a view that they may be used. That comes after
+// its publication, which bounds what replicas get while they warm up: those of a zone
+// whose evacuation ends may be cold.
+func openOthers(view *View) {
+	for _, endpoint := range view.Endpoints {
+		if !view.IsEvacuated(endpoint.Zone) {
+			endpoint.State.SetEvacuated(false)
+		}
 	}
 }
 
--- a/internal/directory/evacuation_test.go
+++ b/internal/directory/evacuation_test.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/pathtally/pathtally/internal/slowstart"
 	"github.com/pathtally/pathtally/standin/metastore"
 )
 
@@ -145,3 +146,32 @@
 		t.Error("a replica is not used although no zone is evacuated")
 	}
 }
+
+// evacuatedWhenBounded notes whether a replica was still closed when what warming
+// replicas get was bounded.
+type evacuatedWhenBounded struct {
+	table  *Table
+	closed bool
+}
+
+func (b *evacuatedWhenBounded) SetWarming([]slowstart.Warming, func(string) bool) {
+	if endpoint := b.table.View().Endpoints["a"]; endpoint != nil {
+		b.closed = endpoint.State.Evacuated()
+	}
+}
+
+// Replicas of a zone may be cold when its evacuation ends. They were open for a moment
+// before anything bounded what they get.
+func TestReplicasAreBoundedBeforeTheirEvacuationEnds(t *testing.T) {
+	table := NewTable("node", "a", nil, klog.Background())
+	bounded := &evacuatedWhenBounded{table: table}
+	table.SetSlowStart(bounded)
+	replica := inZone("a")
+	replica.ID = "a"
+	table.SetReplicas([]*Replica{replica}, 0)
+	table.SetEvacuations([]string{"a"})
+	table.SetEvacuations(nil)
+	if !bounded.closed || table.View().Endpoints["a"].State.Evacuated() {
+		t.Errorf("closed when bounded: %v", bounded.closed)
+	}
+}
--- a/internal/directory/plans.go
+++ b/internal/directory/plans.go
@@ -32,8 +32,9 @@
 		}
 	}
 	next.Plans = t.plansOf(next.Endpoints, standing.Plans, changed)
-	markEvacuated(next)
+	closeEvacuated(next)
 	t.publish(next)
+	openOthers(next)
 }
 
 // sameEndpoint tells whether a replica is as the router knows it.
--- a/internal/instance/helpers.go
+++ b/internal/instance/helpers.go
@@ -34,7 +34,7 @@
 	switch {
 	case zone == i.settings.Zone:
 		return 0
-	case i.settings.Regions[zone] == i.settings.Region:
+	case i.settings.Region != "" && i.settings.Regions[zone] == i.settings.Region:
 		return 1
 	}
 	return 2
--- a/internal/instance/reload.go
+++ b/internal/instance/reload.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/pathtally/pathtally/internal/settings"
@@ -38,6 +39,6 @@
 	return a.Node == b.Node && a.Zone == b.Zone && a.Region == b.Region && a.Peer == b.Peer && a.PeerAdvertised == b.PeerAdvertised && a.HTTP == b.HTTP &&
 		a.Readiness == b.Readiness && a.Metrics == b.Metrics && a.ObjectStore == b.ObjectStore && a.Idle == b.Idle &&
 		a.DutyAPI == b.DutyAPI && slices.Equal(a.Duties, b.Duties) && a.UsageWindow == b.UsageWindow && a.UsageLate == b.UsageLate &&
-		a.EvacuationBound == b.EvacuationBound && a.ReplicaPolicy == b.ReplicaPolicy &&
+		maps.Equal(a.Regions, b.Regions) && a.EvacuationBound == b.EvacuationBound && a.ReplicaPolicy == b.ReplicaPolicy &&
 		a.WarmUpOverage == b.WarmUpOverage && a.WarmUpSlack == b.WarmUpSlack
 }
--- a/internal/placement/move.go
+++ b/internal/placement/move.go
@@ -51,9 +51,12 @@
 	slices.SortStableFunc(wanted, func(a, b Move) int { return cmp.Compare(b.Gain, a.Gain) })
 	for count, next := range wanted {
 		target := Pick(next.Run.Replicas, next.Run.wish())
-		if count >= movesPerLook || target == nil {
+		if count >= movesPerLook {
 			return decided
 		}
+		if target == nil {
+			continue
+		}
 		if move, pays := paces.moveTo(next.Run, target.Name); pays {
 			target.Load++
 			decided = append(decided, move)
--- a/internal/routing/filter.go
+++ b/internal/routing/filter.go
@@ -25,6 +25,8 @@
 	Random uint64
 	// Rollout is true for samples, false for live requests.
 	Rollout bool
+	// Waiting is true for samples that wait for an engine, false for those that run.
+	Waiting bool
 	// MaxLoadShare bounds the load of an engine as a multiple of its slots,
 	// 0 for no bound.
 	MaxLoadShare float64
--- a/internal/routing/filter_place.go
+++ b/internal/routing/filter_place.go
@@ -25,9 +25,10 @@
 
 // Allow implements Filter. A live request takes what is allotted already. This look
 // asks for no further allotment, as Open does: Plan.Pick asks only if no other replica
-// is left, so that not every node that callers reach asks for one.
+// is left, so that not every node that callers reach asks for one. Nor does a look for
+// an item that runs already.
 func (SlowStartFilter) Allow(query *Query, endpoint *Endpoint) bool {
-	if query.Rollout {
+	if query.Rollout && query.Waiting {
 		return endpoint.State.SlowStart.Open()
 	}
 	return endpoint.State.SlowStart.Left() > 0
--- a/internal/storerelay/relay.go
+++ b/internal/storerelay/relay.go
@@ -165,6 +165,9 @@
 		err = &objectstore.RefusedError{Cause: errRelayed}
 		for _, address := range addresses {
 			if !r.carries(ctx, address, call) {
+				if ctx.Err() != nil {
+					return nil, &objectstore.UnansweredError{Cause: merry.Wrap(ctx.Err())}
+				}
 				r.helpers.avoid(address)
 				continue
 			}
--- a/internal/storerelay/relayed_calls.go
+++ b/internal/storerelay/relayed_calls.go
@@ -49,8 +49,8 @@
 	key := keyOf(call)
 	standing, first := c.begin(key)
 	if first {
+		defer c.end(key, standing)
 		standing.reply, standing.err = send()
-		c.end(key, standing)
 		return standing.reply, standing.err
 	}
 	select {
