Sight: a broken run names the request's fingerprint and whether its replica has ended

Cause: the logs could not tell which lines concern the same request (each try of a caller has an id of its own), nor whether a broken connection was the end of the replica. Change: the dispatcher tells a guard how runs end; package quarantine logs "run broke" with a digest over caller, target and body, and probes the replica's address once for all runs that broke together; pathtally_broken_runs_total counts them by what was found. No decision changes.

--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -81,7 +81,7 @@
 	work := running.item
 	call := &dispatch.Call{
 		ID: work.ID, Method: http.MethodPost, Target: work.Target, Host: host, Header: work.Header, Body: work.Body,
-		Deadline: time.Now().Add(attemptTime), AfterEvent: len(work.progress.events), Rank: dispatch.RankOf(running.priority),
+		Deadline: time.Now().Add(attemptTime), AfterEvent: len(work.progress.events), Resumable: true, Rank: dispatch.RankOf(running.priority),
 		Tenant: work.job.record.Tenant, Purpose: exchange.PurposeItem,
 	}
 	answer, err := s.config.Dispatcher.Send(ctx, running.endpoint, call)
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -26,6 +26,8 @@
 	Version int64
 	// Once marks a request that must not run twice.
 	Once bool
+	// Resumable tells that a further run goes on behind what this one has made.
+	Resumable bool
 	// Tenant is whose request it is, empty where no tenants are declared.
 	Tenant string
 	// Metered marks a request that counts as its tenant's usage. Items of batch
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/pathtally/pathtally/internal/exchange"
@@ -14,6 +13,8 @@
 	pool    *exchange.Pool
 	headers Headers
 	metrics *Metrics
+	// guard is told how runs end, nil for nobody.
+	guard Guard
 }
 
 // New returns a dispatcher over a pool of connections. Metrics may be nil.
@@ -21,31 +22,8 @@
 	return &Dispatcher{pool: pool, headers: headers, metrics: metrics}
 }
 
-// Answer is a replica's answer with its verdict.
-type Answer struct {
-	*exchange.Response
-	Verdict  Verdict
-	Endpoint *routing.Endpoint
-	ended    bool
-}
-
-// Close ends the answer and the endpoint's count of it.
-func (a *Answer) Close() {
-	if !a.ended {
-		a.ended = true
-		a.Endpoint.State.InFlight.Add(-1)
-	}
-	a.Response.Close()
-}
-
-// Discard ends the answer and its connection.
-func (a *Answer) Discard() {
-	if !a.ended {
-		a.ended = true
-		a.Endpoint.State.InFlight.Add(-1)
-	}
-	a.Response.Discard()
-}
+// SetGuard has a guard told how runs end. Call it before the first Send.
+func (d *Dispatcher) SetGuard(guard Guard) { d.guard = guard }
 
 // admit tells why a replica is to get no request now. Everything that goes to a
 // replica passes here last: what a pick found may have changed since.
@@ -73,12 +51,14 @@
 		Rank: call.Rank, Tenant: call.Tenant,
 	})
 	request := &exchange.Request{Method: call.Method, Target: call.Target, Host: call.Host, Header: header, Body: call.Body, Purpose: call.Purpose}
+	run := &Run{Call: call, Endpoint: endpoint, Sent: time.Now(), guard: d.guard}
 	endpoint.State.InFlight.Add(1)
 	response, err := d.pool.Send(ctx, endpoint.Address, request, call.Once)
 	if err != nil {
 		endpoint.State.InFlight.Add(-1)
 		if ctx.Err() == nil {
 			endpoint.State.Failures.Add(1)
+			run.broke(err)
 		}
 		return nil, err
 	}
@@ -86,41 +66,6 @@
 	if err := answer.check(call); err != nil {
 		return nil, err
 	}
+	answer.ctx, answer.run = ctx, run
 	return answer, nil
 }
-
-// check refuses answers that are not this request's, and turns promises into
-// errors.
-func (a *Answer) check(call *Call) error {
-	if a.Verdict.RequestID != call.ID {
-		a.Endpoint.State.Failures.Add(1)
-		a.Discard()
-		return &exchange.BrokenError{Address: a.Endpoint.Address, Cause: ErrForeignAnswer}
-	}
-	if a.Verdict.NotRun {
-		a.drain()
-		return &NotRunError{Replica: a.Endpoint.Name, Status: a.Status, OtherReplica: a.Verdict.OtherReplica}
-	}
-	if a.Status >= http.StatusOK && a.Status < http.StatusMultipleChoices && !a.Verdict.Signed {
-		a.Endpoint.State.Failures.Add(1)
-		a.Discard()
-		return &exchange.BrokenError{Address: a.Endpoint.Address, Cause: ErrUnsigned}
-	}
-	return nil
-}
-
-// smallBody bounds what is read of a refusal to keep its connection.
-const smallBody = 2 << 10
-
-// drain reads a short body so that the connection can be kept.
-func (a *Answer) drain() {
-	buffer := make([]byte, smallBody)
-	for read := 0; read < smallBody; {
-		count, err := a.Read(buffer)
-		read += count
-		if err != nil {
-			break
-		}
-	}
-	a.Close()
-}
--- a/internal/exchange/purpose.go
+++ b/internal/exchange/purpose.go
@@ -13,6 +13,8 @@
 	// PurposeReport asks a replica for its weights, and PurposeOrder orders others.
 	PurposeReport Purpose = "report"
 	PurposeOrder  Purpose = "order"
+	// PurposeProbe looks whether a replica has ended under a run.
+	PurposeProbe Purpose = "probe"
 )
 
 // Or is the purpose, or another one where none is named.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -135,7 +135,7 @@
 	})
 	defer silence.Stop()
 	call := *r.call
-	call.AfterEvent, call.Once = r.after, !r.route.Resumable
+	call.AfterEvent, call.Once, call.Resumable = r.after, !r.route.Resumable, r.route.Resumable
 	answer, err := r.forwarder.config.Dispatcher.Send(ctx, endpoint, &call)
 	if err != nil {
 		return err
--- a/internal/instance/assemble.go
+++ b/internal/instance/assemble.go
@@ -15,6 +15,7 @@
 	"github.com/pathtally/pathtally/internal/forward"
 	"github.com/pathtally/pathtally/internal/ingress"
 	"github.com/pathtally/pathtally/internal/peering"
+	"github.com/pathtally/pathtally/internal/quarantine"
 	"github.com/pathtally/pathtally/internal/storerelay"
 	"github.com/pathtally/pathtally/internal/transport"
 	"github.com/pathtally/pathtally/internal/watchcache"
@@ -29,6 +30,8 @@
 func (i *Instance) assemble(ctx context.Context, peerListener net.Listener, duties Duties) {
 	self := batch.Owner{Node: i.settings.Node, Address: i.settings.AdvertisedPeer(), Incarnation: uint64(i.started.UnixNano())}
 	dispatcher := i.assembleForwarding()
+	i.quarantine = quarantine.NewService(ctx, quarantine.Config{Prober: i.pool, Logger: i.logger, Registry: i.registry})
+	dispatcher.SetGuard(i.quarantine)
 	i.assemblePeers(ctx, peerListener, self)
 	i.assembleStore(self)
 	journal := batch.NewJournal(i.store)
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -19,6 +19,7 @@
 	"github.com/pathtally/pathtally/internal/ingress"
 	"github.com/pathtally/pathtally/internal/objectstore"
 	"github.com/pathtally/pathtally/internal/peering"
+	"github.com/pathtally/pathtally/internal/quarantine"
 	"github.com/pathtally/pathtally/internal/settings"
 	"github.com/pathtally/pathtally/internal/storerelay"
 	"github.com/pathtally/pathtally/internal/transport"
@@ -42,14 +43,16 @@
 	store     *storerelay.Relay
 	pool      *exchange.Pool
 	forwarder *forward.Forwarder
-	handler   *ingress.Handler
-	front     *http.Server
-	transport *transport.Transport
-	peers     *peering.Table
-	jobs      *batch.Service
-	lease     *duty.Lease
-	duty      *duty.Keeper
-	weights   *weightorders.Coordinator
+	// quarantine keeps requests that crash replicas from further ones.
+	quarantine *quarantine.Service
+	handler    *ingress.Handler
+	front      *http.Server
+	transport  *transport.Transport
+	peers      *peering.Table
+	jobs       *batch.Service
+	lease      *duty.Lease
+	duty       *duty.Keeper
+	weights    *weightorders.Coordinator
 	// usage is nil where the platform takes no reports of it.
 	usage *usage.Service
 	// autoscale is nil where no replicas are ordered.
