--- a/standin/replica/server.go
+++ b/standin/replica/server.go
@@ -60,6 +60,10 @@
 	SurplusEvery int
 	// WrongIDEvery answers each such request under another's id, 0 for none.
 	WrongIDEvery int
+	// CrashOn ends the replica when it has run a request whose body has this text in it
+	// for CrashAfter; empty for none.
+	CrashOn    string
+	CrashAfter time.Duration
 }
 
 // Server is a running replica.
@@ -77,6 +81,7 @@
 	runs     []Run
 	orders   []OrderSeen
 	faults   Faults
+	ended    bool
 }
 
 // Start serves a replica on a port that the system chooses.
@@ -100,7 +105,26 @@
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
 // Close ends the replica at once.
-func (s *Server) Close() { s.server.Close() }
+func (s *Server) Close() {
+	s.mutex.Lock()
+	s.ended = true
+	s.mutex.Unlock()
+	s.server.Close()
+}
+
+// Ended tells whether the replica has ended, by itself or not.
+func (s *Server) Ended() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.ended
+}
+
+// crash ends the replica in the midst of a request that it runs.
+func (s *Server) crash(after time.Duration) {
+	time.Sleep(after)
+	s.Close()
+	panic(http.ErrAbortHandler)
+}
 
 // SetFaults changes how the replica misbehaves.
 func (s *Server) SetFaults(faults Faults) {
@@ -246,6 +270,9 @@
 		return
 	}
 	defer s.end()
+	if faults.CrashOn != "" && strings.Contains(string(body), faults.CrashOn) {
+		s.crash(faults.CrashAfter)
+	}
 	if every(faults.WrongIDEvery, number) {
 		header.Set("Pathtally-Request-Id", "another")
 	}
