Quarantine: a request under which three replicas have ended is sent to no further one

Cause: what a run did to its replica was known to one try at one node; the next try has a new id and meets a node that has seen nothing (class: a fact about the work is kept with one attempt at it and dies with that). Ruled out: the second attempt of a try as the cause (with one attempt a try one replica ends a try, without end); nodes that remember and do not tell (one node that runs a job ends as many by itself). Change: package quarantine. Ends of replicas are confirmed by a refused connection and counted by fingerprint (caller, target, body) at the node that saw them and at three keepers; the third puts the request in quarantine at all nodes and in the store, whole answers clear it. The check stands in the dispatcher, so that hedges, streams, items, scorers' calls and takeovers meet it as well. Refused at once, with the time left.

--- a/internal/batch/outcome.go
+++ b/internal/batch/outcome.go
@@ -21,6 +21,9 @@
 	// longestBreak its bound as breaks repeat.
 	breakPause   = 5 * time.Millisecond
 	longestBreak = 500 * time.Millisecond
+	// quarantinePause is the time between looks whether an item may be sent again under
+	// which replicas end. It is given up when any other is: not before its time.
+	quarantinePause = time.Second
 	// failurePause is the time before an item that failed is run again.
 	failurePause = 60 * time.Millisecond
 	// refusedStatus is a replica's word that an item can never be done.
@@ -33,9 +36,12 @@
 	work := running.item
 	var notRun *dispatch.NotRunError
 	var withheld *dispatch.WithheldError
+	var quarantined *dispatch.QuarantinedError
 	var status *ItemStatusError
 	var cut *CutError
 	switch {
+	case errors.As(err, &quarantined):
+		work.notBefore = time.Now().Add(quarantinePause)
 	case errors.As(err, &withheld):
 		// It was not sent: another replica, or a later moment, will do.
 		work.notBefore = time.Now().Add(breakPause)
--- a/internal/batch/reward.go
+++ b/internal/batch/reward.go
@@ -86,7 +86,8 @@
 	call.Deadline = time.Now().Add(rewardLimit(route))
 	whole, err := s.config.Forwarder.Do(ctx, route, call)
 	var refused *forward.RefusedError
-	bound.Leave(errors.As(err, &refused) || (err == nil && whole.Refusals > 0))
+	isCrowded := errors.As(err, &refused) && refused.Reason != forward.ReasonQuarantined
+	bound.Leave(isCrowded || (err == nil && whole.Refusals > 0))
 	return whole, err
 }
 
--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -35,7 +35,7 @@
 	switch {
 	case errors.Is(err, io.EOF):
 		if a.Framed {
-			a.run.served()
+			a.run.served(a.Status)
 		}
 		a.run = nil
 	case err != nil:
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -13,7 +13,7 @@
 	pool    *exchange.Pool
 	headers Headers
 	metrics *Metrics
-	// guard is told how runs end, nil for nobody.
+	// guard keeps calls from replicas that end under them, nil for none.
 	guard Guard
 }
 
@@ -22,7 +22,8 @@
 	return &Dispatcher{pool: pool, headers: headers, metrics: metrics}
 }
 
-// SetGuard has a guard told how runs end. Call it before the first Send.
+// SetGuard has a guard asked before calls are sent, and told how runs end. Call it before
+// the first Send.
 func (d *Dispatcher) SetGuard(guard Guard) { d.guard = guard }
 
 // admit tells why a replica is to get no request now. Everything that goes to a
@@ -37,10 +38,17 @@
 	return nil
 }
 
-// Send makes one attempt. Its error is a *WithheldError, a *NotRunError, an
-// *exchange.NotSentError or an *exchange.BrokenError. The caller closes the
-// answer.
+// Send makes one attempt. Its error is a *QuarantinedError, a *WithheldError, a
+// *NotRunError, an *exchange.NotSentError or an *exchange.BrokenError. The caller closes
+// the answer.
 func (d *Dispatcher) Send(ctx context.Context, endpoint *routing.Endpoint, call *Call) (*Answer, error) {
+	if d.guard != nil {
+		// A request that ends its replica comes again, here or at another node: without
+		// this every replica of a service ends under it, each time it is back.
+		if err := d.guard.Admit(ctx, call); err != nil {
+			return nil, err
+		}
+	}
 	if withheld := admit(endpoint); withheld != nil {
 		d.metrics.countWithheld(withheld.Reason)
 		return nil, withheld
--- a/internal/dispatch/errors.go
+++ b/internal/dispatch/errors.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -41,10 +42,25 @@
 	return fmt.Sprintf("nothing sent to replica %s: it is %s", e.Replica, e.Reason)
 }
 
+// QuarantinedError is a request that this node did not send, since replicas end under it.
+// No other replica will do.
+type QuarantinedError struct {
+	// Fingerprint tells the request from others, whatever its id.
+	Fingerprint string
+	// Left is for how much longer it is not sent.
+	Left time.Duration
+}
+
+// Error names the request and the time.
+func (e *QuarantinedError) Error() string {
+	return fmt.Sprintf("request %s is not sent for %v: replicas end under it", e.Fingerprint, e.Left.Round(time.Second))
+}
+
 // MayHaveRun tells whether a request that failed with an error may have run.
 func MayHaveRun(err error) bool {
 	var notRun *NotRunError
 	var notSent *exchange.NotSentError
 	var withheld *WithheldError
-	return !errors.As(err, &notRun) && !errors.As(err, &notSent) && !errors.As(err, &withheld)
+	var quarantined *QuarantinedError
+	return !errors.As(err, &notRun) && !errors.As(err, &notSent) && !errors.As(err, &withheld) && !errors.As(err, &quarantined)
 }
--- a/internal/dispatch/guard.go
+++ b/internal/dispatch/guard.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -8,12 +9,15 @@
 	"github.com/pathtally/pathtally/internal/routing"
 )
 
-// Guard learns how the runs of requests end. Its methods return at once.
+// Guard learns how the runs of requests end, and keeps those from replicas that end them.
 type Guard interface {
+	// Admit returns a *QuarantinedError for a call that is not to be sent. It may wait
+	// for what is being found out about the call's last run.
+	Admit(ctx context.Context, call *Call) error
 	// Broke takes a run whose connection broke while it was waited for.
 	Broke(run Run)
-	// Served takes a call that a replica has answered whole.
-	Served(call *Call)
+	// Served takes a call that a replica has answered whole, with a status.
+	Served(call *Call, status int)
 }
 
 // Run is one run of a call at a replica, as far as it has come. It belongs to the
@@ -37,9 +41,9 @@
 	}
 }
 
-// served tells the guard of a whole answer.
-func (r *Run) served() {
+// served tells the guard of a whole answer with a status.
+func (r *Run) served(status int) {
 	if r.guard != nil {
-		r.guard.Served(r.Call)
+		r.guard.Served(r.Call, status)
 	}
 }
--- a/internal/forward/errors.go
+++ b/internal/forward/errors.go
@@ -42,6 +42,8 @@
 	ReasonExpired   = "the time ran out before a replica took it"
 	ReasonEvacuated = "every replica is in an evacuated zone"
 	ReasonWarmingUp = "every replica that may serve it warms up"
+	// ReasonQuarantined refuses a request, whatever its id, under which replicas end.
+	ReasonQuarantined = "replicas end under this request"
 	// ReasonOutsideHome refuses where a route or tenant names the only regions.
 	ReasonOutsideHome = "no replica in the allowed regions"
 )
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"github.com/pathtally/pathtally/internal/dispatch"
 	"github.com/pathtally/pathtally/internal/routing"
 )
 
@@ -18,6 +19,11 @@
 // before the general one; nil where some would do.
 func refusal(reason string, cause, unpicked error) *RefusedError {
 	refused := &RefusedError{Reason: reason, RetryAfter: comeBack, Cause: cause}
+	var quarantined *dispatch.QuarantinedError
+	if errors.As(cause, &quarantined) {
+		refused.Reason, refused.RetryAfter = ReasonQuarantined, quarantined.Left
+		return refused
+	}
 	if unpicked == nil {
 		return refused
 	}
@@ -33,6 +39,13 @@
 	return refused
 }
 
+// isQuarantined tells whether an attempt failed since replicas end under the request: no
+// further one will do.
+func isQuarantined(err error) bool {
+	var quarantined *dispatch.QuarantinedError
+	return errors.As(err, &quarantined)
+}
+
 // filterReason is that of the filter that left no replica, "" if an error does not tell.
 func filterReason(err error) routing.Reason {
 	var nobody *routing.LeftNobodyError
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -120,7 +120,7 @@
 
 // again starts a further attempt if one is allowed.
 func (r *run) again(ctx context.Context) bool {
-	if r.mayHaveRun && !r.repeatable {
+	if r.mayHaveRun && !r.repeatable || isQuarantined(r.lastErr) {
 		return false
 	}
 	if r.counted >= r.route.Attempts || r.refusals >= maxRefusals {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -98,6 +98,9 @@
 
 // mayGoOn tells whether a further attempt is allowed after a failure.
 func (r *streamRun) mayGoOn(err error) bool {
+	if isQuarantined(err) {
+		return false
+	}
 	if !dispatch.MayHaveRun(err) {
 		r.refusals++
 		return r.refusals < maxRefusals
--- a/internal/instance/assemble.go
+++ b/internal/instance/assemble.go
@@ -15,7 +15,6 @@
 	"github.com/pathtally/pathtally/internal/forward"
 	"github.com/pathtally/pathtally/internal/ingress"
 	"github.com/pathtally/pathtally/internal/peering"
-	"github.com/pathtally/pathtally/internal/quarantine"
 	"github.com/pathtally/pathtally/internal/storerelay"
 	"github.com/pathtally/pathtally/internal/transport"
 	"github.com/pathtally/pathtally/internal/watchcache"
@@ -30,10 +29,10 @@
 func (i *Instance) assemble(ctx context.Context, peerListener net.Listener, duties Duties) {
 	self := batch.Owner{Node: i.settings.Node, Address: i.settings.AdvertisedPeer(), Incarnation: uint64(i.started.UnixNano())}
 	dispatcher := i.assembleForwarding()
-	i.quarantine = quarantine.NewService(ctx, quarantine.Config{Prober: i.pool, Logger: i.logger, Registry: i.registry})
-	dispatcher.SetGuard(i.quarantine)
 	i.assemblePeers(ctx, peerListener, self)
 	i.assembleStore(self)
+	i.quarantine = i.newQuarantine(ctx)
+	dispatcher.SetGuard(i.quarantine)
 	journal := batch.NewJournal(i.store)
 	journal.ReadApart(func() bool { return i.directory.View().Configuration.DeclaresHomes() })
 	i.jobs = batch.NewService(ctx, batch.Config{
--- a/internal/instance/duties.go
+++ b/internal/instance/duties.go
@@ -5,6 +5,7 @@
 
 	"github.com/pathtally/pathtally/internal/directory"
 	"github.com/pathtally/pathtally/internal/peering"
+	"github.com/pathtally/pathtally/internal/quarantine"
 	"github.com/pathtally/pathtally/internal/watchcache"
 )
 
@@ -16,6 +17,7 @@
 	i.source.Add(kinds.Replicas, directory.ReplicaSink{Table: i.directory, Decoder: decoder, KeepMissing: i.keepMissing}, watchcache.PromptWait)
 	i.source.Add(kinds.Versions, directory.VersionSink{Table: i.directory, Decoder: decoder}, watchcache.PromptWait)
 	i.followEvacuations()
+	i.source.Add(quarantine.Kind, i.quarantine, watchcache.LongWait)
 	i.source.Add(peering.Kind, i.peers, watchcache.LongWait)
 	i.source.Add(kinds.Retirements, &retirements{
 		kind: kinds.Retirements, store: i.store, codec: i.adapter.Retirements, node: i.settings.Node, nodes: i.peers.Nodes,
@@ -26,6 +28,7 @@
 	i.run(func() { i.boundConnections(ctx) })
 	i.run(func() { i.watchCatchUp(ctx) })
 	i.run(func() { i.watchEvacuations(ctx) })
+	i.run(func() { i.quarantine.Run(ctx) })
 	i.run(func() { i.jobs.Run(ctx) })
 	i.run(func() { i.weights.Run(ctx) })
 	if i.autoscale != nil {
--- a/internal/instance/peers.go
+++ b/internal/instance/peers.go
@@ -23,6 +23,10 @@
 		reply(i.store.Answer(ctx, call))
 		return
 	}
+	if report, isReport := message.(*wire.CrashReport); isReport {
+		i.quarantine.Take(report)
+		return
+	}
 	if push, isPush := message.(*wire.UsagePush); isPush && i.usage != nil {
 		reply(i.usage.Take(push))
 		return
--- a/internal/instance/reload.go
+++ b/internal/instance/reload.go
@@ -40,5 +40,5 @@
 		a.Readiness == b.Readiness && a.Metrics == b.Metrics && a.ObjectStore == b.ObjectStore && a.Idle == b.Idle &&
 		a.DutyAPI == b.DutyAPI && slices.Equal(a.Duties, b.Duties) && a.UsageWindow == b.UsageWindow && a.UsageLate == b.UsageLate &&
 		maps.Equal(a.Regions, b.Regions) && a.EvacuationBound == b.EvacuationBound && a.ReplicaPolicy == b.ReplicaPolicy &&
-		a.WarmUpOverage == b.WarmUpOverage && a.WarmUpSlack == b.WarmUpSlack
+		a.WarmUpOverage == b.WarmUpOverage && a.WarmUpSlack == b.WarmUpSlack && a.Quarantine == b.Quarantine
 }
--- /dev/null
+++ b/internal/quarantine/recorder.go
@@ -0,0 +1,153 @@
+package quarantine
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pathtally/pathtally/internal/objectstore"
+)
+
+const (
+	// writePause is the time before a write that failed is made again: other nodes hold
+	// the quarantine meanwhile, and only nodes that start now lack it.
+	writePause = 500 * time.Millisecond
+	// writeTime bounds one try: a read and a write.
+	writeTime = 3 * time.Second
+)
+
+// intent is what is to become of a request in the store's record.
+type intent struct {
+	// lift takes it out; else it is put in with the time at which its quarantine began.
+	lift bool
+	at   time.Time
+}
+
+// recorder brings what this node knows into the store's record. It is safe for use by
+// many goroutines.
+type recorder struct {
+	store  objectstore.Store
+	span   time.Duration
+	logger klog.Logger
+	wake   chan struct{}
+
+	mutex   sync.Mutex
+	intents map[Fingerprint]intent
+}
+
+func newRecorder(store objectstore.Store, span time.Duration, logger klog.Logger) *recorder {
+	return &recorder{store: store, span: span, logger: logger, wake: make(chan struct{}, 1), intents: map[Fingerprint]intent{}}
+}
+
+// want has a request's entry written; a later intent replaces an earlier one.
+func (r *recorder) want(request Fingerprint, wanted intent) {
+	r.mutex.Lock()
+	r.intents[request] = wanted
+	r.mutex.Unlock()
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run writes what is wanted until the context ends.
+func (r *recorder) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.wake:
+		}
+		for r.isBehind() {
+			if err := r.write(ctx); err != nil {
+				r.logger.Info("quarantine not recorded yet", "error", err.Error(), "retryMs", writePause.Milliseconds())
+				if !objectstore.Pause(ctx, writePause) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// isBehind tells whether something wanted is not in the store yet.
+func (r *recorder) isBehind() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return len(r.intents) > 0
+}
+
+// write makes one try to bring all that is wanted into the record. Writing on condition
+// keeps what other nodes have written since it was read.
+func (r *recorder) write(ctx context.Context) error {
+	r.mutex.Lock()
+	wanted := maps.Clone(r.intents)
+	r.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, writeTime)
+	defer cancel()
+	standing, err := r.store.Get(ctx, Kind, ObjectName, objectstore.Linearizable)
+	isNew := errors.Is(err, objectstore.ErrNotFound)
+	if err != nil && !isNew {
+		return err
+	}
+	began := map[Fingerprint]time.Time{}
+	if !isNew {
+		if began, err = decodeRecord(standing.Spec); err != nil {
+			r.logger.Error(err, "record of quarantined requests is replaced, without what cannot be read")
+		}
+	}
+	if next, changed := r.apply(began, wanted); changed {
+		if err := r.put(ctx, standing, isNew, next); err != nil {
+			return err
+		}
+	}
+	r.settle(wanted)
+	return nil
+}
+
+// apply returns the record with what is wanted and without quarantines that are over, and
+// whether anything wanted was missing.
+func (r *recorder) apply(began map[Fingerprint]time.Time, wanted map[Fingerprint]intent) (next map[Fingerprint]time.Time, changed bool) {
+	next = map[Fingerprint]time.Time{}
+	for request, at := range began {
+		if time.Since(at) < r.span {
+			next[request] = at
+		}
+	}
+	for request, want := range wanted {
+		_, stands := next[request]
+		switch {
+		case want.lift && stands:
+			delete(next, request)
+			changed = true
+		case !want.lift && !stands && time.Since(want.at) < r.span:
+			next[request] = want.at
+			changed = true
+		}
+	}
+	return next, changed
+}
+
+// put writes the record unless it was changed since it was read.
+func (r *recorder) put(ctx context.Context, standing objectstore.Object, isNew bool, next map[Fingerprint]time.Time) error {
+	spec, err := encodeRecord(next)
+	if err != nil {
+		return &RecordError{Cause: err}
+	}
+	if isNew {
+		_, err = r.store.Create(ctx, Kind, ObjectName, spec)
+	} else {
+		_, err = r.store.Replace(ctx, Kind, ObjectName, spec, standing.Revision)
+	}
+	return err
+}
+
+// settle takes off what has been written, unless something else was wanted since.
+func (r *recorder) settle(written map[Fingerprint]intent) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	maps.DeleteFunc(r.intents, func(request Fingerprint, wanted intent) bool { return written[request] == wanted })
+}
--- /dev/null
+++ b/internal/quarantine/sink.go
@@ -0,0 +1,51 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/pathtally/pathtally/internal/objectstore"
+)
+
+// Replace takes a whole listing of the kind, as package watchcache hands it on.
+func (s *Service) Replace(objects []objectstore.Object, _ bool) {
+	for _, object := range objects {
+		if object.Name == ObjectName {
+			s.takeRecord(object)
+			return
+		}
+	}
+	s.table.TakeStored(nil, time.Now())
+}
+
+// Apply takes changes of the kind, as package watchcache hands them on.
+func (s *Service) Apply(changes []objectstore.Change, _ bool) {
+	for _, change := range changes {
+		switch {
+		case change.Object.Name != ObjectName:
+		case change.Gone:
+			s.table.TakeStored(nil, time.Now())
+		default:
+			s.takeRecord(change.Object)
+		}
+	}
+}
+
+// takeRecord takes the store's record. How old a quarantine is goes by the time of day,
+// of which only the rest of its time is kept, so that a wrong clock never makes it longer
+// than it is to be.
+func (s *Service) takeRecord(object objectstore.Object) {
+	began, err := decodeRecord(object.Spec)
+	if err != nil {
+		s.config.Logger.Error(err, "record of quarantined requests is not readable, or not in part", "revision", object.Revision)
+	}
+	if began == nil {
+		return
+	}
+	now := time.Now()
+	listed := make(map[Fingerprint]time.Time, len(began))
+	for request, at := range began {
+		rest := min(s.config.Span, s.config.Span-now.Sub(at))
+		listed[request] = now.Add(rest)
+	}
+	s.table.TakeStored(listed, now)
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -89,6 +89,7 @@
 	}{
 		{"dutyLease", s.DutyLease}, {"drain", s.Drain}, {"catchUp", s.CatchUp}, {"keyBound", s.KeyBound},
 		{"usageWindow", s.UsageWindow}, {"usageLate", s.UsageLate}, {"evacuationBound", s.EvacuationBound},
+		{"quarantine", s.Quarantine},
 	} {
 		if span.value < 0 {
 			findings = append(findings, &Error{Setting: span.setting, Found: span.value.Std().String(), Allowed: allowedSpan})
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -70,6 +70,9 @@
 	// EvacuationBound is how long after the word that a zone is to be evacuated a
 	// request may still arrive there; zero means that zones are not evacuated.
 	EvacuationBound v1.Duration `json:"evacuationBound"`
+	// Quarantine is for how long a request under which replicas have ended is sent to
+	// no further one; zero means the default.
+	Quarantine v1.Duration `json:"quarantine"`
 	// WarmUpOverage is how many times the rate that a replica bears while it warms up
 	// it may get in a second, and WarmUpSlack how many requests more.
 	WarmUpOverage float64 `json:"warmUpOverage"`
--- a/internal/wire/schema/peer.capnp
+++ b/internal/wire/schema/peer.capnp
@@ -51,6 +51,7 @@
     usageTaken @39 :UsageTaken;
     permitAsk @40 :PermitAsk;
     permitGrant @41 :PermitGrant;
+    crashReport @42 :CrashReport;
   }
 }
 
@@ -462,3 +463,16 @@
   granted @0 :List(ReplicaCount);
   spanMs @1 :UInt32;        # for how long after it sent its question the asker may use them
 }
+
+# The message by which nodes count together the replicas that end under a request.
+
+struct ReplicaEnd {
+  replica @0 :Text;         # id of the incarnation that has ended
+  agoMs @1 :UInt32;         # how long before the message, since the clocks of nodes disagree
+}
+
+struct CrashReport {
+  fingerprint @0 :Data;     # of the request, as in package quarantine
+  ends @1 :List(ReplicaEnd); # all that the sender knows of
+  served @2 :Bool;          # a replica has answered the request whole: nothing counts any more
+}
--- a/internal/wire/union.go
+++ b/internal/wire/union.go
@@ -194,6 +194,11 @@
 	return insert(schema.PermitGrant_TypeID, capnp.Struct(body), err, m)
 }
 
+func (m *CrashReport) attach(root schema.Frame) error {
+	body, err := root.NewCrashReport()
+	return insert(schema.CrashReport_TypeID, capnp.Struct(body), err, m)
+}
+
 func (m *WatchPoll) attach(root schema.Frame) error {
 	body, err := root.NewWatchPoll()
 	return insert(schema.WatchPoll_TypeID, capnp.Struct(body), err, m)
@@ -320,6 +325,9 @@
 	case schema.Frame_Which_permitGrant:
 		body, err := root.PermitGrant()
 		return extract[PermitGrant](schema.PermitGrant_TypeID, capnp.Struct(body), err)
+	case schema.Frame_Which_crashReport:
+		body, err := root.CrashReport()
+		return extract[CrashReport](schema.CrashReport_TypeID, capnp.Struct(body), err)
 	case schema.Frame_Which_watchPoll:
 		body, err := root.WatchPoll()
 		return extract[WatchPoll](schema.WatchPoll_TypeID, capnp.Struct(body), err)
