Tests of the quarantine: ledger, table, record, recorder, service, forwarder, soak

One failure a test: keepers lost, a node cut off, the store away or losing answers, a new start of all nodes, and the ways in which a good request might be held (living replicas, one end that cuts off many runs, runs that came far, a popular request beside a bad one, a whole answer during the quarantine).

--- /dev/null
+++ b/internal/forward/quarantine_test.go
@@ -0,0 +1,97 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pathtally/pathtally/internal/directory"
+	"github.com/pathtally/pathtally/internal/dispatch"
+)
+
+const quarantineLeft = 7 * time.Minute
+
+// countingGuard lets a number of runs through and holds the request after.
+type countingGuard struct {
+	admits atomic.Int64
+	broken atomic.Int64
+	served atomic.Int64
+}
+
+func (g *countingGuard) Admit(context.Context, *dispatch.Call) error {
+	if g.admits.Add(-1) >= 0 {
+		return nil
+	}
+	return &dispatch.QuarantinedError{Fingerprint: "f", Left: quarantineLeft}
+}
+
+func (g *countingGuard) Broke(dispatch.Run) { g.broken.Add(1) }
+
+func (g *countingGuard) Served(*dispatch.Call, int) { g.served.Add(1) }
+
+func newGuardedForwarder(admits int64, backends ...*backend) (*Forwarder, *countingGuard) {
+	forwarder, guard := newForwarder(backends...), &countingGuard{}
+	guard.admits.Store(admits)
+	forwarder.config.Dispatcher.SetGuard(guard)
+	return forwarder, guard
+}
+
+// A request that is held is refused at once, with the time until it is not: no other
+// replica and no further try would do.
+func TestARequestInQuarantineIsRefusedAtOnce(t *testing.T) {
+	for _, kind := range []directory.RouteKind{directory.RouteSafe, directory.RouteUnsafe} {
+		one, two := startBackend(t, answers("ok")), startBackend(t, answers("ok"))
+		forwarder, guard := newGuardedForwarder(0, one, two)
+		_, err := forwarder.Do(context.Background(), route(kind), call(20*time.Second))
+		var refused *RefusedError
+		if !errors.As(err, &refused) || refused.Reason != ReasonQuarantined || refused.RetryAfter != quarantineLeft {
+			t.Errorf("ended with %v", err)
+		}
+		if asked := -guard.admits.Load(); asked != 1 || one.runs.Load()+two.runs.Load() != 0 {
+			t.Errorf("%d attempts were made", asked)
+		}
+	}
+}
+
+// An attempt that has ended its replica may have run: what follows is no refusal.
+func TestARequestHeldAfterItsFirstAttemptIsLost(t *testing.T) {
+	one, two := startBackend(t, aborts), startBackend(t, aborts)
+	forwarder, guard := newGuardedForwarder(1, one, two)
+	_, err := forwarder.Do(context.Background(), route(directory.RouteSafe), call(20*time.Second))
+	var lost *LostError
+	if !errors.As(err, &lost) || one.runs.Load()+two.runs.Load() != 1 || guard.broken.Load() != 1 {
+		t.Errorf("ended with %v after %d runs, %d of them told", err, one.runs.Load()+two.runs.Load(), guard.broken.Load())
+	}
+}
+
+// The second attempt of a slow request is held; the first one goes on.
+func TestAHedgeThatIsHeldLeavesTheFirstAttempt(t *testing.T) {
+	slow := func(writer http.ResponseWriter, request *http.Request) {
+		time.Sleep(100 * time.Millisecond)
+		answers("ok")(writer, request)
+	}
+	one, two := startBackend(t, slow), startBackend(t, slow)
+	forwarder, guard := newGuardedForwarder(1, one, two)
+	hedged := route(directory.RouteSafe)
+	hedged.Objective = 20 * time.Millisecond
+	whole, err := forwarder.Do(context.Background(), hedged, call(20*time.Second))
+	if err != nil || string(whole.Body) != "ok" || guard.served.Load() != 1 || one.runs.Load()+two.runs.Load() != 1 {
+		t.Errorf("ended with %v after %d runs", err, one.runs.Load()+two.runs.Load())
+	}
+}
+
+// A caller that leaves, or whose time is over, tells nothing of the replica.
+func TestAbandonedRunsAreNoBreaks(t *testing.T) {
+	one := startBackend(t, hangs)
+	forwarder, guard := newGuardedForwarder(1<<20, one)
+	if _, err := forwarder.Do(context.Background(), route(directory.RouteSafe), call(50*time.Millisecond)); err == nil {
+		t.Error("a replica that hangs has answered")
+	}
+	time.Sleep(50 * time.Millisecond)
+	if guard.broken.Load() != 0 {
+		t.Errorf("%d breaks are told", guard.broken.Load())
+	}
+}
--- /dev/null
+++ b/internal/quarantine/ledger_test.go
@@ -0,0 +1,60 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// numbered returns a fingerprint for each number.
+func numbered(number int) Fingerprint {
+	return Fingerprint{byte(number), byte(number >> 8), byte(number >> 16)}
+}
+
+// Reports arrive in any order and more than once: the count is that of the different ends.
+func TestLedgerCountsEachEndOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ledger := NewLedger()
+		different := map[string]bool{}
+		for range rapid.IntRange(1, 12).Draw(t, "reports") {
+			replica := fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "replica"))
+			life := rapid.IntRange(0, 2).Draw(t, "life")
+			// Two nodes see the same end some tenths of a second apart.
+			seen := rapid.IntRange(0, 900).Draw(t, "seenMs")
+			at := start.Add(time.Duration(life)*2*endSpacing + time.Duration(seen)*time.Millisecond)
+			different[fmt.Sprint(replica, ".", life)] = true
+			got := ledger.Add(numbered(1), replica, at, start.Add(time.Minute))
+			if want := min(len(different), endsToQuarantine); got != want {
+				t.Fatalf("%d ends are counted, want %d", got, want)
+			}
+		}
+	})
+}
+
+func TestLedgerForgets(t *testing.T) {
+	ledger := NewLedger()
+	ledger.Add(numbered(1), "one", start, start)
+	ledger.Add(numbered(1), "two", start, start)
+	later := start.Add(ledgerMemory + time.Second)
+	if known := ledger.Add(numbered(1), "three", later, later); known != 1 {
+		t.Errorf("%d ends are counted after those of long ago, want 1", known)
+	}
+}
+
+func TestLedgerIsBounded(t *testing.T) {
+	ledger := NewLedger()
+	for number := range mostSuspects + 100 {
+		at := start.Add(time.Duration(number) * time.Millisecond)
+		ledger.Add(numbered(number), "one", at, at)
+	}
+	if ledger.Len() != mostSuspects {
+		t.Errorf("%d requests are remembered, want %d", ledger.Len(), mostSuspects)
+	}
+	if len(ledger.Ends(numbered(0))) != 0 || len(ledger.Ends(numbered(mostSuspects+99))) != 1 {
+		t.Error("the oldest request is kept, or the newest is not")
+	}
+}
--- /dev/null
+++ b/internal/quarantine/recorder_test.go
@@ -0,0 +1,100 @@
+package quarantine
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pathtally/pathtally/internal/objectstore"
+	"github.com/pathtally/pathtally/standin/metastore"
+)
+
+// recorded reads the record as it stands in a store.
+func recorded(t *testing.T, store *metastore.Store) map[Fingerprint]time.Time {
+	t.Helper()
+	for _, object := range store.Objects(Kind) {
+		read, err := decodeRecord(object.Spec)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return read
+	}
+	return nil
+}
+
+func eventually(t *testing.T, what string, check func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if check() {
+			return
+		}
+	}
+	t.Fatalf("not so in the end: %s", what)
+}
+
+func startRecorder(t *testing.T, store objectstore.Store) *recorder {
+	t.Helper()
+	started := newRecorder(store, time.Hour, klog.Background())
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go started.Run(ctx)
+	return started
+}
+
+func TestTwoNodesRecordTheirOwnWithoutLosingTheOthers(t *testing.T) {
+	store := metastore.New()
+	one, two := startRecorder(t, store), startRecorder(t, store)
+	for number := range 40 {
+		writer := one
+		if number%2 == 1 {
+			writer = two
+		}
+		writer.want(numbered(number), intent{at: time.Now()})
+	}
+	eventually(t, "all requests are in the record", func() bool { return len(recorded(t, store)) == 40 })
+	one.want(numbered(3), intent{lift: true})
+	eventually(t, "the lifted one is out of it", func() bool { return len(recorded(t, store)) == 39 })
+}
+
+// The store is away, refuses, or loses answers: the write is made again until it stands.
+func TestRecordIsWrittenOnceTheStoreIsBack(t *testing.T) {
+	for _, fault := range []struct {
+		name string
+		kind metastore.Fault
+	}{{"refused", metastore.Refused}, {"done and not answered", metastore.Unanswered}} {
+		t.Run(fault.name, func(t *testing.T) {
+			t.Parallel()
+			store := metastore.New()
+			var calls atomic.Int64
+			store.SetFault(func(metastore.Call) metastore.Fault {
+				if calls.Add(1) <= 3 {
+					return fault.kind
+				}
+				return metastore.Sound
+			})
+			writer := startRecorder(t, store)
+			writer.want(numbered(1), intent{at: time.Now()})
+			eventually(t, "the request is in the record", func() bool { return len(recorded(t, store)) == 1 && !writer.isBehind() })
+		})
+	}
+}
+
+func TestQuarantinesThatAreOverLeaveTheRecord(t *testing.T) {
+	store := metastore.New()
+	old, err := encodeRecord(map[Fingerprint]time.Time{numbered(1): time.Now().Add(-2 * time.Hour)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := store.Create(t.Context(), Kind, ObjectName, old); err != nil {
+		t.Fatal(err)
+	}
+	startRecorder(t, store).want(numbered(2), intent{at: time.Now()})
+	eventually(t, "only the new one stands", func() bool {
+		standing := recorded(t, store)
+		_, isOld := standing[numbered(1)]
+		return len(standing) == 1 && !isOld
+	})
+}
--- a/standin/replica/server.go
+++ b/standin/replica/server.go
@@ -25,6 +25,12 @@
 	LoadTime time.Duration
 	// Work is how long a plain request takes.
 	Work time.Duration
+	// CrashOn ends the replica when it has run a request whose body has this text in it
+	// for CrashAfter; empty for none.
+	CrashOn    string
+	CrashAfter time.Duration
+	// OnCrash is called before such an end, nil for nothing.
+	OnCrash func()
 }
 
 // Run is one request that a replica ran.
@@ -60,10 +66,6 @@
 	SurplusEvery int
 	// WrongIDEvery answers each such request under another's id, 0 for none.
 	WrongIDEvery int
-	// CrashOn ends the replica when it has run a request whose body has this text in it
-	// for CrashAfter; empty for none.
-	CrashOn    string
-	CrashAfter time.Duration
 }
 
 // Server is a running replica.
@@ -120,8 +122,11 @@
 }
 
 // crash ends the replica in the midst of a request that it runs.
-func (s *Server) crash(after time.Duration) {
-	time.Sleep(after)
+func (s *Server) crash() {
+	time.Sleep(s.config.CrashAfter)
+	if s.config.OnCrash != nil {
+		s.config.OnCrash()
+	}
 	s.Close()
 	panic(http.ErrAbortHandler)
 }
@@ -270,8 +275,8 @@
 		return
 	}
 	defer s.end()
-	if faults.CrashOn != "" && strings.Contains(string(body), faults.CrashOn) {
-		s.crash(faults.CrashAfter)
+	if s.config.CrashOn != "" && strings.Contains(string(body), s.config.CrashOn) {
+		s.crash()
 	}
 	if every(faults.WrongIDEvery, number) {
 		header.Set("Pathtally-Request-Id", "another")
--- a/test/platform_harness_test.go
+++ b/test/platform_harness_test.go
@@ -69,6 +69,8 @@
 	// regions and homes are those of the deployment.
 	regions []string
 	homes   map[string][]string
+	// crashOn is the text in the body of requests that end whoever runs them.
+	crashOn string
 }
 
 // deployPlatform starts stand-ins and nodes.
@@ -115,10 +117,11 @@
 	for number := range shaped.engines {
 		d.engines = append(d.engines, start(replica.Config{
 			ID: fmt.Sprintf("engine-%d", number), Slots: 8, Model: draftModel, EventInterval: shaped.eventInterval, LoadTime: 100 * time.Millisecond,
+			CrashOn: shaped.crashOn, CrashAfter: crashAfter,
 		}, "engines", number))
 	}
 	for number := range shaped.apps {
-		d.apps = append(d.apps, start(replica.Config{ID: fmt.Sprintf("app-%d", number), Slots: 16, Work: time.Millisecond}, "apps", number))
+		d.apps = append(d.apps, start(replica.Config{ID: fmt.Sprintf("app-%d", number), Slots: 16, Work: time.Millisecond, CrashOn: shaped.crashOn, CrashAfter: crashAfter}, "apps", number))
 	}
 }
 
--- a/test/proxy_test.go
+++ b/test/proxy_test.go
@@ -82,6 +82,10 @@
 	}
 }
 
+// close has the proxy refuse new connections for good, as a machine does whose process
+// has ended.
+func (p *proxy) close() { p.listener.Close() }
+
 func (p *proxy) resetOpen() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/test/quarantine_test.go
+++ b/test/quarantine_test.go
@@ -45,6 +45,7 @@
 
 func deployCrashing(t *testing.T, shaped shape) *crashWorld {
 	t.Helper()
+	shaped.crashOn = crashingText
 	world := &crashWorld{platformDeployment: deployPlatform(t, shaped), done: make(chan struct{})}
 	var services sync.WaitGroup
 	for _, service := range []struct {
@@ -52,8 +53,8 @@
 		replicas []*replica.Server
 		config   replica.Config
 	}{
-		{"engines", world.engines, replica.Config{Slots: 8, Model: draftModel, LoadTime: 100 * time.Millisecond}},
-		{"apps", world.apps, replica.Config{Slots: 16, Work: time.Millisecond}},
+		{"engines", world.engines, replica.Config{Slots: 8, Model: draftModel, LoadTime: 100 * time.Millisecond, CrashOn: crashingText, CrashAfter: crashAfter}},
+		{"apps", world.apps, replica.Config{Slots: 16, Work: time.Millisecond, CrashOn: crashingText, CrashAfter: crashAfter}},
 	} {
 		for number, started := range service.replicas {
 			id := fmt.Sprintf("%s-%d", service.name[:len(service.name)-1], number)
@@ -69,7 +70,6 @@
 
 // supervise replaces a replica whenever it has ended, under a new id.
 func (w *crashWorld) supervise(service, id string, number int, config replica.Config, running *replica.Server) {
-	running.SetFaults(replica.Faults{CrashOn: crashingText, CrashAfter: crashAfter})
 	for life := 1; ; {
 		select {
 		case <-w.done:
@@ -94,7 +94,6 @@
 			return
 		}
 		running = successor
-		running.SetFaults(replica.Faults{CrashOn: crashingText, CrashAfter: crashAfter})
 		w.store.Write("servers", id, running.Entry(service, w.zoneOf(number)))
 	}
 }
@@ -174,6 +173,41 @@
 	}
 }
 
+// A popular request is always under way at every replica, so that each end cuts off some
+// of its runs, which say nothing against it.
+func TestAPopularRequestBesideOneThatCrashesReplicasIsServed(t *testing.T) {
+	t.Parallel()
+	world := deployCrashing(t, shape{nodes: 3, apps: 4})
+	var callers sync.WaitGroup
+	stop := make(chan struct{})
+	for number := range 12 {
+		callers.Go(func() {
+			for try := 0; ; try++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(time.Millisecond):
+				}
+				node := world.nodes[(number+try)%len(world.nodes)]
+				// Those that meet an end may fail; what counts is that they are served after.
+				_, _ = world.send(node, http.MethodPost, liveHost, "/live/popular", fmt.Sprintf("popular-%d-%d", number, try), []byte("popular"), nil)
+			}
+		})
+	}
+	world.sendAgain("bad", "/live/pay", 2*endsAllowed)
+	close(stop)
+	callers.Wait()
+	for number, node := range world.nodes {
+		answer, err := world.send(node, http.MethodPost, liveHost, "/live/popular", fmt.Sprint("after-", number), []byte("popular"), nil)
+		if err != nil || answer.status != http.StatusOK {
+			t.Errorf("the popular request gets %d, error %v", answer.status, err)
+		}
+	}
+	if ended := world.endedReplicas(); ended != endsAllowed {
+		t.Errorf("%d replicas ended under the other request, want %d", ended, endsAllowed)
+	}
+}
+
 // All nodes are started anew after the third end: what they knew lives on in the store.
 func TestNodesThatStartAnewKnowWhatCrashesReplicas(t *testing.T) {
 	t.Parallel()
--- /dev/null
+++ b/test/soak_crashes_test.go
@@ -0,0 +1,132 @@
+package test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// crashingRequest is a request that ends each replica that begins to run it.
+type crashingRequest struct{ target, body string }
+
+// crashingRequests are those of each run: one that engines run and one that apps run.
+var crashingRequests = []crashingRequest{
+	{target: "/live/crash", body: crashingText + " as a plain request"},
+	{target: "/chat/crash", body: crashingText + " as a stream"},
+}
+
+// popularBody is that of a good request which comes again and again.
+const popularBody = "everybody asks this"
+
+const (
+	// shortestCrashPause and longestCrashPause are the time between requests that end
+	// replicas: with less, those that remain have no time to show anything else.
+	shortestCrashPause = 800 * time.Millisecond
+	longestCrashPause  = 2500 * time.Millisecond
+	// entryLapse is how long the entry of a replica that has ended stands.
+	entryLapse = 400 * time.Millisecond
+	// calmTries bounds how often a request is sent in calm until enough replicas have
+	// ended under it.
+	calmTries = 2 * endsAllowed
+)
+
+// replaceEnded replaces the replicas that have ended by themselves.
+func (w *soakWorld) replaceEnded() {
+	for w.pause(supervisePause) {
+		w.mutex.Lock()
+		standing := append([]*soakReplica(nil), w.replicas...)
+		w.mutex.Unlock()
+		for _, seen := range standing {
+			if seen.server.Ended() {
+				w.retire(seen)
+				w.run(func() { w.replace(seen) })
+			}
+		}
+	}
+}
+
+// replace takes the entry of an ended replica away and starts its successor.
+func (w *soakWorld) replace(ended *soakReplica) {
+	time.Sleep(entryLapse)
+	w.store.Remove("servers", ended.id)
+	w.addReplica(ended.service)
+}
+
+// crashers send the requests that end replicas, and a popular one beside them, while
+// faults come.
+func (w *soakWorld) crashers() {
+	from := newDraws(w.seed, streamCrashes)
+	for count := 0; w.pause(from.span(shortestCrashPause, longestCrashPause)) && !w.isCalm.Load(); count++ {
+		node := w.nodeAt(from)
+		w.sendCrashing(node, crashingRequests[from.chance(len(crashingRequests))], fmt.Sprint("crash.", count))
+		w.sendPopular(node, fmt.Sprint("popular.", count))
+	}
+}
+
+// sendCrashing sends a request that ends replicas to a node.
+func (w *soakWorld) sendCrashing(node *soakNode, crashing crashingRequest, id string) (reply, error) {
+	request := &soakRequest{id: id, target: crashing.target, body: crashing.body}
+	w.record.sent(request)
+	header := http.Header{"Pathtally-Model": {draftModel}, "Pathtally-Token-Usage": {"10,10"}}
+	answer, err := w.call(node, http.MethodPost, liveHost, request.target, id, []byte(request.body), header)
+	w.note(request, answer, err)
+	return answer, err
+}
+
+// sendPopular sends the popular request to a node.
+func (w *soakWorld) sendPopular(node *soakNode, id string) (reply, error) {
+	request := &soakRequest{id: id, target: "/live/popular", body: popularBody}
+	w.record.sent(request)
+	answer, err := w.call(node, http.MethodPost, liveHost, request.target, id, []byte(request.body), nil)
+	w.note(request, answer, err)
+	return answer, err
+}
+
+// runsOf counts the runs of requests with a body.
+func (w *soakWorld) runsOf(body string) int {
+	count := 0
+	for _, seen := range w.everyReplica() {
+		for _, run := range seen.server.Runs() {
+			if strings.Contains(run.Body, body) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// checkCrashing sends the requests that end replicas in calm until enough have ended under
+// each, and checks that all nodes then refuse them and serve the popular one.
+func (w *soakWorld) checkCrashing() {
+	for number, crashing := range crashingRequests {
+		for try := 0; try < calmTries && w.runsOf(crashing.body) < endsAllowed; try++ {
+			w.sendCrashing(w.nodes[try%len(w.nodes)], crashing, fmt.Sprintf("calm.%d.%d", number, try))
+			time.Sleep(entryLapse + spreadTime/2)
+		}
+	}
+	time.Sleep(spreadTime)
+	w.checkQuarantined("in calm")
+	for _, node := range w.nodes {
+		answer, err := w.sendPopular(node, "popular.calm."+node.name)
+		if err != nil || answer.status != http.StatusOK {
+			w.record.fail("REFUSED", "%s answers the popular request with %d, %v", node.name, answer.status, err)
+		}
+	}
+}
+
+// checkQuarantined checks that no node sends on the requests that end replicas.
+func (w *soakWorld) checkQuarantined(when string) {
+	for number, crashing := range crashingRequests {
+		before := w.runsOf(crashing.body)
+		for _, node := range w.nodes {
+			answer, err := w.sendCrashing(node, crashing, fmt.Sprintf("check.%s.%d.%s", strings.ReplaceAll(when, " ", "-"), number, node.name))
+			if err != nil || answer.status != http.StatusServiceUnavailable || answer.header.Get("Retry-After") == "" {
+				w.record.fail("BUDGET", "%s answers a request under which %d replicas have ended with %d %s, %v", node.name, before, answer.status, when, err)
+			}
+		}
+		if after := w.runsOf(crashing.body); after > before {
+			w.record.fail("BUDGET", "a request under which %d replicas have ended ran %d times more %s", before, after-before, when)
+		}
+	}
+}
--- a/test/soak_draws_test.go
+++ b/test/soak_draws_test.go
@@ -18,6 +18,7 @@
 	streamJobs
 	streamReaders
 	streamReplicas
+	streamCrashes
 )
 
 // jobsOfTrainer parts the streams of the trainers' jobs.
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -72,11 +72,14 @@
 		w.run(func() { w.reader(number) })
 	}
 	w.run(w.replicaHeartbeats)
+	w.run(w.replaceEnded)
+	w.run(w.crashers)
 	for _, node := range w.nodes {
 		w.run(func() { w.versionProber(node) })
 	}
 	w.injectFaults()
 	w.calm()
+	w.checkCrashing()
 	w.closing()
 	close(w.ended)
 	w.duties.Wait()
@@ -84,6 +87,7 @@
 	w.readAllBack()
 	w.restartAll()
 	w.readAllBack()
+	w.checkQuarantined("after a new start of all nodes")
 	w.judge()
 	w.report()
 }
@@ -116,6 +120,7 @@
 // calm lets the deployment recover and checks the bounds that hold then: a
 // configuration comes into force and a leaving replica gets no more work.
 func (w *soakWorld) calm() {
+	w.isCalm.Store(true)
 	for _, node := range w.nodes {
 		w.awaitReady(node)
 	}
--- a/test/soak_world_test.go
+++ b/test/soak_world_test.go
@@ -87,6 +87,8 @@
 	slow slowCalls
 	// restarts counts the ends of node processes.
 	restarts atomic.Int64
+	// isCalm is set once no more faults come.
+	isCalm atomic.Bool
 
 	record *soakRecord
 	ended  chan struct{}
@@ -151,12 +153,15 @@
 	if service == "engines" {
 		config = replica.Config{ID: id, Slots: engineSlots, Model: draftModel, EventInterval: drawn.span(shortestInterval, longestInterval), LoadTime: 150 * time.Millisecond}
 	}
+	started := &soakReplica{id: id, service: service, zone: zone}
+	config.CrashOn, config.CrashAfter = crashingText, crashAfter
+	config.OnCrash = func() { started.link.close() }
 	server, err := replica.Start(config)
 	if err != nil {
 		w.t.Error(err)
 		return
 	}
-	started := &soakReplica{id: id, service: service, zone: zone, server: server, link: newProxy(w.t, server.Address())}
+	started.server, started.link = server, newProxy(w.t, server.Address())
 	w.t.Cleanup(server.Close)
 	w.store.Write("servers", id, started.entry("ready"))
 	w.mutex.Lock()
