Suspended machines: proofs by time read a clock that goes on meanwhile

Cause: time.Now is the steady clock, which stands still while a machine is suspended, so a node woke with its lease, allotments and copies as valid as before. Ruled out: the time of day (jumps), a timer (stands still too), dropping everything on a wake (what is between the wake and its detection). "process stood still" in the log says for how long.

--- a/internal/batch/foreign.go
+++ b/internal/batch/foreign.go
@@ -96,12 +96,14 @@
 
 // watchOwners takes over the jobs whose owners have fallen silent.
 func (s *Service) watchOwners(ctx context.Context) {
-	last := time.Now()
+	pauses := newPauseDetector(s.config.Clock)
 	for objectstore.Sleep(ctx, ownerLook) {
-		paused := time.Since(last) > pauseLimit
-		last = time.Now()
+		stoodStill := pauses.look()
+		if stoodStill > 0 {
+			s.config.Logger.Info("process stood still", "forMs", stoodStill.Milliseconds(), "limitMs", pauseLimit.Milliseconds())
+		}
 		s.evict()
-		for _, held := range s.unconfirmed(paused) {
+		for _, held := range s.unconfirmed(stoodStill > 0) {
 			go s.confirmOwner(held)
 		}
 		for id, gone := range s.orphans() {
@@ -111,9 +113,6 @@
 }
 
 const (
-	// pauseLimit is from which gap between looks this process counts as having
-	// stood still, so that others may have taken its jobs over.
-	pauseLimit = 800 * time.Millisecond
 	// confirmPeriod is how often the record of an open job is looked up. An owner to
 	// which an end was not told finds it there; with the time that a look may take it
 	// does so within the three seconds that platforms give for the last item.
--- a/internal/batch/harness_test.go
+++ b/internal/batch/harness_test.go
@@ -16,6 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 
+	"github.com/pathtally/pathtally/internal/clock"
 	"github.com/pathtally/pathtally/internal/directory"
 	"github.com/pathtally/pathtally/internal/dispatch"
 	"github.com/pathtally/pathtally/internal/environment"
@@ -330,7 +331,8 @@
 		Watchers: func() []string { return node.Watchers() },
 	})
 	node.Service = NewService(ctx, Config{
-		Self: self, Journal: NewJournal(gatedStore{c.store, &c.gate}), Codec: testCodec{}, Directory: table, Dispatcher: dispatcher,
+		Clock: clock.Steady,
+		Self:  self, Journal: NewJournal(gatedStore{c.store, &c.gate}), Codec: testCodec{}, Directory: table, Dispatcher: dispatcher,
 		Forwarder: forward.New(forward.Config{Directory: table, Dispatcher: dispatcher, Logger: logger, Metrics: forward.NewMetrics(prometheus.NewRegistry())}),
 		Peers:     link{c.peers, name}, Table: node.table, Region: c.places[name], Logger: logger, Registry: prometheus.NewRegistry(),
 	})
--- /dev/null
+++ b/internal/batch/pause_test.go
@@ -0,0 +1,21 @@
+package batch
+
+import (
+	"testing"
+	"time"
+)
+
+// Others take an owner's jobs over while its machine is suspended. Its steady clock does
+// not show the gap.
+func TestASuspensionIsAPause(t *testing.T) {
+	now := time.Unix(0, 0)
+	pauses := newPauseDetector(func() time.Time { return now })
+	for _, step := range []struct{ gap, want time.Duration }{
+		{ownerLook, 0}, {pauseLimit, 0}, {5 * time.Second, 5 * time.Second}, {ownerLook, 0},
+	} {
+		now = now.Add(step.gap)
+		if got := pauses.look(); got != step.want {
+			t.Errorf("a gap of %v is a pause of %v, want %v", step.gap, got, step.want)
+		}
+	}
+}
--- a/internal/batch/publish_test.go
+++ b/internal/batch/publish_test.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 
+	"github.com/pathtally/pathtally/internal/clock"
 	"github.com/pathtally/pathtally/internal/directory"
 	"github.com/pathtally/pathtally/standin/metastore"
 )
@@ -51,6 +52,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		store := metastore.New()
 		service := NewService(ctx, Config{
+			Clock:   clock.Steady,
 			Journal: NewJournal(store), Directory: directory.NewTable("node", "zone", nil, klog.Background()), Logger: klog.Background(), Registry: prometheus.NewRegistry(),
 		})
 		held := &job{
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/pathtally/pathtally/internal/admission"
+	"github.com/pathtally/pathtally/internal/clock"
 	"github.com/pathtally/pathtally/internal/directory"
 	"github.com/pathtally/pathtally/internal/dispatch"
 	"github.com/pathtally/pathtally/internal/environment"
@@ -29,7 +30,9 @@
 	Peers      environment.Peers
 	Table      *peering.Table
 	// Region is the one that this node is in, "" for unknown.
-	Region   string
+	Region string
+	// Clock counts suspensions of the machine.
+	Clock    clock.Clock
 	Logger   klog.Logger
 	Registry prometheus.Registerer
 }
--- a/internal/directory/evacuation.go
+++ b/internal/directory/evacuation.go
@@ -62,7 +62,7 @@
 func (t *Table) changeEvacuations(next *View, changes []EvacuationChange) {
 	next.Evacuated = cloneTimes(next.Evacuated)
 	next.EvacuationEnded = cloneTimes(next.EvacuationEnded)
-	maps.DeleteFunc(next.EvacuationEnded, func(_ string, at time.Time) bool { return time.Since(at) > endedMemory })
+	maps.DeleteFunc(next.EvacuationEnded, func(_ string, at time.Time) bool { return t.clock.Since(at) > endedMemory })
 	for _, change := range changes {
 		if change.Ended {
 			t.endEvacuation(next, change.Zone)
@@ -78,7 +78,7 @@
 	if _, known := next.Evacuated[zone]; known {
 		return
 	}
-	next.Evacuated[zone] = time.Now()
+	next.Evacuated[zone] = t.clock()
 	delete(next.EvacuationEnded, zone)
 	replicas := next.EndpointsIn(zone)
 	if len(replicas) == 0 && next.ReplicasKnown {
@@ -95,8 +95,8 @@
 		return
 	}
 	delete(next.Evacuated, zone)
-	next.EvacuationEnded[zone] = time.Now()
-	t.logger.Info("evacuation ended", "evacuated", zone, "replicas", len(next.EndpointsIn(zone)), "lastedMs", time.Since(since).Milliseconds(),
+	next.EvacuationEnded[zone] = t.clock()
+	t.logger.Info("evacuation ended", "evacuated", zone, "replicas", len(next.EndpointsIn(zone)), "lastedMs", t.clock.Since(since).Milliseconds(),
 		"inFlight", next.InFlightIn(zone))
 }
 
--- a/internal/directory/slowstart.go
+++ b/internal/directory/slowstart.go
@@ -27,7 +27,7 @@
 	if t.slowStart == nil {
 		return
 	}
-	now := time.Now()
+	now := t.clock()
 	t.warmUps.observe(now, t.view.Load(), next)
 	isListed := func(replica string) bool { return next.Replicas[replica] != nil }
 	t.slowStart.SetWarming(t.warmUps.warming(now, next), isListed)
--- a/internal/directory/table.go
+++ b/internal/directory/table.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/pathtally/pathtally/internal/clock"
 	"github.com/pathtally/pathtally/internal/routing"
 )
 
@@ -26,6 +27,8 @@
 	// regions gives the region of each zone.
 	regions map[string]string
 	logger  klog.Logger
+	// clock gives the instants from which replicas warm up.
+	clock clock.Clock
 
 	mutex sync.Mutex
 	// draining are the ids of replicas that have said they leave. They stay
@@ -48,7 +51,7 @@
 // zone.
 func NewTable(node, zone string, regions map[string]string, logger klog.Logger) *Table {
 	table := &Table{
-		place: routing.Place{Node: node, Zone: zone, Region: regions[zone]}, regions: regions, logger: logger,
+		place: routing.Place{Node: node, Zone: zone, Region: regions[zone]}, regions: regions, logger: logger, clock: clock.Steady,
 		draining: map[string]time.Time{}, missing: map[string]*time.Timer{},
 		states: map[string]*routing.EndpointState{}, warmUps: warmUps{}, changed: make(chan struct{}),
 	}
@@ -56,6 +59,14 @@
 	return table
 }
 
+// SetClock has the table count suspensions of the machine, by the clock of those who send
+// to replicas that warm up. It is called before the first listing.
+func (t *Table) SetClock(counting clock.Clock) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.clock = counting
+}
+
 // View returns the newest view.
 func (t *Table) View() *View { return t.view.Load() }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -59,7 +59,7 @@
 		Rank: call.Rank, Tenant: call.Tenant,
 	})
 	request := &exchange.Request{Method: call.Method, Target: call.Target, Host: call.Host, Header: header, Body: call.Body, Purpose: call.Purpose}
-	run := &Run{Call: call, Endpoint: endpoint, Sent: time.Now(), guard: d.guard}
+	run := &Run{Call: call, Endpoint: endpoint, guard: d.guard, sent: time.Now()}
 	endpoint.State.InFlight.Add(1)
 	response, err := d.pool.Send(ctx, endpoint.Address, request, call.Once)
 	if err != nil {
--- a/internal/dispatch/guard.go
+++ b/internal/dispatch/guard.go
@@ -25,18 +25,20 @@
 type Run struct {
 	Call     *Call
 	Endpoint *routing.Endpoint
-	// Sent is when the call was sent.
-	Sent time.Time
+	// Lasted is how long after it was sent the run ended.
+	Lasted time.Duration
 	// Received tells that a part of the answer's body has come.
 	Received bool
 
 	guard Guard
+	sent  time.Time
 }
 
 // broke tells the guard of a run that failed with an error, if its connection broke.
 func (r *Run) broke(err error) {
 	var broken *exchange.BrokenError
 	if r.guard != nil && errors.As(err, &broken) {
+		r.Lasted = time.Since(r.sent)
 		r.guard.Broke(*r)
 	}
 }
--- a/internal/duty/acquire.go
+++ b/internal/duty/acquire.go
@@ -45,7 +45,7 @@
 func (l *Lease) plan() step {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	wait := l.state.wait(time.Now())
+	wait := l.state.wait(l.clock())
 	return step{stopped: l.state.stopped, wait: wait, read: wait == 0 && l.state.mustRead(), revision: l.state.revision}
 }
 
@@ -63,6 +63,6 @@
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.state.wasRead(time.Now(), spec.Node, object.Revision, spec.Released)
+	l.state.wasRead(l.clock(), spec.Node, object.Revision, spec.Released)
 	return nil
 }
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"github.com/pathtally/pathtally/internal/clock"
 )
 
 const (
@@ -22,12 +24,15 @@
 
 // Config is what a Keeper needs.
 type Config struct {
-	Node   string
-	Lease  *Lease
+	Node  string
+	Lease *Lease
+	// Clock is that of the lease.
+	Clock  clock.Clock
 	Logger klog.Logger
-	// Nodes lists the nodes that may hold the lease, and Heard when one was heard.
-	Nodes func() []string
-	Heard func(node string) time.Time
+	// Nodes lists the nodes that may hold the lease, and Silence is for how long one has
+	// not been heard.
+	Nodes   func() []string
+	Silence func(node string) time.Duration
 	// Broadcast tells all nodes what this one has seen of the lease.
 	Broadcast func()
 }
@@ -83,7 +88,7 @@
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	if k.since[duty].IsZero() {
-		k.since[duty] = time.Now()
+		k.since[duty] = k.config.Clock()
 	}
 	return k.since[duty]
 }
--- a/internal/duty/lease.go
+++ b/internal/duty/lease.go
@@ -6,6 +6,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/pathtally/pathtally/internal/clock"
 	"github.com/pathtally/pathtally/internal/objectstore"
 )
 
@@ -24,6 +25,7 @@
 type Lease struct {
 	nonce string
 	store objectstore.Store
+	clock clock.Clock
 
 	mutex  sync.Mutex
 	state  state
@@ -31,9 +33,10 @@
 }
 
 // NewLease returns a node's view of the lease that knows nothing yet. The nonce
-// tells the processes of a node apart. A term of 0 means the default.
-func NewLease(node, nonce string, term time.Duration, store objectstore.Store) *Lease {
-	lease := &Lease{nonce: nonce, store: store, state: state{node: node}}
+// tells the processes of a node apart. A term of 0 means the default. The clock counts
+// suspensions of the machine, after which the lease may be another node's.
+func NewLease(node, nonce string, term time.Duration, store objectstore.Store, counting clock.Clock) *Lease {
+	lease := &Lease{nonce: nonce, store: store, clock: counting, state: state{node: node}}
 	lease.SetTerm(term)
 	return lease
 }
@@ -52,7 +55,7 @@
 func (l *Lease) Valid() (uint64, bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.state.valid(time.Now())
+	return l.state.valid(l.clock())
 }
 
 // Held returns since when no other node has held the lease, nor a former process of
@@ -60,7 +63,7 @@
 func (l *Lease) Held() (since time.Time, valid bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	_, valid = l.state.valid(time.Now())
+	_, valid = l.state.valid(l.clock())
 	return l.state.alone, valid
 }
 
@@ -86,17 +89,17 @@
 func (l *Lease) Remaining() time.Duration {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if _, valid := l.state.valid(time.Now()); !valid {
+	if _, valid := l.state.valid(l.clock()); !valid {
 		return 0
 	}
-	return time.Until(l.state.until)
+	return l.clock.Until(l.state.until)
 }
 
 // stop ends this node's tenure, and tells whether it may be released.
 func (l *Lease) stop() (mayRelease bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	mayRelease = l.state.mayRelease(time.Now()) && !l.state.stopped
+	mayRelease = l.state.mayRelease(l.clock()) && !l.state.stopped
 	l.state.stop()
 	return mayRelease
 }
--- a/internal/duty/model_key_test.go
+++ b/internal/duty/model_key_test.go
@@ -57,6 +57,7 @@
 	flags(w.released)
 	for i := range w.nodes {
 		node := w.nodes[i]
+		number(node.behind)
 		number(rank(node.state.revision), instant(node.state.seen), rank(node.state.token))
 		if node.state.token != 0 {
 			number(instant(node.state.until), instant(node.state.since))
--- a/internal/duty/model_test.go
+++ b/internal/duty/model_test.go
@@ -7,7 +7,7 @@
 
 // The model check goes through what may happen to two nodes that contend for the
 // lease: calls to the store whose answers are lost or late, writes that are done
-// seconds later, nodes that stand still, are started anew or stop as planned, and
+// seconds later, nodes that stand still or whose machine is suspended, are started anew or stop as planned, and
 // heartbeats that bring old or new word. It uses the state of the product as it
 // is, with two seconds a tick.
 
@@ -35,6 +35,8 @@
 	beyond bool
 	// everAlone has holders believe that no other node ever held the lease.
 	everAlone bool
+	// standsStill has the clock of a node stand still while its machine is suspended.
+	standsStill bool
 }
 
 // disruption is what may go wrong in a search. Without lost answers it gets much
@@ -97,6 +99,7 @@
 		{planted{name: "the newest revision is replaced", newest: true}, searches[0]},
 		{planted{name: "calls after the window", beyond: true}, searches[1]},
 		{planted{name: "other holders are forgotten", everAlone: true}, searches[1]},
+		{planted{name: "the clock stands still in a suspension", standsStill: true}, searches[1]},
 		{planted{name: "released after a short tenure", early: true}, searches[2]},
 	} {
 		wrong, worlds := search(test.fault, test.allowed, modelStates)
--- a/internal/duty/model_world_test.go
+++ b/internal/duty/model_world_test.go
@@ -22,6 +22,9 @@
 	inFlight *modelWrite
 	done     *modelWrite
 	revision uint64
+	// behind is by how many ticks the node's clock is behind: those in which its machine
+	// was suspended, where the clock stands still meanwhile.
+	behind int
 }
 
 // modelWorld is one state of the whole. It is copied and never changed.
@@ -46,6 +49,9 @@
 	return time.Unix(0, 0).Add(time.Duration(tick) * modelTick)
 }
 
+// clock is the instant of now as a node reads it.
+func (w modelWorld) clock(node int) time.Time { return w.at(w.now - w.nodes[node].behind) }
+
 func firstWorld() modelWorld {
 	world := modelWorld{holder: -1, last: -1, acted: [2]int{-modelAge, -modelAge}}
 	for i := range world.nodes {
--- a/internal/duty/permit.go
+++ b/internal/duty/permit.go
@@ -1,7 +1,5 @@
 package duty
 
-import "time"
-
 // Permit allows one call under the lease.
 type Permit struct {
 	// Holder and Token are what the call names.
@@ -30,6 +28,6 @@
 	defer p.keeper.mutex.Unlock()
 	p.keeper.open--
 	if !answered {
-		p.keeper.unansweredAt = time.Now()
+		p.keeper.unansweredAt = p.keeper.config.Clock()
 	}
 }
--- a/internal/duty/release.go
+++ b/internal/duty/release.go
@@ -38,7 +38,7 @@
 func (k *Keeper) callsEnded(ctx context.Context) bool {
 	for {
 		k.mutex.Lock()
-		open, late := k.open, time.Since(k.unansweredAt) < unansweredMemory && !k.unansweredAt.IsZero()
+		open, late := k.open, k.config.Clock.Since(k.unansweredAt) < unansweredMemory && !k.unansweredAt.IsZero()
 		k.mutex.Unlock()
 		if late {
 			return false
--- a/internal/duty/sighting.go
+++ b/internal/duty/sighting.go
@@ -1,7 +1,5 @@
 package duty
 
-import "time"
-
 // Sighting is the newest word of the lease.
 type Sighting struct {
 	// Holder wrote Revision.
@@ -15,7 +13,7 @@
 func (l *Lease) Observe(seen Sighting) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.state.observe(time.Now(), seen.Holder, seen.Revision, seen.Released)
+	return l.state.observe(l.clock(), seen.Holder, seen.Revision, seen.Released)
 }
 
 // Seen returns the newest word of the lease that this node has.
--- a/internal/duty/turn.go
+++ b/internal/duty/turn.go
@@ -32,12 +32,12 @@
 	patience := time.Duration(k.rank(seen.Holder)) * turnDelay
 	if seen.Holder != "" && !seen.Released {
 		patience += holderPatience
-		if time.Since(k.config.Heard(seen.Holder)) < holderPatience {
+		if k.config.Silence(seen.Holder) < holderPatience {
 			// It is there and at work.
 			patience += livePatience
 		}
 	}
-	return time.Since(since) >= patience
+	return k.config.Clock.Since(since) >= patience
 }
 
 // IsCandidate tells whether this node is the last holder of the lease or one of
--- a/internal/duty/write.go
+++ b/internal/duty/write.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		return merry.Wrap(err)
 	}
-	sent := time.Now()
+	sent := l.clock()
 	var object objectstore.Object
 	if revision == 0 {
 		object, err = l.store.Create(ctx, leaseKind, leaseName, spec)
@@ -54,11 +54,11 @@
 			l.state.unanswered()
 			return merry.Wrap(unreadable)
 		}
-		l.state.conflicted(time.Now(), standing.Node, conflict.Current.Revision, standing.Released)
+		l.state.conflicted(l.clock(), standing.Node, conflict.Current.Revision, standing.Released)
 	case err != nil:
 		l.state.unanswered()
 	case release:
-		l.state.observe(time.Now(), l.state.node, written.Revision, true)
+		l.state.observe(l.clock(), l.state.node, written.Revision, true)
 	default:
 		l.state.wrote(sent, written.Revision)
 	}
--- a/internal/instance/assemble.go
+++ b/internal/instance/assemble.go
@@ -37,7 +37,7 @@
 	journal.ReadApart(func() bool { return i.directory.View().Configuration.DeclaresHomes() })
 	i.jobs = batch.NewService(ctx, batch.Config{
 		Self: self, Journal: journal, Codec: i.adapter.Jobs, Directory: i.directory, Dispatcher: dispatcher,
-		Forwarder: i.forwarder, Peers: i.transport, Table: i.peers, Region: i.settings.Region, Logger: i.logger, Registry: i.registry,
+		Forwarder: i.forwarder, Peers: i.transport, Table: i.peers, Region: i.settings.Region, Clock: i.clock, Logger: i.logger, Registry: i.registry,
 	})
 	i.assembleDuties(self, duties)
 	i.assembleIngress()
@@ -46,6 +46,7 @@
 // assembleForwarding makes what brings requests to replicas.
 func (i *Instance) assembleForwarding() *dispatch.Dispatcher {
 	i.directory = directory.NewTable(i.settings.Node, i.settings.Zone, i.settings.Regions, i.logger)
+	i.directory.SetClock(i.clock)
 	i.pool = exchange.NewPool(nil)
 	i.pool.Metrics = exchange.NewMetrics(i.registry)
 	dispatcher := dispatch.New(i.pool, i.adapter.Headers, dispatch.NewMetrics(i.registry))
@@ -78,7 +79,7 @@
 func (i *Instance) assembleStore(self batch.Owner) {
 	i.source = watchcache.NewSource(watchcache.Config{
 		Self: watchcache.Node{Name: self.Node, Address: self.Address, Zone: i.settings.Zone}, Regions: i.settings.Regions, Store: i.adapter.Store, Peers: i.transport,
-		Nodes: i.followable, Joined: i.peers.Joined, ProbeKind: peering.Kind, ProbeName: self.Node, Logger: i.logger, Registry: i.registry,
+		Nodes: i.followable, Joined: i.peers.Joined, ProbeKind: peering.Kind, ProbeName: self.Node, Clock: i.clock, Logger: i.logger, Registry: i.registry,
 	})
 	i.store = storerelay.New(storerelay.Config{
 		Own: i.adapter.Store, Peers: i.transport, Through: i.source.CurrentPeer, Others: i.helpers, Region: i.regionAt, Logger: i.logger, Registry: i.registry,
@@ -87,9 +88,9 @@
 
 // assembleDuties makes the lease and what is done under it.
 func (i *Instance) assembleDuties(self batch.Owner, duties Duties) {
-	i.lease = duty.NewLease(self.Node, strconv.FormatUint(self.Incarnation, nonceBase), i.settings.DutyLease.Std(), i.store)
+	i.lease = duty.NewLease(self.Node, strconv.FormatUint(self.Incarnation, nonceBase), i.settings.DutyLease.Std(), i.store, i.clock)
 	i.duty = duty.NewKeeper(duty.Config{
-		Node: self.Node, Lease: i.lease, Logger: i.logger, Nodes: i.peers.Nodes, Heard: i.heard, Broadcast: i.peers.Broadcast,
+		Node: self.Node, Lease: i.lease, Clock: i.clock, Logger: i.logger, Nodes: i.peers.Nodes, Silence: i.silence, Broadcast: i.peers.Broadcast,
 	})
 	i.weights = weightorders.NewCoordinator(weightorders.Config{
 		Keeper: i.duty, Directory: i.directory, Replicas: i.adapter.Orders(i.pool), Logger: i.logger, Registry: i.registry,
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -12,6 +12,7 @@
 
 	"github.com/pathtally/pathtally/internal/autoscale"
 	"github.com/pathtally/pathtally/internal/batch"
+	"github.com/pathtally/pathtally/internal/clock"
 	"github.com/pathtally/pathtally/internal/directory"
 	"github.com/pathtally/pathtally/internal/duty"
 	"github.com/pathtally/pathtally/internal/exchange"
@@ -35,7 +36,9 @@
 	current     atomic.Pointer[settings.Settings]
 	reloadMutex sync.Mutex
 
-	adapter   Adapter
+	adapter Adapter
+	// clock counts suspensions of the machine; what proves something by time reads it.
+	clock     clock.Clock
 	logger    klog.Logger
 	registry  *prometheus.Registry
 	directory *directory.Table
@@ -77,6 +80,10 @@
 	if configured.DutyAPI != "" {
 		duties = adapter.Duties(configured.DutyAPI, configured.Duties)
 	}
+	counting, err := clock.Boot()
+	if err != nil {
+		return nil, err
+	}
 	opened := &listeners{}
 	if !configured.Idle {
 		if err := opened.open(&configured); err != nil {
@@ -84,7 +91,7 @@
 		}
 	}
 	instance := &Instance{
-		settings: configured, adapter: adapter, logger: nodeLogger(configured.Node, configured.Zone),
+		settings: configured, adapter: adapter, clock: counting, logger: nodeLogger(configured.Node, configured.Zone),
 		registry: prometheus.NewRegistry(), drained: make(chan struct{}), assembled: make(chan struct{}), started: time.Now(),
 	}
 	instance.adapter.Store = objectstore.NewMetered(adapter.Store, instance.registry)
--- a/internal/instance/peers.go
+++ b/internal/instance/peers.go
@@ -79,10 +79,10 @@
 	return nodes
 }
 
-// heard is when a node was heard last.
-func (i *Instance) heard(node string) time.Time {
+// silence is for how long a node has not been heard.
+func (i *Instance) silence(node string) time.Duration {
 	peer, _ := i.peers.Get(node)
-	return peer.Heard
+	return time.Since(peer.Heard)
 }
 
 // regionAt is the region of the node at an address, "" if it is not known.
--- a/internal/instance/quarantine.go
+++ b/internal/instance/quarantine.go
@@ -10,7 +10,7 @@
 func (i *Instance) newQuarantine(ctx context.Context) *quarantine.Service {
 	return quarantine.NewService(ctx, quarantine.Config{
 		Node: i.settings.Node, Span: i.settings.Quarantine.Std(), Prober: i.pool, Store: i.store, Peers: i.transport, Logger: i.logger,
-		Registry: i.registry, Nodes: i.peers.Nodes, Address: i.peerAddress,
+		Registry: i.registry, Clock: i.clock, Nodes: i.peers.Nodes, Address: i.peerAddress,
 	})
 }
 
--- a/internal/instance/slowstart.go
+++ b/internal/instance/slowstart.go
@@ -48,11 +48,11 @@
 func (i *Instance) newSlowStart() *slowStart {
 	made := &slowStart{instance: i}
 	made.asker = slowstart.NewAsker(slowstart.AskerConfig{
-		Ask: made.ask, Clock: time.Now, Allotted: i.jobs.LookAgain, Logger: i.logger, Registry: i.registry,
+		Ask: made.ask, Clock: i.clock, Allotted: i.jobs.LookAgain, Logger: i.logger, Registry: i.registry,
 	})
 	made.allotter = slowstart.NewAllotter(slowstart.AllotterConfig{
 		Limits: slowstart.Limits{Overage: i.settings.WarmUpOverage, Slack: i.settings.WarmUpSlack},
-		Lease:  allotterLease{Keeper: i.duty, Lease: i.lease}, Clock: time.Now, Logger: i.logger, Registry: i.registry,
+		Lease:  allotterLease{Keeper: i.duty, Lease: i.lease}, Clock: i.clock, Logger: i.logger, Registry: i.registry,
 		Rate: func(replica string) float64 { return i.directory.View().WarmUpRate(replica) },
 	})
 	return made
--- a/internal/quarantine/metrics.go
+++ b/internal/quarantine/metrics.go
@@ -1,10 +1,9 @@
 package quarantine
 
 import (
-	"time"
-
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/pathtally/pathtally/internal/clock"
 	"github.com/pathtally/pathtally/internal/exchange"
 )
 
@@ -15,7 +14,7 @@
 	refused prometheus.Counter
 }
 
-func newMetrics(registry prometheus.Registerer, table *Table) *metrics {
+func newMetrics(registry prometheus.Registerer, table *Table, counting clock.Clock) *metrics {
 	made := &metrics{
 		held: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "pathtally_quarantines_total", Help: "Requests put in quarantine, as this node learned itself or from its peers.",
@@ -32,6 +31,6 @@
 	}
 	registry.MustRegister(made.broken, made.held, made.refused, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "pathtally_quarantined_requests", Help: "Requests that are in quarantine now.",
-	}, func() float64 { return float64(table.Len(time.Now())) }))
+	}, func() float64 { return float64(table.Len(counting())) }))
 	return made
 }
--- a/internal/quarantine/recorder.go
+++ b/internal/quarantine/recorder.go
@@ -9,6 +9,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/pathtally/pathtally/internal/clock"
 	"github.com/pathtally/pathtally/internal/objectstore"
 )
 
@@ -31,6 +32,7 @@
 // many goroutines.
 type recorder struct {
 	store  objectstore.Store
+	clock  clock.Clock
 	span   time.Duration
 	logger klog.Logger
 	wake   chan struct{}
@@ -39,8 +41,8 @@
 	intents map[Fingerprint]intent
 }
 
-func newRecorder(store objectstore.Store, span time.Duration, logger klog.Logger) *recorder {
-	return &recorder{store: store, span: span, logger: logger, wake: make(chan struct{}, 1), intents: map[Fingerprint]intent{}}
+func newRecorder(store objectstore.Store, counting clock.Clock, span time.Duration, logger klog.Logger) *recorder {
+	return &recorder{store: store, clock: counting, span: span, logger: logger, wake: make(chan struct{}, 1), intents: map[Fingerprint]intent{}}
 }
 
 // want has a request's entry written; a later intent replaces an earlier one.
@@ -113,7 +115,7 @@
 func (r *recorder) apply(began map[Fingerprint]time.Time, wanted map[Fingerprint]intent) (next map[Fingerprint]time.Time, changed bool) {
 	next = map[Fingerprint]time.Time{}
 	for request, at := range began {
-		if time.Since(at) < r.span {
+		if r.clock.Since(at) < r.span {
 			next[request] = at
 		}
 	}
@@ -123,7 +125,7 @@
 		case want.lift && stands:
 			delete(next, request)
 			changed = true
-		case !want.lift && !stands && time.Since(want.at) < r.span:
+		case !want.lift && !stands && r.clock.Since(want.at) < r.span:
 			next[request] = want.at
 			changed = true
 		}
--- a/internal/quarantine/reports.go
+++ b/internal/quarantine/reports.go
@@ -20,7 +20,7 @@
 
 // report tells nodes of all ends known under a request.
 func (s *Service) report(request Fingerprint, nodes []string) {
-	now := time.Now()
+	now := s.config.Clock()
 	s.mutex.Lock()
 	known := slices.Clone(s.ledger.Ends(request))
 	s.mutex.Unlock()
@@ -61,7 +61,7 @@
 		}
 		return
 	}
-	now := time.Now()
+	now := s.config.Clock()
 	ends := make([]end, 0, len(message.Ends))
 	for _, told := range message.Ends {
 		ends = append(ends, end{replica: told.Replica, at: now.Add(-time.Duration(told.AgoMs) * time.Millisecond)})
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 
+	"github.com/pathtally/pathtally/internal/clock"
 	"github.com/pathtally/pathtally/internal/dispatch"
 	"github.com/pathtally/pathtally/internal/environment"
 	"github.com/pathtally/pathtally/internal/exchange"
@@ -36,6 +37,8 @@
 	Peers    environment.Peers
 	Logger   klog.Logger
 	Registry prometheus.Registerer
+	// Clock counts suspensions of the machine.
+	Clock clock.Clock
 	// Nodes lists all nodes, this one included, and Address where another one listens.
 	Nodes   func() []string
 	Address func(node string) (address string, known bool)
@@ -70,10 +73,10 @@
 		config.Span = DefaultSpan
 	}
 	service := &Service{
-		config: config, ends: newEndCheck(config.Prober), table: NewTable(), recorder: newRecorder(config.Store, config.Span, config.Logger),
+		config: config, ends: newEndCheck(config.Prober), table: NewTable(), recorder: newRecorder(config.Store, config.Clock, config.Span, config.Logger),
 		ctx: ctx, ledger: NewLedger(), examined: map[Fingerprint]int{}, settled: make(chan struct{}),
 	}
-	service.metrics = newMetrics(config.Registry, service.table)
+	service.metrics = newMetrics(config.Registry, service.table, config.Clock)
 	return service
 }
 
@@ -87,7 +90,7 @@
 	}
 	request := fingerprintOf(call)
 	s.awaitExamined(ctx, request)
-	left := s.table.Left(request, time.Now())
+	left := s.table.Left(request, s.config.Clock())
 	if left <= 0 {
 		return nil
 	}
@@ -117,12 +120,11 @@
 // Broke implements dispatch.Guard.
 func (s *Service) Broke(run dispatch.Run) {
 	request := fingerprintOf(run.Call)
-	lasted := time.Since(run.Sent)
 	s.mutex.Lock()
 	s.examined[request]++
 	s.mutex.Unlock()
 	go func() {
-		s.examine(request, run, lasted)
+		s.examine(request, run)
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
 		if s.examined[request]--; s.examined[request] == 0 {
@@ -135,18 +137,18 @@
 
 // examine finds out whether a replica has ended under a run that broke, and counts that
 // against the request.
-func (s *Service) examine(request Fingerprint, run dispatch.Run, lasted time.Duration) {
+func (s *Service) examine(request Fingerprint, run dispatch.Run) {
 	found := s.ends.look(s.ctx, run.Endpoint)
 	s.metrics.broken.WithLabelValues(string(found)).Inc()
-	hadProgress := run.Call.Resumable && run.Received && lasted >= soonAfterSent
+	hadProgress := run.Call.Resumable && run.Received && run.Lasted >= soonAfterSent
 	counts := found == exchange.Ended && !hadProgress
 	known := 0
 	if counts {
-		now := time.Now()
+		now := s.config.Clock()
 		known = s.count(request, []end{{replica: run.Endpoint.Name, at: now}}, now)
 	}
 	s.config.Logger.Info("run broke", "request", run.Call.ID, "fingerprint", request.String(), "replica", run.Endpoint.Name, "replicaIs", found,
-		"counts", counts, "ends", known, "tookMs", lasted.Milliseconds(), "received", run.Received)
+		"counts", counts, "ends", known, "tookMs", run.Lasted.Milliseconds(), "received", run.Received)
 	switch {
 	case known >= endsToQuarantine:
 		s.quarantine(request)
@@ -174,12 +176,12 @@
 		return
 	}
 	s.report(request, s.config.Nodes())
-	s.recorder.want(request, intent{at: time.Now()})
+	s.recorder.want(request, intent{at: s.config.Clock()})
 }
 
 // hold puts a request in quarantine at this node and tells whether it was not in it.
 func (s *Service) hold(request Fingerprint) bool {
-	now := time.Now()
+	now := s.config.Clock()
 	if !s.table.Hold(request, now.Add(s.config.Span), now) {
 		return false
 	}
@@ -214,7 +216,7 @@
 	wasSuspect = s.ledger.Clear(request)
 	s.suspects.Store(int64(s.ledger.Len()))
 	s.mutex.Unlock()
-	wasHeld = s.table.Lift(request, time.Now())
+	wasHeld = s.table.Lift(request, s.config.Clock())
 	if wasHeld {
 		s.config.Logger.Info("quarantine lifted: the request was served", "fingerprint", request.String())
 	}
--- a/internal/quarantine/sink.go
+++ b/internal/quarantine/sink.go
@@ -14,7 +14,7 @@
 			return
 		}
 	}
-	s.table.TakeStored(nil, time.Now())
+	s.table.TakeStored(nil, s.config.Clock())
 }
 
 // Apply takes changes of the kind, as package watchcache hands them on.
@@ -23,7 +23,7 @@
 		switch {
 		case change.Object.Name != ObjectName:
 		case change.Gone:
-			s.table.TakeStored(nil, time.Now())
+			s.table.TakeStored(nil, s.config.Clock())
 		default:
 			s.takeRecord(change.Object)
 		}
@@ -41,7 +41,7 @@
 	if began == nil {
 		return
 	}
-	now := time.Now()
+	now := s.config.Clock()
 	listed := make(map[Fingerprint]time.Time, len(began))
 	for request, at := range began {
 		rest := min(s.config.Span, s.config.Span-now.Sub(at))
--- /dev/null
+++ b/internal/watchcache/age.go
@@ -0,0 +1,17 @@
+package watchcache
+
+import "time"
+
+// noteNews records that the copies are current.
+func (s *Source) noteNews() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.newsAt = s.config.Clock()
+}
+
+// Age is for how long the copies have not been known to be current.
+func (s *Source) Age() time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.config.Clock.Since(s.newsAt)
+}
--- a/internal/watchcache/config.go
+++ b/internal/watchcache/config.go
@@ -4,6 +4,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 
+	"github.com/pathtally/pathtally/internal/clock"
 	"github.com/pathtally/pathtally/internal/environment"
 	"github.com/pathtally/pathtally/internal/objectstore"
 )
@@ -31,6 +32,8 @@
 	// the store answers; it need not exist.
 	ProbeKind string
 	ProbeName string
-	Logger    klog.Logger
-	Registry  prometheus.Registerer
+	// Clock tells how old the copies are. It counts suspensions of the machine.
+	Clock    clock.Clock
+	Logger   klog.Logger
+	Registry prometheus.Registerer
 }
--- a/internal/watchcache/follow.go
+++ b/internal/watchcache/follow.go
@@ -132,20 +132,6 @@
 // readDirectly has this node read the store itself for some seconds.
 func (s *Source) readDirectly() { s.readAtLeast(directTime + rand.N(directSpread)) }
 
-// noteNews records that the copies are current.
-func (s *Source) noteNews() {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.newsAt = time.Now()
-}
-
-// Age is for how long the copies have not been known to be current.
-func (s *Source) Age() time.Duration {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return time.Since(s.newsAt)
-}
-
 // poll asks a reader once, takes its news and tells how it went.
 func (s *Source) poll(ctx context.Context, reader Node, direct bool) string {
 	wait := pollWait
--- a/internal/watchcache/harness_test.go
+++ b/internal/watchcache/harness_test.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 
+	"github.com/pathtally/pathtally/internal/clock"
 	"github.com/pathtally/pathtally/internal/environment"
 	"github.com/pathtally/pathtally/internal/objectstore"
 	"github.com/pathtally/pathtally/internal/wire"
@@ -207,7 +208,8 @@
 		store: &cutStore{Store: c.store}, sink: &recorder{},
 	}
 	node.source = NewSource(Config{
-		Self: node.node, Regions: c.regions, Store: node.store, Peers: link{cluster: c, node: node.node}, Nodes: c.list, Joined: func() bool { return true },
+		Clock: clock.Steady,
+		Self:  node.node, Regions: c.regions, Store: node.store, Peers: link{cluster: c, node: node.node}, Nodes: c.list, Joined: func() bool { return true },
 		ProbeKind: "nodes", ProbeName: node.node.Name, Logger: klog.Background(), Registry: prometheus.NewRegistry(),
 	})
 	node.source.Add(testKind, node.sink, PromptWait)
--- a/internal/watchcache/source_test.go
+++ b/internal/watchcache/source_test.go
@@ -345,3 +345,14 @@
 		}
 	})
 }
+
+// The copies of a node whose machine was suspended are as old as the suspension.
+func TestCopiesAgeWhileTheMachineIsSuspended(t *testing.T) {
+	suspended := time.Duration(0)
+	source := &Source{config: Config{Clock: func() time.Time { return time.Unix(0, 0).Add(suspended) }}}
+	source.noteNews()
+	suspended = 5 * time.Second
+	if age := source.Age(); age != suspended {
+		t.Errorf("copies are %v old after %v", age, suspended)
+	}
+}
