--- a/internal/directory/listing.go
+++ b/internal/directory/listing.go
@@ -3,13 +3,17 @@
 import (
 	"maps"
 	"time"
+
+	"github.com/pathtally/pathtally/internal/objectstore"
 )
 
 // ReplicaChange is a replica that is new or changed, or one whose entry has
-// vanished if Replica is nil.
+// vanished or cannot be read if Replica is nil.
 type ReplicaChange struct {
 	ID      string
 	Replica *Replica
+	// Unreadable tells that there is an entry that names no replica.
+	Unreadable bool
 }
 
 // SetReplicas replaces the whole listing. Replicas that are not in it are kept
@@ -48,6 +52,11 @@
 		switch {
 		case change.Replica != nil:
 			t.admit(next.Replicas, change.Replica)
+		case change.Unreadable:
+			// Whoever wrote it, the replica may have moved or left since: nothing is known
+			// of it until it writes again.
+			delete(next.Replicas, change.ID)
+			t.stopKeeping(change.ID)
 		case standing != nil:
 			delete(next.Replicas, change.ID)
 			t.miss(next.Replicas, standing, keepMissing)
@@ -58,10 +67,8 @@
 
 // admit puts a replica into a listing unless it is leaving.
 func (t *Table) admit(listing map[string]*Replica, replica *Replica) {
-	if timer := t.missing[replica.ID]; timer != nil {
-		timer.Stop()
-		delete(t.missing, replica.ID)
-	}
+	t.stopKeeping(replica.ID)
+	delete(t.unreadable, replica.ID)
 	known := t.isDraining(replica.ID)
 	if replica.State != ReplicaReady && !known {
 		t.logger.Info("replica draining", "replica", replica.ID, "state", replica.State)
@@ -74,6 +81,29 @@
 	listing[replica.ID] = replica
 }
 
+// stopKeeping ends the time that a vanished replica is kept for.
+func (t *Table) stopKeeping(id string) {
+	if timer := t.missing[id]; timer != nil {
+		timer.Stop()
+		delete(t.missing, id)
+	}
+}
+
+// noteUnreadable counts and logs an entry that cannot be read, once for each change of it.
+func (t *Table) noteUnreadable(object objectstore.Object, err error) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if known, noted := t.unreadable[object.Name]; noted && known == object.Revision {
+		return
+	}
+	t.unreadable[object.Name] = object.Revision
+	t.unreadableSeen.Add(1)
+	t.logger.Error(err, "replica entry names no replica, none is used under its id", "replica", object.Name, "revision", object.Revision)
+}
+
+// UnreadableEntries is how many changes of replicas' entries could not be read.
+func (t *Table) UnreadableEntries() int64 { return t.unreadableSeen.Load() }
+
 // isDraining tells whether a replica has said that it leaves.
 func (t *Table) isDraining(id string) bool {
 	_, known := t.draining[id]
@@ -84,8 +114,14 @@
 // listed last. Ids are never used again; news older than that does not arrive.
 const drainMemory = 10 * time.Minute
 
+// mostUnreadable bounds the entries remembered as unreadable; beyond it all are told anew.
+const mostUnreadable = 1024
+
 // forgetDrained drops the replicas that have left long ago.
 func (t *Table) forgetDrained() {
+	if len(t.unreadable) > mostUnreadable {
+		clear(t.unreadable)
+	}
 	maps.DeleteFunc(t.draining, func(_ string, listed time.Time) bool { return time.Since(listed) > drainMemory })
 }
 
--- a/internal/directory/sinks.go
+++ b/internal/directory/sinks.go
@@ -65,11 +65,17 @@
 // Replace implements Sink.
 func (s ReplicaSink) Replace(objects []objectstore.Object, afterOutage bool) {
 	replicas := make([]*Replica, 0, len(objects))
+	var unreadable []ReplicaChange
 	for _, object := range objects {
-		if replica := s.decode(object); replica != nil {
-			replicas = append(replicas, replica)
+		replica, isUnreadable := s.read(object)
+		if isUnreadable {
+			unreadable = append(unreadable, ReplicaChange{ID: object.Name, Unreadable: true})
+			continue
 		}
+		replicas = append(replicas, replica)
 	}
+	// Before the listing: what it lacks may be kept for a while, but not these.
+	s.Table.ApplyReplicas(unreadable, 0)
 	s.Table.SetReplicas(replicas, s.keepFor(afterOutage))
 }
 
@@ -77,15 +83,25 @@
 func (s ReplicaSink) Apply(changes []objectstore.Change, afterOutage bool) {
 	changed := make([]ReplicaChange, 0, len(changes))
 	for _, change := range changes {
-		if change.Gone {
-			changed = append(changed, ReplicaChange{ID: change.Object.Name})
-		} else if replica := s.decode(change.Object); replica != nil {
-			changed = append(changed, ReplicaChange{ID: replica.ID, Replica: replica})
+		next := ReplicaChange{ID: change.Object.Name}
+		if !change.Gone {
+			next.Replica, next.Unreadable = s.read(change.Object)
 		}
+		changed = append(changed, next)
 	}
 	s.Table.ApplyReplicas(changed, s.keepFor(afterOutage))
 }
 
+// read reads an entry, which may be another writer's.
+func (s ReplicaSink) read(object objectstore.Object) (replica *Replica, unreadable bool) {
+	replica, err := s.Decoder.Replica(object.Name, object.Spec)
+	if err != nil {
+		s.Table.noteUnreadable(object, err)
+		return nil, true
+	}
+	return replica, false
+}
+
 func (s ReplicaSink) keepFor(afterOutage bool) time.Duration {
 	if afterOutage {
 		return s.KeepMissing()
@@ -93,15 +109,6 @@
 	return 0
 }
 
-func (s ReplicaSink) decode(object objectstore.Object) *Replica {
-	replica, err := s.Decoder.Replica(object.Name, object.Spec)
-	if err != nil {
-		s.Table.logger.Error(err, "replica entry is not readable", "replica", object.Name)
-		return nil
-	}
-	return replica
-}
-
 // VersionSink takes the weight versions that trainers name.
 type VersionSink struct {
 	Table   *Table
--- a/test/virtual_test.go
+++ b/test/virtual_test.go
@@ -53,8 +53,10 @@
 func startVirtualDay(ctx context.Context, t *testing.T, engines int) *virtualDay {
 	day := &virtualDay{t: t, store: metastore.New()}
 	network := replica.NewNetwork()
+	started := 0
 	start := func(config replica.Config, service string) *replica.Server {
-		started := replica.Serve(config, network.Listen(config.ID))
+		started++
+		started := replica.Serve(config, network.Listen(fmt.Sprintf("10.0.0.%d:80", started)))
 		t.Cleanup(started.Close)
 		day.store.Write("servers", config.ID, started.Entry(service, "zone-a"))
 		return started
