--- a/internal/duty/lease_test.go
+++ b/internal/duty/lease_test.go
@@ -218,3 +218,28 @@
 		}
 	})
 }
+
+// The lease was overwritten by another writer, with bytes that could not be read. Every
+// node failed to read it from then on, and nobody gave orders or reported usage any more.
+func TestALeaseThatCannotBeReadEndsNoDuty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := metastore.New()
+		former, successor := newLease("one", store), newLease("two", store)
+		acquireNow(t, former)
+		store.Write(leaseKind, leaseName, "bytes of another writer")
+		overwritten := time.Now()
+		for {
+			pause, err := successor.Acquire(context.Background())
+			if err != nil {
+				t.Fatalf("the lease cannot be had: %v", err)
+			}
+			if pause == 0 {
+				break
+			}
+			time.Sleep(pause)
+		}
+		if waited := time.Since(overwritten); waited < SendWindow+testTerm {
+			t.Errorf("the successor holds the lease %s after it was overwritten", waited)
+		}
+	})
+}
