A duty lease that another writer has overwritten is waited for and replaced

Cause: each try to get it failed on reading it, at every node and for good. Change: what cannot be read is taken for another node's lease: the full wait, then a write on condition.

--- a/internal/duty/acquire.go
+++ b/internal/duty/acquire.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"time"
 
-	"github.com/ansel1/merry/v2"
-
 	"github.com/pathtally/pathtally/internal/objectstore"
 )
 
@@ -57,9 +54,7 @@
 	}
 	var spec leaseSpec
 	if err == nil {
-		if err := json.Unmarshal(object.Spec, &spec); err != nil {
-			return merry.Wrap(err)
-		}
+		spec = decodeLease(object)
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/internal/duty/write.go
+++ b/internal/duty/write.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"k8s.io/klog/v2"
 
 	"github.com/pathtally/pathtally/internal/objectstore"
 )
@@ -22,6 +23,21 @@
 	Released bool `json:"released,omitempty"`
 }
 
+// decodeLease reads the stored lease. One that another writer has put there names no
+// holder: it is waited for like any other node, and then replaced. Else nobody could hold
+// the lease any more.
+func decodeLease(object objectstore.Object) leaseSpec {
+	var spec leaseSpec
+	if err := json.Unmarshal(object.Spec, &spec); err != nil {
+		klog.Background().Error(err, "duty lease is not readable, it is taken for another node's", "revision", object.Revision)
+		return leaseSpec{Node: unknownHolder}
+	}
+	return spec
+}
+
+// unknownHolder stands for whoever wrote a lease that cannot be read. No node has the name.
+const unknownHolder = "?"
+
 // write puts this node into the lease if it still stands as known, to hold it or
 // to give it up.
 func (l *Lease) write(ctx context.Context, revision uint64, release bool) error {
@@ -49,11 +65,7 @@
 	var conflict *objectstore.ConflictError
 	switch {
 	case errors.As(err, &conflict):
-		var standing leaseSpec
-		if unreadable := json.Unmarshal(conflict.Current.Spec, &standing); unreadable != nil {
-			l.state.unanswered()
-			return merry.Wrap(unreadable)
-		}
+		standing := decodeLease(conflict.Current)
 		l.state.conflicted(l.clock(), standing.Node, conflict.Current.Revision, standing.Released)
 	case err != nil:
 		l.state.unanswered()
