--- /dev/null
+++ b/internal/directory/restarts_test.go
@@ -0,0 +1,99 @@
+package directory
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pathtally/pathtally/internal/routing"
+	"github.com/pathtally/pathtally/standin/metastore"
+)
+
+// A replica may start again under the id that it had. It was told by its id alone, so
+// that it stayed out of use for good once it had said that it leaves, and what had been
+// learnt of the one before (failures, latency, grants while it warms up) was held against
+// it.
+
+// startedAt is the entry of a replica that started at a time, in milliseconds.
+func startedAt(born int64, state ReplicaState) map[string]any {
+	return map[string]any{"Service": "s", "Address": "127.0.0.1:1", "Slots": 4, "State": state, "Born": born}
+}
+
+// endpointOf is the replica that a table uses under an id, nil for none.
+func endpointOf(table *Table, id string) *routing.Endpoint {
+	for name, endpoint := range table.View().Endpoints {
+		if name == id || strings.HasPrefix(name, id+"@") {
+			return endpoint
+		}
+	}
+	return nil
+}
+
+func TestAReplicaThatStartsAgainUnderItsIDBeginsAnew(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context, store *metastore.Store) {
+		store.Write("servers", "one", startedAt(1000, ReplicaReady))
+		table := informed(ctx, store)
+		settle(time.Second)
+		first := endpointOf(table, "one")
+		first.State.Failures.Add(7)
+		store.Write("servers", "one", startedAt(2000, ReplicaReady))
+		settle(time.Second)
+		second := endpointOf(table, "one")
+		if second == nil || second.State == first.State || second.State.Failures.Load() != 0 {
+			t.Error("what was learnt of the one before is held against it")
+		}
+		store.Write("servers", "one", startedAt(2000, ReplicaDraining))
+		settle(time.Second)
+		if endpointOf(table, "one") != nil {
+			t.Error("a replica that has said it leaves is used")
+		}
+		store.Write("servers", "one", startedAt(3000, ReplicaReady))
+		settle(time.Second)
+		if endpointOf(table, "one") == nil {
+			t.Error("a replica that said it leaves before it started again is not used")
+		}
+		if len(table.View().Endpoints) > 1 {
+			t.Error("the one before is used as well")
+		}
+		store.Remove("servers", "one")
+		settle(time.Second)
+		if endpointOf(table, "one") != nil {
+			t.Error("a replica whose entry is gone is used")
+		}
+	})
+}
+
+// A word of the earlier start arrives after one of the later.
+func TestALateWordOfAnEarlierStartIsNotTaken(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context, store *metastore.Store) {
+		store.Write("servers", "one", startedAt(2000, ReplicaReady))
+		table := informed(ctx, store)
+		settle(time.Second)
+		store.Write("servers", "one", startedAt(1000, ReplicaDraining))
+		settle(time.Second)
+		if endpointOf(table, "one") == nil {
+			t.Error("a word of the earlier start takes the replica out of use")
+		}
+		store.Write("servers", "one", startedAt(2000, ReplicaReady))
+		settle(time.Minute)
+		if endpointOf(table, "one") == nil {
+			t.Error("the late word counts although the replica has spoken since")
+		}
+	})
+}
+
+// Another writer gave a start time far ahead. The replica's own word must not be taken for
+// a late one for good.
+func TestAStartTimeFarAheadKeepsNoReplicaOut(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context, store *metastore.Store) {
+		store.Write("servers", "one", startedAt(1<<50, ReplicaDraining))
+		table := informed(ctx, store)
+		settle(time.Second)
+		store.Write("servers", "one", startedAt(2000, ReplicaReady))
+		settle(time.Minute)
+		if endpointOf(table, "one") == nil {
+			t.Error("the replica is not used although its own word stands")
+		}
+	})
+}
