Replicas that start again under their id begin anew

Cause: an incarnation was told by its id alone. Change: the directory's ID is the name and the start together, made where entries are read, so that all that is kept by it begins anew: endpoint state, draining marks, weights, runs, grants, ends under requests, words of other nodes. On the wire goes the name; reports and answers to orders of another start are told. The stand-in names its start, the soak's ended replicas start again under their id, before or after their entry has lapsed, in two of three cases.

--- a/internal/directory/listing.go
+++ b/internal/directory/listing.go
@@ -10,7 +10,8 @@
 // ReplicaChange is a replica that is new or changed, or one whose entry has
 // vanished or cannot be read if Replica is nil.
 type ReplicaChange struct {
-	ID      string
+	// Name is what the replica is listed under.
+	Name    string
 	Replica *Replica
 	// Unreadable tells that there is an entry that names no replica.
 	Unreadable bool
@@ -28,7 +29,7 @@
 		t.admit(next.Replicas, replica)
 	}
 	for id, replica := range standing {
-		if next.Replicas[id] == nil && !t.isDraining(id) {
+		if next.Replicas[id] == nil && !t.isDraining(id) && !t.isSuperseded(replica) {
 			t.miss(next.Replicas, replica, keepMissing)
 		}
 	}
@@ -48,27 +49,32 @@
 	next := *t.view.Load()
 	next.Replicas = maps.Clone(next.Replicas)
 	for _, change := range changes {
-		standing := next.Replicas[change.ID]
+		id := t.startOf(change.Name)
+		standing := next.Replicas[id]
 		switch {
 		case change.Replica != nil:
 			t.admit(next.Replicas, change.Replica)
 		case change.Unreadable:
 			// Whoever wrote it, the replica may have moved or left since: nothing is known
 			// of it until it writes again.
-			delete(next.Replicas, change.ID)
-			t.stopKeeping(change.ID)
+			delete(next.Replicas, id)
+			t.stopKeeping(id)
 		case standing != nil:
-			delete(next.Replicas, change.ID)
+			delete(next.Replicas, id)
 			t.miss(next.Replicas, standing, keepMissing)
 		}
 	}
 	t.publishReplicas(&next)
 }
 
-// admit puts a replica into a listing unless it is leaving.
+// admit puts a replica into a listing unless it is leaving, in place of an earlier start
+// of the same name.
 func (t *Table) admit(listing map[string]*Replica, replica *Replica) {
+	if !t.noteStart(listing, replica) {
+		return
+	}
 	t.stopKeeping(replica.ID)
-	delete(t.unreadable, replica.ID)
+	delete(t.unreadable, replica.InstanceName())
 	known := t.isDraining(replica.ID)
 	if replica.State != ReplicaReady && !known {
 		t.logger.Info("replica draining", "replica", replica.ID, "state", replica.State)
@@ -122,6 +128,7 @@
 	if len(t.unreadable) > mostUnreadable {
 		clear(t.unreadable)
 	}
+	t.forgetStarts()
 	maps.DeleteFunc(t.draining, func(_ string, listed time.Time) bool { return time.Since(listed) > drainMemory })
 }
 
--- a/internal/directory/plans.go
+++ b/internal/directory/plans.go
@@ -52,7 +52,9 @@
 		t.states[replica.ID] = state
 		t.logger.Info("replica added", "replica", replica.ID, "service", replica.Service, "address", replica.Address, "zone", replica.Zone)
 	}
-	return routing.NewReplicaEndpoint(replica.ID, replica.Address, replica.Zone, t.regions[replica.Zone], replica.Service, replica.Slots, state)
+	made := routing.NewReplicaEndpoint(replica.ID, replica.Address, replica.Zone, t.regions[replica.Zone], replica.Service, replica.Slots, state)
+	made.Instance = replica.InstanceName()
+	return made
 }
 
 // plansOf are the plans of all services; those of services that have not
--- a/internal/directory/replica.go
+++ b/internal/directory/replica.go
@@ -1,6 +1,9 @@
 package directory
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // ReplicaState is what a replica says of itself.
 type ReplicaState string
@@ -13,8 +16,15 @@
 
 // Replica is one incarnation of a back end, as the store lists it.
 type Replica struct {
-	// ID is new at every start.
-	ID      string
+	// ID is new at every start: the replica's name and when it started. All that is
+	// learnt of a replica is kept under it, and so begins anew with each start.
+	ID string
+	// Name is what the replica is listed under and answers to; it may last for several
+	// starts. Empty where it is the ID.
+	Name string
+	// Born is when the replica started, in milliseconds since the start of 1970 by its
+	// own time of day; 0 where it does not say.
+	Born    int64
 	Service string
 	Address string
 	Zone    string
@@ -30,3 +40,23 @@
 	// Leaves is the time left to a replica that has been told to leave, 0 for unknown.
 	Leaves time.Duration
 }
+
+// incarnationMark parts the name of a replica from its start in the ID.
+const incarnationMark = "@"
+
+// IncarnationID is the ID of the replica of a name that started at a time, 0 for a time
+// that it does not tell.
+func IncarnationID(name string, born int64) string {
+	if born == 0 {
+		return name
+	}
+	return name + incarnationMark + strconv.FormatInt(born, 10)
+}
+
+// InstanceName is what the replica is listed under and answers to.
+func (r *Replica) InstanceName() string {
+	if r.Name == "" {
+		return r.ID
+	}
+	return r.Name
+}
--- a/internal/directory/sinks.go
+++ b/internal/directory/sinks.go
@@ -69,7 +69,7 @@
 	for _, object := range objects {
 		replica, isUnreadable := s.read(object)
 		if isUnreadable {
-			unreadable = append(unreadable, ReplicaChange{ID: object.Name, Unreadable: true})
+			unreadable = append(unreadable, ReplicaChange{Name: object.Name, Unreadable: true})
 			continue
 		}
 		replicas = append(replicas, replica)
@@ -83,7 +83,7 @@
 func (s ReplicaSink) Apply(changes []objectstore.Change, afterOutage bool) {
 	changed := make([]ReplicaChange, 0, len(changes))
 	for _, change := range changes {
-		next := ReplicaChange{ID: change.Object.Name}
+		next := ReplicaChange{Name: change.Object.Name}
 		if !change.Gone {
 			next.Replica, next.Unreadable = s.read(change.Object)
 		}
@@ -99,6 +99,8 @@
 		s.Table.noteUnreadable(object, err)
 		return nil, true
 	}
+	replica.Name = object.Name
+	replica.ID = IncarnationID(object.Name, replica.Born)
 	return replica, false
 }
 
--- a/internal/directory/table.go
+++ b/internal/directory/table.go
@@ -31,11 +31,14 @@
 	clock clock.Clock
 
 	mutex sync.Mutex
-	// draining are the ids of replicas that have said they leave. They stay
-	// so; an entry that only vanished may come back, since the store drops
+	// draining are the incarnations that have said they leave. They stay so; an entry that only vanished may come back, since the store drops
 	// entries of living replicas while it is down. Each is forgotten some time
 	// after it was listed last.
 	draining map[string]time.Time
+	// starts are the newest starts known, by the names of replicas.
+	starts map[string]*start
+	// startsLooked is when starts to forget were looked for last.
+	startsLooked time.Time
 	// missing are the replicas kept although their entries have vanished.
 	missing map[string]*time.Timer
 	// unreadable are the revisions of entries that named no replica when they were seen
@@ -56,7 +59,7 @@
 func NewTable(node, zone string, regions map[string]string, logger klog.Logger) *Table {
 	table := &Table{
 		place: routing.Place{Node: node, Zone: zone, Region: regions[zone]}, regions: regions, logger: logger, clock: clock.Steady,
-		draining: map[string]time.Time{}, missing: map[string]*time.Timer{}, unreadable: map[string]uint64{},
+		draining: map[string]time.Time{}, missing: map[string]*time.Timer{}, starts: map[string]*start{}, unreadable: map[string]uint64{},
 		states: map[string]*routing.EndpointState{}, warmUps: warmUps{}, changed: make(chan struct{}),
 	}
 	table.view.Store(&View{Replicas: map[string]*Replica{}, Named: map[string]int64{}, Plans: map[string]*routing.Plan{}})
--- a/internal/directory/table_test.go
+++ b/internal/directory/table_test.go
@@ -241,9 +241,9 @@
 		table := NewTable("node", "zone", nil, klog.Background())
 		leaving := ready("s")
 		leaving.ID, leaving.State = "one", ReplicaDraining
-		table.ApplyReplicas([]ReplicaChange{{ID: "one", Replica: leaving}}, 0)
+		table.ApplyReplicas([]ReplicaChange{{Name: "one", Replica: leaving}}, 0)
 		time.Sleep(drainMemory / 2)
-		table.ApplyReplicas([]ReplicaChange{{ID: "one", Replica: leaving}}, 0)
+		table.ApplyReplicas([]ReplicaChange{{Name: "one", Replica: leaving}}, 0)
 		time.Sleep(drainMemory * 3 / 4)
 		table.SetReplicas(nil, 0)
 		if !table.isDraining("one") {
@@ -262,7 +262,7 @@
 func TestChangesThatNoPlanDependsOnLeaveThePlans(t *testing.T) {
 	table := NewTable("node", "zone", nil, klog.Background())
 	replica := func(id, service, address string, version int64) ReplicaChange {
-		return ReplicaChange{ID: id, Replica: &Replica{
+		return ReplicaChange{Name: id, Replica: &Replica{
 			ID: id, Service: service, Address: address, Slots: 4, State: ReplicaReady, Versions: map[string]int64{"m": version},
 		}}
 	}
@@ -273,7 +273,7 @@
 	if after.Plans["s"] != before.Plans["s"] || after.Replicas["a"].Versions["m"] != 2 {
 		t.Errorf("a change of weights made another plan, or was not taken: %v", after.Replicas["a"].Versions)
 	}
-	table.ApplyReplicas([]ReplicaChange{replica("a", "s", "9", 2), {ID: "b"}}, 0)
+	table.ApplyReplicas([]ReplicaChange{replica("a", "s", "9", 2), {Name: "b"}}, 0)
 	moved := table.View()
 	if moved.Plans["other"] != before.Plans["other"] {
 		t.Error("the plan of another service was made anew")
--- a/internal/directory/warmups_test.go
+++ b/internal/directory/warmups_test.go
@@ -39,7 +39,7 @@
 }
 
 func change(table *Table, replica *Replica) {
-	table.ApplyReplicas([]ReplicaChange{{ID: replica.ID, Replica: replica}}, 0)
+	table.ApplyReplicas([]ReplicaChange{{Name: replica.ID, Replica: replica}}, 0)
 }
 
 func (w warmingNames) expect(t *testing.T, id string, left time.Duration) {
@@ -79,7 +79,7 @@
 func TestAReplicaThatCameBackWarmsUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table, warming := warmingTable(7)
-		table.ApplyReplicas([]ReplicaChange{{ID: "old"}}, 0)
+		table.ApplyReplicas([]ReplicaChange{{Name: "old"}}, 0)
 		warming.expect(t, "old", 0)
 		change(table, warmReplica("old", 0))
 		warming.expect(t, "old", testWarmUp)
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -45,7 +45,7 @@
 
 // Conditions are what a dispatch asks of the replica.
 type Conditions struct {
-	// Replica is the incarnation that alone may run the request.
+	// Replica is what the replica answers to that alone may run the request.
 	Replica    string
 	Remaining  time.Duration
 	AfterEvent int
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -55,7 +55,7 @@
 	}
 	header := call.Header.Clone()
 	d.headers.Prepare(header, Conditions{
-		Replica: endpoint.Name, Remaining: time.Until(call.Deadline), AfterEvent: call.AfterEvent, Version: call.Version,
+		Replica: endpoint.InstanceName(), Remaining: time.Until(call.Deadline), AfterEvent: call.AfterEvent, Version: call.Version,
 		Rank: call.Rank, Tenant: call.Tenant,
 	})
 	request := &exchange.Request{Method: call.Method, Target: call.Target, Host: call.Host, Header: header, Body: call.Body, Purpose: call.Purpose}
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -14,9 +14,13 @@
 
 // Endpoint is one engine as a plan sees it. It is immutable but for State.
 type Endpoint struct {
-	Name    string
-	Address string
-	Zone    string
+	// Name is new at each start of the engine.
+	Name string
+	// Instance is what the engine answers to, the same over its starts; empty where that
+	// is the name.
+	Instance string
+	Address  string
+	Zone     string
 	// Region is the zone's, "" if it is not known.
 	Region string
 	Model  string
@@ -85,6 +89,14 @@
 // Evacuated tells whether nothing is to be sent to the replica's zone.
 func (s *EndpointState) Evacuated() bool { return s.evacuated.Load() }
 
+// InstanceName is what the engine answers to.
+func (e *Endpoint) InstanceName() string {
+	if e.Instance == "" {
+		return e.Name
+	}
+	return e.Instance
+}
+
 // Excluded tells whether the engine gets no new work.
 func (e *Endpoint) Excluded() bool { return e.Cordoned || e.State.View().Excluded }
 
--- a/internal/weightorders/coordinator_test.go
+++ b/internal/weightorders/coordinator_test.go
@@ -93,7 +93,7 @@
 // list writes a replica's entry anew once it has another version.
 func (f *fleet) list(change wire.ReplicaVersion) {
 	if !change.Loading {
-		f.table.ApplyReplicas([]directory.ReplicaChange{{ID: change.Replica, Replica: &directory.Replica{
+		f.table.ApplyReplicas([]directory.ReplicaChange{{Name: change.Replica, Replica: &directory.Replica{
 			ID: change.Replica, Service: "s", State: directory.ReplicaReady, Versions: map[string]int64{change.Model: change.Version},
 		}}}, 0)
 	}
--- a/internal/weightorders/plan.go
+++ b/internal/weightorders/plan.go
@@ -52,7 +52,7 @@
 		if required {
 			lacking++
 		}
-		target := Target{ID: replica.ID, Address: replica.Address}
+		target := Target{ID: replica.ID, Instance: replica.InstanceName(), Born: replica.Born, Address: replica.Address}
 		open = append(open, task{target: target, model: model, version: named, has: has, ahead: !required})
 	}
 	for i := range open {
--- a/internal/weightorders/port.go
+++ b/internal/weightorders/port.go
@@ -8,8 +8,21 @@
 
 // Target is one incarnation of a replica.
 type Target struct {
-	ID      string
-	Address string
+	// ID is that of the replica's start.
+	ID string
+	// Instance is what the replica answers to, and Born when it started, as it says
+	// itself; 0 for unknown.
+	Instance string
+	Born     int64
+	Address  string
+}
+
+// InstanceName is what the replica answers to.
+func (t Target) InstanceName() string {
+	if t.Instance == "" {
+		return t.ID
+	}
+	return t.Instance
 }
 
 // Report is what a replica says of itself.
--- a/standin/replica/server.go
+++ b/standin/replica/server.go
@@ -29,6 +29,9 @@
 	// for CrashAfter; empty for none.
 	CrashOn    string
 	CrashAfter time.Duration
+	// Born is when the replica started, in milliseconds since the start of 1970; 0 says
+	// nothing of it.
+	Born int64
 	// OnCrash is called before such an end, nil for nothing.
 	OnCrash func()
 }
@@ -162,6 +165,9 @@
 // Entry is the replica's entry in the metadata store.
 func (s *Server) Entry(service, zone string) map[string]any {
 	entry := map[string]any{"service": service, "address": s.Address(), "zone": zone, "version": "v1", "slots": s.config.Slots, "state": "ready"}
+	if s.config.Born != 0 {
+		entry["born"] = s.config.Born
+	}
 	if s.config.Model != "" {
 		entry["stage"] = "both"
 		entry["models"] = s.models()
@@ -195,7 +201,7 @@
 	models := s.models()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	json.NewEncoder(writer).Encode(map[string]any{"stage": "both", "models": models, "busy": s.busy, "seq": s.sequence, "active": s.active})
+	json.NewEncoder(writer).Encode(map[string]any{"stage": "both", "models": models, "busy": s.busy, "seq": s.sequence, "active": s.active, "born": s.config.Born})
 }
 
 // order takes a change of weights.
--- a/test/soak_crashes_test.go
+++ b/test/soak_crashes_test.go
@@ -46,11 +46,25 @@
 	}
 }
 
-// replace takes the entry of an ended replica away and starts its successor.
+// replace has an ended replica start again: under a new id once its entry has lapsed, or
+// under the id that it had, before that or after.
 func (w *soakWorld) replace(ended *soakReplica) {
+	w.mutex.Lock()
+	way := w.made % 3
+	if !ended.drainedAt.IsZero() {
+		// Whoever drains it takes the entry of its id away later.
+		way = 1
+	}
+	w.mutex.Unlock()
 	time.Sleep(entryLapse)
-	w.store.Remove("servers", ended.id)
-	w.addReplica(ended.service)
+	if way != 0 {
+		w.store.Remove("servers", ended.id)
+	}
+	if way == 1 {
+		w.addReplica(ended.service)
+		return
+	}
+	w.startReplica(ended.service, ended.id)
 }
 
 // crashers send the requests that end replicas, and a popular one beside them, while
--- a/test/soak_world_test.go
+++ b/test/soak_world_test.go
@@ -142,10 +142,16 @@
 func (w *soakWorld) nodeAt(from *draws) *soakNode { return w.nodes[from.chance(len(w.nodes))] }
 
 // addReplica starts a replica and lists it.
-func (w *soakWorld) addReplica(service string) {
+func (w *soakWorld) addReplica(service string) { w.startReplica(service, "") }
+
+// startReplica starts a replica under an id that an ended one had, or under a new one,
+// and lists it.
+func (w *soakWorld) startReplica(service, id string) {
 	w.mutex.Lock()
 	w.made++
-	id := fmt.Sprintf("%s-%d", service, w.made)
+	if id == "" {
+		id = fmt.Sprintf("%s-%d", service, w.made)
+	}
 	drawn := newDraws(w.seed, streamReplicas+uint64(w.made))
 	zone := soakZones[w.made%len(soakZones)]
 	w.mutex.Unlock()
@@ -154,7 +160,7 @@
 		config = replica.Config{ID: id, Slots: engineSlots, Model: draftModel, EventInterval: drawn.span(shortestInterval, longestInterval), LoadTime: 150 * time.Millisecond}
 	}
 	started := &soakReplica{id: id, service: service, zone: zone}
-	config.CrashOn, config.CrashAfter = crashingText, crashAfter
+	config.CrashOn, config.CrashAfter, config.Born = crashingText, crashAfter, time.Now().UnixMilli()
 	config.OnCrash = func() { started.link.close() }
 	server, err := replica.Start(config)
 	if err != nil {
