--- a/internal/directory/listing.go
+++ b/internal/directory/listing.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"errors"
 	"maps"
 	"time"
 
@@ -103,12 +104,29 @@
 		return
 	}
 	t.unreadable[object.Name] = object.Revision
-	t.unreadableSeen.Add(1)
+	t.onUnreadable(reasonOf(err))
 	t.logger.Error(err, "replica entry names no replica, none is used under its id", "replica", object.Name, "revision", object.Revision)
 }
 
-// UnreadableEntries is how many changes of replicas' entries could not be read.
-func (t *Table) UnreadableEntries() int64 { return t.unreadableSeen.Load() }
+// OnUnreadable has a function told of each change of a replica's entry that names no
+// replica, with the reason. It is called before the first listing and must not block.
+func (t *Table) OnUnreadable(tell func(reason string)) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.onUnreadable = tell
+}
+
+// ReasonMalformed is why an entry names no replica whose bytes cannot be decoded.
+const ReasonMalformed = "malformed"
+
+// reasonOf is why an entry names no replica, in a word for metrics.
+func reasonOf(err error) string {
+	var told interface{ Reason() string }
+	if errors.As(err, &told) {
+		return told.Reason()
+	}
+	return ReasonMalformed
+}
 
 // isDraining tells whether a replica has said that it leaves.
 func (t *Table) isDraining(id string) bool {
--- a/internal/directory/table.go
+++ b/internal/directory/table.go
@@ -42,9 +42,9 @@
 	// missing are the replicas kept although their entries have vanished.
 	missing map[string]*time.Timer
 	// unreadable are the revisions of entries that named no replica when they were seen
-	// last, and unreadableSeen counts them all.
-	unreadable     map[string]uint64
-	unreadableSeen atomic.Int64
+	// last, and onUnreadable is told of each.
+	unreadable   map[string]uint64
+	onUnreadable func(reason string)
 	states         map[string]*routing.EndpointState
 	// warmUps are what is known of replicas that warm up, and slowStart is told of
 	// them; nil where what they get is not bounded.
@@ -59,7 +59,7 @@
 func NewTable(node, zone string, regions map[string]string, logger klog.Logger) *Table {
 	table := &Table{
 		place: routing.Place{Node: node, Zone: zone, Region: regions[zone]}, regions: regions, logger: logger, clock: clock.Steady,
-		draining: map[string]time.Time{}, missing: map[string]*time.Timer{}, starts: map[string]*start{}, unreadable: map[string]uint64{},
+		draining: map[string]time.Time{}, missing: map[string]*time.Timer{}, starts: map[string]*start{}, unreadable: map[string]uint64{}, onUnreadable: func(string) {},
 		states: map[string]*routing.EndpointState{}, warmUps: warmUps{}, changed: make(chan struct{}),
 	}
 	table.view.Store(&View{Replicas: map[string]*Replica{}, Named: map[string]int64{}, Plans: map[string]*routing.Plan{}})
--- a/internal/instance/assemble.go
+++ b/internal/instance/assemble.go
@@ -49,9 +49,11 @@
 func (i *Instance) assembleForwarding() *dispatch.Dispatcher {
 	i.directory = directory.NewTable(i.settings.Node, i.settings.Zone, i.settings.Regions, i.logger)
 	i.directory.SetClock(i.clock)
-	i.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
-		Name: "pathtally_unreadable_replica_entries_total", Help: "Changes of replicas' entries that named no replica to use.",
-	}, func() float64 { return float64(i.directory.UnreadableEntries()) }))
+	unreadable := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "pathtally_unreadable_replica_entries_total", Help: "Changes of replicas' entries that named no replica to use, by reason.",
+	}, []string{"reason"})
+	i.registry.MustRegister(unreadable)
+	i.directory.OnUnreadable(func(reason string) { unreadable.WithLabelValues(reason).Inc() })
 	i.pool = exchange.NewPool(nil)
 	i.pool.Metrics = exchange.NewMetrics(i.registry)
 	dispatcher := dispatch.New(i.pool, i.adapter.Headers, dispatch.NewMetrics(i.registry))
--- a/internal/peering/sink_test.go
+++ b/internal/peering/sink_test.go
@@ -14,3 +14,17 @@
 		t.Errorf("error is %v, want an *EntryError of node-7 with its cause", err)
 	}
 }
+
+// The entries of nodes may be another writer's.
+func FuzzDecodeEntry(f *testing.F) {
+	for _, seed := range []string{"", "null", "[]", `{"address":7}`, `{"address":"127.0.0.1:1","zone":"z","incarnation":1,"capacity":400}`, "\xff"} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, spec []byte) {
+		_, err := decodeEntry(objectstore.Object{Name: "node-7", Spec: spec})
+		var unreadable *EntryError
+		if err != nil && !errors.As(err, &unreadable) {
+			t.Fatalf("error %v has no type", err)
+		}
+	})
+}
