--- a/internal/batch/accept.go
+++ b/internal/batch/accept.go
@@ -146,7 +146,7 @@
 	if err != nil {
 		// It is taken over like any job whose owner is silent.
 		s.mutex.Lock()
-		s.noteForeign(id, s.config.Self, 0, false)
+		s.noteRemote(id, s.config.Self, 0, false)
 		s.mutex.Unlock()
 		return
 	}
--- a/internal/batch/authorize.go
+++ b/internal/batch/authorize.go
@@ -59,8 +59,8 @@
 }
 
 // noteStanding records a batch job as the store has it. The mutex must be held.
-func (s *Service) noteStanding(standing Standing) *foreign {
-	noted := s.noteForeign(standing.ID, standing.Record.Owner, standing.Record.Epoch, standing.Ended)
+func (s *Service) noteStanding(standing Standing) *remoteJob {
+	noted := s.noteRemote(standing.ID, standing.Record.Owner, standing.Record.Epoch, standing.Ended)
 	noted.tenant, noted.tenantKnown = standing.Record.Tenant, true
 	noted.noteOrigin(originOf(standing.Record))
 	return noted
--- a/internal/batch/beat.go
+++ b/internal/batch/beat.go
@@ -10,6 +10,14 @@
 	"github.com/pathtally/pathtally/internal/wire"
 )
 
+const (
+	// beatPeriod is the time between heartbeats of a node that runs jobs.
+	beatPeriod = 300 * time.Millisecond
+	// idleBeats is how many beats go out after the last job has closed, so
+	// that all have heard of its end.
+	idleBeats = 3
+)
+
 // FillBeat adds what this node runs to its heartbeat.
 func (s *Service) FillBeat(beat *wire.NodeBeat) {
 	beat.Uses = s.Uses()
@@ -70,7 +78,7 @@
 			}
 			continue
 		}
-		if standing := s.noteForeign(id, owner, epochs[id], false); standing.owner == owner {
+		if standing := s.noteRemote(id, owner, epochs[id], false); standing.owner == owner {
 			standing.heard, standing.leaving = time.Now(), beat.Leaving
 		}
 	}
--- a/internal/batch/doc.go
+++ b/internal/batch/doc.go
@@ -13,7 +13,7 @@
 // # What a node knows of a job
 //
 // A node holds the jobs that it runs or has run (type job) and notes those of others
-// (type foreign). The store's record says who owns a job and whether it has ended; a
+// (type remoteJob). The store's record says who owns a job and whether it has ended; a
 // look at the record counts from when it was sent.
 //
 //	state       set by                            reads are answered    ends with
--- a/internal/batch/homes.go
+++ b/internal/batch/homes.go
@@ -24,7 +24,7 @@
 }
 
 // noteOrigin records where a job of another node's comes from.
-func (f *foreign) noteOrigin(from origin) {
+func (f *remoteJob) noteOrigin(from origin) {
 	if f.origin == nil {
 		// The rank depends on it.
 		f.membership = 0
@@ -114,14 +114,14 @@
 
 // isOutsider tells whether this node may not have the bodies of a job of another
 // node's, as far as it is known where that comes from. The mutex must be held.
-func (s *Service) isOutsider(standing *foreign) bool {
+func (s *Service) isOutsider(standing *remoteJob) bool {
 	return standing.origin != nil && !s.boundsOf(*standing.origin).AllowsNode(s.config.Region)
 }
 
 // logWaiting says once of a job that no other node known may take it over. Its origin
 // is known, since every node may take over a job whose origin is not. The mutex must be
 // held.
-func (s *Service) logWaiting(id string, standing *foreign) {
+func (s *Service) logWaiting(id string, standing *remoteJob) {
 	if standing.waitLogged || standing.ended || s.config.Directory.View().Configuration == nil {
 		return
 	}
--- a/internal/batch/homes_test.go
+++ b/internal/batch/homes_test.go
@@ -254,7 +254,7 @@
 func TestANodeWithoutAConfigurationTakesNothingOver(t *testing.T) {
 	started := &Service{config: Config{Region: "north", Directory: directory.NewTable("node", "north", regions, klog.Background())}}
 	from := originOf(Record{Route: testRoute, Entry: "north"})
-	if started.boundsOf(from).AllowsNode("north") || !started.isOutsider(&foreign{origin: &from}) {
+	if started.boundsOf(from).AllowsNode("north") || !started.isOutsider(&remoteJob{origin: &from}) {
 		t.Error("it takes itself for one that may have the job")
 	}
 }
--- a/internal/batch/seal.go
+++ b/internal/batch/seal.go
@@ -20,7 +20,7 @@
 // of the end, finds the place taken. Without it a result that the owner lists later
 // would be missing at a node that has read the job before. Readers do not wait for it,
 // since it changes nothing of what they are shown. The mutex must be held.
-func (s *Service) sealLater(id string, known *foreign) {
+func (s *Service) sealLater(id string, known *remoteJob) {
 	if known.final || time.Now().Before(known.sealAfter) {
 		return
 	}
@@ -30,7 +30,7 @@
 
 // seal writes an empty chunk behind a number of chunks and all that came since, and
 // takes what stands then for all there is.
-func (s *Service) seal(id string, known *foreign, behind listing) {
+func (s *Service) seal(id string, known *remoteJob, behind listing) {
 	from := behind.chunks
 	ctx, cancel := context.WithTimeout(s.base, sealTime)
 	defer cancel()
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -49,7 +49,7 @@
 	// jobs are those that this node runs or has run.
 	jobs map[string]*job
 	// known are the batch jobs of other nodes.
-	known map[string]*foreign
+	known map[string]*remoteJob
 	// accepting are the submissions under way, by id.
 	accepting map[string]*acceptance
 	queue     []*item
@@ -86,7 +86,7 @@
 func NewService(base context.Context, config Config) *Service {
 	return &Service{
 		config: config, base: base, metrics: newMetrics(config.Registry),
-		jobs: map[string]*job{}, known: map[string]*foreign{}, ends: newEndRegister(), pursued: map[string]bool{}, accepting: map[string]*acceptance{},
+		jobs: map[string]*job{}, known: map[string]*remoteJob{}, ends: newEndRegister(), pursued: map[string]bool{}, accepting: map[string]*acceptance{},
 		replicas: map[string]*replicaState{}, uses: map[string]nodeUses{}, attempts: map[*attempt]bool{},
 		tolerances: map[string]int64{}, lengths: map[string]knownLength{}, eventRates: map[string]*placement.EventRate{},
 		works: map[string]knownWork{}, avoided: map[string]time.Time{}, storedLoads: map[string]*storedLoad{},
--- a/internal/batch/stored.go
+++ b/internal/batch/stored.go
@@ -94,7 +94,7 @@
 // keepStored keeps what was read of a job, so that the next reading goes on behind it.
 // A node that may not have the job's bodies keeps nothing: it has shown them to a
 // caller of its own, and reads them anew for the next. The mutex must be held.
-func (s *Service) keepStored(standing Standing, known *foreign, results []Result, added listing) {
+func (s *Service) keepStored(standing Standing, known *remoteJob, results []Result, added listing) {
 	if added.chunks > known.chunks {
 		known.results, known.chunks = results, added.chunks
 	}
--- a/internal/batch/takeover_test.go
+++ b/internal/batch/takeover_test.go
@@ -260,7 +260,7 @@
 		{"a node never heard", Owner{Node: "node-9", Incarnation: 1}, ownerSilence, ownerSilence + 2*rankDelay},
 	} {
 		node.mutex.Lock()
-		patience := node.patience("job", &foreign{owner: test.owner})
+		patience := node.patience("job", &remoteJob{owner: test.owner})
 		node.mutex.Unlock()
 		if patience < test.least || patience > test.most {
 			t.Errorf("%s: waits %s, want %s to %s", test.name, patience, test.least, test.most)
@@ -279,7 +279,7 @@
 		t.Fatal(err)
 	}
 	node.mutex.Lock()
-	node.noteForeign("job", node.jobs["job"].record.Owner, 0, false)
+	node.noteRemote("job", node.jobs["job"].record.Owner, 0, false)
 	node.mutex.Unlock()
 	if orphans := node.orphans(); len(orphans) > 0 {
 		t.Errorf("to be taken over: %v", orphans)
--- a/internal/batch/watchers_test.go
+++ b/internal/batch/watchers_test.go
@@ -167,8 +167,8 @@
 		if next == node {
 			continue
 		}
-		node.noteForeign("job", next.config.Self, 0, false)
-		if got, want := node.cachedRank("job", standing), node.rank("job", &foreign{owner: next.config.Self}); got != want {
+		node.noteRemote("job", next.config.Self, 0, false)
+		if got, want := node.cachedRank("job", standing), node.rank("job", &remoteJob{owner: next.config.Self}); got != want {
 			t.Errorf("owned by %s: rank %d, want %d", next.config.Self.Node, got, want)
 		}
 	}
--- a/internal/directory/table.go
+++ b/internal/directory/table.go
@@ -45,7 +45,7 @@
 	// last, and onUnreadable is told of each.
 	unreadable   map[string]uint64
 	onUnreadable func(reason string)
-	states         map[string]*routing.EndpointState
+	states       map[string]*routing.EndpointState
 	// warmUps are what is known of replicas that warm up, and slowStart is told of
 	// them; nil where what they get is not bounded.
 	warmUps   warmUps
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -46,7 +46,7 @@
 
 // Add takes the end of a replica under a request and returns how many there are.
 func (l *Ledger) Add(request Fingerprint, replica string, at, now time.Time) int {
-	l.prune(now)
+	l.Prune(now)
 	known := l.suspects[request]
 	if known == nil {
 		if len(l.suspects) >= mostSuspects {
@@ -92,8 +92,8 @@
 // Len counts the requests.
 func (l *Ledger) Len() int { return len(l.suspects) }
 
-// prune forgets the requests whose last end is long ago.
-func (l *Ledger) prune(now time.Time) {
+// Prune forgets the requests whose last end is long ago.
+func (l *Ledger) Prune(now time.Time) {
 	maps.DeleteFunc(l.suspects, func(_ Fingerprint, known *suspect) bool { return now.Sub(known.last) > ledgerMemory })
 }
 
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -80,8 +80,28 @@
 	return service
 }
 
-// Run records quarantines in the store until the context ends.
-func (s *Service) Run(ctx context.Context) { s.recorder.Run(ctx) }
+// forgetPause is the time between looks for ends to forget: while any are remembered, each
+// request is told by its fingerprint.
+const forgetPause = time.Minute
+
+// Run records quarantines in the store, and forgets what is long ago, until the context
+// ends.
+func (s *Service) Run(ctx context.Context) {
+	var duties sync.WaitGroup
+	duties.Go(func() { s.recorder.Run(ctx) })
+	for objectstore.Sleep(ctx, forgetPause) {
+		s.forget()
+	}
+	duties.Wait()
+}
+
+// forget drops the ends that are long ago.
+func (s *Service) forget() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.ledger.Prune(s.config.Clock())
+	s.suspects.Store(int64(s.ledger.Len()))
+}
 
 // Admit implements dispatch.Guard.
 func (s *Service) Admit(ctx context.Context, call *dispatch.Call) error {
--- a/internal/quarantine/service_test.go
+++ b/internal/quarantine/service_test.go
@@ -331,6 +331,25 @@
 	}
 }
 
+// Ends of long ago no longer cost ordinary requests anything.
+func TestAServiceForgetsEndsOfLongAgo(t *testing.T) {
+	now := start
+	service := NewService(t.Context(), Config{
+		Node: "one", Prober: &testNodes{found: exchange.Ended}, Store: metastore.New(), Peers: &testNodes{}, Logger: klog.Background(),
+		Registry: prometheus.NewRegistry(), Clock: func() time.Time { return now }, Nodes: func() []string { return []string{"one"} },
+		Address: func(string) (string, bool) { return "", false },
+	})
+	settledBreak(t, service, brokenRun(testCall("try", "bad"), "replica"))
+	if service.suspects.Load() != 1 {
+		t.Fatal("the end is not remembered")
+	}
+	now = now.Add(ledgerMemory + time.Second)
+	service.forget()
+	if service.suspects.Load() != 0 {
+		t.Error("an end of long ago is still remembered")
+	}
+}
+
 func TestReportsOfAnotherLengthArePassedOver(t *testing.T) {
 	nodes := startNodes(t, 1)
 	ends := []wire.ReplicaEnd{{Replica: "a"}, {Replica: "b"}, {Replica: "c"}}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -67,6 +67,10 @@
 
 // Lift ends the quarantine of a request and tells whether it was in it.
 func (t *Table) Lift(request Fingerprint, now time.Time) bool {
+	if _, held := (*t.current.Load())[request]; !held {
+		// Each whole answer asks for it: nothing is to be copied.
+		return false
+	}
 	lifted := false
 	t.change(now, func(next map[Fingerprint]held) {
 		_, lifted = next[request]
