--- a/internal/directory/restarts_test.go
+++ b/internal/directory/restarts_test.go
@@ -97,3 +97,18 @@
 		}
 	})
 }
+
+// A listing that holds a late word lacks the start that counts, which is used on.
+func TestAListingWithALateWordKeepsTheLaterStart(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context, store *metastore.Store) {
+		store.Write("servers", "one", startedAt(2000, ReplicaReady))
+		table := informed(ctx, store)
+		settle(time.Second)
+		store.Write("servers", "one", startedAt(1000, ReplicaReady))
+		store.Forget()
+		settle(2 * time.Second)
+		if endpoint := endpointOf(table, "one"); endpoint == nil || endpoint.Name != IncarnationID("one", 2000) {
+			t.Errorf("after the listing %+v is used", endpoint)
+		}
+	})
+}
