--- a/internal/directory/listing.go
+++ b/internal/directory/listing.go
@@ -1,11 +1,8 @@
 package directory
 
 import (
-	"errors"
 	"maps"
 	"time"
-
-	"github.com/pathtally/pathtally/internal/objectstore"
 )
 
 // ReplicaChange is a replica that is new or changed, or one whose entry has
@@ -72,6 +69,7 @@
 // of the same name.
 func (t *Table) admit(listing map[string]*Replica, replica *Replica) {
 	if !t.noteStart(listing, replica) {
+		t.keepNewest(listing, replica.InstanceName())
 		return
 	}
 	t.stopKeeping(replica.ID)
@@ -96,38 +94,6 @@
 	}
 }
 
-// noteUnreadable counts and logs an entry that cannot be read, once for each change of it.
-func (t *Table) noteUnreadable(object objectstore.Object, err error) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	if known, noted := t.unreadable[object.Name]; noted && known == object.Revision {
-		return
-	}
-	t.unreadable[object.Name] = object.Revision
-	t.onUnreadable(reasonOf(err))
-	t.logger.Error(err, "replica entry names no replica, none is used under its id", "replica", object.Name, "revision", object.Revision)
-}
-
-// OnUnreadable has a function told of each change of a replica's entry that names no
-// replica, with the reason. It is called before the first listing and must not block.
-func (t *Table) OnUnreadable(tell func(reason string)) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	t.onUnreadable = tell
-}
-
-// ReasonMalformed is why an entry names no replica whose bytes cannot be decoded.
-const ReasonMalformed = "malformed"
-
-// reasonOf is why an entry names no replica, in a word for metrics.
-func reasonOf(err error) string {
-	var told interface{ Reason() string }
-	if errors.As(err, &told) {
-		return told.Reason()
-	}
-	return ReasonMalformed
-}
-
 // isDraining tells whether a replica has said that it leaves.
 func (t *Table) isDraining(id string) bool {
 	_, known := t.draining[id]
@@ -138,14 +104,9 @@
 // listed last. Ids are never used again; news older than that does not arrive.
 const drainMemory = 10 * time.Minute
 
-// mostUnreadable bounds the entries remembered as unreadable; beyond it all are told anew.
-const mostUnreadable = 1024
-
 // forgetDrained drops the replicas that have left long ago.
 func (t *Table) forgetDrained() {
-	if len(t.unreadable) > mostUnreadable {
-		clear(t.unreadable)
-	}
+	t.forgetUnreadable()
 	t.forgetStarts()
 	maps.DeleteFunc(t.draining, func(_ string, listed time.Time) bool { return time.Since(listed) > drainMemory })
 }
--- a/internal/directory/starts.go
+++ b/internal/directory/starts.go
@@ -42,6 +42,15 @@
 	return true
 }
 
+// keepNewest puts the newest start of a name into a listing, if it is in use: the listing
+// may be built anew.
+func (t *Table) keepNewest(listing map[string]*Replica, name string) {
+	id := t.startOf(name)
+	if used := t.view.Load().Replicas[id]; used != nil {
+		listing[id] = used
+	}
+}
+
 // startOf is the newest incarnation known of a name, which it is itself where none is.
 func (t *Table) startOf(name string) string {
 	if known := t.starts[name]; known != nil {
--- a/internal/directory/table.go
+++ b/internal/directory/table.go
@@ -31,7 +31,8 @@
 	clock clock.Clock
 
 	mutex sync.Mutex
-	// draining are the incarnations that have said they leave. They stay so; an entry that only vanished may come back, since the store drops
+	// draining are the incarnations that have said they leave. They stay so; an entry
+	// that only vanished may come back, since the store drops
 	// entries of living replicas while it is down. Each is forgotten some time
 	// after it was listed last.
 	draining map[string]time.Time
