--- a/test/soak_faults_test.go
+++ b/test/soak_faults_test.go
@@ -70,6 +70,11 @@
 		service = "engines"
 	}
 	living := w.ofService(service)
+	for len(living) == 0 {
+		// All have ended under requests: their successors are about to start.
+		time.Sleep(supervisePause)
+		living = w.ofService(service)
+	}
 	return living[from.chance(len(living))]
 }
 
