--- a/internal/directory/entries_test.go
+++ b/internal/directory/entries_test.go
@@ -44,11 +44,7 @@
 		store.Write("servers", "one", ready("s"))
 		table := informed(ctx, store)
 		settle(time.Second)
-		store.SetFault(func(metastore.Call) metastore.Fault { return metastore.Silent })
-		store.Write("config", "other", struct{}{})
-		settle(time.Second)
-		store.SetFault(nil)
-		settle(time.Second)
+		passOutage(store)
 		store.Write("servers", "one", "bytes of another writer")
 		settle(keepMissing / 2)
 		if table.View().Replicas["one"] != nil {
--- a/internal/directory/table_test.go
+++ b/internal/directory/table_test.go
@@ -75,6 +75,15 @@
 	synctest.Wait()
 }
 
+// passOutage has the store answer nobody for a second, and lets as long pass after it.
+func passOutage(store *metastore.Store) {
+	store.SetFault(func(metastore.Call) metastore.Fault { return metastore.Silent })
+	store.Write("config", "other", struct{}{})
+	settle(time.Second)
+	store.SetFault(nil)
+	settle(time.Second)
+}
+
 func TestDrainingReplicaStaysOutUnderItsID(t *testing.T) {
 	bubble(t, func(t *testing.T, ctx context.Context, store *metastore.Store) {
 		store.Write("servers", "one", ready("s"))
@@ -120,11 +129,7 @@
 		store.Write("servers", "one", ready("s"))
 		table := informed(ctx, store)
 		settle(time.Second)
-		store.SetFault(func(metastore.Call) metastore.Fault { return metastore.Silent })
-		store.Write("config", "other", struct{}{})
-		settle(time.Second)
-		store.SetFault(nil)
-		settle(time.Second)
+		passOutage(store)
 		store.Remove("servers", "one")
 		settle(keepMissing / 2)
 		if table.View().Replicas["one"] == nil {
--- a/internal/duty/lease_test.go
+++ b/internal/duty/lease_test.go
@@ -30,6 +30,21 @@
 	return token
 }
 
+// awaitLease acquires after the waits that that takes, or fails the test.
+func awaitLease(t *testing.T, successor *Lease) {
+	t.Helper()
+	for {
+		pause, err := successor.Acquire(context.Background())
+		if err != nil {
+			t.Fatalf("%s cannot have the lease: %v", successor.state.node, err)
+		}
+		if pause == 0 {
+			return
+		}
+		time.Sleep(pause)
+	}
+}
+
 // A renewal that wrote the same object made no revision, so that a successor
 // that had seen the first write took over while orders were still given.
 func TestEachRenewalRaisesTheToken(t *testing.T) {
@@ -53,16 +68,7 @@
 		time.Sleep(4 * time.Second)
 		acquireNow(t, former)
 		renewed := time.Now()
-		for {
-			pause, err := successor.Acquire(context.Background())
-			if err != nil {
-				t.Fatal(err)
-			}
-			if pause == 0 {
-				break
-			}
-			time.Sleep(pause)
-		}
+		awaitLease(t, successor)
 		if waited := time.Since(renewed); waited < SendWindow+testTerm {
 			t.Errorf("the successor gave orders %s after the holder's last write", waited)
 		}
@@ -228,16 +234,7 @@
 		acquireNow(t, former)
 		store.Write(leaseKind, leaseName, "bytes of another writer")
 		overwritten := time.Now()
-		for {
-			pause, err := successor.Acquire(context.Background())
-			if err != nil {
-				t.Fatalf("the lease cannot be had: %v", err)
-			}
-			if pause == 0 {
-				break
-			}
-			time.Sleep(pause)
-		}
+		awaitLease(t, successor)
 		if waited := time.Since(overwritten); waited < SendWindow+testTerm {
 			t.Errorf("the successor holds the lease %s after it was overwritten", waited)
 		}
