--- /dev/null
+++ b/internal/quarantine/admit.go
@@ -0,0 +1,41 @@
+package quarantine
+
+import (
+	"context"
+
+	"github.com/pathtally/pathtally/internal/dispatch"
+)
+
+// Admit implements dispatch.Guard.
+func (s *Service) Admit(ctx context.Context, call *dispatch.Call) error {
+	if s.suspects.Load() == 0 && s.table.IsEmpty() {
+		return nil
+	}
+	request := fingerprintOf(call)
+	s.awaitExamined(ctx, request)
+	left := s.table.Left(request, s.config.Clock())
+	if left <= 0 {
+		return nil
+	}
+	s.metrics.refused.Inc()
+	return &dispatch.QuarantinedError{Fingerprint: request.String(), Left: left}
+}
+
+// awaitExamined waits while a run that broke may yet be found to be the end that puts a
+// request in quarantine. Only requests that need just one more end wait.
+func (s *Service) awaitExamined(ctx context.Context, request Fingerprint) {
+	for {
+		s.mutex.Lock()
+		mayDecide := s.examined[request] > 0 && len(s.ledger.Ends(request)) >= endsToQuarantine-1
+		settled := s.settled
+		s.mutex.Unlock()
+		if !mayDecide {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-settled:
+		}
+	}
+}
