Failing test: an end that is told after the request was served

The word that a request was served overtook that of an end before it, and the end stood at the keepers. Messages between nodes keep no order.

--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/pathtally/pathtally/internal/wire"
 )
 
 var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -58,3 +60,26 @@
 		t.Error("the oldest request is kept, or the newest is not")
 	}
 }
+
+// Reports of two nodes overtake each other: the word that a request was served arrives
+// before that of an end which came before it. Keepers then held the end against a good
+// request for ten minutes, and nobody who served it knew.
+func TestAnEndFromBeforeAWholeAnswerDoesNotCount(t *testing.T) {
+	nodes := startNodes(t, 1)
+	service := nodes.nodes["node-0"]
+	request := fingerprintOf(testCall("", "good"))
+	service.Take(&wire.CrashReport{Fingerprint: request[:], Served: true})
+	for try := range endsToQuarantine {
+		service.Take(&wire.CrashReport{Fingerprint: request[:], Ends: []wire.ReplicaEnd{{Replica: fmt.Sprint(try), AgoMs: 1000}}})
+	}
+	if isHeld(service, "good") {
+		t.Error("a request is held for ends from before it was served")
+	}
+	for try := range endsToQuarantine {
+		time.Sleep(2 * time.Millisecond)
+		service.Take(&wire.CrashReport{Fingerprint: request[:], Ends: []wire.ReplicaEnd{{Replica: fmt.Sprint("after-", try)}}})
+	}
+	if !isHeld(service, "good") {
+		t.Error("a request is not held for ends from after it was served")
+	}
+}
