--- a/internal/quarantine/hold.go
+++ b/internal/quarantine/hold.go
@@ -37,6 +37,9 @@
 		return
 	}
 	request := fingerprintOf(call)
+	if !s.isKnown(request) {
+		return
+	}
 	wasSuspect, wasHeld := s.clear(request)
 	switch {
 	case wasHeld:
@@ -47,10 +50,20 @@
 	}
 }
 
+// isKnown tells whether there are ends under a request, or it is in quarantine.
+func (s *Service) isKnown(request Fingerprint) bool {
+	if s.table.Left(request, s.config.Clock()) > 0 {
+		return true
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.ledger.Ends(request)) > 0
+}
+
 // clear forgets the ends under a request that was served, and lifts its quarantine.
 func (s *Service) clear(request Fingerprint) (wasSuspect, wasHeld bool) {
 	s.mutex.Lock()
-	wasSuspect = s.ledger.Clear(request)
+	wasSuspect = s.ledger.Serve(request, s.config.Clock())
 	s.suspects.Store(int64(s.ledger.Len()))
 	s.mutex.Unlock()
 	wasHeld = s.table.Lift(request, s.config.Clock())
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -28,15 +28,19 @@
 type suspect struct {
 	// ends are at most endsToQuarantine, in the order in which they became known.
 	ends []end
+	// served is when it was last known to be served, zero for never: ends from before that
+	// count nothing, in whatever order they are told.
+	served time.Time
+	// last is when anything of it came last.
 	last time.Time
 }
 
 // Ledger counts the ends of replicas under requests. It does no input or output and reads
 // no clock, so that a test can drive it. It is not safe for use by many goroutines.
 //
-// Invariants: a request has as many ends as replicas are known to have ended under it, but
-// no more than endsToQuarantine; taking the same end again, in any order, changes nothing;
-// there are no more than mostSuspects requests.
+// Invariants: a request has as many ends as replicas are known to have ended under it since
+// it was served, but no more than endsToQuarantine; taking the same end again, in any
+// order, changes nothing; there are no more than mostSuspects requests.
 type Ledger struct {
 	suspects map[Fingerprint]*suspect
 }
@@ -47,6 +51,15 @@
 // Add takes the end of a replica under a request and returns how many there are.
 func (l *Ledger) Add(request Fingerprint, replica string, at, now time.Time) int {
 	l.Prune(now)
+	known := l.suspect(request, at)
+	if at.After(known.served) && len(known.ends) < endsToQuarantine && !known.has(replica, at) {
+		known.ends = append(known.ends, end{replica: replica, at: at})
+	}
+	return len(known.ends)
+}
+
+// suspect returns what is known of a request of which something came at an instant.
+func (l *Ledger) suspect(request Fingerprint, at time.Time) *suspect {
 	known := l.suspects[request]
 	if known == nil {
 		if len(l.suspects) >= mostSuspects {
@@ -58,10 +71,7 @@
 	if at.After(known.last) {
 		known.last = at
 	}
-	if len(known.ends) < endsToQuarantine && !known.has(replica, at) {
-		known.ends = append(known.ends, end{replica: replica, at: at})
-	}
-	return len(known.ends)
+	return known
 }
 
 // has tells whether an end is known: one of the same replica at about the same time.
@@ -82,11 +92,14 @@
 	return nil
 }
 
-// Clear forgets a request and tells whether it was known.
-func (l *Ledger) Clear(request Fingerprint) bool {
-	_, known := l.suspects[request]
-	delete(l.suspects, request)
-	return known
+// Serve takes the word that a request was served, and tells whether there were ends under
+// it. A request of which nothing is known is remembered as well: ends from before may yet be
+// told.
+func (l *Ledger) Serve(request Fingerprint, now time.Time) bool {
+	known := l.suspect(request, now)
+	had := len(known.ends) > 0
+	known.ends, known.served = nil, now
+	return had
 }
 
 // Len counts the requests.
