--- a/internal/directory/warmups.go
+++ b/internal/directory/warmups.go
@@ -12,7 +12,7 @@
 }
 
 // warmUps are the replicas that may warm up, by id. They do no input or output and
-// read no clock. Instants are those of the node's steady clock.
+// read no clock. Instants are those of the node's boot-time clock.
 type warmUps map[string]warmUp
 
 // observe takes what is new in a view. The first listing of a node tells of replicas
--- a/internal/duty/doc.go
+++ b/internal/duty/doc.go
@@ -5,7 +5,7 @@
 //
 // The receivers of duty calls need not check fencing tokens, so the lease is
 // fenced by time as well: its holder sends no call later than SendWindow after it
-// sent the write that renewed the lease, by its steady clock, and a successor
+// sent the write that renewed the lease, by its boot-time clock, and a successor
 // waits that long and the lease's term from when it first saw that write. The
 // token is the store's revision of the write, so that it rises with each renewal.
 //
--- a/internal/duty/state.go
+++ b/internal/duty/state.go
@@ -14,7 +14,7 @@
 
 // state is what one node knows of the lease. It does no input or output and
 // reads no clock, so that a test can go through all that may happen to it.
-// Instants are those of the node's steady clock.
+// Instants are those of the node's boot-time clock.
 type state struct {
 	node string
 	// term is for how long after a holder's last call no other holder may call.
--- a/internal/slowstart/allotment.go
+++ b/internal/slowstart/allotment.go
@@ -6,7 +6,7 @@
 )
 
 // allotment is a number of requests to one replica that this node may send until an
-// instant of its steady clock.
+// instant of its boot-time clock.
 type allotment struct {
 	until time.Time
 	left  atomic.Int64
--- a/internal/slowstart/bounds.go
+++ b/internal/slowstart/bounds.go
@@ -9,7 +9,7 @@
 // bounds are what holds for a replica that warms up. They are immutable but for the
 // counts.
 type bounds struct {
-	// until is when the replica is warm, by this node's steady clock.
+	// until is when the replica is warm, by this node's boot-time clock.
 	until      time.Time
 	allotments []*allotment
 	clock      func() time.Time
--- a/internal/slowstart/doc.go
+++ b/internal/slowstart/doc.go
@@ -7,7 +7,7 @@
 // fails, there is none, and the replica is left alone until it is warm.
 //
 // An allotment may be used from the receipt of the question until a span after the
-// question was sent, by the asker's steady clock. Since the question was sent before
+// question was sent, by the asker's boot-time clock. Since the question was sent before
 // it was received, the allotter knows an interval that holds all uses without any
 // common clock. docs/design/slow-start.md weighs this against other ways.
 package slowstart
--- a/internal/slowstart/lease.go
+++ b/internal/slowstart/lease.go
@@ -8,7 +8,7 @@
 // Lease is what the allotter needs of the duty lease.
 type Lease interface {
 	// Held returns since when neither another node nor a former process of this one
-	// has held the lease, by the steady clock, and whether it is valid now.
+	// has held the lease, by the boot-time clock, and whether it is valid now.
 	Held() (since time.Time, valid bool)
 	// Ready acquires or renews the lease for a duty, or tells when to look again.
 	Ready(ctx context.Context, duty string) (ready bool, again time.Duration)
--- a/internal/slowstart/ledger.go
+++ b/internal/slowstart/ledger.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// entry is what was allotted at an instant of the allotter's steady clock.
+// entry is what was allotted at an instant of the allotter's boot-time clock.
 type entry struct {
 	at    time.Time
 	count int
