--- a/internal/directory/evacuation.go
+++ b/internal/directory/evacuation.go
@@ -102,16 +102,17 @@
 
 // publishEvacuations publishes a view after its endpoints have been told.
 func (t *Table) publishEvacuations(next *View) {
-	closeEvacuated(next)
+	all := allOf(next)
+	closeEvacuated(next, all)
 	t.publish(next)
-	openOthers(next)
+	openOthers(next, all)
 }
 
 // closeEvacuated tells the endpoints of a view that are to get nothing, before it is
 // published.
-func closeEvacuated(view *View) {
-	for _, endpoint := range view.Endpoints {
-		if view.IsEvacuated(endpoint.Zone) {
+func closeEvacuated(view *View, touched map[string]bool) {
+	for id := range touched {
+		if endpoint := view.Endpoints[id]; endpoint != nil && view.IsEvacuated(endpoint.Zone) {
 			endpoint.State.SetEvacuated(true)
 		}
 	}
@@ -120,14 +121,23 @@
 // openOthers tells the other endpoints of a view that they may be used. That comes after
 // its publication, which bounds what replicas get while they warm up: those of a zone
 // whose evacuation ends may be cold.
-func openOthers(view *View) {
-	for _, endpoint := range view.Endpoints {
-		if !view.IsEvacuated(endpoint.Zone) {
+func openOthers(view *View, touched map[string]bool) {
+	for id := range touched {
+		if endpoint := view.Endpoints[id]; endpoint != nil && !view.IsEvacuated(endpoint.Zone) {
 			endpoint.State.SetEvacuated(false)
 		}
 	}
 }
 
+// allOf are the ids of all endpoints of a view.
+func allOf(view *View) map[string]bool {
+	ids := make(map[string]bool, len(view.Endpoints))
+	for id := range view.Endpoints {
+		ids[id] = true
+	}
+	return ids
+}
+
 // IsEvacuated tells whether nothing is to be sent to the replicas of a zone.
 func (v *View) IsEvacuated(zone string) bool {
 	_, evacuated := v.Evacuated[zone]
--- a/internal/directory/listing.go
+++ b/internal/directory/listing.go
@@ -46,8 +46,10 @@
 	defer t.mutex.Unlock()
 	next := *t.view.Load()
 	next.Replicas = maps.Clone(next.Replicas)
+	touched := map[string]bool{}
 	for _, change := range changes {
 		id := t.startOf(change.Name)
+		touched[id] = true
 		standing := next.Replicas[id]
 		switch {
 		case change.Replica != nil:
@@ -61,8 +63,9 @@
 			delete(next.Replicas, id)
 			t.miss(next.Replicas, standing, keepMissing)
 		}
+		touched[t.startOf(change.Name)] = true
 	}
-	t.publishReplicas(&next)
+	t.publishTouched(&next, touched)
 }
 
 // admit puts a replica into a listing unless it is leaving, in place of an earlier start
@@ -137,5 +140,5 @@
 	next := *t.view.Load()
 	next.Replicas = maps.Clone(next.Replicas)
 	delete(next.Replicas, id)
-	t.publishReplicas(&next)
+	t.publishTouched(&next, map[string]bool{id: true})
 }
--- a/internal/directory/plans.go
+++ b/internal/directory/plans.go
@@ -6,35 +6,71 @@
 	"github.com/pathtally/pathtally/internal/routing"
 )
 
-// publishReplicas publishes a view with other replicas. What has not changed
+// publishReplicas publishes a view whose listing was made anew. What has not changed
 // of it stays: most changes concern weights only, which no plan depends on,
 // and there may be thousands of replicas.
 func (t *Table) publishReplicas(next *View) {
+	standing := t.view.Load()
+	touched := make(map[string]bool, len(next.Replicas))
+	for id := range next.Replicas {
+		touched[id] = true
+	}
+	for id := range standing.Endpoints {
+		touched[id] = true
+	}
+	t.publishTouched(next, touched)
+}
+
+// publishTouched publishes a view in which some replicas may have changed, come or gone:
+// it costs what these are, and a copy of the listing.
+func (t *Table) publishTouched(next *View, touched map[string]bool) {
 	t.forgetDrained()
 	standing := t.view.Load()
-	next.Endpoints = make(map[string]*routing.Endpoint, len(next.Replicas))
-	changed := map[string]bool{}
-	for id, replica := range next.Replicas {
-		endpoint := standing.Endpoints[id]
-		if endpoint == nil || !sameEndpoint(endpoint, replica) {
-			changed[replica.Service] = true
-			if endpoint != nil {
-				changed[endpoint.Model] = true
-			}
-			endpoint = t.newEndpoint(replica)
-		}
-		next.Endpoints[id] = endpoint
+	next.Endpoints = maps.Clone(standing.Endpoints)
+	if next.Endpoints == nil {
+		next.Endpoints = map[string]*routing.Endpoint{}
 	}
-	for id, endpoint := range standing.Endpoints {
-		if next.Endpoints[id] == nil {
-			changed[endpoint.Model] = true
+	revisions := planRevisions{}
+	var added []*Replica
+	for id := range touched {
+		endpoint, replica := standing.Endpoints[id], next.Replicas[id]
+		switch {
+		case replica == nil && endpoint == nil:
+		case replica == nil:
+			revisions.drop(endpoint)
+			delete(next.Endpoints, id)
 			delete(t.states, id)
+		case endpoint == nil:
+			added = append(added, replica)
+			next.Endpoints[id] = t.newEndpoint(replica)
+			revisions.add(next.Endpoints[id])
+		case !sameEndpoint(endpoint, replica):
+			revisions.drop(endpoint)
+			next.Endpoints[id] = t.newEndpoint(replica)
+			revisions.add(next.Endpoints[id])
 		}
 	}
-	next.Plans = t.plansOf(next.Endpoints, standing.Plans, changed)
-	closeEvacuated(next)
+	t.logAdded(added)
+	next.Plans = revisions.apply(t.place, standing.Plans)
+	closeEvacuated(next, touched)
 	t.publish(next)
-	openOthers(next)
+	openOthers(next, touched)
+}
+
+// mostNamed is how many replicas that came together the log names. Where thousands start,
+// a line for each of them on each of hundreds of nodes costs more than what it tells of.
+const mostNamed = 3
+
+// logAdded tells in one line of replicas that came together.
+func (t *Table) logAdded(added []*Replica) {
+	if len(added) == 0 {
+		return
+	}
+	named := make([]string, 0, mostNamed)
+	for _, replica := range added[:min(mostNamed, len(added))] {
+		named = append(named, replica.ID+" "+replica.Service+" "+replica.Address+" "+replica.Zone)
+	}
+	t.logger.Info("replicas added", "replicas", len(added), "first", named)
 }
 
 // sameEndpoint tells whether a replica is as the router knows it.
@@ -50,32 +86,61 @@
 		state = routing.NewEndpointState()
 		state.SetView(routing.EngineView{})
 		t.states[replica.ID] = state
-		t.logger.Info("replica added", "replica", replica.ID, "service", replica.Service, "address", replica.Address, "zone", replica.Zone)
 	}
 	made := routing.NewReplicaEndpoint(replica.ID, replica.Address, replica.Zone, t.regions[replica.Zone], replica.Service, replica.Slots, state)
 	made.Instance = replica.InstanceName()
 	return made
 }
 
-// plansOf are the plans of all services; those of services that have not
+// planRevisions are the endpoints that leave and enter the plans of services.
+type planRevisions map[string]*planRevision
+
+type planRevision struct {
+	gone  map[*routing.Endpoint]bool
+	added []*routing.Endpoint
+}
+
+func (r planRevisions) of(service string) *planRevision {
+	if r[service] == nil {
+		r[service] = &planRevision{gone: map[*routing.Endpoint]bool{}}
+	}
+	return r[service]
+}
+
+func (r planRevisions) drop(endpoint *routing.Endpoint) {
+	r.of(endpoint.Model).gone[endpoint] = true
+}
+
+func (r planRevisions) add(endpoint *routing.Endpoint) {
+	revision := r.of(endpoint.Model)
+	revision.added = append(revision.added, endpoint)
+}
+
+// apply returns the plans of all services; those of services that have not
 // changed are the standing ones.
-func (t *Table) plansOf(endpoints map[string]*routing.Endpoint, standing map[string]*routing.Plan, changed map[string]bool) map[string]*routing.Plan {
-	if len(changed) == 0 {
+func (r planRevisions) apply(place routing.Place, standing map[string]*routing.Plan) map[string]*routing.Plan {
+	if len(r) == 0 {
 		return standing
 	}
-	byService := map[string][]*routing.Endpoint{}
-	for _, endpoint := range endpoints {
-		if changed[endpoint.Model] {
-			byService[endpoint.Model] = append(byService[endpoint.Model], endpoint)
-		}
-	}
 	plans := maps.Clone(standing)
-	for service := range changed {
-		if members := byService[service]; len(members) > 0 {
-			plans[service] = routing.NewRankedPlan(t.place, members)
+	for service, revision := range r {
+		if next := revision.apply(place, standing[service]); next != nil {
+			plans[service] = next
 		} else {
 			delete(plans, service)
 		}
 	}
 	return plans
 }
+
+// apply returns a plan with the revision, nil where no endpoint is left.
+func (r *planRevision) apply(place routing.Place, standing *routing.Plan) *routing.Plan {
+	if standing == nil {
+		standing = routing.NewRankedPlan(place, nil)
+	}
+	revised := standing.Revised(place, r.gone, r.added)
+	if len(revised.Endpoints()) == 0 {
+		return nil
+	}
+	return revised
+}
--- /dev/null
+++ b/internal/directory/scale_test.go
@@ -0,0 +1,86 @@
+package directory
+
+import (
+	"fmt"
+	"testing"
+
+	"k8s.io/klog/v2"
+)
+
+func listOf(count int) []*Replica {
+	replicas := make([]*Replica, count)
+	for i := range replicas {
+		replicas[i] = &Replica{
+			ID: fmt.Sprintf("replica-%d", i), Service: []string{"model", "model", "model", "app"}[i%4], Address: fmt.Sprintf("10.0.%d.%d:80", i>>8, i&255),
+			Zone: fmt.Sprintf("zone-%d", i%5), Slots: 6, State: ReplicaReady,
+		}
+	}
+	return replicas
+}
+
+func tableOf(count int) *Table {
+	table := NewTable("node", "zone-1", nil, klog.Background())
+	table.SetReplicas(listOf(count), 0)
+	return table
+}
+
+// A replica that comes beside one that goes. Per change on every node.
+func BenchmarkReplicaComesAndAnotherGoes(b *testing.B) {
+	for _, count := range []int{3000, 10000, 20000} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			table := tableOf(count)
+			next := *table.View().Replicas["replica-1"]
+			round := 0
+			for b.Loop() {
+				round++
+				joining := next
+				joining.ID = fmt.Sprintf("joined-%d", round)
+				leaving := fmt.Sprintf("joined-%d", round-1)
+				table.ApplyReplicas([]ReplicaChange{{Name: joining.ID, Replica: &joining}, {Name: leaving}}, 0)
+			}
+		})
+	}
+}
+
+// The plans made by changes are those that a listing of the same replicas gives.
+func TestRevisedPlansAreThoseOfAListing(t *testing.T) {
+	all := listOf(400)
+	listed := NewTable("node", "zone-1", nil, klog.Background())
+	listed.SetReplicas(all[50:], 0)
+	changed := NewTable("node", "zone-1", nil, klog.Background())
+	changed.SetReplicas(all[:300], 0)
+	for i := range 50 {
+		changes := []ReplicaChange{{Name: all[i].ID}}
+		for _, joining := range all[300+2*i : 302+2*i] {
+			changes = append(changes, ReplicaChange{Name: joining.ID, Replica: joining})
+		}
+		changed.ApplyReplicas(changes, 0)
+	}
+	for service, plan := range listed.View().Plans {
+		revised := changed.View().Plans[service].Endpoints()
+		if len(revised) != len(plan.Endpoints()) {
+			t.Fatalf("%s: %d endpoints, want %d", service, len(revised), len(plan.Endpoints()))
+		}
+		for place, endpoint := range plan.Endpoints() {
+			if revised[place].Name != endpoint.Name {
+				t.Fatalf("%s: %s in place %d, want %s", service, revised[place].Name, place, endpoint.Name)
+			}
+		}
+	}
+}
+
+// Half a thousand replicas that come together, as they do while a large deployment
+// starts.
+func BenchmarkFiveHundredReplicasCome(b *testing.B) {
+	all := listOf(5500)
+	changes := make([]ReplicaChange, 500)
+	for i, replica := range all[5000:] {
+		changes[i] = ReplicaChange{Name: replica.ID, Replica: replica}
+	}
+	for b.Loop() {
+		b.StopTimer()
+		table := tableOf(5000)
+		b.StartTimer()
+		table.ApplyReplicas(changes, 0)
+	}
+}
--- a/internal/instance/assemble.go
+++ b/internal/instance/assemble.go
@@ -85,7 +85,7 @@
 // assembleStore makes the copies of the metadata store and the way to it.
 func (i *Instance) assembleStore(self batch.Owner) {
 	i.source = watchcache.NewSource(watchcache.Config{
-		Self: watchcache.Node{Name: self.Node, Address: self.Address, Zone: i.settings.Zone}, Regions: i.settings.Regions, Store: i.adapter.Store, Peers: i.transport,
+		Self: watchcache.Node{Name: self.Node, Address: self.Address, Zone: i.settings.Zone, Capacity: i.settings.Capacity()}, Regions: i.settings.Regions, Store: i.adapter.Store, Peers: i.transport,
 		Nodes: i.followable, Joined: i.peers.Joined, ProbeKind: peering.Kind, ProbeName: self.Node, Clock: i.clock, Logger: i.logger, Registry: i.registry,
 	})
 	i.store = storerelay.New(storerelay.Config{
--- a/internal/instance/peers.go
+++ b/internal/instance/peers.go
@@ -74,7 +74,7 @@
 func (i *Instance) followable() []watchcache.Node {
 	var nodes []watchcache.Node
 	for _, peer := range i.peers.Peers() {
-		nodes = append(nodes, watchcache.Node{Name: peer.Node, Address: peer.Address, Zone: peer.Zone})
+		nodes = append(nodes, watchcache.Node{Name: peer.Node, Address: peer.Address, Zone: peer.Zone, Capacity: peer.Capacity})
 	}
 	return nodes
 }
--- /dev/null
+++ b/internal/objectwire/compress.go
@@ -0,0 +1,64 @@
+package objectwire
+
+import (
+	"bytes"
+	"compress/flate"
+	"fmt"
+	"io"
+
+	"github.com/pathtally/pathtally/internal/objectstore"
+	"github.com/pathtally/pathtally/internal/wire"
+)
+
+// mostListingBytes bounds a listing once it is decompressed: some hundred thousand
+// replicas. What claims to be larger is damaged.
+const mostListingBytes = 256 << 20
+
+// ListingError is a compressed listing that cannot be made or read.
+type ListingError struct {
+	Detail string
+	Cause  error
+}
+
+// Error names the step and the cause.
+func (e *ListingError) Error() string {
+	return fmt.Sprintf("compressed listing: %s: %v", e.Detail, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *ListingError) Unwrap() error { return e.Cause }
+
+// Compress is a listing as compressed bytes. Entries of replicas are alike, so that
+// they take a small part of the room.
+func Compress(objects []objectstore.Object) ([]byte, error) {
+	encoded, err := wire.EncodeListing(&wire.Listing{Objects: EncodeAll(objects)})
+	if err != nil {
+		return nil, &ListingError{Detail: "encode", Cause: err}
+	}
+	var compressed bytes.Buffer
+	writer, err := flate.NewWriter(&compressed, flate.BestSpeed)
+	if err != nil {
+		return nil, &ListingError{Detail: "compress", Cause: err}
+	}
+	if _, err := writer.Write(encoded); err != nil {
+		return nil, &ListingError{Detail: "compress", Cause: err}
+	}
+	if err := writer.Close(); err != nil {
+		return nil, &ListingError{Detail: "compress", Cause: err}
+	}
+	return compressed.Bytes(), nil
+}
+
+// Decompress reads a compressed listing.
+func Decompress(compressed []byte) ([]objectstore.Object, error) {
+	reader := flate.NewReader(bytes.NewReader(compressed))
+	encoded, err := io.ReadAll(io.LimitReader(reader, mostListingBytes))
+	if err != nil {
+		return nil, &ListingError{Detail: "decompress", Cause: err}
+	}
+	listing, err := wire.DecodeListing(encoded)
+	if err != nil {
+		return nil, &ListingError{Detail: "decode", Cause: err}
+	}
+	return DecodeAll(listing.Objects), nil
+}
--- a/internal/peering/join.go
+++ b/internal/peering/join.go
@@ -4,9 +4,12 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
+	"github.com/pathtally/pathtally/internal/environment"
 	"github.com/pathtally/pathtally/internal/objectstore"
+	"github.com/pathtally/pathtally/internal/rendezvous"
 	"github.com/pathtally/pathtally/internal/wire"
 )
 
@@ -15,6 +18,18 @@
 	Kind = "nodes"
 	// greetTime bounds a greeting.
 	greetTime = 800 * time.Millisecond
+	// seedTime bounds the question to a seed for the list of nodes: hundreds of nodes
+	// that start together ask the same three, which answer some hundred a second.
+	seedTime = time.Second
+	// seedRounds is how often a seed that has not read the list itself is asked, and
+	// seedPause the time between: the machines of a deployment start within 0.3 s of
+	// each other, and a seed needs settleTime and two calls to the store.
+	seedRounds = 6
+	seedPause  = 150 * time.Millisecond
+	// wholeList is up to how many nodes a greeting is answered with all of them, and
+	// beyond that with those of the greeting node's zone: the others come with the
+	// copies of the store, and an answer stays some kilobytes long.
+	wholeList = 256
 	// joinPause is the time between tries to write and read the entries.
 	joinPause = 500 * time.Millisecond
 	// greetRounds is how often a seed that has not answered is greeted, and
@@ -27,11 +42,10 @@
 	settleTime = 400 * time.Millisecond
 )
 
-// Join greets the seeds, writes this node's entry and reads the others', until
-// the context ends or the store has answered. Later entries come through the
-// table's sink.
+// Join writes this node's entry and learns of the others, until the context ends or both
+// is done. Later entries come through the table's sink. While the store is away, the
+// seeds are greeted.
 func (t *Table) Join(ctx context.Context) {
-	t.greetSeeds(ctx)
 	for ctx.Err() == nil {
 		if t.tryJoin(ctx) {
 			t.mutex.Lock()
@@ -44,7 +58,9 @@
 	}
 }
 
-// tryJoin tells whether this node's entry is written and the others' are read.
+// tryJoin tells whether this node's entry is written and the others' are known: from a
+// seed, or from the store where this node is one or none answers. Read by every node,
+// the entries of all are what a store that serves a thousand nodes spends a start on.
 func (t *Table) tryJoin(ctx context.Context) bool {
 	isNew, err := t.register(ctx)
 	if err != nil {
@@ -59,6 +75,9 @@
 			return false
 		}
 	}
+	if t.learnFromSeeds(ctx) {
+		return true
+	}
 	if err := t.readEntries(ctx); err != nil {
 		t.config.Logger.V(1).Info("node entries not read", "error", err.Error())
 		return false
@@ -66,6 +85,44 @@
 	return true
 }
 
+// learnFromSeeds asks a seed for the list of nodes, and others in turn where it does not
+// answer. False means that this node is a seed or that none knows the list.
+func (t *Table) learnFromSeeds(ctx context.Context) bool {
+	t.mutex.Lock()
+	seeds := t.seeds
+	t.mutex.Unlock()
+	if len(seeds) == 0 || slices.Contains(seeds, t.config.Address) {
+		return false
+	}
+	seeds = rendezvous.RankNames(t.config.Node, seeds)
+	for range seedRounds {
+		known, answering := t.askSeeds(ctx, seeds)
+		if known || len(answering) == 0 {
+			return known
+		}
+		seeds = answering
+		if !objectstore.Sleep(ctx, seedPause) {
+			return false
+		}
+	}
+	return false
+}
+
+// askSeeds asks seeds for the list of nodes until one answers. It tells whether that one
+// knows the list, and returns it with those behind it.
+func (t *Table) askSeeds(ctx context.Context, seeds []string) (known bool, answering []string) {
+	for i, seed := range seeds {
+		reply, err := environment.Ask(ctx, t.config.Peers, seed, t.beat(), seedTime)
+		beat, isBeat := reply.(*wire.NodeBeat)
+		if err != nil || !isBeat {
+			continue
+		}
+		t.Take(ctx, beat)
+		return beat.PeersKnown, seeds[i:]
+	}
+	return false, nil
+}
+
 // greetSeeds greets the seeds, which know others, until the store is read.
 func (t *Table) greetSeeds(ctx context.Context) {
 	t.mutex.Lock()
@@ -95,14 +152,18 @@
 }
 
 // Greeted answers another node's greeting: a beat with everybody this node
-// knows.
+// knows, or those of the other's zone where they are many.
 func (t *Table) Greeted(ctx context.Context, beat *wire.NodeBeat) *wire.NodeBeat {
 	t.Take(ctx, beat)
 	answer := t.beat()
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	answer.PeersKnown = t.joined
+	all := len(t.peers) <= wholeList
 	for _, peer := range t.peers {
-		answer.Peers = append(answer.Peers, wire.PeerAddress{Node: peer.Node, Address: peer.Address, Zone: peer.Zone})
+		if all || peer.Zone == beat.Zone {
+			answer.Peers = append(answer.Peers, peer.address())
+		}
 	}
 	return answer
 }
--- a/internal/peering/peer.go
+++ b/internal/peering/peer.go
@@ -1,6 +1,10 @@
 package peering
 
-import "time"
+import (
+	"time"
+
+	"github.com/pathtally/pathtally/internal/wire"
+)
 
 // Peer is another node.
 type Peer struct {
@@ -18,3 +22,8 @@
 	// replicas.
 	ActiveAt time.Time
 }
+
+// address is what greetings tell of a peer.
+func (p *Peer) address() wire.PeerAddress {
+	return wire.PeerAddress{Node: p.Node, Address: p.Address, Zone: p.Zone, Capacity: p.Capacity, Incarnation: p.Incarnation}
+}
--- /dev/null
+++ b/internal/peering/start_test.go
@@ -0,0 +1,95 @@
+package peering
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pathtally/pathtally/internal/environment"
+	"github.com/pathtally/pathtally/internal/wire"
+	"github.com/pathtally/pathtally/standin/metastore"
+)
+
+// network joins tables by address.
+type network struct {
+	mutex   sync.Mutex
+	tables  map[string]*Table
+	peers   int
+	answers int
+}
+
+func (n *network) Send(string, wire.Message)        {}
+func (n *network) Broadcast([]string, wire.Message) {}
+
+func (n *network) Call(address string, message wire.Message, _ time.Duration, done func(wire.Message, error)) {
+	n.mutex.Lock()
+	table := n.tables[address]
+	n.mutex.Unlock()
+	if table == nil {
+		done(nil, environment.ErrPeerUnreachable)
+		return
+	}
+	answer := table.Greeted(context.Background(), message.(*wire.NodeBeat))
+	n.mutex.Lock()
+	n.answers++
+	n.peers += len(answer.Peers)
+	n.mutex.Unlock()
+	done(answer, nil)
+}
+
+// startCosts are the listings of nodes that the store serves and the addresses that one
+// seed tells when some nodes in five zones start together.
+func startCosts(t *testing.T, count int) (lists, told int) {
+	synctest.Test(t, func(t *testing.T) {
+		store := metastore.New()
+		joined := &network{tables: map[string]*Table{}}
+		var seeds []string
+		var tables []*Table
+		for number := range count {
+			table := newTestTable(fmt.Sprintf("node-%d", number), store, joined)
+			table.config.Zone = fmt.Sprintf("zone-%d", number%5)
+			tables = append(tables, table)
+			joined.tables[table.config.Address] = table
+			if number < 3 {
+				seeds = append(seeds, table.config.Address)
+			}
+		}
+		var started sync.WaitGroup
+		for number, table := range tables {
+			table.SetSeeds(seeds)
+			started.Go(func() {
+				time.Sleep(time.Duration(number%30) * 10 * time.Millisecond)
+				table.Join(t.Context())
+			})
+		}
+		started.Wait()
+		for _, table := range tables {
+			if !table.Joined() {
+				t.Errorf("%s has not joined", table.config.Node)
+			}
+		}
+		lists, told = int(store.Calls("list")), joined.peers/len(seeds)
+	})
+	return lists, told
+}
+
+// Symptom: with 985 machines the store answers nobody for the first seconds, and three
+// nodes spend half a minute of processor time.
+//
+// Cause: each node lists the entries of all, and greets each of three seeds up to four
+// times, which answers with all that it knows.
+func TestAStartCostsTheStoreNoListingByEveryNode(t *testing.T) {
+	fewLists, _ := startCosts(t, 50)
+	manyLists, told := startCosts(t, 400)
+	// The three seeds read all pages, of which 400 nodes have eight times as many.
+	if manyLists > 8*fewLists || fewLists > 3 {
+		t.Errorf("%d pages read by 400 nodes, %d by 50", manyLists, fewLists)
+	}
+	// Each node is told of its zone at most some times.
+	if bound := 400 / 3 * 400 / 5 * 4; told > bound {
+		t.Errorf("a seed tells %d addresses, want %d at the most", told, bound)
+	}
+}
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -106,7 +106,7 @@
 	}
 	t.mutex.Unlock()
 	for _, other := range beat.Peers {
-		t.add(Peer{Node: other.Node, Address: other.Address, Zone: other.Zone})
+		t.add(Peer{Node: other.Node, Address: other.Address, Zone: other.Zone, Capacity: other.Capacity, Incarnation: other.Incarnation})
 	}
 	t.config.OnBeat(beat)
 }
--- a/internal/routing/ranked.go
+++ b/internal/routing/ranked.go
@@ -42,15 +42,45 @@
 func NewRankedPlan(place Place, endpoints []*Endpoint) *Plan {
 	plan := NewPlan(place.Zone, endpoints)
 	plan.ranked = true
-	node := hashOf(place.Node)
-	slices.SortFunc(plan.endpoints, func(a, b *Endpoint) int {
+	slices.SortFunc(plan.endpoints, place.preference())
+	return plan
+}
+
+// preference orders endpoints as the node at a place prefers them.
+func (p Place) preference() func(a, b *Endpoint) int {
+	node := hashOf(p.Node)
+	return func(a, b *Endpoint) int {
 		return cmp.Or(
-			cmp.Compare(place.distance(a), place.distance(b)),
+			cmp.Compare(p.distance(a), p.distance(b)),
 			cmp.Compare(rendezvous.Weight(node, b.Hash), rendezvous.Weight(node, a.Hash)),
 			cmp.Compare(a.Name, b.Name),
 		)
-	})
-	return plan
+	}
+}
+
+// Revised returns a ranked plan with some endpoints gone and others added. It costs a
+// walk along the plan: among thousands of replicas, ranking all for each that comes or
+// goes took most of what a change costs a node.
+func (p *Plan) Revised(place Place, gone map[*Endpoint]bool, added []*Endpoint) *Plan {
+	preference := place.preference()
+	slices.SortFunc(added, preference)
+	revised := *p
+	revised.endpoints = make([]*Endpoint, 0, len(p.endpoints)+len(added))
+	for _, endpoint := range p.endpoints {
+		if gone[endpoint] {
+			continue
+		}
+		for len(added) > 0 && preference(added[0], endpoint) < 0 {
+			revised.endpoints, added = append(revised.endpoints, added[0]), added[1:]
+		}
+		revised.endpoints = append(revised.endpoints, endpoint)
+	}
+	revised.endpoints = append(revised.endpoints, added...)
+	revised.near = 0
+	for revised.near < len(revised.endpoints) && revised.endpoints[revised.near].Zone == place.Zone {
+		revised.near++
+	}
+	return &revised
 }
 
 // first returns the best of the first replicas in rank that allow a request, the
--- a/internal/watchcache/area.go
+++ b/internal/watchcache/area.go
@@ -4,7 +4,8 @@
 
 // mostFollowers bounds the nodes that one reader answers. Each polls it up to two and
 // a half times a second; at this bound that is a few hundredths of a core, which also
-// a small node has beside its callers.
+// a small node has beside its callers. In a zone with more nodes they follow one another
+// (tree.go).
 const mostFollowers = 128
 
 // area is a part of the deployment whose nodes follow one reader.
--- a/internal/watchcache/cache.go
+++ b/internal/watchcache/cache.go
@@ -6,19 +6,27 @@
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/pathtally/pathtally/internal/objectstore"
+	"github.com/pathtally/pathtally/internal/objectwire"
 )
 
 // historyLength bounds how many changes of one kind a cache keeps for followers;
 // whoever is further behind takes a whole listing.
 const historyLength = 256
 
+// largeListing is from how many objects on a listing is worth keeping compressed, and
+// worth resuming instead of reading anew: below, it is one or two pages of the store.
+const largeListing = 256
+
 // Cache is the copy of one kind. It only goes forward: whatever is older than
 // the copy is refused. It is safe for use by many goroutines.
 type Cache struct {
 	kind   string
 	sink   Sink
 	notify func()
+	logger klog.Logger
 	// wait is how long the store holds a watch without events.
 	wait time.Duration
 
@@ -31,6 +39,10 @@
 	base        uint64
 	history     []historyEntry
 	afterOutage bool
+	// compressed is the copy as it was at a revision, for followers that lack
+	// everything; nil for none. It is made once for many of them.
+	compressed   []byte
+	compressedAt uint64
 }
 
 // historyEntry is a change and the revision of the copy with it.
@@ -41,7 +53,7 @@
 
 // newCache returns an empty cache. Notify is called after each change.
 func newCache(kind string, sink Sink, wait time.Duration, notify func()) *Cache {
-	return &Cache{kind: kind, sink: sink, wait: wait, notify: notify, objects: map[string]objectstore.Object{}}
+	return &Cache{kind: kind, sink: sink, wait: wait, notify: notify, logger: klog.Background(), objects: map[string]objectstore.Object{}}
 }
 
 // Revision is the store's revision of the copy, 0 before the first listing.
@@ -72,6 +84,7 @@
 	if !c.listed || at > c.at {
 		c.base, c.history = at, nil
 	}
+	c.compressed = nil
 	c.listed, c.at, c.afterOutage = true, at, afterOutage
 	c.sink.Replace(objects, afterOutage)
 	c.notify()
@@ -121,10 +134,14 @@
 	Whole       bool
 	AfterOutage bool
 	Changes     []objectstore.Change
+	// Compressed is a whole listing in place of changes.
+	Compressed []byte
 }
 
-// Since returns what has come since a revision, and whether there is any.
-func (c *Cache) Since(revision uint64) (News, bool) {
+// Since returns what has come since a revision, and whether there is any. Followers that
+// can read it get a large listing compressed, as it was a little earlier: what came
+// since is in the history.
+func (c *Cache) Since(revision uint64, compressed bool) (News, bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	news := News{At: c.at, AfterOutage: c.afterOutage}
@@ -133,6 +150,10 @@
 	}
 	if revision < c.base || revision == 0 {
 		news.Whole = true
+		if compressed && len(c.objects) >= largeListing && c.compress() {
+			news.At, news.Compressed = c.compressedAt, c.compressed
+			return news, true
+		}
 		for _, name := range slices.Sorted(maps.Keys(c.objects)) {
 			news.Changes = append(news.Changes, objectstore.Change{Object: c.objects[name]})
 		}
@@ -145,3 +166,29 @@
 	}
 	return news, len(news.Changes) > 0
 }
+
+// compress has the copy compressed at a revision from which the history goes on, and
+// tells whether it is. The mutex must be held.
+func (c *Cache) compress() bool {
+	if c.compressed != nil && c.compressedAt >= c.base {
+		return true
+	}
+	objects := make([]objectstore.Object, 0, len(c.objects))
+	for _, name := range slices.Sorted(maps.Keys(c.objects)) {
+		objects = append(objects, c.objects[name])
+	}
+	compressed, err := objectwire.Compress(objects)
+	if err != nil {
+		c.logger.Error(err, "listing is handed out as it is", "kind", c.kind, "objects", len(objects))
+		return false
+	}
+	c.compressed, c.compressedAt = compressed, c.at
+	return true
+}
+
+// isLarge tells whether the copy is one that is costly to read anew.
+func (c *Cache) isLarge() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.listed && len(c.objects) >= largeListing
+}
--- a/internal/watchcache/config.go
+++ b/internal/watchcache/config.go
@@ -14,6 +14,8 @@
 	Name    string
 	Address string
 	Zone    string
+	// Capacity is how many thousandths of a core it has, 0 for unknown.
+	Capacity uint32
 }
 
 // Config is what a Source needs.
--- a/internal/watchcache/follow.go
+++ b/internal/watchcache/follow.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/pathtally/pathtally/internal/environment"
-	"github.com/pathtally/pathtally/internal/objectstore"
 	"github.com/pathtally/pathtally/internal/objectwire"
 	"github.com/pathtally/pathtally/internal/wire"
 )
@@ -18,19 +16,17 @@
 	// copies may be.
 	pollWait   = 400 * time.Millisecond
 	pollMargin = 350 * time.Millisecond
-	// newsBound is after how long without word from a current reader this node
-	// reads the store itself. A second reader is tried within it.
-	newsBound = 1200 * time.Millisecond
-	// unsurePause is the time between polls of a reader that is not sure, and
-	// unsureBound how many such answers in a row have a node that the store
-	// answers read itself. One is not enough: at the end of an outage the store
-	// may answer this node a little before the reader has noticed.
-	unsurePause = 300 * time.Millisecond
-	unsureBound = 2
 	// doubtWait is for how long a reader holds the poll of a node that has just left
 	// one that was unsure: a listing of the store takes less, and whoever has none
-	// then is likely to be turned away too.
-	doubtWait = 150 * time.Millisecond
+	// then is likely to be turned away too. A node of a large area that has just left
+	// one that was silent polls the next for as long, and waits hurriedMargin for its
+	// answer: two that were lost together cost less than newsBound.
+	doubtWait     = 150 * time.Millisecond
+	hurriedMargin = 200 * time.Millisecond
+	// listingMargin is how much later the answer to a first poll may come in a large
+	// area: it holds a listing of all replicas, and many nodes that start together
+	// share one link.
+	listingMargin = 2500 * time.Millisecond
 )
 
 // The outcomes of polls, as metrics name them.
@@ -40,11 +36,13 @@
 	outcomeLeaving  = "leaving"
 	outcomeSilent   = "silent"
 	outcomeStarting = "starting"
+	// outcomeUnlisted is that of a reader that does not know all kinds.
+	outcomeUnlisted = "unlisted"
 )
 
-// follow polls a reader for as long as it is the one to follow.
-func (s *Source) follow(ctx context.Context, reader Node) {
-	s.config.Logger.Info("following the store through a reader", "reader", reader.Name)
+// follow polls a node for as long as it is the one to follow.
+func (s *Source) follow(ctx context.Context, place position) {
+	s.config.Logger.Info("following the store through a reader", "reader", place.parent.Name, "relayed", place.relayed)
 	s.doubts = 0
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -52,111 +50,74 @@
 	s.stopFollowing = cancel
 	s.mutex.Unlock()
 	for {
-		if next, found := s.reader(); !found || next != reader {
+		if s.position() != place {
 			return
 		}
-		outcome := s.poll(ctx, reader, false)
+		outcome := s.poll(ctx, pollOf{node: place.parent, relayed: place.relayed, inTree: place.inTree})
 		if ctx.Err() != nil {
 			return
 		}
 		s.metrics.polls.WithLabelValues(outcome).Inc()
-		if !s.staysWith(ctx, reader, outcome) {
-			s.config.Logger.Info("stopped following reader", "reader", reader.Name, "outcome", outcome, "newsAgeMs", s.Age().Milliseconds())
+		if !s.staysWith(ctx, place, outcome) {
+			s.config.Logger.Info("stopped following reader", "reader", place.parent.Name, "outcome", outcome, "newsAgeMs", s.Age().Milliseconds())
 			return
 		}
 	}
 }
 
-// staysWith decides by a poll's outcome whether the reader is followed on.
-func (s *Source) staysWith(ctx context.Context, reader Node, outcome string) bool {
-	switch outcome {
-	case outcomeCurrent:
-		s.doubts, s.doubtSince = 0, time.Time{}
-		s.noteNews()
-		return true
-	case outcomeLeaving:
-		s.passOver(reader.Name, leavingTime)
-		return false
-	case outcomeSilent:
-		s.leaveSilent(reader)
-		return false
-	case outcomeStarting:
-		// One taken up because another was unsure has had its time.
-		if s.Age() < newsBound && s.doubtSince.IsZero() {
-			return true
-		}
-	case outcomeUnsure:
-		if s.bearsDoubt(ctx) {
-			objectstore.Sleep(ctx, unsurePause)
-			return true
-		}
-		s.passOver(reader.Name, unsureTime)
-		if s.narrow(unsureTime) && time.Since(s.doubtSince) < newsBound {
-			return false
-		}
-	}
-	s.passOver(reader.Name, unsureTime)
-	s.readDirectly()
-	return false
+// pollOf is a poll of a node that this one follows or is helped by.
+type pollOf struct {
+	node Node
+	// direct asks for a node that the store itself answers.
+	direct bool
+	// relayed and inTree are those of the position that the node is followed from.
+	relayed bool
+	inTree  bool
 }
 
-// leaveSilent turns from a reader that does not answer.
-func (s *Source) leaveSilent(reader Node) {
-	s.noteUnsure()
-	if s.passOverSilent(reader.Name) {
-		s.narrow(silentTime)
-	}
-	if s.Age() > newsBound {
-		// A further silent reader would make it too late.
-		s.readDirectly()
-	}
-}
-
-// bearsDoubt counts an answer of a reader that is not sure, and tells whether it
-// is followed on all the same.
-func (s *Source) bearsDoubt(ctx context.Context) bool {
-	s.noteUnsure()
-	if !answers(ctx, s.config.Store, s.config.ProbeKind, s.config.ProbeName) {
-		// The store is away from here too: whoever is followed knows no less
-		// than this node could.
-		s.doubts, s.doubtSince = 0, time.Time{}
-		return true
-	}
-	if s.doubtSince.IsZero() {
-		s.doubtSince = time.Now()
+// patience is for how long the node is to hold a poll without news, and for how long its
+// answer is waited for.
+func (s *Source) patience(next pollOf) (wait, limit time.Duration) {
+	switch {
+	case next.direct:
+		return pollWait, pollWait + pollMargin
+	case next.inTree && !s.listed():
+		return pollWait, pollWait + listingMargin
+	case next.inTree && s.hurried:
+		return doubtWait, doubtWait + hurriedMargin
+	case !s.doubtSince.IsZero():
+		return doubtWait, pollWait + pollMargin
 	}
-	s.doubts++
-	return s.doubts < unsureBound
+	return pollWait, pollWait + pollMargin
 }
 
-// readDirectly has this node read the store itself for some seconds.
-func (s *Source) readDirectly() { s.readAtLeast(directTime + rand.N(directSpread)) }
-
-// poll asks a reader once, takes its news and tells how it went.
-func (s *Source) poll(ctx context.Context, reader Node, direct bool) string {
-	wait := pollWait
-	if !direct && !s.doubtSince.IsZero() {
-		wait = doubtWait
-	}
-	poll := &wire.WatchPoll{WaitMs: uint32(wait.Milliseconds()), Direct: direct}
+// poll asks a node once, takes its news and tells how it went.
+func (s *Source) poll(ctx context.Context, next pollOf) string {
+	wait, limit := s.patience(next)
+	poll := &wire.WatchPoll{WaitMs: uint32(wait.Milliseconds()), Direct: next.direct, Relay: next.relayed, Compressed: true}
 	for _, cache := range s.caches {
 		poll.Kinds = append(poll.Kinds, wire.KindRevision{Kind: cache.kind, Revision: cache.Revision()})
 	}
-	reply, err := environment.Ask(ctx, s.config.Peers, reader.Address, poll, pollWait+pollMargin)
+	reply, err := environment.Ask(ctx, s.config.Peers, next.node.Address, poll, limit)
 	news, isNews := reply.(*wire.WatchNews)
 	if err != nil || !isNews {
 		return outcomeSilent
 	}
-	s.noteHeard(reader.Name)
-	s.take(poll, news)
+	s.noteHeard(next.node.Name)
+	if err := s.take(poll, news); err != nil {
+		s.config.Logger.Error(err, "news of the store not readable", "reader", next.node.Name)
+		return outcomeUnsure
+	}
 	outcome := outcomeOf(wire.Standing(news.Standing))
-	if outcome == outcomeCurrent && !s.listed() {
-		// A reader of an earlier version may not know all kinds.
-		return outcomeStarting
+	if outcome != outcomeCurrent {
+		return outcome
 	}
-	if outcome == outcomeCurrent {
-		s.notePeer(reader, news.Through)
+	if !s.listed() {
+		// A reader of an earlier version may not know all kinds.
+		return outcomeUnlisted
 	}
+	s.notePeer(next.node, news.Through)
+	s.noteNewsOf(time.Duration(news.AgeMs) * time.Millisecond)
 	return outcome
 }
 
@@ -184,17 +145,33 @@
 
 // take applies the news that a poll brought. Even those of a reader that is
 // not sure go forward only.
-func (s *Source) take(poll *wire.WatchPoll, news *wire.WatchNews) {
+func (s *Source) take(poll *wire.WatchPoll, news *wire.WatchNews) error {
 	for _, kind := range news.Kinds {
 		for number, cache := range s.caches {
 			if cache.kind != kind.Kind {
 				continue
 			}
-			if kind.Whole {
-				cache.Replace(objectwire.DecodeAll(kind.Changes), kind.Revision, kind.AfterOutage)
-			} else {
-				cache.Advance(poll.Kinds[number].Revision, objectwire.DecodeChanges(kind.Changes), kind.Revision, kind.AfterOutage)
+			if err := takeKind(cache, kind, poll.Kinds[number].Revision); err != nil {
+				return err
 			}
 		}
 	}
+	return nil
+}
+
+// takeKind applies the news of one kind since a revision.
+func takeKind(cache *Cache, kind wire.KindNews, since uint64) error {
+	switch {
+	case kind.Compressed != nil:
+		objects, err := objectwire.Decompress(kind.Compressed)
+		if err != nil {
+			return err
+		}
+		cache.Replace(objects, kind.Revision, kind.AfterOutage)
+	case kind.Whole:
+		cache.Replace(objectwire.DecodeAll(kind.Changes), kind.Revision, kind.AfterOutage)
+	default:
+		cache.Advance(since, objectwire.DecodeChanges(kind.Changes), kind.Revision, kind.AfterOutage)
+	}
+	return nil
 }
--- a/internal/watchcache/harness_test.go
+++ b/internal/watchcache/harness_test.go
@@ -35,9 +35,12 @@
 	losesWatch atomic.Bool
 	// calls counts those that reach the store at their full price.
 	calls atomic.Int64
+	// asked counts all questions, also those that are not answered.
+	asked atomic.Int64
 }
 
 func (s *cutStore) pass(ctx context.Context) error {
+	s.asked.Add(1)
 	if !s.cut.Load() {
 		return nil
 	}
--- a/internal/watchcache/help.go
+++ b/internal/watchcache/help.go
@@ -28,7 +28,7 @@
 				break
 			}
 			helper := helpers[turn%len(helpers)]
-			for s.health.isTroubled() && s.poll(ctx, helper, true) == outcomeCurrent {
+			for s.health.isTroubled() && s.poll(ctx, pollOf{node: helper, direct: true}) == outcomeCurrent {
 				s.noteHelp(helper)
 			}
 			if !objectstore.Sleep(ctx, helpPause) {
@@ -38,7 +38,8 @@
 	}
 }
 
-// helpers are the first in rank of each zone but this node.
+// helpers are the first in rank of each zone but this node, and further ones of its own
+// zone where that is large.
 func (s *Source) helpers() []Node {
 	byName := map[string]Node{}
 	var candidates []rendezvous.Candidate
@@ -48,15 +49,23 @@
 			candidates = append(candidates, rendezvous.Candidate{ID: node.Name, Zone: node.Zone})
 		}
 	}
+	own := 1
+	if len(candidates) >= mostFollowers {
+		own = deputies
+	}
 	var helpers []Node
-	zones := map[string]bool{}
+	taken := map[string]int{}
 	for _, candidate := range rendezvous.Rank(rankKey, candidates) {
-		if !zones[candidate.Zone] {
-			zones[candidate.Zone] = true
+		most := 1
+		if candidate.Zone == s.config.Self.Zone {
+			most = own
+		}
+		if taken[candidate.Zone] < most {
+			taken[candidate.Zone]++
 			helpers = append(helpers, byName[candidate.ID])
 		}
 	}
-	// The one of this zone would have to begin to read.
+	// Those of this zone would have to begin to read.
 	slices.SortStableFunc(helpers, func(a, b Node) int { return s.nearness(a) - s.nearness(b) })
 	return helpers
 }
--- a/internal/watchcache/informer.go
+++ b/internal/watchcache/informer.go
@@ -43,6 +43,9 @@
 	settled *time.Timer
 	// retry is the time that was waited before the last try.
 	retry time.Duration
+	// resumes has a watch begin where the copy stands, so that a node that takes over
+	// from a reader reads nothing anew.
+	resumes bool
 	// current is set while the last call to the store was answered.
 	current atomic.Bool
 	// Failed is called after each call without an answer with when it was sent; it
@@ -71,6 +74,10 @@
 func (i *Informer) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		asked := time.Now()
+		if i.resumes && i.resume(ctx) {
+			i.follow(ctx)
+			continue
+		}
 		err := i.relist(ctx)
 		if errors.Is(err, errRegained) {
 			i.logger.Info("listing anew", "kind", i.cache.kind, "reason", err.Error())
@@ -85,6 +92,26 @@
 	}
 }
 
+// resume asks for what has come since the copy, and tells whether the store still knows.
+// Everything is listed once more soon: a store that is losing its history at this moment
+// may not say so.
+func (i *Informer) resume(ctx context.Context) bool {
+	i.resumes = false
+	from := i.cache.Revision()
+	changes, err := untilRegained(ctx, i.regained(), nil, func() (objectstore.Changes, error) { return i.store.Watch(ctx, i.cache.kind, from, 0) })
+	if err != nil {
+		i.logger.Info("copy not resumed", "kind", i.cache.kind, "from", from, "reason", err.Error())
+		return false
+	}
+	if !i.cache.Advance(from, changes.Events, changes.At, i.afterOutage()) {
+		return false
+	}
+	i.logger.Info("copy resumed", "kind", i.cache.kind, "from", from, "changes", len(changes.Events))
+	i.settled = time.NewTimer(settleTime)
+	i.succeed()
+	return true
+}
+
 // relist reads everything and hands it to the sink.
 func (i *Informer) relist(ctx context.Context) error {
 	listed, err := untilRegained(ctx, i.regained(), nil, func() (objectstore.Page, error) { return i.list(ctx) })
--- a/internal/watchcache/reader.go
+++ b/internal/watchcache/reader.go
@@ -2,9 +2,8 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
-
-	"github.com/pathtally/pathtally/internal/rendezvous"
 )
 
 const (
@@ -21,27 +20,25 @@
 	leavingTime   = 15 * time.Second
 )
 
-// reader returns the node to follow, the first in rank of the area that stands,
-// unless this node is to read itself.
+// reader returns the node to follow, unless this node is to read itself.
 func (s *Source) reader() (Node, bool) {
+	standing := s.position()
+	return standing.parent, standing.follows
+}
+
+// position is this node's position in the area that stands, among the nodes that it
+// does not pass over.
+func (s *Source) position() position {
 	nodes := s.config.Nodes()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if time.Now().Before(s.readUntil) {
-		return Node{}, false
+		return position{mayRead: true}
 	}
 	maps.DeleteFunc(s.passedOver, func(_ string, until time.Time) bool { return !time.Now().Before(until) })
-	byName := map[string]Node{}
-	names := []string{s.config.Self.Name}
 	standing, _ := s.standingArea(nodes)
-	for _, node := range standing.nodes {
-		if s.passedOver[node.Name].IsZero() {
-			byName[node.Name] = node
-			names = append(names, node.Name)
-		}
-	}
-	reader, found := byName[rendezvous.RankNames(rankKey, names)[0]]
-	return reader, found
+	others := slices.DeleteFunc(slices.Clone(standing.nodes), func(node Node) bool { return !s.passedOver[node.Name].IsZero() })
+	return positionOf(s.config.Self, others)
 }
 
 // passOver has a node not followed for a time.
--- a/internal/watchcache/source.go
+++ b/internal/watchcache/source.go
@@ -16,9 +16,12 @@
 	directTime   = 4 * time.Second
 	directSpread = 2 * time.Second
 	// joinTime is how long a starting node waits for the list of the others,
-	// and joinLook the time between looks at it.
-	joinTime = time.Second
-	joinLook = 20 * time.Millisecond
+	// and joinLook the time between looks at it. One that knows nobody waits for
+	// aloneTime: hundreds that start together and read the store one by one keep each
+	// other from it.
+	joinTime  = time.Second
+	aloneTime = 3 * time.Second
+	joinLook  = 20 * time.Millisecond
 	// modeLook is the time between looks at whether to go on reading.
 	modeLook = 250 * time.Millisecond
 )
@@ -60,6 +63,12 @@
 	// belong to Run.
 	doubts     int
 	doubtSince time.Time
+	// hurried is set after a poll without an answer. relayLeftAt is when a node that
+	// follows another was last left for want of word, and askedAt when the store was
+	// last asked whether it answers. They belong to Run.
+	hurried     bool
+	relayLeftAt time.Time
+	askedAt     time.Time
 	// changed is closed at each change of a copy or of the standing.
 	changed chan struct{}
 }
@@ -77,7 +86,9 @@
 // Add has a sink kept current with a kind, with watches that the store holds for as
 // long as told: LongWait or PromptWait. Call it before Run.
 func (s *Source) Add(kind string, sink Sink, wait time.Duration) {
-	s.caches = append(s.caches, newCache(kind, sink, wait, s.notify))
+	cache := newCache(kind, sink, wait, s.notify)
+	cache.logger = s.config.Logger
+	s.caches = append(s.caches, cache)
 }
 
 // Run works until the context ends.
@@ -85,8 +96,8 @@
 	s.awaitNodes(ctx)
 	s.noteNews()
 	for ctx.Err() == nil {
-		if reader, found := s.reader(); found {
-			s.follow(ctx, reader)
+		if place := s.position(); place.follows {
+			s.follow(ctx, place)
 		} else {
 			s.read(ctx)
 		}
@@ -95,7 +106,11 @@
 
 // awaitNodes waits until it is known who else there is, but not for long.
 func (s *Source) awaitNodes(ctx context.Context) {
-	for began := time.Now(); !s.config.Joined() && time.Since(began) < joinTime; {
+	for began := time.Now(); !s.config.Joined(); {
+		waited := time.Since(began)
+		if waited >= aloneTime || waited >= joinTime && len(s.config.Nodes()) > 0 {
+			return
+		}
 		if !objectstore.Sleep(ctx, joinLook) {
 			return
 		}
@@ -146,6 +161,7 @@
 	for _, cache := range s.caches {
 		informer := newInformer(s.config.Store, cache, s.config.Logger)
 		informer.Failed, informer.Regained, informer.Troubled = s.health.noteFailed, s.health.Regained, s.lastUnsure
+		informer.resumes = cache.isLarge()
 		s.informers = append(s.informers, informer)
 	}
 	return s.informers
--- /dev/null
+++ b/internal/wire/listing.go
@@ -0,0 +1,93 @@
+package wire
+
+import (
+	"capnproto.org/go/capnp/v3"
+
+	"github.com/pathtally/pathtally/internal/wire/schema"
+)
+
+// Listings hold thousands of objects, so they are encoded field by field: package pogs
+// maps the fields of each object by name.
+
+// EncodeListing returns a listing as a message of its own.
+func EncodeListing(listing *Listing) ([]byte, error) {
+	message, segment, err := capnp.NewMessage(capnp.SingleSegment(nil))
+	if err != nil {
+		return nil, &FrameError{Detail: "allocate listing", Cause: err}
+	}
+	root, err := schema.NewRootListing(segment)
+	if err != nil {
+		return nil, &FrameError{Detail: "allocate root of listing", Cause: err}
+	}
+	objects, err := root.NewObjects(int32(len(listing.Objects)))
+	if err != nil {
+		return nil, &FrameError{Detail: "allocate objects of listing", Cause: err}
+	}
+	for i := range listing.Objects {
+		if err := listing.Objects[i].encode(objects.At(i)); err != nil {
+			return nil, &FrameError{Detail: "insert into listing", Cause: err}
+		}
+	}
+	encoded, err := message.MarshalPacked()
+	if err != nil {
+		return nil, &FrameError{Detail: "marshal listing", Cause: err}
+	}
+	return encoded, nil
+}
+
+// DecodeListing reads a listing.
+func DecodeListing(encoded []byte) (*Listing, error) {
+	message, err := capnp.UnmarshalPacked(encoded)
+	if err != nil {
+		return nil, &FrameError{Detail: "unmarshal listing", Cause: err}
+	}
+	// Each object is read once, so the message bounds what is read.
+	message.TraverseLimit = max(message.TraverseLimit, listingTraversal)
+	root, err := schema.ReadRootListing(message)
+	if err != nil {
+		return nil, &FrameError{Detail: "root of listing", Cause: err}
+	}
+	objects, err := root.Objects()
+	if err != nil {
+		return nil, &FrameError{Detail: "objects of listing", Cause: err}
+	}
+	listing := &Listing{Objects: make([]ObjectChange, objects.Len())}
+	for i := range listing.Objects {
+		if err := listing.Objects[i].decode(objects.At(i)); err != nil {
+			return nil, &FrameError{Detail: "extract from listing", Cause: err}
+		}
+	}
+	return listing, nil
+}
+
+// listingTraversal bounds the bytes that reading a listing may go through: half a million
+// replicas of some hundred bytes.
+const listingTraversal = 512 << 20
+
+func (o *ObjectChange) encode(to schema.ObjectChange) error {
+	to.SetGone(o.Gone)
+	to.SetDeleting(o.Deleting)
+	to.SetRevision(o.Revision)
+	if err := to.SetName(o.Name); err != nil {
+		return err
+	}
+	if err := to.SetSpec(o.Spec); err != nil {
+		return err
+	}
+	if o.Status == nil {
+		return nil
+	}
+	return to.SetStatus(o.Status)
+}
+
+func (o *ObjectChange) decode(from schema.ObjectChange) (err error) {
+	o.Gone, o.Deleting, o.Revision = from.Gone(), from.Deleting(), from.Revision()
+	if o.Name, err = from.Name(); err != nil {
+		return err
+	}
+	if o.Spec, err = from.Spec(); err != nil {
+		return err
+	}
+	o.Status, err = from.Status()
+	return err
+}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -273,6 +273,10 @@
 	Node    string
 	Address string
 	Zone    string
+	// Capacity is how many thousandths of a core the node has, 0 for unknown.
+	Capacity uint32
+	// Incarnation is that of the node's process, 0 for unknown.
+	Incarnation uint64
 }
 
 // NodeBeat is the heartbeat of a node that keeps its lasting state in a
@@ -305,6 +309,9 @@
 	Lengths []ItemLength
 	// Work tells of the batch jobs in Jobs how much there is to do.
 	Work []JobWork
+	// PeersKnown tells that the sender has read the list of nodes, of which Peers
+	// holds those of the receiver's zone at least.
+	PeersKnown bool
 }
 
 // JobWork is how much a batch job has to do.
--- a/internal/wire/schema/peer.capnp
+++ b/internal/wire/schema/peer.capnp
@@ -275,6 +275,8 @@
   node @0 :Text;
   address @1 :Text;
   zone @2 :Text;
+  capacity @3 :UInt32;      # thousandths of a core that the node has, 0 for unknown
+  incarnation @4 :UInt64;   # of the node's process, 0 for unknown
 }
 
 struct NodeBeat {
@@ -297,6 +299,7 @@
   leaseReleased @16 :Bool;  # its holder gave the lease up at revision leaseSeen
   capacity @18 :UInt32;     # thousandths of a core that the sender has, 0 for unknown
   usageDone @17 :Int64;     # number of the newest window up to which all usage has been reported
+  peersKnown @19 :Bool;     # the sender has read the list of nodes, of which peers holds those of the receiver's zone at least
 }
 
 struct JobWork {
@@ -308,6 +311,7 @@
   open @5 :UInt32;          # items that have no result yet
   routes @6 :List(Text);    # whose requests the job holds: its own first, then its scorers'
   entry @7 :Text;           # region through which the job came, empty for unknown
+  items @8 :UInt32;         # items of the job, listed ones included; 0 for unknown
 }
 
 struct ItemLength {
@@ -377,6 +381,8 @@
   kinds @0 :List(KindRevision);
   waitMs @1 :UInt32;        # for how long the answer may be held until there is news
   direct @2 :Bool;          # only a node that the store itself answers may call itself current
+  relay @3 :Bool;           # the sender takes the receiver for one that follows another node: it need not read the store
+  compressed @4 :Bool;      # the sender can read compressed listings
 }
 
 struct ObjectChange {
@@ -394,12 +400,19 @@
   whole @2 :Bool;           # the changes are a whole listing, not what came since
   afterOutage @3 :Bool;     # entries may have vanished because of the store
   changes @4 :List(ObjectChange);
+  compressed @5 :Data;      # a whole listing in place of changes, to senders of polls that can read it
+}
+
+# The objects of a compressed listing.
+struct Listing {
+  objects @0 :List(ObjectChange);
 }
 
 struct WatchNews {
   standing @0 :UInt8;       # a wire.Standing
   kinds @1 :List(KindNews); # those with news
   through @2 :Text;         # address of the node that the store answers, where it is not the sender
+  ageMs @3 :UInt32;         # since a reader of the store said that the copies are current, 0 where the sender is one
 }
 
 # A call to the metadata store that a node makes for one that the store does
--- a/internal/wire/watch.go
+++ b/internal/wire/watch.go
@@ -12,6 +12,11 @@
 	WaitMs uint32
 	// Direct asks for a node that the store itself answers.
 	Direct bool
+	// Relay tells that the sender takes the receiver for one that follows another
+	// node itself, so that it need not read the store.
+	Relay bool
+	// Compressed tells that the sender can read compressed listings.
+	Compressed bool
 }
 
 // ObjectChange is one object that was made, changed or removed.
@@ -31,6 +36,13 @@
 	Whole       bool
 	AfterOutage bool
 	Changes     []ObjectChange
+	// Compressed is a whole listing in place of Changes (package objectwire).
+	Compressed []byte
+}
+
+// Listing is all objects of a kind, as compressed listings hold it.
+type Listing struct {
+	Objects []ObjectChange
 }
 
 // Standing is what a node says of its own view of the metadata store.
@@ -56,4 +68,7 @@
 	// Through is the address of the node through which the sender is current,
 	// empty where the store answers the sender itself.
 	Through string
+	// AgeMs is for how long the copies may have been behind: the time since a node
+	// that reads the store said that they are current. 0 where the sender is one.
+	AgeMs uint32
 }
