Start and readers of a large zone: list of nodes from seeds, trees of followers, compressed news

Each node listed all nodes and greeted three seeds up to four times, which answered with all that they knew.

Ruled out: the readers' polls (2.5 a second a follower, the same at any size).

Change: a starting node asks one seed for the nodes of its zone, seeds alone read the entries; a node waits until it has tried that. Whole listings and many changes are compressed once for all followers; the history is as long as the listing. Old builds get and send what they did: new fields only.

--- a/internal/instance/assemble.go
+++ b/internal/instance/assemble.go
@@ -86,7 +86,7 @@
 func (i *Instance) assembleStore(self batch.Owner) {
 	i.source = watchcache.NewSource(watchcache.Config{
 		Self: watchcache.Node{Name: self.Node, Address: self.Address, Zone: i.settings.Zone, Capacity: i.settings.Capacity()}, Regions: i.settings.Regions, Store: i.adapter.Store, Peers: i.transport,
-		Nodes: i.followable, Joined: i.peers.Joined, ProbeKind: peering.Kind, ProbeName: self.Node, Clock: i.clock, Logger: i.logger, Registry: i.registry,
+		Nodes: i.followable, Joined: i.peers.Settled, ProbeKind: peering.Kind, ProbeName: self.Node, Clock: i.clock, Logger: i.logger, Registry: i.registry,
 	})
 	i.store = storerelay.New(storerelay.Config{
 		Own: i.adapter.Store, Peers: i.transport, Through: i.source.CurrentPeer, Others: i.helpers, Region: i.regionAt, Logger: i.logger, Registry: i.registry,
@@ -97,7 +97,7 @@
 func (i *Instance) assembleDuties(self batch.Owner, duties Duties) {
 	i.lease = duty.NewLease(self.Node, strconv.FormatUint(self.Incarnation, nonceBase), i.settings.DutyLease.Std(), i.store, i.clock)
 	i.duty = duty.NewKeeper(duty.Config{
-		Node: self.Node, Lease: i.lease, Clock: i.clock, Logger: i.logger, Nodes: i.peers.Nodes, Silence: i.silence, Broadcast: i.peers.Broadcast,
+		Node: self.Node, Lease: i.lease, Clock: i.clock, Logger: i.logger, Nodes: i.peers.Nodes, Silence: i.silence, Tell: i.peers.Tell,
 	})
 	i.weights = weightorders.NewCoordinator(weightorders.Config{
 		Keeper: i.duty, Directory: i.directory, Replicas: i.adapter.Orders(i.pool), Logger: i.logger, Registry: i.registry,
--- a/internal/objectwire/compress.go
+++ b/internal/objectwire/compress.go
@@ -30,8 +30,15 @@
 
 // Compress is a listing as compressed bytes. Entries of replicas are alike, so that
 // they take a small part of the room.
-func Compress(objects []objectstore.Object) ([]byte, error) {
-	encoded, err := wire.EncodeListing(&wire.Listing{Objects: EncodeAll(objects)})
+func Compress(objects []objectstore.Object) ([]byte, error) { return compress(EncodeAll(objects)) }
+
+// CompressChanges is a series of changes as compressed bytes.
+func CompressChanges(changes []objectstore.Change) ([]byte, error) {
+	return compress(EncodeChanges(changes))
+}
+
+func compress(objects []wire.ObjectChange) ([]byte, error) {
+	encoded, err := wire.EncodeListing(&wire.Listing{Objects: objects})
 	if err != nil {
 		return nil, &ListingError{Detail: "encode", Cause: err}
 	}
@@ -51,6 +58,17 @@
 
 // Decompress reads a compressed listing.
 func Decompress(compressed []byte) ([]objectstore.Object, error) {
+	encoded, err := decompress(compressed)
+	return DecodeAll(encoded), err
+}
+
+// DecompressChanges reads a compressed series of changes.
+func DecompressChanges(compressed []byte) ([]objectstore.Change, error) {
+	encoded, err := decompress(compressed)
+	return DecodeChanges(encoded), err
+}
+
+func decompress(compressed []byte) ([]wire.ObjectChange, error) {
 	reader := flate.NewReader(bytes.NewReader(compressed))
 	encoded, err := io.ReadAll(io.LimitReader(reader, mostListingBytes))
 	if err != nil {
@@ -60,5 +78,5 @@
 	if err != nil {
 		return nil, &ListingError{Detail: "decode", Cause: err}
 	}
-	return DecodeAll(listing.Objects), nil
+	return listing.Objects, nil
 }
--- a/internal/peering/heartbeat.go
+++ b/internal/peering/heartbeat.go
@@ -15,6 +15,9 @@
 	// heartbeatGap is the least time between two heartbeats that changes cause:
 	// with many replicas, loads of weights begin and end some 50 times a second.
 	heartbeatGap = 50 * time.Millisecond
+	// mostTold is up to how many peers all hear of rare changes: with some of them a
+	// second, that is as many messages as heartbeats are.
+	mostTold = 128
 )
 
 // isActive tells whether the sender of a heartbeat runs batch jobs or gives
@@ -27,22 +30,47 @@
 	return beat
 }
 
-// Broadcast sends this node's heartbeat to all peers. Its cost grows with the
-// number of nodes, so it is for rare changes that all have to know.
+// Broadcast sends this node's heartbeat to all peers.
 func (t *Table) Broadcast() {
 	t.send(t.addresses(func(*Peer) bool { return true }))
 }
 
+// TellsAll tells whether the nodes are few enough for all of them to hear of rare
+// changes. Where they are more, a start or an end of a job told to all is thousands of
+// messages a second.
+func (t *Table) TellsAll() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return len(t.peers) <= mostTold
+}
+
+// Tell sends this node's heartbeat because of a rare change: to all peers where they are
+// few, else to those that hear every heartbeat and to some more that the change concerns.
+func (t *Table) Tell(concerned []string) {
+	if t.TellsAll() {
+		t.Broadcast()
+		return
+	}
+	t.sendTo(concerned)
+}
+
 // Heartbeat sends this node's heartbeat to its watchers and to the peers that
 // are active. Their number does not grow with the number of nodes.
-func (t *Table) Heartbeat() {
-	watching := map[string]bool{}
+func (t *Table) Heartbeat() { t.sendTo(nil) }
+
+// sendTo sends this node's heartbeat to its watchers, to the peers that are active, and
+// to some more.
+func (t *Table) sendTo(more []string) {
+	hearing := map[string]bool{}
+	for _, node := range more {
+		hearing[node] = true
+	}
 	if t.config.Watchers != nil {
 		for _, watcher := range t.config.Watchers() {
-			watching[watcher] = true
+			hearing[watcher] = true
 		}
 	}
-	t.send(t.addresses(func(peer *Peer) bool { return watching[peer.Node] || time.Since(peer.ActiveAt) < activeTime }))
+	t.send(t.addresses(func(peer *Peer) bool { return hearing[peer.Node] || time.Since(peer.ActiveAt) < activeTime }))
 }
 
 // Changed sends a heartbeat because something that it tells has changed: at
--- a/internal/peering/join.go
+++ b/internal/peering/join.go
@@ -24,7 +24,7 @@
 	// seedRounds is how often a seed that has not read the list itself is asked, and
 	// seedPause the time between: the machines of a deployment start within 0.3 s of
 	// each other, and a seed needs settleTime and two calls to the store.
-	seedRounds = 6
+	seedRounds = 8
 	seedPause  = 150 * time.Millisecond
 	// wholeList is up to how many nodes a greeting is answered with all of them, and
 	// beyond that with those of the greeting node's zone: the others come with the
@@ -40,6 +40,9 @@
 	// of the others: the machines of a deployment start within 0.3 s of each
 	// other, and what is missed then costs a watch event each.
 	settleTime = 400 * time.Millisecond
+	// seedSettleTime is that of a seed, whose list others take over: it waits until those
+	// that started last have written their entries.
+	seedSettleTime = 700 * time.Millisecond
 )
 
 // Join writes this node's entry and learns of the others, until the context ends or both
@@ -47,10 +50,11 @@
 // seeds are greeted.
 func (t *Table) Join(ctx context.Context) {
 	for ctx.Err() == nil {
-		if t.tryJoin(ctx) {
-			t.mutex.Lock()
-			t.joined = true
-			t.mutex.Unlock()
+		joined := t.tryJoin(ctx)
+		t.mutex.Lock()
+		t.joined, t.tried = joined, true
+		t.mutex.Unlock()
+		if joined {
 			return
 		}
 		objectstore.Pause(ctx, joinPause)
@@ -71,7 +75,7 @@
 		t.mutex.Lock()
 		t.isNew = true
 		t.mutex.Unlock()
-		if !objectstore.Sleep(ctx, settleTime) {
+		if !objectstore.Sleep(ctx, t.settleTime()) {
 			return false
 		}
 	}
@@ -85,13 +89,27 @@
 	return true
 }
 
+// settleTime is how long this node, if it is new, waits before it learns of the others.
+func (t *Table) settleTime() time.Duration {
+	if t.isSeed() {
+		return seedSettleTime
+	}
+	return settleTime
+}
+
+func (t *Table) isSeed() bool { return slices.Contains(t.knownSeeds(), t.config.Address) }
+
+func (t *Table) knownSeeds() []string {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.seeds
+}
+
 // learnFromSeeds asks a seed for the list of nodes, and others in turn where it does not
 // answer. False means that this node is a seed or that none knows the list.
 func (t *Table) learnFromSeeds(ctx context.Context) bool {
-	t.mutex.Lock()
-	seeds := t.seeds
-	t.mutex.Unlock()
-	if len(seeds) == 0 || slices.Contains(seeds, t.config.Address) {
+	seeds := t.knownSeeds()
+	if len(seeds) == 0 || t.isSeed() {
 		return false
 	}
 	seeds = rendezvous.RankNames(t.config.Node, seeds)
@@ -125,10 +143,7 @@
 
 // greetSeeds greets the seeds, which know others, until the store is read.
 func (t *Table) greetSeeds(ctx context.Context) {
-	t.mutex.Lock()
-	seeds := t.seeds
-	t.mutex.Unlock()
-	for _, seed := range seeds {
+	for _, seed := range t.knownSeeds() {
 		if seed != t.config.Address {
 			t.greet(ctx, seed, 0)
 		}
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -44,6 +44,8 @@
 	// membership counts the changes of the set of peers and of their zones.
 	membership uint64
 	joined     bool
+	// tried is set after the first try to join.
+	tried bool
 	// isNew is set where this node had no entry when it joined.
 	isNew bool
 	// lastHeartbeat is when a heartbeat was sent last, and heartbeatDue is set
@@ -191,3 +193,11 @@
 	defer t.mutex.Unlock()
 	return t.joined
 }
+
+// Settled tells whether this node has joined, or has tried to in vain: it then knows
+// whomever it has greeted.
+func (t *Table) Settled() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.joined || t.tried
+}
--- a/internal/watchcache/cache.go
+++ b/internal/watchcache/cache.go
@@ -12,14 +12,19 @@
 	"github.com/pathtally/pathtally/internal/objectwire"
 )
 
-// historyLength bounds how many changes of one kind a cache keeps for followers;
-// whoever is further behind takes a whole listing.
+// historyLength is how many changes of one kind a cache keeps for followers at least, and
+// it keeps as many as there are objects: whoever is further behind takes a whole listing,
+// which is no longer than they are.
 const historyLength = 256
 
 // largeListing is from how many objects on a listing is worth keeping compressed, and
 // worth resuming instead of reading anew: below, it is one or two pages of the store.
 const largeListing = 256
 
+// manyChanges is from how many changes on they are worth compressing for all followers
+// that stand at the same revision.
+const manyChanges = 16
+
 // Cache is the copy of one kind. It only goes forward: whatever is older than
 // the copy is refused. It is safe for use by many goroutines.
 type Cache struct {
@@ -43,6 +48,14 @@
 	// everything; nil for none. It is made once for many of them.
 	compressed   []byte
 	compressedAt uint64
+	// changes are the last compressed series of changes.
+	changes compressedChanges
+}
+
+// compressedChanges are the changes between two revisions; nil bytes for none.
+type compressedChanges struct {
+	from, to uint64
+	bytes    []byte
 }
 
 // historyEntry is a change and the revision of the copy with it.
@@ -84,7 +97,7 @@
 	if !c.listed || at > c.at {
 		c.base, c.history = at, nil
 	}
-	c.compressed = nil
+	c.compressed, c.changes = nil, compressedChanges{}
 	c.listed, c.at, c.afterOutage = true, at, afterOutage
 	c.sink.Replace(objects, afterOutage)
 	c.notify()
@@ -119,7 +132,7 @@
 // trim drops the oldest changes. All of one revision go together, so that no
 // follower gets a part of them. The mutex must be held.
 func (c *Cache) trim() {
-	surplus := len(c.history) - historyLength
+	surplus := len(c.history) - max(historyLength, len(c.objects))
 	if surplus <= 0 {
 		return
 	}
@@ -134,7 +147,7 @@
 	Whole       bool
 	AfterOutage bool
 	Changes     []objectstore.Change
-	// Compressed is a whole listing in place of changes.
+	// Compressed holds the changes where they are many, in their place.
 	Compressed []byte
 }
 
@@ -164,9 +177,28 @@
 			news.Changes = append(news.Changes, entry.change)
 		}
 	}
+	if compressed && len(news.Changes) >= manyChanges && c.compressChanges(revision, news.Changes) {
+		news.Changes, news.Compressed = nil, c.changes.bytes
+		return news, true
+	}
 	return news, len(news.Changes) > 0
 }
 
+// compressChanges has the changes since a revision compressed, and tells whether they are.
+// The mutex must be held.
+func (c *Cache) compressChanges(from uint64, changes []objectstore.Change) bool {
+	if c.changes.bytes != nil && c.changes.from == from && c.changes.to == c.at {
+		return true
+	}
+	compressed, err := objectwire.CompressChanges(changes)
+	if err != nil {
+		c.logger.Error(err, "changes are handed out as they are", "kind", c.kind, "changes", len(changes))
+		return false
+	}
+	c.changes = compressedChanges{from: from, to: c.at, bytes: compressed}
+	return true
+}
+
 // compress has the copy compressed at a revision from which the history goes on, and
 // tells whether it is. The mutex must be held.
 func (c *Cache) compress() bool {
--- a/internal/watchcache/config.go
+++ b/internal/watchcache/config.go
@@ -27,7 +27,7 @@
 	Store   objectstore.Store
 	Peers   environment.Peers
 	// Nodes lists the other nodes known, and Joined tells whether the list has
-	// been read.
+	// been read, or could not be.
 	Nodes  func() []Node
 	Joined func() bool
 	// ProbeKind and ProbeName name an object that is asked for to see whether
--- a/internal/watchcache/follow.go
+++ b/internal/watchcache/follow.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pathtally/pathtally/internal/environment"
+	"github.com/pathtally/pathtally/internal/objectstore"
 	"github.com/pathtally/pathtally/internal/objectwire"
 	"github.com/pathtally/pathtally/internal/wire"
 )
@@ -27,6 +28,10 @@
 	// area: it holds a listing of all replicas, and many nodes that start together
 	// share one link.
 	listingMargin = 2500 * time.Millisecond
+	// relayGather is how long a node of a large area waits after news before it polls
+	// again, so that changes close together cost one message on each of its links. On
+	// two levels it is a small part of the bounds that changes have to be in force within.
+	relayGather = 150 * time.Millisecond
 )
 
 // The outcomes of polls, as metrics name them.
@@ -58,6 +63,9 @@
 			return
 		}
 		s.metrics.polls.WithLabelValues(outcome).Inc()
+		if outcome == outcomeCurrent && place.inTree && s.brought {
+			objectstore.Sleep(ctx, relayGather)
+		}
 		if !s.staysWith(ctx, place, outcome) {
 			s.config.Logger.Info("stopped following reader", "reader", place.parent.Name, "outcome", outcome, "newsAgeMs", s.Age().Milliseconds())
 			return
@@ -104,6 +112,7 @@
 		return outcomeSilent
 	}
 	s.noteHeard(next.node.Name)
+	s.brought = len(news.Kinds) > 0
 	if err := s.take(poll, news); err != nil {
 		s.config.Logger.Error(err, "news of the store not readable", "reader", next.node.Name)
 		return outcomeUnsure
@@ -162,12 +171,18 @@
 // takeKind applies the news of one kind since a revision.
 func takeKind(cache *Cache, kind wire.KindNews, since uint64) error {
 	switch {
-	case kind.Compressed != nil:
+	case kind.Compressed != nil && kind.Whole:
 		objects, err := objectwire.Decompress(kind.Compressed)
 		if err != nil {
 			return err
 		}
 		cache.Replace(objects, kind.Revision, kind.AfterOutage)
+	case kind.Compressed != nil:
+		changes, err := objectwire.DecompressChanges(kind.Compressed)
+		if err != nil {
+			return err
+		}
+		cache.Advance(since, changes, kind.Revision, kind.AfterOutage)
 	case kind.Whole:
 		cache.Replace(objectwire.DecodeAll(kind.Changes), kind.Revision, kind.AfterOutage)
 	default:
--- a/internal/watchcache/source.go
+++ b/internal/watchcache/source.go
@@ -15,13 +15,11 @@
 	// directSpread what is added at random, so that not all stop at once.
 	directTime   = 4 * time.Second
 	directSpread = 2 * time.Second
-	// joinTime is how long a starting node waits for the list of the others,
-	// and joinLook the time between looks at it. One that knows nobody waits for
-	// aloneTime: hundreds that start together and read the store one by one keep each
-	// other from it.
-	joinTime  = time.Second
-	aloneTime = 3 * time.Second
-	joinLook  = 20 * time.Millisecond
+	// joinTime is how long a starting node waits until it has tried to learn who else
+	// there is, and joinLook the time between looks at that. Hundreds that start together
+	// and read the store one by one keep each other from it.
+	joinTime = 3 * time.Second
+	joinLook = 20 * time.Millisecond
 	// modeLook is the time between looks at whether to go on reading.
 	modeLook = 250 * time.Millisecond
 )
@@ -66,7 +64,9 @@
 	// hurried is set after a poll without an answer. relayLeftAt is when a node that
 	// follows another was last left for want of word, and askedAt when the store was
 	// last asked whether it answers. They belong to Run.
-	hurried     bool
+	hurried bool
+	// brought is set after a poll that brought news. It belongs to Run.
+	brought     bool
 	relayLeftAt time.Time
 	askedAt     time.Time
 	// changed is closed at each change of a copy or of the standing.
@@ -106,11 +106,7 @@
 
 // awaitNodes waits until it is known who else there is, but not for long.
 func (s *Source) awaitNodes(ctx context.Context) {
-	for began := time.Now(); !s.config.Joined(); {
-		waited := time.Since(began)
-		if waited >= aloneTime || waited >= joinTime && len(s.config.Nodes()) > 0 {
-			return
-		}
+	for began := time.Now(); !s.config.Joined() && time.Since(began) < joinTime; {
 		if !objectstore.Sleep(ctx, joinLook) {
 			return
 		}
--- a/internal/wire/frame_test.go
+++ b/internal/wire/frame_test.go
@@ -25,6 +25,8 @@
 		{Correlation: 4, Message: &UsagePush{Node: "n", Incarnation: 2, UnixMs: 3, Windows: []UsageWindow{{Number: 4, Counts: []TenantCount{{Tenant: "t", Count: 5}}}}}},
 		{Correlation: 4, Reply: true, Message: &UsageTaken{UnixMs: 6}},
 		{Correlation: 5, Message: &JobSubmit{Job: "j", Route: "r", Host: "h", Payload: []byte("{}"), Tenant: "t"}},
+		{Message: &JobFind{Job: "j"}},
+		{Reply: true, Message: &JobFound{Known: true, Owner: PeerAddress{Node: "n", Address: "a", Incarnation: 3}, Epoch: 2, Tenant: "t", TenantKnown: true}},
 		{Message: &CrashReport{Fingerprint: []byte{1, 2}, Ends: []ReplicaEnd{{Replica: "r", AgoMs: 7}}, Served: true}},
 		{Message: &Done{}},
 	}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -332,6 +332,27 @@
 	Routes []string
 	// Entry is the region through which the job came, empty for unknown.
 	Entry string
+	// Items is how many items the job has, those that are listed included; 0 for
+	// unknown.
+	Items uint32
+}
+
+// JobFind asks one of the nodes that are told of a batch job who runs it.
+type JobFind struct {
+	Job string
+}
+
+// JobFound answers a JobFind.
+type JobFound struct {
+	Known bool
+	// Owner is the node that runs the job, and the process there.
+	Owner PeerAddress
+	// Epoch counts the job's owners; 0 for unknown.
+	Epoch uint32
+	Ended bool
+	// Tenant is whose job it is, if TenantKnown.
+	Tenant      string
+	TenantKnown bool
 }
 
 // ItemLength is how many events the text of an item of a batch job has: at
--- a/internal/wire/schema/peer.capnp
+++ b/internal/wire/schema/peer.capnp
@@ -52,6 +52,8 @@
     permitAsk @40 :PermitAsk;
     permitGrant @41 :PermitGrant;
     crashReport @42 :CrashReport;
+    jobFind @43 :JobFind;
+    jobFound @44 :JobFound;
   }
 }
 
@@ -314,6 +316,20 @@
   items @8 :UInt32;         # items of the job, listed ones included; 0 for unknown
 }
 
+# Asks one of the nodes that are told of a batch job who runs it.
+struct JobFind {
+  job @0 :Text;
+}
+
+struct JobFound {
+  known @0 :Bool;
+  owner @1 :PeerAddress;    # the node that runs it, and the process there
+  epoch @2 :UInt32;         # counts the job's owners; 0 for unknown
+  ended @3 :Bool;
+  tenant @4 :Text;          # whose job it is, if tenantKnown
+  tenantKnown @5 :Bool;
+}
+
 struct ItemLength {
   item @0 :Text;
   events @1 :UInt32;        # how many its text has at the least
@@ -400,10 +416,10 @@
   whole @2 :Bool;           # the changes are a whole listing, not what came since
   afterOutage @3 :Bool;     # entries may have vanished because of the store
   changes @4 :List(ObjectChange);
-  compressed @5 :Data;      # a whole listing in place of changes, to senders of polls that can read it
+  compressed @5 :Data;      # the changes as a compressed Listing, in their place, to senders of polls that can read it
 }
 
-# The objects of a compressed listing.
+# The objects of a compressed listing, or compressed changes.
 struct Listing {
   objects @0 :List(ObjectChange);
 }
--- a/internal/wire/union.go
+++ b/internal/wire/union.go
@@ -194,6 +194,16 @@
 	return insert(schema.PermitGrant_TypeID, capnp.Struct(body), err, m)
 }
 
+func (m *JobFind) attach(root schema.Frame) error {
+	body, err := root.NewJobFind()
+	return insert(schema.JobFind_TypeID, capnp.Struct(body), err, m)
+}
+
+func (m *JobFound) attach(root schema.Frame) error {
+	body, err := root.NewJobFound()
+	return insert(schema.JobFound_TypeID, capnp.Struct(body), err, m)
+}
+
 func (m *CrashReport) attach(root schema.Frame) error {
 	body, err := root.NewCrashReport()
 	return insert(schema.CrashReport_TypeID, capnp.Struct(body), err, m)
@@ -325,6 +335,12 @@
 	case schema.Frame_Which_permitGrant:
 		body, err := root.PermitGrant()
 		return extract[PermitGrant](schema.PermitGrant_TypeID, capnp.Struct(body), err)
+	case schema.Frame_Which_jobFind:
+		body, err := root.JobFind()
+		return extract[JobFind](schema.JobFind_TypeID, capnp.Struct(body), err)
+	case schema.Frame_Which_jobFound:
+		body, err := root.JobFound()
+		return extract[JobFound](schema.JobFound_TypeID, capnp.Struct(body), err)
 	case schema.Frame_Which_crashReport:
 		body, err := root.CrashReport()
 		return extract[CrashReport](schema.CrashReport_TypeID, capnp.Struct(body), err)
--- a/internal/wire/watch.go
+++ b/internal/wire/watch.go
@@ -36,7 +36,8 @@
 	Whole       bool
 	AfterOutage bool
 	Changes     []ObjectChange
-	// Compressed is a whole listing in place of Changes (package objectwire).
+	// Compressed holds the changes where they are many, in their place (package
+	// objectwire).
 	Compressed []byte
 }
 
