Homes by items, news of jobs and of the lease to those concerned, idle nodes asleep

Starts and ends of jobs, renewals of the lease and planned stops went to all nodes. Nodes without jobs woke ten times a second.

Change: a model keeps four slots for each item of its largest job of late; homes are worked out when replicas or the demand change; tasks are sorted once a round, and half of a model's homes at most load ahead of need. Beyond 128 nodes a start, an end or a planned stop is told to the twelve first in rank for the job and to those that hear every heartbeat; a node that is asked about a job that it does not know asks three of these, and the store only then. The lease is told to 48 followers. Watching of owners and heartbeats wait for the first job; their looks begin at a random moment, as before.

--- a/internal/batch/authorize.go
+++ b/internal/batch/authorize.go
@@ -15,6 +15,10 @@
 		return nil
 	}
 	holder, known := s.tenantOf(id)
+	if !known {
+		s.locate(ctx, id)
+		holder, known = s.tenantOf(id)
+	}
 	if !known {
 		standing, err := s.config.Journal.Look(ctx, id)
 		if err != nil {
--- a/internal/batch/beat.go
+++ b/internal/batch/beat.go
@@ -44,6 +44,7 @@
 func (s *Service) TakeBeat(beat *wire.NodeBeat) {
 	s.mutex.Lock()
 	s.uses[beat.Node] = usesOf(beat)
+	s.toWatch.set()
 	for _, told := range beat.Tolerances {
 		s.limitTolerance(told.Model, told.Versions)
 	}
@@ -155,10 +156,18 @@
 		"chunks", held.chunks, "appending", !held.appendingSince.IsZero())
 }
 
-// beat sends heartbeats while this node has something to tell.
+// beat sends heartbeats while this node has something to tell, and waits for that
+// otherwise: most nodes of a large deployment never run a job.
 func (s *Service) beat(ctx context.Context) {
 	quiet := 0
-	for objectstore.Sleep(ctx, beatPeriod) {
+	for {
+		if quiet > idleBeats {
+			if !s.toTell.wait(ctx) {
+				return
+			}
+		} else if !objectstore.Sleep(ctx, beatPeriod) {
+			return
+		}
 		if s.OpenJobs() > 0 || s.tellsEnds() {
 			quiet = 0
 		} else {
--- a/internal/batch/demand.go
+++ b/internal/batch/demand.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/pathtally/pathtally/internal/weightorders"
 	"github.com/pathtally/pathtally/internal/wire"
 )
 
@@ -16,7 +17,9 @@
 type knownWork struct {
 	model  string
 	tokens float64
-	at     time.Time
+	// items is how many the job has, 0 for unknown.
+	items int
+	at    time.Time
 }
 
 // work tells how much a job has to do.
@@ -28,7 +31,7 @@
 	for _, submitted := range j.submission.Items {
 		tokens += submitted.ExpectedTokens
 	}
-	return wire.JobWork{Job: j.id, Model: j.submission.Model, ExpectedTokens: uint64(tokens), Tenant: j.record.Tenant, Epoch: uint32(j.record.Epoch), Open: uint32(open)}
+	return wire.JobWork{Job: j.id, Model: j.submission.Model, ExpectedTokens: uint64(tokens), Tenant: j.record.Tenant, Epoch: uint32(j.record.Epoch), Open: uint32(open), Items: uint32(len(j.submission.Items))}
 }
 
 // workOf is what heartbeats tell of a job. Where no homes are declared nobody asks
@@ -47,23 +50,25 @@
 	if _, known := s.works[work.Job]; known || work.Model == "" {
 		return
 	}
-	s.works[work.Job] = knownWork{model: work.Model, tokens: float64(work.ExpectedTokens), at: time.Now()}
+	s.works[work.Job] = knownWork{model: work.Model, tokens: float64(work.ExpectedTokens), items: int(work.Items), at: time.Now()}
 }
 
 // Demand is the mean work of the batch jobs of each model of late, in tokens
-// that they were expected to make.
-func (s *Service) Demand() map[string]float64 {
+// that they were expected to make, and the items of the largest of them.
+func (s *Service) Demand() weightorders.Demand {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	sums, counts := map[string]float64{}, map[string]float64{}
+	demand := weightorders.Demand{Tokens: map[string]float64{}, Items: map[string]int{}}
+	counts := map[string]float64{}
 	for _, work := range s.works {
-		sums[work.model] += work.tokens
+		demand.Tokens[work.model] += work.tokens
+		demand.Items[work.model] = max(demand.Items[work.model], work.items)
 		counts[work.model]++
 	}
 	for model, count := range counts {
-		sums[model] /= count
+		demand.Tokens[model] /= count
 	}
-	return sums
+	return demand
 }
 
 // evictWorks forgets old batch jobs. The mutex must be held.
--- a/internal/batch/end.go
+++ b/internal/batch/end.go
@@ -23,17 +23,18 @@
 	case s.endAtOwner(ctx, id):
 		return nil
 	}
-	if _, err := s.recordEnd(ctx, id); err != nil {
+	standing, err := s.recordEnd(ctx, id)
+	if err != nil {
 		return err
 	}
 	s.noteEnded(id)
-	s.config.Table.Broadcast()
+	s.announce(id, standing.Record.Owner.Node)
 	return nil
 }
 
 // endAtOwner has the owner of a job end it, and tells whether it has.
 func (s *Service) endAtOwner(ctx context.Context, id string) bool {
-	owner, known := s.ownerOf(id)
+	owner, known := s.ownerOf(ctx, id)
 	if !known {
 		return false
 	}
@@ -71,7 +72,8 @@
 		s.takeRecord(held, standing, began)
 	}
 	s.mutex.Unlock()
-	s.config.Table.Broadcast()
+	s.toTell.set()
+	s.announce(id, standing.Record.Owner.Node)
 	return nil
 }
 
@@ -115,4 +117,6 @@
 	defer s.mutex.Unlock()
 	s.endLocally(id)
 	s.ends.learnHere(id)
+	s.toTell.set()
+	s.toWatch.set()
 }
--- a/internal/batch/epoch_test.go
+++ b/internal/batch/epoch_test.go
@@ -40,12 +40,12 @@
 		{"node-7", 0, "node-7", true},
 	} {
 		before := time.Time{}
-		if owner, known := node.ownerOf("job"); known && owner.Node != "" {
+		if owner, known := node.knownOwner("job"); known && owner.Node != "" {
 			before = heard()
 		}
 		time.Sleep(time.Millisecond)
 		node.TakeBeat(beat(test.from, test.epoch))
-		if owner, _ := node.ownerOf("job"); owner.Node != test.owner {
+		if owner, _ := node.knownOwner("job"); owner.Node != test.owner {
 			t.Errorf("after a heartbeat of %s in epoch %d the owner is %s, want %s", test.from, test.epoch, owner.Node, test.owner)
 		}
 		if heard().After(before) != test.heard {
--- a/internal/batch/evict.go
+++ b/internal/batch/evict.go
@@ -20,7 +20,9 @@
 		}
 	}
 	for id, standing := range s.known {
-		if standing.ended && time.Since(standing.heard) > endedMemory {
+		// A node that no owner tells of a job knows it from a question, and asks again.
+		untold := !s.config.Table.TellsAll() && s.cachedRank(id, standing) >= locators
+		if (standing.ended || untold) && time.Since(standing.heard) > endedMemory {
 			delete(s.known, id)
 		}
 	}
--- a/internal/batch/final_test.go
+++ b/internal/batch/final_test.go
@@ -74,7 +74,7 @@
 		t.Fatal(err)
 	}
 	eventually(t, "the reader knows of the job", func() bool {
-		_, known := reader.ownerOf("job")
+		_, known := reader.knownOwner("job")
 		return known
 	})
 	owner.mutex.Lock()
--- a/internal/batch/late_create_test.go
+++ b/internal/batch/late_create_test.go
@@ -63,7 +63,7 @@
 		t.Fatal(err)
 	}
 	eventually(t, "the slow node knows who owns the job", func() bool {
-		owner, known := slow.ownerOf("job")
+		owner, known := slow.knownOwner("job")
 		return known && owner.Node == other.config.Self.Node
 	})
 	slow.mutex.Lock()
--- a/internal/batch/leave.go
+++ b/internal/batch/leave.go
@@ -20,7 +20,25 @@
 	s.leaving = true
 	s.logKept()
 	s.mutex.Unlock()
-	s.config.Table.Broadcast()
+	s.config.Table.Tell(s.concernedByLeave())
+}
+
+// concernedByLeave names the nodes that know of open jobs here. Those that would offer
+// this node a job learn it from its answer.
+func (s *Service) concernedByLeave() []string {
+	var open []string
+	s.mutex.Lock()
+	for id, held := range s.jobs {
+		if held.open() {
+			open = append(open, id)
+		}
+	}
+	s.mutex.Unlock()
+	var concerned []string
+	for _, id := range open {
+		concerned = append(concerned, s.locatorsOf(id)...)
+	}
+	return concerned
 }
 
 // flushTexts has the texts of running items saved now.
--- a/internal/batch/ownerwatch.go
+++ b/internal/batch/ownerwatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/pathtally/pathtally/internal/objectstore"
@@ -10,7 +11,8 @@
 // ownerLook is the time between looks at the owners.
 const ownerLook = 150 * time.Millisecond
 
-// watchOwners takes over the jobs whose owners have fallen silent.
+// watchOwners takes over the jobs whose owners have fallen silent. While no job is known
+// it waits for one.
 func (s *Service) watchOwners(ctx context.Context) {
 	pauses := newPauseDetector(s.config.Clock)
 	for objectstore.Sleep(ctx, ownerLook) {
@@ -25,9 +27,24 @@
 		for id, gone := range s.orphans() {
 			go s.takeOver(ctx, id, gone)
 		}
+		if s.knowsNoJob() {
+			// The watchers of a job hear of it together, and so does its owner look at it;
+			// they need not all ask the store at the same moments.
+			if !s.toWatch.wait(ctx) || !objectstore.Sleep(ctx, rand.N(ownerLook)) {
+				return
+			}
+			pauses = newPauseDetector(s.config.Clock)
+		}
 	}
 }
 
+// knowsNoJob tells whether there is no job to watch or to forget, here or elsewhere.
+func (s *Service) knowsNoJob() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.jobs) == 0 && len(s.known) == 0 && len(s.uses) == 0 && len(s.ends.learnt) == 0 && len(s.lengths) == 0 && len(s.works) == 0
+}
+
 const (
 	// confirmPeriod is how often the record of an open job is looked up. An owner to
 	// which an end was not told finds it there; with the time that a look may take it
--- a/internal/batch/peers.go
+++ b/internal/batch/peers.go
@@ -15,6 +15,8 @@
 		reply(s.answerRead(question))
 	case *wire.JobItem:
 		reply(s.answerItem(question))
+	case *wire.JobFind:
+		reply(s.answerFind(question))
 	case *wire.JobEnd:
 		s.answerEnd(question, reply)
 	case *wire.JobOffer:
--- a/internal/batch/read.go
+++ b/internal/batch/read.go
@@ -36,7 +36,7 @@
 	if page, final := s.readFinal(id, after); final {
 		return page, nil
 	}
-	owner, known := s.ownerOf(id)
+	owner, known := s.ownerOf(ctx, id)
 	if known {
 		if page, err := s.readFrom(ctx, owner, id, after, patience); err == nil {
 			return page, nil
@@ -125,17 +125,6 @@
 	return pageAfter(j.listed[:len(j.listed):len(j.listed)], after, len(j.items))
 }
 
-// ownerOf tells which other node runs a job.
-func (s *Service) ownerOf(id string) (Owner, bool) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	standing := s.known[id]
-	if standing == nil {
-		return Owner{}, false
-	}
-	return standing.owner, true
-}
-
 // readFrom reads a job from the node that runs it.
 func (s *Service) readFrom(ctx context.Context, owner Owner, id string, after int, patience time.Duration) (Page, error) {
 	question := &wire.JobRead{Job: id, After: uint32(after), WaitMs: uint32(patience.Milliseconds())}
@@ -159,7 +148,7 @@
 	if held != nil {
 		return bodyOf(held.submission, itemID)
 	}
-	if owner, known := s.ownerOf(id); known {
+	if owner, known := s.ownerOf(ctx, id); known {
 		message, err := environment.Ask(ctx, s.config.Peers, owner.Address, &wire.JobItem{Job: id, Item: itemID}, peerMargin)
 		if body, ok := message.(*wire.JobItemBody); ok && err == nil && body.Known {
 			if !body.Found {
--- a/internal/batch/remotejob.go
+++ b/internal/batch/remotejob.go
@@ -53,6 +53,7 @@
 	if standing == nil {
 		standing = &remoteJob{}
 		s.known[id] = standing
+		s.toWatch.set()
 	}
 	switch {
 	case standing.owner == owner:
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -79,7 +79,11 @@
 	rewardBounds map[string]*admission.Adaptive
 	leaving      bool
 	recovered    bool
-	wake         chan struct{}
+	wake         signal
+	// toTell is set when this node has something to tell in heartbeats, and toWatch when
+	// there is a job whose owner has to be watched.
+	toTell  signal
+	toWatch signal
 }
 
 // NewService returns a service that does nothing before Run.
@@ -91,7 +95,7 @@
 		tolerances: map[string]int64{}, lengths: map[string]knownLength{}, eventRates: map[string]*placement.EventRate{},
 		works: map[string]knownWork{}, avoided: map[string]time.Time{}, storedLoads: map[string]*storedLoad{},
 		rewardBounds: map[string]*admission.Adaptive{},
-		wake:         make(chan struct{}, 1),
+		wake:         newSignal(), toTell: newSignal(), toWatch: newSignal(),
 	}
 }
 
@@ -121,12 +125,7 @@
 func (s *Service) LookAgain() { s.nudge() }
 
 // nudge has the scheduler look again.
-func (s *Service) nudge() {
-	select {
-	case s.wake <- struct{}{}:
-	default:
-	}
-}
+func (s *Service) nudge() { s.wake.set() }
 
 // priorityOf is the rank of a job's items, 0 the most urgent: that of its tenant,
 // else that of its route.
--- a/internal/batch/start.go
+++ b/internal/batch/start.go
@@ -45,7 +45,9 @@
 		"step", submission.Step, "model", submission.Model, "minVersion", submission.MinVersion, "desired", submission.Desired)
 	go s.publish(started)
 	s.nudge()
-	s.config.Table.Broadcast()
+	s.toTell.set()
+	s.toWatch.set()
+	s.announce(id)
 }
 
 // newJob returns a job whose items have their ranks; those that are listed are
--- a/internal/batch/watchers_test.go
+++ b/internal/batch/watchers_test.go
@@ -52,7 +52,7 @@
 	}
 	eventually(t, "all nodes have heard of the job", func() bool {
 		for _, node := range made.nodes[1:] {
-			if _, known := node.ownerOf("job"); !known {
+			if _, known := node.knownOwner("job"); !known {
 				return false
 			}
 		}
@@ -150,7 +150,7 @@
 		}
 	}
 	for _, node := range cluster.nodes {
-		eventually(t, "the demand of both jobs is known", func() bool { return node.Demand()["m"] == 400 })
+		eventually(t, "the demand of both jobs is known", func() bool { return node.Demand().Tokens["m"] == 400 })
 	}
 }
 
@@ -190,7 +190,7 @@
 	})
 	outsider := cluster.addOutsider("outsider", []*testEngine{engine})
 	eventually(t, "the job is known", func() bool {
-		_, known := outsider.ownerOf("job")
+		_, known := outsider.knownOwner("job")
 		return known && outsider.Recovered()
 	})
 	if outsider.table.Joined() {
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -33,8 +33,9 @@
 	// not been heard.
 	Nodes   func() []string
 	Silence func(node string) time.Duration
-	// Broadcast tells all nodes what this one has seen of the lease.
-	Broadcast func()
+	// Tell tells the nodes named, or all where they are few, what this one has seen of
+	// the lease.
+	Tell func(nodes []string)
 }
 
 // Keeper decides when this node goes for the lease, and lets its calls pass only
@@ -95,7 +96,12 @@
 
 // acquire tries once to get the lease. acquiring must be held.
 func (k *Keeper) acquire(ctx context.Context, duty string) (ready bool, again time.Duration) {
+	known := k.config.Lease.Seen().Revision
 	pause, err := k.config.Lease.Acquire(ctx)
+	if pause > 0 && k.config.Lease.Seen().Revision != known && !k.IsCandidate() {
+		// The holder is at work, and does not tell this node.
+		k.forgetWork()
+	}
 	if err != nil {
 		k.retry = min(max(LookPeriod, 2*k.retry), longestRetry)
 		k.config.Logger.Info("duty lease not acquired", "duty", duty, "error", err.Error(), "retryMs", k.retry.Milliseconds())
@@ -108,10 +114,17 @@
 	}
 	token, _ := k.config.Lease.Valid()
 	k.config.Logger.Info("duty lease acquired", "duty", duty, "token", token)
-	k.config.Broadcast()
+	k.tell()
 	return true, 0
 }
 
+// forgetWork has work that has waited count as new.
+func (k *Keeper) forgetWork() {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	clear(k.since)
+}
+
 // Idle tells that a duty has nothing to do.
 func (k *Keeper) Idle(duty string) {
 	k.mutex.Lock()
@@ -129,7 +142,7 @@
 	}
 	k.awaited = seen.Revision
 	k.config.Logger.Info("waiting for the duty lease", "holder", seen.Holder, "revision", seen.Revision, "waitMs", pause.Milliseconds())
-	k.config.Broadcast()
+	k.tell()
 }
 
 // Observe takes another node's word of the lease. A node may so learn that it
--- a/internal/duty/release.go
+++ b/internal/duty/release.go
@@ -31,7 +31,7 @@
 		return
 	}
 	k.config.Logger.Info("duty lease released")
-	k.config.Broadcast()
+	k.tell()
 }
 
 // callsEnded waits until no call is open, and tells whether none may arrive yet.
--- a/internal/duty/turn.go
+++ b/internal/duty/turn.go
@@ -19,6 +19,10 @@
 	// whether there is work to do. More would do the same work for nothing: each
 	// further one waits turnDelay longer.
 	candidates = 5
+	// followersTold is how many nodes hear of the lease at each renewal, in the order in
+	// which they would follow its holder. The next ones wait for half a minute and more
+	// before they look at the store themselves.
+	followersTold = 48
 )
 
 // myTurn tells whether this node is the one to go for the lease, where work has
@@ -67,6 +71,9 @@
 	return named
 }
 
+// tell tells the last holder and those that would follow it what this node has seen.
+func (k *Keeper) tell() { k.config.Tell(k.Informed(followersTold)) }
+
 // first names the first nodes in rank to follow a holder.
 func (k *Keeper) first(count int, holder string) []string {
 	ranked := k.ranked(holder)
--- a/internal/usage/service_test.go
+++ b/internal/usage/service_test.go
@@ -139,7 +139,7 @@
 	node := &testNode{name: name, incarnation: incarnation, net: n, stop: stop}
 	node.keeper = duty.NewKeeper(duty.Config{
 		Node: name, Lease: duty.NewLease(name, fmt.Sprint(incarnation), 0, store, clock.Steady), Clock: clock.Steady, Logger: klog.Background(),
-		Nodes: func() []string { return names }, Broadcast: func() { node.tell() },
+		Nodes: func() []string { return names }, Tell: func([]string) { node.tell() },
 		Silence: func(other string) time.Duration {
 			at, _ := node.heard.Load(other)
 			heard, _ := at.(time.Time)
--- a/internal/weightorders/coordinator.go
+++ b/internal/weightorders/coordinator.go
@@ -50,9 +50,8 @@
 	// Tolerance is by how many versions the batch jobs of a model let the
 	// weights be behind.
 	Tolerance func(model string) int64
-	// Demand is how much work the jobs of each model have lately brought, in any
-	// unit.
-	Demand func() map[string]float64
+	// Demand is how much work the jobs of each model have lately brought.
+	Demand func() Demand
 	// OnChange is told what becomes of replicas; Changed tells the peers that
 	// have to do with it.
 	OnChange func(change wire.ReplicaVersion)
@@ -75,7 +74,9 @@
 	told      []wire.ReplicaVersion
 	wake      chan struct{}
 	// planned is the demand that replicas are shared out by. It belongs to Run.
-	planned map[string]float64
+	planned Demand
+	// homePlans are the homes of the models of each service. They belong to Run.
+	homePlans map[string]*homePlan
 }
 
 // NewCoordinator returns a coordinator that has not started.
@@ -85,7 +86,7 @@
 	return &Coordinator{
 		config: config, loads: loads,
 		versions: map[string]map[string]int64{}, loading: map[string]wire.ReplicaVersion{}, leftAlone: map[string]time.Time{},
-		wake: make(chan struct{}, 1),
+		homePlans: map[string]*homePlan{}, wake: make(chan struct{}, 1),
 	}
 }
 
@@ -121,7 +122,7 @@
 func (c *Coordinator) step(ctx context.Context) time.Duration {
 	view := c.config.Directory.View()
 	c.forgetGone(view.Replicas)
-	open := tasks(view, c, c.plannedDemand())
+	open := c.tasks(view, c.plannedDemand())
 	open = slices.DeleteFunc(open, c.isUnderWay)
 	c.mutex.Lock()
 	idle := len(open) == 0 && len(c.loading) == 0
@@ -144,8 +145,8 @@
 
 // plannedDemand is the demand that replicas are shared out by: the one known
 // now, but for small differences.
-func (c *Coordinator) plannedDemand() map[string]float64 {
-	if demand := c.config.Demand(); differs(c.planned, demand) {
+func (c *Coordinator) plannedDemand() Demand {
+	if demand := c.config.Demand(); demand.differsFrom(c.planned) {
 		c.planned = demand
 	}
 	return c.planned
--- a/internal/weightorders/coordinator_test.go
+++ b/internal/weightorders/coordinator_test.go
@@ -73,11 +73,11 @@
 		var keeper *duty.Keeper
 		keeper = duty.NewKeeper(duty.Config{
 			Node: node, Lease: duty.NewLease(node, nonce, duty.DefaultTerm, f.store, clock.Steady), Clock: clock.Steady, Logger: klog.Background(),
-			Nodes: func() []string { return nodes }, Silence: func(string) time.Duration { return time.Hour }, Broadcast: func() { f.tell(keeper) },
+			Nodes: func() []string { return nodes }, Silence: func(string) time.Duration { return time.Hour }, Tell: func([]string) { f.tell(keeper) },
 		})
 		made := NewCoordinator(Config{
 			Keeper: keeper, Directory: f.table, Replicas: f.replicas, Logger: klog.Background(), Registry: prometheus.NewRegistry(),
-			Load: func(string) int { return 0 }, Tolerance: func(string) int64 { return 0 }, Demand: func() map[string]float64 { return nil }, OnChange: f.list,
+			Load: func(string) int { return 0 }, Tolerance: func(string) int64 { return 0 }, Demand: func() Demand { return Demand{} }, OnChange: f.list,
 			Changed: func() { f.tell(keeper) },
 		})
 		coordinators = append(coordinators, made)
--- a/internal/weightorders/homes.go
+++ b/internal/weightorders/homes.go
@@ -14,12 +14,31 @@
 // doubled ones were no better in trials (docs/PLATFORM.md, "Orders").
 const homeShare = 4.0 / 3
 
-// homes gives each model the replicas that keep up with it. First each replica
-// gets one model, so that each model has its share of them; then each model gets
-// some more, so that models with much work find slots where others leave them. A
-// replica that keeps up with few models loads seldom, and the loads that run at
-// once are bounded.
-func homes(replicas []*directory.Replica, shares []share) map[string][]*directory.Replica {
+// homeHeadroom is how many slots the homes of a model have for each item of a job: the
+// items of two jobs at once, while half of the homes load or are a version behind. More
+// homes would take loads for nothing: of some thousand replicas, jobs of a hundred items
+// use some dozen.
+const homeHeadroom = 4
+
+// mostHomes is how many replicas a model needs for jobs of some items, 0 for no bound.
+func mostHomes(items, slots int) int {
+	if items <= 0 {
+		return 0
+	}
+	slots = max(1, slots)
+	return max(leastHomes, (homeHeadroom*items+slots-1)/slots)
+}
+
+// leastHomes is how many replicas a model has however small its jobs are, so that the
+// loss of one stops nothing.
+const leastHomes = 2
+
+// homes gives each model the replicas that keep up with it, those that it has anyway
+// first. First each replica gets one model, so that each model has its share of them;
+// then each model gets some more, so that models with much work find slots where others
+// leave them. A replica that keeps up with few models loads seldom, and the loads that
+// run at once are bounded. Models with a bound keep no more replicas than that.
+func homes(replicas []*directory.Replica, shares []share, most map[string]int) map[string][]*directory.Replica {
 	kept := map[string][]*directory.Replica{}
 	if len(shares) == 0 {
 		return kept
@@ -34,15 +53,37 @@
 		counts[replica.ID]++
 	}
 	for _, share := range shares {
-		most := min(len(replicas), int(math.Ceil(homeShare*share.part*float64(len(replicas)))))
-		for _, extra := range leastShared(ordered, share.model, counts, kept[share.model], most-len(kept[share.model])) {
+		wanted := min(len(replicas), int(math.Ceil(homeShare*share.part*float64(len(replicas)))))
+		for _, extra := range leastShared(ordered, share.model, counts, kept[share.model], wanted-len(kept[share.model])) {
 			kept[share.model] = append(kept[share.model], extra)
 			counts[extra.ID]++
 		}
 	}
+	for model, bound := range most {
+		if bound > 0 && len(kept[model]) > bound {
+			kept[model] = heaviest(kept[model], model, bound)
+		}
+	}
 	return kept
 }
 
+// heaviest are the replicas of greatest weight for a model, so that few change when
+// replicas come and go.
+func heaviest(replicas []*directory.Replica, model string, count int) []*directory.Replica {
+	weighed := make([]weighedReplica, 0, len(replicas))
+	for _, replica := range replicas {
+		weighed = append(weighed, weighedReplica{Replica: replica, weight: pairWeight(replica, model)})
+	}
+	slices.SortFunc(weighed, func(a, b weighedReplica) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.ID, b.ID))
+	})
+	chosen := make([]*directory.Replica, 0, count)
+	for _, replica := range weighed[:count] {
+		chosen = append(chosen, replica.Replica)
+	}
+	return chosen
+}
+
 // preferred is the model of greatest weight for a replica among those allowed.
 func preferred(shares []share, replica *directory.Replica, allowed func(model string) bool) string {
 	best, bestWeight := "", uint64(0)
--- a/internal/weightorders/homes_test.go
+++ b/internal/weightorders/homes_test.go
@@ -57,6 +57,6 @@
 	all := replicas(3000)
 	shares := sharesOf([]string{"a", "b", "c"}, map[string]float64{"a": 2, "b": 1, "c": 1})
 	for b.Loop() {
-		homes(all, shares)
+		homes(all, shares, nil)
 	}
 }
--- a/internal/weightorders/load.go
+++ b/internal/weightorders/load.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"github.com/pathtally/pathtally/internal/objectstore"
@@ -12,18 +11,20 @@
 
 // begin starts as many loads as may run at once.
 func (c *Coordinator) begin(ctx context.Context, open []task, atOnce int) {
-	for len(open) > 0 {
-		loading, underWay := c.loadingByModel()
-		if underWay >= atOnce {
+	loading, underWay := c.loadingByModel()
+	for i := range open {
+		open[i].load = c.config.Load(open[i].target.ID)
+	}
+	queue := newTurns(open, loading)
+	for ; underWay < atOnce; underWay++ {
+		next, found := queue.next()
+		if !found {
 			return
 		}
-		order(open, loading, c.config.Load)
-		next := open[0]
 		c.mutex.Lock()
 		c.loading[next.target.ID] = wire.ReplicaVersion{Replica: next.target.ID, Model: next.model, Version: next.version, Loading: true}
 		c.mutex.Unlock()
 		go c.bring(ctx, next)
-		open = slices.DeleteFunc(open, func(other task) bool { return other.target == next.target })
 	}
 }
 
--- a/internal/weightorders/plan.go
+++ b/internal/weightorders/plan.go
@@ -1,10 +1,8 @@
 package weightorders
 
 import (
-	"cmp"
-	"slices"
-
 	"github.com/pathtally/pathtally/internal/directory"
+	"github.com/pathtally/pathtally/internal/routing"
 )
 
 // task is a replica that is to get a model's version.
@@ -19,6 +17,8 @@
 	kept    int
 	// ahead is set where the replica can do without the version for now.
 	ahead bool
+	// load is how many items run at the replica.
+	load int
 }
 
 // knowledge is what decides whether a replica needs a version.
@@ -64,51 +64,50 @@
 // tasks are all replicas that lack the named version of a model that they keep
 // up with. Those in evacuated zones are to get nothing, so the models are shared among
 // the others.
-func tasks(view *directory.View, known knowledge, demand map[string]float64) []task {
+func (c *Coordinator) tasks(view *directory.View, demand Demand) []task {
 	if view.Configuration == nil {
 		return nil
 	}
 	var open []task
-	byService := map[string][]*directory.Replica{}
-	for _, replica := range view.Replicas {
-		if view.IsEvacuated(replica.Zone) {
+	for name, service := range view.Configuration.Services {
+		if service.Engine == nil {
 			continue
 		}
-		byService[replica.Service] = append(byService[replica.Service], replica)
-	}
-	for name, replicas := range byService {
-		if !servesModels(view, name) {
-			continue
+		models := service.Engine.Models
+		most := map[string]int{}
+		for _, model := range models {
+			most[model] = mostHomes(demand.Items[model], slotsOf(view.Plans[name]))
 		}
-		service := view.Configuration.Services[name]
-		for model, kept := range homes(replicas, sharesOf(service.Engine.Models, demand)) {
-			open = append(open, tasksOf(known, model, view.Named[model], kept)...)
+		for model, ids := range c.homesOf(view, name, sharesOf(models, demand.Tokens), most) {
+			open = append(open, tasksOf(c, model, view.Named[model], listed(view, ids))...)
 		}
 	}
 	return open
 }
 
-// order sorts tasks by which is to be done first: those that must before those
-// done ahead; of the model with the smallest part of its replicas current, those
-// that load now among them, so that no model waits for all loads of another and
-// one with more work gets more; then of the replica furthest behind, then of the
-// least used.
-func order(open []task, loading map[string]int, used func(replica string) int) {
-	slices.SortFunc(open, func(a, b task) int {
-		if a.ahead != b.ahead {
-			return placeOf(a.ahead) - placeOf(b.ahead)
-		}
-		if current := cmp.Compare(a.part(loading), b.part(loading)); current != 0 {
-			return current
+// listed are the replicas of some ids.
+func listed(view *directory.View, ids []string) []*directory.Replica {
+	replicas := make([]*directory.Replica, 0, len(ids))
+	for _, id := range ids {
+		if replica := view.Replicas[id]; replica != nil {
+			replicas = append(replicas, replica)
 		}
-		if behind := cmp.Compare(b.version-b.has, a.version-a.has); behind != 0 {
-			return behind
-		}
-		if load := cmp.Compare(used(a.target.ID), used(b.target.ID)); load != 0 {
-			return load
+	}
+	return replicas
+}
+
+// slotsOf is how many slots the smallest replica of a plan has.
+func slotsOf(plan *routing.Plan) int {
+	if plan == nil {
+		return 1
+	}
+	least := 0
+	for _, endpoint := range plan.Endpoints() {
+		if least == 0 || endpoint.Slots < least {
+			least = endpoint.Slots
 		}
-		return cmp.Compare(a.target.ID, b.target.ID)
-	})
+	}
+	return max(1, least)
 }
 
 // part is the part of a model's replicas that are current or load now.
@@ -124,17 +123,15 @@
 	return 0
 }
 
-// servesModels tells whether the replicas of a service are model engines.
-func servesModels(view *directory.View, service string) bool {
-	return view.Configuration != nil && view.Configuration.Services[service].Engine != nil
-}
-
 // engineReplicas counts the replicas that are model engines.
 func engineReplicas(view *directory.View) int {
+	if view.Configuration == nil {
+		return 0
+	}
 	count := 0
-	for _, replica := range view.Replicas {
-		if servesModels(view, replica.Service) {
-			count++
+	for name, service := range view.Configuration.Services {
+		if plan := view.Plans[name]; plan != nil && service.Engine != nil {
+			count += len(plan.Endpoints())
 		}
 	}
 	return count
--- a/internal/weightorders/plan_test.go
+++ b/internal/weightorders/plan_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 
 	"k8s.io/klog/v2"
 
 	"github.com/pathtally/pathtally/internal/directory"
+	"github.com/pathtally/pathtally/internal/routing"
 )
 
 func replicas(count int) []*directory.Replica {
@@ -25,7 +27,7 @@
 		}
 		all := replicas(test.replicas)
 		kept := map[string]int{}
-		for model, homes := range homes(all, sharesOf(models, nil)) {
+		for model, homes := range homes(all, sharesOf(models, nil), nil) {
 			if len(homes) != test.each {
 				t.Errorf("%d replicas, %d models: %s has %d", test.replicas, test.models, model, len(homes))
 			}
@@ -48,7 +50,7 @@
 func TestHomesStayWhenAReplicaGoes(t *testing.T) {
 	models := []string{"a", "b", "c"}
 	all := replicas(9)
-	before := homes(all, sharesOf(models, nil))
+	before := homes(all, sharesOf(models, nil), nil)
 	has := map[string]bool{}
 	for model, kept := range before {
 		for _, replica := range kept {
@@ -56,7 +58,7 @@
 		}
 	}
 	added := 0
-	for model, kept := range homes(all[1:], sharesOf(models, nil)) {
+	for model, kept := range homes(all[1:], sharesOf(models, nil), nil) {
 		for _, replica := range kept {
 			if !has[model+replica.ID] {
 				added++
@@ -99,7 +101,6 @@
 		{target: Target{ID: "a1"}, model: "a", version: 3, has: 1, current: 2, kept: 4}, {target: Target{ID: "a2"}, model: "a", version: 3, has: 1, current: 2, kept: 4},
 		{target: Target{ID: "b1"}, model: "b", version: 2, has: 1, current: 0, kept: 4}, {target: Target{ID: "b2"}, model: "b", version: 2, has: 1, current: 0, kept: 4},
 	}
-	unused := func(string) int { return 0 }
 	for _, test := range []struct {
 		loading map[string]int
 		want    string
@@ -108,9 +109,8 @@
 		{map[string]int{"b": 1}, "b1"},
 		{map[string]int{"b": 3}, "a1"},
 	} {
-		order(open, test.loading, unused)
-		if open[0].target.ID != test.want {
-			t.Errorf("with %v loading, %s is first, want %s", test.loading, open[0].target.ID, test.want)
+		if first, _ := newTurns(open, maps.Clone(test.loading)).next(); first.target.ID != test.want {
+			t.Errorf("with %v loading, %s is first, want %s", test.loading, first.target.ID, test.want)
 		}
 	}
 }
@@ -122,8 +122,7 @@
 		{target: Target{ID: "small"}, model: "small", version: 2, has: 1, current: 2, kept: 5},
 		{target: Target{ID: "large"}, model: "large", version: 2, has: 1, current: 4, kept: 20},
 	}
-	order(open, nil, func(string) int { return 0 })
-	if open[0].model != "large" {
+	if first, _ := newTurns(open, map[string]int{}).next(); first.model != "large" {
 		t.Error("the model with 4 of 20 replicas waits for the one with 2 of 5")
 	}
 }
@@ -134,13 +133,7 @@
 	for _, test := range []struct{ engines, others, want int }{{8, 3, 2}, {9, 4, 2}, {35, 9, 7}, {600, 20, 120}, {1, 0, 2}} {
 		view := &directory.View{
 			Configuration: &directory.Configuration{Services: map[string]directory.Service{"llm": {Engine: &directory.Engine{}}, "app": {}}},
-			Replicas:      map[string]*directory.Replica{},
-		}
-		for number := range test.engines {
-			view.Replicas[fmt.Sprintf("llm-%d", number)] = &directory.Replica{Service: "llm"}
-		}
-		for number := range test.others {
-			view.Replicas[fmt.Sprintf("app-%d", number)] = &directory.Replica{Service: "app"}
+			Plans:         map[string]*routing.Plan{"llm": planOf(test.engines), "app": planOf(test.others)},
 		}
 		if got := loadsAtOnce(engineReplicas(view)); got != test.want {
 			t.Errorf("%d engines beside %d others: %d loads at once, want %d", test.engines, test.others, got, test.want)
@@ -148,6 +141,15 @@
 	}
 }
 
+// planOf is a plan with some endpoints.
+func planOf(count int) *routing.Plan {
+	endpoints := make([]*routing.Endpoint, count)
+	for number := range endpoints {
+		endpoints[number] = routing.NewReplicaEndpoint(fmt.Sprint("replica-", number), "", "zone", "", "service", 1, routing.NewEndpointState())
+	}
+	return routing.NewRankedPlan(routing.Place{}, endpoints)
+}
+
 // standing is what a test knows of several replicas.
 type standing map[string]int64
 
@@ -157,8 +159,10 @@
 func TestReplicasThatCanDoWithoutAVersionLoadItLast(t *testing.T) {
 	has := standing{"replica-0": 7, "replica-1": 6, "replica-2": 5}
 	open := tasksOf(has, "m", 7, replicas(3))
-	order(open, nil, func(string) int { return 0 })
-	if len(open) != 2 || open[0].target.ID != "replica-2" || open[0].ahead || open[1].target.ID != "replica-1" || !open[1].ahead {
+	queue := newTurns(open, map[string]int{})
+	first, _ := queue.next()
+	second, _ := queue.next()
+	if len(open) != 2 || first.target.ID != "replica-2" || first.ahead || second.target.ID != "replica-1" || !second.ahead {
 		t.Fatalf("to be done: %+v", open)
 	}
 	if open[0].current != 2 {
@@ -177,7 +181,11 @@
 	table.SetVersion("n", 1)
 	table.SetEvacuations([]string{"b"})
 	models := map[string]bool{}
-	for _, open := range tasks(table.View(), known{}, nil) {
+	coordinator := &Coordinator{
+		config:   Config{Directory: table, Tolerance: func(string) int64 { return 0 }},
+		versions: map[string]map[string]int64{}, homePlans: map[string]*homePlan{},
+	}
+	for _, open := range coordinator.tasks(table.View(), Demand{}) {
 		models[open.model] = true
 		if open.target.ID != "1" {
 			t.Errorf("replica %s is to be ordered", open.target.ID)
--- a/internal/weightorders/share.go
+++ b/internal/weightorders/share.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 )
@@ -83,22 +82,3 @@
 	}
 	return best
 }
-
-// demandChange is by what part the demand for a model must differ from that of
-// the plan in force for a new plan. Every move of a model to another replica is
-// a load, and the estimates of a trainer's jobs differ by some tenths.
-const demandChange = 0.25
-
-// differs tells whether a demand is so far from the one planned for that the
-// plan is made anew.
-func differs(planned, demand map[string]float64) bool {
-	if len(planned) != len(demand) {
-		return true
-	}
-	for _, model := range slices.Sorted(maps.Keys(demand)) {
-		if math.Abs(demand[model]-planned[model]) > demandChange*planned[model] {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/weightorders/share_test.go
+++ b/internal/weightorders/share_test.go
@@ -59,7 +59,7 @@
 // and were served worst.
 func TestAModelWithMoreWorkHasMoreHomes(t *testing.T) {
 	demand := map[string]float64{"small": 100, "large": 300}
-	kept := homes(replicas(40), sharesOf([]string{"small", "large"}, demand))
+	kept := homes(replicas(40), sharesOf([]string{"small", "large"}, demand), nil)
 	if small, large := len(kept["small"]), len(kept["large"]); small != 14 || large != 40 {
 		t.Errorf("%d and %d replicas, want 14 and 40", small, large)
 	}
--- a/test/virtual_test.go
+++ b/test/virtual_test.go
@@ -95,7 +95,7 @@
 	})
 	keeper := duty.NewKeeper(duty.Config{
 		Node: "node", Lease: duty.NewLease("node", "1", 0, day.store, clock.Steady), Clock: clock.Steady, Logger: logger, Nodes: peers.Nodes,
-		Silence: func(string) time.Duration { return time.Hour }, Broadcast: func() {},
+		Silence: func(string) time.Duration { return time.Hour }, Tell: func([]string) {},
 	})
 	coordinator := weightorders.NewCoordinator(weightorders.Config{
 		Keeper: keeper, Directory: table, Replicas: platform.NewOrders(pool), Logger: logger, Registry: registry,
