--- a/internal/batch/harness_test.go
+++ b/internal/batch/harness_test.go
@@ -268,6 +268,8 @@
 	// of its name. homes are the route's.
 	places map[string]string
 	homes  []string
+	// mostTold is up to how many peers all hear of starts and ends, 0 for the default.
+	mostTold int
 }
 
 // regions are those that the nodes know.
@@ -328,7 +330,7 @@
 	node.table = peering.NewTable(peering.Config{
 		Node: name, Address: name, Zone: c.places[name], Incarnation: self.Incarnation, Store: c.store, Peers: link{c.peers, name}, Logger: logger,
 		Beat: func(beat *wire.NodeBeat) { node.FillBeat(beat) }, OnBeat: func(beat *wire.NodeBeat) { node.TakeBeat(beat) },
-		Watchers: func() []string { return node.Watchers() },
+		Watchers: func() []string { return node.Watchers() }, MostTold: c.mostTold,
 	})
 	node.Service = NewService(ctx, Config{
 		Clock: clock.Steady,
--- /dev/null
+++ b/internal/batch/locate_test.go
@@ -0,0 +1,123 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/pathtally/pathtally/standin/metastore"
+)
+
+// newLargeCluster returns a cluster of so many nodes that not all hear of each job.
+func newLargeCluster(t *testing.T, nodes int, engines ...*testEngine) *cluster {
+	t.Helper()
+	large := &cluster{t: t, store: metastore.New(), peers: &testPeers{services: map[string]*testNode{}, cut: map[string]bool{}}, mostTold: 1}
+	for number := range nodes {
+		large.addOutsider(fmt.Sprintf("node-%d", number), engines)
+	}
+	for _, node := range large.nodes {
+		eventually(t, "all nodes know one another", func() bool { return len(node.table.Nodes()) == nodes })
+	}
+	return large
+}
+
+// knowing are the nodes that know of a job.
+func (c *cluster) knowing(id string) []*testNode {
+	var knowing []*testNode
+	for _, node := range c.nodes {
+		node.mutex.Lock()
+		if node.jobs[id] != nil || node.known[id] != nil {
+			knowing = append(knowing, node)
+		}
+		node.mutex.Unlock()
+	}
+	return knowing
+}
+
+// unknowing is a node that does not know of a job.
+func (c *cluster) unknowing(id string) *testNode {
+	c.t.Helper()
+	knowing := c.knowing(id)
+	for _, node := range c.nodes {
+		if !slices.Contains(knowing, node) {
+			return node
+		}
+	}
+	c.t.Fatal("all nodes know of the job")
+	return nil
+}
+
+// Symptom: with hundreds of nodes, each start and end of a job is a message to all of
+// them over a connection of its own.
+func TestAJobIsReadAndEndedThroughNodesThatWereNotToldOfIt(t *testing.T) {
+	engine := startEngine(t, 3)
+	large := newLargeCluster(t, 2*locators, engine)
+	if err := large.submit(large.nodes[0], "job", 4); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "locators know of the job", func() bool { return len(large.knowing("job")) > locators/2 })
+	if told := len(large.knowing("job")); told > locators+1 {
+		t.Errorf("%d nodes were told, want %d at the most", told, locators+1)
+	}
+	looks := large.store.Calls("get")
+	checkWhole(t, "job", large.readAll(large.unknowing("job"), "job", 4), 4, 3)
+	if asked := large.store.Calls("get") - looks; asked > 0 {
+		t.Errorf("%d looks at the store for a job that other nodes know", asked)
+	}
+	if err := large.unknowing("job").End(context.Background(), "job"); err != nil {
+		t.Fatal(err)
+	}
+	for _, node := range large.nodes {
+		node.mutex.Lock()
+		held := node.jobs["job"]
+		if held != nil && !held.ended {
+			t.Errorf("%s goes on with the job", node.config.Self.Node)
+		}
+		node.mutex.Unlock()
+	}
+}
+
+// A job that nobody knows is looked for in the store, whose word is certain.
+func TestAJobThatNoNodeKnowsIsLookedForInTheStore(t *testing.T) {
+	large := newLargeCluster(t, 2*locators, startEngine(t, 3))
+	if _, err := large.nodes[3].Read(context.Background(), "none", 0, 0); !errors.Is(err, ErrNoSuchJob) {
+		t.Errorf("read of a job that was never handed in: %v", err)
+	}
+}
+
+// The nodes that were asked are gone: the store tells who runs the job.
+func TestAJobIsFoundWhenTheNodesThatWereToldOfItAreSilent(t *testing.T) {
+	engine := startEngine(t, 3)
+	large := newLargeCluster(t, 2*locators, engine)
+	if err := large.submit(large.nodes[0], "job", 4); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "locators know of the job", func() bool { return len(large.knowing("job")) > locators/2 })
+	outsider := large.unknowing("job")
+	for _, node := range large.knowing("job") {
+		node.mutex.Lock()
+		runs := node.jobs["job"] != nil
+		node.mutex.Unlock()
+		if !runs {
+			large.setCut(node.config.Self.Node, true)
+		}
+	}
+	began := time.Now()
+	checkWhole(t, "job", large.readAll(outsider, "job", 4), 4, 3)
+	if took := time.Since(began); took > 5*time.Second {
+		t.Errorf("the job was read after %s", took)
+	}
+}
+
+// The nodes that a start or an end is told to do not grow with the deployment.
+func TestNewsOfAJobGoToTheSameNumberOfNodesInAnyDeployment(t *testing.T) {
+	for _, nodes := range []int{2 * locators, 4 * locators} {
+		large := newLargeCluster(t, nodes, startEngine(t, 3))
+		if told := len(large.nodes[0].locatorsOf("job")); told != locators {
+			t.Errorf("%d of %d nodes are told", told, nodes)
+		}
+	}
+}
--- a/internal/instance/assemble.go
+++ b/internal/instance/assemble.go
@@ -74,6 +74,7 @@
 			<-i.assembled
 			i.handle(ctx, message, reply)
 		},
+		Traffic: transport.NewTraffic(i.registry),
 	})
 	i.peers = peering.NewTable(peering.Config{
 		Node: self.Node, Address: self.Address, Zone: i.settings.Zone, Incarnation: self.Incarnation, Capacity: i.settings.Capacity(), Seeds: i.settings.Seeds,
--- a/internal/peering/heartbeat.go
+++ b/internal/peering/heartbeat.go
@@ -15,9 +15,9 @@
 	// heartbeatGap is the least time between two heartbeats that changes cause:
 	// with many replicas, loads of weights begin and end some 50 times a second.
 	heartbeatGap = 50 * time.Millisecond
-	// mostTold is up to how many peers all hear of rare changes: with some of them a
-	// second, that is as many messages as heartbeats are.
-	mostTold = 128
+	// defaultMostTold is up to how many peers all hear of rare changes: with some of them
+	// a second, that is as many messages as heartbeats are.
+	defaultMostTold = 128
 )
 
 // isActive tells whether the sender of a heartbeat runs batch jobs or gives
@@ -41,7 +41,7 @@
 func (t *Table) TellsAll() bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return len(t.peers) <= mostTold
+	return len(t.peers) <= t.config.MostTold
 }
 
 // Tell sends this node's heartbeat because of a rare change: to all peers where they are
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -33,6 +33,8 @@
 	// Watchers names the nodes that hear every heartbeat of this node, besides
 	// the active peers; nil for none.
 	Watchers func() []string
+	// MostTold is up to how many peers all hear of rare changes, 0 for the default.
+	MostTold int
 }
 
 // Table is a node's list of its peers. It is safe for use by many goroutines.
@@ -56,6 +58,9 @@
 
 // NewTable returns a table that knows nobody.
 func NewTable(config Config) *Table {
+	if config.MostTold == 0 {
+		config.MostTold = defaultMostTold
+	}
 	return &Table{config: config, seeds: config.Seeds, peers: map[string]*Peer{}}
 }
 
--- a/internal/transport/incoming.go
+++ b/internal/transport/incoming.go
@@ -39,7 +39,7 @@
 		t.mutex.Unlock()
 	}()
 	reader := countingReader{connection: connection, counts: &t.counts}
-	replies := &replyWriter{connection: connection, counts: &t.counts}
+	replies := &replyWriter{connection: connection, counts: &t.counts, traffic: t.config.Traffic}
 	frame, err := wire.Read(reader)
 	if err != nil {
 		return
@@ -54,6 +54,7 @@
 		if err != nil {
 			return
 		}
+		t.config.Traffic.count(frame.Message, directionIn, frame.Bytes)
 		t.handle(hello.Address, frame, replies)
 	}
 }
@@ -77,6 +78,7 @@
 type replyWriter struct {
 	connection net.Conn
 	counts     *Counts
+	traffic    *Traffic
 	mutex      sync.Mutex
 }
 
@@ -91,6 +93,7 @@
 	written, err := w.connection.Write(encoded)
 	w.counts.BytesSent.Add(int64(written))
 	w.counts.FramesSent.Add(1)
+	w.traffic.count(message, directionOut, written)
 	if err != nil {
 		w.connection.Close()
 	}
--- a/internal/transport/outgoing.go
+++ b/internal/transport/outgoing.go
@@ -154,6 +154,7 @@
 			return
 		}
 		o.heard.Store(int64(time.Since(o.opened)))
+		o.transport.config.Traffic.count(frame.Message, directionIn, frame.Bytes)
 		if failure, failed := frame.Message.(*wire.Failure); failed {
 			o.finish(frame.Correlation, nil, &wire.RemoteError{Code: wire.FailureCode(failure.Code), Detail: failure.Detail})
 			continue
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -39,6 +39,8 @@
 	// Post runs a call on the goroutine of the node's duties.
 	Post    func(func())
 	Handler Handler
+	// Traffic counts messages by kind; nil for none.
+	Traffic *Traffic
 }
 
 // Counts are the totals of one transport.
@@ -101,8 +103,8 @@
 		return
 	}
 	for _, address := range addresses {
-		if peer := t.peer(address, false); peer != nil {
-			peer.enqueue(encoded)
+		if peer := t.peer(address, false); peer != nil && peer.enqueue(encoded) {
+			t.config.Traffic.count(message, directionOut, len(encoded))
 		}
 	}
 }
@@ -123,7 +125,9 @@
 	}
 	if !peer.enqueue(encoded) {
 		peer.finish(correlation, nil, merry.Wrap(environment.ErrPeerUnreachable))
+		return
 	}
+	t.config.Traffic.count(message, directionOut, len(encoded))
 }
 
 func (t *Transport) peer(address string, redial bool) *outgoing {
--- /dev/null
+++ b/internal/weightorders/scale_test.go
@@ -0,0 +1,113 @@
+package weightorders
+
+import (
+	"fmt"
+	"testing"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pathtally/pathtally/internal/directory"
+)
+
+// coordinatorOf returns a coordinator before some replicas of two models, whose versions
+// were both named anew.
+func coordinatorOf(count int, demand Demand) (*Coordinator, *directory.Table) {
+	table := directory.NewTable("node", "zone", nil, klog.Background())
+	table.SetConfiguration(&directory.Configuration{Services: map[string]directory.Service{"s": {Engine: &directory.Engine{Models: []string{"m", "n"}}}}}, 1)
+	var listed []*directory.Replica
+	for number := range count {
+		listed = append(listed, &directory.Replica{ID: fmt.Sprint("replica-", number), Service: "s", Slots: 6, State: directory.ReplicaReady})
+	}
+	table.SetReplicas(listed, 0)
+	table.SetVersion("m", 3)
+	table.SetVersion("n", 3)
+	return &Coordinator{
+		config:   Config{Directory: table, Tolerance: func(string) int64 { return 1 }, Demand: func() Demand { return demand }},
+		versions: map[string]map[string]int64{}, homePlans: map[string]*homePlan{},
+	}, table
+}
+
+// Symptom: with 7,777 replicas each version of a model is brought to 1,296 of them, three
+// calls and a load each, by one node.
+//
+// Cause: the homes of a model were its share of all replicas, whatever its jobs need.
+func TestOrdersFollowTheItemsAndNotTheReplicas(t *testing.T) {
+	demand := Demand{Tokens: map[string]float64{"m": 100, "n": 100}, Items: map[string]int{"m": 72, "n": 120}}
+	want := mostHomes(72, 6) + mostHomes(120, 6)
+	for _, count := range []int{400, 3200} {
+		coordinator, _ := coordinatorOf(count, demand)
+		if open := coordinator.tasks(coordinator.config.Directory.View(), coordinator.plannedDemand()); len(open) != want {
+			t.Errorf("%d loads among %d replicas, want %d", len(open), count, want)
+		}
+	}
+}
+
+// Where the items need all replicas, or nothing is known of them, each model keeps its
+// share and a third more.
+func TestSmallDeploymentsKeepTheirShares(t *testing.T) {
+	for _, items := range []int{0, 72} {
+		coordinator, _ := coordinatorOf(30, Demand{Items: map[string]int{"m": items, "n": items}})
+		if open := coordinator.tasks(coordinator.config.Directory.View(), coordinator.plannedDemand()); len(open) != 40 {
+			t.Errorf("jobs of %d items: %d loads, want 40", items, len(open))
+		}
+	}
+}
+
+// Few replicas change their model when others come and go.
+func TestBoundedHomesStayWhenReplicasGo(t *testing.T) {
+	demand := Demand{Items: map[string]int{"m": 72, "n": 72}}
+	coordinator, table := coordinatorOf(400, demand)
+	homesNow := func() map[string]bool {
+		homes := map[string]bool{}
+		for _, open := range coordinator.tasks(table.View(), coordinator.plannedDemand()) {
+			homes[open.model+" "+open.target.ID] = true
+		}
+		return homes
+	}
+	before := homesNow()
+	for number := range 20 {
+		table.ApplyReplicas([]directory.ReplicaChange{{Name: fmt.Sprint("replica-", number)}}, 0)
+	}
+	moved := 0
+	for home := range homesNow() {
+		if !before[home] {
+			moved++
+		}
+	}
+	if moved > 15 {
+		t.Errorf("%d of %d homes are new after a twentieth of the replicas went", moved, len(before))
+	}
+}
+
+// The homes are worked out once for replicas that stay.
+func TestHomesAreKeptBetweenLooks(t *testing.T) {
+	coordinator, table := coordinatorOf(400, Demand{Items: map[string]int{"m": 72, "n": 72}})
+	coordinator.tasks(table.View(), coordinator.plannedDemand())
+	standing := coordinator.homePlans["s"]
+	table.SetVersion("m", 4)
+	coordinator.tasks(table.View(), coordinator.plannedDemand())
+	if coordinator.homePlans["s"] != standing {
+		t.Error("a new version has the homes worked out anew")
+	}
+	table.ApplyReplicas([]directory.ReplicaChange{{Name: "replica-1"}}, 0)
+	coordinator.tasks(table.View(), coordinator.plannedDemand())
+	if coordinator.homePlans["s"] == standing {
+		t.Error("homes of a replica that is gone stand")
+	}
+}
+
+// The order of a thousand tasks, from which as many loads begin.
+func BenchmarkTurnsOfAThousandTasks(b *testing.B) {
+	open := make([]task, 1000)
+	for i := range open {
+		open[i] = task{target: Target{ID: fmt.Sprint("replica-", i)}, model: fmt.Sprint("model-", i%8), version: 3, has: 1, kept: 125}
+	}
+	for b.Loop() {
+		queue := newTurns(open, map[string]int{})
+		for {
+			if _, found := queue.next(); !found {
+				break
+			}
+		}
+	}
+}
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -23,6 +23,8 @@
 	// bound. It is a span, since the clocks of nodes disagree.
 	Patience time.Duration
 	Message  Message
+	// Bytes is the size of a frame that was read.
+	Bytes int
 }
 
 // Encode returns the frame with its length prefix.
@@ -84,5 +86,7 @@
 	if _, err := io.ReadFull(reader, body); err != nil {
 		return Frame{}, &FrameError{Detail: "body", Cause: err}
 	}
-	return Decode(body)
+	frame, err := Decode(body)
+	frame.Bytes = lengthBytes + len(body)
+	return frame, err
 }
