Items placed among candidates; seeds asked beside silent ones; news taken at a pace that leaves time for callers

Change: candidates are the replicas of greatest weight for the model, which nearly all of its homes are among (tests); the next seed is asked after 0.3 s; a node of a large zone polls again after four times what the last news took, 0.4 s at most.

--- a/internal/batch/pool.go
+++ b/internal/batch/pool.go
@@ -79,7 +79,7 @@
 		query := &routing.Query{Rollout: true, Waiting: !p.running, Homes: homes.Of(route.Homes, p.view.Configuration.Tenants.HomesOf(key.tenant))}
 		for _, target := range route.Targets {
 			if plan := p.view.Plans[target.Service]; plan != nil {
-				replicas = p.add(replicas, plan.Endpoints(), key, query)
+				replicas = p.add(replicas, p.service.candidatesOf(target.Service, plan, waiting.job), key, query)
 			}
 		}
 	}
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -71,6 +71,8 @@
 	toldLengths []toldLength
 	// works are what batch jobs of late had to do, by id.
 	works map[string]knownWork
+	// candidates are the replicas of each service among which items are placed.
+	candidates map[string]*candidateSet
 	// storedLoads are the jobs that are being read from the store, by id.
 	storedLoads map[string]*storedLoad
 	// avoided are nodes that did not answer an offer of a job, each until a time.
@@ -94,6 +96,7 @@
 		replicas: map[string]*replicaState{}, uses: map[string]nodeUses{}, attempts: map[*attempt]bool{},
 		tolerances: map[string]int64{}, lengths: map[string]knownLength{}, eventRates: map[string]*placement.EventRate{},
 		works: map[string]knownWork{}, avoided: map[string]time.Time{}, storedLoads: map[string]*storedLoad{},
+		candidates:   map[string]*candidateSet{},
 		rewardBounds: map[string]*admission.Adaptive{},
 		wake:         newSignal(), toTell: newSignal(), toWatch: newSignal(),
 	}
--- a/internal/peering/join.go
+++ b/internal/peering/join.go
@@ -21,6 +21,9 @@
 	// seedTime bounds the question to a seed for the list of nodes: hundreds of nodes
 	// that start together ask the same three, which answer some hundred a second.
 	seedTime = time.Second
+	// seedHedge is after how long without an answer the next seed is asked too: seeds may
+	// be gone for good, and a starting node is to be ready within some seconds.
+	seedHedge = 300 * time.Millisecond
 	// seedRounds is how often a seed that has not read the list itself is asked, and
 	// seedPause the time between: the machines of a deployment start within 0.3 s of
 	// each other, and a seed needs settleTime and two calls to the store.
@@ -127,16 +130,50 @@
 }
 
 // askSeeds asks seeds for the list of nodes until one answers. It tells whether that one
-// knows the list, and returns it with those behind it.
+// knows the list, and returns it with those behind it. The next seed is asked beside one
+// that does not answer soon.
 func (t *Table) askSeeds(ctx context.Context, seeds []string) (known bool, answering []string) {
-	for i, seed := range seeds {
-		reply, err := environment.Ask(ctx, t.config.Peers, seed, t.beat(), seedTime)
-		beat, isBeat := reply.(*wire.NodeBeat)
-		if err != nil || !isBeat {
-			continue
+	ctx, cancel := context.WithTimeout(ctx, seedTime)
+	defer cancel()
+	type answer struct {
+		place int
+		beat  *wire.NodeBeat
+	}
+	answers := make(chan answer, len(seeds))
+	asked, silent := 0, 0
+	askNext := func() {
+		place := asked
+		asked++
+		go func() {
+			reply, err := environment.Ask(ctx, t.config.Peers, seeds[place], t.beat(), seedTime)
+			beat, isBeat := reply.(*wire.NodeBeat)
+			if err != nil || !isBeat {
+				beat = nil
+			}
+			answers <- answer{place, beat}
+		}()
+	}
+	askNext()
+	hedge := time.NewTicker(seedHedge)
+	defer hedge.Stop()
+	for silent < len(seeds) {
+		select {
+		case <-ctx.Done():
+			return false, nil
+		case got := <-answers:
+			if got.beat != nil {
+				t.Take(ctx, got.beat)
+				return got.beat.PeersKnown, seeds[got.place:]
+			}
+			silent++
+			if asked < len(seeds) {
+				askNext()
+			}
+		case <-hedge.C:
+			if asked < len(seeds) {
+				askNext()
+			}
 		}
-		t.Take(ctx, beat)
-		return beat.PeersKnown, seeds[i:]
 	}
 	return false, nil
 }
--- a/internal/watchcache/follow.go
+++ b/internal/watchcache/follow.go
@@ -31,7 +31,12 @@
 	// relayGather is how long a node of a large area waits after news before it polls
 	// again, so that changes close together cost one message on each of its links. On
 	// two levels it is a small part of the bounds that changes have to be in force within.
-	relayGather = 150 * time.Millisecond
+	// Where taking the news took long, as it does while thousands of replicas start, it
+	// waits takingPart times as long, longestGather at most, so that a small node has time
+	// for its callers.
+	relayGather   = 150 * time.Millisecond
+	takingPart    = 4
+	longestGather = 400 * time.Millisecond
 )
 
 // The outcomes of polls, as metrics name them.
@@ -63,8 +68,8 @@
 			return
 		}
 		s.metrics.polls.WithLabelValues(outcome).Inc()
-		if outcome == outcomeCurrent && place.inTree && s.brought {
-			objectstore.Sleep(ctx, relayGather)
+		if outcome == outcomeCurrent && place.inTree && s.taking > 0 {
+			objectstore.Sleep(ctx, min(max(relayGather, takingPart*s.taking), longestGather))
 		}
 		if !s.staysWith(ctx, place, outcome) {
 			s.config.Logger.Info("stopped following reader", "reader", place.parent.Name, "outcome", outcome, "newsAgeMs", s.Age().Milliseconds())
@@ -112,8 +117,13 @@
 		return outcomeSilent
 	}
 	s.noteHeard(next.node.Name)
-	s.brought = len(news.Kinds) > 0
-	if err := s.take(poll, news); err != nil {
+	began := time.Now()
+	err = s.take(poll, news)
+	s.taking = 0
+	if len(news.Kinds) > 0 {
+		s.taking = max(time.Since(began), 1)
+	}
+	if err != nil {
 		s.config.Logger.Error(err, "news of the store not readable", "reader", next.node.Name)
 		return outcomeUnsure
 	}
--- a/internal/watchcache/source.go
+++ b/internal/watchcache/source.go
@@ -61,12 +61,12 @@
 	// belong to Run.
 	doubts     int
 	doubtSince time.Time
+	// taking is how long the news of the last poll took to take, 0 where there were none.
 	// hurried is set after a poll without an answer. relayLeftAt is when a node that
 	// follows another was last left for want of word, and askedAt when the store was
 	// last asked whether it answers. They belong to Run.
-	hurried bool
-	// brought is set after a poll that brought news. It belongs to Run.
-	brought     bool
+	taking      time.Duration
+	hurried     bool
 	relayLeftAt time.Time
 	askedAt     time.Time
 	// changed is closed at each change of a copy or of the standing.
--- /dev/null
+++ b/internal/weightorders/candidates_test.go
@@ -0,0 +1,50 @@
+package weightorders
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/pathtally/pathtally/internal/routing"
+)
+
+// planOfIDs is a plan whose endpoints have the ids of a coordinator's replicas.
+func planOfIDs(count int) *routing.Plan {
+	endpoints := make([]*routing.Endpoint, count)
+	for number := range endpoints {
+		endpoints[number] = routing.NewReplicaEndpoint(fmt.Sprint("replica-", number), "", "zone", "", "s", 6, routing.NewEndpointState())
+	}
+	return routing.NewRankedPlan(routing.Place{}, endpoints)
+}
+
+// Items are placed among replicas that get their weights.
+func TestCandidatesHoldNearlyAllHomes(t *testing.T) {
+	coordinator, table := coordinatorOf(4000, Demand{Items: map[string]int{"m": 128, "n": 128}})
+	candidates := map[string]bool{}
+	for _, endpoint := range Candidates(planOfIDs(4000), "m", 128) {
+		candidates[endpoint.Name] = true
+	}
+	homes, outside := 0, 0
+	for _, open := range coordinator.tasks(table.View(), coordinator.plannedDemand()) {
+		if open.model != "m" {
+			continue
+		}
+		homes++
+		if !candidates[open.target.ID] {
+			outside++
+		}
+	}
+	if homes == 0 || outside > homes/10 {
+		t.Errorf("%d of %d homes are no candidates", outside, homes)
+	}
+}
+
+// What a look at the replicas costs does not grow with their number.
+func TestCandidatesDoNotGrowWithTheReplicas(t *testing.T) {
+	few, many := len(Candidates(planOfIDs(1000), "m", 128)), len(Candidates(planOfIDs(8000), "m", 128))
+	if few != many {
+		t.Errorf("%d candidates of 1,000 replicas, %d of 8,000", few, many)
+	}
+	if all := len(Candidates(planOfIDs(100), "m", 128)); all != 100 {
+		t.Errorf("%d candidates of 100 replicas", all)
+	}
+}
