--- /dev/null
+++ b/internal/wire/builds_test.go
@@ -0,0 +1,111 @@
+package wire
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+)
+
+// crossingFrames are frames of the messages that nodes of different builds exchange, with
+// the fields that the oldest build promised to be understood has.
+func crossingFrames() []Frame {
+	return []Frame{
+		{Message: &Hello{Protocol: ProtocolVersion, Node: "n", Address: "a:1", Incarnation: 7}},
+		{Message: &Failure{Code: 1, Detail: "unknown message"}},
+		{Message: &NodeBeat{
+			Node: "n", Address: "a:1", Zone: "z", Incarnation: 7, Jobs: []string{"j"}, Uses: []ReplicaUse{{Replica: "r", Running: 2, IntervalUs: 48000}},
+			Versions: []ReplicaVersion{{Replica: "r", Model: "m", Version: 4, Loading: true}}, Lease: 9, Peers: []PeerAddress{{Node: "o", Address: "a:2", Zone: "y"}},
+			Leaving: true, Ended: []string{"e"}, Tolerances: []ModelTolerance{{Model: "m", Versions: 1}}, LeaseHolder: "n", LeaseSeen: 9, LeaseReleased: true,
+			Capacity: 192, UsageDone: 5, Lengths: []ItemLength{{Item: "i", Events: 12, Whole: true}},
+			Work: []JobWork{{Job: "j", Model: "m", ExpectedTokens: 900, Tenant: "t", Epoch: 2, Open: 3, Routes: []string{"r"}, Entry: "g"}},
+		}},
+		{Correlation: 1, Patience: 5, Message: &WatchPoll{Kinds: []KindRevision{{Kind: "k", Revision: 5}}, WaitMs: 400, Direct: true}},
+		{Correlation: 1, Reply: true, Message: &WatchNews{Standing: uint8(StandingStarting), Through: "a:3", Kinds: []KindNews{{
+			Kind: "k", Revision: 6, Whole: true, AfterOutage: true, Changes: []ObjectChange{{Name: "n", Deleting: true, Revision: 6, Spec: []byte("{}"), Status: []byte("1")}, {Name: "o", Gone: true}},
+		}}}},
+		{Correlation: 2, Message: &JobOffer{Job: "j"}},
+		{Correlation: 3, Message: &JobSubmit{Job: "j", Route: "r", Host: "h", Payload: []byte("{}"), Tenant: "t", Entry: "g"}},
+		{Correlation: 3, Reply: true, Message: &JobSubmitted{Outcome: OutcomeNotRun, Detail: "d"}},
+		{Correlation: 4, Message: &JobRead{Job: "j", After: 3, WaitMs: 500}},
+		{Correlation: 4, Reply: true, Message: &JobPage{Known: true, Total: 8, Results: []byte("[]")}},
+		{Correlation: 5, Message: &JobItem{Job: "j", Item: "i"}},
+		{Correlation: 5, Reply: true, Message: &JobItemBody{Known: true, Found: true, Body: []byte("b")}},
+		{Correlation: 6, Message: &JobEnd{Job: "j"}},
+		{Correlation: 7, Message: &StoreCall{Verb: uint8(StoreReplace), Kind: "k", Name: "n", Revision: 4, Content: []byte("{}"), MayBeStale: true}},
+		{Correlation: 7, Reply: true, Message: &StoreReply{Outcome: uint8(StoreConflict), Status: 429, More: true, At: 9, Objects: []ObjectChange{{Name: "n"}}}},
+		{Message: &CrashReport{Fingerprint: []byte{1, 2}, Ends: []ReplicaEnd{{Replica: "r", AgoMs: 7}}, Served: true}},
+		{Message: &Done{}},
+	}
+}
+
+// goldenFrame is a frame as a build wrote it.
+type goldenFrame struct {
+	Message string
+	Frame   []byte
+}
+
+// Each file under testdata/builds holds crossingFrames as one landed build encodes them.
+// A field that changes its place or its meaning breaks a deployment in which builds run
+// side by side.
+func TestFramesOfEarlierBuildsAreUnderstood(t *testing.T) {
+	files, err := filepath.Glob("testdata/builds/*.json")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no frames of earlier builds: %v", err)
+	}
+	for _, file := range files {
+		content, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var golden []goldenFrame
+		if err := json.Unmarshal(content, &golden); err != nil {
+			t.Fatal(err)
+		}
+		wanted := crossingFrames()
+		if len(golden) != len(wanted) {
+			t.Fatalf("%s has %d frames, want %d", file, len(golden), len(wanted))
+		}
+		for place, want := range wanted {
+			got, err := Decode(golden[place].Frame[lengthBytes:])
+			if err != nil {
+				t.Errorf("%s: %s: %v", file, golden[place].Message, err)
+				continue
+			}
+			if !reflect.DeepEqual(got, want) {
+				t.Errorf("%s: %s is read as %+v, want %+v", file, golden[place].Message, got.Message, want.Message)
+			}
+		}
+	}
+}
+
+// writeFrames writes crossingFrames as this build encodes them.
+func writeFrames(t *testing.T, file string) {
+	t.Helper()
+	var golden []goldenFrame
+	for _, frame := range crossingFrames() {
+		encoded, err := Encode(frame)
+		if err != nil {
+			t.Fatal(err)
+		}
+		golden = append(golden, goldenFrame{Message: reflect.TypeOf(frame.Message).Elem().Name(), Frame: encoded})
+	}
+	content, err := json.MarshalIndent(golden, "", "  ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(file, append(content, '\n'), 0o644); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestWriteFrames writes the file of a build that is about to land:
+// WIRE_BUILD=name go test ./internal/wire -run TestWriteFrames
+func TestWriteFrames(t *testing.T) {
+	build := os.Getenv("WIRE_BUILD")
+	if build == "" {
+		t.Skip("WIRE_BUILD names no build")
+	}
+	writeFrames(t, "testdata/builds/"+build+".json")
+}
