Warm-ups by what a change touches; nodes far back look for orders seldom

Change: warm-ups are kept for the replicas of which something is known; a node that is no candidate looks after half of the time that it would wait in any case.

--- a/internal/directory/evacuation.go
+++ b/internal/directory/evacuation.go
@@ -104,7 +104,7 @@
 func (t *Table) publishEvacuations(next *View) {
 	all := allOf(next)
 	closeEvacuated(next, all)
-	t.publish(next)
+	t.publish(next, nil)
 	openOthers(next, all)
 }
 
--- a/internal/directory/plans.go
+++ b/internal/directory/plans.go
@@ -53,7 +53,7 @@
 	t.logAdded(added)
 	next.Plans = revisions.apply(t.place, standing.Plans)
 	closeEvacuated(next, touched)
-	t.publish(next)
+	t.publish(next, touched)
 	openOthers(next, touched)
 }
 
--- a/internal/directory/slowstart.go
+++ b/internal/directory/slowstart.go
@@ -23,12 +23,12 @@
 
 // closeGates bounds the replicas that warm up in a view before it is published, so
 // that no pick finds one of them without its bound. The mutex must be held.
-func (t *Table) closeGates(next *View) {
+func (t *Table) closeGates(next *View, touched map[string]bool) {
 	if t.slowStart == nil {
 		return
 	}
 	now := t.clock()
-	t.warmUps.observe(now, t.view.Load(), next)
+	t.warmUps.observe(now, t.view.Load(), next, touched)
 	isListed := func(replica string) bool { return next.Replicas[replica] != nil }
 	t.slowStart.SetWarming(t.warmUps.warming(now, next), isListed)
 }
@@ -40,13 +40,13 @@
 		return nil
 	}
 	var warming []slowstart.Warming
-	for id, replica := range view.Replicas {
+	for _, replica := range w.mayWarm(view) {
 		service := view.Configuration.Services[replica.Service]
 		if service.WarmUpRate <= 0 {
 			continue
 		}
 		if until := w.until(replica, view.EvacuationEnded, service.WarmUp); now.Before(until) {
-			warming = append(warming, slowstart.Warming{Replica: id, Gate: &view.Endpoints[id].State.SlowStart, Until: until})
+			warming = append(warming, slowstart.Warming{Replica: replica.ID, Gate: &view.Endpoints[replica.ID].State.SlowStart, Until: until})
 		}
 	}
 	return warming
--- a/internal/directory/table.go
+++ b/internal/directory/table.go
@@ -103,7 +103,7 @@
 		t.logger.Error(finding, "tenant declaration passed over in part", "version", configuration.Version)
 	}
 	t.logUnknownHomes(configuration)
-	t.publish(&next)
+	t.publish(&next, nil)
 }
 
 // SetVersion records a named weight version unless a newer one is known.
@@ -118,12 +118,13 @@
 	next.Named = maps.Clone(standing.Named)
 	next.Named[model] = version
 	t.logger.Info("weight version named", "model", model, "version", version)
-	t.publish(&next)
+	t.publish(&next, nil)
 }
 
-func (t *Table) publish(next *View) {
+// publish publishes a view in which some replicas may have changed, come or gone.
+func (t *Table) publish(next *View, touched map[string]bool) {
 	next.Changed = time.Now()
-	t.closeGates(next)
+	t.closeGates(next, touched)
 	t.view.Store(next)
 	close(t.changed)
 	t.changed = make(chan struct{})
--- a/internal/directory/warmups_test.go
+++ b/internal/directory/warmups_test.go
@@ -92,7 +92,7 @@
 		table.mutex.Lock()
 		next := *table.view.Load()
 		next.EvacuationEnded = map[string]time.Time{"z": time.Now()}
-		table.publish(&next)
+		table.publish(&next, nil)
 		table.mutex.Unlock()
 		warming.expect(t, "old", testWarmUp)
 	})
--- a/internal/duty/turn.go
+++ b/internal/duty/turn.go
@@ -44,6 +44,12 @@
 	return k.config.Clock.Since(since) >= patience
 }
 
+// Patience is for how long this node leaves work that nobody does to the nodes that
+// follow the last holder before it.
+func (k *Keeper) Patience() time.Duration {
+	return time.Duration(max(0, k.rank(k.config.Lease.Seen().Holder))) * turnDelay
+}
+
 // IsCandidate tells whether this node is the last holder of the lease or one of
 // the first to follow it.
 func (k *Keeper) IsCandidate() bool {
--- a/internal/weightorders/coordinator.go
+++ b/internal/weightorders/coordinator.go
@@ -21,9 +21,10 @@
 	// (docs/PLATFORM.md, "Orders").
 	loadDivisor = 5
 	leastLoads  = 2
-	// lookPeriod is the time between looks while there is work, and outsiderPause
-	// that of nodes that are no candidates for the lease. They act once all
-	// candidates are gone, after patience of seconds.
+	// lookPeriod is the time between looks while there is work, and outsiderPause the
+	// least of nodes that are no candidates for the lease. They act once all
+	// candidates are gone, after patience of seconds, and look the more seldom the
+	// longer that is.
 	lookPeriod    = 100 * time.Millisecond
 	outsiderPause = 2 * time.Second
 	// reportPause is the time between questions to a replica that loads. Asking
@@ -97,7 +98,7 @@
 		pause := c.step(ctx)
 		if !c.config.Keeper.IsCandidate() {
 			// Whether there is work is for the candidates to see at once.
-			changed, pause = nil, max(pause, outsiderPause)
+			changed, pause = nil, max(pause, outsiderPause, c.config.Keeper.Patience()/2)
 		}
 		timer := time.NewTimer(pause)
 		select {
