--- a/internal/batch/candidates.go
+++ b/internal/batch/candidates.go
@@ -17,7 +17,7 @@
 	byKey map[candidateKey][]*routing.Endpoint
 }
 
-// candidates are the replicas of a service among which the items of a job are placed,
+// candidatesOf are the replicas of a service among which the items of a job are placed,
 // worked out once for each plan. The mutex must be held.
 func (s *Service) candidatesOf(service string, plan *routing.Plan, job *job) []*routing.Endpoint {
 	set := s.candidates[service]
--- a/internal/peering/join.go
+++ b/internal/peering/join.go
@@ -4,12 +4,9 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"slices"
 	"time"
 
-	"github.com/pathtally/pathtally/internal/environment"
 	"github.com/pathtally/pathtally/internal/objectstore"
-	"github.com/pathtally/pathtally/internal/rendezvous"
 	"github.com/pathtally/pathtally/internal/wire"
 )
 
@@ -18,17 +15,6 @@
 	Kind = "nodes"
 	// greetTime bounds a greeting.
 	greetTime = 800 * time.Millisecond
-	// seedTime bounds the question to a seed for the list of nodes: hundreds of nodes
-	// that start together ask the same three, which answer some hundred a second.
-	seedTime = time.Second
-	// seedHedge is after how long without an answer the next seed is asked too: seeds may
-	// be gone for good, and a starting node is to be ready within some seconds.
-	seedHedge = 300 * time.Millisecond
-	// seedRounds is how often a seed that has not read the list itself is asked, and
-	// seedPause the time between: the machines of a deployment start within 0.3 s of
-	// each other, and a seed needs settleTime and two calls to the store.
-	seedRounds = 8
-	seedPause  = 150 * time.Millisecond
 	// wholeList is up to how many nodes a greeting is answered with all of them, and
 	// beyond that with those of the greeting node's zone: the others come with the
 	// copies of the store, and an answer stays some kilobytes long.
@@ -43,9 +29,6 @@
 	// of the others: the machines of a deployment start within 0.3 s of each
 	// other, and what is missed then costs a watch event each.
 	settleTime = 400 * time.Millisecond
-	// seedSettleTime is that of a seed, whose list others take over: it waits until those
-	// that started last have written their entries.
-	seedSettleTime = 700 * time.Millisecond
 )
 
 // Join writes this node's entry and learns of the others, until the context ends or both
@@ -100,84 +83,6 @@
 	return settleTime
 }
 
-func (t *Table) isSeed() bool { return slices.Contains(t.knownSeeds(), t.config.Address) }
-
-func (t *Table) knownSeeds() []string {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	return t.seeds
-}
-
-// learnFromSeeds asks a seed for the list of nodes, and others in turn where it does not
-// answer. False means that this node is a seed or that none knows the list.
-func (t *Table) learnFromSeeds(ctx context.Context) bool {
-	seeds := t.knownSeeds()
-	if len(seeds) == 0 || t.isSeed() {
-		return false
-	}
-	seeds = rendezvous.RankNames(t.config.Node, seeds)
-	for range seedRounds {
-		known, answering := t.askSeeds(ctx, seeds)
-		if known || len(answering) == 0 {
-			return known
-		}
-		seeds = answering
-		if !objectstore.Sleep(ctx, seedPause) {
-			return false
-		}
-	}
-	return false
-}
-
-// askSeeds asks seeds for the list of nodes until one answers. It tells whether that one
-// knows the list, and returns it with those behind it. The next seed is asked beside one
-// that does not answer soon.
-func (t *Table) askSeeds(ctx context.Context, seeds []string) (known bool, answering []string) {
-	ctx, cancel := context.WithTimeout(ctx, seedTime)
-	defer cancel()
-	type answer struct {
-		place int
-		beat  *wire.NodeBeat
-	}
-	answers := make(chan answer, len(seeds))
-	asked, silent := 0, 0
-	askNext := func() {
-		place := asked
-		asked++
-		go func() {
-			reply, err := environment.Ask(ctx, t.config.Peers, seeds[place], t.beat(), seedTime)
-			beat, isBeat := reply.(*wire.NodeBeat)
-			if err != nil || !isBeat {
-				beat = nil
-			}
-			answers <- answer{place, beat}
-		}()
-	}
-	askNext()
-	hedge := time.NewTicker(seedHedge)
-	defer hedge.Stop()
-	for silent < len(seeds) {
-		select {
-		case <-ctx.Done():
-			return false, nil
-		case got := <-answers:
-			if got.beat != nil {
-				t.Take(ctx, got.beat)
-				return got.beat.PeersKnown, seeds[got.place:]
-			}
-			silent++
-			if asked < len(seeds) {
-				askNext()
-			}
-		case <-hedge.C:
-			if asked < len(seeds) {
-				askNext()
-			}
-		}
-	}
-	return false, nil
-}
-
 // greetSeeds greets the seeds, which know others, until the store is read.
 func (t *Table) greetSeeds(ctx context.Context) {
 	for _, seed := range t.knownSeeds() {
--- a/internal/watchcache/doc.go
+++ b/internal/watchcache/doc.go
@@ -5,6 +5,10 @@
 // Whoever is polled reads, so the nodes need not agree on who that is; they rank
 // one another and so mostly do.
 //
+// In a zone with more nodes than one can answer the followers form a tree: a few
+// follow the reader, the others follow these. Each answer tells how long ago a reader
+// called the copies current, so that what is handed on cannot pass for new.
+//
 // A follower is never further behind than the time in which it notices that
 // its reader is silent or unsure of the store. It then polls the next reader
 // in rank, and soon after reads the store itself.
--- a/internal/weightorders/homes.go
+++ b/internal/weightorders/homes.go
@@ -20,10 +20,15 @@
 // use some dozen.
 const homeHeadroom = 4
 
-// mostHomes is how many replicas a model needs for jobs of some items, 0 for no bound.
+// unknownHomes is how many replicas a model has at most while nothing is known of its
+// jobs: a node that has just taken the orders over hears of them within a second, and is
+// not to begin with thousands of loads.
+const unknownHomes = 256
+
+// mostHomes is how many replicas a model needs for jobs of some items, 0 for unknown.
 func mostHomes(items, slots int) int {
 	if items <= 0 {
-		return 0
+		return unknownHomes
 	}
 	slots = max(1, slots)
 	return max(leastHomes, (homeHeadroom*items+slots-1)/slots)
@@ -37,7 +42,8 @@
 // first. First each replica gets one model, so that each model has its share of them;
 // then each model gets some more, so that models with much work find slots where others
 // leave them. A replica that keeps up with few models loads seldom, and the loads that
-// run at once are bounded. Models with a bound keep no more replicas than that.
+// run at once are bounded. No model keeps more replicas than the bound that most gives for
+// it, if any.
 func homes(replicas []*directory.Replica, shares []share, most map[string]int) map[string][]*directory.Replica {
 	kept := map[string][]*directory.Replica{}
 	if len(shares) == 0 {
--- a/internal/weightorders/scale_test.go
+++ b/internal/weightorders/scale_test.go
@@ -53,6 +53,14 @@
 	}
 }
 
+// A node that has just taken the orders over knows of no job yet.
+func TestOrdersAreBoundedWhileNoJobIsKnown(t *testing.T) {
+	coordinator, _ := coordinatorOf(3200, Demand{})
+	if open := coordinator.tasks(coordinator.config.Directory.View(), coordinator.plannedDemand()); len(open) != 2*unknownHomes {
+		t.Errorf("%d loads of two models, want %d", len(open), 2*unknownHomes)
+	}
+}
+
 // Few replicas change their model when others come and go.
 func TestBoundedHomesStayWhenReplicasGo(t *testing.T) {
 	demand := Demand{Items: map[string]int{"m": 72, "n": 72}}
