--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -25,6 +25,9 @@
 var soakSeeds = []uint64{
 	// Many kinds of faults close together.
 	114277,
+	// A request under which four replicas had ended was sent once more, with nodes of two
+	// builds, and not again in four runs.
+	795716164,
 	// Results that had been read were gone: an append that the end of its job cut off.
 	1,
 	// The same, and items that reached replicas after the end of their job.
