--- a/internal/watchcache/stay.go
+++ b/internal/watchcache/stay.go
@@ -137,7 +137,8 @@
 // lets it, or if it has been without word for too long. In a large area the next in rank
 // is followed instead, which begins to read when it is polled.
 func (s *Source) readWhereAllowed(place position) {
-	if place.mayRead && (!place.inTree || s.Age() > newsBound) || s.Age() > lastResort {
+	inTime := place.inTree && s.Age() <= newsBound
+	if (place.mayRead && !inTime) || s.Age() > lastResort {
 		s.readDirectly()
 	}
 }
--- a/internal/weightorders/homeplan.go
+++ b/internal/weightorders/homeplan.go
@@ -24,7 +24,8 @@
 // homesOf returns the ids of the replicas that keep up with each model of a service.
 func (c *Coordinator) homesOf(view *directory.View, service string, shares []share, most map[string]int) map[string][]string {
 	next := &homePlan{
-		plan: view.Plans[service], configuration: view.Configuration, evacuated: slices.Sorted(maps.Keys(view.Evacuated)), shares: shares, most: most,
+		plan: view.Plans[service], configuration: view.Configuration,
+		evacuated: slices.Sorted(maps.Keys(view.Evacuated)), shares: shares, most: most,
 	}
 	if standing := c.homePlans[service]; standing != nil && standing.holds(next) {
 		return standing.homes
