quarantine: learn of crashes seen by other nodes before a retry

A request may crash three replicas before it is refused. In a soak run it crashed four: one through node-0, one through node-1, and two more in an attempt and its retry at node-0. The runs of other callers on the fourth replica were lost needlessly.

Cause: a crash was reported to the three aggregators of the request by a one-way message. A node that is not an aggregator knew only of the crashes it had seen itself, so node-0 counted two when the aggregators had three. It sent the retry within a millisecond of the crash, before the quarantine notice arrived.

Ruled out: a crash that was not counted (each run is logged with counts=true), and counts lost when all nodes lost power (all crashes came after that).

Change: the report to the aggregators is now a call, and the reply holds the crashes known to the aggregator. A retry waits until a majority of the aggregators has the report, including the node itself if it is one, but for at most 150 ms. The wire format has no new fields or messages. An aggregator of an earlier build does not reply; the retry is then sent after 150 ms. A retry also waits while the known crashes and the runs being probed are together enough for a quarantine.

Evidence: `go test ./test -run TestSoak -soak.`, 24 runs, eight at a time, on the code before this change: 1 failed with "a crashing request ran 4 times after the last fault until it was refused". TestRetryAwaitsCrashesSeenByOtherNodes failed on the code before this change (20 of 20) and passes with it.

--- a/internal/callers/quarantine/admit.go
+++ b/internal/callers/quarantine/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pathtally/pathtally/internal/callers/dispatch"
 )
@@ -21,21 +22,30 @@
 	return &dispatch.QuarantinedError{Fingerprint: request.String(), Remaining: remaining}
 }
 
-// awaitCrashChecks waits while the check of a broken run may still quarantine the request.
-// Only requests that are one crash short of the quarantine wait.
+// awaitCrashChecks waits while pending checks of broken runs may still quarantine the request.
+// If that depends on crashes that only other nodes know of, it waits for at most maxReportWait.
 func (s *Service) awaitCrashChecks(ctx context.Context, request Fingerprint) {
-	for {
-		s.mutex.Lock()
-		isOneCrashShort := s.pendingChecks[request] > 0 && len(s.tracker.Crashes(request)) >= crashesToQuarantine-1
-		checkEnded := s.checkEnded
-		s.mutex.Unlock()
-		if !isOneCrashShort {
-			return
-		}
+	mustWait, checksChanged := s.mustAwaitChecks(request, false)
+	if !mustWait {
+		return
+	}
+	timer := time.NewTimer(maxReportWait)
+	defer timer.Stop()
+	for timedOut := false; mustWait; mustWait, checksChanged = s.mustAwaitChecks(request, timedOut) {
 		select {
 		case <-ctx.Done():
 			return
-		case <-checkEnded:
+		case <-timer.C:
+			timedOut = true
+		case <-checksChanged:
 		}
 	}
 }
+
+// mustAwaitChecks reports whether a request must wait for its pending checks, and returns a
+// channel that is closed when these change.
+func (s *Service) mustAwaitChecks(request Fingerprint, timedOut bool) (mustWait bool, checksChanged <-chan struct{}) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return mustAwaitChecks(len(s.tracker.Crashes(request)), s.pendingChecks[request], timedOut), s.pendingChecksChanged
+}
--- a/internal/callers/quarantine/crash_check.go
+++ b/internal/callers/quarantine/crash_check.go
@@ -9,24 +9,22 @@
 // ObserveBroken implements dispatch.Guard. It checks the replica in the background.
 func (s *Service) ObserveBroken(attempt dispatch.Attempt) {
 	request := fingerprintOf(attempt.Call)
-	s.mutex.Lock()
-	s.pendingChecks[request]++
-	s.mutex.Unlock()
+	s.updatePendingChecks(request, func(pending *pendingChecks) { pending.probes++ })
 	go func() {
-		s.checkCrash(request, attempt)
-		s.mutex.Lock()
-		defer s.mutex.Unlock()
-		if s.pendingChecks[request]--; s.pendingChecks[request] == 0 {
-			delete(s.pendingChecks, request)
+		if s.checkCrash(request, attempt) != reportToAggregators {
+			s.updatePendingChecks(request, func(pending *pendingChecks) { pending.probes-- })
+			return
 		}
-		close(s.checkEnded)
-		s.checkEnded = make(chan struct{})
+		s.updatePendingChecks(request, func(pending *pendingChecks) { pending.probes--; pending.reports++ })
+		s.reportToAggregators(request)
+		s.updatePendingChecks(request, func(pending *pendingChecks) { pending.reports-- })
 	}()
 }
 
-// checkCrash checks whether the replica of a broken run has crashed, and counts the crash
-// against the request.
-func (s *Service) checkCrash(request Fingerprint, attempt dispatch.Attempt) {
+// checkCrash checks whether the replica of a broken run has crashed and counts the crash against
+// the request. It starts the quarantine if the request has reached crashesToQuarantine. It
+// returns the reaction to the broken run; the caller handles reportToAggregators.
+func (s *Service) checkCrash(request Fingerprint, attempt dispatch.Attempt) reaction {
 	liveness := s.crashDetector.check(s.ctx, attempt.Endpoint)
 	s.metrics.broken.WithLabelValues(string(liveness)).Inc()
 	counts := countsAsCrash(&attempt, liveness)
@@ -37,12 +35,11 @@
 	}
 	s.config.Logger.Info("run broken", "request", attempt.Call.ID, "fingerprint", request.String(), "replica", attempt.Endpoint.Name, "replicaIs", liveness,
 		"counts", counts, "ends", crashCount, "tookMs", attempt.Duration.Milliseconds(), "received", attempt.BodyReceived)
-	switch onBrokenRun(counts, crashCount) {
-	case startQuarantine:
+	reaction := onBrokenRun(counts, crashCount)
+	if reaction == startQuarantine {
 		s.startQuarantine(request)
-	case reportToAggregators:
-		s.reportCrashes(request, s.aggregators(request))
 	}
+	return reaction
 }
 
 // addCrashes adds crashes of replicas to a request and returns the number now known.
@@ -53,6 +50,6 @@
 	for _, crash := range crashes {
 		count = s.tracker.Add(request, crash.replica, crash.at, now)
 	}
-	s.suspectCount.Store(int64(s.tracker.Len()))
+	s.updateSuspectCount()
 	return count
 }
--- a/internal/callers/quarantine/policy.go
+++ b/internal/callers/quarantine/policy.go
@@ -25,6 +25,12 @@
 	// aggregatorCount is the number of nodes that aggregate the crashes of a request. Two of
 	// them may fail at the same time.
 	aggregatorCount = 3
+	// maxReportWait is the maximum time that a request waits to learn of crashes that only other
+	// nodes know of. A request that did not crash its replica should still meet its latency
+	// objective, usually a few hundred milliseconds.
+	maxReportWait = 150 * time.Millisecond
+	// reportTimeout is the timeout of a report to an aggregator.
+	reportTimeout = time.Second
 )
 
 // countsAsCrash reports whether a broken run counts against its request. It does if the replica
@@ -69,6 +75,16 @@
 	return ignore
 }
 
+// mustAwaitChecks reports whether a request must wait for its pending checks. It must if the
+// crashes known to this node and the runs being probed are enough for a quarantine. Otherwise
+// other nodes may know of further crashes, and it waits until timedOut is set.
+func mustAwaitChecks(crashCount int, pending pendingChecks, timedOut bool) bool {
+	if pending.probes > 0 && crashCount+pending.probes >= crashesToQuarantine {
+		return true
+	}
+	return !timedOut && pending != pendingChecks{}
+}
+
 // onReportedCrashes returns the reaction to crashes that another node reported. crashCount is
 // the number of crashes of the request, including the reported ones. A node that reports enough
 // of them for a quarantine has sent that report to all nodes, so this node need not.
--- a/internal/callers/quarantine/policy_test.go
+++ b/internal/callers/quarantine/policy_test.go
@@ -59,3 +59,26 @@
 		}
 	}
 }
+
+// Guards against admitting a retry that may crash more than crashesToQuarantine replicas.
+func TestMustAwaitChecks(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		crashes  int
+		pending  pendingChecks
+		timedOut bool
+		want     bool
+	}{
+		{name: "no pending check", crashes: 2},
+		{name: "the probe may confirm the last crash needed", crashes: 2, pending: pendingChecks{probes: 1}, timedOut: true, want: true},
+		{name: "the probes together may confirm the crashes needed", crashes: 1, pending: pendingChecks{probes: 2}, timedOut: true, want: true},
+		{name: "other nodes may know of more crashes", pending: pendingChecks{probes: 1}, want: true},
+		{name: "the aggregators have not replied", crashes: 1, pending: pendingChecks{reports: 1}, want: true},
+		{name: "the aggregators have not replied in time", crashes: 2, pending: pendingChecks{reports: 1}, timedOut: true},
+		{name: "the probe has not ended in time", crashes: 1, pending: pendingChecks{probes: 1}, timedOut: true},
+	} {
+		if got := mustAwaitChecks(test.crashes, test.pending, test.timedOut); got != test.want {
+			t.Errorf("%s: must wait = %v, want %v", test.name, got, test.want)
+		}
+	}
+}
--- a/internal/callers/quarantine/quarantine.go
+++ b/internal/callers/quarantine/quarantine.go
@@ -60,7 +60,7 @@
 func (s *Service) resetRequest(request Fingerprint) (wasSuspect, wasQuarantined bool) {
 	s.mutex.Lock()
 	wasSuspect = s.tracker.RecordSuccess(request, s.config.Clock())
-	s.suspectCount.Store(int64(s.tracker.Len()))
+	s.updateSuspectCount()
 	s.mutex.Unlock()
 	wasQuarantined = s.table.Remove(request, s.config.Clock())
 	if wasQuarantined {
--- a/internal/callers/quarantine/service.go
+++ b/internal/callers/quarantine/service.go
@@ -45,15 +45,16 @@
 	// ctx bounds the checks of replicas.
 	ctx context.Context
 
-	// suspectCount is the number of requests in the crash tracker. While it is 0 and the table
-	// is empty, requests pass without the mutex and without computing a fingerprint.
+	// suspectCount is the number of requests in the crash tracker plus the number of requests
+	// with pending checks. While it is 0 and the table is empty, requests pass without the mutex
+	// and without computing a fingerprint.
 	suspectCount atomic.Int64
 	mutex        sync.Mutex
 	tracker      *CrashTracker
-	// pendingChecks is the number of broken runs of each request whose replica is being
-	// checked. checkEnded is closed and replaced whenever such a check has ended.
-	pendingChecks map[Fingerprint]int
-	checkEnded    chan struct{}
+	// pendingChecks holds the requests that have pending checks. pendingChecksChanged is closed
+	// and replaced whenever it changes.
+	pendingChecks        map[Fingerprint]pendingChecks
+	pendingChecksChanged chan struct{}
 }
 
 var _ dispatch.Guard = (*Service)(nil)
@@ -66,7 +67,7 @@
 	}
 	service := &Service{
 		config: config, crashDetector: newCrashDetector(config.Prober), table: NewTable(), recorder: newRecorder(config.Store, config.Clock, config.Duration, config.Logger),
-		ctx: ctx, tracker: NewCrashTracker(), pendingChecks: map[Fingerprint]int{}, checkEnded: make(chan struct{}),
+		ctx: ctx, tracker: NewCrashTracker(), pendingChecks: map[Fingerprint]pendingChecks{}, pendingChecksChanged: make(chan struct{}),
 	}
 	service.metrics = newMetrics(config.Registry, service.table, config.Clock)
 	return service
@@ -91,5 +92,5 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.tracker.Prune(s.config.Clock())
-	s.suspectCount.Store(int64(s.tracker.Len()))
+	s.updateSuspectCount()
 }
--- a/internal/callers/quarantine/service_test.go
+++ b/internal/callers/quarantine/service_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -16,6 +17,7 @@
 	"github.com/pathtally/pathtally/internal/callers/dispatch"
 	"github.com/pathtally/pathtally/internal/callers/exchange"
 	"github.com/pathtally/pathtally/internal/clock"
+	"github.com/pathtally/pathtally/internal/environment"
 	"github.com/pathtally/pathtally/internal/replicas/routing"
 	"github.com/pathtally/pathtally/internal/store/objectstore"
 	"github.com/pathtally/pathtally/internal/wire"
@@ -96,8 +98,23 @@
 	}
 }
 
-// Call implements environment.Peers. It is not used.
-func (n *testNodes) Call(string, wire.Message, time.Duration, func(wire.Message, error)) {}
+// Call implements environment.Peers.
+func (n *testNodes) Call(address string, message wire.Message, timeout time.Duration, done func(wire.Message, error)) {
+	n.mutex.Lock()
+	receiver, isUnreachable := n.nodes[address], n.unreachable[address]
+	n.mutex.Unlock()
+	if receiver == nil || isUnreachable {
+		time.AfterFunc(timeout, func() { done(nil, environment.ErrPeerUnreachable) })
+		return
+	}
+	go func() { done(receiver.ReceiveReport(message.(*wire.CrashReport)), nil) }()
+}
+
+// nonAggregators returns the nodes that do not aggregate the crashes of a request.
+func (n *testNodes) nonAggregators(body string) []string {
+	request := fingerprintOf(testCall("", body))
+	return slices.DeleteFunc(n.names(), func(name string) bool { return n.nodes[name].isAggregator(request) })
+}
 
 // testCall returns a call with an id and a body.
 func testCall(id, body string) *dispatch.Call {
@@ -113,7 +130,13 @@
 func observeBrokenAndWait(t *testing.T, service *Service, attempt dispatch.Attempt) {
 	t.Helper()
 	service.ObserveBroken(attempt)
-	eventually(t, "the crash check has ended", func() bool {
+	awaitChecks(t, service)
+}
+
+// awaitChecks waits until a node has checked all broken runs.
+func awaitChecks(t *testing.T, service *Service) {
+	t.Helper()
+	eventually(t, "the crash checks have ended", func() bool {
 		service.mutex.Lock()
 		defer service.mutex.Unlock()
 		return len(service.pendingChecks) == 0
@@ -147,12 +170,7 @@
 	for _, lost := range aggregators[:len(aggregators)-1] {
 		nodes.unreachable[lost] = true
 	}
-	var others []string
-	for _, name := range nodes.names() {
-		if !slices.Contains(aggregators, name) {
-			others = append(others, name)
-		}
-	}
+	others := nodes.nonAggregators("bad")
 	for attempt, name := range others[:crashesToQuarantine] {
 		observeBrokenAndWait(t, nodes.nodes[name], brokenAttempt(testCall(fmt.Sprint("try-", attempt), "bad"), fmt.Sprint("replica-", attempt)))
 	}
@@ -306,6 +324,45 @@
 	}
 }
 
+// Guards against admitting a retry at a node that has not yet learned of the crashes seen by
+// other nodes.
+func TestRetryAwaitsCrashesSeenByOtherNodes(t *testing.T) {
+	for range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			nodes := startNodes(t, 6)
+			others := nodes.nonAggregators("bad")
+			for attempt := range crashesToQuarantine - 1 {
+				observeBrokenAndWait(t, nodes.nodes[others[0]], brokenAttempt(testCall(fmt.Sprint("try-", attempt), "bad"), fmt.Sprint("replica-", attempt)))
+			}
+			retryNode := nodes.nodes[others[1]]
+			retryNode.ObserveBroken(brokenAttempt(testCall("third", "bad"), "replica-third"))
+			if !isQuarantined(retryNode, "bad") {
+				t.Fatalf("the retry of a request that crashed %d replicas was admitted", crashesToQuarantine)
+			}
+		})
+	}
+}
+
+// Guards against delaying a retry for longer than maxReportWait while no aggregator replies.
+func TestWaitForAggregatorsIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := startNodes(t, 4)
+		for name := range nodes.nodes {
+			nodes.unreachable[name] = true
+		}
+		retryNode := nodes.nodes[nodes.nonAggregators("bad")[0]]
+		retryNode.ObserveBroken(brokenAttempt(testCall("first", "bad"), "replica"))
+		started := time.Now()
+		if isQuarantined(retryNode, "bad") {
+			t.Error("a request that crashed one replica was refused")
+		}
+		if waited := time.Since(started); waited != maxReportWait {
+			t.Errorf("the retry waited for %v, want %v", waited, maxReportWait)
+		}
+		awaitChecks(t, retryNode)
+	})
+}
+
 func TestFingerprintDistinguishesRequests(t *testing.T) {
 	base := testCall("one", "body")
 	same := testCall("two", "body")
--- a/internal/instance/messages.go
+++ b/internal/instance/messages.go
@@ -20,7 +20,7 @@
 		reply(c.store.HandleCall(ctx, message))
 		return
 	case *wire.CrashReport:
-		c.quarantine.ReceiveReport(message)
+		reply(c.quarantine.ReceiveReport(message))
 		return
 	case *wire.UsagePush:
 		if c.usage != nil {
--- a/internal/wire/crash.go
+++ b/internal/wire/crash.go
@@ -10,7 +10,8 @@
 }
 
 // CrashReport reports the replicas that crashed while they ran a request, or that the request
-// was served. It has no reply.
+// was served. If it is sent as a call, the reply is a CrashReport with the crashes known to the
+// receiver.
 type CrashReport struct {
 	// Fingerprint identifies the request, as computed by package quarantine.
 	Fingerprint []byte
