autoscale: keep the recorded baseline in zones with orders

After a change of the lease holder, zones were never scaled down to the number of replicas that they had before any was ordered, so operators paid for replicas that nothing needed.

Cause: tracker.baseline returned the maximum of the recorded baseline and the number of replicas that the node had observed. A node that has not read the current record counts replicas ordered by an earlier holder as observed before any order, and stores that number as the baseline with its own next order.

Change: in a zone with a recorded order, only the recorded baseline is used. The observed number counts only in zones without orders.

A baseline that was recorded too low, because the node that ordered first had seen fewer replicas, is no longer raised by a later holder.

--- a/internal/duties/autoscale/tracker.go
+++ b/internal/duties/autoscale/tracker.go
@@ -34,11 +34,17 @@
 	}
 }
 
-// baseline returns the number of replicas in each zone before any was ordered.
+// baseline returns the number of replicas in each zone before any was ordered. In a zone with a
+// recorded order only the recorded baseline counts, because maxSeen may include replicas that
+// another node ordered.
 func (t *tracker) baseline() map[string]int {
-	baseline := maps.Clone(t.maxSeen)
-	for zone, count := range t.ledger.content.Base {
-		baseline[zone] = max(baseline[zone], count)
+	recorded := t.ledger.content
+	baseline := map[string]int{}
+	maps.Copy(baseline, recorded.Base)
+	for zone, count := range t.maxSeen {
+		if recorded.Ordered[zone] == 0 {
+			baseline[zone] = max(baseline[zone], count)
+		}
 	}
 	return baseline
 }
