standalone: become ready only with a known view of the quorum

A node that had just become ready refused requests with an Idempotency-Key with 503 no_quorum after two seconds. If a platform outage began at that time, every such request was refused until the outage ended.

Cause: readiness required a configuration and the reports of the engines, but no view of the quorum. The first view takes two writes to the object API, of the lease and of the view, so it is stored after the nodes are ready. A busy machine or a slow platform delays it further, and during a platform outage no view can be written.

Ruled out: a process or disk that stalled for longer than the grant timeout of two seconds.

Evidence: trials of that test with the platform's responses delayed until the nodes were ready, one run each. Without a delay, all requests were served and the status showed quorumView 1. With delays of 50, 100, 200 and 300 ms, none of the five requests was served and the status showed quorumView 0.

Change: a node becomes ready once it knows a view, or ten seconds after its first configuration, so that it serves other requests even if no view can be obtained.

Tests: TestReadyNodeServesUnsafeRequests delays the platform's responses by 100 ms.

--- a/internal/standalone/node/core.go
+++ b/internal/standalone/node/core.go
@@ -36,6 +36,10 @@
 	// engineReportTimeout is how long a starting node waits for the first report
 	// of every engine.
 	engineReportTimeout = 3 * time.Second
+	// quorumViewTimeout is how long a starting node waits for a view of the
+	// quorum before it becomes ready without one. The first view of a deployment
+	// takes two writes to the object API, of the lease and of the view.
+	quorumViewTimeout = 10 * time.Second
 	// expiryRounds is how many upkeep rounds pass between two expiries.
 	expiryRounds = 40
 )
@@ -184,14 +188,15 @@
 // Generation is the configuration generation in force here, 0 for none.
 func (c *Core) Generation() uint64 { return c.generation }
 
-// Ready tells whether the node may serve: a configuration is in force, and
-// either the object API or enough peers have been asked whether it is the
-// newest.
+// Ready tells whether the node may serve: a configuration is in force, either
+// the object API or enough peers have been asked whether it is the newest, and
+// the engines and a view of the quorum are known or their timeouts have passed.
+// Without a view, the node refuses unsafe requests.
 func (c *Core) Ready() bool {
 	if c.generation == 0 || c.stopping {
 		return false
 	}
-	if !c.enginesKnown() {
+	if !c.enginesKnown() || !c.quorumViewKnown() {
 		return false
 	}
 	needed := min(confirmationsNeeded, len(c.config.Seeds))
@@ -212,6 +217,12 @@
 	return true
 }
 
+// quorumViewKnown tells whether the node knows a view of the quorum, or
+// quorumViewTimeout has passed since the first configuration.
+func (c *Core) quorumViewKnown() bool {
+	return c.quorum.View() != nil || c.config.Clock.Now().Sub(c.configuredSince) > quorumViewTimeout
+}
+
 // Quorum returns the client for claims.
 func (c *Core) Quorum() *quorum.Client { return c.quorum }
 
--- a/test/standalone_faults_test.go
+++ b/test/standalone_faults_test.go
@@ -114,6 +114,30 @@
 	d.pathtally(0, "apply", "-f", d.folder, "-platform", d.platform.address(0), "-wait", "-node-address", d.nodes[0].http)
 }
 
+// A node that becomes ready before it knows a view of the quorum refuses every unsafe request
+// if a platform outage begins at that moment.
+func TestReadyNodeServesUnsafeRequests(t *testing.T) {
+	d := deployStandaloneUnconfigured(t)
+	d.pathtally(0, "apply", "-f", d.folder, "-platform", d.platform.address(0))
+	d.platformProxy.delay.Store(int64(100 * time.Millisecond))
+	for i := range standaloneNodes {
+		d.startNode(i)
+	}
+	for _, started := range d.nodes {
+		d.waitReady(started)
+	}
+	d.platformProxy.set(proxyReset)
+	client := loadgen.NewClient()
+	for i, started := range d.nodes {
+		verdict := loadgen.Do(client, started.http, loadgen.Request{
+			Model: "m", Group: "live", Prompt: fmt.Sprint("after the start ", i), MaxTokens: 8, Key: fmt.Sprint("start-", i), Deadline: 5 * time.Second,
+		})
+		if verdict.Kind != loadgen.Answered {
+			t.Errorf("unsafe request to %s during the platform outage: %+v", started.name, verdict)
+		}
+	}
+}
+
 func TestSlowCallerDoesNotBlockOthers(t *testing.T) {
 	d := deployStandalone(t)
 	slow := newProxy(t, d.nodes[0].http)
