quarantine: admit no request before the record has been read

After a restart of all nodes, for instance after a power loss, each node that had not read the quarantine record yet ran a quarantined request once more. Each time, the request crashed up to three replicas, and the other runs on these replicas were lost.

Cause: a node reported itself ready, and dispatched requests and batch items, as soon as it knew the configuration, the replicas, the evacuations and the stored jobs. The quarantine record is listed by a separate call, and nothing waited for it. On a slow store the list arrives up to some seconds later.

Change: until the record has been listed, the node is not ready. Requests that reach it nevertheless are refused as not run, with a Retry-After of 250 ms, and batch items are retried after the same delay. Scorer calls that are refused for this reason do not count as overload.

TestAdmitsNothingBeforeRecordIsKnown covers requests that arrive before the record has been listed.

Tests: the existing tests that build a Service and admit requests now list an empty record first. Their checks are unchanged.

--- a/internal/callers/dispatch/dispatcher.go
+++ b/internal/callers/dispatch/dispatcher.go
@@ -26,9 +26,9 @@
 func (d *Dispatcher) SetGuard(guard Guard) { d.guard = guard }
 
 // Send makes one attempt and returns the response, whose body has not been read yet. The
-// caller must Close or Discard it. The error is a *QuarantinedError, a *WithheldError, a
-// *NotRunError, an *exchange.NotSentError or an *exchange.BrokenError; MayHaveRun reports
-// whether the replica may have run the request.
+// caller must Close or Discard it. The error is a *QuarantinedError, a
+// *QuarantineUnknownError, a *WithheldError, a *NotRunError, an *exchange.NotSentError or an
+// *exchange.BrokenError; MayHaveRun reports whether the replica may have run the request.
 func (d *Dispatcher) Send(ctx context.Context, endpoint *routing.Endpoint, call *Call) (*Response, error) {
 	if d.guard != nil {
 		if err := d.guard.Admit(ctx, call); err != nil {
--- a/internal/callers/dispatch/errors.go
+++ b/internal/callers/dispatch/errors.go
@@ -54,6 +54,17 @@
 	return fmt.Sprintf("request %s quarantined for another %v: it crashed replicas", e.Fingerprint, e.Remaining.Round(time.Second))
 }
 
+// QuarantineUnknownError reports that this node did not send a request, because it has not read
+// the quarantine record yet.
+type QuarantineUnknownError struct {
+	// RetryAfter is the delay after which the record has usually been read.
+	RetryAfter time.Duration
+}
+
+func (e *QuarantineUnknownError) Error() string {
+	return "request not sent: quarantine record not read yet"
+}
+
 // MayHaveRun reports whether a replica may have run the request of an attempt that failed
 // with err, in Send or while the response was read.
 func MayHaveRun(err error) bool {
@@ -61,5 +72,6 @@
 	var notSent *exchange.NotSentError
 	var withheld *WithheldError
 	var quarantined *QuarantinedError
-	return !errors.As(err, &notRun) && !errors.As(err, &notSent) && !errors.As(err, &withheld) && !errors.As(err, &quarantined)
+	var quarantineUnknown *QuarantineUnknownError
+	return !errors.As(err, &notRun) && !errors.As(err, &notSent) && !errors.As(err, &withheld) && !errors.As(err, &quarantined) && !errors.As(err, &quarantineUnknown)
 }
--- a/internal/callers/dispatch/errors_test.go
+++ b/internal/callers/dispatch/errors_test.go
@@ -16,6 +16,7 @@
 		mayHaveRun bool
 	}{
 		{&QuarantinedError{Remaining: time.Second}, false},
+		{&QuarantineUnknownError{RetryAfter: time.Second}, false},
 		{&WithheldError{Reason: routing.ReasonSlowStart}, false},
 		{&NotRunError{Status: 503}, false},
 		{&exchange.NotSentError{Cause: net.ErrClosed}, false},
--- a/internal/callers/forward/errors.go
+++ b/internal/callers/forward/errors.go
@@ -44,6 +44,9 @@
 	// ReasonQuarantined refuses a request that has crashed several replicas, whatever id
 	// it is sent with.
 	ReasonQuarantined = "replicas end under this request"
+	// ReasonQuarantineUnknown refuses a request because the node has not read the
+	// quarantine record yet.
+	ReasonQuarantineUnknown = "the requests in quarantine are not known yet"
 	// ReasonOutsideRegions refuses a request whose allowed regions have no replica.
 	ReasonOutsideRegions = "no replica in the allowed regions"
 )
--- a/internal/callers/forward/refusal.go
+++ b/internal/callers/forward/refusal.go
@@ -26,14 +26,18 @@
 }
 
 // newRefusal returns the error for a request that has not run. The reason is
-// ReasonQuarantined if the cause, the last error, is a quarantine; otherwise the one that
-// follows from filterErr, the error of a pick that failed although no replica was skipped
-// as already tried (may be nil); otherwise the general reason.
+// ReasonQuarantined or ReasonQuarantineUnknown if the cause, the last error, is a refusal by
+// the guard; otherwise the one that follows from filterErr, the error of a pick that failed
+// although no replica was skipped as already tried (may be nil); otherwise the general reason.
 func newRefusal(general string, cause, filterErr error) *RefusedError {
 	var quarantined *dispatch.QuarantinedError
 	if errors.As(cause, &quarantined) {
 		return &RefusedError{Reason: ReasonQuarantined, RetryAfter: quarantined.Remaining, Cause: cause}
 	}
+	var quarantineUnknown *dispatch.QuarantineUnknownError
+	if errors.As(cause, &quarantineUnknown) {
+		return &RefusedError{Reason: ReasonQuarantineUnknown, RetryAfter: quarantineUnknown.RetryAfter, Cause: cause}
+	}
 	refused := &RefusedError{Reason: general, Cause: cause}
 	if filterErr != nil {
 		refused.Cause = filterErr
@@ -45,8 +49,8 @@
 	return refused
 }
 
-// retryAfter returns the Retry-After for a reason. It does not cover ReasonQuarantined,
-// for which it is the rest of the quarantine.
+// retryAfter returns the Retry-After for a reason. It does not cover refusals by the guard,
+// whose errors determine the delay.
 func retryAfter(reason string) time.Duration {
 	switch reason {
 	case ReasonEvacuated:
@@ -61,7 +65,8 @@
 // replica may get it either.
 func isQuarantined(err error) bool {
 	var quarantined *dispatch.QuarantinedError
-	return errors.As(err, &quarantined)
+	var quarantineUnknown *dispatch.QuarantineUnknownError
+	return errors.As(err, &quarantined) || errors.As(err, &quarantineUnknown)
 }
 
 // filterReason returns the reason of the filter that excluded the last replicas, or "" if
--- a/internal/callers/forward/refusal_test.go
+++ b/internal/callers/forward/refusal_test.go
@@ -11,6 +11,7 @@
 )
 
 func TestNewRefusal(t *testing.T) {
+	quarantineUnknown := &dispatch.QuarantineUnknownError{RetryAfter: time.Second}
 	notRun, quarantined := &dispatch.NotRunError{Replica: "r", Status: 503}, &dispatch.QuarantinedError{Fingerprint: "f", Remaining: quarantineRemaining}
 	noEligible := func(reason routing.Reason) error { return &routing.NoEligibleEndpointError{Reason: reason} }
 	for name, test := range map[string]struct {
@@ -29,6 +30,7 @@
 		"all unavailable":                   {ReasonNoReplica, notRun, noEligible(routing.ReasonUnavailable), ReasonNoReplica, 120 * time.Millisecond, noEligible(routing.ReasonUnavailable)},
 		"no replica in the allowed regions": {ReasonOutsideRegions, ErrNoReplicaInAllowedRegions, nil, ReasonOutsideRegions, 2 * time.Second, ErrNoReplicaInAllowedRegions},
 		"quarantined":                       {ReasonAllFull, quarantined, nil, ReasonQuarantined, quarantineRemaining, quarantined},
+		"quarantine unknown":                {ReasonAllFull, quarantineUnknown, nil, ReasonQuarantineUnknown, quarantineUnknown.RetryAfter, quarantineUnknown},
 		"quarantined and excluded":          {ReasonAllFull, quarantined, noEligible(routing.ReasonEvacuated), ReasonQuarantined, quarantineRemaining, quarantined},
 	} {
 		got := newRefusal(test.general, test.cause, test.filterErr)
--- a/internal/callers/quarantine/admit.go
+++ b/internal/callers/quarantine/admit.go
@@ -9,6 +9,9 @@
 
 // Admit implements dispatch.Guard.
 func (s *Service) Admit(ctx context.Context, call *dispatch.Call) error {
+	if !s.recordKnown.Load() {
+		return &dispatch.QuarantineUnknownError{RetryAfter: recordUnknownRetryAfter}
+	}
 	if s.suspectCount.Load() == 0 && s.table.IsEmpty() {
 		return nil
 	}
--- a/internal/callers/quarantine/policy.go
+++ b/internal/callers/quarantine/policy.go
@@ -29,6 +29,9 @@
 	// nodes know of. A request that did not crash its replica should still meet its latency
 	// objective, usually a few hundred milliseconds.
 	maxReportWait = 150 * time.Millisecond
+	// recordUnknownRetryAfter is the Retry-After of requests that are refused because the stored
+	// record has not been read yet. Reading it usually takes a few round trips to the store.
+	recordUnknownRetryAfter = 250 * time.Millisecond
 	// reportTimeout is the timeout of a report to an aggregator.
 	reportTimeout = time.Second
 )
--- a/internal/callers/quarantine/service.go
+++ b/internal/callers/quarantine/service.go
@@ -45,6 +45,8 @@
 	// ctx bounds the checks of replicas.
 	ctx context.Context
 
+	// recordKnown is set once the stored record has been listed, even if it is missing or invalid.
+	recordKnown atomic.Bool
 	// suspectCount is the number of requests in the crash tracker plus the number of requests
 	// with pending checks. While it is 0 and the table is empty, requests pass without the mutex
 	// and without computing a fingerprint.
@@ -73,6 +75,10 @@
 	return service
 }
 
+// RecordKnown reports whether the stored record has been listed. Until then, Admit refuses all
+// requests.
+func (s *Service) RecordKnown() bool { return s.recordKnown.Load() }
+
 // pruneInterval is the interval at which the crash tracker is pruned. While the crash tracker
 // is not empty, each call costs the computation of a fingerprint.
 const pruneInterval = time.Minute
--- a/internal/callers/quarantine/service_test.go
+++ b/internal/callers/quarantine/service_test.go
@@ -55,6 +55,7 @@
 		Node: node, Duration: time.Hour, Prober: n, Store: n.store, Peers: n, Logger: klog.Background(), Registry: prometheus.NewRegistry(), Clock: clock.Monotonic,
 		Nodes: n.names, Address: func(name string) (string, bool) { return name, true },
 	})
+	service.Replace(nil, false)
 	go service.Run(ctx)
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
@@ -363,6 +364,23 @@
 	})
 }
 
+// Guards against admitting a quarantined request before the record has been read.
+func TestAdmitsNothingBeforeRecordIsKnown(t *testing.T) {
+	service := NewService(t.Context(), Config{
+		Node: "one", Prober: &testNodes{}, Store: metastore.New(), Peers: &testNodes{}, Logger: klog.Background(),
+		Registry: prometheus.NewRegistry(), Clock: clock.Monotonic, Nodes: func() []string { return []string{"one"} },
+		Address: func(string) (string, bool) { return "", false },
+	})
+	var quarantineUnknown *dispatch.QuarantineUnknownError
+	if err := service.Admit(t.Context(), testCall("early", "good")); !errors.As(err, &quarantineUnknown) || quarantineUnknown.RetryAfter <= 0 || dispatch.MayHaveRun(err) || service.RecordKnown() {
+		t.Errorf("before the record is known: error %v, want a QuarantineUnknownError with a Retry-After", err)
+	}
+	service.Replace(nil, false)
+	if err := service.Admit(t.Context(), testCall("late", "good")); err != nil || !service.RecordKnown() {
+		t.Errorf("after an empty list: error %v, want none", err)
+	}
+}
+
 func TestFingerprintDistinguishesRequests(t *testing.T) {
 	base := testCall("one", "body")
 	same := testCall("two", "body")
--- a/internal/callers/quarantine/sink.go
+++ b/internal/callers/quarantine/sink.go
@@ -8,6 +8,8 @@
 
 // Replace applies a complete list of the objects of Kind. Package watchcache calls it.
 func (s *Service) Replace(objects []objectstore.Object, _ bool) {
+	// Deferred, so that no request is admitted before the list has been applied to the table.
+	defer s.recordKnown.Store(true)
 	for _, object := range objects {
 		if object.Name == ObjectName {
 			s.applyRecord(object)
--- a/internal/instance/readiness.go
+++ b/internal/instance/readiness.go
@@ -16,6 +16,7 @@
 		{"configuration", view.Configuration != nil},
 		{"replicas", view.ReplicasKnown},
 		{"evacuations", !view.EvacuationsUnknown},
+		{"quarantine", c.quarantine.RecordKnown()},
 		{"batch jobs", c.jobs.Recovered()},
 	} {
 		if !required.known {
--- a/internal/jobs/batch/reward.go
+++ b/internal/jobs/batch/reward.go
@@ -79,7 +79,7 @@
 	call.Deadline = time.Now().Add(rewardTimeout(route))
 	response, err := s.config.Forwarder.Do(ctx, route, call)
 	var refused *forward.RefusedError
-	isOverloaded := errors.As(err, &refused) && refused.Reason != forward.ReasonQuarantined
+	isOverloaded := errors.As(err, &refused) && refused.Reason != forward.ReasonQuarantined && refused.Reason != forward.ReasonQuarantineUnknown
 	limiter.Leave(isOverloaded || (err == nil && response.Rejections > 0))
 	return response, err
 }
--- a/internal/jobs/batch/runerror.go
+++ b/internal/jobs/batch/runerror.go
@@ -41,11 +41,14 @@
 	var notRun *dispatch.NotRunError
 	var withheld *dispatch.WithheldError
 	var quarantined *dispatch.QuarantinedError
+	var quarantineUnknown *dispatch.QuarantineUnknownError
 	var status *ItemStatusError
 	var rescheduled *RescheduledError
 	switch {
 	case errors.As(err, &quarantined):
 		work.retryAt = time.Now().Add(quarantineRetryDelay)
+	case errors.As(err, &quarantineUnknown):
+		work.retryAt = time.Now().Add(quarantineUnknown.RetryAfter)
 	case errors.As(err, &withheld):
 		// The item was not sent: another replica may take it, or this one later.
 		work.retryAt = time.Now().Add(brokenRunDelay)
--- a/test/quarantine_test.go
+++ b/test/quarantine_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/pathtally/pathtally/internal/callers/quarantine"
+	"github.com/pathtally/pathtally/standin/metastore"
 	"github.com/pathtally/pathtally/standin/replica"
 )
 
@@ -226,6 +228,40 @@
 	}
 }
 
+// A restarted node must not send a quarantined request to a replica when the store is slow to
+// return the quarantine record.
+func TestQuarantineIsReadBeforeRequestsAreServed(t *testing.T) {
+	t.Parallel()
+	d := deployCrashing(t, deploymentSpec{nodes: 2, apps: 4})
+	d.sendRepeatedly("early", "/live/pay", maxCrashes)
+	time.Sleep(propagationTime)
+	before := d.crashCount()
+	for _, node := range d.nodes {
+		node.signal(syscall.SIGKILL)
+	}
+	d.nodes = nil
+	d.store.SetDelay(func(call metastore.Call) metastore.Delay {
+		if call.Kind == quarantine.Kind {
+			return metastore.Delay{Before: maxStoreDelay}
+		}
+		return metastore.Delay{}
+	})
+	for number := range 2 {
+		d.startNode(number)
+	}
+	for number, node := range d.nodes {
+		d.waitReady(node)
+		response, err := d.send(node, http.MethodPost, liveHost, "/live/pay", fmt.Sprint("late-", number), []byte(crashingText), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.checkRefused(response)
+	}
+	if crashes := d.crashCount(); crashes > before {
+		t.Errorf("%d more replicas crashed after the restart of all nodes", crashes-before)
+	}
+}
+
 // crashingJob returns the body of a batch job whose first item was changed by alter.
 func crashingJob(t *testing.T, job string, items int, alter func(item map[string]any)) []byte {
 	t.Helper()
