autoscale: refresh the recorded orders on candidates

After the lease holder had left, the replicas that it had ordered were kept for as long as its successor had no reason to order more, so operators paid for replicas that nothing needed.

Cause: a candidate read the record of the orders only once, and again only after one of its own writes had failed. A candidate that had read it before the first order kept using the empty record, so it knew of no order to scale down.

Change: a node reads the record once after it acquires the lease, and every 10 s while it does not hold a valid lease. As before, it also reads the record again after a failed write. An order that was decided before this node acquired the lease is not placed. It is decided again half a second later, from the record as it is then. Elector has HeldSince now, so the allotter of slow start uses the Elector itself.

Cost: one read per service every 10 s on each candidate, only where replicas are ordered, which is off by default.

--- a/internal/duties/autoscale/service.go
+++ b/internal/duties/autoscale/service.go
@@ -58,12 +58,14 @@
 		}
 		tracker := s.tracker(name)
 		state := s.serviceState(view, &service, tracker, now)
-		if !s.config.Elector.IsCandidate() || !s.loadLedger(ctx, tracker) {
+		if !s.config.Elector.IsCandidate() || !s.loadLedger(ctx, tracker, now) {
 			continue
 		}
 		for _, change := range tracker.due(Decide(s.config.Policy, state, tracker.baseline()), now) {
 			due = true
-			if ready, _ := s.config.Elector.EnsureHeld(ctx, dutyName); ready {
+			// An order is not placed if the record was read before this node acquired the
+			// lease, because the former holder may have changed the record since.
+			if ready, _ := s.config.Elector.EnsureHeld(ctx, dutyName); ready && tracker.ledger.isCurrent(s.heldSince(), now) {
 				s.placeOrder(ctx, tracker, name, change, now)
 			}
 		}
@@ -73,12 +75,22 @@
 	}
 }
 
-// loadLedger reads the recorded orders unless they are known, and returns whether that
+// heldSince returns the time since which this node has held the lease, or zero if calls may
+// not be sent now.
+func (s *Service) heldSince() time.Time {
+	since, valid := s.config.Elector.HeldSince()
+	if !valid {
+		return time.Time{}
+	}
+	return since
+}
+
+// loadLedger reads the recorded orders unless they are current, and returns whether that
 // succeeded.
-func (s *Service) loadLedger(ctx context.Context, tracker *tracker) bool {
+func (s *Service) loadLedger(ctx context.Context, tracker *tracker, now time.Time) bool {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	if err := tracker.ledger.load(ctx); err != nil {
+	if err := tracker.ledger.load(ctx, s.heldSince(), now); err != nil {
 		s.config.Logger.Info("failed to read replica orders", "service", tracker.ledger.service, "error", err.Error())
 		return false
 	}
@@ -149,9 +161,6 @@
 func (s *Service) recordOrder(ctx context.Context, tracker *tracker, target ZoneTarget) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	if err := tracker.ledger.load(ctx); err != nil {
-		return err
-	}
 	next := record{Base: tracker.baseline(), Ordered: maps.Clone(tracker.ledger.content.Ordered)}
 	if next.Ordered[target.Zone] == target.Replicas {
 		return nil
--- a/internal/duties/autoscale/service_test.go
+++ b/internal/duties/autoscale/service_test.go
@@ -206,7 +206,7 @@
 				time.Sleep(5 * time.Second)
 				stop()
 				if startsBefore {
-					// The record that it has read is outdated. It reads it again to order.
+					// It places an order before the work ends.
 					w.setOpenItems(180)
 					time.Sleep(20 * time.Second)
 				}
@@ -220,6 +220,31 @@
 	}
 }
 
+// A candidate that never reads the record again after the first order would not scale down the
+// replicas that a former holder ordered unless it had to order more.
+func TestCandidateScalesDownOrdersOfFormerHolder(t *testing.T) {
+	runInTestWorld(t, func(ctx context.Context, w *testWorld) {
+		first, stop := context.WithCancel(ctx)
+		defer stop()
+		w.start(first, "first")
+		time.Sleep(pollInterval / 2)
+		second := w.start(ctx, "second")
+		time.Sleep(10*pollInterval + pollInterval/4)
+		w.setOpenItems(131)
+		time.Sleep(5 * time.Second)
+		if got := w.platform.ordered(); got != "map[a:7 b:6 c:6]" {
+			t.Fatalf("first holder ordered %s, want a slot for each open item", got)
+		}
+		second.config.Directory.SetReplicas(testReplicas(7+6+6), 0)
+		stop()
+		w.setOpenItems(0)
+		time.Sleep(10 * time.Minute)
+		if got := w.platform.ordered(); got != "map[a:4 b:4 c:4]" {
+			t.Errorf("ordered %s 10 min after the work ended, want the baseline", got)
+		}
+	})
+}
+
 // A zone without available replicas must not be asked at every step, and other zones must
 // replace it.
 func TestExhaustedZoneIsNotRetriedEarly(t *testing.T) {
--- a/internal/duties/lease/elector.go
+++ b/internal/duties/lease/elector.go
@@ -159,6 +159,10 @@
 // LastObserved returns the newest observation of the lease that this node knows of.
 func (e *Elector) LastObserved() Observation { return e.config.Lease.LastObserved() }
 
+// HeldSince returns the time since which neither another node nor a previous process of this
+// node has held the lease, and whether calls may be sent now.
+func (e *Elector) HeldSince() (since time.Time, valid bool) { return e.config.Lease.HeldSince() }
+
 // TenureToken returns the fencing token of this node's tenure, or 0 if it has none. The lease
 // may have to be renewed before the next call.
 func (e *Elector) TenureToken() uint64 { return e.config.Lease.TenureToken() }
--- a/internal/instance/slowstart.go
+++ b/internal/instance/slowstart.go
@@ -46,12 +46,6 @@
 	failures int
 }
 
-// allotterLease is the duty lease as the allotter uses it.
-type allotterLease struct {
-	*lease.Elector
-	*lease.Lease
-}
-
 func (c *components) newSlowStart() *slowStart {
 	created := &slowStart{self: c.self, peers: c.peers, transport: c.transport, elector: c.elector}
 	created.client = slowstart.NewClient(slowstart.ClientConfig{
@@ -59,7 +53,7 @@
 	})
 	created.allotter = slowstart.NewAllotter(slowstart.AllotterConfig{
 		Limits: slowstart.Limits{Overage: c.settings.WarmUpOverage, Slack: c.settings.WarmUpSlack},
-		Lease:  allotterLease{Elector: c.elector, Lease: c.lease}, Clock: c.clock, Logger: c.logger, Registry: c.registry,
+		Lease:  c.elector, Clock: c.clock, Logger: c.logger, Registry: c.registry,
 		Rate: func(replica string) float64 { return c.directory.View().WarmUpRate(replica) },
 	})
 	return created
