exchange: report the cause of a canceled request

When the replica of a resumable stream sent no event for the idle timeout, the log reported "context canceled", as if the caller had disconnected.

Cause: the idle timeout cancels the context with a cause of its own, but Send and Read replaced the error of the closed connection with the error of the context.

Change: Send and Read report the cause of the context. If no cause was set, this is the same error as before.

Tests: TestIdleTimeoutIsReportedAsCause covers a timeout before and after the head of the response.

--- a/internal/callers/exchange/pool.go
+++ b/internal/callers/exchange/pool.go
@@ -58,7 +58,7 @@
 		detach()
 		p.discard(conn)
 		if ctx.Err() != nil {
-			err = ctx.Err()
+			err = context.Cause(ctx)
 		}
 		return nil, &BrokenError{Address: address, Cause: err}
 	}
--- a/internal/callers/exchange/response.go
+++ b/internal/callers/exchange/response.go
@@ -100,7 +100,7 @@
 	}
 	if err != nil {
 		if r.ctx.Err() != nil {
-			err = r.ctx.Err()
+			err = context.Cause(r.ctx)
 		}
 		err = &BrokenError{Address: r.connection.address, Cause: err}
 	}
--- a/internal/callers/forward/stream_test.go
+++ b/internal/callers/forward/stream_test.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"context"
 	"errors"
+	"net/http"
 	"testing"
 	"time"
 
@@ -21,3 +23,25 @@
 		}
 	}
 }
+
+// Guards against reporting the idle timeout of a stream as a cancellation by the caller.
+func TestIdleTimeoutIsReportedAsCause(t *testing.T) {
+	for name, handle := range map[string]handler{
+		"before the response head": hang,
+		"after the response head": func(writer http.ResponseWriter, request *http.Request) {
+			writer.WriteHeader(http.StatusOK)
+			writer.(http.Flusher).Flush()
+			hang(writer, request)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			route := testRoute(directory.RouteStream)
+			route.Resumable, route.Attempts, route.Objective = true, 1, 50*time.Millisecond
+			err := newForwarder(startBackend(t, handle)).Stream(t.Context(), route, testCall(5*time.Second), nullSink{})
+			if !errors.Is(err, ErrStreamInterrupted) || errors.Is(err, context.Canceled) {
+				t.Errorf("error %v, want %v", err, ErrStreamInterrupted)
+			}
+		})
+	}
+}
