forward: refuse a stream whose deadline passed before any attempt as expired

The caller of a stream whose deadline passed while no replica accepted it was told "every replica turned it away". A request with a buffered response was told "the time ran out before a replica took it" in the same situation.

Cause: streamState.giveUp did not look at the context if the stream had not run.

Change: it gives ReasonExpired then. Status and Retry-After are the same as before; the text and the log line differ.

--- a/internal/callers/forward/decide_stream.go
+++ b/internal/callers/forward/decide_stream.go
@@ -69,6 +69,8 @@
 		return decision{step: stepFailExpired, reason: why}
 	case s.failedAttempts > 0:
 		return decision{step: stepFailLost, reason: why}
+	case s.contextEnded:
+		return decision{step: stepRefuse, refusal: ReasonExpired, reason: why}
 	case s.tried == 0 && s.rejections == 0:
 		return decision{step: stepRefuse, refusal: ReasonNoReplica, reason: why}
 	}
