jobs/batch: return stale records to the former owner in takeover tests

TestEndAtFormerOwnerServesNewResults failed intermittently with "the former owner knows of its successor already". The three other tests that share its set-up could fail in the same way.

Cause: the set-up disconnected the former owner from its peer but not from the store. The first failures came from a periodic read right after the takeover. The set-up then postponed these reads by setting confirmedAt to a later time, but a node whose process was paused for longer than pauseThreshold reads the record at once, regardless of confirmedAt.

Until a test calls endStaleReads, the former owner's reads of the record now return the version from before the takeover. Each test calls it at the point where the former owner is to learn of its successor. Checks, bounds and timeouts are unchanged, and so is product code.

--- a/internal/jobs/batch/ended_owner_test.go
+++ b/internal/jobs/batch/ended_owner_test.go
@@ -21,7 +21,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			engine := newHoldingEngine(t)
-			cluster, former, successor := newSupersededOwner(t, engine)
+			cluster, former, successor, endStaleReads := newSupersededOwner(t, engine)
 			former.mutex.Lock()
 			held := former.jobs["job"]
 			former.mutex.Unlock()
@@ -36,6 +36,7 @@
 				}
 				return metastore.NoFault
 			})
+			endStaleReads()
 			// The former owner's runs must not finish.
 			held.cancel()
 			engine.release()
--- a/internal/jobs/batch/stored_ends_test.go
+++ b/internal/jobs/batch/stored_ends_test.go
@@ -15,7 +15,7 @@
 func TestEndIsRetriedAfterTakeover(t *testing.T) {
 	engine := newHoldingEngine(t)
 	t.Cleanup(engine.release)
-	cluster, former, _ := newSupersededOwner(t, engine)
+	cluster, former, _, endStaleReads := newSupersededOwner(t, engine)
 	holds := func() bool {
 		former.mutex.Lock()
 		defer former.mutex.Unlock()
@@ -35,6 +35,7 @@
 	if err := former.End(ctx, "job"); err == nil {
 		t.Fatal("the end is acknowledged while the store rejects it")
 	}
+	endStaleReads()
 	eventually(t, "the former owner knows of its successor", func() bool { return !holds() })
 	cluster.store.SetFault(nil)
 	cluster.setDisconnected("node-0", false)
--- a/internal/jobs/batch/takeover_test.go
+++ b/internal/jobs/batch/takeover_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/pathtally/pathtally/internal/jobs/jobstore"
 	"github.com/pathtally/pathtally/internal/jobs/ownership"
+	"github.com/pathtally/pathtally/internal/store/objectstore"
 	"github.com/pathtally/pathtally/standin/metastore"
 )
 
@@ -70,6 +72,21 @@
 	checkResults(t, "job", cluster.readAll(fresh, "job", 6), 6, 3)
 }
 
+// staleRecordStore is a store whose reads of one job's record may return an earlier version.
+type staleRecordStore struct {
+	objectstore.Store
+	// staleRecord is the version that reads return, nil for the stored one.
+	staleRecord atomic.Pointer[objectstore.Object]
+}
+
+func (s *staleRecordStore) Get(ctx context.Context, kind, name string, freshness objectstore.Freshness) (objectstore.Object, error) {
+	object, err := s.Store.Get(ctx, kind, name, freshness)
+	if stale := s.staleRecord.Load(); err == nil && stale != nil && kind == jobstore.KindJobs && name == stale.Name {
+		return *stale, nil
+	}
+	return object, err
+}
+
 // setConfirmedAt sets when the node last read that it owns a job, if it holds the job, and
 // reports whether it does. The next periodic read of the record is due recordCheckInterval
 // after that time.
@@ -84,34 +101,41 @@
 }
 
 // newSupersededOwner returns a cluster in which the successor has taken the job over and
-// the former owner, disconnected from its peer, still holds the job. The former owner's
-// periodic reads of the record are held back until then: the first is due
-// recordCheckInterval after the return.
-func newSupersededOwner(t *testing.T, engine *testEngine) (deployment *cluster, former, successor *testNode) {
+// the former owner, disconnected from its peer, still holds the job. Until endStaleReads is
+// called, the former owner's reads of the record return the version from before the
+// takeover: it reads the record periodically and after a pause of the process, and would
+// otherwise learn of its successor. The next periodic read is due recordCheckInterval after the
+// return.
+func newSupersededOwner(t *testing.T, engine *testEngine) (deployment *cluster, former, successor *testNode, endStaleReads func()) {
 	t.Helper()
-	deployment = newCluster(t, 2, engine)
-	former, successor = deployment.nodes[0], deployment.nodes[1]
+	deployment = newCluster(t, 0)
+	former = deployment.makeNode("node-0", []*testEngine{engine})
+	formerStore := &staleRecordStore{Store: gatedStore{deployment.store, &deployment.gate}}
+	former.config.JobStore = jobstore.New(formerStore)
+	former.table.Join(former.ctx)
+	deployment.start(former)
+	successor = deployment.addNode("node-1", []*testEngine{engine})
 	if err := deployment.submit(former, "job", 6); err != nil {
 		t.Fatal(err)
 	}
+	record, err := deployment.store.Get(context.Background(), jobstore.KindJobs, "job", objectstore.Linearizable)
+	if err != nil {
+		t.Fatal(err)
+	}
+	formerStore.staleRecord.Store(&record)
 	deployment.setDisconnected("node-0", true)
-	eventually(t, "the job is taken over", func() bool {
-		// A read that is already in progress, or one after a pause of the process, resets
-		// the time.
-		former.setConfirmedAt("job", time.Now().Add(time.Hour))
-		return successor.holds("job")
-	})
+	eventually(t, "the job is taken over", func() bool { return successor.holds("job") })
 	if !former.setConfirmedAt("job", time.Now()) {
 		t.Fatal("the former owner knows of its successor already")
 	}
-	return deployment, former, successor
+	return deployment, former, successor, func() { formerStore.staleRecord.Store(nil) }
 }
 
 // Guards against results that a former owner appends after its successor has read the
 // job.
 func TestFormerOwnerAppendsNothing(t *testing.T) {
 	engine := newHoldingEngine(t)
-	cluster, former, successor := newSupersededOwner(t, engine)
+	cluster, former, successor, endStaleReads := newSupersededOwner(t, engine)
 	// The former owner is connected to the store alone and finishes an item first.
 	former.mutex.Lock()
 	held := former.jobs["job"]
@@ -121,6 +145,7 @@
 	}
 	former.scheduler.finish(held.items["job.0"], jobstore.Result{ID: "job.0", State: jobstore.Abandoned})
 	former.mutex.Unlock()
+	endStaleReads()
 	eventually(t, "the former owner learns of its successor", func() bool {
 		former.mutex.Lock()
 		defer former.mutex.Unlock()
@@ -145,7 +170,7 @@
 // and ended.
 func TestFormerOwnerServesNoOldResults(t *testing.T) {
 	engine := newHoldingEngine(t)
-	cluster, former, successor := newSupersededOwner(t, engine)
+	cluster, former, successor, endStaleReads := newSupersededOwner(t, engine)
 	// The former owner's runs must not finish.
 	former.mutex.Lock()
 	held := former.jobs["job"]
@@ -167,6 +192,7 @@
 		}
 		return metastore.NoFault
 	})
+	endStaleReads()
 	cluster.setDisconnected("node-0", false)
 	successor.table.Broadcast()
 	eventually(t, "the former owner knows of the end", func() bool {
