bench: exit with 2 for an invalid command line

pathtally-bench exited with 1 for an unknown flag, an invalid flag value or a missing file argument, although its usage text documents 2. Scripts could not tell these usage errors from a failed run.

Run returned exitFailed for every error, including a UsageError, and errors from the flag package were returned unchanged.

Return flag parsing errors other than flag.ErrHelp (-h) as a UsageError, and return exitUsage from Run for a UsageError.

--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -35,6 +35,15 @@
 	stderr io.Writer
 }
 
+// parse parses the command-line flags. A non-nil error is flag.ErrHelp or a *UsageError.
+func (c *invocation) parse() error {
+	err := c.flags.Parse(c.args)
+	if err == nil || errors.Is(err, flag.ErrHelp) {
+		return err
+	}
+	return &UsageError{Message: err.Error()}
+}
+
 // subcommands maps names to subcommands.
 var subcommands = map[string]func(call *invocation) error{
 	"sim":      runSim,
@@ -56,6 +65,10 @@
 	}
 	if err != nil {
 		fmt.Fprintf(stderr, "pathtally-bench %s: %v\n", args[0], err)
+		var usage *UsageError
+		if errors.As(err, &usage) {
+			return exitUsage
+		}
 		return exitFailed
 	}
 	return exitDone
--- a/internal/bench/simulate.go
+++ b/internal/bench/simulate.go
@@ -25,7 +25,7 @@
 	call.flags.Uint64Var(&simulated.from, "from", 1, "the first seed")
 	call.flags.BoolVar(&simulated.trace, "trace", false, "print the trace of each run; for one seed")
 	call.flags.IntVar(&simulated.workers, "workers", runtime.NumCPU(), "runs at the same time")
-	if err := call.flags.Parse(call.args); err != nil {
+	if err := call.parse(); err != nil {
 		return err
 	}
 	simulated.runSeeds()
--- a/internal/bench/timeline.go
+++ b/internal/bench/timeline.go
@@ -18,7 +18,7 @@
 func runTimeline(call *invocation) error {
 	asJSON := call.flags.Bool("json", false, "write JSON instead of a table")
 	chart := call.flags.String("plot", "", "draw the steps into this file, SVG or PNG by its ending")
-	if err := call.flags.Parse(call.args); err != nil {
+	if err := call.parse(); err != nil {
 		return err
 	}
 	if call.flags.NArg() == 0 {
