wire: end the error of a frame without a cause after its detail

Logs showed "bad frame: frame exceeds the size limit: <nil>".

FrameError.Error printed the cause also where there is none. The test of an oversized frame compares the text now and failed before.

--- a/internal/wire/errors.go
+++ b/internal/wire/errors.go
@@ -31,7 +31,12 @@
 }
 
 // Error implements error.
-func (e *FrameError) Error() string { return fmt.Sprintf("bad frame: %s: %v", e.Detail, e.Cause) }
+func (e *FrameError) Error() string {
+	if e.Cause == nil {
+		return "bad frame: " + e.Detail
+	}
+	return fmt.Sprintf("bad frame: %s: %v", e.Detail, e.Cause)
+}
 
 // Unwrap returns the underlying error, or nil.
 func (e *FrameError) Unwrap() error { return e.Cause }
--- a/internal/wire/frame_test.go
+++ b/internal/wire/frame_test.go
@@ -58,6 +58,9 @@
 	if !errors.As(err, &frameError) {
 		t.Fatalf("Read of an oversized frame returned %v, want a *FrameError", err)
 	}
+	if want := "bad frame: frame exceeds the size limit"; frameError.Error() != want {
+		t.Errorf("error %q, want %q", frameError, want)
+	}
 }
 
 // FuzzDecode checks that no input makes Decode panic and that every decoded frame can be
