test: extract shared setup of two quarantine tests

TestQuarantineSurvivesNodeRestarts and TestQuarantineIsReadBeforeRequestsAreServed began with the same lines. Move these to crashDeployment.quarantineAndKillNodes. Checks and times are unchanged.

--- a/test/quarantine_test.go
+++ b/test/quarantine_test.go
@@ -122,6 +122,21 @@
 	return last
 }
 
+// quarantineAndKillNodes sends the crashing request to /live/pay maxCrashes times, waits for
+// the quarantine to reach all nodes and kills them. It returns the number of replica crashes
+// before the kill.
+func (d *crashDeployment) quarantineAndKillNodes() (crashes int) {
+	d.t.Helper()
+	d.sendRepeatedly("early", "/live/pay", maxCrashes)
+	time.Sleep(propagationTime)
+	crashes = d.crashCount()
+	for _, node := range d.nodes {
+		node.signal(syscall.SIGKILL)
+	}
+	d.nodes = nil
+	return crashes
+}
+
 // checkServed checks that other requests for a target are served by every node.
 func (d *crashDeployment) checkServed(target string) {
 	d.t.Helper()
@@ -209,13 +224,7 @@
 func TestQuarantineSurvivesNodeRestarts(t *testing.T) {
 	t.Parallel()
 	d := deployCrashing(t, deploymentSpec{nodes: 2, apps: 4})
-	d.sendRepeatedly("early", "/live/pay", maxCrashes)
-	time.Sleep(propagationTime)
-	before := d.crashCount()
-	for _, node := range d.nodes {
-		node.signal(syscall.SIGKILL)
-	}
-	d.nodes = nil
+	before := d.quarantineAndKillNodes()
 	for number := range 2 {
 		d.startNode(number)
 	}
@@ -233,13 +242,7 @@
 func TestQuarantineIsReadBeforeRequestsAreServed(t *testing.T) {
 	t.Parallel()
 	d := deployCrashing(t, deploymentSpec{nodes: 2, apps: 4})
-	d.sendRepeatedly("early", "/live/pay", maxCrashes)
-	time.Sleep(propagationTime)
-	before := d.crashCount()
-	for _, node := range d.nodes {
-		node.signal(syscall.SIGKILL)
-	}
-	d.nodes = nil
+	before := d.quarantineAndKillNodes()
 	d.store.SetDelay(func(call metastore.Call) metastore.Delay {
 		if call.Kind == quarantine.Kind {
 			return metastore.Delay{Before: maxStoreDelay}
