--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -62,8 +62,7 @@
 // replicas.
 const quarantineSeed = 795716164
 
-// A quarantined request must not run again after all nodes were killed. This seed is a test
-// of its own since it sometimes fails (KNOWN-RED.txt).
+// A quarantined request must not run again after all nodes were killed.
 func TestSoakOfQuarantineAfterPowerLoss(t *testing.T) {
 	soak(t, quarantineSeed)
 }
