--- a/internal/wire/heartbeat.go
+++ b/internal/wire/heartbeat.go
@@ -8,6 +8,12 @@
 	// IntervalUs is the recent time between events of a run at the replica, in
 	// microseconds; 0 if unknown.
 	IntervalUs uint32
+	// UsualIntervalUs is the time between events over a longer period, in microseconds, which
+	// excludes short disturbances; 0 if unknown.
+	UsualIntervalUs uint32
+	// ExpectedEvents is the number of events that the texts of these items are expected to
+	// have in all, which determines how much of the replica's memory they will use.
+	ExpectedEvents uint32
 }
 
 // ReplicaVersion is the weight version that a replica has or, if Loading is set, is loading.
@@ -91,6 +97,15 @@
 	// Items is the number of items of the job, including those with a listed result;
 	// 0 if unknown.
 	Items uint32
+	// Step is the number of the trainer's step.
+	Step int64
+	// LeftMs is the time until the job is due, in milliseconds; negative once it is late, 0 if
+	// it has no deadline.
+	LeftMs int64
+	// LagMs is how far the job's trainer is behind its period, in milliseconds.
+	LagMs uint32
+	// Waiting is the number of items that wait for a replica.
+	Waiting uint32
 }
 
 // ItemLength is the number of events in the text of a batch job's item: exact if Whole is
--- a/internal/wire/schema/peer.capnp
+++ b/internal/wire/schema/peer.capnp
@@ -264,6 +264,8 @@
   replica @0 :Text;         # id of an incarnation
   running @1 :UInt32;       # rollouts that the sender runs there
   intervalUs @2 :UInt32;    # time between events of a run there, in microseconds, 0 if unknown
+  usualIntervalUs @3 :UInt32; # the same over a longer period, without short disturbances; 0 if unknown
+  expectedEvents @4 :UInt32; # events that the texts of these rollouts are expected to have in all
 }
 
 struct ReplicaVersion {
@@ -314,6 +316,10 @@
   routes @6 :List(Text);    # whose requests the job holds: its own first, then its scorers'
   entry @7 :Text;           # region through which the job came, empty for unknown
   items @8 :UInt32;         # items of the job, listed ones included; 0 for unknown
+  step @9 :Int64;           # number of the trainer's step
+  leftMs @10 :Int64;        # time until the job is due, negative once it is late; 0 if it is never due
+  lagMs @11 :UInt32;        # how far the job's trainer is behind its period
+  waiting @12 :UInt32;      # items that wait for a replica
 }
 
 # Asks one of the nodes that are told of a batch job who runs it.
