placement: place items by completion time on uneven replicas

Cause: items went to the least utilized replica and were moved afterwards. Long items found the fast replicas full of short ones. Near the deadline, results were listed up to each half second, so that trainers ended a step half a second late.

Change: for jobs whose longest texts take more than 0.9 of the completion objective at a quarter of the replicas, items are placed by the usual interval of replicas (10 s, without short disturbances) and by expected events, the slowest class that is fast enough first. Runs move if they would be late, at the last moment if they may be, or if they have not begun and another replica has a free slot; short runs give fast slots to long ones. Results near the end are listed once, by the period of the trainers' reads. Lengths and speeds are used from the first second on. Other jobs are placed as before. Heartbeats carry usual intervals and expected events.

--- a/internal/jobs/batch/itemrun.go
+++ b/internal/jobs/batch/itemrun.go
@@ -29,6 +29,9 @@
 	// in nanoseconds since the run began.
 	events    atomic.Int64
 	lastEvent atomic.Int64
+	// expectedEvents is the number of events that the text was expected to have when the run
+	// started.
+	expectedEvents int
 	// fromEvent is the number of events that the item had before this run.
 	fromEvent int
 	// firstEventDelay is the time from the start of the run to its first event, and
@@ -58,7 +61,10 @@
 		waiting.queueWait = running.startedAt.Sub(waiting.job.startedAt)
 	}
 	s.runs[running] = true
-	s.replicas.GetOrCreate(endpoint.Name).Running++
+	state := s.replicas.GetOrCreate(endpoint.Name)
+	state.Running++
+	running.expectedEvents = max(s.expectedEventsOf(waiting), waiting.knownEvents())
+	state.ExpectedEvents += running.expectedEvents
 	s.metrics.runs.Inc()
 	configuration := s.config.Directory.View().Configuration
 	route := routeOf(configuration, waiting.job.record.Route)
@@ -196,6 +202,7 @@
 	delete(s.runs, running)
 	state := s.replicas.GetOrCreate(running.endpoint.Name)
 	state.Running--
+	state.ExpectedEvents -= running.expectedEvents
 	work.currentRun, work.lastRun = nil, running
 	work.recordedEvents = max(work.recordedEvents, len(work.progress.events))
 	defer s.wake.set()
--- a/internal/jobs/batch/job.go
+++ b/internal/jobs/batch/job.go
@@ -22,6 +22,10 @@
 	deadline            time.Time
 	completionObjective time.Duration
 
+	// longText is the number of events that the job's long texts are expected to have, 0 until
+	// the lengths can be estimated.
+	longText int
+
 	items map[string]*item
 	// order lists the item ids as submitted.
 	order []string
--- a/internal/jobs/batch/listing.go
+++ b/internal/jobs/batch/listing.go
@@ -1,6 +1,10 @@
 package batch
 
-import "time"
+import (
+	"time"
+
+	"github.com/pathtally/pathtally/internal/jobs/placement"
+)
 
 const (
 	// nearlyCompleteShare is the share of the desired groups, from 0 to 1, from which each
@@ -93,3 +97,36 @@
 // desiredGroups returns the number of complete groups that the trainer waits for, 1 if
 // the job names none.
 func (j *job) desiredGroups() int { return min(len(j.groups), max(j.submission.Desired, 1)) }
+
+// criticalListingDue reports whether the finished results of a job that depends on the speed of
+// replicas are to be listed, waited after the last listing. The mutex must be held.
+func (s *Service) criticalListingDue(held *job, waited time.Duration) bool {
+	if held.remainingItems() == 0 {
+		return true
+	}
+	now := time.Now()
+	return placement.ListingDue(s.completesIn(held, now), held.deadline.Sub(now), waited)
+}
+
+// completesIn estimates the time until the trainer has the groups that it waits for. The mutex
+// must be held.
+func (s *Service) completesIn(held *job, now time.Time) time.Duration {
+	indexes := make(map[*group]int, len(held.groups))
+	groups := make([]placement.ListingGroup, 0, len(held.groups))
+	for _, counted := range held.groups {
+		indexes[counted] = len(groups)
+		groups = append(groups, placement.ListingGroup{Inherited: counted.inherited})
+	}
+	var unfinished []placement.UnfinishedItem
+	for _, left := range held.items {
+		if left.done {
+			continue
+		}
+		next := placement.UnfinishedItem{Group: indexes[left.group], Work: s.scheduler.workOf(left, now)}
+		if left.currentRun != nil {
+			next.Replica = left.currentRun.endpoint.Name
+		}
+		unfinished = append(unfinished, next)
+	}
+	return s.replicas.Paces().CompletesIn(groups, unfinished, held.desiredGroups())
+}
--- a/internal/jobs/batch/pool.go
+++ b/internal/jobs/batch/pool.go
@@ -29,8 +29,11 @@
 	now          time.Time
 	paces        placement.Paces
 	// loads are the numbers of items that run at each replica, from all nodes.
-	loads    map[string]int
-	replicas map[poolKey][]*placement.Replica
+	loads map[string]int
+	// expectedEvents are the numbers of events that the texts of these items are expected to
+	// have.
+	expectedEvents map[string]int
+	replicas       map[poolKey][]*placement.Replica
 	// byName has the single view of each replica, which all keys share as they share its
 	// slots.
 	byName    map[string]*placement.Replica
@@ -41,13 +44,59 @@
 func (s *scheduler) newPool() *pool {
 	return &pool{
 		scheduler: s, view: s.config.Directory.View(), now: time.Now(), paces: s.replicas.Paces(), loads: s.replicas.Loads(time.Now()),
-		replicas: map[poolKey][]*placement.Replica{}, byName: map[string]*placement.Replica{}, endpoints: map[string]*routing.Endpoint{},
+		expectedEvents: s.replicas.ExpectedEvents(time.Now()),
+		replicas:       map[poolKey][]*placement.Replica{}, byName: map[string]*placement.Replica{}, endpoints: map[string]*routing.Endpoint{},
 	}
 }
 
 // pick returns the replica for an item, nil if none has a free slot.
 func (p *pool) pick(waiting *item) *placement.Replica {
-	return placement.Pick(p.replicasFor(waiting), placement.Preference{FailedReplicas: waiting.failedReplicas, Urgent: waiting.urgent})
+	preference := placement.Preference{FailedReplicas: waiting.failedReplicas, Urgent: waiting.urgent}
+	if p.isCritical(waiting.job) {
+		return placement.PickByCompletion(p.paces, p.replicasFor(waiting), p.workOf(waiting), preference)
+	}
+	return placement.Pick(p.replicasFor(waiting), preference)
+}
+
+// isCritical reports whether a job depends on the speed of the replicas that run its items.
+func (p *pool) isCritical(job *job) bool { return p.scheduler.isCriticalAt(job, p.paces) }
+
+// workOf returns the remaining work of an item.
+func (p *pool) workOf(work *item) placement.Work { return p.scheduler.workOf(work, p.now) }
+
+// isCritical reports whether a job depends on the speed of the replicas that run its items. The
+// mutex must be held.
+func (s *scheduler) isCritical(job *job) bool { return s.isCriticalAt(job, s.replicas.Paces()) }
+
+func (s *scheduler) isCriticalAt(job *job, paces placement.Paces) bool {
+	return !job.deadline.IsZero() && paces.CompletionCritical(s.longTextOf(job), job.completionObjective)
+}
+
+// longTextOf returns the number of events of the longest texts of a job's model, as far as they
+// are known, 0 for unknown. The mutex must be held.
+func (s *scheduler) longTextOf(job *job) int {
+	rate := s.eventRates.Of(job.submission.Model)
+	if limit := rate.LengthLimit(); limit > 0 {
+		return limit
+	}
+	if job.longText == 0 {
+		expected := make([]int, 0, len(job.submission.Items))
+		for _, submitted := range job.submission.Items {
+			expected = append(expected, rate.ExpectUnbounded(submitted.ExpectedTokens))
+		}
+		job.longText = placement.LongText(expected)
+	}
+	return max(job.longText, rate.Longest())
+}
+
+// workOf returns the remaining work of an item. The mutex must be held.
+func (s *scheduler) workOf(work *item, now time.Time) placement.Work {
+	rate := s.eventRates.Of(work.job.submission.Model)
+	expected := work.expectedEvents
+	if expected == 0 {
+		expected = rate.ExpectUnbounded(work.ExpectedTokens)
+	}
+	return placement.NewWork(expected, work.knownEvents(), rate.LengthLimit(), work.job.deadline.Sub(now))
 }
 
 // replicasFor returns the replicas at which an item may run, including those without a
@@ -95,6 +144,7 @@
 	}
 	health := placement.ReplicaHealth{Failing: state.Failures.IsFailing(p.now), Unresponsive: state.Unresponsive, SinceEvent: p.now.Sub(state.ObservedAt)}
 	view := placement.NewReplica(endpoint.Name, endpoint.Slots, p.loads[endpoint.Name], p.paces, health)
+	view.ExpectedEvents = p.expectedEvents[endpoint.Name]
 	if left := endpoint.State.SlowStart.PermitsLeft(); left < view.MaxLoad {
 		view.MaxLoad = min(view.MaxLoad, view.Load+left)
 	}
--- a/internal/jobs/batch/queue.go
+++ b/internal/jobs/batch/queue.go
@@ -42,12 +42,16 @@
 // remainingEvents returns the expected number of remaining events of an item, 0 if
 // unknown. The mutex must be held.
 func (s *scheduler) remainingEvents(work *item) int {
-	rate := s.eventRates.Of(work.job.submission.Model)
-	expected := work.expectedEvents
-	if expected == 0 && work.Item != nil {
-		expected = rate.Expect(work.ExpectedTokens)
+	return placement.Remaining(s.expectedEventsOf(work), work.knownEvents(), s.eventRates.Of(work.job.submission.Model).Longest())
+}
+
+// expectedEventsOf returns the expected number of events of an item's text, 0 if unknown. The
+// mutex must be held.
+func (s *scheduler) expectedEventsOf(work *item) int {
+	if work.expectedEvents > 0 || work.Item == nil {
+		return work.expectedEvents
 	}
-	return placement.Remaining(expected, work.knownEvents(), rate.Longest())
+	return s.eventRates.Of(work.job.submission.Model).Expect(work.ExpectedTokens)
 }
 
 // dequeue removes a job's items from the queue. The mutex must be held.
--- a/internal/jobs/batch/scheduler.go
+++ b/internal/jobs/batch/scheduler.go
@@ -102,7 +102,7 @@
 			full[waiting.job] = true
 			return false
 		}
-		chosen.Load++
+		chosen.Add(pool.workOf(waiting))
 		s.startRun(waiting, pool.endpoints[chosen.Name])
 		return true
 	})
@@ -130,6 +130,7 @@
 	pool := s.newPool()
 	pool.itemsRunning = true
 	runs := make([]*placement.Run, 0, len(s.runs))
+	var critical []*placement.Run
 	itemRuns := make([]*itemRun, 0, len(s.runs))
 	for running := range s.runs {
 		run := pool.runOf(len(itemRuns), running)
@@ -141,11 +142,14 @@
 			state := s.replicas.GetOrCreate(running.endpoint.Name)
 			state.BlockedUntil, state.Unresponsive = time.Now().Add(stallBlock), true
 			running.abort(&RescheduledError{Cause: ErrStalled, Reason: placement.ReasonStalled})
+		case run.Critical:
+			critical = append(critical, run)
 		default:
 			runs = append(runs, run)
 		}
 	}
 	move(itemRuns, placement.Moves(pool.paces, runs))
+	move(itemRuns, placement.MovesByCompletion(pool.paces, critical))
 }
 
 // move cancels the runs that are to continue at other replicas.
@@ -162,7 +166,7 @@
 	return &placement.Run{
 		Index: index, Replica: running.endpoint.Name, Replicas: p.replicasFor(work), FailedReplicas: work.failedReplicas,
 		Events: int(running.events.Load()), RemainingEvents: p.scheduler.remainingEvents(work), Idle: running.idle(),
-		HasDeadline: !work.job.deadline.IsZero(), TimeLeft: work.job.deadline.Sub(p.now),
+		Work: p.workOf(work), Critical: p.isCritical(work.job), Reserve: work.rank.Reserve, HasDeadline: !work.job.deadline.IsZero(), TimeLeft: work.job.deadline.Sub(p.now),
 		Loading: p.scheduler.replicas.GetOrCreate(running.endpoint.Name).IsLoading(work.job.submission.Model),
 	}
 }
--- /dev/null
+++ b/internal/jobs/placement/completion_move.go
@@ -0,0 +1,172 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// minCompletionGain is the minimum expected time saved by a move of a run that would be
+	// late, and minPlausibleGain that of one that may be late, if its text is as long as is
+	// plausible.
+	minCompletionGain = 300 * time.Millisecond
+	minPlausibleGain  = 500 * time.Millisecond
+	// lastMoveMargin is how long before the last moment a run moves that may be late. It covers
+	// the time between scans.
+	lastMoveMargin = 300 * time.Millisecond
+	// beginTimeout is the time without a first event after which a run goes elsewhere, if there
+	// is a free slot. A first event usually takes some tens of milliseconds; a later one means
+	// that several nodes have placed more runs at the replica than it has slots.
+	beginTimeout = 150 * time.Millisecond
+	// minSwapGain is the minimum expected time that a long run gains at the slot that a shorter
+	// run gives up, which costs two moves.
+	minSwapGain = time.Second
+	// maxSwapsPerScan is the maximum number of runs that give up their slots to longer ones in one
+	// scan.
+	maxSwapsPerScan = 4
+)
+
+// MovesByCompletion decides which runs of jobs that depend on the speed of replicas continue
+// elsewhere: those that would be late where they run, or that could be late and have no later
+// moment to move. It adds each moved run to the load of its new replica.
+func MovesByCompletion(paces Paces, runs []*Run) []Move {
+	var candidates, moves []Move
+	for _, run := range runs {
+		if run.Reserve {
+			continue
+		}
+		if move, target := paces.completionMove(run); target != nil {
+			candidates = append(candidates, move)
+		}
+	}
+	slices.SortStableFunc(candidates, func(a, b Move) int { return cmp.Compare(b.Gain, a.Gain) })
+	for _, candidate := range candidates[:min(len(candidates), maxMovesPerScan)] {
+		// Earlier moves have taken slots, so the target may have changed.
+		move, target := paces.completionMove(candidate.Run)
+		if target == nil {
+			continue
+		}
+		target.Add(candidate.Run.Work)
+		moves = append(moves, move)
+	}
+	return append(moves, paces.swaps(runs, moves)...)
+}
+
+// completionMove returns the move of a run to the replica where it would end first, and that
+// replica. The replica is nil if the move is not worth its cost.
+func (p Paces) completionMove(run *Run) (Move, *Replica) {
+	if run.Events < minMovedEvents {
+		return p.unstartedMove(run)
+	}
+	current := p.UsualAt(run.Replica)
+	if current == 0 || !p.needsFasterReplica(run.Work, current) {
+		return Move{}, nil
+	}
+	// A run that moves is placed at a fast replica, because it will not move again.
+	target := PickByCompletion(p, run.Replicas, run.Work.atLastMove(), run.preference())
+	if target == nil || p.isLastResort(target) || p.speedClass(p.UsualAt(target.Name)) >= p.speedClass(current) {
+		return Move{}, nil
+	}
+	saved := current - p.UsualAt(target.Name)
+	gain := time.Duration(run.Work.Remaining)*saved - moveCost
+	switch {
+	case run.Work.runTime(current) > run.Work.TimeLeft && gain > minCompletionGain:
+		return Move{Run: run, Gain: gain, Reason: ReasonLate}, target
+	case p.isLastMove(run.Work, target) && time.Duration(run.Work.MaxRemaining)*saved-moveCost > minPlausibleGain:
+		return Move{Run: run, Gain: gain, Reason: ReasonLate}, target
+	}
+	return Move{}, nil
+}
+
+// unstartedMove returns the move of a run that waits in the queue of its replica to one with a
+// free slot.
+func (p Paces) unstartedMove(run *Run) (Move, *Replica) {
+	if run.Events > 0 || run.Idle < beginTimeout || run.Loading {
+		return Move{}, nil
+	}
+	target := PickByCompletion(p, run.Replicas, run.Work, run.preference())
+	if target == nil || target.Name == run.Replica || p.isLastResort(target) {
+		return Move{}, nil
+	}
+	return Move{Run: run, Gain: run.Idle, Reason: ReasonNotBegun}, target
+}
+
+// swaps decides which runs at fast replicas give up their slots to long runs at slower ones, for
+// which there is no free slot. moved are the runs that move anyway.
+func (p Paces) swaps(runs []*Run, moved []Move) []Move {
+	var swaps []Move
+	taken := map[*Run]bool{}
+	for _, move := range moved {
+		taken[move.Run] = true
+	}
+	for _, long := range runs {
+		if len(swaps) == maxSwapsPerScan {
+			break
+		}
+		if taken[long] || !p.gainsFastSlot(long) {
+			continue
+		}
+		if shorter := p.shorterRun(long, runs, taken); shorter != nil {
+			taken[long], taken[shorter] = true, true
+			swaps = append(swaps, Move{Run: shorter, Reason: ReasonSwapped})
+		}
+	}
+	return swaps
+}
+
+// gainsFastSlot reports whether a run would be late where it runs and gain enough at a fast
+// replica.
+func (p Paces) gainsFastSlot(run *Run) bool {
+	current := p.UsualAt(run.Replica)
+	if run.Reserve || run.Events < minMovedEvents || p.speedClass(current) == 0 || run.Work.runTime(current) <= run.Work.TimeLeft {
+		return false
+	}
+	return time.Duration(run.Work.Remaining)*(current-p.fastQuarter)-moveCost > minSwapGain
+}
+
+// shorterRun returns the run that gives up its slot to a long run: the one with the least
+// remaining work among those that may run at a slower replica with a free slot, nil if there is
+// none.
+func (p Paces) shorterRun(long *Run, runs []*Run, taken map[*Run]bool) *Run {
+	var best *Run
+	for _, candidate := range runs {
+		if taken[candidate] || candidate.Events < minMovedEvents || p.speedClass(p.UsualAt(candidate.Replica)) > 0 || !isCandidate(long, candidate.Replica) {
+			continue
+		}
+		target := PickByCompletion(p, candidate.Replicas, candidate.Work, candidate.preference())
+		if target == nil || p.isLastResort(target) || p.speedClass(p.UsualAt(target.Name)) == 0 || !p.mayUse(candidate.Work, p.UsualAt(target.Name)) {
+			continue
+		}
+		if best == nil || candidate.Work.Remaining < best.Work.Remaining {
+			best = candidate
+		}
+	}
+	return best
+}
+
+// isCandidate reports whether a run may move to a replica, as far as the replica has room.
+func isCandidate(run *Run, replica string) bool {
+	return slices.ContainsFunc(run.Replicas, func(candidate *Replica) bool { return candidate.Name == replica })
+}
+
+func (p Paces) isLastResort(candidate *Replica) bool {
+	return candidate.failing || candidate.unresponsive || p.disturbed[candidate.Name]
+}
+
+// needsFasterReplica reports whether the work may plausibly end after the job's deadline.
+func (p Paces) needsFasterReplica(work Work, interval time.Duration) bool {
+	return work.maxRunTime(interval) > work.TimeLeft
+}
+
+// isLastMove reports whether there is no later moment at which a run could move to a replica and
+// be in time, should its text be as long as is plausible.
+func (p Paces) isLastMove(work Work, target *Replica) bool {
+	return work.TimeLeft-moveCost-work.maxRunTime(p.UsualAt(target.Name)) < lastMoveMargin
+}
+
+// atLastMove returns the work as PickByCompletion has to see it for the fastest free replica.
+func (w Work) atLastMove() Work {
+	w.Remaining, w.TimeLeft = w.MaxRemaining, 0
+	return w
+}
--- a/internal/jobs/placement/paces.go
+++ b/internal/jobs/placement/paces.go
@@ -24,27 +24,64 @@
 	// minReferenceInterval. Both are 0 if fewer than minKnownPaces are known.
 	median  time.Duration
 	fastest time.Duration
+	// usual are the intervals without short disturbances. usualMedian is their median; a quarter
+	// of the replicas are at least as fast as fastQuarter, and a quarter at least as slow as
+	// slowQuarter. These are 0 if fewer than minKnownPaces are known.
+	usual       map[string]time.Duration
+	usualMedian time.Duration
+	fastQuarter time.Duration
+	slowQuarter time.Duration
+	// disturbed are the replicas that are slower than usual at the moment.
+	disturbed map[string]bool
 }
 
 // NewPaces returns the paces for the known intervals by replica.
 func NewPaces(intervals map[string]time.Duration) Paces {
 	paces := Paces{intervals: intervals}
-	sorted := make([]time.Duration, 0, len(intervals))
-	for _, interval := range intervals {
-		sorted = append(sorted, interval)
-	}
+	sorted := sortedIntervals(intervals)
 	if len(sorted) < minKnownPaces {
 		return paces
 	}
-	slices.Sort(sorted)
 	paces.median = max(sorted[(len(sorted)-1)/2], minReferenceInterval)
 	paces.fastest = max(sorted[0], minReferenceInterval)
 	return paces
 }
 
+// WithUsual adds the intervals without short disturbances by replica, and the replicas that are
+// slower than that at the moment.
+func (p Paces) WithUsual(usual map[string]time.Duration, disturbed map[string]bool) Paces {
+	p.usual, p.disturbed = usual, disturbed
+	sorted := sortedIntervals(usual)
+	if len(sorted) < minKnownPaces {
+		return p
+	}
+	p.usualMedian = sorted[(len(sorted)-1)/2]
+	quarter := max(1, int(float64(len(sorted))*criticalReplicas+0.5))
+	p.fastQuarter, p.slowQuarter = sorted[quarter-1], sorted[len(sorted)-quarter]
+	return p
+}
+
+func sortedIntervals(intervals map[string]time.Duration) []time.Duration {
+	sorted := make([]time.Duration, 0, len(intervals))
+	for _, interval := range intervals {
+		sorted = append(sorted, interval)
+	}
+	slices.Sort(sorted)
+	return sorted
+}
+
 // MedianInterval returns the median interval, 0 if too few intervals are known.
 func (p Paces) MedianInterval() time.Duration { return p.median }
 
+// UsualAt returns the interval without short disturbances at a replica: its own if known, else
+// the median, or 0 if neither is known.
+func (p Paces) UsualAt(replica string) time.Duration {
+	if interval := p.usual[replica]; interval > 0 {
+		return interval
+	}
+	return p.usualMedian
+}
+
 // expectedAt returns the expected interval at a replica: its own if known, else the median,
 // or 0 if neither is known.
 func (p Paces) expectedAt(replica string) time.Duration {
--- a/internal/jobs/placement/reason.go
+++ b/internal/jobs/placement/reason.go
@@ -13,6 +13,11 @@
 	ReasonLate Reason = "late where it runs"
 	// ReasonGone means that the replica's entry was removed from the store.
 	ReasonGone Reason = "replica is gone"
+	// ReasonNotBegun means that the run waits in the queue of the replica while another one has
+	// a free slot.
+	ReasonNotBegun Reason = "not begun where it was sent"
+	// ReasonSwapped means that a longer run needs the fast slot.
+	ReasonSwapped Reason = "slot given to a longer run"
 	// ReasonStalled means that the run received no event within its timeout.
 	ReasonStalled Reason = "nothing comes"
 )
--- a/internal/jobs/placement/replica.go
+++ b/internal/jobs/placement/replica.go
@@ -34,6 +34,12 @@
 	Load int
 	// MaxLoad is the load at which the replica gets no further items.
 	MaxLoad int
+	// ExpectedEvents is the number of events that the texts of these items are expected to have.
+	ExpectedEvents int
+	// failing is ReplicaHealth.Failing.
+	failing bool
+	// connected is set if this node probably has an open connection to the replica.
+	connected bool
 	// unresponsive is ReplicaHealth.Unresponsive.
 	unresponsive bool
 	// bias is added to the utilization when replicas are compared.
@@ -44,9 +50,9 @@
 func NewReplica(name string, slots, load int, paces Paces, health ReplicaHealth) *Replica {
 	return &Replica{
 		Name: name, Slots: slots, Load: load,
-		MaxLoad:      maxLoadOf(slots, load, health),
-		unresponsive: health.Unresponsive,
-		bias:         biasOf(paces.slowdown(name), paces.isSlow(name), health),
+		MaxLoad: maxLoadOf(slots, load, health),
+		failing: health.Failing, unresponsive: health.Unresponsive, connected: health.SinceEvent < connectionIdleTime,
+		bias: biasOf(paces.slowdown(name), paces.isSlow(name), health),
 	}
 }
 
@@ -82,3 +88,9 @@
 
 // hasCapacity reports whether the replica may get another item.
 func (r *Replica) hasCapacity() bool { return r.Load < r.MaxLoad }
+
+// Add adds an item to the load of the replica.
+func (r *Replica) Add(work Work) {
+	r.Load++
+	r.ExpectedEvents += work.Remaining
+}
--- a/internal/jobs/placement/run.go
+++ b/internal/jobs/placement/run.go
@@ -16,6 +16,12 @@
 	Events int
 	// RemainingEvents is the expected number of further events of the item.
 	RemainingEvents int
+	// Work is the remaining work of the item, and Critical is set if its job depends on the
+	// speed of replicas.
+	Work     Work
+	Critical bool
+	// Reserve is set if the trainer does not need to wait for the item's group.
+	Reserve bool
 	// HasDeadline is set if the item's job has a deadline.
 	HasDeadline bool
 	// TimeLeft is the time until the deadline.
--- a/internal/jobs/replicastate/state.go
+++ b/internal/jobs/replicastate/state.go
@@ -33,8 +33,15 @@
 	LoadingSince map[string]time.Time
 	// Failures is the rate of runs that the replica reports as failed.
 	Failures FailureRate
-	// Pace is the pace of this node's runs.
-	Pace placement.Pace
+	// Pace is the pace of this node's runs, and UsualPace their pace without short disturbances.
+	Pace      placement.Pace
+	UsualPace placement.UsualPace
+	// announcedUsual is the usual interval that another node announced last, at announcedAt.
+	announcedUsual time.Duration
+	announcedAt    time.Time
+	// ExpectedEvents is the number of events that the texts of this node's runs at the replica
+	// are expected to have.
+	ExpectedEvents int
 	// ObservedAt is when the last event was observed.
 	ObservedAt time.Time
 }
@@ -87,11 +94,31 @@
 func (s *State) Observe(interval time.Duration, now time.Time) {
 	if now.Sub(s.ObservedAt) > FreshPaceAge {
 		s.Pace = placement.Pace{}
+		s.UsualPace.Resume()
 	}
 	s.Pace.Observe(interval, s.Running)
+	s.UsualPace.Observe(interval, s.Running, s.Pace.Interval())
 	s.ObservedAt, s.Blocks, s.Unresponsive = now, 0, false
 }
 
+// UsualInterval returns the time between events without short disturbances: that of this node's
+// own runs, or else the one that another node announced. It is 0 if neither is known, or both
+// are older than PaceRetention.
+func (s *State) UsualInterval(now time.Time) time.Duration {
+	if own := s.UsualPace.Interval(now.Sub(s.ObservedAt) < FreshPaceAge); own > 0 && now.Sub(s.ObservedAt) < PaceRetention {
+		return own
+	}
+	if now.Sub(s.announcedAt) < PaceRetention {
+		return s.announcedUsual
+	}
+	return 0
+}
+
+// IsDisturbed reports whether this node's runs at the replica are slower than usual.
+func (s *State) IsDisturbed(now time.Time) bool {
+	return now.Sub(s.ObservedAt) < FreshPaceAge && s.UsualPace.IsSlowed()
+}
+
 // announcedMicroseconds returns the interval to announce to other nodes in microseconds, 0
 // for none.
 func (s *State) announcedMicroseconds(now time.Time) uint32 {
@@ -100,3 +127,12 @@
 	}
 	return uint32(s.Pace.Interval().Microseconds())
 }
+
+// announcedUsualMicroseconds returns the usual interval of this node's own runs in microseconds,
+// 0 if unknown.
+func (s *State) announcedUsualMicroseconds(now time.Time) uint32 {
+	if now.Sub(s.ObservedAt) > FreshPaceAge {
+		return 0
+	}
+	return uint32(s.UsualPace.Interval(false).Microseconds())
+}
--- a/internal/jobs/replicastate/table.go
+++ b/internal/jobs/replicastate/table.go
@@ -42,6 +42,12 @@
 // LearnSlotUse records the slot use in a heartbeat of another node.
 func (t *Table) LearnSlotUse(heartbeat *wire.NodeBeat, now time.Time) {
 	t.SlotUse[heartbeat.Node] = slotUseFrom(heartbeat, now)
+	for _, use := range heartbeat.Uses {
+		if use.UsualIntervalUs > 0 {
+			state := t.GetOrCreate(use.Replica)
+			state.announcedUsual, state.announcedAt = time.Duration(use.UsualIntervalUs)*time.Microsecond, now
+		}
+	}
 }
 
 // Announced returns the slot use of this node for its heartbeats.
@@ -49,7 +55,10 @@
 	var slotUse []wire.ReplicaUse
 	for replica, state := range t.States {
 		if state.Running > 0 {
-			slotUse = append(slotUse, wire.ReplicaUse{Replica: replica, Running: uint32(state.Running), IntervalUs: state.announcedMicroseconds(now)})
+			slotUse = append(slotUse, wire.ReplicaUse{
+				Replica: replica, Running: uint32(state.Running), IntervalUs: state.announcedMicroseconds(now),
+				UsualIntervalUs: state.announcedUsualMicroseconds(now), ExpectedEvents: uint32(max(0, state.ExpectedEvents)),
+			})
 		}
 	}
 	return slotUse
@@ -129,7 +138,41 @@
 			intervals[replica] = interval
 		}
 	}
-	return placement.NewPaces(intervals)
+	usual, disturbed := t.usualIntervals()
+	return placement.NewPaces(intervals).WithUsual(usual, disturbed)
+}
+
+// usualIntervals returns the known intervals without short disturbances by replica, and the
+// replicas that are slower than that at the moment.
+func (t *Table) usualIntervals() (map[string]time.Duration, map[string]bool) {
+	usual, disturbed := map[string]time.Duration{}, map[string]bool{}
+	now := time.Now()
+	for replica, state := range t.States {
+		if interval := state.UsualInterval(now); interval > 0 {
+			usual[replica] = interval
+		}
+		if state.IsDisturbed(now) {
+			disturbed[replica] = true
+		}
+	}
+	return usual, disturbed
+}
+
+// ExpectedEvents returns, by replica, the number of events that the texts of all nodes' runs
+// there are expected to have.
+func (t *Table) ExpectedEvents(now time.Time) map[string]int {
+	expected := make(map[string]int, len(t.States))
+	for replica, state := range t.States {
+		expected[replica] = state.ExpectedEvents
+	}
+	for _, slotUse := range t.SlotUse {
+		if slotUse.isCurrent(now) {
+			for replica, events := range slotUse.ExpectedEvents {
+				expected[replica] += events
+			}
+		}
+	}
+	return expected
 }
 
 // Interval returns the time between events at a replica, 0 if unknown: this node's own
