routing: use the load and slowdown that replicas report in picks

Cause: a node sees only its own requests at a replica and learns of a slower replica from slow answers. Change: EndpointState stores a ReportedLoad for at most 500 ms. Endpoint.Load uses it as a lower bound. The scorers add a random fraction of what it exceeds the node's own view by: of the load with a weight of 0.125 and at most the slots, of the slowdown as expected latency. Without a current report nothing changes; the existing tests pass unchanged. Tests: go test -race ./internal/replicas/routing (pass).

--- a/internal/replicas/routing/endpoint.go
+++ b/internal/replicas/routing/endpoint.go
@@ -41,9 +41,13 @@
 // Version returns the most recently reported weight version.
 func (e *Endpoint) Version() int64 { return e.State.Report().Version }
 
-// Load estimates the current number of requests at the endpoint: the reported number plus
-// the change of this node's in-flight requests since the report.
-func (e *Endpoint) Load() int64 {
+// Load estimates the current number of requests at the endpoint: what this node knows itself,
+// or the load that the replica reported with an answer if that is greater.
+func (e *Endpoint) Load() int64 { return e.knownLoad() + e.reportedExcess() }
+
+// knownLoad returns the number of requests of the most recent EndpointReport plus the change of
+// this node's in-flight requests since then.
+func (e *Endpoint) knownLoad() int64 {
 	report := e.State.Report()
 	sentSince := e.State.InFlight.Load() - e.State.inFlightAtReport.Load()
 	return max(0, int64(report.Running+report.Waiting)+sentSince)
--- a/internal/replicas/routing/endpoint_state.go
+++ b/internal/replicas/routing/endpoint_state.go
@@ -37,6 +37,10 @@
 	// SlowStart limits the requests to the endpoint while it warms up.
 	SlowStart slowstart.Gate
 	evacuated atomic.Bool
+	// reportedLoad is the load in the replica's most recent answer; nil if there was none.
+	reportedLoad atomic.Pointer[receivedLoad]
+	// loadFault is set after the first unusable load report.
+	loadFault atomic.Bool
 
 	report atomic.Pointer[EndpointReport]
 	// inFlightAtReport is InFlight at the time of the most recent report, so that requests
@@ -48,6 +52,7 @@
 // excluded until the first report.
 func NewEndpointState() *EndpointState {
 	state := &EndpointState{Retries: admission.NewRetryBudget(endpointRetryPercent)}
+	state.Latency.slowdown = state.ReportedSlowdown
 	state.report.Store(&EndpointReport{Excluded: true})
 	return state
 }
--- a/internal/replicas/routing/policy.go
+++ b/internal/replicas/routing/policy.go
@@ -46,6 +46,10 @@
 	toleratedLatencyFraction = 0.25
 	// maxLatencyRatio bounds the latency in the score, as a multiple of the objective.
 	maxLatencyRatio = 2.0
+	// reportedLoadWeight is the weight of a reported request that this node does not know of,
+	// relative to one of its own. At 1, replicas whose report has expired look idle beside the
+	// others, and a slow one got up to twice the work (docs/design/reported-load.md).
+	reportedLoadWeight = 0.125
 )
 
 const (
--- a/internal/replicas/routing/score.go
+++ b/internal/replicas/routing/score.go
@@ -10,8 +10,12 @@
 type LoadScorer struct{}
 
 // Score implements Scorer.
-func (LoadScorer) Score(_ *Query, endpoint *Endpoint) float64 {
-	return -float64(endpoint.Load()) / float64(endpoint.Slots)
+func (LoadScorer) Score(query *Query, endpoint *Endpoint) float64 {
+	load := float64(endpoint.knownLoad())
+	if excess := endpoint.reportedExcess(); excess > 0 {
+		load += reportedLoadWeight * reportFraction(query, endpoint) * min(float64(excess), float64(endpoint.Slots))
+	}
+	return -load / float64(endpoint.Slots)
 }
 
 // ZoneScorer prefers endpoints in the node's zone.
@@ -34,7 +38,7 @@
 }
 
 // LatencyScorer avoids endpoints whose response times are long relative to the request's
-// objective.
+// objective, or will be because of the slowdown that they report.
 type LatencyScorer struct{}
 
 // Score implements Scorer.
@@ -42,6 +46,10 @@
 	if query.Objective <= 0 {
 		return 0
 	}
-	took := float64(endpoint.State.Latency.Estimate()) / float64(query.Objective)
+	took := float64(endpoint.State.Latency.Estimate())
+	if excess := endpoint.State.Latency.reportedExcess(); excess > 0 {
+		took += reportFraction(query, endpoint) * float64(excess)
+	}
+	took /= float64(query.Objective)
 	return -latencyWeight * max(0, min(maxLatencyRatio, took)-toleratedLatencyFraction)
 }
