dispatch: store the load that replicas report with each answer

Cause: routing can use reported loads, but nothing passes them on. Change: ResponseMetadata gains Load and LoadError. Send stores the load of answers and rejections of the replica itself.

--- a/internal/callers/dispatch/dispatcher.go
+++ b/internal/callers/dispatch/dispatcher.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/pathtally/pathtally/internal/callers/exchange"
 	"github.com/pathtally/pathtally/internal/replicas/routing"
 )
@@ -14,17 +16,21 @@
 	headers HeaderCodec
 	metrics *Metrics
 	// guard may be nil.
-	guard Guard
+	guard  Guard
+	logger klog.Logger
 }
 
 // New returns a Dispatcher that uses a pool of connections. Metrics may be nil.
 func New(pool *exchange.Pool, headers HeaderCodec, metrics *Metrics) *Dispatcher {
-	return &Dispatcher{pool: pool, headers: headers, metrics: metrics}
+	return &Dispatcher{pool: pool, headers: headers, metrics: metrics, logger: klog.Background()}
 }
 
 // SetGuard sets the guard. It must be called before the first Send.
 func (d *Dispatcher) SetGuard(guard Guard) { d.guard = guard }
 
+// SetLogger replaces the logger. It must be called before the first Send.
+func (d *Dispatcher) SetLogger(logger klog.Logger) { d.logger = logger }
+
 // Send makes one attempt and returns the response, whose body has not been read yet. The
 // caller must Close or Discard it. The error is a *QuarantinedError, a
 // *QuarantineUnknownError, a *WithheldError, a *NotRunError, an *exchange.NotSentError or an
@@ -52,6 +58,7 @@
 		return nil, err
 	}
 	response := &Response{Response: httpResponse, Metadata: d.headers.Decode(httpResponse.Status, httpResponse.Header), Endpoint: endpoint}
+	d.observeLoad(response, call)
 	if err := response.check(call); err != nil {
 		return nil, err
 	}
--- a/internal/callers/dispatch/doc.go
+++ b/internal/callers/dispatch/doc.go
@@ -8,7 +8,7 @@
 // whether a slow-start permit of the replica is available.
 //
 // The package is stateless. It counts the requests in flight and the consecutive failures in
-// the state of the endpoint. A HeaderCodec encodes and decodes the headers on the wire, and an
+// the state of the endpoint, and stores the reported load there. A HeaderCodec encodes and decodes the headers on the wire, and an
 // exchange.Pool provides connections.
 //
 // Guarantees: if MayHaveRun is false for an error, the replica did not run the request and
--- a/internal/callers/dispatch/errors.go
+++ b/internal/callers/dispatch/errors.go
@@ -17,6 +17,27 @@
 // ErrUnsigned means that a response with status 2xx is not signed by a replica.
 var ErrUnsigned = merry.Sentinel("successful response has no signature")
 
+// ErrMalformedLoad means that a replica's load report has another format, or figures that are too
+// large to be true.
+var ErrMalformedLoad = merry.Sentinel("malformed load report")
+
+// ErrContradictoryLoad means that the figures of a load report contradict each other or the
+// replica's entry.
+var ErrContradictoryLoad = merry.Sentinel("contradictory load report")
+
+// LoadReportError reports that a replica's load report is unusable.
+type LoadReportError struct {
+	// Cause is ErrMalformedLoad or ErrContradictoryLoad.
+	Cause error
+	// Report is the report as received.
+	Report string
+}
+
+func (e *LoadReportError) Error() string { return fmt.Sprintf("%v: %.80q", e.Cause, e.Report) }
+
+// Unwrap returns the cause.
+func (e *LoadReportError) Unwrap() error { return e.Cause }
+
 // NotRunError reports that a replica states that it did not run the request.
 type NotRunError struct {
 	Replica string
--- a/internal/callers/dispatch/headers.go
+++ b/internal/callers/dispatch/headers.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/pathtally/pathtally/internal/replicas/routing"
 )
 
 // RequestMetadata is what an attempt passes to the replica in headers.
@@ -30,6 +32,10 @@
 	AddressReassigned bool
 	// Version is the weight version at the start of the response, 0 if unknown.
 	Version int64
+	// Load is the load that the replica reports, nil if it reports none or an unusable one.
+	Load *routing.ReportedLoad
+	// LoadError is a *LoadReportError if a report is unusable.
+	LoadError error
 }
 
 // HeaderCodec encodes and decodes the headers between nodes and replicas.
--- a/internal/instance/assemble.go
+++ b/internal/instance/assemble.go
@@ -60,6 +60,7 @@
 	c.pool = exchange.NewPool(nil)
 	c.pool.Metrics = exchange.NewMetrics(c.registry)
 	dispatcher := dispatch.New(c.pool, c.adapter.Headers, dispatch.NewMetrics(c.registry))
+	dispatcher.SetLogger(c.logger)
 	c.forwarder = forward.New(forward.Config{
 		Zone: c.settings.Zone, Directory: c.directory, Dispatcher: dispatcher, Logger: c.logger, Metrics: forward.NewMetrics(c.registry),
 		PromptHash: c.adapter.Headers.PromptHash, VersionField: c.adapter.Jobs.VersionField(), Meter: usageMeter{components: c},
