--- a/standin/replica/config.go
+++ b/standin/replica/config.go
@@ -24,6 +24,9 @@
 	CrashAfter time.Duration
 	// StartedMs is the start time of the replica in Unix milliseconds; 0 if unknown.
 	StartedMs int64
+	// SlowdownPercent is the slowdown figure of the load header of each answer, 100 for usual;
+	// 0 for no header.
+	SlowdownPercent int
 	// OnCrash is called before a crash; may be nil.
 	OnCrash func()
 }
--- a/standin/replica/requests.go
+++ b/standin/replica/requests.go
@@ -27,6 +27,13 @@
 	return s.served, s.version, s.faults, true
 }
 
+// loadHeader returns the load header of an answer.
+func (s *Server) loadHeader() string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return fmt.Sprintf("%d,0,%d,%d", s.active, s.config.Slots, s.config.SlowdownPercent)
+}
+
 func (s *Server) end() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -47,6 +54,9 @@
 	number, version, faults, admitted := s.begin(request, string(body), after)
 	header := writer.Header()
 	header.Set("Pathtally-Request-Id", id)
+	if s.config.SlowdownPercent > 0 {
+		header.Set("Pathtally-Instance-Load", s.loadHeader())
+	}
 	if !admitted {
 		header.Set("Pathtally-Not-Executed", "1")
 		writer.WriteHeader(http.StatusServiceUnavailable)
