routing: compare further replicas only at full ones by their reports

Cause: Endpoint.Load counts the requests of all nodes where replicas report, and usual loads are above subsetMaxUtilization, which is meant for the part of one node. Each node would have used all replicas of a service. Change: the limit applies to what the node knows of; by its report, a replica is busy if no slot is free. Without reports nothing changes. Tests: go test -race ./internal/replicas/routing (pass), with the new TestRankedPlanWidensAtFullReplicas.

--- a/internal/replicas/routing/plan_ranked.go
+++ b/internal/replicas/routing/plan_ranked.go
@@ -77,12 +77,12 @@
 
 // bestRanked returns the best of the prompt's cache home and the first subsetSize endpoints
 // that the filters allow. Of equal scores, the first wins. It compares further endpoints
-// while the utilization of the best is at least subsetMaxUtilization.
+// while the best is busy.
 func (p *Plan) bestRanked(query *Query) *Endpoint {
 	best := p.cacheHome(query)
 	compared := 0
 	for _, endpoint := range p.endpoints {
-		if compared >= subsetSize && best.endpoint.utilization() < subsetMaxUtilization {
+		if compared >= subsetSize && !best.endpoint.isBusy() {
 			break
 		}
 		if p.consider(&best, query, endpoint) {
@@ -92,5 +92,11 @@
 	return best.endpoint
 }
 
-// utilization returns the estimated utilization of the endpoint's slots.
-func (e *Endpoint) utilization() float64 { return float64(e.Load()) / float64(e.Slots) }
+// isBusy reports whether the requests that this node knows of use at least subsetMaxUtilization
+// of the endpoint's slots, or no slot is free according to the endpoint's report. The limit does
+// not apply to reports, which count the requests of all nodes: usual ones exceed it, and every
+// node would open connections to all replicas.
+func (e *Endpoint) isBusy() bool {
+	known := e.knownLoad()
+	return float64(known) >= subsetMaxUtilization*float64(e.Slots) || known+e.reportedExcess() >= int64(e.Slots)
+}
--- a/internal/replicas/routing/policy.go
+++ b/internal/replicas/routing/policy.go
@@ -57,7 +57,7 @@
 	// It is small so that requests reuse connections.
 	subsetSize = 4
 	// subsetMaxUtilization is the utilization, between 0 and 1, of the best replica so far
-	// from which further replicas are compared.
+	// from which further replicas are compared. It counts the requests that this node knows of.
 	subsetMaxUtilization = 0.25
 	// localSamples and globalSamples are how many candidates of an unranked plan are chosen at
 	// random from the node's zone and from all zones.
--- a/internal/replicas/routing/reported_load_test.go
+++ b/internal/replicas/routing/reported_load_test.go
@@ -100,3 +100,22 @@
 		t.Errorf("%d, %d and %d picks of replicas that report 2, 4 and 6 requests", least, middle, most)
 	}
 }
+
+// Guards against a node using all replicas of a service at their usual load, and against staying
+// with a few full ones.
+func TestRankedPlanWidensAtFullReplicas(t *testing.T) {
+	for _, test := range []struct {
+		running, want int
+	}{{4, subsetSize}, {8, 12}} {
+		replicas := replicasOf(12, "e1")
+		plan, used := NewRankedPlan(Locality{Node: "node", Zone: "e1"}, replicas), map[*Endpoint]bool{}
+		for random := range uint64(600) {
+			picked, _ := plan.Pick(&Query{Zone: "e1", Random: random * 7919})
+			used[picked] = true
+			picked.State.ObserveLoad(ReportedLoad{Running: test.running, Slots: 8, Slowdown: 1, HasSlowdown: true}, time.Now())
+		}
+		if len(used) != test.want {
+			t.Errorf("%d replicas used that report %d of 8 slots, want %d", len(used), test.running, test.want)
+		}
+	}
+}
