--- a/internal/replicas/routing/policy.go
+++ b/internal/replicas/routing/policy.go
@@ -46,6 +46,10 @@
 	toleratedLatencyFraction = 0.25
 	// maxLatencyRatio bounds the latency in the score, as a multiple of the objective.
 	maxLatencyRatio = 2.0
+	// reportedLoadWeight is the weight of a reported request that this node does not know of,
+	// relative to one of its own. At 1, replicas whose report has expired look idle beside the
+	// others, and a slow one got up to twice the work (docs/design/reported-load.md).
+	reportedLoadWeight = 0.125
 )
 
 const (
@@ -53,7 +57,7 @@
 	// It is small so that requests reuse connections.
 	subsetSize = 4
 	// subsetMaxUtilization is the utilization, between 0 and 1, of the best replica so far
-	// from which further replicas are compared.
+	// from which further replicas are compared. It counts the requests that this node knows of.
 	subsetMaxUtilization = 0.25
 	// localSamples and globalSamples are how many candidates of an unranked plan are chosen at
 	// random from the node's zone and from all zones.
