Order loads of weights by waiting items and the speed of replicas

Cause: items waited up to 4.2 s for a replica with their version. Loads were ordered by the items that run at a replica, not by its speed or by the items that wait. Change: weightorders tracks coarse speed classes of the replicas and takes the waiting items by model. Required loads of models with waiting items come first; within a model fast replicas come first, at most half of them at a time while open jobs allow the versions that they have. Only services whose quarters differ by 1.2 times in usual interval are affected. batch.Service gives Waiting and UsualIntervals; until heartbeats announce usual intervals, recent ones are averaged over 30 s. Tests: weightorders, jobs/statistics, docs, and the new tests of jobs/batch pass.

--- a/internal/duties/weightorders/config.go
+++ b/internal/duties/weightorders/config.go
@@ -1,6 +1,8 @@
 package weightorders
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 
@@ -23,6 +25,12 @@
 	Tolerance func(model string) int64
 	// Demand returns the demand for each model, estimated from its recent jobs.
 	Demand func() Demand
+	// UsualIntervals returns the known usual time between events of a run by replica, without
+	// short disturbances. If it is nil, all replicas are treated alike.
+	UsualIntervals func() map[string]time.Duration
+	// Waiting returns the number of batch items that wait for a replica, by model. If it is
+	// nil, no model is treated as having any.
+	Waiting func() map[string]int
 	// OnChange is called when a replica begins to load a version, and with the version that
 	// it is known to have when the load has ended.
 	OnChange func(change wire.ReplicaVersion)
--- a/internal/duties/weightorders/coordinator.go
+++ b/internal/duties/weightorders/coordinator.go
@@ -46,14 +46,21 @@
 	// homeCache caches the homes of the models, by service. Only the goroutine of Run uses
 	// it.
 	homeCache map[string]*cachedHomes
+	// speeds are the speeds of the replicas. Only the goroutine of Run uses them.
+	speeds speedInputs
+	// choices counts the loads by the reason for their choice, and choiceLoggedAt is when a
+	// choice was logged last. Only the goroutine of Run uses the latter.
+	choices        *prometheus.CounterVec
+	choiceLoggedAt time.Time
 }
 
 // NewCoordinator returns a Coordinator that orders nothing before Run is called.
 func NewCoordinator(config Config) *Coordinator {
 	loads := prometheus.NewCounter(prometheus.CounterOpts{Name: "pathtally_weight_loads_total", Help: "Loads of weights ordered by this node."})
-	config.Registry.MustRegister(loads)
+	choices := prometheus.NewCounterVec(prometheus.CounterOpts{Name: "pathtally_weight_load_choices_total", Help: "Loads of weights chosen by this node, by reason."}, []string{"reason"})
+	config.Registry.MustRegister(loads, choices)
 	return &Coordinator{
-		config: config, loads: loads,
+		config: config, loads: loads, choices: choices,
 		versions: map[string]map[string]int64{}, loading: map[string]wire.ReplicaVersion{}, retryAt: map[string]time.Time{},
 		homeCache: map[string]*cachedHomes{}, wake: make(chan struct{}, 1),
 	}
@@ -85,7 +92,9 @@
 func (c *Coordinator) step(ctx context.Context) time.Duration {
 	view := c.config.Directory.View()
 	c.pruneReplicas(view.Replicas)
-	pending := c.pendingTasks(view, c.currentDemand())
+	demand := c.currentDemand()
+	c.sampleSpeeds(view, demand, time.Now())
+	pending := c.pendingTasks(view, demand)
 	pending = slices.DeleteFunc(pending, c.isBlocked)
 	if len(pending) == 0 {
 		c.config.Elector.MarkIdle(dutyName)
--- a/internal/duties/weightorders/demand.go
+++ b/internal/duties/weightorders/demand.go
@@ -12,6 +12,8 @@
 	MeanTokens map[string]float64
 	// MaxItems is the number of items of the largest job, by model; 0 if unknown.
 	MaxItems map[string]int
+	// ItemTokens is the mean number of tokens that an item is expected to produce, by model.
+	ItemTokens map[string]float64
 }
 
 // minDemandChange is the relative change of a model's demand, between 0 and 1, above which
--- a/internal/duties/weightorders/load.go
+++ b/internal/duties/weightorders/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"github.com/pathtally/pathtally/internal/store/objectstore"
@@ -31,7 +32,9 @@
 	for i := range pending {
 		pending[i].runningItems = c.config.RunningItems(pending[i].target.ID)
 	}
-	for _, load := range chooseLoads(pending, loading, maxLoads) {
+	chosen := chooseLoads(pending, maps.Clone(loading), maxLoads)
+	c.recordChoices(chosen, loading, time.Now())
+	for _, load := range chosen {
 		c.mutex.Lock()
 		c.loading[load.target.ID] = wire.ReplicaVersion{Replica: load.target.ID, Model: load.model, Version: load.version, Loading: true}
 		c.mutex.Unlock()
--- a/internal/duties/weightorders/plan.go
+++ b/internal/duties/weightorders/plan.go
@@ -17,6 +17,12 @@
 	namedVersion int64
 	tolerance    int64
 	homes        []home
+	// speeds is nil if the speeds of the service's replicas do not count. waitingItems is the
+	// number of items that wait for a replica, and fastLoads the number of fast homes that are
+	// loading the model.
+	speeds       *speeds
+	waitingItems int
+	fastLoads    int
 }
 
 // isRequired reports whether a home must load the named version because its version lags too
@@ -45,15 +51,38 @@
 	for i := range pending {
 		pending[i].upToDateHomes, pending[i].homes = len(state.homes)-requiredLoads, len(state.homes)
 	}
+	if state.speeds != nil {
+		addSpeeds(pending, state)
+	}
 	return pending
 }
 
+// addSpeeds adds the speeds of the replicas to the tasks of a model.
+func addSpeeds(pending []task, state modelState) {
+	fastHomes := 0
+	slots := map[string]int{}
+	for _, home := range state.homes {
+		slots[home.replica.ID] = max(1, home.replica.Slots)
+		if state.speeds.isFast(home.replica.ID) {
+			fastHomes++
+		}
+	}
+	for i := range pending {
+		replica := pending[i].target.ID
+		pending[i].speed = taskSpeed{
+			class: state.speeds.classOf(replica), fast: state.speeds.isFast(replica), slots: slots[replica], waitingItems: state.waitingItems,
+			maxFastLoads: maxFastLoads(fastHomes, state.tolerance, pending[i].version-pending[i].loadedVersion), fastLoads: state.fastLoads,
+		}
+	}
+}
+
 // pendingTasks returns the tasks of all models of all services with an engine.
 func (c *Coordinator) pendingTasks(view *directory.View, demand Demand) []task {
 	if view.Configuration == nil {
 		return nil
 	}
 	var pending []task
+	waiting := c.waitingItems()
 	for name, service := range view.Configuration.Services {
 		if service.Engine == nil {
 			continue
@@ -64,7 +93,11 @@
 			maxHomes[model] = homesNeeded(demand.MaxItems[model], minSlots(view.Plans[name]))
 		}
 		for model, ids := range c.homeIDs(view, name, sharesOf(models, demand.MeanTokens), maxHomes) {
-			pending = append(pending, tasksOf(c.modelState(view, model, ids))...)
+			state := c.modelState(view, model, ids)
+			if known := c.speeds.current[name]; known != nil {
+				state.speeds, state.waitingItems, state.fastLoads = known, waiting[model], c.fastLoads(model, known)
+			}
+			pending = append(pending, tasksOf(state)...)
 		}
 	}
 	return pending
--- a/internal/duties/weightorders/queue.go
+++ b/internal/duties/weightorders/queue.go
@@ -13,6 +13,9 @@
 	// homesPerOptionalLoad limits concurrent optional loads to one in this many homes of the
 	// model, so that the other homes continue to accept items.
 	homesPerOptionalLoad = 2
+	// homesPerFastLoad limits concurrent loads at fast homes to one in this many of the
+	// model's fast homes, while jobs allow the versions that they have.
+	homesPerFastLoad = 2
 )
 
 // maxConcurrentLoads returns the maximum number of concurrent loads for a number of replicas.
@@ -39,10 +42,11 @@
 }
 
 // loadQueue returns tasks in order of priority: required loads before optional ones, then
-// the model with the smallest fraction of up-to-date homes, then the replica furthest
-// behind, then the replica with the fewest running items. Homes that are loading count as
-// up to date, so that models take turns and those with more homes load more. The tasks of
-// each model are sorted once.
+// a model whose items wait for a replica, then the model with the smallest fraction of
+// up-to-date homes, then the fastest replica, then the replica furthest behind, then the
+// replica with the fewest running items. Homes that are loading count as up to date, so that
+// models take turns and those with more homes load more. Without speeds, no items wait and
+// all replicas are equally fast. The tasks of each model are sorted once.
 type loadQueue struct {
 	byModel map[string][]task
 	// loading is the number of running loads by model.
@@ -50,10 +54,12 @@
 	// chosen are the replicas of the tasks returned so far. A replica loads only one model
 	// at a time.
 	chosen map[Target]bool
+	// fastChosen is the number of fast replicas among them by model.
+	fastChosen map[string]int
 }
 
 func newLoadQueue(pending []task, loading map[string]int) *loadQueue {
-	queue := &loadQueue{byModel: map[string][]task{}, loading: loading, chosen: map[Target]bool{}}
+	queue := &loadQueue{byModel: map[string][]task{}, loading: loading, chosen: map[Target]bool{}, fastChosen: map[string]int{}}
 	for _, next := range pending {
 		queue.byModel[next.model] = append(queue.byModel[next.model], next)
 	}
@@ -65,43 +71,63 @@
 
 // next removes and returns the task with the highest priority, or false if none may start.
 func (q *loadQueue) next() (task, bool) {
-	best, found := task{}, false
+	best, bestPosition, found := task{}, 0, false
 	for model := range q.byModel {
-		head, has := q.head(model)
-		if has && (!found || q.compare(head, best) < 0) {
-			best, found = head, true
+		position, has := q.head(model)
+		if !has {
+			continue
+		}
+		if candidate := q.byModel[model][position]; !found || q.compare(candidate, best) < 0 {
+			best, bestPosition, found = candidate, position, true
 		}
 	}
 	if !found {
 		return task{}, false
 	}
-	q.byModel[best.model] = q.byModel[best.model][1:]
+	if bestPosition == 0 {
+		q.byModel[best.model] = q.byModel[best.model][1:]
+	} else {
+		q.byModel[best.model] = slices.Delete(q.byModel[best.model], bestPosition, bestPosition+1)
+	}
 	q.chosen[best.target] = true
 	q.loading[best.model]++
+	if best.speed.fast {
+		q.fastChosen[best.model]++
+	}
 	return best, true
 }
 
-// head returns the first task of a model whose replica has not been chosen, or false if
-// there is none or it would exceed the limit of optional loads.
-func (q *loadQueue) head(model string) (task, bool) {
+// head returns the position of the first task of a model that may start, or false if there
+// is none.
+func (q *loadQueue) head(model string) (int, bool) {
 	tasks := q.byModel[model]
 	for len(tasks) > 0 && q.chosen[tasks[0].target] {
 		tasks = tasks[1:]
 	}
 	q.byModel[model] = tasks
-	if len(tasks) == 0 {
-		return task{}, false
-	}
-	if tasks[0].optional && q.loading[model] >= max(minConcurrentLoads, tasks[0].homes/homesPerOptionalLoad) {
-		return task{}, false
+	for position, candidate := range tasks {
+		if candidate.optional && q.loading[model] >= max(minConcurrentLoads, candidate.homes/homesPerOptionalLoad) {
+			return 0, false
+		}
+		if !q.chosen[candidate.target] && !q.exceedsFastLoads(candidate) {
+			return position, true
+		}
 	}
-	return tasks[0], true
+	return 0, false
+}
+
+// exceedsFastLoads reports whether a load would exceed the limit of loads at fast homes of
+// its model.
+func (q *loadQueue) exceedsFastLoads(candidate task) bool {
+	speed := candidate.speed
+	return speed.fast && speed.maxFastLoads > 0 && speed.fastLoads+q.fastChosen[candidate.model] >= speed.maxFastLoads
 }
 
 // compare compares the first tasks of two models by priority.
 func (q *loadQueue) compare(a, b task) int {
 	return cmp.Or(
 		compareRequired(a, b),
+		compareAwaited(a, b, q.loading),
 		cmp.Compare(a.upToDateFraction(q.loading), b.upToDateFraction(q.loading)),
 		compareWithinModel(a, b),
 	)
--- a/internal/instance/assemble.go
+++ b/internal/instance/assemble.go
@@ -116,7 +116,7 @@
 	})
 	c.weights = weightorders.NewCoordinator(weightorders.Config{
 		Elector: c.elector, Directory: c.directory, Replicas: c.adapter.NewReplicaClient(c.pool), Logger: c.logger, Registry: c.registry,
-		RunningItems: c.jobs.RunningItems, Tolerance: c.jobs.VersionTolerance, Demand: c.jobs.Demand, OnChange: c.jobs.LearnVersion, Announce: c.peers.ScheduleHeartbeat,
+		RunningItems: c.jobs.RunningItems, Tolerance: c.jobs.VersionTolerance, Demand: c.jobs.Demand, UsualIntervals: c.jobs.UsualIntervals, Waiting: c.jobs.Waiting, OnChange: c.jobs.LearnVersion, Announce: c.peers.ScheduleHeartbeat,
 	})
 	if duties.Usage != nil {
 		c.usage = c.newUsage(duties.Usage)
--- a/internal/jobs/batch/heartbeat.go
+++ b/internal/jobs/batch/heartbeat.go
@@ -49,6 +49,7 @@
 		s.tolerances.Limit(announced.Model, announced.Versions)
 	}
 	s.lengths.Learn(heartbeat.Lengths, time.Now())
+	s.peerReports.Learn(heartbeat, time.Now())
 	for _, work := range heartbeat.Work {
 		s.demand.Learn(work, time.Now())
 	}
--- /dev/null
+++ b/internal/jobs/batch/loadreports_test.go
@@ -0,0 +1,30 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pathtally/pathtally/internal/wire"
+)
+
+// Weights load first for models whose items wait, wherever their jobs run.
+func TestWaitingCountsAllNodes(t *testing.T) {
+	service, waiting := newPlacement(1)
+	service.scheduler.queue = []*item{waiting, waiting}
+	model := waiting.job.submission.Model
+	service.ReceiveHeartbeat(&wire.NodeBeat{Node: "other", Work: []wire.JobWork{{Job: "j", Model: model, Waiting: 3}, {Job: "k", Model: "else", Waiting: 4}}})
+	if counts := service.Waiting(); counts[model] != 5 || counts["else"] != 4 {
+		t.Errorf("%v items wait, want 5 of model %q and 4 of another", counts, model)
+	}
+}
+
+// The coordinator must know the speeds that this node measured and those announced to it.
+func TestUsualIntervalsOfAllNodes(t *testing.T) {
+	service, _ := newPacedPlacement(35, 83)
+	service.replicas.GetOrCreate(replicaName(0)).Running = 1
+	service.ReceiveHeartbeat(&wire.NodeBeat{Node: "other", Uses: []wire.ReplicaUse{{Replica: "far", Running: 1, UsualIntervalUs: 49000}}})
+	intervals := service.UsualIntervals()
+	if len(intervals) != 2 || intervals[replicaName(0)] != 35*time.Millisecond || intervals["far"] != 49*time.Millisecond {
+		t.Errorf("intervals %v, want 35 ms at the replica that runs items here and 49 ms at the announced one", intervals)
+	}
+}
--- a/internal/jobs/batch/service.go
+++ b/internal/jobs/batch/service.go
@@ -63,6 +63,8 @@
 	lengths    *statistics.Lengths
 	eventRates statistics.EventRates
 	demand     *statistics.Demand
+	// peerReports are the waiting items and usual intervals that other nodes announce.
+	peerReports *statistics.PeerReports
 	// storedLoads are the reads of ended jobs in progress, by id.
 	storedLoads  map[string]*storedLoad
 	offerBackoff *offerBackoff
@@ -81,7 +83,7 @@
 		jobs: map[string]*job{}, remoteJobs: map[string]*remoteJob{}, ends: endedjobs.NewRegistry(), endsBeingPersisted: map[string]bool{}, acceptances: map[string]*acceptance{},
 		replicas:   replicastate.NewTable(),
 		tolerances: statistics.Tolerances{}, lengths: statistics.NewLengths(), eventRates: statistics.EventRates{},
-		demand: statistics.NewDemand(), offerBackoff: newOfferBackoff(), storedLoads: map[string]*storedLoad{},
+		demand: statistics.NewDemand(), peerReports: statistics.NewPeerReports(), offerBackoff: newOfferBackoff(), storedLoads: map[string]*storedLoad{},
 		heartbeatWake: newSignal(), ownerWatchWake: newSignal(),
 	}
 	service.scheduler = newScheduler(service)
--- a/internal/jobs/statistics/demand.go
+++ b/internal/jobs/statistics/demand.go
@@ -37,16 +37,24 @@
 	d.byJob[work.Job] = jobWork{model: work.Model, tokens: float64(work.ExpectedTokens), items: int(work.Items), recordedAt: now}
 }
 
-// Mean returns, by model, the mean work of the recent jobs in expected tokens, and the number
-// of items of the largest of them.
+// Mean returns, by model, the mean work of the recent jobs in expected tokens, the number of
+// items of the largest of them, and the mean expected tokens of their items.
 func (d *Demand) Mean() weightorders.Demand {
-	mean := weightorders.Demand{MeanTokens: map[string]float64{}, MaxItems: map[string]int{}}
+	mean := weightorders.Demand{MeanTokens: map[string]float64{}, MaxItems: map[string]int{}, ItemTokens: map[string]float64{}}
+	items := map[string]int{}
 	jobs := map[string]float64{}
 	for _, work := range d.byJob {
 		mean.MeanTokens[work.model] += work.tokens
 		mean.MaxItems[work.model] = max(mean.MaxItems[work.model], work.items)
+		if work.items > 0 && work.tokens > 0 {
+			mean.ItemTokens[work.model] += work.tokens
+			items[work.model] += work.items
+		}
 		jobs[work.model]++
 	}
+	for model, count := range items {
+		mean.ItemTokens[model] /= float64(count)
+	}
 	for model, count := range jobs {
 		mean.MeanTokens[model] /= count
 	}
