Limit for how many versions a slow replica is passed over

Change: a replica that is more than 2 versions beyond the tolerance behind loads before faster ones. Tests: weightorders passes.

--- a/internal/duties/weightorders/plan.go
+++ b/internal/duties/weightorders/plan.go
@@ -68,10 +68,11 @@
 		}
 	}
 	for i := range pending {
-		replica := pending[i].target.ID
+		replica, lag := pending[i].target.ID, pending[i].version-pending[i].loadedVersion
 		pending[i].speed = taskSpeed{
-			class: state.speeds.classOf(replica), fast: state.speeds.isFast(replica), slots: slots[replica], waitingItems: state.waitingItems,
-			maxFastLoads: maxFastLoads(fastHomes, state.tolerance, pending[i].version-pending[i].loadedVersion), fastLoads: state.fastLoads,
+			overdue: lag > state.tolerance+maxPassedOver,
+			class:   state.speeds.classOf(replica), fast: state.speeds.isFast(replica), slots: slots[replica], waitingItems: state.waitingItems,
+			maxFastLoads: maxFastLoads(fastHomes, state.tolerance, lag), fastLoads: state.fastLoads,
 		}
 	}
 }
--- a/internal/duties/weightorders/queue.go
+++ b/internal/duties/weightorders/queue.go
@@ -16,6 +16,10 @@
 	// homesPerFastLoad limits concurrent loads at fast homes to one in this many of the
 	// model's fast homes, while jobs allow the versions that they have.
 	homesPerFastLoad = 2
+	// maxPassedOver is the number of required versions for which a replica may be passed over
+	// for faster ones. Without this limit, slow replicas get no loads at all if versions are
+	// named faster than all replicas can load.
+	maxPassedOver = 2
 )
 
 // maxConcurrentLoads returns the maximum number of concurrent loads for a number of replicas.
--- a/internal/duties/weightorders/task.go
+++ b/internal/duties/weightorders/task.go
@@ -29,6 +29,9 @@
 	// replica counts as fast.
 	class int
 	fast  bool
+	// overdue is set if the replica has been passed over for maxPassedOver versions, so that it
+	// loads before faster ones.
+	overdue bool
 	// slots is the number of slots of the replica.
 	slots int
 	// waitingItems is the number of the model's items that wait for a replica.
@@ -84,12 +87,24 @@
 	return 1
 }
 
+// compareOverdue sorts loads of replicas that were passed over for too long before others.
+func compareOverdue(a, b task) int {
+	switch {
+	case a.speed.overdue == b.speed.overdue:
+		return 0
+	case a.speed.overdue:
+		return -1
+	}
+	return 1
+}
+
 // compareWithinModel compares tasks of one model, or of models with equal priority: required
-// loads first, then the fastest replica, then the one furthest behind, then the one with the
+// loads first, then replicas that are overdue, then the fastest replica, then the one furthest behind, then the one with the
 // fewest running items.
 func compareWithinModel(a, b task) int {
 	return cmp.Or(
 		compareRequired(a, b),
+		compareOverdue(a, b),
 		cmp.Compare(a.speed.class, b.speed.class),
 		cmp.Compare(b.version-b.loadedVersion, a.version-a.loadedVersion),
 		cmp.Compare(a.runningItems, b.runningItems),
