Homes of models by the capacity and speed of replicas

Cause: homes divide the number of replicas among models regardless of their speed, so a model may get mostly slow ones, at which long texts are late (12.6 s for 152 events at 83 ms). Change: where speeds count, the capacity of the replicas (slots divided by interval) is divided among the models in proportion to their work, class by class, and models with longer texts get fast replicas first; each keeps at least half of its proportional part of each class. Rendezvous weights decide within a class. Classes outlast an outage of the store that hides the replicas.

--- a/internal/duties/weightorders/classes.go
+++ b/internal/duties/weightorders/classes.go
@@ -52,8 +52,8 @@
 	}
 }
 
-// retain drops the keys that are not listed.
-func (t *classTracker) retain(isListed func(key string) bool) {
-	maps.DeleteFunc(t.held, func(key string, _ int) bool { return !isListed(key) })
-	maps.DeleteFunc(t.leftAt, func(key string, _ time.Time) bool { return !isListed(key) })
+// retain drops the other keys.
+func (t *classTracker) retain(isRetained func(key string) bool) {
+	maps.DeleteFunc(t.held, func(key string, _ int) bool { return !isRetained(key) })
+	maps.DeleteFunc(t.leftAt, func(key string, _ time.Time) bool { return !isRetained(key) })
 }
--- a/internal/duties/weightorders/home_cache.go
+++ b/internal/duties/weightorders/home_cache.go
@@ -19,6 +19,8 @@
 	shares    []share
 	// maxHomes is the maximum number of homes, by model.
 	maxHomes map[string]int
+	// speeds is nil if homes do not depend on speeds.
+	speeds *speeds
 	// homes are the replica ids of the homes, by model.
 	homes map[string][]string
 }
@@ -30,6 +32,11 @@
 		routingPlan: view.Plans[service], configuration: view.Configuration,
 		evacuated: slices.Sorted(maps.Keys(view.Evacuated)), shares: shares, maxHomes: maxHomes,
 	}
+	// Items are placed among minCandidates replicas that are chosen by rendezvous weight
+	// alone, so that homes among more must be chosen in the same way.
+	if plan := view.Plans[service]; plan != nil && len(plan.Endpoints()) <= minCandidates {
+		next.speeds = c.speeds.current[service]
+	}
 	if current := c.homeCache[service]; current != nil && current.sameInputs(next) {
 		return current.homes
 	}
@@ -40,7 +47,7 @@
 		}
 	}
 	next.homes = map[string][]string{}
-	for model, assigned := range homes(replicas, shares, maxHomes) {
+	for model, assigned := range homesFor(replicas, shares, maxHomes, next.speeds) {
 		for _, replica := range assigned {
 			next.homes[model] = append(next.homes[model], replica.ID)
 		}
@@ -52,5 +59,13 @@
 // sameInputs reports whether both were computed from the same inputs.
 func (h *cachedHomes) sameInputs(next *cachedHomes) bool {
 	return h.routingPlan == next.routingPlan && h.configuration == next.configuration && slices.Equal(h.evacuated, next.evacuated) &&
-		slices.Equal(h.shares, next.shares) && maps.Equal(h.maxHomes, next.maxHomes)
+		slices.Equal(h.shares, next.shares) && maps.Equal(h.maxHomes, next.maxHomes) && h.speeds.equal(next.speeds)
+}
+
+// homesFor assigns to each model its homes, by speed if speeds are known.
+func homesFor(replicas []*directory.Replica, shares []share, maxHomes map[string]int, known *speeds) map[string][]*directory.Replica {
+	if known == nil || len(shares) == 0 {
+		return homes(replicas, shares, maxHomes)
+	}
+	return homesBySpeed(replicas, shares, maxHomes, known)
 }
--- a/internal/duties/weightorders/load_order_test.go
+++ b/internal/duties/weightorders/load_order_test.go
@@ -51,7 +51,7 @@
 }
 
 func (l *loadLoop) plan(all []*directory.Replica) {
-	l.homes = homes(all, sharesOf(testModels, nil), nil)
+	l.homes = homesFor(all, sharesOf(testModels, nil), nil, l.used)
 }
 
 // fastHomes returns the number of a model's fast homes, how many of them load it, and how
@@ -204,6 +204,21 @@
 	}
 }
 
+// If all fast homes of a model load at once, the items of the step before have only slow
+// replicas left, at which long texts are late.
+func TestHalfOfFastReplicasKeepServing(t *testing.T) {
+	all, known := unevenReplicas(35, 83)
+	loop := newLoadLoop(t, all, known, known)
+	loop.named += testTolerance + 1
+	loop.waiting = map[string]int{"a": 1000}
+	for range 5 {
+		loop.tick()
+		if fast, loading, _ := loop.fastHomes("a"); loading != fast/homesPerFastLoad {
+			t.Errorf("%d of %d fast homes load, want half", loading, fast)
+		}
+	}
+}
+
 // After an outage of the store, dozens of replicas return at once with old weights. Loads of
 // models without waiting items, or optional ones, must not delay those that items wait for.
 func TestLoadsAfterStoreOutage(t *testing.T) {
--- a/internal/duties/weightorders/speeds.go
+++ b/internal/duties/weightorders/speeds.go
@@ -19,7 +19,9 @@
 	// knownFraction is the fraction of a service's replicas whose interval must be known.
 	knownFraction = 0.5
 	// speedRetention is how long speeds count after too few intervals are known, such as
-	// between two runs of a trainer. The speed of a replica is mostly that of its machine.
+	// between two runs of a trainer, and how long the class of a replica that is no longer
+	// listed is kept, such as during an outage of the store. The speed of a replica is mostly
+	// that of its machine.
 	speedRetention = 5 * time.Minute
 	// lengthRatio is the ratio of the mean lengths of two models' texts from which one counts
 	// as longer. The means of two models with equal texts differ by up to 1.3 if each is of
@@ -78,7 +80,9 @@
 // replica and model has.
 type speedTracker struct {
 	replicas, models classTracker
-	applies          bool
+	// listedAt is when each replica was listed last.
+	listedAt map[string]time.Time
+	applies  bool
 	// differsSince is since when the intervals call for the opposite of applies; zero if they
 	// do not.
 	differsSince time.Time
@@ -87,7 +91,7 @@
 }
 
 func newSpeedTracker() *speedTracker {
-	return &speedTracker{replicas: newClassTracker(minSpeedRatio), models: newClassTracker(lengthRatio)}
+	return &speedTracker{replicas: newClassTracker(minSpeedRatio), models: newClassTracker(lengthRatio), listedAt: map[string]time.Time{}}
 }
 
 // update records the usual intervals of a service's listed replicas and the mean lengths of
@@ -99,7 +103,11 @@
 			known[replica] = float64(interval)
 		}
 	}
-	t.replicas.retain(func(replica string) bool { return listed[replica] })
+	for replica := range listed {
+		t.listedAt[replica] = now
+	}
+	maps.DeleteFunc(t.listedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= speedRetention })
+	t.replicas.retain(func(replica string) bool { return !t.listedAt[replica].IsZero() })
 	if fastest, slowest := quartiles(known); len(known) >= minKnownSpeeds && float64(len(known)) >= knownFraction*float64(len(listed)) {
 		t.comparedAt = now
 		t.replicas.update(known, fastest, now)
@@ -112,7 +120,9 @@
 	if !t.applies {
 		return nil
 	}
-	return newSpeeds(maps.Clone(t.replicas.held), maps.Clone(t.models.held))
+	classes := maps.Clone(t.replicas.held)
+	maps.DeleteFunc(classes, func(replica string, _ int) bool { return !listed[replica] })
+	return newSpeeds(classes, maps.Clone(t.models.held))
 }
 
 // updateApplies records the ratio of the slowest to the fastest quarter.
--- a/internal/duties/weightorders/speeds_test.go
+++ b/internal/duties/weightorders/speeds_test.go
@@ -61,6 +61,15 @@
 		if (known != nil) != test.want {
 			t.Errorf("%s: speeds count %v", test.name, known != nil)
 		}
+		even := map[string]time.Duration{}
+		for id := range intervals {
+			even[id] = 50 * time.Millisecond
+		}
+		for second := range 3 {
+			if !tracker.update(listed, even, nil, now.Add(changeDuration+time.Duration(second)*time.Second)).equal(known) {
+				t.Errorf("%s: speeds changed after %d s of even intervals", test.name, second)
+			}
+		}
 		if known != nil && (known.isFast("0") || !known.isFast("1")) {
 			t.Errorf("%s: the slow replica is fast or the fast one is not", test.name)
 		}
@@ -102,8 +111,8 @@
 	}
 }
 
-// Machines whose speed is forgotten while no job runs would be homes of other models after
-// each pause.
+// Machines whose speed is forgotten while no job runs, or while an outage of the store hides
+// all replicas, would be homes of other models afterwards, and load in any order.
 func TestSpeedsOutlastPauses(t *testing.T) {
 	tracker, listed, intervals, now := newSpeedTracker(), map[string]bool{}, map[string]time.Duration{}, time.Now()
 	for number := range 16 {
@@ -116,7 +125,40 @@
 	if before == nil || !paused.equal(before) {
 		t.Error("speeds changed in a pause of a minute")
 	}
+	hidden := now.Add(changeDuration + 2*time.Minute)
+	if tracker.update(nil, intervals, nil, hidden) != nil {
+		t.Error("speeds count without replicas")
+	}
+	if !tracker.update(listed, nil, nil, hidden.Add(time.Minute)).equal(before) {
+		t.Error("speeds changed while the replicas were hidden for a minute")
+	}
 	if tracker.update(listed, nil, nil, now.Add(changeDuration+speedRetention)) != nil {
 		t.Error("speeds count after 5 minutes without intervals")
 	}
 }
+
+// A ratio near the threshold must not move homes back and forth.
+func TestSpeedsCountUntilNearlyEven(t *testing.T) {
+	tracker, listed, now := newSpeedTracker(), map[string]bool{}, time.Now()
+	for _, step := range []struct {
+		slowMs int
+		want   bool
+	}{{49 * 115 / 100, false}, {62, true}, {49 * 115 / 100, true}, {50, false}} {
+		var known *speeds
+		for range 14 {
+			intervals := map[string]time.Duration{}
+			for number := range 45 {
+				id := fmt.Sprint(number)
+				listed[id], intervals[id] = true, 49*time.Millisecond
+				if number >= 30 {
+					intervals[id] = time.Duration(step.slowMs) * time.Millisecond
+				}
+			}
+			now = now.Add(time.Second)
+			known = tracker.update(listed, intervals, nil, now)
+		}
+		if (known != nil) != step.want {
+			t.Errorf("speeds count %v after 14 s of 49 and %d ms, want %v", known != nil, step.slowMs, step.want)
+		}
+	}
+}
