--- a/internal/duties/weightorders/speed_inputs.go
+++ b/internal/duties/weightorders/speed_inputs.go
@@ -38,22 +38,11 @@
 		if service.Engine == nil {
 			continue
 		}
-		listed := map[string]bool{}
-		for _, replica := range view.Replicas {
-			if replica.Service == name && !view.IsEvacuated(replica.Zone) {
-				listed[replica.ID] = true
-			}
-		}
-		lengths := map[string]float64{}
-		for _, model := range service.Engine.Models {
-			if tokens := demand.ItemTokens[model]; tokens > 0 {
-				lengths[model] = tokens
-			}
-		}
+		listed := usableReplicas(view, name)
 		if c.speeds.trackers[name] == nil {
 			c.speeds.trackers[name] = newSpeedTracker()
 		}
-		updated := c.speeds.trackers[name].update(listed, intervals, lengths, now)
+		updated := c.speeds.trackers[name].update(listed, intervals, lengthsOf(service.Engine.Models, demand), now)
 		if (updated == nil) != (c.speeds.current[name] == nil) {
 			c.config.Logger.Info("use of replica speeds for weights changed", "service", name, "used", updated != nil,
 				"replicas", len(listed), "knownSpeeds", len(c.speeds.trackers[name].replicas.held), "fastReplicas", updated.countFast(listed))
@@ -62,6 +51,28 @@
 	}
 }
 
+// usableReplicas returns the replicas of a service outside evacuated zones.
+func usableReplicas(view *directory.View, service string) map[string]bool {
+	usable := map[string]bool{}
+	for _, replica := range view.Replicas {
+		if replica.Service == service && !view.IsEvacuated(replica.Zone) {
+			usable[replica.ID] = true
+		}
+	}
+	return usable
+}
+
+// lengthsOf returns the known mean lengths of the items of some models, in tokens.
+func lengthsOf(models []string, demand Demand) map[string]float64 {
+	lengths := map[string]float64{}
+	for _, model := range models {
+		if tokens := demand.ItemTokens[model]; tokens > 0 {
+			lengths[model] = tokens
+		}
+	}
+	return lengths
+}
+
 // countFast returns the number of fast replicas among those listed.
 func (s *speeds) countFast(listed map[string]bool) int {
 	count := 0
--- a/internal/jobs/statistics/peer_reports.go
+++ b/internal/jobs/statistics/peer_reports.go
@@ -92,18 +92,20 @@
 	r.smoothed[replica] = usualInterval{interval: average, recordedAt: now, averagedOver: averagedOver}
 }
 
-// UsualIntervals returns the known usual intervals by replica. An announced one takes
-// precedence over an averaged one.
+// UsualIntervals returns the known usual intervals by replica: those that other nodes announce
+// or, if there are none, the averages of the recent ones. The two are not mixed, because an
+// average includes disturbances and would make a replica look slower than others.
 func (r *PeerReports) UsualIntervals(now time.Time) map[string]time.Duration {
 	isExpired := func(_ string, known usualInterval) bool { return now.Sub(known.recordedAt) >= intervalRetention }
 	maps.DeleteFunc(r.smoothed, isExpired)
 	maps.DeleteFunc(r.announced, isExpired)
-	intervals := make(map[string]time.Duration, len(r.smoothed))
-	for replica, known := range r.smoothed {
-		intervals[replica] = known.interval
+	known := r.announced
+	if len(known) == 0 {
+		known = r.smoothed
 	}
-	for replica, known := range r.announced {
-		intervals[replica] = known.interval
+	intervals := make(map[string]time.Duration, len(known))
+	for replica, usual := range known {
+		intervals[replica] = usual.interval
 	}
 	return intervals
 }
