placement: order, shares, slot leaving and yields of competing jobs

Cause: where the longest text nearly uses up the objective, trainers compete for slots, and the order by age alone lets steps with slack precede steps that are due. Change: items of competing jobs are ordered by priority, tenants' shares, a bound on being passed over, risk, and the lag of their trainers. Items and steps that cannot be in time yield. LeavesSlot decides when an owner leaves free slots to another one, and Yields which runs of late steps give up theirs. Other items are ordered as before. Tests: go test ./internal/jobs/placement passes (7.5 s).

--- a/internal/jobs/placement/doc.go
+++ b/internal/jobs/placement/doc.go
@@ -1,7 +1,9 @@
 // Package placement implements the scheduling rules for the items of batch jobs: the order
-// in which items run (RankItems, Compare), the replica that runs an item (Pick), when a run
-// has stalled (Stalled), which runs move to another replica (Moves), and why a job was late
-// (ClassifyLateness).
+// in which items run (RankItems, Compare, Sort), the replica that runs an item (Pick), when a
+// run has stalled (Stalled), which runs move to another replica (Moves), and why a job was
+// late (ClassifyLateness). Where jobs compete for slots that decide whether they are in time
+// (CompletionCritical), it also decides which steps can be in time (CanBeInTime), which free
+// slots are left to other owners (LeavesSlot), and which runs give up theirs (Yields).
 //
 // The package holds no state. Each rule is a function of the views that the caller passes;
 // EventRate and Pace are estimators that the caller stores.
--- a/internal/jobs/placement/item.go
+++ b/internal/jobs/placement/item.go
@@ -1,9 +1,6 @@
 package placement
 
-import (
-	"cmp"
-	"time"
-)
+import "time"
 
 const (
 	// longItemFraction is the fraction of a job's objective from which an item's expected
@@ -20,7 +17,9 @@
 type Item struct {
 	// Priority is the priority of the item's tenant or route. 0 is the highest.
 	Priority int
-	// JobStarted is when this node started the item's job.
+	// JobStarted is when this node started the item's job. For a competing job it is the
+	// deadline minus the shortest objective of the competing jobs, so that a job with a longer
+	// objective counts as younger.
 	JobStarted time.Time
 	// Rank is the item's position in its job's order.
 	Rank int
@@ -36,6 +35,17 @@
 	HasProgress bool
 	// Reserve is set if the trainer does not need to wait for the item's group.
 	Reserve bool
+	// Competes is set if the item's job competes with others for slots that decide whether it
+	// is in time (see Paces.CompletionCritical). The fields below apply only if it is.
+	Competes bool
+	// Tenant is the job's tenant, empty if no tenants are declared.
+	Tenant string
+	// Waited is the time since the item was queued.
+	Waited time.Duration
+	// Lag is how far the job's trainer is behind its period.
+	Lag time.Duration
+	// Yields is set if the job can no longer be in time.
+	Yields bool
 }
 
 // Compare orders waiting items; a negative result means that a runs before b. The order is
@@ -44,37 +54,14 @@
 //
 // Urgent items of all jobs come first because they determine when their groups complete,
 // and there are too few of them to delay other items much.
+//
+// For items of competing jobs, those that have been passed over for too long precede the
+// others of their priority, longest first. Items at risk come before urgent ones, by the lag
+// of their trainers. Items that cannot be in time follow those that can. Among other items
+// of the same age, those of the trainer with the largest lag come first.
 func Compare(a, b Item) int {
-	if order := a.Priority - b.Priority; order != 0 {
-		return order
-	}
-	if order := cmp.Compare(a.class(), b.class()); order != 0 {
-		return order
-	}
-	if a.class() == classUrgent {
-		if order := a.latestStart().Compare(b.latestStart()); order != 0 {
-			return order
-		}
-	}
-	if order := a.JobStarted.Truncate(ageStep).Compare(b.JobStarted.Truncate(ageStep)); order != 0 {
-		return order
-	}
-	return a.Rank - b.Rank
-}
-
-// itemClass orders items of the same priority, lowest first.
-type itemClass int
-
-const (
-	classUrgent itemClass = iota
-	classOther
-)
-
-func (i Item) class() itemClass {
-	if i.IsUrgent() {
-		return classUrgent
-	}
-	return classOther
+	first, second := a.key(0), b.key(0)
+	return first.compare(&second)
 }
 
 // IsUrgent reports whether waiting may make the item's group late: the item is long or has
--- a/internal/jobs/placement/reason.go
+++ b/internal/jobs/placement/reason.go
@@ -15,4 +15,7 @@
 	ReasonGone Reason = "replica is gone"
 	// ReasonStalled means that the run received no event within its timeout.
 	ReasonStalled Reason = "nothing comes"
+	// ReasonYields means that the run's step cannot be in time, and an item of a step that
+	// can needs the slot.
+	ReasonYields Reason = "yields its slot"
 )
