--- a/internal/jobs/statistics/statistics_test.go
+++ b/internal/jobs/statistics/statistics_test.go
@@ -74,3 +74,23 @@
 		t.Errorf("mean of %v tokens over %d jobs after the first has expired", got.MeanTokens["m"], demand.Len())
 	}
 }
+
+// Guards against slots that are left to an owner that was lost, and against steps that seem
+// to have more time than they have because their heartbeat is old.
+func TestOpenJobsAge(t *testing.T) {
+	received, jobs := time.Now(), NewOpenJobs()
+	jobs.Learn("a", []wire.JobWork{{Job: "due", LeftMs: 1000, Waiting: 3}, {Job: "without deadline", Waiting: 5}}, received)
+	jobs.Learn("b", []wire.JobWork{{Job: "ended", LeftMs: 1000}}, received)
+	jobs.Learn("b", nil, received)
+	current := jobs.Current(received.Add(1200 * time.Millisecond))
+	if len(current) != 1 || current[0].Job != "due" || current[0].TimeLeft != -200*time.Millisecond {
+		t.Errorf("current jobs: %+v", current)
+	}
+	if current = jobs.Current(received.Add(openJobTimeout)); len(current) != 0 {
+		t.Errorf("jobs of an old heartbeat: %+v", current)
+	}
+	jobs.Evict(received.Add(openJobTimeout))
+	if len(jobs.byNode) != 0 {
+		t.Error("an old heartbeat is stored")
+	}
+}
