batch: order of competing jobs, slots left to other owners, yielding runs

Cause: an owner ordered only its own items, by age, and took any free slot. Change: the queue is sorted by the order for competing jobs every 100 ms while jobs compete; values that the items of a job share are computed once per job. Runs of steps that cannot be in time give up their slots, once per item. Logs and metrics say so.

--- a/internal/jobs/batch/heartbeat.go
+++ b/internal/jobs/batch/heartbeat.go
@@ -31,8 +31,13 @@
 		}
 	}
 	slices.Sort(heartbeat.Jobs)
+	waiting, now := s.scheduler.waitingItems(), time.Now()
+	s.metrics.trainerLag.Reset()
 	for _, id := range heartbeat.Jobs {
-		heartbeat.Work = append(heartbeat.Work, s.workOf(s.jobs[id]))
+		held := s.jobs[id]
+		work := s.workOf(held)
+		s.describeStep(&work, held, waiting[held], now)
+		heartbeat.Work = append(heartbeat.Work, work)
 	}
 	heartbeat.Leaving = s.leaving
 	heartbeat.Tolerances = s.tolerances.Announced()
@@ -52,6 +57,7 @@
 	for _, work := range heartbeat.Work {
 		s.demand.Learn(work, time.Now())
 	}
+	s.learnSteps(heartbeat, time.Now())
 	contested := s.learnRunningJobs(heartbeat)
 	s.learnOrigins(heartbeat.Work)
 	contested = append(contested, s.learnEnds(heartbeat)...)
--- a/internal/jobs/batch/itemrun.go
+++ b/internal/jobs/batch/itemrun.go
@@ -211,6 +211,7 @@
 	if work.done {
 		return
 	}
+	work.queuedAt = time.Now()
 	s.queue = append(s.queue, work)
 	s.sortQueue()
 }
--- a/internal/jobs/batch/job.go
+++ b/internal/jobs/batch/job.go
@@ -53,6 +53,10 @@
 	// possible: the results here may then lack some that readers have seen.
 	superseded  bool
 	unconfirmed bool
+	// yieldLogged, passedOverLogged and slotLeftLogged are set once the log says so.
+	yieldLogged      bool
+	passedOverLogged bool
+	slotLeftLogged   bool
 	// unconfirmedAt is when the ownership was last marked as unconfirmed. Only a read of
 	// the record that began later can confirm it.
 	unconfirmedAt time.Time
@@ -88,6 +92,14 @@
 	rank placement.Rank
 	// urgent is set while the item is queued and its job cannot afford further delay.
 	urgent bool
+	// queuedAt is when the item was last queued, and view the view by which the queue was last
+	// sorted.
+	queuedAt time.Time
+	view     placement.Item
+	// passedOver is set once the item has been counted as passed over for too long, and
+	// yielded once a run of it gave up its slot.
+	passedOver bool
+	yielded    bool
 
 	progress progress
 	// savedEvents is the number of events of the current text in the store, and
--- a/internal/jobs/batch/metrics.go
+++ b/internal/jobs/batch/metrics.go
@@ -10,6 +10,10 @@
 	takeovers      prometheus.Counter
 	withoutReplica prometheus.Counter
 	results        *prometheus.CounterVec
+	trainerLag     *prometheus.GaugeVec
+	passedOver     prometheus.Counter
+	yielded        prometheus.Counter
+	slotsLeft      prometheus.Counter
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -20,7 +24,12 @@
 		takeovers:      prometheus.NewCounter(prometheus.CounterOpts{Name: "pathtally_job_takeovers_total", Help: "Batch jobs taken over from other nodes."}),
 		withoutReplica: prometheus.NewCounter(prometheus.CounterOpts{Name: "pathtally_jobs_without_home_total", Help: "Batch jobs refused because no replica is in the allowed regions."}),
 		results:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "pathtally_item_results_total", Help: "Items by how they ended."}, []string{"state"}),
+		trainerLag:     prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "pathtally_trainer_lag_seconds", Help: "How far trainers of this node's open batch jobs are behind their period, by model."}, []string{"model"}),
+		passedOver:     prometheus.NewCounter(prometheus.CounterOpts{Name: "pathtally_items_passed_over_total", Help: "Items that waited so long that they preceded all others of their priority."}),
+		yielded:        prometheus.NewCounter(prometheus.CounterOpts{Name: "pathtally_jobs_yielded_total", Help: "Batch jobs that yielded to others because they could not be in time."}),
+		slotsLeft:      prometheus.NewCounter(prometheus.CounterOpts{Name: "pathtally_slots_left_total", Help: "Replicas whose free slots were left to other nodes for a time."}),
 	}
-	registry.MustRegister(metrics.runs, metrics.moved, metrics.late, metrics.takeovers, metrics.withoutReplica, metrics.results)
+	registry.MustRegister(metrics.runs, metrics.moved, metrics.late, metrics.takeovers, metrics.withoutReplica, metrics.results,
+		metrics.trainerLag, metrics.passedOver, metrics.yielded, metrics.slotsLeft)
 	return metrics
 }
--- a/internal/jobs/batch/queue.go
+++ b/internal/jobs/batch/queue.go
@@ -5,49 +5,63 @@
 	"time"
 
 	"github.com/pathtally/pathtally/internal/jobs/placement"
-	"github.com/pathtally/pathtally/internal/replicas/directory"
 )
 
-// queued is a queued item with its view for placement decisions.
-type queued struct {
-	view placement.Item
-	item *item
-}
+// orderInterval is the time between updates of the order of competing jobs. Within it, their
+// slack changes by less than the time that a text needs.
+const orderInterval = 100 * time.Millisecond
 
 // sortQueue sorts the queue in processing order. The mutex must be held.
-func (s *scheduler) sortQueue() {
-	configuration := s.config.Directory.View().Configuration
-	interval := s.replicas.Paces().MedianInterval()
-	views := make([]queued, 0, len(s.queue))
-	for _, waiting := range s.queue {
-		views = append(views, queued{view: s.viewOf(waiting, configuration, interval), item: waiting})
+func (s *scheduler) sortQueue() { s.sortQueueBy(s.newCompetition()) }
+
+// updateOrder sorts the queue if jobs compete and it was not sorted for orderInterval. The
+// order of other jobs does not depend on the time since. The mutex must be held.
+func (s *scheduler) updateOrder() {
+	now := time.Now()
+	if now.Sub(s.orderedAt) < orderInterval {
+		return
 	}
-	slices.SortStableFunc(views, func(a, b queued) int { return placement.Compare(a.view, b.view) })
-	for position, next := range views {
-		next.item.urgent = next.view.IsUrgent()
-		s.queue[position] = next.item
+	s.orderedAt = now
+	current := s.newCompetition()
+	for waiting := range current.own {
+		if current.termsOf(waiting).view.Competes {
+			s.sortQueueBy(current)
+			return
+		}
 	}
 }
 
-// viewOf returns the view of a queued item for placement decisions. interval is the usual
-// time between events. The mutex must be held.
-func (s *scheduler) viewOf(waiting *item, configuration *directory.Configuration, interval time.Duration) placement.Item {
-	return placement.Item{
-		Priority: priorityOf(configuration, waiting.job.record), JobStarted: waiting.job.startedAt,
-		Rank: waiting.rank.Position, Reserve: waiting.rank.Reserve, HasProgress: len(waiting.progress.events) > 0,
-		Deadline: waiting.job.deadline, TimeLeft: time.Until(waiting.job.deadline), Objective: waiting.job.completionObjective, ExpectedRunTime: time.Duration(s.remainingEvents(waiting)) * interval,
+// sortQueueBy sorts the queue by the views of a competition. The mutex must be held.
+func (s *scheduler) sortQueueBy(current *competition) {
+	s.orderedAt = current.now
+	views := make([]placement.Item, 0, len(s.queue))
+	for _, waiting := range s.queue {
+		waiting.view = current.viewOf(waiting)
+		waiting.urgent = waiting.view.IsUrgent() || waiting.view.IsAtRisk()
+		views = append(views, waiting.view)
+		s.reportPassedOver(waiting)
 	}
+	unsorted := slices.Clone(s.queue)
+	for position, index := range placement.Sort(views, current.shares()) {
+		s.queue[position] = unsorted[index]
+	}
+	current.reportYields()
 }
 
 // remainingEvents returns the expected number of remaining events of an item, 0 if
 // unknown. The mutex must be held.
 func (s *scheduler) remainingEvents(work *item) int {
-	rate := s.eventRates.Of(work.job.submission.Model)
-	expected := work.expectedEvents
-	if expected == 0 && work.Item != nil {
-		expected = rate.Expect(work.ExpectedTokens)
+	return work.remainingEvents(s.eventRates.Of(work.job.submission.Model))
+}
+
+// remainingEvents returns the expected number of remaining events of an item given the rate
+// of its model, 0 if unknown. The mutex must be held.
+func (i *item) remainingEvents(rate *placement.EventRate) int {
+	expected := i.expectedEvents
+	if expected == 0 && i.Item != nil {
+		expected = rate.Expect(i.ExpectedTokens)
 	}
-	return placement.Remaining(expected, work.knownEvents(), rate.Longest())
+	return placement.Remaining(expected, i.knownEvents(), rate.Longest())
 }
 
 // dequeue removes a job's items from the queue. The mutex must be held.
--- a/internal/jobs/batch/retention.go
+++ b/internal/jobs/batch/retention.go
@@ -32,4 +32,6 @@
 	s.replicas.Evict(s.config.Directory.View().Replicas, time.Now())
 	s.lengths.Evict(time.Now())
 	s.demand.Evict(time.Now())
+	s.trainers.Evict(time.Now())
+	s.openJobs.Evict(time.Now())
 }
--- a/internal/jobs/batch/scheduler.go
+++ b/internal/jobs/batch/scheduler.go
@@ -37,6 +37,15 @@
 	// candidates caches the candidate replicas, by service.
 	candidates map[string]*candidateSet
 	scorer     *scorer
+	// trainers and openJobs are shared with the service. runsElsewhere reports whether another
+	// node runs a job that it announced, as far as this node knows.
+	trainers      *statistics.Trainers
+	openJobs      *statistics.OpenJobs
+	runsElsewhere func(job string) bool
+	// orderedAt is when the order of the queue was last computed.
+	orderedAt time.Time
+	// slotsLeft is when this node began to leave free slots to other owners, by replica.
+	slotsLeft map[string]time.Time
 	// wake starts a round.
 	wake signal
 }
@@ -46,6 +55,8 @@
 		config: &service.config, metrics: service.metrics, mutex: &service.mutex,
 		runs: map[*itemRun]bool{}, replicas: service.replicas, eventRates: service.eventRates, candidates: map[string]*candidateSet{},
 		scorer: newScorer(service), wake: newSignal(),
+		trainers: service.trainers, openJobs: service.openJobs, slotsLeft: map[string]time.Time{},
+		runsElsewhere: func(id string) bool { return service.jobs[id] == nil && !service.ends.Has(id) },
 	}
 }
 
@@ -73,6 +84,7 @@
 		}
 		if scans.isDue(time.Now()) {
 			s.scanRuns()
+			s.yieldRuns()
 		}
 	}
 }
@@ -85,7 +97,9 @@
 	if len(s.queue) == 0 {
 		return len(s.runs) > 0
 	}
+	s.updateOrder()
 	pool := s.newPool()
+	leaver := s.newSlotLeaver(pool)
 	full := map[*job]bool{}
 	s.queue = slices.DeleteFunc(s.queue, func(waiting *item) bool {
 		if waiting.done || waiting.job.ended || waiting.job.superseded {
@@ -102,6 +116,9 @@
 			full[waiting.job] = true
 			return false
 		}
+		if leaver.leaves(waiting, chosen) {
+			return false
+		}
 		chosen.Load++
 		s.startRun(waiting, pool.endpoints[chosen.Name])
 		return true
--- a/internal/jobs/batch/service.go
+++ b/internal/jobs/batch/service.go
@@ -63,6 +63,9 @@
 	lengths    *statistics.Lengths
 	eventRates statistics.EventRates
 	demand     *statistics.Demand
+	trainers   *statistics.Trainers
+	// openJobs are the open jobs of other nodes.
+	openJobs *statistics.OpenJobs
 	// storedLoads are the reads of ended jobs in progress, by id.
 	storedLoads  map[string]*storedLoad
 	offerBackoff *offerBackoff
@@ -81,7 +84,7 @@
 		jobs: map[string]*job{}, remoteJobs: map[string]*remoteJob{}, ends: endedjobs.NewRegistry(), endsBeingPersisted: map[string]bool{}, acceptances: map[string]*acceptance{},
 		replicas:   replicastate.NewTable(),
 		tolerances: statistics.Tolerances{}, lengths: statistics.NewLengths(), eventRates: statistics.EventRates{},
-		demand: statistics.NewDemand(), offerBackoff: newOfferBackoff(), storedLoads: map[string]*storedLoad{},
+		demand: statistics.NewDemand(), trainers: statistics.NewTrainers(), openJobs: statistics.NewOpenJobs(), offerBackoff: newOfferBackoff(), storedLoads: map[string]*storedLoad{},
 		heartbeatWake: newSignal(), ownerWatchWake: newSignal(),
 	}
 	service.scheduler = newScheduler(service)
--- a/internal/jobs/batch/start.go
+++ b/internal/jobs/batch/start.go
@@ -33,17 +33,21 @@
 	restored := started.restore(joinPieces(listed.Pieces))
 	for _, itemID := range started.order {
 		if pending := started.items[itemID]; !pending.done {
+			pending.queuedAt = started.startedAt
 			s.scheduler.queue = append(s.scheduler.queue, pending)
 		}
 	}
+	s.trainers.Observe(submission.Model, int64(submission.Step), started.deadline, time.Now())
 	s.scheduler.sortQueue()
 	s.observeTolerance(submission)
 	s.demand.Learn(started.work(), time.Now())
 	s.jobs[id] = started
 	delete(s.remoteJobs, id)
+	lag, period := s.scheduler.lagOf(started, time.Now()), s.trainers.Period(submission.Model)
 	s.mutex.Unlock()
 	s.config.Logger.Info("batch job started", "request", id, "epoch", record.Epoch, "items", len(started.items), "listed", len(listed.Results), "texts", restored,
-		"step", submission.Step, "model", submission.Model, "minVersion", submission.MinVersion, "desired", submission.Desired)
+		"step", submission.Step, "model", submission.Model, "minVersion", submission.MinVersion, "desired", submission.Desired,
+		"lagMs", lag.Milliseconds(), "periodMs", period.Milliseconds())
 	go s.publish(started)
 	s.WakeScheduler()
 	s.heartbeatWake.set()
--- a/internal/jobs/batch/work.go
+++ b/internal/jobs/batch/work.go
@@ -31,6 +31,44 @@
 	return work
 }
 
+// describeStep sets the fields of a job's work by which owners compare their jobs. waiting is
+// the number of its items that wait. The mutex must be held.
+func (s *Service) describeStep(work *wire.JobWork, held *job, waiting int, now time.Time) {
+	work.Step, work.Waiting = int64(held.submission.Step), uint32(waiting)
+	if held.deadline.IsZero() {
+		return
+	}
+	work.LeftMs = held.deadline.Sub(now).Milliseconds()
+	if work.LeftMs == 0 {
+		// 0 means that there is no deadline.
+		work.LeftMs = -1
+	}
+	lag := s.scheduler.lagOf(held, now)
+	work.LagMs = uint32(lag.Milliseconds())
+	s.metrics.trainerLag.WithLabelValues(held.submission.Model).Set(lag.Seconds())
+}
+
+// waitingItems returns the number of items that wait for a replica, by job. The mutex must be
+// held.
+func (s *scheduler) waitingItems() map[*job]int {
+	counts := map[*job]int{}
+	for _, waiting := range s.queue {
+		counts[waiting.job]++
+	}
+	return counts
+}
+
+// learnSteps records the jobs in a heartbeat of another node and when they are due. The mutex
+// must be held.
+func (s *Service) learnSteps(heartbeat *wire.NodeBeat, now time.Time) {
+	s.openJobs.Learn(heartbeat.Node, heartbeat.Work, now)
+	for _, work := range heartbeat.Work {
+		if work.LeftMs != 0 && s.jobs[work.Job] == nil {
+			s.trainers.Observe(work.Model, work.Step, now.Add(time.Duration(work.LeftMs)*time.Millisecond), now)
+		}
+	}
+}
+
 // Demand returns the mean work, in expected tokens, of the recent batch jobs of each
 // model on all nodes, and the number of items of the largest of them.
 func (s *Service) Demand() weightorders.Demand {
