--- a/internal/jobs/batch/loadreports.go
+++ b/internal/jobs/batch/loadreports.go
@@ -11,7 +11,11 @@
 	for _, waiting := range s.scheduler.queue {
 		counts[waiting.job.submission.Model]++
 	}
-	s.peerReports.AddWaiting(counts, time.Now())
+	for _, other := range s.openJobs.Current(time.Now()) {
+		if other.Waiting > 0 {
+			counts[other.Model] += int(other.Waiting)
+		}
+	}
 	return counts
 }
 
@@ -19,14 +23,5 @@
 func (s *Service) UsualIntervals() map[string]time.Duration {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	now := time.Now()
-	for replica, load := range s.replicas.Loads(now) {
-		if load == 0 {
-			continue
-		}
-		if interval := s.replicas.Interval(replica, s.replicas.GetOrCreate(replica)); interval > 0 {
-			s.peerReports.ObserveRecent(replica, interval, now)
-		}
-	}
-	return s.peerReports.UsualIntervals(now)
+	return s.replicas.UsualIntervals(time.Now())
 }
--- a/internal/jobs/batch/pool.go
+++ b/internal/jobs/batch/pool.go
@@ -91,12 +91,8 @@
 
 // workOf returns the remaining work of an item. The mutex must be held.
 func (s *scheduler) workOf(work *item, now time.Time) placement.Work {
-	rate := s.eventRates.Of(work.job.submission.Model)
-	expected := work.expectedEvents
-	if expected == 0 {
-		expected = rate.ExpectUnbounded(work.ExpectedTokens)
-	}
-	return placement.NewWork(expected, work.knownEvents(), rate.LengthLimit(), work.job.deadline.Sub(now))
+	limit := s.eventRates.Of(work.job.submission.Model).LengthLimit()
+	return placement.NewWork(s.expectedEventsOf(work), work.knownEvents(), limit, work.job.deadline.Sub(now))
 }
 
 // replicasFor returns the replicas at which an item may run, including those without a
--- a/internal/jobs/placement/critical.go
+++ b/internal/jobs/placement/critical.go
@@ -6,22 +6,26 @@
 )
 
 const (
-	// criticalShare is the share of a completion objective that the longest text may take at
-	// most replicas. Above it, a wait of a few tenths of a second makes the job late.
-	criticalShare = 0.9
-	// criticalReplicas is the share of the known replicas, from 0 to 1, at which the longest
-	// text takes longer than that before placement is by completion time.
-	criticalReplicas = 0.25
+	// criticalFraction is the fraction of a completion objective above which the run time of the
+	// longest text is critical. The other tenth of the objective is spent on accepting the job,
+	// reading prompts and listing results.
+	criticalFraction = 0.9
+	// criticalReplicasDivisor sets the fraction, 1/criticalReplicasDivisor, of the known replicas
+	// at which the longest text has to be critical. Texts can avoid a smaller fraction of slow
+	// replicas.
+	criticalReplicasDivisor = 4
 )
 
-// CompletionCritical reports whether jobs with a completion objective depend on which replicas
-// run their longest texts: whether a text of longestEvents events takes more than criticalShare
-// of the objective at criticalReplicas of the known replicas or more.
+// CompletionCritical reports whether the choice of replicas and the order of items decide if a
+// job meets its completion objective: the longest text takes more than criticalFraction of the
+// objective at 1/criticalReplicasDivisor of the replicas with a known usual interval or more. It
+// is false if fewer than minKnownPaces intervals are known, or if the longest text or the
+// objective is unknown (0).
 func (p Paces) CompletionCritical(longestEvents int, objective time.Duration) bool {
 	if p.slowQuarter == 0 || objective <= 0 {
 		return false
 	}
-	return float64(longestEvents)*float64(p.slowQuarter) > criticalShare*float64(objective)
+	return float64(longestEvents)*float64(p.slowQuarter) > criticalFraction*float64(objective)
 }
 
 // longTextQuantile is the quantile of a job's expected lengths that stands for its longest text
--- a/internal/jobs/placement/paces.go
+++ b/internal/jobs/placement/paces.go
@@ -56,15 +56,18 @@
 		return p
 	}
 	p.usualMedian = sorted[(len(sorted)-1)/2]
-	quarter := max(1, int(float64(len(sorted))*criticalReplicas+0.5))
+	quarter := (len(sorted) + criticalReplicasDivisor - 1) / criticalReplicasDivisor
 	p.fastQuarter, p.slowQuarter = sorted[quarter-1], sorted[len(sorted)-quarter]
 	return p
 }
 
+// sortedIntervals returns the known intervals, shortest first.
 func sortedIntervals(intervals map[string]time.Duration) []time.Duration {
 	sorted := make([]time.Duration, 0, len(intervals))
 	for _, interval := range intervals {
-		sorted = append(sorted, interval)
+		if interval > 0 {
+			sorted = append(sorted, interval)
+		}
 	}
 	slices.Sort(sorted)
 	return sorted
--- a/internal/jobs/placement/reason.go
+++ b/internal/jobs/placement/reason.go
@@ -20,4 +20,7 @@
 	ReasonSwapped Reason = "slot given to a longer run"
 	// ReasonStalled means that the run received no event within its timeout.
 	ReasonStalled Reason = "nothing comes"
+	// ReasonYields means that the run's step cannot be in time, and an item of a step that
+	// can needs the slot.
+	ReasonYields Reason = "yields its slot"
 )
--- a/internal/jobs/replicastate/state.go
+++ b/internal/jobs/replicastate/state.go
@@ -105,7 +105,14 @@
 // own runs, or else the one that another node announced. It is 0 if neither is known, or both
 // are older than PaceRetention.
 func (s *State) UsualInterval(now time.Time) time.Duration {
-	if own := s.UsualPace.Interval(now.Sub(s.ObservedAt) < FreshPaceAge); own > 0 && now.Sub(s.ObservedAt) < PaceRetention {
+	return s.usualInterval(now, now.Sub(s.ObservedAt) < FreshPaceAge)
+}
+
+// undisturbedInterval returns UsualInterval as if the replica were not disturbed.
+func (s *State) undisturbedInterval(now time.Time) time.Duration { return s.usualInterval(now, false) }
+
+func (s *State) usualInterval(now time.Time, fresh bool) time.Duration {
+	if own := s.UsualPace.Interval(fresh); own > 0 && now.Sub(s.ObservedAt) < PaceRetention {
 		return own
 	}
 	if now.Sub(s.announcedAt) < PaceRetention {
--- a/internal/jobs/replicastate/table.go
+++ b/internal/jobs/replicastate/table.go
@@ -158,6 +158,17 @@
 	return usual, disturbed
 }
 
+// UsualIntervals returns the known intervals without any disturbance by replica.
+func (t *Table) UsualIntervals(now time.Time) map[string]time.Duration {
+	usual := map[string]time.Duration{}
+	for replica, state := range t.States {
+		if interval := state.undisturbedInterval(now); interval > 0 {
+			usual[replica] = interval
+		}
+	}
+	return usual
+}
+
 // ExpectedEvents returns, by replica, the number of events that the texts of all nodes' runs
 // there are expected to have.
 func (t *Table) ExpectedEvents(now time.Time) map[string]int {
