placement: late steps keep runs that end within two seconds

The expected length of a job's long texts was estimated once, from the first texts, which are the shortest. Change: runs yield only if they would keep their slots for two seconds or more; lengths are estimated again every 20 texts. TestYields uses the constant, with the same cases. Tests: go test ./internal/jobs/placement (pass).

--- a/internal/jobs/batch/job.go
+++ b/internal/jobs/batch/job.go
@@ -23,8 +23,9 @@
 	completionObjective time.Duration
 
 	// longText is the number of events that the job's long texts are expected to have, 0 until
-	// the lengths can be estimated.
-	longText int
+	// the lengths can be estimated, and longTextBasis the number of texts that the estimate is
+	// based on.
+	longText, longTextBasis int
 
 	items map[string]*item
 	// order lists the item ids as submitted.
--- a/internal/jobs/batch/pool.go
+++ b/internal/jobs/batch/pool.go
@@ -72,6 +72,10 @@
 	return !job.deadline.IsZero() && paces.CompletionCritical(s.longTextOf(job), job.completionObjective)
 }
 
+// longTextStep is the number of further complete texts after which the expected length of a job's
+// long texts is estimated again. The first texts to complete are shorter than expected.
+const longTextStep = 20
+
 // longTextOf returns the number of events of the longest texts of a job's model, as far as they
 // are known, 0 for unknown. The mutex must be held.
 func (s *scheduler) longTextOf(job *job) int {
@@ -79,7 +83,8 @@
 	if limit := rate.LengthLimit(); limit > 0 {
 		return limit
 	}
-	if job.longText == 0 {
+	if rate.Texts() >= job.longTextBasis+longTextStep {
+		job.longTextBasis = rate.Texts()
 		expected := make([]int, 0, len(job.submission.Items))
 		for _, submitted := range job.submission.Items {
 			expected = append(expected, rate.ExpectUnbounded(submitted.ExpectedTokens))
--- a/internal/jobs/placement/eventrate.go
+++ b/internal/jobs/placement/eventrate.go
@@ -36,6 +36,9 @@
 // Longest returns the number of events of the longest text, or 0 without observations.
 func (r *EventRate) Longest() int { return r.longest }
 
+// Texts returns the number of observed texts.
+func (r *EventRate) Texts() int { return r.texts }
+
 // LengthLimit returns the number of events that no text is expected to exceed, or 0 until
 // minTextsForLongest texts have been observed.
 func (r *EventRate) LengthLimit() int {
--- a/internal/jobs/placement/yield.go
+++ b/internal/jobs/placement/yield.go
@@ -8,8 +8,9 @@
 
 const (
 	// minYieldTime is the remaining time from which a run gives up its slot. A run that ends
-	// sooner releases the slot nearly as soon, as an interruption takes up to 400 ms.
-	minYieldTime = 500 * time.Millisecond
+	// sooner soon releases the slot anyway, and its trainer, which waits for the step although
+	// it is late, would fall further behind by the interruption.
+	minYieldTime = 2 * time.Second
 	// maxYieldsPerScan bounds the runs that give up their slots in one scan. Further ones
 	// follow if the demand persists.
 	maxYieldsPerScan = 8
