placement: a lasting change of speed keeps the interval known; tests of UsualPace

Cause: when a disturbance had lasted lastingDisturbance, or a replica had become faster, UsualPace started anew and its interval was unknown for minUsualTime. An unknown interval counts as the median, so long items could be placed at a replica that had just proved slow.

Change: the new usual pace starts from the recent one, with the weight of one event. Tests for disturbances of 600 ms, one of 8 s, lasting changes, gaps, and first events.

Tests: go test ./internal/jobs/placement (TestUsualPaceFollowsLastingChange failed before the change).

--- a/internal/jobs/placement/usualpace.go
+++ b/internal/jobs/placement/usualpace.go
@@ -40,7 +40,9 @@
 	u.recent = recent
 	u.compare(elapsed)
 	if u.slow > lastingDisturbance || u.fast > shortDisturbance {
-		*u = UsualPace{recent: recent}
+		// Starting from the recent pace keeps the interval known: an unknown one counts as the
+		// median of the replicas.
+		*u = UsualPace{recent: recent, intervals: float64(recent), events: 1, observed: minUsualTime}
 	}
 	if u.IsSlowed() {
 		return
