placement: a run gives up its fast slot only for a run that can use it

Cause: swaps ignored that a long run had failed at the fast replica or that this one was failing or unresponsive, so short runs were interrupted in vain, in each scan again. Several short runs also counted on the same free slot; those that found none returned to the fast replicas. For each late run, all runs were rated against all replicas, some hundred thousand ratings in a scan while the mutex is held.

Change: swaps requires that the long run may move to the replica, reserves the slot at the slower replica, and finds the runs that may give up their slots once in a scan.

--- a/internal/jobs/placement/completion.go
+++ b/internal/jobs/placement/completion.go
@@ -111,7 +111,7 @@
 func (p Paces) rate(candidate *Replica, work Work) completionRating {
 	interval := p.UsualAt(candidate.Name)
 	return completionRating{
-		lastResort: candidate.failing || candidate.unresponsive || p.disturbed[candidate.Name],
+		lastResort: p.isLastResort(candidate),
 		tooSlow:    !p.mayUse(work, interval), class: p.speedClass(interval),
 		load: candidate.completionLoad(work.LongestText),
 	}
--- a/internal/jobs/placement/completion_move.go
+++ b/internal/jobs/placement/completion_move.go
@@ -93,13 +93,16 @@
 }
 
 // swaps decides which runs at fast replicas give up their slots to long runs at slower ones, for
-// which there is no free slot. moved are the runs that move anyway.
+// which there is no free slot. moved are the runs that move anyway. It adds each run that gives up
+// its slot to the load of the slower replica with a free slot, so that no two of them count on the
+// same one.
 func (p Paces) swaps(runs []*Run, moved []Move) []Move {
 	var swaps []Move
 	taken := map[*Run]bool{}
 	for _, move := range moved {
 		taken[move.Run] = true
 	}
+	var replaceable []*Run
 	for _, long := range runs {
 		if len(swaps) == maxSwapsPerScan {
 			break
@@ -107,8 +110,12 @@
 		if taken[long] || !p.gainsFastSlot(long) {
 			continue
 		}
-		if shorter := p.shorterRun(long, runs, taken); shorter != nil {
+		if replaceable == nil {
+			replaceable = p.replaceableRuns(runs)
+		}
+		if shorter, target := p.shorterRun(long, replaceable, taken); shorter != nil {
 			taken[long], taken[shorter] = true, true
+			target.Add(shorter.Work)
 			swaps = append(swaps, Move{Run: shorter, Reason: ReasonSwapped})
 		}
 	}
@@ -125,31 +132,56 @@
 	return time.Duration(run.Work.Remaining)*(current-p.fastQuarter)-moveCost > minSwapGain
 }
 
-// shorterRun returns the run that gives up its slot to a long run: the one with the least
-// remaining work among those that may run at a slower replica with a free slot, nil if there is
-// none.
-func (p Paces) shorterRun(long *Run, runs []*Run, taken map[*Run]bool) *Run {
-	var best *Run
-	for _, candidate := range runs {
-		if taken[candidate] || candidate.Events < minMovedEvents || p.speedClass(p.UsualAt(candidate.Replica)) > 0 || !isCandidate(long, candidate.Replica) {
-			continue
+// replaceableRuns returns the runs at fast replicas that may run at a slower one with a free slot,
+// those with the least remaining work first.
+func (p Paces) replaceableRuns(runs []*Run) []*Run {
+	replaceable := []*Run{}
+	for _, run := range runs {
+		if run.Events >= minMovedEvents && p.speedClass(p.UsualAt(run.Replica)) == 0 && p.slowerReplica(run) != nil {
+			replaceable = append(replaceable, run)
 		}
-		target := PickByCompletion(p, candidate.Replicas, candidate.Work, candidate.preference())
-		if target == nil || p.isLastResort(target) || p.speedClass(p.UsualAt(target.Name)) == 0 || !p.mayUse(candidate.Work, p.UsualAt(target.Name)) {
+	}
+	slices.SortStableFunc(replaceable, func(a, b *Run) int { return cmp.Compare(a.Work.Remaining, b.Work.Remaining) })
+	return replaceable
+}
+
+// shorterRun returns the first of the replaceable runs whose slot a long run may use, and the
+// slower replica for it. Both are nil if there is none. It marks runs for which there is no longer
+// a free slot as taken, so that they are not tried for other long runs.
+func (p Paces) shorterRun(long *Run, replaceable []*Run, taken map[*Run]bool) (*Run, *Replica) {
+	for _, candidate := range replaceable {
+		if taken[candidate] || !p.mayMoveTo(long, candidate.Replica) {
 			continue
 		}
-		if best == nil || candidate.Work.Remaining < best.Work.Remaining {
-			best = candidate
+		if target := p.slowerReplica(candidate); target != nil {
+			return candidate, target
 		}
+		taken[candidate] = true
+	}
+	return nil, nil
+}
+
+// slowerReplica returns the slower replica with a free slot at which a run may continue, nil if
+// there is none.
+func (p Paces) slowerReplica(run *Run) *Replica {
+	target := PickByCompletion(p, run.Replicas, run.Work, run.preference())
+	if target == nil || p.isLastResort(target) {
+		return nil
+	}
+	if interval := p.UsualAt(target.Name); p.speedClass(interval) == 0 || !p.mayUse(run.Work, interval) {
+		return nil
 	}
-	return best
+	return target
 }
 
-// isCandidate reports whether a run may move to a replica, as far as the replica has room.
-func isCandidate(run *Run, replica string) bool {
-	return slices.ContainsFunc(run.Replicas, func(candidate *Replica) bool { return candidate.Name == replica })
+// mayMoveTo reports whether a run may move to a replica once it has a free slot.
+func (p Paces) mayMoveTo(run *Run, replica string) bool {
+	return !slices.Contains(run.FailedReplicas, replica) && slices.ContainsFunc(run.Replicas, func(candidate *Replica) bool {
+		return candidate.Name == replica && !p.isLastResort(candidate)
+	})
 }
 
+// isLastResort reports whether a replica is used only if no other has a free slot.
 func (p Paces) isLastResort(candidate *Replica) bool {
 	return candidate.failing || candidate.unresponsive || p.disturbed[candidate.Name]
 }
