--- a/internal/jobs/placement/completion_move_test.go
+++ b/internal/jobs/placement/completion_move_test.go
@@ -53,6 +53,9 @@
 		{"late at a slow replica", slow, late, nil, ReasonLate},
 		{"in time at a slow replica", slow, Work{Remaining: 40, MaxRemaining: 60, TimeLeft: 6 * time.Second}, nil, ""},
 		{"late at a fast replica", fast, late, func(_ *moveTest, run *Run) { run.Work.TimeLeft = time.Second }, ""},
+		{"late at a replica of the same class that is 14% slower", fast, Work{Remaining: 140, MaxRemaining: 142, TimeLeft: 5 * time.Second}, func(m *moveTest, _ *Run) {
+			m.paces.usual[m.all[0].Name] = 40 * time.Millisecond
+		}, ""},
 		{"late at a slow replica without a free fast slot", slow, late, func(m *moveTest, _ *Run) { m.fill(0, 1) }, ""},
 		{"late, gain too small", slow, Work{Remaining: 9, MaxRemaining: 9, TimeLeft: 100 * time.Millisecond}, nil, ""},
 		{"late, the trainer does not wait for it", slow, late, func(_ *moveTest, run *Run) { run.Reserve = true }, ""},
