replicastate: tests of usual intervals and expected events

Cause: nothing tested that heartbeats carry them, or that a disturbance is forgotten after a gap without observations.

Change: two tests.

Tests: go test ./internal/jobs/replicastate

--- a/internal/jobs/replicastate/state_test.go
+++ b/internal/jobs/replicastate/state_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pathtally/pathtally/internal/jobs/placement"
+	"github.com/pathtally/pathtally/internal/wire"
 )
 
 // Guards against retrying an unavailable replica at a constant rate.
@@ -81,3 +82,59 @@
 		t.Errorf("interval %s after six events once the old pace has expired", got)
 	}
 }
+
+// Guards against owners that know the speed and the load of a replica only from their own runs:
+// a new owner has none.
+func TestHeartbeatsCarryUsualIntervalsAndExpectedEvents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sender, receiver := NewTable(), NewTable()
+		state := sender.GetOrCreate("a")
+		state.Running, state.ExpectedEvents = 1, 150
+		for range 100 {
+			time.Sleep(50 * time.Millisecond)
+			state.Observe(50*time.Millisecond, time.Now())
+		}
+		receiver.GetOrCreate("a").ExpectedEvents = 20
+		receiver.LearnSlotUse(&wire.NodeBeat{Node: "sender", Uses: sender.Announced(time.Now())}, time.Now())
+		if got := receiver.Paces().UsualAt("a"); got.Round(time.Millisecond) != 50*time.Millisecond {
+			t.Errorf("usual interval %s", got)
+		}
+		if got := receiver.ExpectedEvents(time.Now())["a"]; got != 170 {
+			t.Errorf("%d expected events of both nodes, want 170", got)
+		}
+		time.Sleep(2 * SlotUseTimeout)
+		if got := receiver.ExpectedEvents(time.Now())["a"]; got != 20 {
+			t.Errorf("%d expected events once the heartbeat is old, want 20", got)
+		}
+		time.Sleep(PaceRetention)
+		if got := receiver.Paces().UsualAt("a"); got != 0 {
+			t.Errorf("usual interval %s after %s", got, PaceRetention)
+		}
+	})
+}
+
+// Guards against avoiding a replica because it was disturbed before a pause between steps.
+func TestDisturbanceForgottenAfterGap(t *testing.T) {
+	now := time.Now()
+	state := &State{Running: 1}
+	observe := func(interval time.Duration, events int) {
+		for range events {
+			now = now.Add(interval)
+			state.Observe(interval, now)
+		}
+	}
+	observe(35*time.Millisecond, 200)
+	observe(105*time.Millisecond, 30)
+	if got := state.UsualInterval(now); !state.IsDisturbed(now) || got < 90*time.Millisecond {
+		t.Errorf("disturbed %t, interval %s", state.IsDisturbed(now), got)
+	}
+	now = now.Add(FreshPaceAge)
+	if got := state.UsualInterval(now); state.IsDisturbed(now) || got > 50*time.Millisecond {
+		t.Errorf("disturbed %t, interval %s after the gap", state.IsDisturbed(now), got)
+	}
+	now = now.Add(time.Second)
+	observe(35*time.Millisecond, 1)
+	if state.IsDisturbed(now) {
+		t.Error("disturbed after the first event that follows the gap")
+	}
+}
