batch: results are held while the last item is scored; criticality once for each job

Cause: an item whose text is complete but whose scorer has not answered has no run, so completesIn took it for one that waits for a replica and expected 0.6 of its text again. Results were then listed shortly before the last ones. workOf dereferenced a nil Item where remainingEvents does not (TestMovesToFasterReplicas panicked). isCritical was computed for each run and each waiting item; while lengths are unknown, it sorts the expected lengths of all items of the job each time. Each poll of coalescePause computed the paces twice.

Change: completesIn counts complete texts as about to have a result; workOf checks for nil; the pool computes criticality once for each job; coalescePause computes paces once. Tests that speeds from heartbeats decide the replica, and that scans move late runs.

Tests: go test ./internal/jobs/batch -run 'TestPick|TestScanMoves|TestCompletesIn| TestMoves|Interval|Slow'; without the change to completesIn, TestCompletesInWhileScoring fails.

--- /dev/null
+++ b/internal/jobs/batch/criticaljobs_test.go
@@ -0,0 +1,88 @@
+package batch
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/pathtally/pathtally/internal/jobs/placement"
+	"github.com/pathtally/pathtally/internal/wire"
+)
+
+// newUnevenPlacement returns a service that knows the usual intervals of four replicas, two of
+// them slow, from heartbeats of another node, and the lengths of the model's texts. The job of
+// the item has a completion objective.
+func newUnevenPlacement() (*Service, *item) {
+	service, waiting := newPlacement(4)
+	heartbeat := &wire.NodeBeat{Node: "other"}
+	for number, interval := range []uint32{83000, 83000, 35000, 35000} {
+		heartbeat.Uses = append(heartbeat.Uses, wire.ReplicaUse{Replica: replicaName(number), IntervalUs: interval, UsualIntervalUs: interval})
+	}
+	service.replicas.LearnSlotUse(heartbeat, time.Now())
+	rate := service.eventRates.Of("m")
+	for range 300 {
+		rate.Observe(100, 20)
+	}
+	rate.Observe(760, 152)
+	waiting.job.completionObjective = 7500 * time.Millisecond
+	waiting.job.deadline = time.Now().Add(waiting.job.completionObjective)
+	return service, waiting
+}
+
+func isSlowReplica(name string) bool { return name == replicaName(0) || name == replicaName(1) }
+
+// Guards against a node that doesn't place items by the speeds in the heartbeats of other nodes,
+// and against changing the placement of jobs without an objective.
+func TestPickOfCriticalJob(t *testing.T) {
+	for _, test := range []struct {
+		name          string
+		events        int
+		withObjective bool
+		slow          bool
+	}{
+		{"short item", 5, true, true},
+		{"long item", 150, true, false},
+		{"short item without an objective", 5, false, false},
+	} {
+		service, waiting := newUnevenPlacement()
+		waiting.expectedEvents = test.events
+		if !test.withObjective {
+			waiting.job.deadline, waiting.job.completionObjective = time.Time{}, 0
+		}
+		if chosen := service.scheduler.newPool().pick(waiting); isSlowReplica(chosen.Name) != test.slow {
+			t.Errorf("%s: placed at %s", test.name, chosen.Name)
+		}
+	}
+}
+
+// Guards against scans that apply the rules for other jobs to critical ones, or none.
+func TestScanMovesLateRunOfCriticalJob(t *testing.T) {
+	service, work := newUnevenPlacement()
+	work.expectedEvents = 150
+	run := service.addRun(replicaName(0), 10, work)
+	var cause *RescheduledError
+	run.cancel = func(reason error) { errors.As(reason, &cause) }
+	service.scheduler.scanRuns()
+	if cause == nil || cause.Reason != placement.ReasonLate {
+		t.Errorf("canceled with %v, want %q", cause, placement.ReasonLate)
+	}
+}
+
+// Guards against listing results while the last item is being scored: it has no run then, and
+// the reader would get its result half a second later.
+func TestCompletesInWhileScoring(t *testing.T) {
+	service, work := newUnevenPlacement()
+	work.Item, work.group, work.recordedEvents = &Item{ID: "a", Group: "g", ExpectedTokens: 200}, &group{open: 1}, 40
+	work.job.items, work.job.groups = map[string]*item{"a": work}, map[string]*group{"g": work.group}
+	completesIn := func() time.Duration {
+		return service.completesIn(work.job, service.replicas.Paces(), time.Now())
+	}
+	if got := completesIn(); got < time.Second {
+		t.Errorf("complete in %s although the item waits", got)
+	}
+	run := service.addRun(replicaName(2), 40, work)
+	service.scheduler.runEnded(run, nil)
+	if got := completesIn(); got <= 0 || got > time.Millisecond {
+		t.Errorf("complete in %s while the item is scored", got)
+	}
+}
--- a/internal/jobs/batch/itemrun.go
+++ b/internal/jobs/batch/itemrun.go
@@ -207,6 +207,7 @@
 	work.recordedEvents = max(work.recordedEvents, len(work.progress.events))
 	defer s.wake.set()
 	if err == nil {
+		work.textComplete = true
 		state.Failures.Observe(false, time.Now())
 		s.eventRates.Of(work.job.submission.Model).Observe(work.ExpectedTokens, len(work.progress.events))
 	}
--- a/internal/jobs/batch/job.go
+++ b/internal/jobs/batch/job.go
@@ -102,6 +102,8 @@
 	// runs counts the runs started on this node.
 	runs int
 	done bool
+	// textComplete is set once a run has completed the text; the scorer may still be called.
+	textComplete bool
 	// expectedEvents is the number of events estimated from earlier runs, 0 if unknown.
 	expectedEvents int
 	// recordedEvents is the largest number of events that a text had when a run ended or
--- a/internal/jobs/batch/listing.go
+++ b/internal/jobs/batch/listing.go
@@ -100,17 +100,17 @@
 
 // criticalListingDue reports whether the finished results of a job that depends on the speed of
 // replicas are to be listed, waited after the last listing. The mutex must be held.
-func (s *Service) criticalListingDue(held *job, waited time.Duration) bool {
+func (s *Service) criticalListingDue(held *job, paces placement.Paces, waited time.Duration) bool {
 	if held.remainingItems() == 0 {
 		return true
 	}
 	now := time.Now()
-	return placement.ListingDue(s.completesIn(held, now), held.deadline.Sub(now), waited)
+	return placement.ListingDue(s.completesIn(held, paces, now), held.deadline.Sub(now), waited)
 }
 
 // completesIn estimates the time until the trainer has the groups that it waits for. The mutex
 // must be held.
-func (s *Service) completesIn(held *job, now time.Time) time.Duration {
+func (s *Service) completesIn(held *job, paces placement.Paces, now time.Time) time.Duration {
 	indexes := make(map[*group]int, len(held.groups))
 	groups := make([]placement.ListingGroup, 0, len(held.groups))
 	for _, counted := range held.groups {
@@ -123,10 +123,15 @@
 			continue
 		}
 		next := placement.UnfinishedItem{Group: indexes[left.group], Work: s.scheduler.workOf(left, now)}
-		if left.currentRun != nil {
+		switch {
+		case left.currentRun != nil:
 			next.Replica = left.currentRun.endpoint.Name
+		case left.textComplete:
+			// Its scorer answers soon: without this, it would count as waiting for a replica, and
+			// results would be listed shortly before the last ones.
+			next.Replica, next.Work = left.lastRun.endpoint.Name, placement.Work{}
 		}
 		unfinished = append(unfinished, next)
 	}
-	return s.replicas.Paces().CompletesIn(groups, unfinished, held.desiredGroups())
+	return paces.CompletesIn(groups, unfinished, held.desiredGroups())
 }
--- a/internal/jobs/batch/pool.go
+++ b/internal/jobs/batch/pool.go
@@ -34,6 +34,8 @@
 	// have.
 	expectedEvents map[string]int
 	replicas       map[poolKey][]*placement.Replica
+	// critical caches isCritical by job.
+	critical map[*job]bool
 	// byName has the single view of each replica, which all keys share as they share its
 	// slots.
 	byName    map[string]*placement.Replica
@@ -45,7 +47,7 @@
 	return &pool{
 		scheduler: s, view: s.config.Directory.View(), now: time.Now(), paces: s.replicas.Paces(), loads: s.replicas.Loads(time.Now()),
 		expectedEvents: s.replicas.ExpectedEvents(time.Now()),
-		replicas:       map[poolKey][]*placement.Replica{}, byName: map[string]*placement.Replica{}, endpoints: map[string]*routing.Endpoint{},
+		replicas:       map[poolKey][]*placement.Replica{}, critical: map[*job]bool{}, byName: map[string]*placement.Replica{}, endpoints: map[string]*routing.Endpoint{},
 	}
 }
 
@@ -59,16 +61,21 @@
 }
 
 // isCritical reports whether a job depends on the speed of the replicas that run its items.
-func (p *pool) isCritical(job *job) bool { return p.scheduler.isCriticalAt(job, p.paces) }
+func (p *pool) isCritical(job *job) bool {
+	critical, known := p.critical[job]
+	if !known {
+		critical = p.scheduler.isCritical(job, p.paces)
+		p.critical[job] = critical
+	}
+	return critical
+}
 
 // workOf returns the remaining work of an item.
 func (p *pool) workOf(work *item) placement.Work { return p.scheduler.workOf(work, p.now) }
 
 // isCritical reports whether a job depends on the speed of the replicas that run its items. The
 // mutex must be held.
-func (s *scheduler) isCritical(job *job) bool { return s.isCriticalAt(job, s.replicas.Paces()) }
-
-func (s *scheduler) isCriticalAt(job *job, paces placement.Paces) bool {
+func (s *scheduler) isCritical(job *job, paces placement.Paces) bool {
 	return !job.deadline.IsZero() && paces.CompletionCritical(s.longTextOf(job), job.completionObjective)
 }
 
@@ -93,7 +100,7 @@
 func (s *scheduler) workOf(work *item, now time.Time) placement.Work {
 	rate := s.eventRates.Of(work.job.submission.Model)
 	expected := work.expectedEvents
-	if expected == 0 {
+	if expected == 0 && work.Item != nil {
 		expected = rate.ExpectUnbounded(work.ExpectedTokens)
 	}
 	return placement.NewWork(expected, work.knownEvents(), rate.LengthLimit(), work.job.deadline.Sub(now))
--- a/internal/jobs/batch/publish.go
+++ b/internal/jobs/batch/publish.go
@@ -67,8 +67,8 @@
 func (s *Service) coalescePause(held *job, waited time.Duration) (pause time.Duration, done bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.scheduler.isCritical(held) {
-		return coalescePollInterval, s.criticalListingDue(held, waited)
+	if paces := s.replicas.Paces(); s.scheduler.isCritical(held, paces) {
+		return coalescePollInterval, s.criticalListingDue(held, paces, waited)
 	}
 	switch {
 	case held.hasDesiredGroups() && held.shouldListSoon(time.Now()):
