--- a/internal/jobs/placement/completion_move.go
+++ b/internal/jobs/placement/completion_move.go
@@ -20,7 +20,7 @@
 	// that several nodes have placed more runs at the replica than it has slots.
 	beginTimeout = 150 * time.Millisecond
 	// minSwapGain is the minimum expected time that a long run gains at the slot that a shorter
-	// run gives up, which costs two moves.
+	// run gives up. It is several times moveCost, because a swap costs two moves.
 	minSwapGain = time.Second
 	// maxSwapsPerScan is the maximum number of runs that give up their slots to longer ones in one
 	// scan.
@@ -29,7 +29,9 @@
 
 // MovesByCompletion decides which runs of jobs that depend on the speed of replicas continue
 // elsewhere: those that would be late where they run, or that could be late and have no later
-// moment to move. It adds each moved run to the load of its new replica.
+// moment to move; those that wait at their replica while another one has a free slot; and short
+// runs that give up a fast slot to a long one, which moves there in the next scan. It adds each
+// moved run to the load of its new replica.
 func MovesByCompletion(paces Paces, runs []*Run) []Move {
 	var candidates, moves []Move
 	for _, run := range runs {
@@ -197,7 +199,8 @@
 	return work.TimeLeft-moveCost-work.maxRunTime(p.UsualAt(target.Name)) < lastMoveMargin
 }
 
-// atLastMove returns the work as PickByCompletion has to see it for the fastest free replica.
+// atLastMove returns the work as it is at the last moment to move: no slower replica is allowed
+// then, so PickByCompletion returns the fastest one with a free slot.
 func (w Work) atLastMove() Work {
 	w.Remaining, w.TimeLeft = w.MaxRemaining, 0
 	return w
--- a/internal/jobs/placement/reason.go
+++ b/internal/jobs/placement/reason.go
@@ -9,7 +9,9 @@
 	// ReasonFaster means that another replica is at least minMoveRatio times faster.
 	ReasonFaster Reason = "faster replica"
 	// ReasonLate means that the run would miss its deadline at this replica, and another
-	// one is at least minLateMoveRatio times faster.
+	// one is at least minLateMoveRatio times faster. In a job that depends on the speed of
+	// replicas, it means that the run would be late, or may be if it moves any later, and that
+	// a faster replica has a free slot.
 	ReasonLate Reason = "late where it runs"
 	// ReasonGone means that the replica's entry was removed from the store.
 	ReasonGone Reason = "replica is gone"
--- a/internal/jobs/placement/usualpace.go
+++ b/internal/jobs/placement/usualpace.go
@@ -34,7 +34,8 @@
 }
 
 // Observe records the time between two events of a run. runs is the number of runs that this
-// node has at the replica, and recent the recent interval there, 0 if unknown.
+// node has at the replica, and recent the recent interval there, 0 if unknown. While the replica
+// is disturbed, observations do not count, so that the usual interval is known when it recovers.
 func (u *UsualPace) Observe(interval time.Duration, runs int, recent time.Duration) {
 	elapsed := interval / time.Duration(max(1, runs))
 	u.recent = recent
@@ -87,5 +88,6 @@
 	return u.average()
 }
 
-// Resume forgets a disturbance, after a time without observations.
+// Resume forgets a disturbance after a time without observations, so that a replica that is
+// avoided because of it is used again.
 func (u *UsualPace) Resume() { u.slow, u.fast = 0, 0 }
