--- a/internal/jobs/placement/usualpace_test.go
+++ b/internal/jobs/placement/usualpace_test.go
@@ -29,9 +29,9 @@
 // Guards against moves and wrong placements because of other work on a replica's machine: 2.5
 // times slower for 600 ms during 15% of the time.
 func TestUsualPaceIgnoresShortDisturbances(t *testing.T) {
-	// With 15% of the time at 2.5 times the interval, the average over all events is at most a
-	// quarter above the undisturbed interval.
-	const usual, maxRatio = 35 * time.Millisecond, 1.25
+	// 15% of the time at 2.5 times the interval raises the average time between events by 10%;
+	// after a disturbance it is higher, because the last observations count most.
+	const usual, maxRatio = 35 * time.Millisecond, 1.15
 	random := rand.New(rand.NewPCG(1, 2))
 	replica := &observedReplica{}
 	replica.run(usual, 10*time.Second)
