--- a/internal/jobs/batch/competition.go
+++ b/internal/jobs/batch/competition.go
@@ -91,7 +91,7 @@
 // competes reports whether a job competes with others for slots that decide whether it is in
 // time: its completion objective is critical, and another open job uses the same replicas.
 func (c *competition) competes(of *job) bool {
-	if !c.scheduler.isCriticalAt(of, c.paces) {
+	if !c.scheduler.isCritical(of, c.paces) {
 		return false
 	}
 	for other := range c.own {
--- a/internal/jobs/placement/critical.go
+++ b/internal/jobs/placement/critical.go
@@ -19,10 +19,10 @@
 // CompletionCritical reports whether the choice of replicas and the order of items decide if a
 // job meets its completion objective: the longest text takes more than criticalFraction of the
 // objective at 1/criticalReplicasDivisor of the replicas with a known usual interval or more. It
-// is false if fewer than minKnownPaces intervals are known, or if the longest text or the
-// objective is unknown (0).
+// is false if those replicas are as fast as the others, so that there is no choice, if fewer than
+// minKnownPaces intervals are known, or if the longest text or the objective is unknown (0).
 func (p Paces) CompletionCritical(longestEvents int, objective time.Duration) bool {
-	if p.slowQuarter == 0 || objective <= 0 {
+	if p.slowQuarter == 0 || objective <= 0 || float64(p.slowQuarter) < speedClassRatio*float64(p.fastQuarter) {
 		return false
 	}
 	return float64(longestEvents)*float64(p.slowQuarter) > criticalFraction*float64(objective)
--- a/internal/jobs/placement/listing.go
+++ b/internal/jobs/placement/listing.go
@@ -82,10 +82,11 @@
 // ListingDue reports whether the finished results of a job that depends on the speed of replicas
 // are to be listed now. completesIn is the expected time until the trainer has its groups,
 // timeLeft the time until the job's deadline, and waited the time since the last listing.
-func ListingDue(completesIn, timeLeft, waited time.Duration) bool {
+// groupComplete is set if a group became complete since then.
+func ListingDue(completesIn, timeLeft, waited time.Duration, groupComplete bool) bool {
 	switch {
 	case completesIn == 0:
-		return true
+		return groupComplete || waited >= listingInterval
 	case timeLeft <= -lastListing && timeLeft+waited > -lastListing && completesIn > lastHold:
 		return true
 	case completesIn <= holdWindow:
