forward: queue and limit live requests of an overloaded service

Cause: each node sent live requests until replicas refused, tried all of them every 12 ms for a fifth of the objective, and refused with a constant Retry-After. With 60 nodes at 3 replicas, bursts of 100 times the usual rate were answered late or refused twice.

Change: admission.ServiceQueue, a pure state machine for each service and node, keeps a window below one request in progress for each replica (a rate), a bounded queue by priority, tenants' shares and time left, and gives refused callers successive times to return. forward drives it once answers of the service were late or rejected because of load; until then a request passes one atomic load. No hedges and at most 20% further attempts meanwhile. Streams and calls of scorers are sent as before.

--- /dev/null
+++ b/internal/callers/admission/replicalimit.go
@@ -0,0 +1,193 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// targetDelayFraction is the fraction of the latency objective that a replica should take
+	// for a request. The rest is left for the wait at the node and for variation.
+	targetDelayFraction = 0.4
+	// baseDelayTolerance is the multiple of the unloaded response time up to which an answer is
+	// no sign of load, whatever the objective.
+	baseDelayTolerance = 1.3
+	// minDelayFactor and rejectionFactor are the factors by which one late answer, at most, and
+	// one rejection reduce the window.
+	minDelayFactor  = 0.3
+	rejectionFactor = 0.25
+	// windowGrowth is the relative growth of the window after an answer in no time at all;
+	// windowStep is added in addition, so that the windows of different nodes converge.
+	windowGrowth = 0.2
+	windowStep   = 0.005
+	// minWindow is the smallest window. With it a node still tries a replica every one to two
+	// seconds.
+	minWindow = 0.02
+	// maxLimitedWindow is the window from which a replica is no longer limited.
+	maxLimitedWindow = 4.0
+	// recoveryDelay is the time without a sign of load after which the window doubles every
+	// recoveryDoubling: a node whose callers have left gets no answers that could raise it.
+	recoveryDelay    = 800 * time.Millisecond
+	recoveryDoubling = 150 * time.Millisecond
+	// delayGain is the weight of a new answer in the average response time.
+	delayGain = 0.8
+	// failureHold is how long a replica whose connection failed does not count as capacity.
+	failureHold = 500 * time.Millisecond
+	// minMaxCredit is the smallest bound on the sends that a replica's limit accumulates while
+	// no request arrives.
+	minMaxCredit = 2.0
+)
+
+// ReplicaLoad is the load that a replica reports with an answer. The zero value means that it
+// reports none.
+type ReplicaLoad struct {
+	Running, Waiting, Slots int
+	// Slowdown is how long work takes, relative to the usual time.
+	Slowdown float64
+}
+
+// Answer describes the end of an attempt at a replica, or an attempt that has no response
+// after Took.
+type Answer struct {
+	Replica   string
+	Objective time.Duration
+	Took      time.Duration
+	// Base is the response time of the replica without load, 0 if unknown.
+	Base time.Duration
+	// InFlight is the number of this node's requests in progress at the replica.
+	InFlight int
+	Load     ReplicaLoad
+}
+
+// targetDelay returns the response time up to which the answer is no sign of load.
+func (a *Answer) targetDelay() time.Duration {
+	return max(time.Duration(targetDelayFraction*float64(a.Objective)), time.Duration(baseDelayTolerance*float64(a.Base)))
+}
+
+// Late reports whether the answer exceeded its objective because of load.
+func (a *Answer) Late() bool { return a.Took > a.Objective && a.Took > a.targetDelay() }
+
+// expectedDelay returns the response time for the limit: the measured one, or that which
+// follows from the reported load if it is longer. The report never makes a replica look faster
+// than the node measured.
+func (a *Answer) expectedDelay() time.Duration {
+	if a.Load.Slots <= 0 || a.Base <= 0 {
+		return a.Took
+	}
+	rounds := max(1, float64(a.Load.Running+a.Load.Waiting+1)/float64(a.Load.Slots))
+	return max(a.Took, time.Duration(rounds*max(1, a.Load.Slowdown)*float64(a.Base)))
+}
+
+// replicaLimit limits the sends of this node to one replica. The window is the number of
+// requests in progress that the node may have there on average. It may be below one: the limit
+// is the rate window/delay, so a longer response time reduces the rate at once.
+type replicaLimit struct {
+	// window is 0 if the replica is not limited.
+	window float64
+	// delay is the average response time in seconds.
+	delay float64
+	// credit is the number of sends that the rate allows at creditAt.
+	credit   float64
+	creditAt time.Time
+	// signaledAt is the time of the last sign of load, reducedAt of the last reduction.
+	signaledAt, reducedAt time.Time
+	// recoveredAt is the time up to which the recovery has been added to the window.
+	recoveredAt time.Time
+	failedUntil time.Time
+}
+
+func (l *replicaLimit) limited() bool { return l.window > 0 }
+
+// rate returns the sends per second.
+func (l *replicaLimit) rate() float64 { return l.window / l.delay }
+
+// update adds the credit and the recovery of the time until now.
+func (l *replicaLimit) update(now time.Time) {
+	if !l.limited() {
+		return
+	}
+	l.credit = min(max(minMaxCredit, l.window), l.credit+l.rate()*now.Sub(l.creditAt).Seconds())
+	l.creditAt = now
+	from := l.signaledAt.Add(recoveryDelay)
+	if l.recoveredAt.After(from) {
+		from = l.recoveredAt
+	}
+	if now.After(from) {
+		l.window *= math.Exp2(float64(now.Sub(from)) / float64(recoveryDoubling))
+		l.recoveredAt = now
+	}
+	if l.window >= maxLimitedWindow && now.Sub(l.signaledAt) > recoveryDelay {
+		l.window = 0
+	}
+}
+
+// observe adds an answer.
+func (l *replicaLimit) observe(now time.Time, answer *Answer) {
+	delay, target := answer.expectedDelay().Seconds(), answer.targetDelay().Seconds()
+	if !l.limited() {
+		if answer.Late() {
+			l.reduce(now, answer, max(minDelayFactor, target/delay))
+		}
+		return
+	}
+	l.update(now)
+	if !l.limited() {
+		return
+	}
+	l.delay += delayGain * (delay - l.delay)
+	if delay > target {
+		l.reduce(now, answer, max(minDelayFactor, target/delay))
+		return
+	}
+	l.window += windowStep + windowGrowth*(1-delay/target)*l.window
+}
+
+// reject adds a rejection because of load.
+func (l *replicaLimit) reject(now time.Time, answer *Answer) {
+	l.update(now)
+	l.reduce(now, answer, rejectionFactor)
+}
+
+// reduce multiplies the window by a factor, at most once in the time of an answer, since
+// answers to requests that were in progress together report the same load.
+func (l *replicaLimit) reduce(now time.Time, answer *Answer, factor float64) {
+	if !l.limited() {
+		l.window = max(1, float64(answer.InFlight))
+		l.delay = max(answer.expectedDelay(), 2*answer.Base).Seconds()
+		if l.delay == 0 {
+			l.delay = answer.targetDelay().Seconds()
+		}
+		l.credit, l.creditAt, l.reducedAt = 0, now, time.Time{}
+	}
+	l.signaledAt = now
+	if now.Sub(l.reducedAt).Seconds() < l.delay {
+		return
+	}
+	l.reducedAt = now
+	l.window = max(minWindow, l.window*factor)
+}
+
+// neededCredit is the credit at which a request of a standing may be sent. A send costs 1.
+// With fewer than one request in progress a node, few requests wait, so the order of the queue
+// alone would seldom matter: favored requests may be sent in advance, and requests that yield
+// leave something for others.
+var neededCredit = map[standing]float64{favored: -1, neutral: 1, yielding: 1.75}
+
+// allows reports whether a request may be sent now.
+func (l *replicaLimit) allows(standing standing) bool {
+	return !l.limited() || l.credit >= neededCredit[standing]
+}
+
+// wait returns the seconds until allows returns true.
+func (l *replicaLimit) wait(standing standing) float64 {
+	if l.allows(standing) {
+		return 0
+	}
+	return (neededCredit[standing] - l.credit) / l.rate()
+}
+
+func (l *replicaLimit) take() {
+	if l.limited() {
+		l.credit--
+	}
+}
--- a/internal/callers/forward/decide.go
+++ b/internal/callers/forward/decide.go
@@ -35,6 +35,8 @@
 	eventAttemptFailed event = "attempt failed"
 	// eventNoReplica: no eligible replica was found among those not yet tried.
 	eventNoReplica event = "no replica"
+	// eventNotAdmitted: the service's queue or its retry budget allows no further attempt.
+	eventNotAdmitted event = "not admitted"
 	// eventHedgeDue: hedgeDelay has passed.
 	eventHedgeDue event = "hedge due"
 	// eventContextEnded: the deadline passed or the caller disconnected.
@@ -79,6 +81,7 @@
 	reasonAllTried       reason = "all replicas were tried"
 	reasonWaitLimit      reason = "waited for capacity long enough"
 	reasonContextEnded   reason = "context ended"
+	reasonNotAdmitted    reason = "service is overloaded"
 )
 
 // requestState is the input of a decision about a request with a buffered response.
@@ -100,6 +103,8 @@
 	// quarantined is set if the last attempt failed because the request is quarantined,
 	// so that no other replica accepts it either.
 	quarantined bool
+	// overloaded is set if requests of the service wait or a limit of it is reduced.
+	overloaded bool
 	// hasResponse is set if there is a complete response, whatever its status.
 	hasResponse  bool
 	contextEnded bool
@@ -134,6 +139,8 @@
 		return s.afterHedgeDue()
 	case eventNoReplica:
 		return s.afterNoReplica()
+	case eventNotAdmitted:
+		return s.afterNotAdmitted()
 	}
 	return s.giveUp(reasonContextEnded)
 }
@@ -162,10 +169,21 @@
 		return decision{step: stepAwait, reason: reasonNotRepeatable}
 	case s.mayHaveRunCount >= s.attemptLimit:
 		return decision{step: stepAwait, reason: reasonAttemptLimit}
+	case s.overloaded:
+		return decision{step: stepAwait, reason: reasonNotAdmitted}
 	}
 	return decision{step: stepSend, reason: reasonHedge}
 }
 
+// afterNotAdmitted selects the step after the service's queue or retry budget refused a
+// further attempt.
+func (s requestState) afterNotAdmitted() decision {
+	if s.inProgress > 0 {
+		return decision{step: stepAwait, reason: reasonInProgress}
+	}
+	return s.giveUp(reasonNotAdmitted)
+}
+
 // afterNoReplica selects the step after a pick that found no eligible replica.
 func (s requestState) afterNoReplica() decision {
 	switch {
--- a/internal/callers/forward/doc.go
+++ b/internal/callers/forward/doc.go
@@ -7,8 +7,12 @@
 // for requests with a buffered response and streamState.next for streams.
 // request and streamRequest execute the steps.
 //
-// The package keeps the requests in progress on this node and the state of the
-// weighted round robin among a route's targets, all in memory. Each pick reads
+// Once answers of a service were late or rejected because of load, its requests with a latency
+// objective pass serviceAdmission, which drives admission.ServiceQueue: they are sent, wait or
+// are refused as it decides.
+//
+// The package keeps the requests in progress on this node, the admission control of each
+// service and the state of the weighted round robin among a route's targets, all in memory. Each pick reads
 // the directory's current view.
 //
 // Guarantees: a request that must not run twice is sent again only if no
--- a/internal/callers/forward/errors.go
+++ b/internal/callers/forward/errors.go
@@ -55,6 +55,9 @@
 // request may be served.
 var ErrNoReplicaInAllowedRegions = merry.Sentinel("the services of the route have no replica in the allowed regions")
 
+// ErrOverloaded means that a service could not answer a request within its objective.
+var ErrOverloaded = merry.Sentinel("the replicas of the service are overloaded")
+
 // ErrStreamInterrupted means that a resumable stream was interrupted: no event arrived for too
 // long, or the connection closed without HTTP framing that marks the end of the body.
 var ErrStreamInterrupted = merry.Sentinel("stream idle or closed without framing")
--- a/internal/callers/forward/forwarder.go
+++ b/internal/callers/forward/forwarder.go
@@ -36,12 +36,18 @@
 	// successLogLimiter limits the rate of log lines for requests that were served within
 	// their objective at the first attempt.
 	successLogLimiter *rate.Limiter
+	// refusalLogLimiter limits the rate of log lines for requests refused by admission control.
+	refusalLogLimiter *rate.Limiter
+	admissions        *serviceAdmissions
 }
 
 const (
 	// successLogsPerSecond and successLogBurst are the limits of successLogLimiter.
 	successLogsPerSecond = 30
 	successLogBurst      = 60
+	// refusalLogsPerSecond and refusalLogBurst are the limits of refusalLogLimiter.
+	refusalLogsPerSecond = 20
+	refusalLogBurst      = 40
 )
 
 // New returns a Forwarder with the given configuration.
@@ -49,7 +55,10 @@
 	if config.Meter == nil {
 		config.Meter = noMeter{}
 	}
-	return &Forwarder{config: config, successLogLimiter: rate.NewLimiter(successLogsPerSecond, successLogBurst)}
+	return &Forwarder{
+		config: config, successLogLimiter: rate.NewLimiter(successLogsPerSecond, successLogBurst),
+		refusalLogLimiter: rate.NewLimiter(refusalLogsPerSecond, refusalLogBurst), admissions: &serviceAdmissions{metrics: config.Metrics},
+	}
 }
 
 // Do forwards a request and returns the complete response. The error is a *RefusedError
--- a/internal/callers/forward/metrics.go
+++ b/internal/callers/forward/metrics.go
@@ -13,6 +13,11 @@
 	latency               prometheus.Histogram
 	droppedLogLines       prometheus.Counter
 	outsideAllowedRegions prometheus.Counter
+	// waiting and limit are the requests that wait and the sends per second that the limits
+	// allow, by service.
+	waiting, limit *prometheus.GaugeVec
+	// notAdmitted counts requests that admission control ended, by reason.
+	notAdmitted *prometheus.CounterVec
 }
 
 // latencyBuckets are the bucket bounds of the latency histogram, in seconds.
@@ -24,11 +29,18 @@
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "pathtally_forwarded_requests_total", Help: "Live requests by how they ended."}, []string{"outcome"}),
 		latency:  prometheus.NewHistogram(prometheus.HistogramOpts{Name: "pathtally_forward_seconds", Help: "Time from a whole live request to its whole answer.", Buckets: latencyBuckets}),
 	}
-	metrics.droppedLogLines = prometheus.NewCounter(prometheus.CounterOpts{Name: "pathtally_log_lines_left_out_total", Help: "Log lines of requests served at once that were left out."})
+	metrics.droppedLogLines = prometheus.NewCounter(prometheus.CounterOpts{Name: "pathtally_log_lines_left_out_total", Help: "Log lines of requests served at once or not admitted that were left out."})
 	metrics.outsideAllowedRegions = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "pathtally_requests_without_home_total", Help: "Live requests refused because no replica is in the allowed regions.",
 	})
-	registry.MustRegister(metrics.requests, metrics.latency, metrics.droppedLogLines, metrics.outsideAllowedRegions)
+	metrics.waiting = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "pathtally_requests_waiting", Help: "Live requests that wait for a replica."}, []string{"service"})
+	metrics.limit = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "pathtally_admission_limit", Help: "Live requests a second that this node sends to the limited replicas of a service, 0 without a limit.",
+	}, []string{"service"})
+	metrics.notAdmitted = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "pathtally_requests_not_admitted_total", Help: "Live requests that ended because their service was overloaded.",
+	}, []string{"reason"})
+	registry.MustRegister(metrics.requests, metrics.latency, metrics.droppedLogLines, metrics.outsideAllowedRegions, metrics.waiting, metrics.limit, metrics.notAdmitted)
 	return metrics
 }
 
--- a/internal/callers/forward/pick.go
+++ b/internal/callers/forward/pick.go
@@ -15,13 +15,7 @@
 // the one that it returned for the last target.
 func (f *Forwarder) pick(route *directory.Route, firstTarget int, tried []string, call *dispatch.Call) (*routing.Endpoint, error) {
 	view := f.config.Directory.View()
-	query := &routing.Query{
-		Zone: f.config.Zone, Tried: tried, Random: rand.Uint64(), Objective: responseObjective(route),
-		AllowedRegions: view.Configuration.AllowedRegions(route, call.Tenant),
-	}
-	if route.Sticky && f.config.PromptHash != nil {
-		query.PrefixHash = f.config.PromptHash(call.Header)
-	}
+	query := f.query(view, route, tried, call)
 	var lastErr error = routing.ErrNoEngineDeclared
 	for i := range route.Targets {
 		plan := view.Plans[route.Targets[(firstTarget+i)%len(route.Targets)].Service]
@@ -37,6 +31,27 @@
 	return nil, lastErr
 }
 
+// eligible returns the replicas of a service that may get the next attempt, best first.
+func (f *Forwarder) eligible(route *directory.Route, service string, tried []string, call *dispatch.Call) []*routing.Endpoint {
+	view := f.config.Directory.View()
+	if plan := view.Plans[service]; plan != nil {
+		return plan.Eligible(f.query(view, route, tried, call))
+	}
+	return nil
+}
+
+// query returns the properties of the next attempt that a pick depends on.
+func (f *Forwarder) query(view *directory.View, route *directory.Route, tried []string, call *dispatch.Call) *routing.Query {
+	query := &routing.Query{
+		Zone: f.config.Zone, Tried: tried, Random: rand.Uint64(), Objective: responseObjective(route),
+		AllowedRegions: view.Configuration.AllowedRegions(route, call.Tenant),
+	}
+	if route.Sticky && f.config.PromptHash != nil {
+		query.PrefixHash = f.config.PromptHash(call.Header)
+	}
+	return query
+}
+
 // responseObjective returns the route's latency objective for a complete response. It
 // returns 0 for streams, whose objective applies to the first event.
 func responseObjective(route *directory.Route) time.Duration {
--- a/internal/callers/forward/report.go
+++ b/internal/callers/forward/report.go
@@ -15,7 +15,12 @@
 	view := config.Directory.View()
 	fields := []any{"request", r.call.ID, "route", r.route.Name, "attempts", r.mayHaveRunCount, "refusals", r.rejections, "tookMs", elapsed.Milliseconds(),
 		"configuration", view.Configuration.Version, "viewAgeMs", time.Since(view.Changed).Milliseconds()}
+	if r.waited > 0 {
+		fields = append(fields, "waitedMs", r.waited.Milliseconds(), "ahead", r.ahead)
+	}
 	switch {
+	case r.verdict != nil && err != nil:
+		r.reportNotAdmitted(fields, err)
 	case err != nil:
 		config.Logger.Info("request failed", append(fields, "error", err.Error())...)
 	case r.mayHaveRunCount > 1 || r.rejections > 0 || elapsed > r.objective:
@@ -27,6 +32,19 @@
 	}
 }
 
+// reportNotAdmitted logs and counts a request that ended because admission control allowed no
+// further attempt.
+func (r *request) reportNotAdmitted(fields []any, err error) {
+	config := r.forwarder.config
+	config.Metrics.notAdmitted.WithLabelValues(string(r.verdict.Reason)).Inc()
+	if !r.forwarder.refusalLogLimiter.Allow() {
+		config.Metrics.droppedLogLines.Inc()
+		return
+	}
+	config.Logger.Info("request not admitted", append(fields, "service", r.admission.service, "tenant", r.call.Tenant, "priority", r.priority(),
+		"reason", r.verdict.Reason, "retryAfterMs", r.verdict.RetryAfter.Milliseconds(), "error", err.Error())...)
+}
+
 // report counts the outcome of a stream and logs it if the stream failed.
 func (r *streamRequest) report(err error) {
 	elapsed := time.Since(r.started)
--- a/internal/callers/forward/request.go
+++ b/internal/callers/forward/request.go
@@ -5,8 +5,10 @@
 	"net/http"
 	"time"
 
+	"github.com/pathtally/pathtally/internal/callers/admission"
 	"github.com/pathtally/pathtally/internal/callers/dispatch"
 	"github.com/pathtally/pathtally/internal/replicas/directory"
+	"github.com/pathtally/pathtally/internal/replicas/routing"
 )
 
 // defaultObjective is the latency objective of a route that declares none.
@@ -15,10 +17,18 @@
 // attemptResult is the outcome of one attempt.
 type attemptResult struct {
 	replica  string
+	endpoint *routing.Endpoint
+	took     time.Duration
 	response *BufferedResponse
 	err      error
 }
 
+// runningAttempt is an attempt in progress.
+type runningAttempt struct {
+	endpoint *routing.Endpoint
+	at       time.Time
+}
+
 // request is a live request in progress. It is used by one goroutine; attempts run in
 // goroutines of their own and send their outcome to results.
 type request struct {
@@ -32,6 +42,21 @@
 	// firstTarget is the index of the target of the route that is tried first.
 	firstTarget int
 
+	// admission is the queue of the service to which the last attempt was sent, nil for
+	// requests without admission control.
+	admission *serviceAdmission
+	// verdict is the refusal by the queue, if any. waited and ahead are the time in the queue
+	// and the number of requests before this one there.
+	verdict *admission.Verdict
+	waited  time.Duration
+	ahead   int
+	// declined is the number of services that did not admit the request.
+	declined int
+	// running lists the attempts in progress, overdue fires when one of them may have
+	// exceeded the objective.
+	running []runningAttempt
+	overdue *time.Timer
+
 	results chan attemptResult
 	// tried lists the replicas that the next pick skips.
 	tried []string
@@ -76,6 +101,8 @@
 	next := r.send(ctx)
 	hedge := time.NewTimer(hedgeDelay(r.objective))
 	defer hedge.Stop()
+	r.overdue = time.NewTimer(r.objective)
+	defer r.overdue.Stop()
 	for {
 		switch next.step {
 		case stepSend:
@@ -87,7 +114,7 @@
 		case stepRespond:
 			return r.response, nil
 		case stepRefuse:
-			return nil, newRefusal(next.refusal, r.lastErr, r.filterErr)
+			return nil, r.refusal(next.refusal)
 		case stepFailExpired:
 			return nil, &LostError{Expired: true, Cause: ctx.Err()}
 		default:
@@ -101,15 +128,34 @@
 	next := requestState{
 		event: event, repeatable: r.repeatable, attemptLimit: r.route.Attempts, mayHaveRunCount: r.mayHaveRunCount, rejections: r.rejections,
 		inProgress: r.inProgress, tried: len(r.tried), mayHaveRun: r.mayHaveRun, quarantined: isQuarantined(r.lastErr),
-		hasResponse: r.response != nil, contextEnded: ctx.Err() != nil, elapsed: time.Since(r.started), objective: r.objective,
+		overloaded: r.admission != nil && r.admission.active.Load(), hasResponse: r.response != nil, contextEnded: ctx.Err() != nil, elapsed: time.Since(r.started), objective: r.objective,
 	}.next()
 	r.forwarder.logDecision(r.call, event, next)
 	return next
 }
 
-// send starts an attempt at a replica that has not been tried yet, if there is one.
+// send starts an attempt at a replica that has not been tried yet, if there is one. If the
+// service is overloaded, the request first enters the service's queue.
 func (r *request) send(ctx context.Context) decision {
 	endpoint, err := r.forwarder.pick(r.route, r.firstTarget, r.tried, r.call)
+	if err != nil && r.overloaded() && len(r.tried) > 0 {
+		r.tried = nil
+		endpoint, err = r.forwarder.pick(r.route, r.firstTarget, r.tried, r.call)
+	}
+	if err == nil && r.admitted() {
+		r.admission = r.forwarder.admissions.of(endpoint.Model)
+		if r.overloaded() && r.inProgress > 0 {
+			return r.decide(ctx, eventNotAdmitted)
+		}
+		if r.overloaded() {
+			return r.sendAdmitted(ctx)
+		}
+	}
+	return r.sendTo(ctx, endpoint, err)
+}
+
+// sendTo starts an attempt at an endpoint, or handles the error of the pick.
+func (r *request) sendTo(ctx context.Context, endpoint *routing.Endpoint, err error) decision {
 	if err != nil {
 		if r.lastErr == nil {
 			r.lastErr = err
@@ -119,16 +165,18 @@
 		}
 		return r.decide(ctx, eventNoReplica)
 	}
-	r.filterErr = nil
+	r.filterErr, r.verdict = nil, nil
 	r.mayHaveRunCount++
 	r.inProgress++
 	call := *r.call
 	call.AtMostOnce = !r.repeatable
 	r.tried = append(r.tried, endpoint.Name)
 	r.attempts.recordSent(endpoint.Name)
+	start := time.Now()
+	r.running = append(r.running, runningAttempt{endpoint: endpoint, at: start})
 	go func() {
 		response, err := r.forwarder.attempt(ctx, endpoint, &call)
-		r.results <- attemptResult{replica: endpoint.Name, response: response, err: err}
+		r.results <- attemptResult{replica: endpoint.Name, endpoint: endpoint, took: time.Since(start), response: response, err: err}
 	}()
 	return decision{step: stepAwait, reason: reasonInProgress}
 }
@@ -140,8 +188,12 @@
 		return r.decide(ctx, eventContextEnded)
 	case <-hedge:
 		return r.decide(ctx, eventHedgeDue)
+	case <-r.overdue.C:
+		r.reportOverdue()
+		return decision{step: stepAwait, reason: reasonInProgress}
 	case result := <-r.results:
 		r.inProgress--
+		r.reportResult(ctx, result)
 		return r.decide(ctx, r.recordResult(result))
 	}
 }
--- a/internal/replicas/routing/latency.go
+++ b/internal/replicas/routing/latency.go
@@ -11,6 +11,9 @@
 	// latencyLifetime is how long an average keeps its full value. It then decays linearly
 	// to 0 over the same time, so that a replica that was slow is retried.
 	latencyLifetime = 2 * time.Second
+	// leastPeriod is the period of which Least returns the shortest response time, together
+	// with the period before. It is longer than a burst, in which every answer takes long.
+	leastPeriod = 10 * time.Second
 )
 
 // LatencyAverage is a moving average of an endpoint's response times to this node. It is
@@ -19,19 +22,46 @@
 	latest atomic.Pointer[latencySample]
 }
 
-// latencySample is an average and the time at which it was computed.
+// latencySample is an average and the time at which it was computed, and the shortest response
+// times of the period that began at periodStart and of the one before it.
 type latencySample struct {
-	average time.Duration
-	at      time.Time
+	average         time.Duration
+	at              time.Time
+	least, previous time.Duration
+	periodStart     time.Time
+}
+
+// addLeast continues the periods of the last sample, which may be nil, with a response time.
+func (s *latencySample) addLeast(last *latencySample, took time.Duration) {
+	switch {
+	case last == nil || s.at.Sub(last.periodStart) > 2*leastPeriod:
+		s.least, s.previous, s.periodStart = took, took, s.at
+	case s.at.Sub(last.periodStart) > leastPeriod:
+		s.least, s.previous, s.periodStart = took, last.least, s.at
+	default:
+		s.least, s.previous, s.periodStart = min(took, last.least), last.previous, last.periodStart
+	}
 }
 
 // Observe adds a response time. One of two concurrent observations may be lost.
 func (l *LatencyAverage) Observe(took time.Duration) {
-	average := took
-	if last := l.latest.Load(); last != nil && time.Since(last.at) < latencyLifetime {
-		average = last.average + time.Duration(latencyGain*float64(took-last.average))
+	last := l.latest.Load()
+	sample := &latencySample{average: took, at: time.Now()}
+	if last != nil && sample.at.Sub(last.at) < latencyLifetime {
+		sample.average = last.average + time.Duration(latencyGain*float64(took-last.average))
+	}
+	sample.addLeast(last, took)
+	l.latest.Store(sample)
+}
+
+// Least returns the shortest response time of the last one to two leastPeriods, or 0 without
+// observations. It approximates the response time of the endpoint without load.
+func (l *LatencyAverage) Least() time.Duration {
+	last := l.latest.Load()
+	if last == nil {
+		return 0
 	}
-	l.latest.Store(&latencySample{average: average, at: time.Now()})
+	return min(last.least, last.previous)
 }
 
 // ObserveAtLeast adds a lower bound of a response time, for a request that has no response
