forward: prefer the picked replica if it is not limited

Cause: while one replica of a service is limited, the choice among all eligible replicas ignored the small subset that picks compare to reuse connections. Change: the picked replica comes first; log lines of refusals without a verdict of the queue name the Retry-After. Tests: go test internal/callers/forward.

--- a/internal/callers/forward/request.go
+++ b/internal/callers/forward/request.go
@@ -148,7 +148,7 @@
 			return r.decide(ctx, eventNotAdmitted)
 		}
 		if r.overloaded() {
-			return r.sendAdmitted(ctx)
+			return r.sendAdmitted(ctx, endpoint)
 		}
 	}
 	return r.sendTo(ctx, endpoint, err)
--- a/internal/callers/forward/request_admission.go
+++ b/internal/callers/forward/request_admission.go
@@ -34,24 +34,26 @@
 	return &admission.Request{Priority: r.priority(), Tenant: r.call.Tenant, Arrived: r.started, Deadline: r.call.Deadline, Objective: r.objective}
 }
 
-// sendAdmitted sends the request once the service's queue admits it.
-func (r *request) sendAdmitted(ctx context.Context) decision {
+// sendAdmitted sends the request once the service's queue admits it, to the picked endpoint if
+// that is not limited.
+func (r *request) sendAdmitted(ctx context.Context, picked *routing.Endpoint) decision {
 	if len(r.attempts) > 0 && !r.admission.retries.Load().Spend() {
 		r.verdict = &admission.Verdict{Reason: admission.ReasonRetries}
 		return r.decide(ctx, eventNotAdmitted)
 	}
-	endpoints := r.forwarder.eligible(r.route, r.admission.service, r.tried, r.call)
+	endpoints := []*routing.Endpoint{picked}
+	for _, endpoint := range r.forwarder.eligible(r.route, r.admission.service, r.tried, r.call) {
+		if endpoint != picked {
+			endpoints = append(endpoints, endpoint)
+		}
+	}
 	entry := r.admissionRequest()
 	for _, endpoint := range endpoints {
 		entry.Replicas = append(entry.Replicas, endpoint.Name)
 	}
 	result := r.admission.arrive(entry)
-	if result == nil || len(endpoints) == 0 {
-		if len(endpoints) == 0 && result != nil {
-			r.admission.leave(entry)
-		}
-		endpoint, err := r.forwarder.pick(r.route, r.firstTarget, r.tried, r.call)
-		return r.sendTo(ctx, endpoint, err)
+	if result == nil {
+		return r.sendTo(ctx, picked, nil)
 	}
 	var verdict admission.Verdict
 	select {
@@ -79,7 +81,7 @@
 		if endpoint, err := r.forwarder.pick(r.route, r.firstTarget, r.tried, r.call); err == nil {
 			r.admission = r.forwarder.admissions.of(endpoint.Model)
 			if r.overloaded() {
-				return r.sendAdmitted(ctx)
+				return r.sendAdmitted(ctx, endpoint)
 			}
 			return r.sendTo(ctx, endpoint, nil)
 		}
@@ -98,6 +100,9 @@
 			return refused
 		}
 		refused.RetryAfter = r.admission.retryAfter(r.admissionRequest())
+		if r.verdict != nil {
+			r.verdict.RetryAfter = refused.RetryAfter
+		}
 		return refused
 	}
 	refused.RetryAfter = r.verdict.RetryAfter
