admission: lower target and stronger reductions

Change: target 0.25 of the objective, reductions by rejections to 0.15, at least 0.4 by one late answer, minimum window 0.04, step 0.002.

Tests: go test of docs, internal/callers/admission, internal/callers/forward.

--- a/internal/callers/admission/replicalimit.go
+++ b/internal/callers/admission/replicalimit.go
@@ -7,22 +7,23 @@
 
 const (
 	// targetDelayFraction is the fraction of the latency objective that a replica should take
-	// for a request. The rest is left for the wait at the node and for variation.
-	targetDelayFraction = 0.4
+	// for a request. The rest is left for the wait at the node and for replicas that become two
+	// to three times slower while the request is there.
+	targetDelayFraction = 0.25
 	// baseDelayTolerance is the multiple of the unloaded response time up to which an answer is
 	// no sign of load, whatever the objective.
 	baseDelayTolerance = 1.3
 	// minDelayFactor and rejectionFactor are the factors by which one late answer, at most, and
 	// one rejection reduce the window.
-	minDelayFactor  = 0.3
-	rejectionFactor = 0.25
+	minDelayFactor  = 0.4
+	rejectionFactor = 0.15
 	// windowGrowth is the relative growth of the window after an answer in no time at all;
 	// windowStep is added in addition, so that the windows of different nodes converge.
 	windowGrowth = 0.2
-	windowStep   = 0.005
+	windowStep   = 0.002
 	// minWindow is the smallest window. With it a node still tries a replica every one to two
 	// seconds.
-	minWindow = 0.02
+	minWindow = 0.04
 	// maxLimitedWindow is the window from which a replica is no longer limited.
 	maxLimitedWindow = 4.0
 	// recoveryDelay is the time without a sign of load after which the window doubles every
