routing: learn the time without load over minutes

Cause: a node sends one request in 15 s to a replica in usual load, so the shortest time of ten seconds often came from the burst itself, and the limits let answers take that long. Without a known time, a rejection gave a limit the delay of the rejection, which is almost none.

Change: periods of a minute, none before five seconds of observations; a new limit without a known time starts with the target delay. The test of the queue's verdicts can no longer loop when no request waits.

Tests: go test of docs, internal/callers/admission, internal/callers/forward, internal/replicas/routing; gofmt, vet.

--- a/internal/callers/admission/replicalimit.go
+++ b/internal/callers/admission/replicalimit.go
@@ -155,8 +155,8 @@
 	if !l.limited() {
 		l.window = max(1, float64(answer.InFlight))
 		l.delay = max(answer.expectedDelay(), 2*answer.Base).Seconds()
-		if l.delay == 0 {
-			l.delay = answer.targetDelay().Seconds()
+		if answer.Base == 0 {
+			l.delay = max(answer.expectedDelay(), answer.targetDelay()).Seconds()
 		}
 		l.credit, l.creditAt, l.reducedAt = 0, now, time.Time{}
 	}
--- a/internal/callers/admission/servicequeue_replay_test.go
+++ b/internal/callers/admission/servicequeue_replay_test.go
@@ -36,6 +36,8 @@
 	served []*replayReplica
 	// unlimited sends all calls at once.
 	unlimited bool
+	// base is the response time without load that the nodes know.
+	base time.Duration
 	// latency holds the average response times of the replicas to each node.
 	latency map[*ServiceQueue]map[string]time.Duration
 	calls   []*replayCall
@@ -87,7 +89,7 @@
 
 func newReplay(slow ...float64) *replay {
 	r := &replay{
-		now: replayStart, random: rand.New(rand.NewPCG(1, 2)), latency: map[*ServiceQueue]map[string]time.Duration{}, callOf: map[*Request]*replayCall{},
+		now: replayStart, base: replayWork, random: rand.New(rand.NewPCG(1, 2)), latency: map[*ServiceQueue]map[string]time.Duration{}, callOf: map[*Request]*replayCall{},
 	}
 	for range replayNodes {
 		node := NewServiceQueue()
@@ -185,7 +187,7 @@
 	replica := r.served[slices.IndexFunc(r.served, func(replica *replayReplica) bool { return replica.name == name })]
 	start := r.now
 	answer := func() Answer {
-		return Answer{Replica: name, Objective: replayObjective, Took: r.now.Sub(start), Base: replayWork, InFlight: 1}
+		return Answer{Replica: name, Objective: replayObjective, Took: r.now.Sub(start), Base: r.base, InFlight: 1}
 	}
 	r.after(replayHop, func() {
 		switch {
@@ -289,8 +291,11 @@
 // Guards against a burst of 100 times the usual rate that makes most answers late, refuses
 // callers slowly or twice, or brings those refused back in waves.
 func TestBurstBeyondCapacity(t *testing.T) {
-	for name, slow := range map[string][]float64{"all replicas": {1, 1, 1}, "a third of the replicas": {1}, "one of three is slow": {1, 1, 2.5}} {
+	for name, slow := range map[string][]float64{"all replicas": {1, 1, 1}, "no history": {1, 1, 1}, "a third of the replicas": {1}, "one of three is slow": {1, 1, 2.5}} {
 		r := burst(100, equal, slow...)
+		if name == "no history" {
+			r.base = 0
+		}
 		r.run(20 * time.Second)
 		got, capacity := totals(r.calls, r.inBurst), r.capacity()
 		t.Logf("%s: capacity %.3f, %+v", name, capacity, got)
--- a/internal/callers/admission/servicequeue_test.go
+++ b/internal/callers/admission/servicequeue_test.go
@@ -52,8 +52,10 @@
 		t.Errorf("verdicts %+v, want none", got)
 	}
 	got = nil
-	for ; len(got) == 0 && at.Before(queueStart.Add(time.Second)); at, _ = queue.NextAt(at) {
-		got = queue.Advance(at, 0)
+	for waits := true; waits && len(got) == 0; {
+		if at, waits = queue.NextAt(at); waits {
+			got = queue.Advance(at, 0)
+		}
 	}
 	if len(got) != 1 || got[0].Replica != "a" || got[0].Waited < 50*time.Millisecond {
 		t.Errorf("verdicts %+v, want a after 56 ms", got)
--- a/internal/replicas/routing/latency.go
+++ b/internal/replicas/routing/latency.go
@@ -12,8 +12,12 @@
 	// to 0 over the same time, so that a replica that was slow is retried.
 	latencyLifetime = 2 * time.Second
 	// leastPeriod is the period of which Least returns the shortest response time, together
-	// with the period before. It is longer than a burst, in which every answer takes long.
-	leastPeriod = 10 * time.Second
+	// with the period before. It is longer than a burst, in which every answer takes long, and
+	// covers several requests of a node that sends one in 15 s to a replica.
+	leastPeriod = time.Minute
+	// leastMinHistory is the time that observations must cover for Least. A node that sends its
+	// first requests in a burst would otherwise take their times for those without load.
+	leastMinHistory = 5 * time.Second
 )
 
 // LatencyAverage is a moving average of an endpoint's response times to this node. It is
@@ -29,18 +33,22 @@
 	at              time.Time
 	least, previous time.Duration
 	periodStart     time.Time
+	// since is the time of the first observation without a gap of two leastPeriods.
+	since time.Time
 }
 
 // addLeast continues the periods of the last sample, which may be nil, with a response time.
 func (s *latencySample) addLeast(last *latencySample, took time.Duration) {
 	switch {
 	case last == nil || s.at.Sub(last.periodStart) > 2*leastPeriod:
-		s.least, s.previous, s.periodStart = took, took, s.at
+		s.least, s.previous, s.periodStart, s.since = took, took, s.at, s.at
+		return
 	case s.at.Sub(last.periodStart) > leastPeriod:
 		s.least, s.previous, s.periodStart = took, last.least, s.at
 	default:
 		s.least, s.previous, s.periodStart = min(took, last.least), last.previous, last.periodStart
 	}
+	s.since = last.since
 }
 
 // Observe adds a response time. One of two concurrent observations may be lost.
@@ -54,11 +62,11 @@
 	l.latest.Store(sample)
 }
 
-// Least returns the shortest response time of the last one to two leastPeriods, or 0 without
-// observations. It approximates the response time of the endpoint without load.
+// Least returns the shortest response time of the last one to two leastPeriods, or 0 if the
+// observations cover less than leastMinHistory. It approximates the response time of the endpoint without load.
 func (l *LatencyAverage) Least() time.Duration {
 	last := l.latest.Load()
-	if last == nil {
+	if last == nil || last.at.Sub(last.since) < leastMinHistory {
 		return 0
 	}
 	return min(last.least, last.previous)
--- a/internal/replicas/routing/plan_eligible_test.go
+++ b/internal/replicas/routing/plan_eligible_test.go
@@ -23,7 +23,8 @@
 	}
 }
 
-// Guards against a response time under load that counts as the one without.
+// Guards against a response time under load that counts as the one without, in a long burst or
+// in one with the first requests of a node.
 func TestLeastLatency(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		average := &LatencyAverage{}
@@ -31,6 +32,9 @@
 			t.Error("least without observations")
 		}
 		average.Observe(25 * time.Millisecond)
+		if average.Least() != 0 {
+			t.Errorf("least %v after one observation", average.Least())
+		}
 		for range 100 {
 			time.Sleep(leastPeriod / 100)
 			average.Observe(200 * time.Millisecond)
@@ -40,6 +44,8 @@
 		}
 		time.Sleep(2*leastPeriod + 1)
 		average.Observe(80 * time.Millisecond)
+		time.Sleep(leastMinHistory)
+		average.Observe(90 * time.Millisecond)
 		if average.Least() != 80*time.Millisecond {
 			t.Errorf("least %v, want that of the new period", average.Least())
 		}
