test: shorten the delay of the limited replica in forward's tests

Cause: since a new limit without a known time starts with the target delay, the replica of these tests allowed the next send after 6.7 s, beyond the deadline of TestRetryNotAdmittedIsNotRefused, so the request was refused before its first attempt, as it should be.

Change: an objective of 1 s and 250 ms, which gives a wait of 1.7 s as intended. The assertions are the same.

Tests: go test of internal/callers/forward, internal/callers/admission, internal/replicas/routing, docs; vet and staticcheck of these.

--- a/internal/callers/forward/admission_test.go
+++ b/internal/callers/forward/admission_test.go
@@ -86,7 +86,7 @@
 	t.Helper()
 	replica := startBackend(t, handle)
 	forwarder := newForwarder(replica)
-	forwarder.admissions.of("s").rejected(admission.Answer{Replica: "replica-0", Objective: 4 * time.Second, Took: 500 * time.Millisecond})
+	forwarder.admissions.of("s").rejected(admission.Answer{Replica: "replica-0", Objective: time.Second, Took: 250 * time.Millisecond})
 	return forwarder, replica
 }
 
