test: read the queue under its mutex

Cause: TestDisconnectEndsWait read the queue while the timer of its limit ran, which go test -race reported at.

Tests: go test -race -count=2 of internal/callers/forward.

--- a/internal/callers/forward/admission_test.go
+++ b/internal/callers/forward/admission_test.go
@@ -100,7 +100,10 @@
 	if err == nil || time.Since(start) > time.Second {
 		t.Errorf("error %v after %v", err, time.Since(start))
 	}
-	if waiting := forwarder.admissions.of("s").queue.Waiting(); waiting != 0 || replica.runs.Load() != 0 {
+	service := forwarder.admissions.of("s")
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	if waiting := service.queue.Waiting(); waiting != 0 || replica.runs.Load() != 0 {
 		t.Errorf("%d requests wait, %d were sent", waiting, replica.runs.Load())
 	}
 }
