--- a/internal/replicas/routing/latency.go
+++ b/internal/replicas/routing/latency.go
@@ -11,6 +11,13 @@
 	// latencyLifetime is how long an average keeps its full value. It then decays linearly
 	// to 0 over the same time, so that a replica that was slow is retried.
 	latencyLifetime = 2 * time.Second
+	// leastPeriod is the period of which Least returns the shortest response time, together
+	// with the period before. It is longer than a burst, in which every answer takes long, and
+	// covers several requests of a node that sends one in 15 s to a replica.
+	leastPeriod = time.Minute
+	// leastMinHistory is the time that observations must cover for Least. A node that sends its
+	// first requests in a burst would otherwise take their times for those without load.
+	leastMinHistory = 5 * time.Second
 )
 
 // LatencyAverage is a moving average of an endpoint's response times to this node. It is
@@ -21,24 +28,45 @@
 	slowdown func(now time.Time) (factor float64, known bool)
 }
 
-// latencySample is an average and the time at which it was computed.
+// latencySample is an average and the time at which it was computed, and the shortest response
+// times of the period that began at periodStart and of the one before it.
 type latencySample struct {
 	average time.Duration
 	// usual is the average of the response times divided by the slowdown reported with them.
-	usual time.Duration
-	at    time.Time
+	usual           time.Duration
+	at              time.Time
+	least, previous time.Duration
+	periodStart     time.Time
+	// since is the time of the first observation without a gap of two leastPeriods.
+	since time.Time
+}
+
+// addLeast continues the periods of the last sample, which may be nil, with a response time.
+func (s *latencySample) addLeast(last *latencySample, took time.Duration) {
+	switch {
+	case last == nil || s.at.Sub(last.periodStart) > 2*leastPeriod:
+		s.least, s.previous, s.periodStart, s.since = took, took, s.at, s.at
+		return
+	case s.at.Sub(last.periodStart) > leastPeriod:
+		s.least, s.previous, s.periodStart = took, last.least, s.at
+	default:
+		s.least, s.previous, s.periodStart = min(took, last.least), last.previous, last.periodStart
+	}
+	s.since = last.since
 }
 
 // Observe adds a response time. One of two concurrent observations may be lost.
 func (l *LatencyAverage) Observe(took time.Duration) {
-	now := time.Now()
-	factor, _ := l.reportedSlowdown(now)
-	average, usual := took, time.Duration(float64(took)/factor)
-	if last := l.latest.Load(); last != nil && now.Sub(last.at) < latencyLifetime {
-		average = last.average + time.Duration(latencyGain*float64(took-last.average))
-		usual = last.usual + time.Duration(latencyGain*float64(usual-last.usual))
+	last := l.latest.Load()
+	sample := &latencySample{average: took, at: time.Now()}
+	factor, _ := l.reportedSlowdown(sample.at)
+	sample.usual = time.Duration(float64(took) / factor)
+	if last != nil && sample.at.Sub(last.at) < latencyLifetime {
+		sample.average = last.average + time.Duration(latencyGain*float64(took-last.average))
+		sample.usual = last.usual + time.Duration(latencyGain*float64(sample.usual-last.usual))
 	}
-	l.latest.Store(&latencySample{average: average, usual: usual, at: now})
+	sample.addLeast(last, took)
+	l.latest.Store(sample)
 }
 
 func (l *LatencyAverage) reportedSlowdown(now time.Time) (factor float64, known bool) {
@@ -48,6 +76,17 @@
 	return l.slowdown(now)
 }
 
+// Least returns the shortest response time of the last one to two leastPeriods, or 0 if the
+// observations cover less than leastMinHistory. It approximates the response
+// time of the endpoint without load.
+func (l *LatencyAverage) Least() time.Duration {
+	last := l.latest.Load()
+	if last == nil || last.at.Sub(last.since) < leastMinHistory {
+		return 0
+	}
+	return min(last.least, last.previous)
+}
+
 // ObserveAtLeast adds a lower bound of a response time, for a request that has no response
 // after that time. It never reduces the average.
 func (l *LatencyAverage) ObserveAtLeast(waited time.Duration) {
--- a/internal/replicas/routing/reported_load.go
+++ b/internal/replicas/routing/reported_load.go
@@ -44,6 +44,15 @@
 	return received
 }
 
+// CurrentReport returns the reported load, and whether there is one that is not too old.
+func (s *EndpointState) CurrentReport(now time.Time) (load ReportedLoad, known bool) {
+	received := s.currentLoad(now)
+	if received == nil {
+		return ReportedLoad{}, false
+	}
+	return received.ReportedLoad, true
+}
+
 // ReportedSlowdown returns how long work takes at the endpoint at the moment, as a multiple of
 // the usual time, and whether a current report says so.
 func (s *EndpointState) ReportedSlowdown(now time.Time) (factor float64, known bool) {
