admission: answers in time and reports alone do not keep a limit

After one late answer a limit stayed for as long as requests came if the usual work takes more than a quarter of the objective, or if the replica always reports more load than its answers show: each answer in time reduced the window. Such answers now count only within 5 s of a late answer or a rejection.

--- a/internal/callers/admission/replicalimit.go
+++ b/internal/callers/admission/replicalimit.go
@@ -30,6 +30,11 @@
 	// recoveryDoubling: a node whose callers have left gets no answers that could raise it.
 	recoveryDelay    = 800 * time.Millisecond
 	recoveryDoubling = 150 * time.Millisecond
+	// confirmationLifetime is the time after a late answer or a rejection in which answers beyond
+	// the target and reports reduce the window. Work that usually takes longer than the target, or
+	// a report that is always too high, would otherwise keep a limit for good. Bursts last up to
+	// 5 s, and their control is not to change within them.
+	confirmationLifetime = 5 * time.Second
 	// delayGain is the weight of a new answer in the average response time.
 	delayGain = 0.8
 	// failureHold is how long a replica whose connection failed does not count as capacity.
@@ -90,8 +95,9 @@
 	// credit is the number of sends that the rate allows at creditAt.
 	credit   float64
 	creditAt time.Time
-	// signaledAt is the time of the last sign of load, reducedAt of the last reduction.
-	signaledAt, reducedAt time.Time
+	// signaledAt is the time of the last sign of load, reducedAt of the last reduction, and
+	// confirmedAt of the last late answer or rejection.
+	signaledAt, reducedAt, confirmedAt time.Time
 	// recoveredAt is the time up to which the recovery has been added to the window.
 	recoveredAt time.Time
 	failedUntil time.Time
@@ -125,6 +131,9 @@
 // observe adds an answer.
 func (l *replicaLimit) observe(now time.Time, answer *Answer) {
 	delay, target := answer.expectedDelay().Seconds(), answer.targetDelay().Seconds()
+	if answer.Late() {
+		l.confirmedAt = now
+	}
 	if !l.limited() {
 		if answer.Late() {
 			l.reduce(now, answer, max(minDelayFactor, target/delay))
@@ -136,16 +145,17 @@
 		return
 	}
 	l.delay += delayGain * (delay - l.delay)
-	if delay > target {
+	if delay <= target {
+		l.window += windowStep + windowGrowth*(1-delay/target)*l.window
+	} else if now.Sub(l.confirmedAt) <= confirmationLifetime {
 		l.reduce(now, answer, max(minDelayFactor, target/delay))
-		return
 	}
-	l.window += windowStep + windowGrowth*(1-delay/target)*l.window
 }
 
 // reject adds a rejection because of load.
 func (l *replicaLimit) reject(now time.Time, answer *Answer) {
 	l.update(now)
+	l.confirmedAt = now
 	l.reduce(now, answer, rejectionFactor)
 }
 
