admission: replicas that are late without load are not limited for good

If the time without load is unknown or was once shorter (other requests of the service are faster), every answer counted as a sign of load: 11 of 200 requests were sent, for as long as requests came. A run of late answers that limits did not shorten now gives the time without load. Pending attempts are marked, as their time is only a lower bound.

Tests: go test ./internal/callers/...; TestLimitEndsWithoutLoad failed before.

--- a/internal/callers/admission/replicalimit.go
+++ b/internal/callers/admission/replicalimit.go
@@ -35,6 +35,12 @@
 	// a report that is always too high, would otherwise keep a limit for good. Bursts last up to
 	// 5 s, and their control is not to change within them.
 	confirmationLifetime = 5 * time.Second
+	// lateRunLength is the number of successive late answers, over at least confirmationLifetime,
+	// after which a limited replica counts as slow rather than overloaded: where nodes limit an
+	// overloaded replica, fewer than a tenth of its answers are late.
+	lateRunLength = 8
+	// slowLifetime is how long a replica counts as slow after its last late answer.
+	slowLifetime = time.Minute
 	// delayGain is the weight of a new answer in the average response time.
 	delayGain = 0.8
 	// failureHold is how long a replica whose connection failed does not count as capacity.
@@ -62,7 +68,9 @@
 	Base time.Duration
 	// InFlight is the number of this node's requests in progress at the replica.
 	InFlight int
-	Load     ReplicaLoad
+	// Pending is set for an attempt that has no response yet.
+	Pending bool
+	Load    ReplicaLoad
 }
 
 // targetDelay returns the response time up to which the answer is no sign of load.
@@ -101,6 +109,35 @@
 	// recoveredAt is the time up to which the recovery has been added to the window.
 	recoveredAt time.Time
 	failedUntil time.Time
+	lateRun     lateRun
+}
+
+// lateRun describes the successive late answers of a limited replica.
+type lateRun struct {
+	count int
+	since time.Time
+	// least is the shortest response time of the run.
+	least time.Duration
+}
+
+// add adds an answer to the run, or ends the run if the answer was in time.
+func (r *lateRun) add(now time.Time, answer *Answer) {
+	switch {
+	case !answer.Late():
+		*r = lateRun{}
+	case answer.Pending:
+	case r.count == 0:
+		*r = lateRun{count: 1, since: now, least: answer.Took}
+	default:
+		r.count++
+		r.least = min(r.least, answer.Took)
+	}
+}
+
+// showsSlowReplica reports whether limits did not shorten the response times, so that load is
+// not their cause.
+func (r *lateRun) showsSlowReplica(now time.Time) bool {
+	return r.count >= lateRunLength && now.Sub(r.since) >= confirmationLifetime
 }
 
 func (l *replicaLimit) limited() bool { return l.window > 0 }
@@ -144,6 +181,7 @@
 	if !l.limited() {
 		return
 	}
+	l.lateRun.add(now, answer)
 	l.delay += delayGain * (delay - l.delay)
 	if delay <= target {
 		l.window += windowStep + windowGrowth*(1-delay/target)*l.window
@@ -155,7 +193,7 @@
 // reject adds a rejection because of load.
 func (l *replicaLimit) reject(now time.Time, answer *Answer) {
 	l.update(now)
-	l.confirmedAt = now
+	l.confirmedAt, l.lateRun = now, lateRun{}
 	l.reduce(now, answer, rejectionFactor)
 }
 
@@ -168,7 +206,7 @@
 		if answer.Base == 0 {
 			l.delay = max(answer.expectedDelay(), answer.targetDelay()).Seconds()
 		}
-		l.credit, l.creditAt, l.reducedAt = 0, now, time.Time{}
+		l.credit, l.creditAt, l.reducedAt, l.lateRun = 0, now, time.Time{}, lateRun{}
 	}
 	l.signaledAt = now
 	if now.Sub(l.reducedAt).Seconds() < l.delay {
--- a/internal/callers/admission/servicequeue.go
+++ b/internal/callers/admission/servicequeue.go
@@ -67,15 +67,26 @@
 // less than one request in progress at a replica. The state is pure: times and random numbers
 // are passed in. It is not safe for concurrent use.
 type ServiceQueue struct {
-	limits  map[string]*replicaLimit
+	limits map[string]*replicaLimit
+	// slow holds the replicas whose answers are late without load.
+	slow    map[string]slowReplica
 	waiting []*Request
 	shares  tenantShares
 	// returnsAt is the time for which the last refused caller was told to return.
 	returnsAt time.Time
 }
 
+// slowReplica is a replica whose answers are late without load.
+type slowReplica struct {
+	// base is its response time without load.
+	base  time.Duration
+	until time.Time
+}
+
 // NewServiceQueue returns a queue without limits.
-func NewServiceQueue() *ServiceQueue { return &ServiceQueue{limits: map[string]*replicaLimit{}} }
+func NewServiceQueue() *ServiceQueue {
+	return &ServiceQueue{limits: map[string]*replicaLimit{}, slow: map[string]slowReplica{}}
+}
 
 // Active reports whether a limit is reduced or requests wait. If not, every request may be
 // sent without Arrive.
@@ -86,6 +97,11 @@
 			delete(q.limits, name)
 		}
 	}
+	for name, slow := range q.slow {
+		if now.After(slow.until) {
+			delete(q.slow, name)
+		}
+	}
 	return len(q.limits) > 0 || len(q.waiting) > 0
 }
 
@@ -121,6 +137,12 @@
 
 // Answered adds the response time of an answer, or of an attempt that has none yet.
 func (q *ServiceQueue) Answered(now time.Time, answer Answer) {
+	if slow, known := q.slow[answer.Replica]; known && now.Before(slow.until) {
+		if answer.Late() {
+			q.slow[answer.Replica] = slowReplica{base: slow.base, until: now.Add(slowLifetime)}
+		}
+		answer.Base = max(answer.Base, slow.base)
+	}
 	limit := q.limits[answer.Replica]
 	if limit == nil {
 		if !answer.Late() {
@@ -130,10 +152,15 @@
 	}
 	limit.failedUntil = time.Time{}
 	limit.observe(now, &answer)
+	if limit.lateRun.showsSlowReplica(now) {
+		q.slow[answer.Replica] = slowReplica{base: limit.lateRun.least, until: now.Add(slowLifetime)}
+		limit.lateRun = lateRun{}
+	}
 }
 
 // Rejected adds a rejection because of load.
 func (q *ServiceQueue) Rejected(now time.Time, answer Answer) {
+	delete(q.slow, answer.Replica)
 	q.limit(answer.Replica).reject(now, &answer)
 }
 
--- a/internal/callers/forward/request_admission.go
+++ b/internal/callers/forward/request_admission.go
@@ -147,7 +147,9 @@
 		if took <= r.objective {
 			wait = min(wait, r.objective-took)
 		} else if r.admission != nil {
-			r.forwarder.admissions.of(attempt.endpoint.Model).answered(r.answer(attempt.endpoint, took))
+			pending := r.answer(attempt.endpoint, took)
+			pending.Pending = true
+			r.forwarder.admissions.of(attempt.endpoint.Model).answered(pending)
 		}
 	}
 	r.overdue.Reset(wait + time.Millisecond)
