routing: the time without load follows from complete answers only

A canceled attempt after a pause, or a quick error response, became the shortest response time. The latency target of admission was then too low for up to two minutes, and usual answers counted as signs of load.

Tests: go test ./internal/replicas/routing ./internal/callers/forward; TestLeastLatencyCountsWholeAnswers fails without the change to ObserveAtLeast.

--- a/internal/callers/forward/response.go
+++ b/internal/callers/forward/response.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/pathtally/pathtally/internal/callers/dispatch"
@@ -53,7 +54,11 @@
 		return nil, err
 	}
 	response.Close()
-	endpoint.State.Latency.Observe(time.Since(start))
+	if response.Status >= http.StatusBadRequest {
+		endpoint.State.Latency.ObserveError(time.Since(start))
+	} else {
+		endpoint.State.Latency.Observe(time.Since(start))
+	}
 	endpoint.State.Failures.Store(0)
 	return &BufferedResponse{Response: response, Body: body}, nil
 }
--- a/internal/replicas/routing/latency.go
+++ b/internal/replicas/routing/latency.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 )
@@ -18,6 +19,8 @@
 	// leastMinHistory is the time that observations must cover for Least. A node that sends its
 	// first requests in a burst would otherwise take their times for those without load.
 	leastMinHistory = 5 * time.Second
+	// unknownLeast stands for the shortest response time of a period without a complete response.
+	unknownLeast time.Duration = math.MaxInt64
 )
 
 // LatencyAverage is a moving average of an endpoint's response times to this node. It is
@@ -37,14 +40,15 @@
 	at              time.Time
 	least, previous time.Duration
 	periodStart     time.Time
-	// since is the time of the first observation without a gap of two leastPeriods.
+	// since is the time of the first complete response without a gap of two leastPeriods.
 	since time.Time
 }
 
-// addLeast continues the periods of the last sample, which may be nil, with a response time.
+// addLeast continues the periods of the last sample, which may be nil, with a response time or
+// unknownLeast.
 func (s *latencySample) addLeast(last *latencySample, took time.Duration) {
 	switch {
-	case last == nil || s.at.Sub(last.periodStart) > 2*leastPeriod:
+	case last == nil || min(last.least, last.previous) == unknownLeast || s.at.Sub(last.periodStart) > 2*leastPeriod:
 		s.least, s.previous, s.periodStart, s.since = took, took, s.at, s.at
 		return
 	case s.at.Sub(last.periodStart) > leastPeriod:
@@ -56,7 +60,14 @@
 }
 
 // Observe adds a response time. One of two concurrent observations may be lost.
-func (l *LatencyAverage) Observe(took time.Duration) {
+func (l *LatencyAverage) Observe(took time.Duration) { l.observe(took, took) }
+
+// ObserveError adds the response time of an error response. Least ignores it, since the replica
+// may not have done the work.
+func (l *LatencyAverage) ObserveError(took time.Duration) { l.observe(took, unknownLeast) }
+
+// observe adds a response time to the average, and least to the shortest response times.
+func (l *LatencyAverage) observe(took, least time.Duration) {
 	last := l.latest.Load()
 	sample := &latencySample{average: took, at: time.Now()}
 	factor, _ := l.reportedSlowdown(sample.at)
@@ -65,7 +76,7 @@
 		sample.average = last.average + time.Duration(latencyGain*float64(took-last.average))
 		sample.usual = last.usual + time.Duration(latencyGain*float64(sample.usual-last.usual))
 	}
-	sample.addLeast(last, took)
+	sample.addLeast(last, least)
 	l.latest.Store(sample)
 }
 
@@ -76,22 +87,25 @@
 	return l.slowdown(now)
 }
 
-// Least returns the shortest response time of the last one to two leastPeriods, or 0 if the
-// observations cover less than leastMinHistory. It approximates the response
+// Least returns the shortest response time of the last one to two leastPeriods, or 0 if there is
+// none or the observations cover less than leastMinHistory. It approximates the response
 // time of the endpoint without load.
 func (l *LatencyAverage) Least() time.Duration {
 	last := l.latest.Load()
 	if last == nil || last.at.Sub(last.since) < leastMinHistory {
 		return 0
 	}
-	return min(last.least, last.previous)
+	if least := min(last.least, last.previous); least < unknownLeast {
+		return least
+	}
+	return 0
 }
 
 // ObserveAtLeast adds a lower bound of a response time, for a request that has no response
-// after that time. It never reduces the average.
+// after that time. It never reduces the average, and Least ignores it.
 func (l *LatencyAverage) ObserveAtLeast(waited time.Duration) {
 	if waited > l.Estimate() {
-		l.Observe(waited)
+		l.observe(waited, unknownLeast)
 	}
 }
 
--- a/internal/replicas/routing/plan_eligible_test.go
+++ b/internal/replicas/routing/plan_eligible_test.go
@@ -51,3 +51,27 @@
 		}
 	})
 }
+
+// Guards against a time without load that follows from requests that the replica has not finished,
+// or answered with an error instead of the work.
+func TestLeastLatencyCountsWholeAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		average := &LatencyAverage{}
+		average.ObserveAtLeast(time.Millisecond)
+		time.Sleep(leastMinHistory)
+		average.ObserveError(2 * time.Millisecond)
+		if average.Least() != 0 {
+			t.Errorf("least %v without a whole answer", average.Least())
+		}
+		average.Observe(80 * time.Millisecond)
+		if average.Least() != 0 {
+			t.Errorf("least %v after one whole answer", average.Least())
+		}
+		time.Sleep(leastMinHistory)
+		average.ObserveAtLeast(time.Millisecond)
+		average.ObserveError(2 * time.Millisecond)
+		if average.Least() != 80*time.Millisecond {
+			t.Errorf("least %v, want that of the whole answer", average.Least())
+		}
+	})
+}
