forward: a request whose context has ended is not sent by the queue

If verdict and disconnect came at the same time, the request was sent with an ended context and reported as one that may have run. Its credit is now returned. The overload state is read once, so that a request with an attempt in progress never waits in the queue. Reports of overdue attempts are at least 20 ms apart, since objectives may be tiny. Sends of tenants without a recent request are not counted; decay did not remove them.

Tests: go test ./internal/callers/admission ./internal/callers/forward; the two new tests fail without the changes to sendAdmitted and tenantShares.send.

--- a/internal/callers/admission/servicequeue.go
+++ b/internal/callers/admission/servicequeue.go
@@ -135,6 +135,13 @@
 	q.waiting = slices.DeleteFunc(q.waiting, func(other *Request) bool { return other == request })
 }
 
+// Unsent returns the credit of a request that was not sent although its verdict allowed it.
+func (q *ServiceQueue) Unsent(verdict Verdict) {
+	if limit := q.limits[verdict.Replica]; limit != nil && limit.limited() {
+		limit.credit++
+	}
+}
+
 // Answered adds the response time of an answer, or of an attempt that has none yet.
 func (q *ServiceQueue) Answered(now time.Time, answer Answer) {
 	if slow, known := q.slow[answer.Replica]; known && now.Before(slow.until) {
--- a/internal/callers/admission/servicequeue_recovery_test.go
+++ b/internal/callers/admission/servicequeue_recovery_test.go
@@ -70,3 +70,30 @@
 		}
 	}
 }
+
+// Guards against counts of tenants that stay after their last request was sent after a long wait,
+// and against a credit that is lost with a request that was not sent.
+func TestNothingStaysOfRequestsThatWaitedOrLeft(t *testing.T) {
+	queue := NewServiceQueue()
+	rejected := queueAnswer("a", 0)
+	rejected.Objective = time.Minute
+	queue.Rejected(queueStart, rejected)
+	request := queueRequest("a")
+	request.Tenant, request.Objective, request.Deadline = "tenant", time.Minute, queueStart.Add(time.Minute)
+	if got := queue.Arrive(queueStart, request, 0); len(got) != 0 {
+		t.Fatalf("verdicts %+v, want a wait", got)
+	}
+	at := queueStart.Add(20 * time.Second)
+	queue.shares.decay(at)
+	got := queue.Advance(at, 0)
+	if len(got) != 1 || got[0].Replica != "a" || len(queue.shares.sent) != 0 {
+		t.Errorf("verdicts %+v, want a; sends by tenant: %v", got, queue.shares.sent)
+	}
+	queue.Rejected(at, rejected)
+	credit := queue.limits["a"].credit
+	queue.limits["a"].take()
+	queue.Unsent(got[0])
+	if queue.limits["a"].credit != credit {
+		t.Errorf("credit %v, want %v", queue.limits["a"].credit, credit)
+	}
+}
--- a/internal/callers/admission/tenantshares.go
+++ b/internal/callers/admission/tenantshares.go
@@ -44,7 +44,13 @@
 	t.priorityCount++
 }
 
-func (t *tenantShares) send(request *Request) { t.sent[request.Tenant]++ }
+// send counts a request that was sent. Those of tenants without a recent request are not counted:
+// decay would not remove them. Such a request waited for several half-lives.
+func (t *tenantShares) send(request *Request) {
+	if _, recent := t.asked[request.Tenant]; recent {
+		t.sent[request.Tenant]++
+	}
+}
 
 // belowShare reports whether a tenant has had less than its share of the recent sends, where
 // several tenants have asked.
--- a/internal/callers/forward/admission.go
+++ b/internal/callers/forward/admission.go
@@ -73,12 +73,20 @@
 	return result
 }
 
-// leave removes a request whose context has ended.
-func (s *serviceAdmission) leave(request *admission.Request) {
+// leave removes a request whose context has ended. The verdict is the one that was received, if
+// any; result may contain another one.
+func (s *serviceAdmission) leave(request *admission.Request, verdict admission.Verdict, result <-chan admission.Verdict) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.queue.Leave(request)
 	delete(s.results, request)
+	select {
+	case verdict = <-result:
+	default:
+	}
+	if verdict.Replica != "" {
+		s.queue.Unsent(verdict)
+	}
 	s.update(time.Now(), nil)
 }
 
--- a/internal/callers/forward/admission_test.go
+++ b/internal/callers/forward/admission_test.go
@@ -108,6 +108,23 @@
 	}
 }
 
+// Guards against a request that is sent after its caller has disconnected because the queue admitted
+// it at the same time.
+func TestDisconnectPrecedesVerdict(t *testing.T) {
+	forwarder, _ := newOverloaded(t, respondWith("ok"))
+	other := startBackend(t, respondWith("ok"))
+	forwarder.config.Directory.SetReplicas([]*directory.Replica{{ID: "other", Service: "s", Address: other.address, Slots: 4, State: directory.ReplicaReady}}, 0)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 30 {
+		_, err := forwarder.Do(ctx, testRoute(directory.RouteSafe), testCall(10*time.Second))
+		var refused *RefusedError
+		if !errors.As(err, &refused) {
+			t.Fatalf("error %v, want a refusal: the request was not sent", err)
+		}
+	}
+}
+
 // Guards against limits that delay or refuse calls of scorers and requests without an objective.
 func TestAdmissionLeavesOthersAlone(t *testing.T) {
 	for name, change := range map[string]func(*directory.Route, *dispatch.Call){
--- a/internal/callers/forward/request.go
+++ b/internal/callers/forward/request.go
@@ -128,7 +128,7 @@
 	next := requestState{
 		event: event, repeatable: r.repeatable, attemptLimit: r.route.Attempts, mayHaveRunCount: r.mayHaveRunCount, rejections: r.rejections,
 		inProgress: r.inProgress, tried: len(r.tried), mayHaveRun: r.mayHaveRun, quarantined: isQuarantined(r.lastErr),
-		overloaded: r.admission != nil && r.admission.active.Load(), hasResponse: r.response != nil, contextEnded: ctx.Err() != nil, elapsed: time.Since(r.started), objective: r.objective,
+		overloaded: r.overloaded(), hasResponse: r.response != nil, contextEnded: ctx.Err() != nil, elapsed: time.Since(r.started), objective: r.objective,
 	}.next()
 	r.forwarder.logDecision(r.call, event, next)
 	return next
@@ -144,10 +144,11 @@
 	}
 	if err == nil && r.admitted() {
 		r.admission = r.forwarder.admissions.of(endpoint.Model)
-		if r.overloaded() && r.inProgress > 0 {
+		// The state may change at any time. A request with an attempt in progress must not wait
+		// in the queue, since it would not notice the response.
+		if overloaded := r.overloaded(); overloaded && r.inProgress > 0 {
 			return r.decide(ctx, eventNotAdmitted)
-		}
-		if r.overloaded() {
+		} else if overloaded {
 			return r.sendAdmitted(ctx, endpoint)
 		}
 	}
--- a/internal/callers/forward/request_admission.go
+++ b/internal/callers/forward/request_admission.go
@@ -14,6 +14,10 @@
 	"github.com/pathtally/pathtally/internal/replicas/routing"
 )
 
+// minOverdueInterval is the shortest interval of reports of an attempt that has exceeded its
+// objective. Each takes the mutex of the service; objectives may be a millisecond.
+const minOverdueInterval = 20 * time.Millisecond
+
 // admitted reports whether admission control applies to the request: it has a latency
 // objective and a buffered response, and is no call of a batch job's scorer, which waits for
 // seconds and has a limit of its own.
@@ -58,10 +62,13 @@
 	var verdict admission.Verdict
 	select {
 	case <-ctx.Done():
-		r.admission.leave(entry)
-		return r.decide(ctx, eventContextEnded)
 	case verdict = <-result:
 	}
+	// Both channels may be ready.
+	if ctx.Err() != nil {
+		r.admission.leave(entry, verdict, result)
+		return r.decide(ctx, eventContextEnded)
+	}
 	r.waited += verdict.Waited
 	r.ahead = max(r.ahead, verdict.Ahead)
 	if verdict.Replica == "" {
@@ -141,7 +148,7 @@
 
 // reportOverdue tells admission control of attempts that have exceeded the objective.
 func (r *request) reportOverdue() {
-	wait := r.objective
+	wait := max(r.objective, minOverdueInterval)
 	for _, attempt := range r.running {
 		took := time.Since(attempt.at)
 		if took <= r.objective {
