routing: Eligible accepts a plan without endpoints, as Pick does

The home of a sticky prompt was looked up in an empty list. The directory removes empty plans today, so no request could reach this.

Tests: go test ./internal/replicas/routing; the new test panicked before.

--- a/internal/replicas/routing/plan_eligible.go
+++ b/internal/replicas/routing/plan_eligible.go
@@ -8,6 +8,9 @@
 // Eligible returns the endpoints that the filters allow, best score first. Endpoints of equal
 // scores keep the order of the plan.
 func (p *Plan) Eligible(query *Query) []*Endpoint {
+	if len(p.endpoints) == 0 {
+		return nil
+	}
 	var choices []choice
 	home := p.cacheHome(query).endpoint
 	for _, endpoint := range p.endpoints {
--- a/internal/replicas/routing/plan_eligible_test.go
+++ b/internal/replicas/routing/plan_eligible_test.go
@@ -23,6 +23,13 @@
 	}
 }
 
+// Guards against a panic for a sticky request and a plan without endpoints.
+func TestEligibleWithoutEndpoints(t *testing.T) {
+	if eligible := NewRankedPlan(Locality{Node: "node", Zone: "e1"}, nil).Eligible(&Query{PrefixHash: 1}); len(eligible) != 0 {
+		t.Errorf("%d eligible endpoints of an empty plan", len(eligible))
+	}
+}
+
 // Guards against a response time under load that counts as the one without, in a long burst or
 // in one with the first requests of a node.
 func TestLeastLatency(t *testing.T) {
