admission: Rate returns the rate alone

Its second result was unused and also true for failed replicas without a limit.

Tests: go test ./internal/callers/admission ./internal/callers/forward

--- a/internal/callers/admission/servicequeue.go
+++ b/internal/callers/admission/servicequeue.go
@@ -108,16 +108,14 @@
 // Waiting returns the number of requests that wait.
 func (q *ServiceQueue) Waiting() int { return len(q.waiting) }
 
-// Rate returns the sends per second that the limits allow, and false if a replica is not
-// limited.
-func (q *ServiceQueue) Rate() (perSecond float64, limited bool) {
-	limited = len(q.limits) > 0
+// Rate returns the sends per second to the replicas that are limited, 0 if none is.
+func (q *ServiceQueue) Rate() (perSecond float64) {
 	for _, limit := range q.limits {
 		if limit.limited() {
 			perSecond += limit.rate()
 		}
 	}
-	return perSecond, limited
+	return perSecond
 }
 
 // Arrive adds a request and returns the verdicts that follow. Without one for the request it
--- a/internal/callers/forward/admission.go
+++ b/internal/callers/forward/admission.go
@@ -140,8 +140,7 @@
 	if !s.active.Swap(active) && active {
 		s.retries.Store(admission.NewRetryBudget(serviceRetryPercent))
 	}
-	perSecond, _ := s.queue.Rate()
-	s.metrics.limit.WithLabelValues(s.service).Set(perSecond)
+	s.metrics.limit.WithLabelValues(s.service).Set(s.queue.Rate())
 	s.metrics.waiting.WithLabelValues(s.service).Set(float64(s.queue.Waiting()))
 	if s.timer != nil {
 		s.timer.Stop()
