--- a/internal/callers/admission/tenantshares.go
+++ b/internal/callers/admission/tenantshares.go
@@ -12,6 +12,9 @@
 // tenantShares holds the recent sends of each tenant and priority.
 type tenantShares struct {
 	sent map[string]float64
+	// total is the sum of sent. It is kept because each request that waits is compared with it
+	// after every answer.
+	total float64
 	// asked holds the recent requests of each tenant, sent or not.
 	asked map[string]float64
 	// prioritySum and priorityCount give the average priority of recent requests.
@@ -28,13 +31,16 @@
 	t.at = now
 	t.prioritySum *= factor
 	t.priorityCount *= factor
+	t.total = 0
 	for name, count := range t.asked {
 		t.sent[name] *= factor
 		t.asked[name] = count * factor
 		if t.asked[name] < 0.01 {
 			delete(t.asked, name)
 			delete(t.sent, name)
+			continue
 		}
+		t.total += t.sent[name]
 	}
 }
 
@@ -49,17 +55,14 @@
 func (t *tenantShares) send(request *Request) {
 	if _, recent := t.asked[request.Tenant]; recent {
 		t.sent[request.Tenant]++
+		t.total++
 	}
 }
 
 // belowShare reports whether a tenant has had less than its share of the recent sends, where
 // several tenants have asked.
 func (t *tenantShares) belowShare(tenant string) bool {
-	total := 0.0
-	for _, count := range t.sent {
-		total += count
-	}
-	return len(t.asked) > 1 && t.sent[tenant] < total/float64(len(t.asked))
+	return len(t.asked) > 1 && t.sent[tenant] < t.total/float64(len(t.asked))
 }
 
 // standing is how a request compares with the recent ones of its service.
