--- a/internal/callers/forward/admission.go
+++ b/internal/callers/forward/admission.go
@@ -73,12 +73,20 @@
 	return result
 }
 
-// leave removes a request whose context has ended.
-func (s *serviceAdmission) leave(request *admission.Request) {
+// leave removes a request whose context has ended. The verdict is the one that was received, if
+// any; result may contain another one.
+func (s *serviceAdmission) leave(request *admission.Request, verdict admission.Verdict, result <-chan admission.Verdict) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.queue.Leave(request)
 	delete(s.results, request)
+	select {
+	case verdict = <-result:
+	default:
+	}
+	if verdict.Replica != "" {
+		s.queue.Unsent(verdict)
+	}
 	s.update(time.Now(), nil)
 }
 
@@ -132,8 +140,7 @@
 	if !s.active.Swap(active) && active {
 		s.retries.Store(admission.NewRetryBudget(serviceRetryPercent))
 	}
-	perSecond, _ := s.queue.Rate()
-	s.metrics.limit.WithLabelValues(s.service).Set(perSecond)
+	s.metrics.limit.WithLabelValues(s.service).Set(s.queue.Rate())
 	s.metrics.waiting.WithLabelValues(s.service).Set(float64(s.queue.Waiting()))
 	if s.timer != nil {
 		s.timer.Stop()
--- a/internal/replicas/routing/plan_eligible_test.go
+++ b/internal/replicas/routing/plan_eligible_test.go
@@ -23,6 +23,13 @@
 	}
 }
 
+// Guards against a panic for a sticky request and a plan without endpoints.
+func TestEligibleWithoutEndpoints(t *testing.T) {
+	if eligible := NewRankedPlan(Locality{Node: "node", Zone: "e1"}, nil).Eligible(&Query{PrefixHash: 1}); len(eligible) != 0 {
+		t.Errorf("%d eligible endpoints of an empty plan", len(eligible))
+	}
+}
+
 // Guards against a response time under load that counts as the one without, in a long burst or
 // in one with the first requests of a node.
 func TestLeastLatency(t *testing.T) {
@@ -51,3 +58,27 @@
 		}
 	})
 }
+
+// Guards against a time without load that follows from requests that the replica has not finished,
+// or answered with an error instead of the work.
+func TestLeastLatencyCountsWholeAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		average := &LatencyAverage{}
+		average.ObserveAtLeast(time.Millisecond)
+		time.Sleep(leastMinHistory)
+		average.ObserveError(2 * time.Millisecond)
+		if average.Least() != 0 {
+			t.Errorf("least %v without a whole answer", average.Least())
+		}
+		average.Observe(80 * time.Millisecond)
+		if average.Least() != 0 {
+			t.Errorf("least %v after one whole answer", average.Least())
+		}
+		time.Sleep(leastMinHistory)
+		average.ObserveAtLeast(time.Millisecond)
+		average.ObserveError(2 * time.Millisecond)
+		if average.Least() != 80*time.Millisecond {
+			t.Errorf("least %v, want that of the whole answer", average.Least())
+		}
+	})
+}
