placement: late items continue at the fastest free replica

A run that moves at the last moment was queued and then placed by its expected remaining time, which often allows the slow replica that it left. It was canceled again in the next scan until its slack was used up.

Tests: go test ./internal/jobs/placement, go test ./internal/jobs/batch -run 'ItemMovedAsLate|Critical'.

--- a/internal/jobs/batch/criticaljobs_test.go
+++ b/internal/jobs/batch/criticaljobs_test.go
@@ -86,3 +86,18 @@
 		t.Errorf("complete in %s while the item is scored", got)
 	}
 }
+
+// Guards against an item that is moved at the last moment and returns to a slow replica, from
+// which it would move again.
+func TestItemMovedAsLateGetsFastReplica(t *testing.T) {
+	service, work := newUnevenPlacement()
+	work.expectedEvents = 5
+	if chosen := service.scheduler.newPool().pick(work); !isSlowReplica(chosen.Name) {
+		t.Fatalf("a short item was placed at %s", chosen.Name)
+	}
+	run := service.addRun(replicaName(0), 3, work)
+	service.scheduler.handleRunError(run, service.replicas.GetOrCreate(replicaName(0)), &RescheduledError{Cause: ErrMoved, Reason: placement.ReasonLate})
+	if chosen := service.scheduler.newPool().pick(work); isSlowReplica(chosen.Name) {
+		t.Errorf("the late item was placed at %s", chosen.Name)
+	}
+}
--- a/internal/jobs/batch/job.go
+++ b/internal/jobs/batch/job.go
@@ -105,6 +105,9 @@
 	// yielded once a run of it gave up its slot.
 	passedOver bool
 	yielded    bool
+	// moveReason is why the item's last run was canceled, empty if it ended for another reason
+	// or the item has not run.
+	moveReason placement.Reason
 
 	progress progress
 	// savedEvents is the number of events of the current text in the store, and
--- a/internal/jobs/batch/pool.go
+++ b/internal/jobs/batch/pool.go
@@ -53,7 +53,7 @@
 
 // pick returns the replica for an item, nil if none has a free slot.
 func (p *pool) pick(waiting *item) *placement.Replica {
-	preference := placement.Preference{FailedReplicas: waiting.failedReplicas, Urgent: waiting.urgent}
+	preference := placement.Preference{FailedReplicas: waiting.failedReplicas, Urgent: waiting.urgent, Fastest: waiting.moveReason == placement.ReasonLate}
 	if p.isCritical(waiting.job) {
 		return placement.PickByCompletion(p.paces, p.replicasFor(waiting), p.workOf(waiting), preference)
 	}
--- a/internal/jobs/batch/runerror.go
+++ b/internal/jobs/batch/runerror.go
@@ -44,6 +44,7 @@
 	var quarantineUnknown *dispatch.QuarantineUnknownError
 	var status *ItemStatusError
 	var rescheduled *RescheduledError
+	work.moveReason = ""
 	switch {
 	case errors.As(err, &quarantined):
 		work.retryAt = time.Now().Add(quarantineRetryDelay)
@@ -57,6 +58,7 @@
 	case errors.As(err, &notRun):
 		state.Block(refusedBlock)
 	case errors.As(err, &rescheduled):
+		work.moveReason = rescheduled.Reason
 		s.metrics.moved.WithLabelValues(string(rescheduled.Reason)).Inc()
 		if rescheduled.Reason == placement.ReasonStalled {
 			work.stalls++
--- a/internal/jobs/placement/completion.go
+++ b/internal/jobs/placement/completion.go
@@ -78,7 +78,9 @@
 		if !candidate.hasCapacity() || (!allCandidatesFailed && slices.Contains(preference.FailedReplicas, candidate.Name)) {
 			continue
 		}
-		if rating := paces.rate(candidate, work); best == nil || rating.less(bestRating) {
+		rating := paces.rate(candidate, work)
+		rating.tooSlow = rating.tooSlow || preference.Fastest
+		if best == nil || rating.less(bestRating) {
 			best, bestRating = candidate, rating
 		}
 	}
--- a/internal/jobs/placement/completion_move.go
+++ b/internal/jobs/placement/completion_move.go
@@ -66,7 +66,9 @@
 		return Move{}, nil
 	}
 	// A run that moves is placed at a fast replica, because it will not move again.
-	target := PickByCompletion(p, run.Replicas, run.Work.atLastMove(), run.preference())
+	preference := run.preference()
+	preference.Fastest = true
+	target := PickByCompletion(p, run.Replicas, run.Work, preference)
 	if target == nil || p.isLastResort(target) || p.speedClass(p.UsualAt(target.Name)) >= p.speedClass(current) {
 		return Move{}, nil
 	}
@@ -198,10 +200,3 @@
 func (p Paces) isLastMove(work Work, target *Replica) bool {
 	return work.TimeLeft-moveCost-work.maxRunTime(p.UsualAt(target.Name)) < lastMoveMargin
 }
-
-// atLastMove returns the work as it is at the last moment to move: no slower replica is allowed
-// then, so PickByCompletion returns the fastest one with a free slot.
-func (w Work) atLastMove() Work {
-	w.Remaining, w.TimeLeft = w.MaxRemaining, 0
-	return w
-}
--- a/internal/jobs/placement/completion_move_test.go
+++ b/internal/jobs/placement/completion_move_test.go
@@ -152,3 +152,22 @@
 		t.Errorf("moved %v, want the shortest run only", reasons)
 	}
 }
+
+// Guards against a run that is moved again and again: the queue must not return an item that
+// moves at the last moment to the slow replica that it left, because its expected remaining
+// time is short there.
+func TestLastMoveGoesToFastReplica(t *testing.T) {
+	m := newMoveTest()
+	work := Work{Remaining: 3, MaxRemaining: 100, TimeLeft: 3950 * time.Millisecond}
+	run := m.runAt(2, work)
+	if got := m.reasons(run)[run]; got != ReasonLate {
+		t.Fatalf("reason %q, want %q", got, ReasonLate)
+	}
+	if picked := PickByCompletion(m.paces, m.all, work, Preference{Fastest: true}); !isFast(picked.Name) {
+		t.Errorf("continues at %s", picked.Name)
+	}
+	m.fill(0, 1)
+	if picked := PickByCompletion(m.paces, m.all, work, Preference{Fastest: true}); picked == nil {
+		t.Error("waits although a slow replica has a free slot")
+	}
+}
--- a/internal/jobs/placement/completion_replay_test.go
+++ b/internal/jobs/placement/completion_replay_test.go
@@ -23,6 +23,8 @@
 	lastEvent time.Duration
 	// runEvents is the number of events of the current run.
 	runEvents int
+	// moveReason is why the last run was canceled.
+	moveReason Reason
 }
 
 func (i *replayedItem) work(now time.Duration) Work {
@@ -86,7 +88,7 @@
 	r.open = slices.DeleteFunc(r.open, func(item *replayedItem) bool { return item.generated >= item.length })
 	paces, views := r.views()
 	r.waiting = slices.DeleteFunc(r.waiting, func(item *replayedItem) bool {
-		picked := PickByCompletion(paces, views, item.work(r.now), Preference{})
+		picked := PickByCompletion(paces, views, item.work(r.now), Preference{Fastest: item.moveReason == ReasonLate})
 		if picked == nil {
 			return false
 		}
@@ -166,7 +168,7 @@
 		item := r.open[move.Run.Index]
 		replica := r.replicas[item.replica]
 		replica.running = slices.DeleteFunc(replica.running, func(other *replayedItem) bool { return other == item })
-		item.replica = -1
+		item.replica, item.moveReason = -1, move.Reason
 		r.waiting = append(r.waiting, item)
 		r.moves++
 	}
@@ -230,7 +232,7 @@
 			}
 			countLoads(views, runs)
 			for _, move := range moves {
-				target := PickByCompletion(paces, views, move.Run.Work, Preference{})
+				target := PickByCompletion(paces, views, move.Run.Work, Preference{Fastest: move.Reason == ReasonLate})
 				move.Run.Replica = target.Name
 				target.Add(move.Run.Work)
 			}
