placement: bound moves of runs that have not begun, and swaps

Where the first event takes longer than 150 ms everywhere, items moved from replica to replica without end; the timeout now doubles with each such move in a row. An item gives up its slot to a longer run once, so that it doesn't alternate between a slow and a fast replica. Late runs get swapped slots in the order of what they gain, not in that of a map.

Tests: go test ./internal/jobs/placement, go test ./internal/jobs/batch -run 'ScanKnows|Critical|ItemMoved'.

--- a/internal/jobs/batch/criticaljobs_test.go
+++ b/internal/jobs/batch/criticaljobs_test.go
@@ -101,3 +101,20 @@
 		t.Errorf("the late item was placed at %s", chosen.Name)
 	}
 }
+
+// Guards against an item that is moved without end: what bounds its moves has to be known to the
+// next scan, and the first event of a run ends the series of those that did not begin.
+func TestScanKnowsEarlierMoves(t *testing.T) {
+	service, work := newUnevenPlacement()
+	run := service.addRun(replicaName(0), 0, work)
+	for _, reason := range []placement.Reason{placement.ReasonNotBegun, placement.ReasonNotBegun, placement.ReasonSwapped} {
+		service.scheduler.handleRunError(run, service.replicas.GetOrCreate(replicaName(0)), &RescheduledError{Cause: ErrMoved, Reason: reason})
+	}
+	if view := service.scheduler.newPool().runOf(0, run); view.NotBegun != 2 || !view.Swapped {
+		t.Errorf("%d runs not begun, swapped %t", view.NotBegun, view.Swapped)
+	}
+	service.scheduler.receiveEvent(run, "event", 3)
+	if view := service.scheduler.newPool().runOf(0, run); view.NotBegun != 0 || !view.Swapped {
+		t.Errorf("after an event: %d runs not begun, swapped %t", view.NotBegun, view.Swapped)
+	}
+}
--- a/internal/jobs/batch/itemrun.go
+++ b/internal/jobs/batch/itemrun.go
@@ -187,6 +187,7 @@
 	running.item.progress.add(event, version)
 	if running.events.Add(1) == 1 {
 		running.firstEventDelay = interval
+		running.item.notBegun = 0
 		return
 	}
 	running.longestGap = max(running.longestGap, interval)
--- a/internal/jobs/batch/job.go
+++ b/internal/jobs/batch/job.go
@@ -108,6 +108,10 @@
 	// moveReason is why the item's last run was canceled, empty if it ended for another reason
 	// or the item has not run.
 	moveReason placement.Reason
+	// notBegun is the number of runs in a row that were moved before their first event, and
+	// swapped is set once a run gave up its slot to a longer one.
+	notBegun int
+	swapped  bool
 
 	progress progress
 	// savedEvents is the number of events of the current text in the store, and
--- a/internal/jobs/batch/runerror.go
+++ b/internal/jobs/batch/runerror.go
@@ -58,7 +58,7 @@
 	case errors.As(err, &notRun):
 		state.Block(refusedBlock)
 	case errors.As(err, &rescheduled):
-		work.moveReason = rescheduled.Reason
+		work.recordMove(rescheduled.Reason)
 		s.metrics.moved.WithLabelValues(string(rescheduled.Reason)).Inc()
 		if rescheduled.Reason == placement.ReasonStalled {
 			work.stalls++
@@ -79,6 +79,17 @@
 	}
 }
 
+// recordMove records why a run of the item was canceled.
+func (i *item) recordMove(reason placement.Reason) {
+	i.moveReason = reason
+	switch reason {
+	case placement.ReasonNotBegun:
+		i.notBegun++
+	case placement.ReasonSwapped:
+		i.swapped = true
+	}
+}
+
 // abandon gives an item the result Abandoned. The mutex must be held.
 func (s *scheduler) abandon(work *item, reason string) {
 	s.config.Logger.Info("item abandoned", "request", work.ID, "job", work.job.id, "reason", reason, "failures", work.failures)
--- a/internal/jobs/batch/scheduler.go
+++ b/internal/jobs/batch/scheduler.go
@@ -184,6 +184,7 @@
 		Index: index, Replica: running.endpoint.Name, Replicas: p.replicasFor(work), FailedReplicas: work.failedReplicas,
 		Events: int(running.events.Load()), RemainingEvents: p.scheduler.remainingEvents(work), Idle: running.idle(),
 		Work: p.workOf(work), Critical: p.isCritical(work.job), Reserve: work.rank.Reserve, HasDeadline: !work.job.deadline.IsZero(), TimeLeft: work.job.deadline.Sub(p.now),
+		NotBegun: work.notBegun, Swapped: work.swapped,
 		Loading: p.scheduler.replicas.GetOrCreate(running.endpoint.Name).IsLoading(work.job.submission.Model),
 	}
 }
--- a/internal/jobs/placement/completion_move.go
+++ b/internal/jobs/placement/completion_move.go
@@ -19,6 +19,9 @@
 	// is a free slot. A first event usually takes some tens of milliseconds; a later one means
 	// that several nodes have placed more runs at the replica than it has slots.
 	beginTimeout = 150 * time.Millisecond
+	// maxBeginDoublings limits the exponent of beginTimeout. The result exceeds the time after
+	// which a run without events is stalled.
+	maxBeginDoublings = 6
 	// minSwapGain is the minimum expected time that a long run gains at the slot that a shorter
 	// run gives up. It is several times moveCost, because a swap costs two moves.
 	minSwapGain = time.Second
@@ -84,9 +87,10 @@
 }
 
 // unstartedMove returns the move of a run that waits in the queue of its replica to one with a
-// free slot.
+// free slot. The timeout doubles with each such move of the item, so that it begins even where
+// first events take longer than beginTimeout everywhere.
 func (p Paces) unstartedMove(run *Run) (Move, *Replica) {
-	if run.Events > 0 || run.Idle < beginTimeout || run.Loading {
+	if run.Events > 0 || run.Idle < beginTimeout<<min(run.NotBegun, maxBeginDoublings) || run.Loading {
 		return Move{}, nil
 	}
 	target := PickByCompletion(p, run.Replicas, run.Work, run.preference())
@@ -106,17 +110,15 @@
 	for _, move := range moved {
 		taken[move.Run] = true
 	}
-	var replaceable []*Run
-	for _, long := range runs {
+	longRuns := p.runsForFastSlots(runs, taken)
+	if len(longRuns) == 0 {
+		return nil
+	}
+	replaceable := p.replaceableRuns(runs)
+	for _, long := range longRuns {
 		if len(swaps) == maxSwapsPerScan {
 			break
 		}
-		if taken[long] || !p.gainsFastSlot(long) {
-			continue
-		}
-		if replaceable == nil {
-			replaceable = p.replaceableRuns(runs)
-		}
 		if shorter, target := p.shorterRun(long, replaceable, taken); shorter != nil {
 			taken[long], taken[shorter] = true, true
 			target.Add(shorter.Work)
@@ -126,22 +128,38 @@
 	return swaps
 }
 
-// gainsFastSlot reports whether a run would be late where it runs and gain enough at a fast
-// replica.
-func (p Paces) gainsFastSlot(run *Run) bool {
-	current := p.UsualAt(run.Replica)
-	if run.Reserve || run.Events < minMovedEvents || p.speedClass(current) == 0 || run.Work.runTime(current) <= run.Work.TimeLeft {
-		return false
+// runsForFastSlots returns the runs that would be late where they run and gain enough at a fast
+// replica, those with the largest gains first.
+func (p Paces) runsForFastSlots(runs []*Run, taken map[*Run]bool) []*Run {
+	var long []*Run
+	for _, run := range runs {
+		if !taken[run] && p.isLateAtSlowReplica(run) && p.fastSlotGain(run) > minSwapGain {
+			long = append(long, run)
+		}
 	}
-	return time.Duration(run.Work.Remaining)*(current-p.fastQuarter)-moveCost > minSwapGain
+	slices.SortStableFunc(long, func(a, b *Run) int { return cmp.Compare(p.fastSlotGain(b), p.fastSlotGain(a)) })
+	return long
+}
+
+// isLateAtSlowReplica reports whether a run that its trainer waits for would be late at a replica
+// of a slower class.
+func (p Paces) isLateAtSlowReplica(run *Run) bool {
+	current := p.UsualAt(run.Replica)
+	return !run.Reserve && run.Events >= minMovedEvents && p.speedClass(current) > 0 && run.Work.runTime(current) > run.Work.TimeLeft
+}
+
+// fastSlotGain returns the expected time that a run gains by a move to a fast replica.
+func (p Paces) fastSlotGain(run *Run) time.Duration {
+	return time.Duration(run.Work.Remaining)*(p.UsualAt(run.Replica)-p.fastQuarter) - moveCost
 }
 
 // replaceableRuns returns the runs at fast replicas that may run at a slower one with a free slot,
-// those with the least remaining work first.
+// those with the least remaining work first. An item gives up its slot once, so that it doesn't
+// alternate between replicas if its text proves longer than expected.
 func (p Paces) replaceableRuns(runs []*Run) []*Run {
 	replaceable := []*Run{}
 	for _, run := range runs {
-		if run.Events >= minMovedEvents && p.speedClass(p.UsualAt(run.Replica)) == 0 && p.slowerReplica(run) != nil {
+		if !run.Swapped && run.Events >= minMovedEvents && p.speedClass(p.UsualAt(run.Replica)) == 0 && p.slowerReplica(run) != nil {
 			replaceable = append(replaceable, run)
 		}
 	}
--- a/internal/jobs/placement/completion_move_test.go
+++ b/internal/jobs/placement/completion_move_test.go
@@ -72,6 +72,12 @@
 		}, ReasonLate},
 		{"not begun", fast, late, func(_ *moveTest, run *Run) { run.Events, run.Idle = 0, beginTimeout }, ReasonNotBegun},
 		{"not begun, just sent", fast, late, func(_ *moveTest, run *Run) { run.Events, run.Idle = 0, beginTimeout-1 }, ""},
+		{"not begun, moved before", fast, late, func(_ *moveTest, run *Run) {
+			run.Events, run.Idle, run.NotBegun = 0, 2*beginTimeout-1, 1
+		}, ""},
+		{"not begun, moved before, longer", fast, late, func(_ *moveTest, run *Run) {
+			run.Events, run.Idle, run.NotBegun = 0, 2*beginTimeout, 1
+		}, ReasonNotBegun},
 		{"not begun, weights load", fast, late, func(_ *moveTest, run *Run) { run.Events, run.Idle, run.Loading = 0, beginTimeout, true }, ""},
 		{"not begun, no free slot elsewhere", fast, late, func(m *moveTest, run *Run) {
 			run.Events, run.Idle = 0, beginTimeout
@@ -119,6 +125,7 @@
 			long.Work = Work{Remaining: 20, MaxRemaining: 20, TimeLeft: time.Second}
 		}, false},
 		{"short run would be late at a slow replica", func(_ *moveTest, _, short *Run) { short.Work.TimeLeft = 800 * time.Millisecond }, false},
+		{"short run was swapped before", func(_ *moveTest, _, short *Run) { short.Swapped = true }, false},
 		{"no free slow slot", func(m *moveTest, _, _ *Run) { m.fill(2, 3) }, false},
 		{"long run may not use the fast replica", func(m *moveTest, long, _ *Run) { long.Replicas = m.all[2:] }, false},
 		{"long run has failed at the fast replica", func(m *moveTest, long, _ *Run) { long.FailedReplicas = []string{m.all[0].Name} }, false},
@@ -171,3 +178,18 @@
 		t.Error("waits although a slow replica has a free slot")
 	}
 }
+
+// Guards against swaps for any of the late runs, such as the first in the order of a map: those
+// that gain most come first.
+func TestSwapsForLargestGainFirst(t *testing.T) {
+	m := newMoveTest()
+	m.fill(0, 1)
+	var runs []*Run
+	for number := range 5 {
+		runs = append(runs, m.runAt(2, Work{Remaining: 80 + number, MaxRemaining: 100, TimeLeft: 6 * time.Second}))
+	}
+	long := m.paces.runsForFastSlots(runs, nil)
+	if len(long) != len(runs) || long[0] != runs[len(runs)-1] || long[len(long)-1] != runs[0] {
+		t.Error("the runs are not in the order of their gains")
+	}
+}
--- a/internal/jobs/placement/completion_replay_test.go
+++ b/internal/jobs/placement/completion_replay_test.go
@@ -25,6 +25,7 @@
 	runEvents int
 	// moveReason is why the last run was canceled.
 	moveReason Reason
+	swapped    bool
 }
 
 func (i *replayedItem) work(now time.Duration) Work {
@@ -156,7 +157,7 @@
 	var runs []*Run
 	for index, item := range r.open {
 		if item.replica >= 0 {
-			runs = append(runs, &Run{Index: index, Replica: views[item.replica].Name, Replicas: views, Events: item.runEvents, Work: item.work(r.now), Idle: r.now - item.lastEvent})
+			runs = append(runs, &Run{Index: index, Replica: views[item.replica].Name, Replicas: views, Events: item.runEvents, Work: item.work(r.now), Idle: r.now - item.lastEvent, Swapped: item.swapped})
 		}
 	}
 	return runs
@@ -168,7 +169,7 @@
 		item := r.open[move.Run.Index]
 		replica := r.replicas[item.replica]
 		replica.running = slices.DeleteFunc(replica.running, func(other *replayedItem) bool { return other == item })
-		item.replica, item.moveReason = -1, move.Reason
+		item.replica, item.moveReason, item.swapped = -1, move.Reason, item.swapped || move.Reason == ReasonSwapped
 		r.waiting = append(r.waiting, item)
 		r.moves++
 	}
@@ -228,7 +229,7 @@
 			moves := MovesByCompletion(paces, runs)
 			for _, move := range moves {
 				moved[move.Reason]++
-				move.Run.Replica = ""
+				move.Run.Replica, move.Run.Swapped = "", move.Run.Swapped || move.Reason == ReasonSwapped
 			}
 			countLoads(views, runs)
 			for _, move := range moves {
--- a/internal/jobs/placement/run.go
+++ b/internal/jobs/placement/run.go
@@ -30,6 +30,11 @@
 	Idle time.Duration
 	// Loading is set while the replica loads a weight version.
 	Loading bool
+	// NotBegun is the number of runs of the item in a row that were moved before their first
+	// event.
+	NotBegun int
+	// Swapped is set once a run of the item gave up its slot to a longer one.
+	Swapped bool
 }
 
 // preference returns the preference for the replica that the run may move to.
