placement: bound the wait at the last listing that counts

At the last moment at which complete groups count, results were held for a text or score that was expected to end within 80 ms, for up to 2 s if it did not, and the complete groups no longer counted. They are now listed after 80 ms.

Tests: go test ./internal/jobs/placement -run ListingDue (failed before).

--- a/internal/jobs/placement/listing.go
+++ b/internal/jobs/placement/listing.go
@@ -25,7 +25,8 @@
 	soon                = 2 * time.Second
 	// lastListing is how long after the deadline complete groups are listed at the latest: groups
 	// count in full until 700 ms after it, and storing and reading results takes up to 200 ms.
-	// lastHold is the expected time until the trainer has its groups for which that listing waits.
+	// lastHold is the expected time until the trainer has its groups for which that listing waits,
+	// and the longest time for which it does: the end of a text or its score may take longer.
 	lastListing = 500 * time.Millisecond
 	lastHold    = 80 * time.Millisecond
 	// queuedDelay is the time added to the expected run time of an item that waits.
@@ -87,7 +88,7 @@
 	switch {
 	case completesIn == 0:
 		return groupComplete || waited >= listingInterval
-	case timeLeft <= -lastListing && timeLeft+waited > -lastListing && completesIn > lastHold:
+	case timeLeft <= -lastListing && timeLeft+waited > -lastListing && (completesIn > lastHold || timeLeft <= -lastListing-lastHold):
 		return true
 	case completesIn <= holdWindow:
 		return waited >= maxHold
--- a/internal/jobs/placement/listing_test.go
+++ b/internal/jobs/placement/listing_test.go
@@ -27,6 +27,8 @@
 		{"last moment", 400 * ms, -lastListing, 300 * ms, true},
 		{"last moment missed by one poll", 400 * ms, -lastListing - 20*ms, 300 * ms, true},
 		{"last moment, groups about to be complete", lastHold, -lastListing, 300 * ms, false},
+		{"last moment, groups about to be complete for too long", 1, -lastListing - lastHold, 300 * ms, true},
+		{"listed at the last moment after the wait", 1, -lastListing - lastHold - 20*ms, 20 * ms, false},
 		{"already listed at the last moment", 400 * ms, -lastListing - 20*ms, 20 * ms, false},
 		{"last moment, groups complete much later", 4 * time.Second, -lastListing, 300 * ms, true},
 	} {
