placement: a placed item counts with its whole text

Within a round of assignments, an item with a long text so far counted with its remaining events only, while the replica's memory holds the whole text and ExpectedEvents counts it once the item runs.

Tests: go test ./internal/jobs/placement, go test ./internal/jobs/batch -run PlacedItemCounts (failed before).

--- a/internal/jobs/batch/criticaljobs_test.go
+++ b/internal/jobs/batch/criticaljobs_test.go
@@ -118,3 +118,16 @@
 		t.Errorf("after an event: %d runs not begun, swapped %t", view.NotBegun, view.Swapped)
 	}
 }
+
+// Guards against an item that counts less while it is being placed than once it runs: the
+// replica would get further long texts in the same round.
+func TestPlacedItemCountsWholeText(t *testing.T) {
+	service, work := newUnevenPlacement()
+	work.expectedEvents, work.recordedEvents = 150, 140
+	pool := service.scheduler.newPool()
+	chosen := pool.pick(work)
+	chosen.Add(pool.workOf(work))
+	if chosen.ExpectedEvents != 150 {
+		t.Errorf("counts %d events, want 150", chosen.ExpectedEvents)
+	}
+}
--- a/internal/jobs/placement/completion.go
+++ b/internal/jobs/placement/completion.go
@@ -27,6 +27,9 @@
 
 // Work is the remaining work of an item.
 type Work struct {
+	// TextEvents is the number of events that the whole text is expected to have, at least
+	// those so far.
+	TextEvents int
 	// Remaining is the expected number of further events.
 	Remaining int
 	// MaxRemaining is the number of further events that the item may plausibly have.
@@ -41,7 +44,7 @@
 // generated the number of events so far, and longest the number that no text is expected to exceed,
 // 0 if unknown.
 func NewWork(expected, generated, longest int, timeLeft time.Duration) Work {
-	work := Work{Remaining: Remaining(expected, generated, longest), LongestText: longest, TimeLeft: timeLeft}
+	work := Work{TextEvents: max(expected, generated), Remaining: Remaining(expected, generated, longest), LongestText: longest, TimeLeft: timeLeft}
 	switch {
 	case generated < expected && longest > 0:
 		work.MaxRemaining = min(longest, plausibleLength*expected) - generated
--- a/internal/jobs/placement/completion_test.go
+++ b/internal/jobs/placement/completion_test.go
@@ -68,7 +68,7 @@
 			if picked == nil || picked.Load >= picked.Slots {
 				t.Fatalf("round %d: picked %v with %d of 360 slots used", round, picked, placed)
 			}
-			picked.Add(Work{Remaining: hint})
+			picked.Add(Work{TextEvents: hint, Remaining: hint})
 		}
 		if picked := PickByCompletion(paces, candidates, Work{}, Preference{}); picked != nil {
 			t.Fatalf("round %d: picked %s without a free slot", round, picked.Name)
--- a/internal/jobs/placement/replica.go
+++ b/internal/jobs/placement/replica.go
@@ -89,8 +89,9 @@
 // hasCapacity reports whether the replica may get another item.
 func (r *Replica) hasCapacity() bool { return r.Load < r.MaxLoad }
 
-// Add adds an item to the load of the replica.
+// Add adds an item to the load of the replica. The whole text counts, as in ExpectedEvents, since
+// the replica's memory holds all of it.
 func (r *Replica) Add(work Work) {
 	r.Load++
-	r.ExpectedEvents += work.Remaining
+	r.ExpectedEvents += work.TextEvents
 }
