batch: an item that failed at the free replicas doesn't hold back its job

An item of a job that depends on the speed of replicas which could not be placed marked all replicas as full for its job, even if it had only failed at those with free slots. Other jobs are placed as before. The competitors that share a replica are computed once per round, not for each item and replica.

Tests: go test ./internal/jobs/batch -run 'FailedItemDoes|Critical'.

--- a/internal/jobs/batch/criticaljobs_test.go
+++ b/internal/jobs/batch/criticaljobs_test.go
@@ -131,3 +131,28 @@
 		t.Errorf("counts %d events, want 150", chosen.ExpectedEvents)
 	}
 }
+
+// Guards against items that wait while a slot is free because another item of their job has
+// failed at the only replica with a free slot.
+func TestFailedItemDoesNotHoldBackOthers(t *testing.T) {
+	service, failed := newUnevenPlacement()
+	for number := range 3 {
+		service.replicas.GetOrCreate(replicaName(number)).Running = 6
+	}
+	failed.failedReplicas = []string{replicaName(3)}
+	other := &item{job: failed.job}
+	pool := service.scheduler.newPool()
+	if pool.pick(failed) != nil {
+		t.Fatal("the item was placed where it has failed")
+	}
+	if pool.isFullFor(failed) {
+		t.Error("the other items of the job are not tried")
+	}
+	if chosen := pool.pick(other); chosen == nil || chosen.Name != replicaName(3) {
+		t.Errorf("another item was placed at %v", chosen)
+	}
+	service.replicas.GetOrCreate(replicaName(3)).Running = 6
+	if pool := service.scheduler.newPool(); pool.pick(other) != nil || !pool.isFullFor(other) {
+		t.Error("further items are tried although all replicas are full")
+	}
+}
--- a/internal/jobs/batch/pool.go
+++ b/internal/jobs/batch/pool.go
@@ -60,6 +60,13 @@
 	return placement.Pick(p.replicasFor(waiting), preference)
 }
 
+// isFullFor reports whether no item of a job can be placed, given one that can't. An item that
+// has failed at the replicas with free slots doesn't show this. Only the items of jobs that
+// depend on the speed of replicas are tried in this case, since no slot stays free for these.
+func (p *pool) isFullFor(unplaced *item) bool {
+	return len(unplaced.failedReplicas) == 0 || !p.isCritical(unplaced.job)
+}
+
 // isCritical reports whether a job depends on the speed of the replicas that run its items.
 func (p *pool) isCritical(job *job) bool {
 	critical, known := p.critical[job]
--- a/internal/jobs/batch/scheduler.go
+++ b/internal/jobs/batch/scheduler.go
@@ -113,7 +113,7 @@
 		}
 		chosen := pool.pick(waiting)
 		if chosen == nil {
-			full[waiting.job] = true
+			full[waiting.job] = pool.isFullFor(waiting)
 			return false
 		}
 		if leaver.leaves(waiting, chosen) {
--- a/internal/jobs/batch/yield.go
+++ b/internal/jobs/batch/yield.go
@@ -16,11 +16,13 @@
 	// others are the jobs of other owners with items that wait, and competitors their views.
 	others      []statistics.OpenJob
 	competitors []placement.Competitor
+	// sharing caches sharingAt by replica.
+	sharing map[string][]placement.Competitor
 }
 
 // newSlotLeaver returns a slotLeaver for a pool.
 func (s *scheduler) newSlotLeaver(pool *pool) *slotLeaver {
-	leaver := &slotLeaver{pool: pool}
+	leaver := &slotLeaver{pool: pool, sharing: map[string][]placement.Competitor{}}
 	current := s.newOthers()
 	for _, other := range current.others {
 		if other.Waiting > 0 {
@@ -47,12 +49,7 @@
 	if left && l.pool.now.Sub(since) >= placement.MaxSlotLeave {
 		return false
 	}
-	var sharing []placement.Competitor
-	for i, other := range l.others {
-		if l.pool.runsModel(chosen.Name, other.Model) {
-			sharing = append(sharing, l.competitors[i])
-		}
-	}
+	sharing := l.sharingAt(chosen.Name)
 	if len(sharing) == 0 || !placement.LeavesSlot(waiting.view, sharing, l.sharedSlots(waiting)) {
 		return false
 	}
@@ -68,19 +65,28 @@
 func (l *slotLeaver) sharedSlots(waiting *item) int {
 	free := 0
 	for _, replica := range l.pool.replicasFor(waiting) {
-		if replica.FreeSlots() == 0 {
-			continue
-		}
-		for _, other := range l.others {
-			if l.pool.runsModel(replica.Name, other.Model) {
-				free += replica.FreeSlots()
-				break
-			}
+		if replica.FreeSlots() > 0 && len(l.sharingAt(replica.Name)) > 0 {
+			free += replica.FreeSlots()
 		}
 	}
 	return free
 }
 
+// sharingAt returns the competitors whose models a replica runs.
+func (l *slotLeaver) sharingAt(replica string) []placement.Competitor {
+	sharing, known := l.sharing[replica]
+	if known {
+		return sharing
+	}
+	for i, other := range l.others {
+		if l.pool.runsModel(replica, other.Model) {
+			sharing = append(sharing, l.competitors[i])
+		}
+	}
+	l.sharing[replica] = sharing
+	return sharing
+}
+
 // yieldRuns cancels runs of steps that cannot be in time if items of steps that can need
 // their slots. Each item yields once.
 func (s *scheduler) yieldRuns() {
