--- a/internal/jobs/batch/loadreports.go
+++ b/internal/jobs/batch/loadreports.go
@@ -7,15 +7,10 @@
 func (s *Service) Waiting() map[string]int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	counts := map[string]int{}
+	counts := s.openJobs.Waiting(time.Now())
 	for _, waiting := range s.scheduler.queue {
 		counts[waiting.job.submission.Model]++
 	}
-	for _, other := range s.openJobs.Current(time.Now()) {
-		if other.Waiting > 0 {
-			counts[other.Model] += int(other.Waiting)
-		}
-	}
 	return counts
 }
 
--- a/internal/jobs/statistics/openjobs.go
+++ b/internal/jobs/statistics/openjobs.go
@@ -44,10 +44,10 @@
 func (o *OpenJobs) Current(now time.Time) []OpenJob {
 	var current []OpenJob
 	for _, announced := range o.byNode {
-		age := now.Sub(announced.receivedAt)
-		if age >= openJobTimeout {
+		if !announced.isCurrent(now) {
 			continue
 		}
+		age := now.Sub(announced.receivedAt)
 		for _, work := range announced.works {
 			if work.LeftMs != 0 {
 				current = append(current, OpenJob{JobWork: work, TimeLeft: time.Duration(work.LeftMs)*time.Millisecond - age})
@@ -57,7 +57,29 @@
 	return current
 }
 
+// Waiting returns the number of items that wait for a replica, by model, of all jobs in the
+// heartbeats of the last openJobTimeout, with a deadline or without.
+func (o *OpenJobs) Waiting(now time.Time) map[string]int {
+	waiting := map[string]int{}
+	for _, announced := range o.byNode {
+		if !announced.isCurrent(now) {
+			continue
+		}
+		for _, work := range announced.works {
+			if work.Waiting > 0 {
+				waiting[work.Model] += int(work.Waiting)
+			}
+		}
+	}
+	return waiting
+}
+
+// isCurrent reports whether the jobs are still valid.
+func (a announcedJobs) isCurrent(now time.Time) bool {
+	return now.Sub(a.receivedAt) < openJobTimeout
+}
+
 // Evict removes the jobs that are no longer valid.
 func (o *OpenJobs) Evict(now time.Time) {
-	maps.DeleteFunc(o.byNode, func(_ string, announced announcedJobs) bool { return now.Sub(announced.receivedAt) >= openJobTimeout })
+	maps.DeleteFunc(o.byNode, func(_ string, announced announcedJobs) bool { return !announced.isCurrent(now) })
 }
--- a/internal/jobs/statistics/openjobs_test.go
+++ b/internal/jobs/statistics/openjobs_test.go
@@ -27,6 +27,21 @@
 	}
 }
 
+// Guards against loads that ignore the items of jobs without a deadline, which wait too.
+func TestWaitingItemsWithoutDeadline(t *testing.T) {
+	now, jobs := time.Now(), NewOpenJobs()
+	jobs.Learn("a", []wire.JobWork{{Model: "m", Waiting: 5}, {Model: "m", LeftMs: 1, Waiting: 2}, {Model: "n"}}, now)
+	if waiting := jobs.Waiting(now); len(waiting) != 1 || waiting["m"] != 7 {
+		t.Errorf("%v items wait, want 7 of m", waiting)
+	}
+	if waiting := jobs.Waiting(now.Add(openJobTimeout)); len(waiting) != 0 {
+		t.Errorf("%v items wait after the timeout", waiting)
+	}
+	if current := jobs.Current(now); len(current) != 1 {
+		t.Errorf("%d jobs with a deadline, want 1", len(current))
+	}
+}
+
 // The mean length of a model's items must count each item, not each job.
 func TestItemTokens(t *testing.T) {
 	demand := NewDemand()
