--- a/internal/duties/weightorders/queue.go
+++ b/internal/duties/weightorders/queue.go
@@ -47,10 +47,11 @@
 
 // loadQueue returns tasks in order of priority: required loads before optional ones, then
 // a model whose items wait for a replica, then the model with the smallest fraction of
-// up-to-date homes, then the fastest replica, then the replica furthest behind, then the
-// replica with the fewest running items. Homes that are loading count as up to date, so that
-// models take turns and those with more homes load more. Without speeds, no items wait and
-// all replicas are equally fast. The tasks of each model are sorted once.
+// up-to-date homes, then the replicas that were passed over for too long, then the fastest
+// replica, then the replica furthest behind, then the one with the fewest running items. Homes
+// that are loading count as up to date, so that models take turns and those with more homes
+// load more. Without speeds, no items wait and all replicas are equally fast. The tasks of each
+// model are sorted once.
 type loadQueue struct {
 	byModel map[string][]task
 	// loading is the number of running loads by model.
--- a/internal/duties/weightorders/task.go
+++ b/internal/duties/weightorders/task.go
@@ -99,8 +99,8 @@
 }
 
 // compareWithinModel compares tasks of one model, or of models with equal priority: required
-// loads first, then replicas that are overdue, then the fastest replica, then the one furthest behind, then the one with the
-// fewest running items.
+// loads first, then replicas that are overdue, then the fastest replica, then the one furthest
+// behind, then the one with the fewest running items.
 func compareWithinModel(a, b task) int {
 	return cmp.Or(
 		compareRequired(a, b),
--- a/internal/jobs/placement/completion_replay_test.go
+++ b/internal/jobs/placement/completion_replay_test.go
@@ -25,7 +25,8 @@
 	runEvents int
 	// moveReason is why the last run was canceled.
 	moveReason Reason
-	swapped    bool
+	// swapped is set once the item gave up its slot to a longer one.
+	swapped bool
 }
 
 func (i *replayedItem) work(now time.Duration) Work {
@@ -216,8 +217,9 @@
 }
 
 // Guards against long texts that stay late at slow replicas: the runs are placed as if speeds had
-// been unknown, and use all fast slots. After some scans, no run that would be late is left at a slow replica while a fast
-// one has a free slot, or runs an item that may go to a slower one with a free slot.
+// been unknown, and use all fast slots. After some scans, no run that would be late is left at a
+// slow replica while a fast one has a free slot, or runs an item that may go to a slower one with
+// a free slot.
 func TestMovesByCompletionConverge(t *testing.T) {
 	const scans = 8
 	random := rand.New(rand.NewPCG(23, 24))
--- a/internal/jobs/placement/order.go
+++ b/internal/jobs/placement/order.go
@@ -9,8 +9,9 @@
 const (
 	// maxPassedOver is how long an item of a competing job can be passed over by items of the
 	// same priority, or until its step is due if that is later. Where tenants have shares, it
-	// holds among the items of one tenant. Trainers have two steps of 4 s in flight: an item that waits for 8 s
-	// already holds up the step after the next, and each further 4 s cost its trainer a step.
+	// holds among the items of one tenant. Trainers have two steps of 4 s in flight: an item that
+	// waits for 8 s already holds up the step after the next, and each further 4 s cost its
+	// trainer a step.
 	maxPassedOver = 8 * time.Second
 	// riskSlack is the slack below which an item is at risk. It covers the wait for a slot,
 	// which is released every few milliseconds, and the error of the expected run time.
