--- a/internal/jobs/batch/criticaljobs_test.go
+++ b/internal/jobs/batch/criticaljobs_test.go
@@ -86,3 +86,73 @@
 		t.Errorf("complete in %s while the item is scored", got)
 	}
 }
+
+// Guards against an item that is moved at the last moment and returns to a slow replica, from
+// which it would move again.
+func TestItemMovedAsLateGetsFastReplica(t *testing.T) {
+	service, work := newUnevenPlacement()
+	work.expectedEvents = 5
+	if chosen := service.scheduler.newPool().pick(work); !isSlowReplica(chosen.Name) {
+		t.Fatalf("a short item was placed at %s", chosen.Name)
+	}
+	run := service.addRun(replicaName(0), 3, work)
+	service.scheduler.handleRunError(run, service.replicas.GetOrCreate(replicaName(0)), &RescheduledError{Cause: ErrMoved, Reason: placement.ReasonLate})
+	if chosen := service.scheduler.newPool().pick(work); isSlowReplica(chosen.Name) {
+		t.Errorf("the late item was placed at %s", chosen.Name)
+	}
+}
+
+// Guards against an item that is moved without end: what bounds its moves has to be known to the
+// next scan, and the first event of a run ends the series of those that did not begin.
+func TestScanKnowsEarlierMoves(t *testing.T) {
+	service, work := newUnevenPlacement()
+	run := service.addRun(replicaName(0), 0, work)
+	for _, reason := range []placement.Reason{placement.ReasonNotBegun, placement.ReasonNotBegun, placement.ReasonSwapped} {
+		service.scheduler.handleRunError(run, service.replicas.GetOrCreate(replicaName(0)), &RescheduledError{Cause: ErrMoved, Reason: reason})
+	}
+	if view := service.scheduler.newPool().runOf(0, run); view.NotBegun != 2 || !view.Swapped {
+		t.Errorf("%d runs not begun, swapped %t", view.NotBegun, view.Swapped)
+	}
+	service.scheduler.receiveEvent(run, "event", 3)
+	if view := service.scheduler.newPool().runOf(0, run); view.NotBegun != 0 || !view.Swapped {
+		t.Errorf("after an event: %d runs not begun, swapped %t", view.NotBegun, view.Swapped)
+	}
+}
+
+// Guards against an item that counts less while it is being placed than once it runs: the
+// replica would get further long texts in the same round.
+func TestPlacedItemCountsWholeText(t *testing.T) {
+	service, work := newUnevenPlacement()
+	work.expectedEvents, work.recordedEvents = 150, 140
+	pool := service.scheduler.newPool()
+	chosen := pool.pick(work)
+	chosen.Add(pool.workOf(work))
+	if chosen.ExpectedEvents != 150 {
+		t.Errorf("counts %d events, want 150", chosen.ExpectedEvents)
+	}
+}
+
+// Guards against items that wait while a slot is free because another item of their job has
+// failed at the only replica with a free slot.
+func TestFailedItemDoesNotHoldBackOthers(t *testing.T) {
+	service, failed := newUnevenPlacement()
+	for number := range 3 {
+		service.replicas.GetOrCreate(replicaName(number)).Running = 6
+	}
+	failed.failedReplicas = []string{replicaName(3)}
+	other := &item{job: failed.job}
+	pool := service.scheduler.newPool()
+	if pool.pick(failed) != nil {
+		t.Fatal("the item was placed where it has failed")
+	}
+	if pool.isFullFor(failed) {
+		t.Error("the other items of the job are not tried")
+	}
+	if chosen := pool.pick(other); chosen == nil || chosen.Name != replicaName(3) {
+		t.Errorf("another item was placed at %v", chosen)
+	}
+	service.replicas.GetOrCreate(replicaName(3)).Running = 6
+	if pool := service.scheduler.newPool(); pool.pick(other) != nil || !pool.isFullFor(other) {
+		t.Error("further items are tried although all replicas are full")
+	}
+}
--- a/internal/jobs/batch/pool.go
+++ b/internal/jobs/batch/pool.go
@@ -53,13 +53,20 @@
 
 // pick returns the replica for an item, nil if none has a free slot.
 func (p *pool) pick(waiting *item) *placement.Replica {
-	preference := placement.Preference{FailedReplicas: waiting.failedReplicas, Urgent: waiting.urgent}
+	preference := placement.Preference{FailedReplicas: waiting.failedReplicas, Urgent: waiting.urgent, Fastest: waiting.moveReason == placement.ReasonLate}
 	if p.isCritical(waiting.job) {
 		return placement.PickByCompletion(p.paces, p.replicasFor(waiting), p.workOf(waiting), preference)
 	}
 	return placement.Pick(p.replicasFor(waiting), preference)
 }
 
+// isFullFor reports whether no item of a job can be placed, given one that can't. An item that
+// has failed at the replicas with free slots doesn't show this. Only the items of jobs that
+// depend on the speed of replicas are tried in this case, since no slot stays free for these.
+func (p *pool) isFullFor(unplaced *item) bool {
+	return len(unplaced.failedReplicas) == 0 || !p.isCritical(unplaced.job)
+}
+
 // isCritical reports whether a job depends on the speed of the replicas that run its items.
 func (p *pool) isCritical(job *job) bool {
 	critical, known := p.critical[job]
--- a/internal/jobs/placement/completion_replay_test.go
+++ b/internal/jobs/placement/completion_replay_test.go
@@ -23,6 +23,10 @@
 	lastEvent time.Duration
 	// runEvents is the number of events of the current run.
 	runEvents int
+	// moveReason is why the last run was canceled.
+	moveReason Reason
+	// swapped is set once the item gave up its slot to a longer one.
+	swapped bool
 }
 
 func (i *replayedItem) work(now time.Duration) Work {
@@ -86,7 +90,7 @@
 	r.open = slices.DeleteFunc(r.open, func(item *replayedItem) bool { return item.generated >= item.length })
 	paces, views := r.views()
 	r.waiting = slices.DeleteFunc(r.waiting, func(item *replayedItem) bool {
-		picked := PickByCompletion(paces, views, item.work(r.now), Preference{})
+		picked := PickByCompletion(paces, views, item.work(r.now), Preference{Fastest: item.moveReason == ReasonLate})
 		if picked == nil {
 			return false
 		}
@@ -154,7 +158,7 @@
 	var runs []*Run
 	for index, item := range r.open {
 		if item.replica >= 0 {
-			runs = append(runs, &Run{Index: index, Replica: views[item.replica].Name, Replicas: views, Events: item.runEvents, Work: item.work(r.now), Idle: r.now - item.lastEvent})
+			runs = append(runs, &Run{Index: index, Replica: views[item.replica].Name, Replicas: views, Events: item.runEvents, Work: item.work(r.now), Idle: r.now - item.lastEvent, Swapped: item.swapped})
 		}
 	}
 	return runs
@@ -166,7 +170,7 @@
 		item := r.open[move.Run.Index]
 		replica := r.replicas[item.replica]
 		replica.running = slices.DeleteFunc(replica.running, func(other *replayedItem) bool { return other == item })
-		item.replica = -1
+		item.replica, item.moveReason, item.swapped = -1, move.Reason, item.swapped || move.Reason == ReasonSwapped
 		r.waiting = append(r.waiting, item)
 		r.moves++
 	}
@@ -213,8 +217,9 @@
 }
 
 // Guards against long texts that stay late at slow replicas: the runs are placed as if speeds had
-// been unknown, and use all fast slots. After some scans, no run that would be late is left at a slow replica while a fast
-// one has a free slot, or runs an item that may go to a slower one with a free slot.
+// been unknown, and use all fast slots. After some scans, no run that would be late is left at a
+// slow replica while a fast one has a free slot, or runs an item that may go to a slower one with
+// a free slot.
 func TestMovesByCompletionConverge(t *testing.T) {
 	const scans = 8
 	random := rand.New(rand.NewPCG(23, 24))
@@ -226,11 +231,11 @@
 			moves := MovesByCompletion(paces, runs)
 			for _, move := range moves {
 				moved[move.Reason]++
-				move.Run.Replica = ""
+				move.Run.Replica, move.Run.Swapped = "", move.Run.Swapped || move.Reason == ReasonSwapped
 			}
 			countLoads(views, runs)
 			for _, move := range moves {
-				target := PickByCompletion(paces, views, move.Run.Work, Preference{})
+				target := PickByCompletion(paces, views, move.Run.Work, Preference{Fastest: move.Reason == ReasonLate})
 				move.Run.Replica = target.Name
 				target.Add(move.Run.Work)
 			}
