batch: test set-ups with usual intervals

Change: the set-ups announce usual intervals. TestUsualIntervalsOfAllNodes checks what this node measured and what was announced together, since one no longer replaces the other; the other assertions are unchanged.

--- a/internal/jobs/batch/competition_test.go
+++ b/internal/jobs/batch/competition_test.go
@@ -14,6 +14,7 @@
 // nearly the whole objective of 7.5 s.
 func newCompeting() *Service {
 	service, waiting := newPacedPlacement(45, 45, 83)
+	service.announceUsual(45, 45, 83)
 	rate := service.eventRates.Of(waiting.job.submission.Model)
 	for range 20 {
 		rate.Observe(20, 20)
@@ -22,6 +23,15 @@
 	return service
 }
 
+// announceUsual receives usual intervals of the replicas, in milliseconds, from another node.
+func (s *Service) announceUsual(intervals ...uint32) {
+	heartbeat := &wire.NodeBeat{Node: "usual"}
+	for number, interval := range intervals {
+		heartbeat.Uses = append(heartbeat.Uses, wire.ReplicaUse{Replica: replicaName(number), UsualIntervalUs: 1000 * interval})
+	}
+	s.replicas.LearnSlotUse(heartbeat, time.Now())
+}
+
 // addJob adds a job with items of a number of expected tokens to the queue.
 func (s *Service) addJob(id string, step int, left time.Duration, tokens ...float64) *job {
 	now := time.Now()
@@ -66,6 +76,7 @@
 	} {
 		service := newCompeting()
 		if !test.critical {
+			service.announceUsual(20, 20, 20)
 			for number := range 3 {
 				service.replicas.GetOrCreate(replicaName(number)).Pace = placement.NewPace(20 * time.Millisecond)
 			}
--- a/internal/jobs/batch/loadreports_test.go
+++ b/internal/jobs/batch/loadreports_test.go
@@ -18,15 +18,20 @@
 	}
 }
 
-// The coordinator must know the speeds that this node measures, or those announced to it.
+// The coordinator must know the speeds that this node measures, and those announced to it. Guards
+// against recent intervals among them, which include disturbances.
 func TestUsualIntervalsOfAllNodes(t *testing.T) {
 	service, _ := newPacedPlacement(35, 83)
-	service.replicas.GetOrCreate(replicaName(0)).Running = 1
+	state, now := service.replicas.GetOrCreate(replicaName(0)), time.Now()
+	state.Running = 1
+	for range 40 {
+		state.Observe(35*time.Millisecond, now)
+	}
 	if intervals := service.UsualIntervals(); len(intervals) != 1 || intervals[replicaName(0)] != 35*time.Millisecond {
 		t.Errorf("intervals %v, want 35 ms at the replica that runs items", intervals)
 	}
 	service.ReceiveHeartbeat(&wire.NodeBeat{Node: "other", Uses: []wire.ReplicaUse{{Replica: "far", Running: 1, UsualIntervalUs: 49000}}})
-	if intervals := service.UsualIntervals(); len(intervals) != 1 || intervals["far"] != 49*time.Millisecond {
-		t.Errorf("intervals %v, want the announced 49 ms", intervals)
+	if intervals := service.UsualIntervals(); len(intervals) != 2 || intervals[replicaName(0)] != 35*time.Millisecond || intervals["far"] != 49*time.Millisecond {
+		t.Errorf("intervals %v, want 35 ms and the announced 49 ms", intervals)
 	}
 }
