Rules for uneven replicas apply only where long texts are late at slow ones

Change: the longest text has to miss the objective at a quarter of the replicas that are not disturbed. Homes and loads of weights go by speed only while an open job depends on it, which owners say in heartbeats (JobWork.critical).

--- a/internal/jobs/batch/loadreports_test.go
+++ b/internal/jobs/batch/loadreports_test.go
@@ -19,7 +19,8 @@
 }
 
 // The coordinator must know the speeds that this node measures, and those announced to it. Guards
-// against recent intervals among them, which include disturbances.
+// against recent intervals among them, which include disturbances, and against homes by speed in
+// deployments whose jobs have time to spare.
 func TestUsualIntervalsOfAllNodes(t *testing.T) {
 	service, _ := newPacedPlacement(35, 83)
 	state, now := service.replicas.GetOrCreate(replicaName(0)), time.Now()
@@ -27,6 +28,10 @@
 	for range 40 {
 		state.Observe(35*time.Millisecond, now)
 	}
+	if intervals := service.UsualIntervals(); len(intervals) != 0 {
+		t.Errorf("intervals %v although no job depends on the speed of replicas", intervals)
+	}
+	service.ReceiveHeartbeat(&wire.NodeBeat{Node: "owner", Work: []wire.JobWork{{Job: "j", Model: "m", LeftMs: 7000, Critical: true}}})
 	if intervals := service.UsualIntervals(); len(intervals) != 1 || intervals[replicaName(0)] != 35*time.Millisecond {
 		t.Errorf("intervals %v, want 35 ms at the replica that runs items", intervals)
 	}
--- a/internal/jobs/batch/work.go
+++ b/internal/jobs/batch/work.go
@@ -43,6 +43,7 @@
 		// 0 means that there is no deadline.
 		work.LeftMs = -1
 	}
+	work.Critical = s.scheduler.isCritical(held, s.replicas.Paces())
 	lag := s.scheduler.lagOf(held, now)
 	work.LagMs = uint32(lag.Milliseconds())
 	s.metrics.trainerLag.WithLabelValues(held.submission.Model).Set(lag.Seconds())
--- a/internal/jobs/placement/critical.go
+++ b/internal/jobs/placement/critical.go
@@ -5,27 +5,21 @@
 	"time"
 )
 
-const (
-	// criticalFraction is the fraction of a completion objective above which the run time of the
-	// longest text is critical. The other tenth of the objective is spent on accepting the job,
-	// reading prompts and listing results.
-	criticalFraction = 0.9
-	// criticalReplicasDivisor sets the fraction, 1/criticalReplicasDivisor, of the known replicas
-	// at which the longest text has to be critical. Texts can avoid a smaller fraction of slow
-	// replicas.
-	criticalReplicasDivisor = 4
-)
+// criticalReplicasDivisor sets the fraction, 1/criticalReplicasDivisor, of the known replicas at
+// which the longest text has to miss the objective. Texts can avoid a smaller fraction of slow
+// replicas.
+const criticalReplicasDivisor = 4
 
 // CompletionCritical reports whether the choice of replicas and the order of items decide if a
-// job meets its completion objective: the longest text takes more than criticalFraction of the
-// objective at 1/criticalReplicasDivisor of the replicas with a known usual interval or more. It
+// job meets its completion objective: the longest text takes longer than the objective at
+// 1/criticalReplicasDivisor of the replicas with a known usual interval or more. It
 // is false if those replicas are as fast as the others, so that there is no choice, if fewer than
 // minKnownPaces intervals are known, or if the longest text or the objective is unknown (0).
 func (p Paces) CompletionCritical(longestEvents int, objective time.Duration) bool {
 	if p.slowQuarter == 0 || objective <= 0 || float64(p.slowQuarter) < speedClassRatio*float64(p.fastQuarter) {
 		return false
 	}
-	return float64(longestEvents)*float64(p.slowQuarter) > criticalFraction*float64(objective)
+	return time.Duration(longestEvents)*p.slowQuarter > objective
 }
 
 // longTextQuantile is the quantile of a job's expected lengths that stands for its longest text
--- a/internal/jobs/placement/paces.go
+++ b/internal/jobs/placement/paces.go
@@ -38,7 +38,7 @@
 // NewPaces returns the paces for the known intervals by replica.
 func NewPaces(intervals map[string]time.Duration) Paces {
 	paces := Paces{intervals: intervals}
-	sorted := sortedIntervals(intervals)
+	sorted := sortedIntervals(intervals, nil)
 	if len(sorted) < minKnownPaces {
 		return paces
 	}
@@ -51,7 +51,8 @@
 // slower than that at the moment.
 func (p Paces) WithUsual(usual map[string]time.Duration, disturbed map[string]bool) Paces {
 	p.usual, p.disturbed = usual, disturbed
-	sorted := sortedIntervals(usual)
+	// Disturbed replicas say nothing about the speeds among which items will be placed.
+	sorted := sortedIntervals(usual, disturbed)
 	if len(sorted) < minKnownPaces {
 		return p
 	}
@@ -61,11 +62,11 @@
 	return p
 }
 
-// sortedIntervals returns the known intervals, shortest first.
-func sortedIntervals(intervals map[string]time.Duration) []time.Duration {
+// sortedIntervals returns the known intervals except those of some replicas, shortest first.
+func sortedIntervals(intervals map[string]time.Duration, except map[string]bool) []time.Duration {
 	sorted := make([]time.Duration, 0, len(intervals))
-	for _, interval := range intervals {
-		if interval > 0 {
+	for replica, interval := range intervals {
+		if interval > 0 && !except[replica] {
 			sorted = append(sorted, interval)
 		}
 	}
--- a/internal/wire/heartbeat.go
+++ b/internal/wire/heartbeat.go
@@ -106,6 +106,9 @@
 	LagMs uint32
 	// Waiting is the number of items that wait for a replica.
 	Waiting uint32
+	// Critical is set if it depends on the speed of the replicas that run the items whether the
+	// job is in time.
+	Critical bool
 }
 
 // ItemLength is the number of events in the text of a batch job's item: exact if Whole is
--- a/internal/wire/schema/peer.capnp
+++ b/internal/wire/schema/peer.capnp
@@ -320,6 +320,7 @@
   leftMs @10 :Int64;        # time until the job is due, negative once it is late; 0 if it is never due
   lagMs @11 :UInt32;        # how far the job's trainer is behind its period
   waiting @12 :UInt32;      # items that wait for a replica
+  critical @13 :Bool;       # whether the job is in time depends on which replicas run its items
 }
 
 # Asks one of the nodes that are told of a batch job who runs it.
