--- a/internal/jobs/placement/completion.go
+++ b/internal/jobs/placement/completion.go
@@ -8,8 +8,7 @@
 
 const (
 	// speedClassRatio is the ratio between the intervals of successive speed classes. Smaller
-	// differences are within the error of an average over usualPeriod; the slow replicas of the
-	// deployments are 1.26 or more times as slow as the fast ones.
+	// differences are within the error of an average over usualPeriod.
 	speedClassRatio = 1.2
 	// runTimeMargin is the factor by which the run time of an item is overestimated before it
 	// is placed at a slower replica. Length hints are off by 1.6 one time in three.
