batch: report items that wait for a replica, and why

Cause: nothing was logged about an item that waits, and "run ended early" is written both for a run that broke at a replica and for an attempt that was never sent. A record without error texts can't tell a quarantined item from one for which placement finds no replica.

Change: each queued item keeps why it did not run and since when no replica has run it. "run ended early" gains the field mayHaveRun. No decision reads any of these.

--- a/internal/jobs/batch/itemrun.go
+++ b/internal/jobs/batch/itemrun.go
@@ -216,11 +216,15 @@
 		return
 	}
 	s.handleRunError(running, state, err)
-	s.config.Logger.Info("run ended early", append(running.logFields(), "error", err.Error())...)
+	mayHaveRun := dispatch.MayHaveRun(err)
+	s.config.Logger.Info("run ended early", append(running.logFields(), "mayHaveRun", mayHaveRun, "error", err.Error())...)
 	if work.done {
 		return
 	}
 	work.queuedAt = time.Now()
+	if mayHaveRun {
+		work.waitingSince = work.queuedAt
+	}
 	s.queue = append(s.queue, work)
 	s.sortQueue()
 }
--- a/internal/jobs/batch/job.go
+++ b/internal/jobs/batch/job.go
@@ -62,6 +62,8 @@
 	yieldLogged      bool
 	passedOverLogged bool
 	slotLeftLogged   bool
+	// longWaitLoggedAt is when long waits of its items were last logged.
+	longWaitLoggedAt time.Time
 	// unconfirmedAt is when the ownership was last marked as unconfirmed. Only a read of
 	// the record that began later can confirm it.
 	unconfirmedAt time.Time
@@ -101,6 +103,10 @@
 	// sorted.
 	queuedAt time.Time
 	view     placement.Item
+	// waitingSince is when the item was first queued or its last run at a replica ended, and
+	// waitReason why it does not run.
+	waitingSince time.Time
+	waitReason   waitReason
 	// passedOver is set once the item has been counted as passed over for too long, and
 	// yielded once a run of it gave up its slot.
 	passedOver bool
--- a/internal/jobs/batch/metrics.go
+++ b/internal/jobs/batch/metrics.go
@@ -14,6 +14,7 @@
 	passedOver     prometheus.Counter
 	yielded        prometheus.Counter
 	slotsLeft      prometheus.Counter
+	waiting        *prometheus.GaugeVec
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -28,8 +29,9 @@
 		passedOver:     prometheus.NewCounter(prometheus.CounterOpts{Name: "pathtally_items_passed_over_total", Help: "Items that waited so long that they preceded all others of their priority."}),
 		yielded:        prometheus.NewCounter(prometheus.CounterOpts{Name: "pathtally_jobs_yielded_total", Help: "Batch jobs that yielded to others because they could not be in time."}),
 		slotsLeft:      prometheus.NewCounter(prometheus.CounterOpts{Name: "pathtally_slots_left_total", Help: "Replicas whose free slots were left to other nodes for a time."}),
+		waiting:        prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "pathtally_items_waiting", Help: "Items of this node's batch jobs that wait for a replica, by why."}, []string{"reason"}),
 	}
 	registry.MustRegister(metrics.runs, metrics.moved, metrics.late, metrics.takeovers, metrics.withoutReplica, metrics.results,
-		metrics.trainerLag, metrics.passedOver, metrics.yielded, metrics.slotsLeft)
+		metrics.trainerLag, metrics.passedOver, metrics.yielded, metrics.slotsLeft, metrics.waiting)
 	return metrics
 }
--- a/internal/jobs/batch/runerror.go
+++ b/internal/jobs/batch/runerror.go
@@ -47,28 +47,37 @@
 	work.moveReason = ""
 	switch {
 	case errors.As(err, &quarantined):
+		work.waitReason = waitQuarantined
 		work.retryAt = time.Now().Add(quarantineRetryDelay)
 	case errors.As(err, &quarantineUnknown):
+		work.waitReason = waitRecord
 		work.retryAt = time.Now().Add(quarantineUnknown.RetryAfter)
 	case errors.As(err, &withheld):
 		// The item was not sent: another replica may take it, or this one later.
+		work.waitReason = waitWithheld
 		work.retryAt = time.Now().Add(brokenRunDelay)
 	case errors.As(err, &notRun) && notRun.AddressReassigned:
+		work.waitReason = waitRefused
 		state.BlockedUntil = time.Now().Add(wrongIncarnationBlock)
 	case errors.As(err, &notRun):
+		work.waitReason = waitRefused
 		state.Block(refusedBlock)
 	case errors.As(err, &rescheduled):
+		work.waitReason = waitInterrupted
 		work.recordMove(rescheduled.Reason)
 		s.metrics.moved.WithLabelValues(string(rescheduled.Reason)).Inc()
 		if rescheduled.Reason == placement.ReasonStalled {
 			work.stalls++
 		}
 	case errors.Is(err, ErrOldWeights):
+		work.waitReason = waitWrongWeights
 	case errors.As(err, &status) && status.Status == rejectedStatus:
 		s.abandon(work, "rejected by a replica")
 	case errors.As(err, &status) && status.Status == http.StatusInternalServerError:
+		work.waitReason = waitFailed
 		s.recordFailure(running, state)
 	default:
+		work.waitReason = waitBroken
 		if running.events.Load() == 0 {
 			// The replica may be down: no further items are tried there for a while.
 			state.Unresponsive = true
--- a/internal/jobs/batch/scheduler.go
+++ b/internal/jobs/batch/scheduler.go
@@ -85,6 +85,7 @@
 		if scans.isDue(time.Now()) {
 			s.scanRuns()
 			s.yieldRuns()
+			s.reportWaits(time.Now())
 		}
 	}
 }
@@ -100,12 +101,16 @@
 	s.updateOrder()
 	pool := s.newPool()
 	leaver := s.newSlotLeaver(pool)
-	full := map[*job]bool{}
+	full := map[*job]waitReason{}
 	s.queue = slices.DeleteFunc(s.queue, func(waiting *item) bool {
 		if waiting.done || waiting.job.ended || waiting.job.superseded {
 			return true
 		}
-		if full[waiting.job] || time.Now().Before(waiting.retryAt) {
+		if time.Now().Before(waiting.retryAt) {
+			return false
+		}
+		if reason, isFull := full[waiting.job]; isFull {
+			waiting.waitReason = reason
 			return false
 		}
 		if s.expire(waiting) {
@@ -113,10 +118,14 @@
 		}
 		chosen := pool.pick(waiting)
 		if chosen == nil {
-			full[waiting.job] = pool.isFullFor(waiting)
+			waiting.waitReason = pool.waitReasonFor(waiting)
+			if pool.isFullFor(waiting) {
+				full[waiting.job] = waiting.waitReason
+			}
 			return false
 		}
 		if leaver.leaves(waiting, chosen) {
+			waiting.waitReason = waitSlotLeft
 			return false
 		}
 		chosen.Add(pool.workOf(waiting))
--- a/internal/jobs/batch/start.go
+++ b/internal/jobs/batch/start.go
@@ -33,7 +33,7 @@
 	restored := started.restore(joinPieces(listed.Pieces))
 	for _, itemID := range started.order {
 		if pending := started.items[itemID]; !pending.done {
-			pending.queuedAt = started.startedAt
+			pending.queuedAt, pending.waitingSince, pending.waitReason = started.startedAt, started.startedAt, waitNew
 			s.scheduler.queue = append(s.scheduler.queue, pending)
 		}
 	}
