test: items and scorer calls whose replicas crashed are not sent again

The fault that the users reported, with the built programs: six engines, of which three crash while an item runs there. The item crashes none of them when it is sent again, and the other three are idle. On this commit it is at no replica for the 5 s that the users' rule allows: in its job, after a takeover of the job, and in the next job that contains it; so is the call of an item's scorer.

--- a/test/platform_deployment_test.go
+++ b/test/platform_deployment_test.go
@@ -69,6 +69,8 @@
 	allowedRegions map[string][]string
 	// crashOn makes replicas crash on requests whose body contains it.
 	crashOn string
+	// appServiceTime is the time that apps take for a request; 0 for 1 ms.
+	appServiceTime time.Duration
 }
 
 // deployPlatform starts stand-ins and nodes and waits until every node is ready.
@@ -119,7 +121,7 @@
 		}, "engines", number))
 	}
 	for number := range spec.apps {
-		d.apps = append(d.apps, start(replica.Config{ID: fmt.Sprintf("app-%d", number), Slots: 16, ServiceTime: time.Millisecond, CrashOn: spec.crashOn, CrashAfter: crashAfter}, "apps", number))
+		d.apps = append(d.apps, start(replica.Config{ID: fmt.Sprintf("app-%d", number), Slots: 16, ServiceTime: max(spec.appServiceTime, time.Millisecond), CrashOn: spec.crashOn, CrashAfter: crashAfter}, "apps", number))
 	}
 }
 
