quarantine: accepted work is delayed after crashes, never refused

Callers saw: steps ran out of time while an item was at no replica, although replicas had free slots; the trainer submitted the item again and the next steps ran out of time too.

Cause: an item that was at three replicas when they crashed counted as a request that crashes replicas, and no node sent it to one for ten minutes. A crash breaks every run at its replica, so it doesn't show which one caused it, and only a success ends a quarantine, which a quarantined item can't have. Class: being present at a failure is taken for causing it, and the verdict keeps out the only evidence that could clear it.

Change: items of batch jobs and calls of their scorers are marked as deferred. They are not quarantined, neither by this build nor by the stored record. From the third crash under one on, its next attempt waits for 250 ms, doubled with each crash up to 2 s, until it succeeds. The delay keeps one that does crash its replicas from crashing more than one in 2 s. Live requests are quarantined as before. Crashes under items are no longer reported or stored.

--- a/internal/callers/dispatch/call.go
+++ b/internal/callers/dispatch/call.go
@@ -30,6 +30,10 @@
 	AtMostOnce bool
 	// Resumable is set if another attempt can continue after the events of this one.
 	Resumable bool
+	// Deferred is set for work that the deployment has accepted and must complete: items of
+	// batch jobs and calls of their scorers. Crashes of replicas delay it, but it is never
+	// quarantined.
+	Deferred bool
 	// Tenant is the caller's tenant, empty if no tenants are declared.
 	Tenant string
 	// Metered is set if the request counts toward its tenant's usage. Items of batch jobs
--- a/internal/callers/dispatch/dispatcher.go
+++ b/internal/callers/dispatch/dispatcher.go
@@ -32,7 +32,7 @@
 func (d *Dispatcher) SetLogger(logger klog.Logger) { d.logger = logger }
 
 // Send makes one attempt and returns the response, whose body has not been read yet. The
-// caller must Close or Discard it. The error is a *QuarantinedError, a
+// caller must Close or Discard it. The error is a *QuarantinedError, a *CrashBackoffError, a
 // *QuarantineUnknownError, a *WithheldError, a *NotRunError, an *exchange.NotSentError or an
 // *exchange.BrokenError; MayHaveRun reports whether the replica may have run the request.
 func (d *Dispatcher) Send(ctx context.Context, endpoint *routing.Endpoint, call *Call) (*Response, error) {
--- a/internal/callers/dispatch/errors.go
+++ b/internal/callers/dispatch/errors.go
@@ -75,6 +75,21 @@
 	return fmt.Sprintf("request %s quarantined for another %v: it crashed replicas", e.Fingerprint, e.Remaining.Round(time.Second))
 }
 
+// CrashBackoffError reports that this node did not send a deferred call, because several replicas
+// have crashed under it lately. It must not be sent to another replica either until Remaining has
+// passed.
+type CrashBackoffError struct {
+	// Fingerprint identifies the call independently of its id.
+	Fingerprint string
+	// Crashes is the number of crashes since the call last succeeded, as far as this node counts.
+	Crashes   int
+	Remaining time.Duration
+}
+
+func (e *CrashBackoffError) Error() string {
+	return fmt.Sprintf("request %s delayed by %d ms: %d replicas crashed under it", e.Fingerprint, e.Remaining.Milliseconds(), e.Crashes)
+}
+
 // QuarantineUnknownError reports that this node did not send a request, because it has not read
 // the quarantine record yet.
 type QuarantineUnknownError struct {
@@ -94,5 +109,6 @@
 	var withheld *WithheldError
 	var quarantined *QuarantinedError
 	var quarantineUnknown *QuarantineUnknownError
-	return !errors.As(err, &notRun) && !errors.As(err, &notSent) && !errors.As(err, &withheld) && !errors.As(err, &quarantined) && !errors.As(err, &quarantineUnknown)
+	var backoff *CrashBackoffError
+	return !errors.As(err, &backoff) && !errors.As(err, &notRun) && !errors.As(err, &notSent) && !errors.As(err, &withheld) && !errors.As(err, &quarantined) && !errors.As(err, &quarantineUnknown)
 }
--- a/internal/callers/forward/errors.go
+++ b/internal/callers/forward/errors.go
@@ -44,6 +44,8 @@
 	// ReasonQuarantined refuses a request that has crashed several replicas, whatever id
 	// it is sent with.
 	ReasonQuarantined = "replicas end under this request"
+	// ReasonCrashBackoff refuses a scorer's call under which replicas crashed lately.
+	ReasonCrashBackoff = "replicas crashed under this call"
 	// ReasonQuarantineUnknown refuses a request because the node has not read the
 	// quarantine record yet.
 	ReasonQuarantineUnknown = "the requests in quarantine are not known yet"
--- a/internal/callers/forward/refusal.go
+++ b/internal/callers/forward/refusal.go
@@ -26,14 +26,18 @@
 }
 
 // newRefusal returns the error for a request that has not run. The reason is
-// ReasonQuarantined or ReasonQuarantineUnknown if the cause, the last error, is a refusal by
-// the guard; otherwise the one that follows from filterErr, the error of a pick that failed
+// ReasonQuarantined, ReasonCrashBackoff or ReasonQuarantineUnknown if the cause, the last error,
+// is a refusal by the guard; otherwise the one that follows from filterErr, the error of a pick that failed
 // although no replica was skipped as already tried (may be nil); otherwise the general reason.
 func newRefusal(general string, cause, filterErr error) *RefusedError {
 	var quarantined *dispatch.QuarantinedError
 	if errors.As(cause, &quarantined) {
 		return &RefusedError{Reason: ReasonQuarantined, RetryAfter: quarantined.Remaining, Cause: cause}
 	}
+	var backoff *dispatch.CrashBackoffError
+	if errors.As(cause, &backoff) {
+		return &RefusedError{Reason: ReasonCrashBackoff, RetryAfter: backoff.Remaining, Cause: cause}
+	}
 	var quarantineUnknown *dispatch.QuarantineUnknownError
 	if errors.As(cause, &quarantineUnknown) {
 		return &RefusedError{Reason: ReasonQuarantineUnknown, RetryAfter: quarantineUnknown.RetryAfter, Cause: cause}
@@ -65,8 +69,9 @@
 // replica may get it either.
 func isQuarantined(err error) bool {
 	var quarantined *dispatch.QuarantinedError
+	var backoff *dispatch.CrashBackoffError
 	var quarantineUnknown *dispatch.QuarantineUnknownError
-	return errors.As(err, &quarantined) || errors.As(err, &quarantineUnknown)
+	return errors.As(err, &quarantined) || errors.As(err, &backoff) || errors.As(err, &quarantineUnknown)
 }
 
 // filterReason returns the reason of the filter that excluded the last replicas, or "" if
--- a/internal/callers/quarantine/crash_check.go
+++ b/internal/callers/quarantine/crash_check.go
@@ -23,18 +23,24 @@
 
 // checkCrash checks whether the replica of a broken run has crashed and counts the crash against
 // the request. It starts the quarantine if the request has reached crashesToQuarantine. It
-// returns the reaction to the broken run; the caller handles reportToAggregators.
+// returns the reaction to the broken run; the caller handles reportToAggregators. There is none
+// to a broken run of a deferred call, whose crashes concern this node alone.
 func (s *Service) checkCrash(request Fingerprint, attempt dispatch.Attempt) reaction {
 	liveness := s.crashDetector.check(s.ctx, attempt.Endpoint)
 	s.metrics.broken.WithLabelValues(string(liveness)).Inc()
 	counts := countsAsCrash(&attempt, liveness)
-	crashCount := 0
-	if counts {
-		now := s.config.Clock()
+	crashCount, now := 0, s.config.Clock()
+	switch {
+	case counts && attempt.Call.Deferred:
+		crashCount = s.addDeferredCrash(request, attempt.Endpoint.Name, now)
+	case counts:
 		crashCount = s.addCrashes(request, []crash{{replica: attempt.Endpoint.Name, at: now}}, now)
 	}
 	s.config.Logger.Info("run broken", "request", attempt.Call.ID, "fingerprint", request.String(), "replica", attempt.Endpoint.Name, "replicaIs", liveness,
 		"counts", counts, "ends", crashCount, "tookMs", attempt.Duration.Milliseconds(), "received", attempt.BodyReceived)
+	if attempt.Call.Deferred {
+		return ignore
+	}
 	reaction := onBrokenRun(counts, crashCount)
 	if reaction == startQuarantine {
 		s.startQuarantine(request)
--- a/internal/callers/quarantine/crash_tracker.go
+++ b/internal/callers/quarantine/crash_tracker.go
@@ -22,7 +22,7 @@
 
 // suspect is the state of a request that may crash replicas.
 type suspect struct {
-	// crashes holds at most crashesToQuarantine crashes, in the order in which they became
+	// crashes holds at most CrashTracker.maxCrashes crashes, in the order in which they became
 	// known.
 	crashes []crash
 	// succeededAt is when the request last succeeded, zero for never. Crashes before that
@@ -36,20 +36,23 @@
 // is not safe for concurrent use.
 //
 // Invariants: the crashes of a request are those known since its last success, but no more
-// than crashesToQuarantine; adding the same crash again, in any order, changes nothing; there
+// than maxCrashes; adding the same crash again, in any order, changes nothing; there
 // are at most maxSuspects requests.
 type CrashTracker struct {
-	suspects map[Fingerprint]*suspect
+	maxCrashes int
+	suspects   map[Fingerprint]*suspect
 }
 
-// NewCrashTracker returns an empty CrashTracker.
-func NewCrashTracker() *CrashTracker { return &CrashTracker{suspects: map[Fingerprint]*suspect{}} }
+// NewCrashTracker returns an empty CrashTracker that counts up to maxCrashes crashes of a request.
+func NewCrashTracker(maxCrashes int) *CrashTracker {
+	return &CrashTracker{maxCrashes: maxCrashes, suspects: map[Fingerprint]*suspect{}}
+}
 
 // Add adds the crash of a replica to a request and returns the number of crashes now known.
 func (t *CrashTracker) Add(request Fingerprint, replica string, at, now time.Time) int {
 	t.Prune(now)
 	entry := t.suspect(request, at)
-	if at.After(entry.succeededAt) && len(entry.crashes) < crashesToQuarantine && !entry.has(replica, at) {
+	if at.After(entry.succeededAt) && len(entry.crashes) < t.maxCrashes && !entry.has(replica, at) {
 		entry.crashes = append(entry.crashes, crash{replica: replica, at: at})
 	}
 	return len(entry.crashes)
@@ -91,6 +94,15 @@
 	return nil
 }
 
+// LastSeen returns the time of the most recent crash or success of a request, zero if it is
+// unknown.
+func (t *CrashTracker) LastSeen(request Fingerprint) time.Time {
+	if entry := t.suspects[request]; entry != nil {
+		return entry.lastSeen
+	}
+	return time.Time{}
+}
+
 // RecordSuccess records that a request succeeded, and reports whether it had crashes. It also
 // creates an entry for an unknown request, since reports of earlier crashes may still arrive.
 func (t *CrashTracker) RecordSuccess(request Fingerprint, now time.Time) bool {
--- a/internal/callers/quarantine/doc.go
+++ b/internal/callers/quarantine/doc.go
@@ -12,11 +12,15 @@
 // quarantines it. A successful response makes it unknown again, and so does the passing of
 // time.
 //
+// Items of batch jobs and calls of their scorers are never quarantined: the deployment has
+// accepted them, and replicas crash under them for other reasons. Such crashes only delay their
+// next attempt, and each node counts its own.
+//
 // A Service owns the node's CrashTracker, its Table and the pending writes to the record in the
 // store. It learns of requests quarantined before the node started from the store, and of
 // crashes that other nodes saw from its peers. Package dispatch calls Admit before each
 // attempt.
 //
-// Guarantee: while nodes reach each other, a request crashes at most crashesToQuarantine
+// Guarantee: while nodes reach each other, a live request crashes at most crashesToQuarantine
 // replicas. The design is in docs/design/request-quarantine.md.
 package quarantine
--- a/internal/callers/quarantine/pending_checks.go
+++ b/internal/callers/quarantine/pending_checks.go
@@ -28,5 +28,5 @@
 
 // updateSuspectCount recomputes suspectCount. The mutex must be held.
 func (s *Service) updateSuspectCount() {
-	s.suspectCount.Store(int64(s.tracker.Len() + len(s.pendingChecks)))
+	s.suspectCount.Store(int64(s.tracker.Len() + s.deferredTracker.Len() + len(s.pendingChecks)))
 }
--- a/internal/callers/quarantine/policy.go
+++ b/internal/callers/quarantine/policy.go
@@ -19,6 +19,14 @@
 	// counts even if a resumable run had made progress: a request that crashes its
 	// replica does so soon after it starts to run.
 	earlyCrashLimit = time.Second
+	// firstCrashBackoff is the delay of a deferred call under which crashesToQuarantine replicas
+	// crashed. It doubles with each further crash up to maxCrashBackoff: a replica needs some
+	// seconds to restart, and a trainer waits for the last item of a step.
+	firstCrashBackoff = 250 * time.Millisecond
+	maxCrashBackoff   = 2 * time.Second
+	// maxDeferredCrashes is the number of crashes of a deferred call that are counted, enough to
+	// reach maxCrashBackoff.
+	maxDeferredCrashes = crashesToQuarantine + 3
 	// minCrashInterval is the shortest time between two crashes of one replica, which has
 	// to restart in between. Runs that break closer together were broken by one crash.
 	minCrashInterval = 2 * time.Second
@@ -44,6 +52,15 @@
 	return liveness == exchange.Dead && !hadProgress
 }
 
+// crashBackoff returns the time from the last of a number of crashes under a deferred call to its
+// next attempt. Like a quarantine, it begins with crashesToQuarantine crashes.
+func crashBackoff(crashCount int) time.Duration {
+	if crashCount < crashesToQuarantine {
+		return 0
+	}
+	return min(firstCrashBackoff<<min(crashCount-crashesToQuarantine, maxDeferredCrashes), maxCrashBackoff)
+}
+
 // clearsRequest reports whether a response with a status shows that the request does not
 // crash replicas. An error response may come from a replica that did not start to run it.
 func clearsRequest(status int) bool {
--- a/internal/callers/quarantine/policy_test.go
+++ b/internal/callers/quarantine/policy_test.go
@@ -32,6 +32,14 @@
 	}
 }
 
+func TestCrashBackoff(t *testing.T) {
+	for crashes, want := range []time.Duration{0, 0, 0, 250 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 2 * time.Second} {
+		if got := crashBackoff(crashes); got != want {
+			t.Errorf("%d crashes: delay %s, want %s", crashes, got, want)
+		}
+	}
+}
+
 func TestReactions(t *testing.T) {
 	for _, test := range []struct {
 		counts     bool
--- a/internal/callers/quarantine/quarantine.go
+++ b/internal/callers/quarantine/quarantine.go
@@ -33,6 +33,10 @@
 		return
 	}
 	request := fingerprintOf(call)
+	if call.Deferred {
+		s.clearDeferred(request)
+		return
+	}
 	if !s.isSuspectOrQuarantined(request) {
 		return
 	}
--- a/internal/callers/quarantine/service.go
+++ b/internal/callers/quarantine/service.go
@@ -47,12 +47,15 @@
 
 	// recordKnown is set once the stored record has been listed, even if it is missing or invalid.
 	recordKnown atomic.Bool
-	// suspectCount is the number of requests in the crash tracker plus the number of requests
+	// suspectCount is the number of requests in both crash trackers plus the number of requests
 	// with pending checks. While it is 0 and the table is empty, requests pass without the mutex
 	// and without computing a fingerprint.
 	suspectCount atomic.Int64
 	mutex        sync.Mutex
-	tracker      *CrashTracker
+	// tracker counts the crashes of live requests, on all nodes, and deferredTracker those of
+	// deferred calls, on this node.
+	tracker         *CrashTracker
+	deferredTracker *CrashTracker
 	// pendingChecks holds the requests that have pending checks. pendingChecksChanged is closed
 	// and replaced whenever it changes.
 	pendingChecks        map[Fingerprint]pendingChecks
@@ -69,7 +72,7 @@
 	}
 	service := &Service{
 		config: config, crashDetector: newCrashDetector(config.Prober), table: NewTable(), recorder: newRecorder(config.Store, config.Clock, config.Duration, config.Logger),
-		ctx: ctx, tracker: NewCrashTracker(), pendingChecks: map[Fingerprint]pendingChecks{}, pendingChecksChanged: make(chan struct{}),
+		ctx: ctx, tracker: NewCrashTracker(crashesToQuarantine), deferredTracker: NewCrashTracker(maxDeferredCrashes), pendingChecks: map[Fingerprint]pendingChecks{}, pendingChecksChanged: make(chan struct{}),
 	}
 	service.metrics = newMetrics(config.Registry, service.table, config.Clock)
 	return service
@@ -79,11 +82,11 @@
 // requests.
 func (s *Service) RecordKnown() bool { return s.recordKnown.Load() }
 
-// pruneInterval is the interval at which the crash tracker is pruned. While the crash tracker
-// is not empty, each call costs the computation of a fingerprint.
+// pruneInterval is the interval at which the crash trackers are pruned. While one of them is
+// not empty, each call costs the computation of a fingerprint.
 const pruneInterval = time.Minute
 
-// Run writes quarantines to the store and prunes the crash tracker until the context ends.
+// Run writes quarantines to the store and prunes the crash trackers until the context ends.
 func (s *Service) Run(ctx context.Context) {
 	var background sync.WaitGroup
 	background.Go(func() { s.recorder.Run(ctx) })
@@ -98,5 +101,6 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.tracker.Prune(s.config.Clock())
+	s.deferredTracker.Prune(s.config.Clock())
 	s.updateSuspectCount()
 }
--- a/internal/jobs/batch/itemrun.go
+++ b/internal/jobs/batch/itemrun.go
@@ -91,7 +91,7 @@
 	work := running.item
 	call := &dispatch.Call{
 		ID: work.ID, Method: http.MethodPost, Target: work.Target, Host: host, Header: work.Header, Body: work.Body,
-		Deadline: time.Now().Add(runTimeout), LastEventID: len(work.progress.events), Resumable: true, EnginePriority: dispatch.EnginePriorityOf(running.priority),
+		Deadline: time.Now().Add(runTimeout), LastEventID: len(work.progress.events), Resumable: true, Deferred: true, EnginePriority: dispatch.EnginePriorityOf(running.priority),
 		Tenant: work.job.record.Tenant, Purpose: exchange.PurposeItem,
 	}
 	response, err := s.config.Dispatcher.Send(ctx, running.endpoint, call)
--- a/internal/jobs/batch/reward.go
+++ b/internal/jobs/batch/reward.go
@@ -49,7 +49,7 @@
 		if route != nil {
 			call := &dispatch.Call{
 				ID: reward.ID, Method: http.MethodPost, Target: reward.Target, Host: reward.Host, Header: reward.Header, Body: reward.Body,
-				Tenant: work.job.record.Tenant, Purpose: exchange.PurposeScorer,
+				Tenant: work.job.record.Tenant, Purpose: exchange.PurposeScorer, Deferred: true,
 			}
 			response, err := s.callScorer(work.job.ctx, route, call)
 			if err == nil {
@@ -79,7 +79,7 @@
 	call.Deadline = time.Now().Add(rewardTimeout(route))
 	response, err := s.config.Forwarder.Do(ctx, route, call)
 	var refused *forward.RefusedError
-	isOverloaded := errors.As(err, &refused) && refused.Reason != forward.ReasonQuarantined && refused.Reason != forward.ReasonQuarantineUnknown
+	isOverloaded := errors.As(err, &refused) && refused.Reason != forward.ReasonCrashBackoff
 	limiter.Leave(isOverloaded || (err == nil && response.Rejections > 0))
 	return response, err
 }
--- a/internal/jobs/batch/runerror.go
+++ b/internal/jobs/batch/runerror.go
@@ -24,9 +24,6 @@
 	// with each broken run up to maxBrokenRunDelay.
 	brokenRunDelay    = 5 * time.Millisecond
 	maxBrokenRunDelay = 500 * time.Millisecond
-	// quarantineRetryDelay is the time between checks whether a quarantined item may be
-	// sent again.
-	quarantineRetryDelay = time.Second
 	// failureRetryDelay is the delay before an item that failed is run again.
 	failureRetryDelay = 60 * time.Millisecond
 	// rejectedStatus is the status with which replicas reject an item that can never
@@ -40,18 +37,14 @@
 	work := running.item
 	var notRun *dispatch.NotRunError
 	var withheld *dispatch.WithheldError
-	var quarantined *dispatch.QuarantinedError
-	var quarantineUnknown *dispatch.QuarantineUnknownError
+	var backoff *dispatch.CrashBackoffError
 	var status *ItemStatusError
 	var rescheduled *RescheduledError
 	work.moveReason = ""
 	switch {
-	case errors.As(err, &quarantined):
-		work.waitReason = waitQuarantined
-		work.retryAt = time.Now().Add(quarantineRetryDelay)
-	case errors.As(err, &quarantineUnknown):
-		work.waitReason = waitRecord
-		work.retryAt = time.Now().Add(quarantineUnknown.RetryAfter)
+	case errors.As(err, &backoff):
+		work.waitReason = waitCrashes
+		work.retryAt = time.Now().Add(backoff.Remaining)
 	case errors.As(err, &withheld):
 		// The item was not sent: another replica may take it, or this one later.
 		work.waitReason = waitWithheld
--- a/internal/jobs/batch/waiting.go
+++ b/internal/jobs/batch/waiting.go
@@ -20,8 +20,7 @@
 	waitNoReplica    waitReason = "no eligible replica"
 	waitNoSlot       waitReason = "no free slot"
 	waitSlotLeft     waitReason = "slot left to another job"
-	waitQuarantined  waitReason = "quarantined"
-	waitRecord       waitReason = "quarantine record not read"
+	waitCrashes      waitReason = "replicas crashed"
 	waitWithheld     waitReason = "not sent to the replica"
 	waitRefused      waitReason = "refused by the replica"
 	waitFailed       waitReason = "failed at the replica"
@@ -32,7 +31,7 @@
 
 // waitReasons are all reasons, for the metric.
 var waitReasons = []waitReason{
-	waitNew, waitNoReplica, waitNoSlot, waitSlotLeft, waitQuarantined, waitRecord, waitWithheld, waitRefused, waitFailed, waitBroken,
+	waitNew, waitNoReplica, waitNoSlot, waitSlotLeft, waitCrashes, waitWithheld, waitRefused, waitFailed, waitBroken,
 	waitInterrupted, waitWrongWeights,
 }
 
