--- a/standin/metastore/direct.go
+++ b/standin/metastore/direct.go
@@ -43,6 +43,13 @@
 	return s.put(kind, objectstore.Object{Name: name, Spec: encoded, Status: s.objects[kind][name].Status})
 }
 
+// WriteRaw is Write with a spec of any bytes, as another writer may leave it.
+func (s *Store) WriteRaw(kind, name string, spec []byte) objectstore.Object {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.put(kind, objectstore.Object{Name: name, Spec: spec, Status: s.objects[kind][name].Status})
+}
+
 // Remove deletes an object, as its writer or its expiry does. Faults do not apply.
 func (s *Store) Remove(kind, name string) {
 	s.mutex.Lock()
--- a/standin/metastore/server.go
+++ b/standin/metastore/server.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
+	"regexp"
 	"strconv"
 	"strings"
 	"time"
@@ -36,7 +39,29 @@
 }
 
 func toWire(object objectstore.Object) wireObject {
-	return wireObject{Metadata: wireMetadata{Name: object.Name, Revision: object.Revision}, Spec: object.Spec, Status: object.Status}
+	return wireObject{Metadata: wireMetadata{Name: object.Name, Revision: object.Revision}, Spec: encodable(object.Spec), Status: object.Status}
+}
+
+// rawSpec matches the text that replaces a spec which package json cannot encode.
+var rawSpec = regexp.MustCompile(`"raw spec ([0-9a-f]+)"`)
+
+// encodable returns a spec, or a text that stands for it if package json cannot encode it.
+func encodable(spec json.RawMessage) json.RawMessage {
+	if len(spec) == 0 || json.Valid(spec) {
+		return spec
+	}
+	return fmt.Appendf(nil, `"raw spec %x"`, []byte(spec))
+}
+
+// restoreRaw replaces the texts that encodable returned by the specs.
+func restoreRaw(encoded []byte) []byte {
+	return rawSpec.ReplaceAllFunc(encoded, func(text []byte) []byte {
+		spec, err := hex.DecodeString(string(rawSpec.FindSubmatch(text)[1]))
+		if err != nil {
+			return text
+		}
+		return spec
+	})
 }
 
 type wireEvent struct {
@@ -128,5 +153,9 @@
 	}
 	writer.Header().Set("Content-Type", "application/json")
 	writer.WriteHeader(status)
-	json.NewEncoder(writer).Encode(result)
+	encoded, err := json.Marshal(result)
+	if err != nil {
+		panic(err)
+	}
+	writer.Write(restoreRaw(encoded))
 }
