exchange: limit the head of a response

Cause: the head of a replica's response was read without a limit, so a head without end (a line, a header, headers, informational responses) grew in memory until the request's deadline. One replica could end all nodes that send to it.

Larger bodies are not affected (TestLargeHeadAndBodyAreRead).

--- a/internal/callers/exchange/connection.go
+++ b/internal/callers/exchange/connection.go
@@ -17,6 +17,7 @@
 	net.Conn
 	address string
 	reader  *bufio.Reader
+	limiter *headLimiter
 	writer  *bufio.Writer
 	// idleUntil is the time from which the peer may close the idle connection, idleSince
 	// the time at which the connection last became idle.
@@ -25,8 +26,9 @@
 }
 
 func newConnection(address string, raw net.Conn) *connection {
+	limiter := &headLimiter{source: raw}
 	return &connection{
-		Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBufferBytes), writer: bufio.NewWriterSize(raw, writeBufferBytes),
+		Conn: raw, address: address, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), writer: bufio.NewWriterSize(raw, writeBufferBytes),
 	}
 }
 
--- a/internal/callers/exchange/errors.go
+++ b/internal/callers/exchange/errors.go
@@ -12,6 +12,8 @@
 	// ErrTooManyConnections means that the limit on connections to an address is
 	// reached.
 	ErrTooManyConnections = merry.Sentinel("connection limit reached")
+	// ErrHeadTooLarge means that the head of a response exceeds maxHeadBytes.
+	ErrHeadTooLarge = merry.Sentinel("head of the response is too large")
 	// ErrClosedByPeer means that the peer has closed an idle connection, or may do so at
 	// any time.
 	ErrClosedByPeer = merry.Sentinel("idle connection closed by peer")
--- a/internal/callers/exchange/response.go
+++ b/internal/callers/exchange/response.go
@@ -77,8 +77,10 @@
 }
 
 // readHead reads the head of the response, skipping informational (1xx) responses other than
-// 101.
+// 101. It returns ErrHeadTooLarge if these heads exceed maxHeadBytes.
 func readHead(c *connection, method string) (*http.Response, error) {
+	c.limiter.beginHead()
+	defer c.limiter.endHead()
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
