eventstream: limit the length of an event

Each line was appended to a string, so that its cost grew with the square of the lines.

The stream as a whole is not limited (TestManyLargeEventsAreRead).

--- a/internal/callers/eventstream/reader.go
+++ b/internal/callers/eventstream/reader.go
@@ -9,10 +9,11 @@
 )
 
 const (
-	// maxLineBytes limits the length of a line.
-	maxLineBytes    = 1 << 20
+	// maxEventBytes limits the length of an event and of the empty lines before it. A line may be
+	// as long.
+	maxEventBytes   = 1 << 20
 	readBufferBytes = 4 << 10
-	// maxQuotedBytes limits how much of an overlong line an error quotes.
+	// maxQuotedBytes limits how much of an overlong event's last line an error quotes.
 	maxQuotedBytes = 64
 )
 
@@ -23,6 +24,8 @@
 	versionField string
 	// lastID is the id of the last returned event.
 	lastID int
+	// eventBytes is the number of bytes read since the last event.
+	eventBytes int
 }
 
 // NewReader returns a reader of a stream that resumes after the event with the id after; 0
@@ -35,62 +38,32 @@
 // Next returns the next event. The error is io.EOF if the source ends after a complete event,
 // ErrTruncated if it ends within one, a *MalformedError, or an error of the source.
 func (r *Reader) Next() (Event, error) {
-	event := Event{}
-	started, hasData := false, false
+	partial := partialEvent{}
+	r.eventBytes = 0
 	for {
 		line, err := r.readLine()
 		if err != nil {
-			if errors.Is(err, io.EOF) && started {
+			if errors.Is(err, io.EOF) && partial.started() {
 				return Event{}, ErrTruncated
 			}
 			return Event{}, err
 		}
 		if line == "" {
-			if !started {
+			if !partial.started() {
 				continue
 			}
-			event.Raw += "\n"
-			return r.finish(event, hasData)
+			return r.finish(&partial)
 		}
-		started = true
-		isData, err := r.addLine(&event, line, hasData)
-		if err != nil {
+		if err := partial.addLine(line, r.versionField); err != nil {
 			return Event{}, err
 		}
-		hasData = hasData || isData
-	}
-}
-
-// addLine adds a line to an event, and returns whether it is a data line.
-func (r *Reader) addLine(event *Event, line string, hasData bool) (isData bool, err error) {
-	event.Raw += line + "\n"
-	name, text, isField := strings.Cut(line, ":")
-	if !isField {
-		return false, &MalformedError{Reason: "line is not a field", Line: line}
-	}
-	text = strings.TrimPrefix(text, " ")
-	switch name {
-	case "id":
-		if event.ID, err = strconv.Atoi(text); err != nil {
-			return false, &MalformedError{Reason: "event id is not a number", Line: line}
-		}
-	case "data":
-		if hasData {
-			event.Data += "\n"
-		}
-		event.Data += text
-		return true, nil
-	case r.versionField:
-		if event.Version, err = strconv.ParseInt(strings.TrimSpace(text), 10, 64); err != nil {
-			return false, &MalformedError{Reason: "weight version is not a number", Line: line}
-		}
 	}
-	return false, nil
 }
 
 // finish returns a complete event, or an error if it has no data or does not follow the
 // previous event.
-func (r *Reader) finish(event Event, hasData bool) (Event, error) {
+func (r *Reader) finish(partial *partialEvent) (Event, error) {
+	event, hasData := partial.event()
 	if event.ID != r.lastID+1 || !hasData {
 		return Event{}, &MalformedError{Reason: "event has no data or does not follow the previous one", Line: strconv.Itoa(event.ID)}
 	}
@@ -103,6 +76,9 @@
 	var partial []byte
 	for {
 		part, err := r.source.ReadSlice('\n')
+		if r.eventBytes += len(part); r.eventBytes > maxEventBytes {
+			return "", &MalformedError{Reason: "event exceeds the maximum length", Line: quoted(partial, part)}
+		}
 		if err == nil {
 			if partial != nil {
 				part = append(partial, part...)
@@ -115,8 +91,12 @@
 			}
 			return "", err
 		}
-		if partial = append(partial, part...); len(partial) > maxLineBytes {
-			return "", &MalformedError{Reason: "line exceeds the maximum length", Line: string(partial[:maxQuotedBytes])}
-		}
+		partial = append(partial, part...)
 	}
 }
+
+// quoted returns the beginning of a line that was read in two parts.
+func quoted(partial, part []byte) string {
+	line := append(partial[:len(partial):len(partial)], part...)
+	return string(line[:min(len(line), maxQuotedBytes)])
+}
--- a/internal/callers/eventstream/reader_test.go
+++ b/internal/callers/eventstream/reader_test.go
@@ -90,3 +90,50 @@
 		}
 	})
 }
+
+// endless repeats a text, until limit bytes were read.
+type endless struct {
+	text        string
+	read, limit int
+}
+
+func (e *endless) Read(buffer []byte) (int, error) {
+	if e.read >= e.limit {
+		return 0, io.ErrUnexpectedEOF
+	}
+	n := 0
+	for n < len(buffer) {
+		n += copy(buffer[n:], e.text[(e.read+n)%len(e.text):])
+	}
+	e.read += n
+	return n, nil
+}
+
+// Guards against events without end, which were read into memory until the run's deadline.
+func TestEndlessEventIsMalformed(t *testing.T) {
+	for name, text := range map[string]string{
+		"line": "x", "id lines": "id: 1\n", "data lines": "data: text\n", "fields": "a:\n", "comments": ":\n", "empty lines": "\n",
+	} {
+		source := &endless{text: text, limit: 8 * maxEventBytes}
+		_, err := NewReader(source, testVersionField, 0).Next()
+		var malformed *MalformedError
+		if !errors.As(err, &malformed) || source.read > maxEventBytes+2*readBufferBytes || len(err.Error()) > 4*maxQuotedBytes {
+			t.Errorf("%s: error of type %T after %d bytes, want a *MalformedError after %d", name, err, source.read, maxEventBytes)
+		}
+	}
+}
+
+// The limit applies to each event, not to the stream.
+func TestManyLargeEventsAreRead(t *testing.T) {
+	data := strings.Repeat("x", maxEventBytes/2)
+	var text strings.Builder
+	for _, id := range []string{"1", "2", "3", "4"} {
+		text.WriteString("id: " + id + "\ndata: " + data + "\n\n")
+	}
+	reader := NewReader(strings.NewReader(text.String()), testVersionField, 0)
+	for id := 1; id <= 4; id++ {
+		if event, err := reader.Next(); err != nil || event.ID != id || event.Data != data {
+			t.Fatalf("event %d: id %d, %d bytes, error %v", id, event.ID, len(event.Data), err)
+		}
+	}
+}
