forward: large bodies of responses share one budget

Cause: a buffered response body may have 64 MiB, for each request. Several replicas that send bodies without end exceed the memory of a node together, and its process ends.

Change: what a buffer has beyond 1 MiB is reserved from a budget of a quarter of the node's memory, as for the bodies of callers; the attempt that finds it used up fails with ErrResponseBudgetExhausted. The budget of package ingress becomes package bytebudget, which both use.

--- a/internal/callers/forward/errors.go
+++ b/internal/callers/forward/errors.go
@@ -64,6 +64,10 @@
 // long, or the connection closed without HTTP framing that marks the end of the body.
 var ErrStreamInterrupted = merry.Sentinel("stream idle or closed without framing")
 
+// ErrResponseBudgetExhausted means that the large bodies that are being read leave no room for a
+// response.
+var ErrResponseBudgetExhausted = merry.Sentinel("no room for the response body")
+
 // ErrResponseTooLarge means that the body of a response is larger than maxResponseBytes.
 var ErrResponseTooLarge = merry.Sentinel("response body too large")
 
--- a/internal/callers/forward/forwarder.go
+++ b/internal/callers/forward/forwarder.go
@@ -8,6 +8,7 @@
 	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 
+	"github.com/pathtally/pathtally/internal/callers/bytebudget"
 	"github.com/pathtally/pathtally/internal/callers/dispatch"
 	"github.com/pathtally/pathtally/internal/replicas/directory"
 )
@@ -27,6 +28,9 @@
 	VersionField string
 	// Meter counts the metered requests that started to run. May be nil.
 	Meter Meter
+	// MaxTotalResponseBytes limits the total size of the large response bodies that are being
+	// read; 0 means no limit.
+	MaxTotalResponseBytes int64
 }
 
 // Forwarder forwards live requests. It is safe for concurrent use.
@@ -39,6 +43,7 @@
 	// refusalLogLimiter limits the rate of log lines for requests refused by admission control.
 	refusalLogLimiter *rate.Limiter
 	admissions        *serviceAdmissions
+	responseBytes     *bytebudget.Budget
 }
 
 const (
@@ -58,6 +63,7 @@
 	return &Forwarder{
 		config: config, successLogLimiter: rate.NewLimiter(successLogsPerSecond, successLogBurst),
 		refusalLogLimiter: rate.NewLimiter(refusalLogsPerSecond, refusalLogBurst), admissions: &serviceAdmissions{metrics: config.Metrics},
+		responseBytes: bytebudget.New(config.MaxTotalResponseBytes),
 	}
 }
 
--- a/internal/callers/forward/response.go
+++ b/internal/callers/forward/response.go
@@ -19,7 +19,7 @@
 	// maxResponseBytes is the maximum size of a buffered response body.
 	maxResponseBytes = 64 << 20
 	// maxPreallocatedBytes is the Content-Length below which the buffer is allocated
-	// in one piece.
+	// in one piece. What a buffer has beyond it is reserved from the budget of all bodies.
 	maxPreallocatedBytes = 1 << 20
 )
 
@@ -45,7 +45,7 @@
 		}
 		return nil, err
 	}
-	body, err := readBody(response)
+	body, err := f.readBody(response)
 	if err != nil {
 		if ctx.Err() == nil {
 			endpoint.State.Failures.Add(1)
@@ -63,17 +63,26 @@
 	return &BufferedResponse{Response: response, Body: body}, nil
 }
 
-// readBody reads the complete body. A body larger than maxResponseBytes yields an
-// *exchange.BrokenError.
-func readBody(response *dispatch.Response) ([]byte, error) {
+// readBody reads the complete body. A body larger than maxResponseBytes, or one that exceeds
+// the budget of all bodies that are being read, yields an *exchange.BrokenError.
+func (f *Forwarder) readBody(response *dispatch.Response) ([]byte, error) {
 	size := initialBodyBytes
 	if response.Length >= 0 && response.Length < maxPreallocatedBytes {
 		size = int(response.Length) + 1
 	}
+	reserved := int64(0)
+	defer func() { f.responseBytes.Release(reserved) }()
 	body := make([]byte, 0, size)
 	for {
 		if len(body) == cap(body) {
-			body = append(body, 0)[:len(body)]
+			step := max(initialBodyBytes, len(body))
+			if len(body)+step > maxPreallocatedBytes {
+				if !f.responseBytes.Reserve(int64(step)) {
+					return nil, &exchange.BrokenError{Address: response.Endpoint.Address, Cause: ErrResponseBudgetExhausted}
+				}
+				reserved += int64(step)
+			}
+			body = append(make([]byte, 0, len(body)+step), body...)
 		}
 		n, err := response.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
--- a/internal/callers/forward/stream_attempt.go
+++ b/internal/callers/forward/stream_attempt.go
@@ -73,7 +73,7 @@
 
 // forwardBody forwards the body of a response that is not a stream.
 func (r *streamRequest) forwardBody(response *dispatch.Response) error {
-	body, err := readBody(response)
+	body, err := r.forwarder.readBody(response)
 	if err != nil {
 		return err
 	}
--- a/internal/callers/ingress/body.go
+++ b/internal/callers/ingress/body.go
@@ -6,6 +6,8 @@
 	"net/http"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/pathtally/pathtally/internal/callers/bytebudget"
 )
 
 var (
@@ -24,14 +26,14 @@
 const minBodyGrowthBytes = 16 << 10
 
 // bodyReader reads request bodies within a limit for each body and a budget for all.
-type bodyReader struct{ budget budget }
+type bodyReader struct{ budget *bytebudget.Budget }
 
 // read reads a whole body of at most limit bytes; 0 means no limit. The caller must call
 // release, also after an error. The error is ErrBodyTooLarge, ErrBodyBudgetExhausted or
 // ErrBodyIncomplete.
 func (r *bodyReader) read(request *http.Request, limit int64) (body []byte, release func(), err error) {
 	reserved := int64(0)
-	release = func() { r.budget.release(reserved) }
+	release = func() { r.budget.Release(reserved) }
 	if request.Body == nil || request.Body == http.NoBody {
 		return nil, release, nil
 	}
@@ -44,7 +46,7 @@
 			if request.ContentLength >= 0 {
 				step = min(step, request.ContentLength+1-int64(len(body)))
 			}
-			if !r.budget.reserve(step) {
+			if !r.budget.Reserve(step) {
 				return nil, release, ErrBodyBudgetExhausted
 			}
 			reserved += step
--- a/internal/callers/ingress/body_test.go
+++ b/internal/callers/ingress/body_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"testing"
 	"testing/iotest"
+
+	"github.com/pathtally/pathtally/internal/callers/bytebudget"
 )
 
 // newRequest returns a request with a body and a Content-Length; a negative length means none.
@@ -35,13 +37,13 @@
 		{"budget exhausted", large, 300 << 10, 1 << 20, 100 << 10, ErrBodyBudgetExhausted},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			reader := bodyReader{budget: budget{limit: test.budget}}
+			reader := bodyReader{budget: bytebudget.New(test.budget)}
 			body, release, err := reader.read(newRequest(test.body, test.length), test.limit)
 			if !errors.Is(err, test.wantErr) || (err == nil && !bytes.Equal(body, test.body)) {
 				t.Errorf("read %d bytes, error %v", len(body), err)
 			}
 			release()
-			if reserved := reader.budget.used.Load(); reserved != 0 {
+			if reserved := reader.budget.Used(); reserved != 0 {
 				t.Errorf("%d bytes are still reserved after release", reserved)
 			}
 		})
@@ -58,7 +60,7 @@
 
 // Guards against callers that exhaust the budget by a large Content-Length without sending data.
 func TestReadBodyReservesAsDataArrives(t *testing.T) {
-	reader := bodyReader{budget: budget{limit: 1 << 20}}
+	reader := bodyReader{budget: bytebudget.New(1 << 20)}
 	pipe, feed := io.Pipe()
 	defer feed.Close()
 	done := make(chan struct{})
@@ -68,7 +70,7 @@
 		release()
 	}()
 	feed.Write([]byte("x"))
-	if used := reader.budget.used.Load(); used > minBodyGrowthBytes {
+	if used := reader.budget.Used(); used > minBodyGrowthBytes {
 		t.Errorf("%d bytes are reserved after one byte arrived", used)
 	}
 	feed.CloseWithError(io.ErrUnexpectedEOF)
--- a/internal/callers/ingress/handler.go
+++ b/internal/callers/ingress/handler.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pathtally/pathtally/internal/callers/bytebudget"
 	"github.com/pathtally/pathtally/internal/callers/dispatch"
 	"github.com/pathtally/pathtally/internal/replicas/directory"
 )
@@ -32,7 +33,7 @@
 }
 
 func NewHandler(config Config) *Handler {
-	return &Handler{config: config, bodies: bodyReader{budget: budget{limit: config.MaxTotalBodyBytes}}, started: time.Now()}
+	return &Handler{config: config, bodies: bodyReader{budget: bytebudget.New(config.MaxTotalBodyBytes)}, started: time.Now()}
 }
 
 // IdleTime returns the time since the latest request arrived.
--- a/internal/instance/assemble.go
+++ b/internal/instance/assemble.go
@@ -64,6 +64,7 @@
 	c.forwarder = forward.New(forward.Config{
 		Zone: c.settings.Zone, Directory: c.directory, Dispatcher: dispatcher, Logger: c.logger, Metrics: forward.NewMetrics(c.registry),
 		PromptHash: c.adapter.Headers.PromptHash, VersionField: c.adapter.Jobs.VersionField(), Meter: usageMeter{components: c},
+		MaxTotalResponseBytes: maxBodyBytes(c.settings.MemoryMB),
 	})
 	return dispatcher
 }
--- a/internal/instance/memory.go
+++ b/internal/instance/memory.go
@@ -5,7 +5,7 @@
 const (
 	megabyte = 1 << 20
 	// bodyMemoryDivisor divides the memory of the settings; the result bounds the bodies of
-	// all requests in progress.
+	// all requests in progress, and the large bodies of responses that are being read.
 	bodyMemoryDivisor = 4
 	// memoryLimitFraction is the memory limit of the Go runtime as a fraction of the memory
 	// of the settings.
@@ -19,5 +19,6 @@
 	}
 }
 
-// maxBodyBytes bounds the total size of the bodies of requests in progress; 0 for no bound.
+// maxBodyBytes bounds the total size of the bodies of requests in progress, and that of responses;
+// 0 for no bound.
 func maxBodyBytes(memoryMB int64) int64 { return memoryMB * megabyte / bodyMemoryDivisor }
