--- a/internal/callers/tenancy/key.go
+++ b/internal/callers/tenancy/key.go
@@ -2,7 +2,8 @@
 
 import "crypto/sha256"
 
-// MaxKeyBytes is the maximum length of a key. Longer keys are rejected before they are hashed.
+// MaxKeyBytes is the maximum length of a key. Longer keys are rejected before they are hashed. The
+// keys that operators hand out have some tens of bytes.
 const MaxKeyBytes = 256
 
 // redacted is printed in place of a key.
--- a/internal/duties/lease/elector.go
+++ b/internal/duties/lease/elector.go
@@ -11,7 +11,8 @@
 	// hold the lease.
 	PollInterval = 100 * time.Millisecond
 	// minRemaining is the remaining part of the send window below which the lease is
-	// renewed before the next call.
+	// renewed before the next call. So a busy holder renews it every 2.1 s, SendWindow less
+	// minRemaining.
 	minRemaining = 400 * time.Millisecond
 	// maxRetryDelay bounds the backoff between attempts to acquire the lease while the
 	// store fails.
--- a/internal/duties/lease/rank.go
+++ b/internal/duties/lease/rank.go
@@ -11,7 +11,7 @@
 	// like the last holder. Others need not, because each rank waits rankDelay longer.
 	candidateCount = 5
 	// announcedSuccessors is the number of successors that each renewal is announced to. The
-	// others read the store by themselves, after a long takeover delay.
+	// others wait for more than half a minute before they read the store themselves.
 	announcedSuccessors = 48
 )
 
--- a/internal/duties/usage/ledger.go
+++ b/internal/duties/usage/ledger.go
@@ -14,8 +14,9 @@
 const (
 	ledgerKind = "usage"
 	ledgerName = "settled"
-	// maxSettledWindows is the number of windows that the ledger holds. Older windows are
-	// never reported again.
+	// maxSettledWindows is the number of windows that the ledger holds: those whose reports the
+	// next holder of the lease may repeat, a minute of windows of the usual length. Older
+	// windows are never reported again.
 	maxSettledWindows = 12
 )
 
--- a/internal/duties/usage/pusher.go
+++ b/internal/duties/usage/pusher.go
@@ -23,8 +23,8 @@
 	// maxReceivedPushes is the maximum rate of pushes to a receiver, per second. In large
 	// deployments each node pushes less often to stay below it.
 	maxReceivedPushes = 100
-	// pushTimeout bounds one push. It is short enough for several retries between the end
-	// of a window and its settling.
+	// pushTimeout bounds one push. It is short enough for five pushes between the end of a
+	// window and its settling.
 	pushTimeout = 500 * time.Millisecond
 	// flushTimeout bounds the pushes of a graceful shutdown, and flushPollInterval is the
 	// time between checks for their completion.
--- a/internal/duties/usage/report.go
+++ b/internal/duties/usage/report.go
@@ -14,7 +14,8 @@
 	// dutyName identifies this duty to the lease.
 	dutyName = "usage"
 	// maxSettleDelay is the maximum time from the end of a window to its settling, during
-	// which the nodes push its last counts.
+	// which the nodes push its last counts. By then requests that began in the window have
+	// been answered.
 	maxSettleDelay = 2500 * time.Millisecond
 	// settleFraction limits this time to a fraction of the time until the report is due. The
 	// rest is reserved for a takeover of the lease.
--- a/internal/duties/weightorders/demand.go
+++ b/internal/duties/weightorders/demand.go
@@ -17,7 +17,8 @@
 }
 
 // minDemandChange is the relative change of a model's demand, between 0 and 1, above which
-// homes are planned again. Estimates vary from job to job, and each new home costs a load.
+// homes are planned again. Estimates differ by some tenths from job to job of a trainer,
+// and each new home costs a load.
 const minDemandChange = 0.25
 
 // differsFrom reports whether the demand differs enough from the planned one for a new plan.
--- a/internal/duties/weightorders/homes.go
+++ b/internal/duties/weightorders/homes.go
@@ -15,6 +15,7 @@
 	homeShareFactor = 4.0 / 3
 	// slotsPerItem is the number of slots at the homes of a model for each item of a job:
 	// enough for two concurrent jobs while half of the homes load or lag a version behind.
+	// The loads of more homes would serve no item.
 	slotsPerItem = 4
 	// maxHomesUnknownDemand is the maximum number of homes of a model whose demand is
 	// unknown. It keeps a new holder of the lease, which has not heard of any jobs yet,
--- a/internal/jobs/placement/stall.go
+++ b/internal/jobs/placement/stall.go
@@ -11,7 +11,8 @@
 	// expected end to its job's deadline. Shorter timeouts apply to tight runs, because a
 	// stall would make the job late.
 	tightSlack = time.Second
-	// tightStartTimeout bounds the time to the first event of a tight run.
+	// tightStartTimeout bounds the time to the first event of a tight run. A healthy replica
+	// sends it sooner.
 	tightStartTimeout = 400 * time.Millisecond
 	// tightEventIntervals bounds the time between events of a tight run, as a multiple of
 	// the replica's interval. The prefill of another item's prompt takes one or two
--- a/internal/jobs/replicastate/failurerate.go
+++ b/internal/jobs/replicastate/failurerate.go
@@ -9,7 +9,8 @@
 	// newestRunWeight is the weight of the most recent run in a replica's failure rate.
 	newestRunWeight = 0.25
 	// failingRate is the rate from which a replica counts as failing. It is reached after two
-	// consecutive failures, or if nearly half of the runs fail.
+	// consecutive failures, or if nearly half of the runs fail. Items that fail wherever they
+	// run are one or two in a hundred.
 	failingRate = 0.4
 	// failureHalfLife is the half-life of the rate. The rate decays so that a replica that
 	// gets no items is retried.
--- a/internal/jobs/statistics/demand.go
+++ b/internal/jobs/statistics/demand.go
@@ -9,7 +9,7 @@
 )
 
 // demandRetention is how long a batch job counts towards the demand for its model. It covers
-// several steps of a trainer.
+// several steps of a trainer, so that one late step changes little.
 const demandRetention = 30 * time.Second
 
 // Demand records the work of recent batch jobs of all nodes.
