test: the soak checks that an item runs again after crashes of its replicas

Cause: the soak did not see that items were held back. The replicas that it ends stay behind a proxy that accepts connections, so their crashes were not confirmed, and it never asked whether an item gets a result.

Change: in calm, three engines crash while they run one item; a fourth must run it within 5 s.

--- a/test/soak_random_test.go
+++ b/test/soak_random_test.go
@@ -19,6 +19,7 @@
 	streamReaders
 	streamReplicas
 	streamCrashes
+	streamOwedItems
 )
 
 // jobStreamsPerTrainer is how many random streams are set aside for the jobs of one trainer.
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -88,6 +88,7 @@
 	s.injectFaults()
 	s.checkRecovery()
 	s.checkCrashing()
+	s.checkItemAfterCrashes()
 	s.runFinalFault()
 	close(s.done)
 	s.tasks.Wait()
