test: the check of invalid entries removes the replica that it replaces

The second call removed the entry of the first app again and left the one that it had closed. It now names the replica to replace; what is checked and its bound are the same.

--- a/test/invalid_entries_test.go
+++ b/test/invalid_entries_test.go
@@ -40,7 +40,7 @@
 			t.Parallel()
 			d := deployPlatform(t, deploymentSpec{nodes: 2, engines: 2, apps: 1, eventInterval: time.Millisecond})
 			d.store.WriteRaw("servers", "invalid", []byte(spec))
-			d.checkFollows("watching")
+			d.checkFollows("app-0", "app-after-watch")
 			d.submit(d.nodes[0], "job", 8, 1)
 			d.checkResults(d.read(func() *platformNode { return d.nodes[1] }, "job", 8), 8, 1)
 			for _, node := range d.nodes {
@@ -53,35 +53,32 @@
 			for _, node := range d.nodes {
 				d.waitReady(node)
 			}
-			d.checkFollows("listing")
+			d.checkFollows("app-after-watch", "app-after-list")
 		})
 	}
 }
 
-// checkFollows checks that every node uses a replica that starts now, and no other one.
-func (d *platformDeployment) checkFollows(when string) {
+// checkFollows replaces the only app, previous, by another one and checks that every node uses it.
+func (d *platformDeployment) checkFollows(previous, next string) {
 	d.t.Helper()
-	id := "app-" + when
-	started, err := replica.Start(replica.Config{ID: id, Slots: 16})
+	started, err := replica.Start(replica.Config{ID: next, Slots: 16})
 	if err != nil {
 		d.t.Fatal(err)
 	}
 	d.t.Cleanup(started.Close)
-	d.store.Write("servers", id, started.Entry("apps", d.zone(0)))
-	for number, app := range d.apps {
-		d.store.Remove("servers", fmt.Sprint("app-", number))
-		app.Close()
-	}
-	d.apps = []*replica.Server{started}
+	d.store.Write("servers", next, started.Entry("apps", d.zone(0)))
+	d.store.Remove("servers", previous)
+	d.apps[0].Close()
+	d.apps[0] = started
 	end := time.Now().Add(followTime)
 	for number, node := range d.nodes {
 		for try := 0; ; try++ {
-			response, err := d.send(node, http.MethodPost, liveHost, "/live/pay", fmt.Sprintf("%s-%d-%d", when, number, try), []byte("body"), nil)
+			response, err := d.send(node, http.MethodPost, liveHost, "/live/pay", fmt.Sprintf("%s-%d-%d", next, number, try), []byte("body"), nil)
 			if err == nil && response.status == http.StatusOK {
 				break
 			}
 			if time.Now().After(end) {
-				d.t.Errorf("%s: node-%d does not use a new replica after %s: status %d, error %v", when, number, followTime, response.status, err)
+				d.t.Errorf("node-%d does not use replica %s after %s: status %d, error %v", number, next, followTime, response.status, err)
 				break
 			}
 			time.Sleep(superviseInterval)
