test: bounds for hostile callers and replicas

Callers and replicas outside the protocol can end a node: heads, bodies and frames that are never completed, responses that are not read, idle connections, and replicas that send without end. The checks do not depend on the speed of the machine: the process lives, its peak memory and open descriptors stay in bounds, and one ordinary request is answered.

--- a/standin/replica/config.go
+++ b/standin/replica/config.go
@@ -27,6 +27,8 @@
 	// SlowdownPercent is the slowdown figure of the load header of each answer, 100 for usual;
 	// 0 for no header.
 	SlowdownPercent int
+	// ResponseBytes is the minimum length of a response without a stream, which is padded.
+	ResponseBytes int
 	// OnCrash is called before a crash; may be nil.
 	OnCrash func()
 }
--- a/standin/replica/requests.go
+++ b/standin/replica/requests.go
@@ -76,6 +76,7 @@
 	}
 	time.Sleep(s.config.ServiceTime)
 	text := "answer to " + id + ": " + string(body)
+	text += strings.Repeat(".", max(0, s.config.ResponseBytes-len(text)))
 	header.Set("Content-Length", strconv.Itoa(len(text)))
 	io.WriteString(writer, text)
 	if every(faults.ExtraResponseEvery, number) {
--- a/test/platform_deployment_test.go
+++ b/test/platform_deployment_test.go
@@ -45,6 +45,8 @@
 	allowedRegions map[string][]string
 	// links are the proxies of each node, by its number; used only with regions.
 	links map[int]*nodeLinks
+	// memoryMB and maxDescriptors are those of the deploymentSpec.
+	memoryMB, maxDescriptors int
 }
 
 // platformNode is one node process.
@@ -53,6 +55,7 @@
 	http      string
 	readiness string
 	metrics   string
+	peer      string
 	mutex     sync.Mutex
 	log       bytes.Buffer
 }
@@ -71,12 +74,15 @@
 	crashOn string
 	// appServiceTime is the time that apps take for a request; 0 for 1 ms.
 	appServiceTime time.Duration
+	// memoryMB is the memory in the settings of the nodes, and maxDescriptors the limit on the
+	// descriptors of each node; 0 for none.
+	memoryMB, maxDescriptors int
 }
 
 // deployPlatform starts stand-ins and nodes and waits until every node is ready.
 func deployPlatform(t *testing.T, spec deploymentSpec) *platformDeployment {
 	t.Helper()
-	d := &platformDeployment{t: t, store: metastore.New(), folder: t.TempDir(), tenants: spec.tenants, regions: spec.regions, allowedRegions: spec.allowedRegions, links: map[int]*nodeLinks{}}
+	d := &platformDeployment{t: t, store: metastore.New(), folder: t.TempDir(), tenants: spec.tenants, regions: spec.regions, allowedRegions: spec.allowedRegions, links: map[int]*nodeLinks{}, memoryMB: spec.memoryMB, maxDescriptors: spec.maxDescriptors}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -164,6 +170,9 @@
 	path := filepath.Join(d.folder, fmt.Sprintf("node-%d.yaml", number))
 	settings := fmt.Sprintf("node: node-%d\nhttp: 127.0.0.1:0\npeer: 127.0.0.1:0\nreadiness: 127.0.0.1:0\nmetrics: 127.0.0.1:0\ngrace: %s\n", number, grace)
 	settings += d.locationSettings(number)
+	if d.memoryMB > 0 {
+		settings += fmt.Sprintf("memoryMB: %d\n", d.memoryMB)
+	}
 	if d.dutyAPI != nil {
 		settings += fmt.Sprintf("dutyAPI: %s\nduties: [metering]\nusageWindow: %s\nusageLate: %s\n", d.dutyAPI.Address(), d.usageWindow, usageLate)
 	}
@@ -175,14 +184,14 @@
 
 func (d *platformDeployment) startNode(number int) *platformNode {
 	d.t.Helper()
-	node := &platformNode{program: start(d.t, 0, "pathtally", "node", "-settings", d.writeSettings(number, "6s"), "-v")}
+	node := &platformNode{program: startLimited(d.t, d.maxDescriptors, 0, "pathtally", "node", "-settings", d.writeSettings(number, "6s"), "-v")}
 	go node.collect()
 	var started struct{ HTTP, Readiness, Metrics, Peer string }
 	d.eventually("the node to start", func() bool {
 		line := node.find("node started")
 		return line != nil && json.Unmarshal(line, &started) == nil
 	})
-	node.http, node.readiness, node.metrics = started.HTTP, started.Readiness, started.Metrics
+	node.http, node.readiness, node.metrics, node.peer = started.HTTP, started.Readiness, started.Metrics, started.Peer
 	if links := d.links[number]; links != nil {
 		links.peer.setTarget(started.Peer)
 	}
--- a/test/programs_test.go
+++ b/test/programs_test.go
@@ -46,13 +46,26 @@
 	// output is the standard output after lines.
 	output *bufio.Reader
 	exited chan struct{}
+	// maxDescriptors is the limit on open descriptors, 0 for that of the test.
+	maxDescriptors int
 }
 
 // start starts a program and reads the given number of lines from its standard output,
 // which it prints once it listens.
 func start(t *testing.T, lines int, name string, args ...string) *program {
 	t.Helper()
-	p := &program{t: t, command: exec.Command(filepath.Join(binaries, name), args...), exited: make(chan struct{})}
+	return startLimited(t, 0, lines, name, args...)
+}
+
+// startLimited is start with a limit on the open descriptors of the program; 0 for none.
+func startLimited(t *testing.T, maxDescriptors, lines int, name string, args ...string) *program {
+	t.Helper()
+	command := exec.Command(filepath.Join(binaries, name), args...)
+	if maxDescriptors > 0 {
+		limited := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, maxDescriptors)
+		command = exec.Command("/bin/sh", append([]string{"-c", limited, command.Path}, args...)...)
+	}
+	p := &program{t: t, command: command, exited: make(chan struct{}), maxDescriptors: maxDescriptors}
 	output, err := p.command.StdoutPipe()
 	if err != nil {
 		t.Fatal(err)
