dispatch: log the connection of a response that is not accepted

For a request that ran twice, the logs could not tell apart a response that is read on a second send over the same connection, one left unread before the send, and one whose id was not checked. At verbosity 1 a response that is not accepted is now logged with its status, the id that it carries, the local address of its connection and the number of requests sent on it.

--- a/internal/callers/dispatch/dispatcher.go
+++ b/internal/callers/dispatch/dispatcher.go
@@ -60,6 +60,8 @@
 	response := &Response{Response: httpResponse, Metadata: d.headers.Decode(httpResponse.Status, httpResponse.Header), Endpoint: endpoint}
 	d.observeLoad(response, call)
 	if err := response.check(call); err != nil {
+		d.logger.V(1).Info("response not accepted", "request", call.ID, "replica", endpoint.Name, "status", response.Status, "responseTo", response.Metadata.RequestID,
+			"connection", response.LocalAddress(), "requestOnConnection", response.RequestNumber(), "error", err.Error())
 		return nil, err
 	}
 	response.ctx, response.attempt = ctx, attempt
--- a/internal/callers/exchange/connection.go
+++ b/internal/callers/exchange/connection.go
@@ -23,6 +23,8 @@
 	// the time at which the connection last became idle.
 	idleUntil time.Time
 	idleSince time.Time
+	// requests is the number of requests that were sent.
+	requests int
 }
 
 func newConnection(address string, raw net.Conn) *connection {
--- a/internal/callers/exchange/response.go
+++ b/internal/callers/exchange/response.go
@@ -39,8 +39,16 @@
 	closed      bool
 }
 
+// LocalAddress returns the local address of the connection, which identifies it in logs.
+func (r *Response) LocalAddress() string { return r.connection.LocalAddr().String() }
+
+// RequestNumber returns the number of requests that were sent on the connection, including this
+// one.
+func (r *Response) RequestNumber() int { return r.connection.requests }
+
 // roundTrip writes a request and reads the head of the response.
 func (c *connection) roundTrip(request *Request) (*Response, error) {
+	c.requests++
 	writeResult, err := c.write(request)
 	if err != nil {
 		return nil, err
