exchange: a connection carries each request id once

Cause: a replica that had turned a request away repeated its rejection in the place of the response to the second send of that request on the same connection. Id and connection are those of both sends, so the rejection was taken for the second response and the request, which ran, was sent elsewhere or refused. Evidence: both responses come from one local address, the second with requestOnConnection 2 and the right id, and the replica sends it only after the second request; so neither an unread buffer nor a missing comparison of ids explains it.

A connection now records the ids that it has carried, and carries each once: a second send takes another connection, so a response with its id can only be its own. Other requests still use the connection. An order, which has no id, takes a connection without an earlier order or report.

--- a/internal/callers/dispatch/dispatcher.go
+++ b/internal/callers/dispatch/dispatcher.go
@@ -88,6 +88,6 @@
 		EnginePriority: call.EnginePriority, Tenant: call.Tenant,
 	})
 	return &exchange.Request{
-		Method: call.Method, Target: call.Target, Host: call.Host, Header: header, Body: call.Body, Purpose: call.Purpose,
+		Method: call.Method, Target: call.Target, Host: call.Host, Header: header, Body: call.Body, Identity: call.ID, Purpose: call.Purpose,
 	}
 }
--- a/internal/callers/exchange/connection.go
+++ b/internal/callers/exchange/connection.go
@@ -23,8 +23,11 @@
 	// the time at which the connection last became idle.
 	idleUntil time.Time
 	idleSince time.Time
-	// requests is the number of requests that were sent.
+	// requests is the number of requests that were sent, carried their identities.
 	requests int
+	carried  identities
+	// carriedUnidentified is set once a request without identity was sent.
+	carriedUnidentified bool
 }
 
 func newConnection(address string, raw net.Conn) *connection {
@@ -34,6 +37,23 @@
 	}
 }
 
+// record records a request that is about to be sent.
+func (c *connection) record(request *Request) {
+	c.requests++
+	c.carried.add(request.Identity)
+	c.carriedUnidentified = c.carriedUnidentified || request.Identity == ""
+}
+
+// mayCarry reports whether no late response to an earlier request on the connection can be taken for
+// the response to this one. once means that the request must not run twice; otherwise a request
+// without identity may get the response to an earlier one of its kind.
+func (c *connection) mayCarry(request *Request, once bool) bool {
+	if request.Identity == "" {
+		return !once || !c.carriedUnidentified
+	}
+	return !c.carried.contains(request.Identity)
+}
+
 // checkIdle returns an error if an idle connection must not be reused. If the socket is
 // readable, either the peer sent unsolicited data or it closed the connection.
 func (c *connection) checkIdle() error {
--- a/internal/callers/exchange/idle.go
+++ b/internal/callers/exchange/idle.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -16,17 +17,32 @@
 	idleTimeMargin  = 700 * time.Millisecond
 )
 
-// popIdle removes and returns the most recently used idle connection to an address, or nil.
-func (p *Pool) popIdle(address string) *connection {
+// popIdle removes and returns the most recently used idle connection to an address that may carry a
+// request, or nil.
+func (p *Pool) popIdle(address string, request *Request, once bool) *connection {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	idle := p.idle[address]
+	// The peer is least likely to have closed the most recently used connection.
+	for i := len(idle) - 1; i >= 0; i-- {
+		if conn := idle[i]; conn.mayCarry(request, once) {
+			p.idle[address] = slices.Delete(idle, i, i+1)
+			return conn
+		}
+	}
+	return nil
+}
+
+// popOldestIdle removes and returns the least recently used idle connection to an address, or nil.
+func (p *Pool) popOldestIdle(address string) *connection {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	idle := p.idle[address]
 	if len(idle) == 0 {
 		return nil
 	}
-	// The peer is least likely to have closed the most recently used connection.
-	conn := idle[len(idle)-1]
-	p.idle[address] = idle[:len(idle)-1]
+	conn := idle[0]
+	p.idle[address] = slices.Delete(idle, 0, 1)
 	return conn
 }
 
--- a/internal/callers/exchange/pool.go
+++ b/internal/callers/exchange/pool.go
@@ -43,12 +43,12 @@
 	return &Pool{dial: dial, idle: map[string][]*connection{}, open: map[string]int{}}
 }
 
-// Send sends a request to an address and reads the head of the response. If fresh is set, it
-// uses only a new connection or one that has been idle for at most maxFreshIdleTime, which the
-// peer is unlikely to be closing. When the context ends, the connection is closed, also while
+// Send sends a request to an address and reads the head of the response. If fresh is set, the
+// request must not run twice: Send then uses only a new connection or one that has been idle for at
+// most maxFreshIdleTime, which the peer is unlikely to be closing. When the context ends, the connection is closed, also while
 // the body is read. The error is a *NotSentError or a *BrokenError.
 func (p *Pool) Send(ctx context.Context, address string, request *Request, fresh bool) (*Response, error) {
-	conn, err := p.acquire(ctx, address, request.Purpose, fresh)
+	conn, err := p.acquire(ctx, address, request, fresh)
 	if err != nil {
 		return nil, &NotSentError{Address: address, Cause: err}
 	}
@@ -67,13 +67,13 @@
 }
 
 // acquire returns a usable idle connection, or a new one.
-func (p *Pool) acquire(ctx context.Context, address string, purpose Purpose, fresh bool) (*connection, error) {
-	idle, unusable := p.takeIdle(address, fresh)
+func (p *Pool) acquire(ctx context.Context, address string, request *Request, fresh bool) (*connection, error) {
+	idle, unusable := p.takeIdle(address, request, fresh)
 	if idle != nil {
-		p.Metrics.recordReused(purpose)
+		p.Metrics.recordReused(request.Purpose)
 		return idle, nil
 	}
-	others, reserved := p.reserve(address)
+	others, reserved := p.reserveOrReplace(address)
 	if !reserved {
 		return nil, ErrTooManyConnections
 	}
@@ -83,15 +83,29 @@
 		return nil, err
 	}
 	p.Counts.Dialed.Add(1)
-	p.Metrics.recordDialed(purpose, reasonOf(unusable, others))
+	p.Metrics.recordDialed(request.Purpose, reasonOf(unusable, others))
 	return newConnection(address, raw), nil
 }
 
-// takeIdle returns the most recently used idle connection that can be reused, or nil. It
-// closes the ones that cannot be reused and returns their number.
-func (p *Pool) takeIdle(address string, fresh bool) (idle *connection, unusable int) {
+// reserveOrReplace reserves a new connection to an address. At the limit it closes an idle one
+// instead, which may not carry the request.
+func (p *Pool) reserveOrReplace(address string) (others int, reserved bool) {
+	if others, reserved = p.reserve(address); reserved {
+		return others, true
+	}
+	replaced := p.popOldestIdle(address)
+	if replaced == nil {
+		return others, false
+	}
+	p.discard(replaced)
+	return p.reserve(address)
+}
+
+// takeIdle returns the most recently used idle connection that can be reused for a request, or nil.
+// It closes the ones that no request can use and returns their number.
+func (p *Pool) takeIdle(address string, request *Request, fresh bool) (idle *connection, unusable int) {
 	for ; ; unusable++ {
-		conn := p.popIdle(address)
+		conn := p.popIdle(address, request, fresh)
 		if conn == nil {
 			return nil, unusable
 		}
--- a/internal/callers/exchange/request.go
+++ b/internal/callers/exchange/request.go
@@ -14,6 +14,11 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Identity is what tells the response apart from that to another request. A replica may
+	// repeat a response later on the same connection, so no connection carries two requests with
+	// the same identity. Empty if nothing tells it apart: then a request that must not run twice
+	// is sent on a connection that has carried no other request without identity.
+	Identity string
 	// Purpose labels the metrics; empty means PurposeLive.
 	Purpose Purpose
 }
--- a/internal/callers/exchange/response.go
+++ b/internal/callers/exchange/response.go
@@ -48,7 +48,7 @@
 
 // roundTrip writes a request and reads the head of the response.
 func (c *connection) roundTrip(request *Request) (*Response, error) {
-	c.requests++
+	c.record(request)
 	writeResult, err := c.write(request)
 	if err != nil {
 		return nil, err
@@ -136,7 +136,7 @@
 // and the framed response read completely, the peer keeps the connection open, and no
 // unsolicited data arrived on it.
 func (r *Response) reusable() bool {
-	return r.complete && r.Framed && !r.closeAfter && r.requestWritten() && r.connection.reader.Buffered() == 0
+	return r.complete && r.Framed && !r.closeAfter && r.requestWritten() && r.connection.reader.Buffered() == 0 && !r.connection.carried.full()
 }
 
 // Discard closes the response and its connection.
--- a/test/hostile_test.go
+++ b/test/hostile_test.go
@@ -238,12 +238,12 @@
 
 // endlessReplica is a replica whose response to each request never ends.
 func (d *platformDeployment) endlessReplica(head, text string) {
-	raw := startRawReplica(d.t, "endless", func(connection net.Conn, request *http.Request) {
+	raw := startRawReplica(d.t, "endless", func(connection net.Conn, request *http.Request) bool {
 		io.WriteString(connection, strings.ReplaceAll(head, "ID", request.Header.Get("Pathtally-Request-Id")))
 		block := strings.Repeat(text, 64<<10/len(text))
 		for {
 			if _, err := io.WriteString(connection, block); err != nil {
-				return
+				return false
 			}
 		}
 	})
--- a/test/raw_replica_test.go
+++ b/test/raw_replica_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -14,9 +15,9 @@
 	listener net.Listener
 }
 
-// startRawReplica starts a replica. respond writes the response to a request; the connection is
-// closed once it returns.
-func startRawReplica(t *testing.T, id string, respond func(connection net.Conn, request *http.Request)) *rawReplica {
+// startRawReplica starts a replica. respond writes the response to a request, and returns whether
+// the connection is kept open.
+func startRawReplica(t *testing.T, id string, respond func(connection net.Conn, request *http.Request) bool) *rawReplica {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -35,17 +36,24 @@
 	return &rawReplica{id: id, listener: listener}
 }
 
-// serveRaw responds to the first request of a connection and closes it.
-func serveRaw(connection net.Conn, respond func(connection net.Conn, request *http.Request)) {
+// serveRaw responds to the requests of a connection.
+func serveRaw(connection net.Conn, respond func(connection net.Conn, request *http.Request) bool) {
 	defer connection.Close()
-	request, err := http.ReadRequest(bufio.NewReader(connection))
-	if err != nil {
-		return
-	}
-	if _, err := io.Copy(io.Discard, request.Body); err != nil {
-		return
+	reader := bufio.NewReader(connection)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return
+		}
+		request.Body = io.NopCloser(bytes.NewReader(body))
+		if !respond(connection, request) {
+			return
+		}
 	}
-	respond(connection, request)
 }
 
 // entry returns the replica's entry in the metadata store.
