ingress: a stopping node answers what it passes on

Callers of a node in a planned stop lost requests that arrived late in the grace period: they were passed on, ran, and ended with a closed connection (LOST), also those that must not run twice.

Cause: the node took every request until it closed its listener, and what was still in progress at the end of the grace period ended with the process. Evidence: all requests without an answer had run at a replica, were sent later than the end less the time that a replica takes, and ended at the same moment.

Once callers can have noticed that the node is not ready, it refuses a request whose deadline is after the end, at once, with 503 and Retry-After; other nodes serve it. What is in progress at the end gets 504, or 503 if it has not run. So a request that is passed on has an answer.

--- a/internal/callers/ingress/handler.go
+++ b/internal/callers/ingress/handler.go
@@ -26,8 +26,8 @@
 	Active atomic.Int64
 	// lastRequest is the arrival time of the latest request, in nanoseconds since started.
 	lastRequest atomic.Int64
-	// Closing, once set, closes each connection after its next response.
-	Closing atomic.Bool
+	// stop is set once the node stops.
+	stop    atomic.Pointer[plannedStop]
 	bodies  bodyReader
 	started time.Time
 }
@@ -46,7 +46,8 @@
 	h.Active.Add(1)
 	defer h.Active.Add(-1)
 	h.lastRequest.Store(int64(time.Since(h.started)))
-	if h.Closing.Load() {
+	stop := h.stop.Load()
+	if stop != nil {
 		writer.Header().Set("Connection", "close")
 	}
 	id := h.config.Headers.RequestID(request.Header)
@@ -56,6 +57,10 @@
 		return
 	}
 	if h.config.Jobs.IsJobRequest(request) {
+		if now := time.Now(); !stop.takes(now, now.Add(maxJobCallTime)) {
+			h.refuse(writer, id, ErrStopping)
+			return
+		}
 		h.serveJobRequest(writer, request, configuration, id)
 		return
 	}
@@ -89,6 +94,10 @@
 		return
 	}
 	received := time.Now()
+	if !h.stop.Load().takes(received, h.lastEnd(request.Header, route, received)) {
+		h.refuse(writer, id, ErrStopping)
+		return
+	}
 	body, release, err := h.bodies.read(request, configuration.Limits.BodyBytes)
 	defer release()
 	if err != nil {
@@ -131,6 +140,14 @@
 	return deadline
 }
 
+// lastEnd returns the time by which a request on a route ends at the latest.
+func (h *Handler) lastEnd(header http.Header, route *directory.Route, received time.Time) time.Time {
+	if route.Kind == directory.RouteBatch {
+		return received.Add(maxJobCallTime)
+	}
+	return h.deadline(header, route, received)
+}
+
 // forwardRequest forwards a request that gets a single response, and writes the response.
 func (h *Handler) forwardRequest(writer http.ResponseWriter, request *http.Request, route *directory.Route, call *dispatch.Call) {
 	response, err := h.config.Forwarder.Do(request.Context(), route, call)
--- a/internal/callers/ingress/refusal.go
+++ b/internal/callers/ingress/refusal.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"time"
@@ -42,6 +43,8 @@
 	switch {
 	case errors.Is(err, errNoConfiguration):
 		return refusal{http.StatusServiceUnavailable, err.Error(), noConfigurationRetryAfter}
+	case errors.Is(err, ErrStopping):
+		return refusal{http.StatusServiceUnavailable, err.Error(), stoppingRetryAfter}
 	case errors.Is(err, errNoRoute):
 		return refusal{http.StatusNotFound, err.Error(), 0}
 	case errors.Is(err, errStaleConfiguration):
@@ -92,7 +95,7 @@
 // handleForwardError ends a request for which forwarding returned no response. If the caller
 // has disconnected, it aborts the connection.
 func (h *Handler) handleForwardError(writer http.ResponseWriter, request *http.Request, id string, err error) {
-	if request.Context().Err() != nil {
+	if cause := context.Cause(request.Context()); cause != nil && !errors.Is(cause, ErrStopping) {
 		panic(http.ErrAbortHandler)
 	}
 	h.refuse(writer, id, err)
--- a/internal/instance/components.go
+++ b/internal/instance/components.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -56,6 +57,8 @@
 	jobs       *batch.Service
 	handler    *ingress.Handler
 	server     *http.Server
+	// cancelRequests ends the requests of callers that are in progress, with a cause.
+	cancelRequests context.CancelCauseFunc
 	// The duty lease, and the duties that require it.
 	lease   *lease.Lease
 	elector *lease.Elector
--- a/internal/instance/servers.go
+++ b/internal/instance/servers.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -23,6 +24,9 @@
 // serve starts the HTTP servers on the open listeners.
 func (i *Instance) serve(opened *listeners) {
 	i.components.server = newServer(i.components.handler)
+	requests, cancelRequests := context.WithCancelCause(context.Background())
+	i.components.server.BaseContext = func(net.Listener) context.Context { return requests }
+	i.components.cancelRequests = cancelRequests
 	go serveOn(i.components.server, opened.http, i.logger)
 	if opened.readiness != nil {
 		go serveOn(newServer(http.HandlerFunc(i.serveReadiness)), opened.readiness, i.logger)
--- a/internal/instance/stop.go
+++ b/internal/instance/stop.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/pathtally/pathtally/internal/callers/ingress"
 )
 
 const (
@@ -14,9 +16,11 @@
 	minIdleTime = 1200 * time.Millisecond
 	// graceMargin is the end of the grace period that is reserved for closing, and
 	// closeTimeout the part of it in which the remaining requests may end and the last
-	// usage counts are pushed.
+	// usage counts are pushed. Requests that are in progress after that get an error response
+	// within abortTimeout.
 	graceMargin  = 900 * time.Millisecond
 	closeTimeout = graceMargin / 2
+	abortTimeout = graceMargin / 4
 	// jobHandoverTime is the end of the grace period that is reserved for other nodes to
 	// take over unfinished batch jobs.
 	jobHandoverTime = 2500 * time.Millisecond
@@ -43,16 +47,17 @@
 
 // drain waits until no work is in progress and shuts down the server.
 func (c *components) drain(begun time.Time) {
-	c.handler.Closing.Store(true)
-	c.source.AnnounceShutdown()
-	c.releaseDuties()
 	grace := c.live.grace()
 	deadline := begun.Add(grace - graceMargin)
+	c.handler.Stop(begun.Add(min(minDrainTime, (grace-graceMargin)/2)), deadline)
+	c.source.AnnounceShutdown()
+	c.releaseDuties()
 	c.awaitRequests(begun, begun.Add(grace-jobHandoverTime), deadline)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(closeTimeout))
 	defer cancel()
 	if err := c.server.Shutdown(ctx); err != nil {
 		c.logger.Info("planned stop aborted requests in progress", "error", err.Error())
+		c.abortRequests()
 	}
 	if c.usage != nil {
 		// Pushes what was counted while the node drained.
@@ -60,6 +65,16 @@
 	}
 }
 
+// abortRequests ends the requests in progress with an error response.
+func (c *components) abortRequests() {
+	c.cancelRequests(ingress.ErrStopping)
+	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
+	defer cancel()
+	if err := c.server.Shutdown(ctx); err != nil {
+		c.logger.Info("planned stop closed connections", "error", err.Error())
+	}
+}
+
 // awaitRequests waits until no work is in progress or the deadline passes. Batch jobs run until
 // the handover, which is late in the grace period, since a takeover costs more than a late
 // end.
