ingress: a response without framing is not given any

Callers got a 200 with an empty or short body, framed as whole, of a replica that had broken off (MIXED, ORDER).

Cause: a response may have neither a length nor chunks and end with its connection. The node cannot tell whether such a response is whole, and gave it a Content-Length, or a final chunk.

The response now ends with the caller's connection, as it ended with the replica's. If a stream of this kind is known to be broken, the connection is reset, since a close would look like its end.

--- a/internal/callers/ingress/response.go
+++ b/internal/callers/ingress/response.go
@@ -11,7 +11,11 @@
 func (h *Handler) writeResponse(writer http.ResponseWriter, response *forward.BufferedResponse) {
 	header := writer.Header()
 	copyResponseHeaders(header, response.Response.Header)
-	header.Set("Content-Length", strconv.Itoa(len(response.Body)))
+	if response.Response.Framed {
+		header.Set("Content-Length", strconv.Itoa(len(response.Body)))
+	} else {
+		endWithConnection(header)
+	}
 	writer.WriteHeader(response.Response.Status)
 	writer.Write(response.Body)
 }
@@ -26,3 +30,28 @@
 		header["Content-Type"] = nil
 	}
 }
+
+// endWithConnection makes a response end when its connection is closed, without a length or chunks.
+// A replica's response that had neither may be truncated, and must not look more complete to the
+// caller than it did to this node.
+func endWithConnection(header http.Header) {
+	// net/http removes the header and adds Connection: close.
+	header.Set("Transfer-Encoding", "identity")
+}
+
+// resetter is a TCP connection.
+type resetter interface{ SetLinger(seconds int) error }
+
+// resetConnection resets the connection of a response that ends with it, so that the caller notices
+// that the response is truncated.
+func resetConnection(writer http.ResponseWriter) {
+	connection, _, err := http.NewResponseController(writer).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if tcp, isTCP := connection.(resetter); isTCP {
+		// With unsent data discarded, Close sends a reset.
+		tcp.SetLinger(0)
+	}
+	connection.Close()
+}
