forward: one budget for all bodies and events of responses

A faulty replica that sends without end made a node exceed its memory, which ends the requests of all its callers.

Cause: the first MiB of each body and all events were outside the budget, and the budget of a body was given back before its caller had read it.

All but the first 16 KiB of a body, and events longer than that at four times their length, are reserved, until they have been written. A request has one reservation for all its attempts, which ends with it, so that attempts that outlive the request keep nothing. A budget can have a holder without progress give way.

--- a/internal/callers/bytebudget/budget.go
+++ b/internal/callers/bytebudget/budget.go
@@ -3,25 +3,37 @@
 
 import "sync/atomic"
 
+// maxReliefs bounds how often one reservation has others give way.
+const maxReliefs = 16
+
 // Budget limits a number of bytes in use. A nil Budget has no limit. It is safe for concurrent use.
 type Budget struct {
 	limit int64
 	used  atomic.Int64
+	// Relieve ends a holder of the budget that makes no progress. It returns false if there is
+	// none. It must be set before the first reservation; nil for none.
+	Relieve func() bool
 }
 
 // New returns a Budget with a limit in bytes; 0 means no limit.
 func New(limit int64) *Budget { return &Budget{limit: limit} }
 
-// Reserve reserves bytes, and returns false if they would exceed the limit.
+// Reserve reserves bytes. If they would exceed the limit, it has other holders give way, and returns
+// false if that is not enough.
 func (b *Budget) Reserve(count int64) bool {
 	if b == nil || b.limit <= 0 {
 		return true
 	}
-	if b.used.Add(count) > b.limit {
+	for range maxReliefs {
+		if b.used.Add(count) <= b.limit {
+			return true
+		}
 		b.used.Add(-count)
-		return false
+		if count > b.limit || b.Relieve == nil || !b.Relieve() {
+			return false
+		}
 	}
-	return true
+	return false
 }
 
 // Release returns reserved bytes to the budget.
--- a/internal/callers/eventstream/errors.go
+++ b/internal/callers/eventstream/errors.go
@@ -9,6 +9,9 @@
 // ErrTruncated means that the stream ended in the middle of an event.
 var ErrTruncated = merry.Sentinel("stream ended in the middle of an event")
 
+// ErrBudgetExhausted means that the long events of all streams leave no memory for an event.
+var ErrBudgetExhausted = merry.Sentinel("no memory for the event")
+
 // MalformedError reports an event that cannot be parsed or does not follow the previous one.
 type MalformedError struct {
 	Reason string
--- a/internal/callers/eventstream/reader.go
+++ b/internal/callers/eventstream/reader.go
@@ -6,6 +6,8 @@
 	"io"
 	"strconv"
 	"strings"
+
+	"github.com/pathtally/pathtally/internal/callers/bytebudget"
 )
 
 const (
@@ -13,6 +15,10 @@
 	// as long.
 	maxEventBytes   = 1 << 20
 	readBufferBytes = 4 << 10
+	// Up to maxUnreservedBytes an event needs no budget; beyond that, eventMemory times its
+	// length is reserved, since its lines, data and raw form are kept.
+	maxUnreservedBytes = 16 << 10
+	eventMemory        = 4
 	// maxQuotedBytes limits how much of an overlong event's last line an error quotes.
 	maxQuotedBytes = 64
 )
@@ -26,6 +32,11 @@
 	lastID int
 	// eventBytes is the number of bytes read since the last event.
 	eventBytes int
+	// Budget limits the memory of the long events of all streams; nil for no limit. It must not be
+	// changed after the first Next.
+	Budget *bytebudget.Budget
+	// reserved is what the event in progress has reserved from it.
+	reserved int64
 }
 
 // NewReader returns a reader of a stream that resumes after the event with the id after; 0
@@ -35,11 +46,32 @@
 	return &Reader{source: bufio.NewReaderSize(source, readBufferBytes), versionField: versionField, lastID: after}
 }
 
+// Close releases what the last event has reserved. It does not close the source.
+func (r *Reader) Close() {
+	r.Budget.Release(r.reserved)
+	r.reserved = 0
+}
+
+// reserve reserves memory for the event in progress, and returns false if the budget is exhausted.
+func (r *Reader) reserve() bool {
+	needed := int64(r.eventBytes) * eventMemory
+	if r.eventBytes <= maxUnreservedBytes || needed <= r.reserved {
+		return true
+	}
+	// Reserving twice what is needed keeps the number of reservations small.
+	if !r.Budget.Reserve(2*needed - r.reserved) {
+		return false
+	}
+	r.reserved = 2 * needed
+	return true
+}
+
 // Next returns the next event. The error is io.EOF if the source ends after a complete event,
 // ErrTruncated if it ends within one, a *MalformedError, or an error of the source.
 func (r *Reader) Next() (Event, error) {
 	partial := partialEvent{}
 	r.eventBytes = 0
+	r.Close()
 	for {
 		line, err := r.readLine()
 		if err != nil {
@@ -79,6 +111,9 @@
 		if r.eventBytes += len(part); r.eventBytes > maxEventBytes {
 			return "", &MalformedError{Reason: "event exceeds the maximum length", Line: quoted(partial, part)}
 		}
+		if !r.reserve() {
+			return "", ErrBudgetExhausted
+		}
 		if err == nil {
 			if partial != nil {
 				part = append(partial, part...)
--- a/internal/callers/forward/forwarder.go
+++ b/internal/callers/forward/forwarder.go
@@ -28,9 +28,12 @@
 	VersionField string
 	// Meter counts the metered requests that started to run. May be nil.
 	Meter Meter
-	// MaxTotalResponseBytes limits the total size of the large response bodies that are being
-	// read; 0 means no limit.
+	// MaxTotalResponseBytes limits the total size of the large response bodies and events that are
+	// being read or have not been written to their callers; 0 means no limit.
 	MaxTotalResponseBytes int64
+	// RelieveResponses ends a request whose caller does not read the response, for the benefit of
+	// others, and returns false if there is none. It may be nil.
+	RelieveResponses func() bool
 }
 
 // Forwarder forwards live requests. It is safe for concurrent use.
@@ -60,15 +63,20 @@
 	if config.Meter == nil {
 		config.Meter = noMeter{}
 	}
+	responseBytes := bytebudget.New(config.MaxTotalResponseBytes)
+	responseBytes.Relieve = config.RelieveResponses
 	return &Forwarder{
 		config: config, successLogLimiter: rate.NewLimiter(successLogsPerSecond, successLogBurst),
 		refusalLogLimiter: rate.NewLimiter(refusalLogsPerSecond, refusalLogBurst), admissions: &serviceAdmissions{metrics: config.Metrics},
-		responseBytes: bytebudget.New(config.MaxTotalResponseBytes),
+		responseBytes: responseBytes,
 	}
 }
 
-// Do forwards a request and returns the complete response. The error is a *RefusedError
-// or a *LostError. The context must end when the caller disconnects.
+// ResponseBudget returns the budget of responses, for those that are read by others.
+func (f *Forwarder) ResponseBudget() *bytebudget.Budget { return f.responseBytes }
+
+// Do forwards a request and returns the complete response, which must be released. The error is a
+// *RefusedError or a *LostError. The context must end when the caller disconnects.
 func (f *Forwarder) Do(ctx context.Context, route *directory.Route, call *dispatch.Call) (*BufferedResponse, error) {
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
@@ -78,6 +86,11 @@
 	if err == nil {
 		response, err = request.run(ctx)
 	}
+	if err != nil {
+		request.held.close()
+	} else {
+		response.reservation = request.held
+	}
 	request.report(response, err)
 	if start, started := request.attempts.startedAt(); started && call.Metered {
 		f.config.Meter.CountRequest(call.Tenant, start)
--- a/internal/callers/forward/request.go
+++ b/internal/callers/forward/request.go
@@ -80,6 +80,8 @@
 	// with status 500.
 	response *BufferedResponse
 	failures int
+	// held is what the bodies of the responses have reserved.
+	held *reservation
 }
 
 func (f *Forwarder) newRequest(route *directory.Route, call *dispatch.Call) *request {
@@ -90,6 +92,7 @@
 	return &request{
 		forwarder: f, route: route, call: call, repeatable: route.Kind == directory.RouteSafe, objective: objective,
 		started: time.Now(), firstTarget: f.splitter.next(route), results: make(chan attemptResult, route.Attempts+maxRejections),
+		held: &reservation{budget: f.responseBytes},
 	}
 }
 
@@ -176,7 +179,7 @@
 	start := time.Now()
 	r.running = append(r.running, runningAttempt{endpoint: endpoint, at: start})
 	go func() {
-		response, err := r.forwarder.attempt(ctx, endpoint, &call)
+		response, err := r.forwarder.attempt(ctx, endpoint, &call, r.held)
 		r.results <- attemptResult{replica: endpoint.Name, endpoint: endpoint, took: time.Since(start), response: response, err: err}
 	}()
 	return decision{step: stepAwait, reason: reasonInProgress}
--- a/internal/callers/forward/response.go
+++ b/internal/callers/forward/response.go
@@ -19,8 +19,11 @@
 	// maxResponseBytes is the maximum size of a buffered response body.
 	maxResponseBytes = 64 << 20
 	// maxPreallocatedBytes is the Content-Length below which the buffer is allocated
-	// in one piece. What a buffer has beyond it is reserved from the budget of all bodies.
+	// in one piece.
 	maxPreallocatedBytes = 1 << 20
+	// maxUnreservedBytes is the part of a buffer that needs no budget, so that responses of the
+	// usual size are read also while large ones use it up.
+	maxUnreservedBytes = 16 << 10
 )
 
 // BufferedResponse is a replica's response with its complete body.
@@ -32,11 +35,21 @@
 	Failures int
 	// Rejections is the number of attempts that certainly did not run the request.
 	Rejections int
+
+	reservation *reservation
+}
+
+// Release releases the memory that the body has reserved. It must be called once the body is no
+// longer used. The receiver may be nil.
+func (r *BufferedResponse) Release() {
+	if r != nil && r.reservation != nil {
+		r.reservation.close()
+	}
 }
 
 // attempt sends a call to a replica and reads the complete response. It updates the
 // endpoint's latency estimate and its count of consecutive failures.
-func (f *Forwarder) attempt(ctx context.Context, endpoint *routing.Endpoint, call *dispatch.Call) (*BufferedResponse, error) {
+func (f *Forwarder) attempt(ctx context.Context, endpoint *routing.Endpoint, call *dispatch.Call, held *reservation) (*BufferedResponse, error) {
 	start := time.Now()
 	response, err := f.config.Dispatcher.Send(ctx, endpoint, call)
 	if err != nil {
@@ -45,7 +58,7 @@
 		}
 		return nil, err
 	}
-	body, err := f.readBody(response)
+	body, err := readBody(response, held)
 	if err != nil {
 		if ctx.Err() == nil {
 			endpoint.State.Failures.Add(1)
@@ -64,20 +77,20 @@
 }
 
 // readBody reads the complete body. A body larger than maxResponseBytes, or one that exceeds
-// the budget of all bodies that are being read, yields an *exchange.BrokenError.
-func (f *Forwarder) readBody(response *dispatch.Response) ([]byte, error) {
-	size := initialBodyBytes
-	if response.Length >= 0 && response.Length < maxPreallocatedBytes {
-		size = int(response.Length) + 1
-	}
+// the budget of all bodies, yields an *exchange.BrokenError. What it reserves stays reserved after a
+// success.
+func readBody(response *dispatch.Response, held *reservation) (body []byte, err error) {
 	reserved := int64(0)
-	defer func() { f.responseBytes.Release(reserved) }()
-	body := make([]byte, 0, size)
+	defer func() {
+		if err != nil {
+			held.release(reserved)
+		}
+	}()
 	for {
 		if len(body) == cap(body) {
-			step := max(initialBodyBytes, len(body))
-			if len(body)+step > maxPreallocatedBytes {
-				if !f.responseBytes.Reserve(int64(step)) {
+			step := growth(len(body), response.Length)
+			if len(body)+step > maxUnreservedBytes {
+				if !held.reserve(int64(step)) {
 					return nil, &exchange.BrokenError{Address: response.Endpoint.Address, Cause: ErrResponseBudgetExhausted}
 				}
 				reserved += int64(step)
@@ -97,3 +110,11 @@
 		}
 	}
 }
+
+// growth returns by how many bytes a full buffer grows, given the length of the body or -1.
+func growth(size int, length int64) int {
+	if size == 0 && length >= 0 && length < maxPreallocatedBytes {
+		return int(length) + 1
+	}
+	return max(initialBodyBytes, size)
+}
--- a/internal/callers/forward/stream_attempt.go
+++ b/internal/callers/forward/stream_attempt.go
@@ -73,7 +73,9 @@
 
 // forwardBody forwards the body of a response that is not a stream.
 func (r *streamRequest) forwardBody(response *dispatch.Response) error {
-	body, err := r.forwarder.readBody(response)
+	held := &reservation{budget: r.forwarder.responseBytes}
+	defer held.close()
+	body, err := readBody(response, held)
 	if err != nil {
 		return err
 	}
@@ -85,6 +87,8 @@
 // gets a line with that version.
 func (r *streamRequest) forwardEvents(response *dispatch.Response, resumed bool, onEvent func()) error {
 	events := eventstream.NewReader(response, r.forwarder.config.VersionField, r.lastEventID)
+	events.Budget = r.forwarder.responseBytes
+	defer events.Close()
 	announceVersion := resumed && response.Metadata.Version > 0 && response.Metadata.Version != r.version
 	if response.Metadata.Version > 0 {
 		r.version = response.Metadata.Version
--- a/internal/callers/ingress/handler.go
+++ b/internal/callers/ingress/handler.go
@@ -155,5 +155,6 @@
 		h.handleForwardError(writer, request, call.ID, err)
 		return
 	}
+	defer response.Release()
 	h.writeResponse(writer, response)
 }
--- a/internal/jobs/batch/itemrun.go
+++ b/internal/jobs/batch/itemrun.go
@@ -120,6 +120,8 @@
 func (s *scheduler) receiveEvents(running *itemRun, response *dispatch.Response, version int64, singleVersion bool) error {
 	work := running.item
 	events := eventstream.NewReader(response, s.config.Codec.VersionField(), len(work.progress.events))
+	events.Budget = s.config.Forwarder.ResponseBudget()
+	defer events.Close()
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
--- a/internal/jobs/batch/reward.go
+++ b/internal/jobs/batch/reward.go
@@ -78,6 +78,7 @@
 	}
 	call.Deadline = time.Now().Add(rewardTimeout(route))
 	response, err := s.config.Forwarder.Do(ctx, route, call)
+	defer response.Release()
 	var refused *forward.RefusedError
 	isOverloaded := errors.As(err, &refused) && refused.Reason != forward.ReasonCrashBackoff
 	limiter.Leave(isOverloaded || (err == nil && response.Rejections > 0))
