exchange: one request in, exactly one request out

Cause: headers of the connection were removed from live requests only, and the writer wrote method, target, host and headers as they came. Evidence: Transfer-Encoding in an item's headers, and line breaks in its path, made a server read an inner request; a second length and a line break in a header did not.

exchange.Request.Validate is the one rule for what may go to a replica. The writer refuses what breaks it before anything is sent; a submission with such an item gets 400 with the item and the field. From items that an earlier build accepted, headers of the connection are removed.

--- a/internal/callers/exchange/pool.go
+++ b/internal/callers/exchange/pool.go
@@ -48,6 +48,9 @@
 // most maxFreshIdleTime, which the peer is unlikely to be closing. When the context ends, the connection is closed, also while
 // the body is read. The error is a *NotSentError or a *BrokenError.
 func (p *Pool) Send(ctx context.Context, address string, request *Request, fresh bool) (*Response, error) {
+	if err := request.Validate(); err != nil {
+		return nil, &NotSentError{Address: address, Cause: err}
+	}
 	conn, err := p.acquire(ctx, address, request, fresh)
 	if err != nil {
 		return nil, &NotSentError{Address: address, Cause: err}
--- a/internal/callers/ingress/handler.go
+++ b/internal/callers/ingress/handler.go
@@ -8,6 +8,7 @@
 
 	"github.com/pathtally/pathtally/internal/callers/bytebudget"
 	"github.com/pathtally/pathtally/internal/callers/dispatch"
+	"github.com/pathtally/pathtally/internal/callers/exchange"
 	"github.com/pathtally/pathtally/internal/replicas/directory"
 )
 
@@ -130,7 +131,7 @@
 func (h *Handler) newCall(request *http.Request, route *directory.Route, id, tenant string, body []byte, received time.Time) *dispatch.Call {
 	return &dispatch.Call{
 		ID: id, Method: request.Method, Target: request.RequestURI, Host: request.Host,
-		Header: withoutConnectionHeaders(request.Header), Body: body, Deadline: h.deadline(request.Header, route, received),
+		Header: exchange.WithoutConnectionHeaders(request.Header), Body: body, Deadline: h.deadline(request.Header, route, received),
 		Tenant: tenant, Metered: true,
 	}
 }
--- a/internal/callers/ingress/headers.go
+++ b/internal/callers/ingress/headers.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/pathtally/pathtally/internal/callers/tenancy"
@@ -28,23 +27,3 @@
 	// is 0.
 	SetRefusal(header http.Header, id string, after time.Duration)
 }
-
-// connectionHeaders apply to a single connection (hop-by-hop) and are never forwarded.
-var connectionHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
-}
-
-// withoutConnectionHeaders returns a copy of headers without those of the connection.
-func withoutConnectionHeaders(header http.Header) http.Header {
-	forwarded := header.Clone()
-	for _, line := range header.Values("Connection") {
-		for _, name := range strings.Split(line, ",") {
-			forwarded.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range connectionHeaders {
-		forwarded.Del(name)
-	}
-	return forwarded
-}
--- a/internal/callers/ingress/response.go
+++ b/internal/callers/ingress/response.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/pathtally/pathtally/internal/callers/exchange"
 	"github.com/pathtally/pathtally/internal/callers/forward"
 )
 
@@ -22,7 +23,7 @@
 
 // copyResponseHeaders copies the end-to-end headers of a replica's response.
 func copyResponseHeaders(header, from http.Header) {
-	for name, values := range withoutConnectionHeaders(from) {
+	for name, values := range exchange.WithoutConnectionHeaders(from) {
 		header[name] = values
 	}
 	if header.Get("Content-Type") == "" {
--- a/internal/jobs/batch/errors.go
+++ b/internal/jobs/batch/errors.go
@@ -37,6 +37,17 @@
 	ErrOldWeights = merry.Sentinel("weights are older than allowed")
 )
 
+// InvalidItemError means that an item of a submission must not be sent to a replica.
+type InvalidItemError struct {
+	// Item is the id of the item.
+	Item  string
+	Cause error
+}
+
+func (e *InvalidItemError) Error() string { return fmt.Sprintf("item %q: %v", e.Item, e.Cause) }
+
+func (e *InvalidItemError) Unwrap() error { return e.Cause }
+
 // RescheduledError means that the scheduler canceled a run so that its item continues
 // elsewhere.
 type RescheduledError struct {
--- a/internal/jobs/batch/handler.go
+++ b/internal/jobs/batch/handler.go
@@ -46,6 +46,10 @@
 		h.refuse(writer, id, ErrItemCredentials, malformed)
 		return
 	}
+	if submission.Invalid != nil {
+		h.refuse(writer, id, submission.Invalid, malformed)
+		return
+	}
 	// The request's context is not used: the job may be stored already when the caller
 	// disconnects.
 	ctx, cancel := context.WithTimeout(h.Service.base, h.submitTimeout(request, route.Timeout)-responseMargin)
--- a/internal/jobs/batch/submission.go
+++ b/internal/jobs/batch/submission.go
@@ -20,6 +20,9 @@
 	// HasCredentials reports that an item carried credentials. They are removed from the
 	// item's header, since jobs are stored and credentials must not be.
 	HasCredentials bool
+	// Invalid is an *InvalidItemError if an item must not be sent to a replica; nil otherwise. Jobs
+	// that an earlier version accepted may have such items.
+	Invalid error
 }
 
 // Item is one request of a batch job.
