command: signals during the start are handled once the node runs

A SIGHUP while a node starts ended it; SIGTERM ended it without a planned stop.

Cause: the signals were asked for after the node had started. Evidence: a node that waits for its settings file ends at SIGHUP, without a log line.

Signals are received before the settings are read. The version of the file is noted before it is read, too, so that a change in between is noticed.

TestReloadSignalDuringStart failed before ("timed out waiting for the node to start") and passes.

--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -23,6 +23,8 @@
 	if len(words) > 0 {
 		return &UsageError{Message: fmt.Sprintf("unexpected %q", words[0])}
 	}
+	// Signals may come before the node runs, and changes of the file while it is read.
+	signals, version := receiveSignals(), versionOf(*path)
 	loaded, err := settings.Load(*path, given)
 	if err != nil {
 		return err
@@ -36,7 +38,7 @@
 		level = slog.LevelDebug
 	}
 	if loaded.ObjectStore != "" || loaded.Idle {
-		return runInstance(call, loaded, given, *path, level)
+		return runInstance(call, loaded, given, *path, version, signals, level)
 	}
 	process.SetupLogging(call.stderr, level)
 	running, err := process.Start(loaded)
@@ -44,6 +46,6 @@
 		return err
 	}
 	fmt.Fprintf(call.stdout, "node %s: peer %s http %s\n", running.Name(), running.PeerAddress(), running.HTTPAddress())
-	waitForStop(running)
+	waitForStop(running, signals.stop)
 	return nil
 }
--- a/internal/command/settingsfile.go
+++ b/internal/command/settingsfile.go
@@ -2,8 +2,6 @@
 
 import (
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -17,11 +15,8 @@
 const settingsPollInterval = 5 * time.Second
 
 // followSettings reloads the settings file on SIGHUP and when it has changed, until the node
-// has drained. flags override the file.
-func followSettings(running *instance.Instance, flags settings.Settings, path string) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	loaded := versionOf(path)
+// has drained. flags override the file, loaded is the version of the file that the node runs with.
+func followSettings(running *instance.Instance, flags settings.Settings, path string, loaded fileVersion, signals <-chan os.Signal) {
 	poll := time.NewTicker(settingsPollInterval)
 	defer poll.Stop()
 	for {
--- a/internal/command/stop.go
+++ b/internal/command/stop.go
@@ -1,10 +1,6 @@
 package command
 
-import (
-	"os"
-	"os/signal"
-	"syscall"
-)
+import "os"
 
 // stoppable is a running node.
 type stoppable interface {
@@ -14,9 +10,7 @@
 
 // waitForStop starts the graceful shutdown of a node at the first signal. It returns when the
 // node has drained, or at the second signal.
-func waitForStop(running stoppable) {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+func waitForStop(running stoppable, signals <-chan os.Signal) {
 	select {
 	case <-signals:
 		go running.Stop()
