intake, transport: elapsed time and names

A blocked write was timed by the wall clock, so that a step of the clock could make it look longer, which mattered only at the limits. It now reads the monotonic clock. A peer that has sent its Hello is called identified.

--- a/internal/callers/intake/close.go
+++ b/internal/callers/intake/close.go
@@ -91,9 +91,8 @@
 // least stallTime, or nil. The mutex must be held.
 func (l *Listener) longestStalled() *Connection {
 	var longest *Connection
-	now := time.Now()
 	for served := range l.served {
-		if served.stalls(now) && (longest == nil || served.since.Before(longest.since)) {
+		if served.stalls() && (longest == nil || served.since.Before(longest.since)) {
 			longest = served
 		}
 	}
--- a/internal/callers/intake/connection.go
+++ b/internal/callers/intake/connection.go
@@ -35,8 +35,8 @@
 	// headBytes counts the bytes of that head. The reading goroutine writes headBytes.
 	readsHead atomic.Bool
 	headBytes int64
-	// writeBegan is when the write in progress began, in nanoseconds since the Unix epoch; 0 if
-	// there is none.
+	// writeBegan is when the write in progress began, in nanoseconds since the listener was
+	// created; 0 if there is none.
 	writeBegan atomic.Int64
 
 	// The mutex of the listener guards the other fields.
@@ -118,15 +118,15 @@
 
 // Write implements net.Conn.
 func (c *Connection) Write(buffer []byte) (int, error) {
-	c.writeBegan.Store(time.Now().UnixNano())
+	c.writeBegan.Store(int64(time.Since(c.listener.created)))
 	defer c.writeBegan.Store(0)
 	return c.Conn.Write(buffer)
 }
 
 // stalls reports whether a write has been blocked for at least stallTime.
-func (c *Connection) stalls(now time.Time) bool {
+func (c *Connection) stalls() bool {
 	began := c.writeBegan.Load()
-	return began != 0 && now.Sub(time.Unix(0, began)) >= stallTime
+	return began != 0 && time.Since(c.listener.created)-time.Duration(began) >= stallTime
 }
 
 // Close implements net.Conn.
--- a/internal/callers/intake/listener.go
+++ b/internal/callers/intake/listener.go
@@ -22,6 +22,7 @@
 	limits  Limits
 	metrics *Metrics
 	heads   *bytebudget.Budget
+	created time.Time
 
 	mutex sync.Mutex
 	// open is the number of open connections.
@@ -35,7 +36,7 @@
 // NewListener returns a listener that accepts the connections of another one. Metrics may be nil.
 func NewListener(wrapped net.Listener, name string, limits Limits, metrics *Metrics) *Listener {
 	listener := &Listener{
-		Listener: wrapped, name: name, limits: limits, metrics: metrics, heads: bytebudget.New(limits.HeadMemoryBytes),
+		Listener: wrapped, name: name, limits: limits, metrics: metrics, heads: bytebudget.New(limits.HeadMemoryBytes), created: time.Now(),
 		waiting: list.New(), served: map[*Connection]bool{},
 	}
 	listener.heads.Relieve = listener.closeLongestHead
--- a/internal/cluster/transport/incoming.go
+++ b/internal/cluster/transport/incoming.go
@@ -10,8 +10,8 @@
 // incoming is the connection of a peer. The mutex of the transport guards it.
 type incoming struct {
 	openedAt time.Time
-	// greeted is set once the peer has sent a Hello.
-	greeted bool
+	// identified is set once the peer has sent a Hello.
+	identified bool
 }
 
 // serve handles the messages of one peer until its connection ends. The first frame must be
@@ -24,7 +24,7 @@
 	defer t.removeIncoming(connection)
 	reader := countingReader{connection: connection, counts: &t.counts}
 	replies := &replyWriter{connection: connection, counts: &t.counts, traffic: t.config.Traffic}
-	hello := t.greet(connection, reader, replies)
+	hello := t.readHello(connection, reader, replies)
 	if hello == nil {
 		return
 	}
@@ -38,9 +38,9 @@
 	}
 }
 
-// greet reads the first frame of a connection, and returns nil if it is not a Hello of the same
+// readHello reads the first frame of a connection, and returns nil if it is not a Hello of the same
 // protocol version.
-func (t *Transport) greet(connection net.Conn, reader countingReader, replies *replyWriter) *wire.Hello {
+func (t *Transport) readHello(connection net.Conn, reader countingReader, replies *replyWriter) *wire.Hello {
 	if err := connection.SetReadDeadline(time.Now().Add(helloTimeout)); err != nil {
 		return nil
 	}
@@ -59,7 +59,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if peer := t.incoming[connection]; peer != nil {
-		peer.greeted = true
+		peer.identified = true
 	}
 	return hello
 }
@@ -90,7 +90,7 @@
 	var longest net.Conn
 	var since time.Time
 	for connection, peer := range t.incoming {
-		if !peer.greeted && (longest == nil || peer.openedAt.Before(since)) {
+		if !peer.identified && (longest == nil || peer.openedAt.Before(since)) {
 			longest, since = connection, peer.openedAt
 		}
 	}
