standin: replicas repeat rejections late; the soak's corrupted replicas do

The soak's corrupted replicas sent surplus responses at once and with other ids only, so that it could not find requests that run twice after a repeated rejection. A stand-in can now send each rejection once more in the place of the next response on its connection, and corrupted replicas of the soak do.

--- a/standin/replica/config.go
+++ b/standin/replica/config.go
@@ -40,6 +40,9 @@
 	TruncateEvery int
 	// ExtraResponseEvery sends a second response after the first.
 	ExtraResponseEvery int
+	// RepeatRejectionEvery sends a rejection once more, in the place of the next response on its
+	// connection. It counts rejections.
+	RepeatRejectionEvery int
 	// WrongIDEvery sends the response with the ID of another request.
 	WrongIDEvery int
 }
--- a/standin/replica/requests.go
+++ b/standin/replica/requests.go
@@ -10,12 +10,13 @@
 )
 
 // begin admits and records a request if a slot is free and no weights are being loaded. number
-// counts the admitted requests from 1.
+// counts the admitted, or the rejected, requests from 1.
 func (s *Server) begin(request *http.Request, body string, after int) (number int, version int64, faults Faults, admitted bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.active >= s.config.Slots || s.busy {
-		return 0, 0, Faults{}, false
+		s.rejected++
+		return s.rejected, 0, s.faults, false
 	}
 	s.active++
 	s.served++
@@ -58,8 +59,7 @@
 		header.Set("Pathtally-Instance-Load", s.loadHeader())
 	}
 	if !admitted {
-		header.Set("Pathtally-Not-Executed", "1")
-		writer.WriteHeader(http.StatusServiceUnavailable)
+		reject(writer, request, every(faults.RepeatRejectionEvery, number))
 		return
 	}
 	defer s.end()
--- a/standin/replica/server.go
+++ b/standin/replica/server.go
@@ -20,10 +20,12 @@
 	// active is the number of running requests, served that of all admitted ones.
 	active int
 	served int
-	runs   []Run
-	orders []ReceivedOrder
-	faults Faults
-	ended  bool
+	// rejected counts the rejected requests.
+	rejected int
+	runs     []Run
+	orders   []ReceivedOrder
+	faults   Faults
+	ended    bool
 }
 
 // Start starts a replica on a free port of the loopback interface.
@@ -38,8 +40,8 @@
 // Serve starts a replica on a listener.
 func Serve(config Config, listener net.Listener) *Server {
 	replica := &Server{config: config, listener: listener, version: 1}
-	replica.server = &http.Server{Handler: replica}
-	go replica.server.Serve(listener)
+	replica.server = &http.Server{Handler: replica, ConnContext: withConnection}
+	go replica.server.Serve(repeatingListener{listener})
 	return replica
 }
 
--- a/test/soak_faults_test.go
+++ b/test/soak_faults_test.go
@@ -323,7 +323,7 @@
 
 func corruptReplica(s *soakRun, random *randomStream) (string, func()) {
 	corrupted := s.randomReplica(random)
-	corrupted.server.SetFaults(replica.Faults{TruncateEvery: 3, ExtraResponseEvery: 4, WrongIDEvery: 5})
+	corrupted.server.SetFaults(replica.Faults{TruncateEvery: 3, ExtraResponseEvery: 4, WrongIDEvery: 5, RepeatRejectionEvery: 1})
 	return corrupted.id, func() { corrupted.server.SetFaults(replica.Faults{}) }
 }
 
