intake: the rest of a body is no head

A request that was refused before its body was read, for example with 503 by a stopping node, got 431 if the body was larger than the limit on heads: net/http reads the rest of the body after the handler has ended, and that was counted as the next head.

A connection now counts heads from the time at which the server reports it idle. TestUnreadBodyIsNoHead failed before (431 in place of 503) and passes.

--- a/internal/callers/intake/close.go
+++ b/internal/callers/intake/close.go
@@ -40,7 +40,7 @@
 // waits until the request has ended. It returns false if there is none.
 func (l *Listener) CloseIncomplete() bool {
 	l.mutex.Lock()
-	victim := l.longestWaiting(func(waiting *Connection) bool { return !waiting.readsHead.Load() })
+	victim := l.longestWaiting(func(waiting *Connection) bool { return waiting.readsBody.Load() })
 	ended := victim.requestEnd()
 	l.mutex.Unlock()
 	return l.closeFor(victim, reasonIncomplete) && awaitEnd(ended)
--- a/internal/callers/intake/connection.go
+++ b/internal/callers/intake/connection.go
@@ -35,6 +35,9 @@
 	// headBytes counts the bytes of that head. The reading goroutine writes headBytes.
 	readsHead atomic.Bool
 	headBytes int64
+	// readsBody is set while the body of a request is received, until its handler ends. After
+	// that, net/http reads the rest of the body before the connection is idle.
+	readsBody atomic.Bool
 	// writeBegan is when the write in progress began, in nanoseconds since the listener was
 	// created; 0 if there is none.
 	writeBegan atomic.Int64
@@ -155,10 +158,14 @@
 }
 
 // begin records that the head of a request is complete.
-func (c *Connection) begin() { c.readsHead.Store(false) }
+func (c *Connection) begin() {
+	c.readsHead.Store(false)
+	c.readsBody.Store(true)
+}
 
 // received records that a request is complete and is being served.
 func (c *Connection) received() {
+	c.readsBody.Store(false)
 	c.listener.mutex.Lock()
 	defer c.listener.mutex.Unlock()
 	if c.element != nil {
@@ -168,10 +175,9 @@
 	}
 }
 
-// end records that a request has ended.
+// end records that the handler of a request has ended.
 func (c *Connection) end() {
-	c.headBytes = 0
-	c.readsHead.Store(true)
+	c.readsBody.Store(false)
 	c.listener.mutex.Lock()
 	defer c.listener.mutex.Unlock()
 	close(c.ended)
@@ -182,6 +188,12 @@
 	}
 }
 
+// idle records that the connection waits for the next request.
+func (c *Connection) idle() {
+	c.headBytes = 0
+	c.readsHead.Store(true)
+}
+
 // requestEnd returns a channel that is closed when the request in progress ends. The mutex of the
 // listener must be held. The receiver may be nil.
 func (c *Connection) requestEnd() <-chan struct{} {
--- a/internal/callers/intake/intake_test.go
+++ b/internal/callers/intake/intake_test.go
@@ -221,3 +221,34 @@
 		t.Error("another connection was closed")
 	}
 }
+
+// Guards against counting a body that the handler has not read as a part of the next head.
+func TestUnreadBodyIsNoHead(t *testing.T) {
+	const limit = 16 << 10
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusServiceUnavailable) })}
+	Prepare(server)
+	go server.Serve(NewListener(raw, "test", Limits{Connections: 10, MaxHeadBytes: func() int64 { return limit }}, nil))
+	t.Cleanup(func() { server.Close() })
+	connection, err := net.Dial("tcp", raw.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer connection.Close()
+	body := strings.Repeat("b", 8*limit)
+	reader := bufio.NewReader(connection)
+	connection.SetDeadline(time.Now().Add(10 * time.Second))
+	for number := range 3 {
+		if _, err := fmt.Fprintf(connection, "POST / HTTP/1.1\r\nHost: host\r\nContent-Length: %d\r\n\r\n%s", len(body), body); err != nil {
+			t.Fatalf("request %d: %v", number, err)
+		}
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil || response.StatusCode != http.StatusServiceUnavailable {
+			t.Fatalf("request %d: response %+v, error %v, want status 503", number, response, err)
+		}
+		response.Body.Close()
+	}
+}
--- a/internal/callers/intake/serve.go
+++ b/internal/callers/intake/serve.go
@@ -15,6 +15,11 @@
 	server.ConnContext = func(ctx context.Context, connection net.Conn) context.Context {
 		return context.WithValue(ctx, connectionKey{}, connection)
 	}
+	server.ConnState = func(connection net.Conn, state http.ConnState) {
+		if accepted, known := connection.(*Connection); known && state == http.StateIdle {
+			accepted.idle()
+		}
+	}
 	handler := server.Handler
 	server.Handler = http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		connection, known := request.Context().Value(connectionKey{}).(*Connection)
