test: the nodes of a soak run have a loopback address of their own

A node that restarts leaves its port free while callers still use it, and a replica of the other run had taken it.

The nodes of a run now listen at an address of their own, where neither replicas nor other runs listen.

--- a/test/soak_run_test.go
+++ b/test/soak_run_test.go
@@ -63,9 +63,11 @@
 
 // soakRun is one run of the soak: node processes, stand-ins and what was observed.
 type soakRun struct {
-	t            *testing.T
-	seed         uint64
-	folder       string
+	t      *testing.T
+	seed   uint64
+	folder string
+	// nodeIP is the address of the nodes.
+	nodeIP       string
 	store        *metastore.Store
 	storeAddress string
 	nodes        []*soakNode
@@ -98,7 +100,7 @@
 func newSoakRun(t *testing.T, seed uint64) *soakRun {
 	t.Helper()
 	s := &soakRun{
-		t: t, seed: seed, folder: t.TempDir(), store: metastore.New(), weightVersion: 1,
+		t: t, seed: seed, folder: t.TempDir(), nodeIP: newNodeIP(), store: metastore.New(), weightVersion: 1,
 		record: newSoakRecord(), done: make(chan struct{}),
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -257,13 +259,24 @@
 	return s.configVersion, s.configuredAt
 }
 
+// soakRuns counts the runs of this process.
+var soakRuns atomic.Int32
+
+// newNodeIP returns a loopback address for the nodes of one run. A node that restarts leaves its ports
+// free; at an address of their own, neither a replica nor a run beside this one can take them, and
+// get the requests of callers who still use them.
+func newNodeIP() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", soakRuns.Add(1), pid>>8&0xff, pid&0xff)
+}
+
 // startNode starts a new process of a node.
 func (s *soakRun) startNode(node *soakNode) {
 	s.t.Helper()
 	path := filepath.Join(s.folder, node.name+".yaml")
-	settings := fmt.Sprintf("node: %s\nzone: zone-a\nregion: region\nhttp: 127.0.0.1:0\npeer: 127.0.0.1:0\npeerAdvertised: %s\n"+
-		"readiness: 127.0.0.1:0\nmetrics: 127.0.0.1:0\nobjectStore: %s\ngrace: %s\ndutyLease: 3s\ndrain: 2s\nmemoryMB: 200\nevacuationBound: 3s\n",
-		node.name, node.peerLink.address(), node.storeLink.address(), soakGrace)
+	settings := fmt.Sprintf("node: %s\nzone: zone-a\nregion: region\nhttp: %[2]s:0\npeer: %[2]s:0\npeerAdvertised: %[3]s\n"+
+		"readiness: %[2]s:0\nmetrics: %[2]s:0\nobjectStore: %[4]s\ngrace: %[5]s\ndutyLease: 3s\ndrain: 2s\nmemoryMB: 200\nevacuationBound: 3s\n",
+		node.name, s.nodeIP, node.peerLink.address(), node.storeLink.address(), soakGrace)
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		s.t.Error(err)
 		return
