intake: errors of Accept go to the server

Accept waited and tried again after any error but a closed listener, without a word. The error now goes to net/http, which waits and logs it, as it did before the listener was wrapped. Tests of the package pass.

--- a/internal/callers/intake/listener.go
+++ b/internal/callers/intake/listener.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/list"
-	"errors"
 	"net"
 	"sync"
 	"time"
@@ -10,10 +9,6 @@
 	"github.com/pathtally/pathtally/internal/callers/bytebudget"
 )
 
-// acceptRetryDelay is the pause after an Accept that failed, for example because the process has no
-// descriptor left.
-const acceptRetryDelay = 10 * time.Millisecond
-
 // Listener accepts the connections of callers within limits. It is safe for concurrent use.
 type Listener struct {
 	net.Listener
@@ -48,12 +43,8 @@
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		raw, err := l.Listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil, err
-		}
 		if err != nil {
-			time.Sleep(acceptRetryDelay)
-			continue
+			return nil, err
 		}
 		if accepted := l.admit(raw); accepted != nil {
 			return accepted, nil
