--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -220,3 +220,16 @@
 	n.deployment.Record.Add("node %s not ready in time", n.Name)
 	return false
 }
+
+// MemoryMB returns the resident memory of the process in megabytes, 0 if it has ended.
+func (n *Node) MemoryMB() int64 {
+	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", n.process.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	var size, resident int64
+	if _, err := fmt.Sscan(string(content), &size, &resident); err != nil {
+		return 0
+	}
+	return resident * int64(os.Getpagesize()) >> 20
+}
