--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -98,21 +98,32 @@
 		handler = wrap(handler)
 	}
 	go http.Serve(listener, handler)
-	for number := range nodes {
-		node := &Node{Name: fmt.Sprintf("edge-a-%d", number+1), deployment: d}
-		for _, address := range []*string{&node.HTTP, &node.Readiness, &node.Peer} {
-			if *address, err = freeAddress(); err != nil {
-				return nil, err
-			}
+	for range nodes {
+		node, err := d.Add()
+		if err != nil {
+			return nil, err
 		}
-		d.Nodes = append(d.Nodes, node)
-		if number < 3 {
+		if len(d.seeds) < 3 {
 			d.seeds = append(d.seeds, node.Peer)
 		}
 	}
 	return d, nil
 }
 
+// Add adds a node of a new name and new addresses, without starting it.
+func (d *Deployment) Add() (*Node, error) {
+	node := &Node{Name: fmt.Sprintf("edge-a-%d", len(d.Nodes)+1), deployment: d}
+	for _, address := range []*string{&node.HTTP, &node.Readiness, &node.Peer} {
+		free, err := freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		*address = free
+	}
+	d.Nodes = append(d.Nodes, node)
+	return node, nil
+}
+
 // Folder returns the temporary folder of the deployment.
 func (d *Deployment) Folder() string { return d.folder }
 
