--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -5,8 +5,10 @@
 package rig
 
 import (
+	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -70,14 +72,24 @@
 	ended      chan struct{}
 }
 
+// The ports of nodes are below the range from which the system takes those of outgoing connections, so
+// that none of these has one before its node listens.
+const firstPort, ports = 12000, 20000
+
 // freeAddress returns a loopback address with a port that was free just now.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		listener, err := net.Listen("tcp", address)
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
+		if err != nil {
+			return "", err
+		}
+		listener.Close()
+		return address, nil
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
 }
 
 // New serves a metadata store and prepares the settings of a number of nodes, without starting them.
