ingress: a lost request is never refused because of its cause

Cause: ErrStopping was both a refusal of requests that a stopping node does not take and the cause with which the node cancels the requests in progress. refusalOf looked for it anywhere among the causes before it looked at the outer LostError.

Evidence: "request decision" has step "fail as expired" and "stream failed" says "request may have run: ... the node is stopping", so forwarding had decided rightly; "node returned an error response" of the same request has status 503. Ruled out: that the requests had not been sent (the replicas recorded their runs seconds before).

Change: the cause of the cancellation, ErrGraceEnded, is no refusal. refusalOf looks at LostError first, so that its cause decides nothing. Each error of an attempt states whether the request may have run, and MayHaveRun takes the statement of the outermost one; it looked for "not sent" anywhere among the causes before. Requests that were canceled without having run get "the node is stopping" on all routes.

--- a/internal/callers/dispatch/errors.go
+++ b/internal/callers/dispatch/errors.go
@@ -7,7 +7,6 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"github.com/pathtally/pathtally/internal/callers/exchange"
 	"github.com/pathtally/pathtally/internal/replicas/routing"
 )
 
@@ -50,6 +49,9 @@
 	return fmt.Sprintf("replica %s did not run the request: status %d", e.Replica, e.Status)
 }
 
+// MayHaveRun returns false.
+func (e *NotRunError) MayHaveRun() bool { return false }
+
 // WithheldError reports that this node did not send a request, because the replica must not
 // get requests now.
 type WithheldError struct {
@@ -62,6 +64,9 @@
 	return fmt.Sprintf("request not sent to replica %s: replica is %s", e.Replica, e.Reason)
 }
 
+// MayHaveRun returns false.
+func (e *WithheldError) MayHaveRun() bool { return false }
+
 // QuarantinedError reports that this node did not send a request, because the request has
 // crashed several replicas. It must not be sent to another replica either.
 type QuarantinedError struct {
@@ -75,6 +80,9 @@
 	return fmt.Sprintf("request %s quarantined for another %v: it crashed replicas", e.Fingerprint, e.Remaining.Round(time.Second))
 }
 
+// MayHaveRun returns false.
+func (e *QuarantinedError) MayHaveRun() bool { return false }
+
 // CrashBackoffError reports that this node did not send a deferred call, because several replicas
 // have crashed under it lately. It must not be sent to another replica either until Remaining has
 // passed.
@@ -90,6 +98,9 @@
 	return fmt.Sprintf("request %s delayed by %d ms: %d replicas crashed under it", e.Fingerprint, e.Remaining.Milliseconds(), e.Crashes)
 }
 
+// MayHaveRun returns false.
+func (e *CrashBackoffError) MayHaveRun() bool { return false }
+
 // QuarantineUnknownError reports that this node did not send a request, because it has not read
 // the quarantine record yet.
 type QuarantineUnknownError struct {
@@ -101,14 +112,17 @@
 	return "request not sent: quarantine record not read yet"
 }
 
+// MayHaveRun returns false.
+func (e *QuarantineUnknownError) MayHaveRun() bool { return false }
+
 // MayHaveRun reports whether a replica may have run the request of an attempt that failed
-// with err, in Send or while the response was read.
+// with err, in Send or while the response was read. The outermost error that has a method
+// MayHaveRun decides: its cause may belong to another attempt or to the context. Without one, the
+// request may have run.
 func MayHaveRun(err error) bool {
-	var notRun *NotRunError
-	var notSent *exchange.NotSentError
-	var withheld *WithheldError
-	var quarantined *QuarantinedError
-	var quarantineUnknown *QuarantineUnknownError
-	var backoff *CrashBackoffError
-	return !errors.As(err, &backoff) && !errors.As(err, &notRun) && !errors.As(err, &notSent) && !errors.As(err, &withheld) && !errors.As(err, &quarantined) && !errors.As(err, &quarantineUnknown)
+	var outcome interface {
+		error
+		MayHaveRun() bool
+	}
+	return !errors.As(err, &outcome) || outcome.MayHaveRun()
 }
--- a/internal/callers/exchange/errors.go
+++ b/internal/callers/exchange/errors.go
@@ -31,6 +31,9 @@
 
 func (e *NotSentError) Unwrap() error { return e.Cause }
 
+// MayHaveRun returns false.
+func (e *NotSentError) MayHaveRun() bool { return false }
+
 // BrokenError reports a request that was sent, at least in part, but has no complete
 // response, so it may have run.
 type BrokenError struct {
@@ -43,3 +46,6 @@
 }
 
 func (e *BrokenError) Unwrap() error { return e.Cause }
+
+// MayHaveRun returns true.
+func (e *BrokenError) MayHaveRun() bool { return true }
--- a/internal/callers/forward/errors.go
+++ b/internal/callers/forward/errors.go
@@ -21,6 +21,9 @@
 
 func (e *RefusedError) Unwrap() error { return e.Cause }
 
+// MayHaveRun returns false.
+func (e *RefusedError) MayHaveRun() bool { return false }
+
 // LostError reports a request that may have run at a replica but has no response.
 type LostError struct {
 	// Expired is set if the deadline passed or the caller disconnected.
@@ -34,6 +37,9 @@
 
 func (e *LostError) Unwrap() error { return e.Cause }
 
+// MayHaveRun returns true.
+func (e *LostError) MayHaveRun() bool { return true }
+
 // Reasons of a RefusedError. They are the body of the response to the caller.
 const (
 	ReasonNoReplica = "no replica is available"
@@ -89,3 +95,6 @@
 func (e *BrokenStreamError) Error() string { return "stream ended early: " + e.Cause.Error() }
 
 func (e *BrokenStreamError) Unwrap() error { return e.Cause }
+
+// MayHaveRun returns true.
+func (e *BrokenStreamError) MayHaveRun() bool { return true }
--- a/internal/callers/ingress/handler.go
+++ b/internal/callers/ingress/handler.go
@@ -65,7 +65,7 @@
 	}
 	if h.config.Jobs.IsJobRequest(request) {
 		if now := time.Now(); !stop.takes(now, now.Add(maxJobCallTime)) {
-			h.refuse(writer, id, ErrStopping)
+			h.refuse(writer, id, errStopping)
 			return
 		}
 		h.serveJobRequest(writer, request, configuration, id)
@@ -103,7 +103,7 @@
 	}
 	received := time.Now()
 	if !h.stop.Load().takes(received, h.lastEnd(request.Header, route, received)) {
-		h.refuse(writer, id, ErrStopping)
+		h.refuse(writer, id, errStopping)
 		return
 	}
 	body, release, err := h.bodies.read(request, configuration.Limits.BodyBytes)
--- a/internal/callers/ingress/planned_stop.go
+++ b/internal/callers/ingress/planned_stop.go
@@ -6,8 +6,12 @@
 	"github.com/ansel1/merry/v2"
 )
 
-// ErrStopping means that the node stops before the request could end.
-var ErrStopping = merry.Sentinel("the node is stopping")
+// errStopping refuses a request that the stopping node has not forwarded.
+var errStopping = merry.Sentinel("the node is stopping")
+
+// ErrGraceEnded is the cause with which a stopping node cancels the requests in progress. It does not
+// tell whether a request has run.
+var ErrGraceEnded = merry.Sentinel("the grace period of the node has ended")
 
 // stoppingRetryAfter is the Retry-After of a request that a stopping node refuses: other nodes serve
 // it at once.
--- a/internal/callers/ingress/refusal.go
+++ b/internal/callers/ingress/refusal.go
@@ -19,6 +19,9 @@
 	staleConfigurationRetryAfter = 100 * time.Millisecond
 )
 
+// reasonNoResponse is the body of a response with status 502.
+const reasonNoResponse = "no whole answer from a replica"
+
 var (
 	errNoConfiguration = merry.Sentinel("no configuration is known yet")
 	errNoRoute         = merry.Sentinel("no route for the host and path")
@@ -37,13 +40,17 @@
 // refusalOf maps an error to the response for the caller. Status 503 guarantees that the
 // request has not run and will not run; after 502 and 504 it may have run.
 func refusalOf(err error) refusal {
+	var lost *forward.LostError
+	if errors.As(err, &lost) {
+		// The cause may be any error, also one that stands for a refusal elsewhere.
+		return refusalOfLost(lost)
+	}
 	var unauthenticated *unauthenticatedError
 	var refused *forward.RefusedError
-	var lost *forward.LostError
 	switch {
 	case errors.Is(err, errNoConfiguration):
 		return refusal{http.StatusServiceUnavailable, err.Error(), noConfigurationRetryAfter}
-	case errors.Is(err, ErrStopping):
+	case errors.Is(err, errStopping):
 		return refusal{http.StatusServiceUnavailable, err.Error(), stoppingRetryAfter}
 	case errors.Is(err, errNoRoute):
 		return refusal{http.StatusNotFound, err.Error(), 0}
@@ -59,10 +66,16 @@
 		return refusal{http.StatusRequestEntityTooLarge, err.Error(), 0}
 	case errors.As(err, &refused):
 		return refusal{http.StatusServiceUnavailable, refused.Reason, refused.RetryAfter}
-	case errors.As(err, &lost) && lost.Expired:
+	}
+	return refusal{http.StatusBadGateway, reasonNoResponse, 0}
+}
+
+// refusalOfLost returns the response to a request that may have run.
+func refusalOfLost(lost *forward.LostError) refusal {
+	if lost.Expired {
 		return refusal{http.StatusGatewayTimeout, "the time for the request ran out", 0}
 	}
-	return refusal{http.StatusBadGateway, "no whole answer from a replica", 0}
+	return refusal{http.StatusBadGateway, reasonNoResponse, 0}
 }
 
 // refuse writes and logs the error response to a request.
@@ -95,8 +108,16 @@
 // handleForwardError ends a request for which forwarding returned no response. If the caller
 // has disconnected, it aborts the connection.
 func (h *Handler) handleForwardError(writer http.ResponseWriter, request *http.Request, id string, err error) {
-	if cause := context.Cause(request.Context()); cause != nil && !errors.Is(cause, ErrStopping) {
+	cause := context.Cause(request.Context())
+	var refused *forward.RefusedError
+	switch {
+	case cause == nil:
+		h.refuse(writer, id, err)
+	case !errors.Is(cause, ErrGraceEnded):
 		panic(http.ErrAbortHandler)
+	case errors.As(err, &refused):
+		h.refuse(writer, id, errStopping)
+	default:
+		h.refuse(writer, id, err)
 	}
-	h.refuse(writer, id, err)
 }
--- a/internal/callers/ingress/refusal_test.go
+++ b/internal/callers/ingress/refusal_test.go
@@ -2,21 +2,85 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"k8s.io/klog/v2"
 
+	"github.com/pathtally/pathtally/internal/callers/exchange"
 	"github.com/pathtally/pathtally/internal/callers/forward"
 	"github.com/pathtally/pathtally/internal/callers/tenancy"
 )
 
+// Guards against telling a caller that a request has not run, because of the cause of an error that
+// says it may have.
+func TestLostRequestIsNotRefused(t *testing.T) {
+	refused := &forward.RefusedError{Reason: "r", RetryAfter: time.Minute, Cause: context.Canceled}
+	for _, cause := range []error{
+		errStopping, ErrGraceEnded, errNoConfiguration, errNoRoute, errNoRequestID, errStaleConfiguration, ErrBodyBudgetExhausted, ErrBodyTooLarge,
+		&unauthenticatedError{tenancy.ErrNoKey}, refused, &exchange.NotSentError{Cause: errStopping},
+	} {
+		broken := &exchange.BrokenError{Cause: cause}
+		for _, test := range []struct {
+			err    error
+			status int
+		}{
+			{&forward.LostError{Expired: true, Cause: broken}, http.StatusGatewayTimeout},
+			{&forward.LostError{Cause: broken}, http.StatusBadGateway},
+			{&forward.LostError{Cause: cause}, http.StatusBadGateway},
+		} {
+			if got := refusalOf(test.err); got.status != test.status || got.retryAfter != 0 {
+				t.Errorf("%v: status %d, Retry-After %v, want %d and none", test.err, got.status, got.retryAfter, test.status)
+			}
+		}
+	}
+}
+
+// Guards against a stopping node that cancels its requests and then answers as if their callers had
+// left, or names another reason than the stop for those that have not run.
+func TestErrorsAtEndOfGrace(t *testing.T) {
+	refused := &forward.RefusedError{Reason: forward.ReasonExpired, RetryAfter: time.Minute, Cause: context.Canceled}
+	for _, test := range []struct {
+		name       string
+		err        error
+		status     int
+		retryAfter time.Duration
+	}{
+		{"has not run", refused, http.StatusServiceUnavailable, stoppingRetryAfter},
+		{"may have run", &forward.LostError{Expired: true, Cause: ErrGraceEnded}, http.StatusGatewayTimeout, 0},
+	} {
+		headers := &recordedHeaders{}
+		handler := NewHandler(Config{Headers: headers, Logger: klog.Background()})
+		ctx, cancel := context.WithCancelCause(t.Context())
+		cancel(ErrGraceEnded)
+		response := httptest.NewRecorder()
+		handler.handleForwardError(response, httptest.NewRequestWithContext(ctx, http.MethodPost, "/x", nil), "one", test.err)
+		if response.Code != test.status || headers.retryAfter != test.retryAfter {
+			t.Errorf("%s: status %d, Retry-After %v, want %d, %v", test.name, response.Code, headers.retryAfter, test.status, test.retryAfter)
+		}
+	}
+}
+
+// recordedHeaders records the Retry-After of a response.
+type recordedHeaders struct {
+	Headers
+	retryAfter time.Duration
+}
+
+func (h *recordedHeaders) SetRefusal(_ http.Header, _ string, retryAfter time.Duration) {
+	h.retryAfter = retryAfter
+}
+
 func TestRefusalOf(t *testing.T) {
 	for name, test := range map[string]struct {
 		cause error
 		want  refusal
 	}{
 		"no configuration":      {errNoConfiguration, refusal{503, "no configuration is known yet", 250 * time.Millisecond}},
+		"stopping":              {errStopping, refusal{503, "the node is stopping", 100 * time.Millisecond}},
 		"no route":              {errNoRoute, refusal{404, "no route for the host and path", 0}},
 		"no id":                 {errNoRequestID, refusal{400, "the request has no id", 0}},
 		"unknown key":           {&unauthenticatedError{tenancy.ErrUnknownKey}, refusal{401, tenancy.ErrUnknownKey.Error(), 0}},
--- a/internal/instance/stop.go
+++ b/internal/instance/stop.go
@@ -67,7 +67,7 @@
 
 // abortRequests ends the requests in progress with an error response.
 func (c *components) abortRequests() {
-	c.cancelRequests(ingress.ErrStopping)
+	c.cancelRequests(ingress.ErrGraceEnded)
 	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
 	defer cancel()
 	if err := c.server.Shutdown(ctx); err != nil {
--- a/test/stop_test.go
+++ b/test/stop_test.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/pathtally/pathtally/standin/replica"
 )
 
 // lateInterval is the time between two requests to a node that stops.
@@ -40,6 +42,19 @@
 	}
 }
 
+// signalUntilStopped sends a signal at an interval until the process has ended.
+func (p *program) signalUntilStopped(signal syscall.Signal, interval time.Duration) {
+	for {
+		select {
+		case <-p.exited:
+			return
+		case <-time.After(interval):
+			// The process may end meanwhile.
+			_ = p.command.Process.Signal(signal)
+		}
+	}
+}
+
 // Guards against requests that a stopping node passes on and then ends without an answer.
 func TestStoppingNodeAnswersWhatItPassesOn(t *testing.T) {
 	for _, test := range []struct {
@@ -54,24 +69,53 @@
 			t.Parallel()
 			d := deployPlatform(t, deploymentSpec{nodes: 1, engines: 1, apps: 4, eventInterval: time.Millisecond, appServiceTime: test.serviceTime})
 			d.nodes[0].signal(syscall.SIGTERM)
-			responses := d.sendUntilStopped(d.nodes[0], test.target)
-			ran := 0
-			for _, app := range d.apps {
-				for _, run := range app.Runs() {
-					ran++
-					response, answered := responses[run.ID]
-					if !answered {
-						t.Errorf("request %s ran and got no answer", run.ID)
-					}
-					if response.status == http.StatusServiceUnavailable {
-						t.Errorf("request %s ran and got status 503", run.ID)
-					}
-				}
+			checkPassedOn(t, d.apps, d.sendUntilStopped(d.nodes[0], test.target))
+		})
+	}
+}
+
+// checkPassedOn checks that each request that ran at one of the replicas has a response, and none
+// that says it has not run.
+func checkPassedOn(t *testing.T, replicas []*replica.Server, responses map[string]callerResponse) {
+	t.Helper()
+	ran := 0
+	for _, server := range replicas {
+		for _, run := range server.Runs() {
+			ran++
+			response, answered := responses[run.ID]
+			if !answered {
+				t.Errorf("request %s ran and got no answer", run.ID)
+			}
+			if response.status == http.StatusServiceUnavailable {
+				t.Errorf("request %s ran and got status 503", run.ID)
 			}
-			if ran == 0 || len(responses) == 0 {
-				t.Errorf("%d requests ran, %d were answered, so the test proves nothing", ran, len(responses))
+		}
+	}
+	if ran == 0 || len(responses) == 0 {
+		t.Errorf("%d requests ran, %d were answered, so the test proves nothing", ran, len(responses))
+	}
+	t.Logf("%d requests ran, %d were answered", ran, len(responses))
+}
+
+// Guards against telling callers that a stream has not run which waits for its first event when the
+// grace period ends.
+func TestStoppingNodeDoesNotRefuseStreamsThatRun(t *testing.T) {
+	for _, test := range []struct {
+		name, target string
+		reloads      bool
+	}{
+		{"must not run twice", "/chat-once/x", false},
+		{"resumable", "/chat/x", false},
+		{"beside reloads", "/chat-once/x", true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			d := deployPlatform(t, deploymentSpec{nodes: 1, engines: 4, eventInterval: 20 * time.Second})
+			d.nodes[0].signal(syscall.SIGTERM)
+			if test.reloads {
+				go d.nodes[0].signalUntilStopped(syscall.SIGHUP, time.Second)
 			}
-			t.Logf("%d requests ran, %d were answered", ran, len(responses))
+			checkPassedOn(t, d.engines, d.sendUntilStopped(d.nodes[0], test.target))
 		})
 	}
 }
