command: a repeated SIGTERM does not cut a planned stop short

Callers saw: a second SIGTERM during a planned stop ended the process at once, and all requests in progress, those that must not run twice among them, got a closed connection.

Cause: waitForStop returned at any second signal, meant for a person at a terminal. The platform promises SIGTERM, and SIGKILL after the grace period.

Evidence: with SIGTERM each 0.3 s the process ends 0.3 s after the first one with exit status 0 and without "planned stop ended"; with one SIGTERM all requests are answered.

Change: a further SIGTERM changes nothing. SIGINT after a planned stop has begun still ends the process at once.

--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -8,8 +8,7 @@
 	"github.com/pathtally/pathtally/internal/standalone/process"
 )
 
-// runNode runs a node until it is stopped: SIGTERM or SIGINT starts the graceful shutdown, a
-// second signal exits immediately.
+// runNode runs a node until it is stopped by a signal, as described at waitForStop.
 func runNode(call *invocation) error {
 	var given settings.Settings
 	given.Register(call.flags)
--- a/internal/command/stop.go
+++ b/internal/command/stop.go
@@ -1,6 +1,9 @@
 package command
 
-import "os"
+import (
+	"os"
+	"syscall"
+)
 
 // stoppable is a running node.
 type stoppable interface {
@@ -8,8 +11,9 @@
 	Drained() <-chan struct{}
 }
 
-// waitForStop starts the graceful shutdown of a node at the first signal. It returns when the
-// node has drained, or at the second signal.
+// waitForStop starts the planned stop of a node at the first signal, and returns when the node has
+// stopped. A further SIGTERM changes nothing, since a supervisor may repeat it while requests are in
+// progress. SIGINT, which a person sends, cuts the stop short: waitForStop returns at once.
 func waitForStop(running stoppable, signals <-chan os.Signal) {
 	select {
 	case <-signals:
@@ -17,8 +21,14 @@
 	case <-running.Drained():
 		return
 	}
-	select {
-	case <-signals:
-	case <-running.Drained():
+	for {
+		select {
+		case received := <-signals:
+			if received == syscall.SIGINT {
+				return
+			}
+		case <-running.Drained():
+			return
+		}
 	}
 }
--- a/test/stop_test.go
+++ b/test/stop_test.go
@@ -74,6 +74,37 @@
 	}
 }
 
+// Guards against requests that are cut because SIGTERM is repeated during a planned stop.
+func TestRepeatedStopSignalCutsNoRequests(t *testing.T) {
+	t.Parallel()
+	d := deployPlatform(t, deploymentSpec{nodes: 1, engines: 1, apps: 4, eventInterval: time.Millisecond, appServiceTime: 1500 * time.Millisecond})
+	d.nodes[0].signal(syscall.SIGTERM)
+	go d.nodes[0].signalUntilStopped(syscall.SIGTERM, 300*time.Millisecond)
+	checkPassedOn(t, d.apps, d.sendUntilStopped(d.nodes[0], "/once/x"))
+}
+
+// Guards against a node that can't be stopped at once from its terminal.
+func TestInterruptEndsPlannedStop(t *testing.T) {
+	t.Parallel()
+	d := deployPlatform(t, deploymentSpec{nodes: 1, engines: 1, apps: 1, eventInterval: time.Millisecond, appServiceTime: 20 * time.Second})
+	responses := make(chan error, 1)
+	go func() {
+		_, err := d.send(d.nodes[0], http.MethodPost, liveHost, "/once/x", "cut", []byte("x"), nil)
+		responses <- err
+	}()
+	d.eventually("the request to run", func() bool { return len(d.apps[0].Runs()) == 1 })
+	d.nodes[0].signal(syscall.SIGTERM)
+	d.eventually("the planned stop to begin", func() bool { return d.nodes[0].find("planned stop begun") != nil })
+	d.nodes[0].signal(syscall.SIGINT)
+	<-d.nodes[0].exited
+	if err := <-responses; err == nil {
+		t.Error("the request got a response, want a closed connection")
+	}
+	if d.nodes[0].find("planned stop ended") != nil {
+		t.Error("the planned stop went on to its end")
+	}
+}
+
 // checkPassedOn checks that each request that ran at one of the replicas has a response, and none
 // that says it has not run.
 func checkPassedOn(t *testing.T, replicas []*replica.Server, responses map[string]callerResponse) {
