batch, platform: calls about batch jobs end with the grace period

Callers saw: submissions and ends of batch jobs that were in progress when a planned stop ended got a closed connection where the store did not answer.

Cause: the cancellation at the end of the grace period goes through the context of the request. Submissions and ends have contexts of their own, since they go on if their caller leaves, and a call to the store did not end with its context but by its timeout.

Evidence: "planned stop aborted requests in progress", 0.2 s later "planned stop closed connections", and no "node returned an error response" between them for these calls, while requests to replicas got their 504.

Change: the contexts of submissions and ends end with the grace period as well. A call to the store returns when its context ends, as one without an answer. A submission whose context has ended before anything was written is not begun, and is reported as such.

--- a/internal/callers/ingress/planned_stop.go
+++ b/internal/callers/ingress/planned_stop.go
@@ -1,6 +1,9 @@
 package ingress
 
 import (
+	"context"
+	"errors"
+	"net/http"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -40,3 +43,19 @@
 func (h *Handler) Stop(takeAllUntil, end time.Time) {
 	h.stop.Store(&plannedStop{takeAllUntil: takeAllUntil, end: end})
 }
+
+// UntilGraceEnd returns a context for work that goes on if the caller of a request disconnects. It ends
+// with parent, and with cause ErrGraceEnded when the node ends its requests in progress, so that the
+// request still gets a response.
+func UntilGraceEnd(parent context.Context, request *http.Request) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(parent)
+	detach := context.AfterFunc(request.Context(), func() {
+		if errors.Is(context.Cause(request.Context()), ErrGraceEnded) {
+			cancel(ErrGraceEnded)
+		}
+	})
+	return ctx, func() {
+		detach()
+		cancel(nil)
+	}
+}
--- a/internal/jobs/batch/accept.go
+++ b/internal/jobs/batch/accept.go
@@ -55,6 +55,9 @@
 	if s.isKnown(request.ID) {
 		return s.authorizeResubmission(ctx, request)
 	}
+	if ctx.Err() != nil {
+		return &jobstore.NotAcceptedError{Cause: context.Cause(ctx)}
+	}
 	pending := s.startAcceptance(ctx, request)
 	if pending.tenant != request.Tenant {
 		return ErrOtherTenant
@@ -63,7 +66,7 @@
 	case <-pending.done:
 		return pending.err
 	case <-ctx.Done():
-		return &jobstore.AcceptanceUnknownError{Cause: ctx.Err()}
+		return &jobstore.AcceptanceUnknownError{Cause: context.Cause(ctx)}
 	}
 }
 
--- a/internal/jobs/batch/handler.go
+++ b/internal/jobs/batch/handler.go
@@ -50,9 +50,10 @@
 		h.refuse(writer, id, submission.Invalid, malformed)
 		return
 	}
-	// The request's context is not used: the job may be stored already when the caller
-	// disconnects.
-	ctx, cancel := context.WithTimeout(h.Service.base, h.submitTimeout(request, route.Timeout)-responseMargin)
+	// The job may be stored already when the caller disconnects.
+	base, detach := ingress.UntilGraceEnd(h.Service.base, request)
+	defer detach()
+	ctx, cancel := context.WithTimeout(base, h.submitTimeout(request, route.Timeout)-responseMargin)
 	defer cancel()
 	err = h.Service.Submit(ctx, &SubmitRequest{
 		ID: id, Route: route.Name, Host: route.Host, Tenant: submitted.Tenant, Entry: h.Service.config.Region, Payload: submitted.Body,
@@ -164,7 +165,9 @@
 	if wait, named := h.Headers.Deadline(request.Header); named {
 		timeout = max(wait-responseMargin, responseMargin)
 	}
-	ctx, cancel := context.WithTimeout(h.Service.base, timeout)
+	base, detach := ingress.UntilGraceEnd(h.Service.base, request)
+	defer detach()
+	ctx, cancel := context.WithTimeout(base, timeout)
 	defer cancel()
 	if err := h.Service.End(ctx, call.Job); err != nil {
 		h.fail(writer, call, err)
--- a/test/stop_test.go
+++ b/test/stop_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/pathtally/pathtally/standin/metastore"
 	"github.com/pathtally/pathtally/standin/replica"
 )
 
@@ -105,6 +106,55 @@
 	}
 }
 
+// Guards against calls about batch jobs whose connection a stopping node closes without a response,
+// because the store does not answer.
+func TestStoppingNodeAnswersJobCallsOfSilentStore(t *testing.T) {
+	for _, nodes := range []int{1, 2} {
+		t.Run(fmt.Sprintf("of %d nodes", nodes), func(t *testing.T) {
+			t.Parallel()
+			d := deployPlatform(t, deploymentSpec{nodes: nodes, engines: 1, apps: 1, eventInterval: 5 * time.Second})
+			d.submit(d.nodes[0], "open", 4, 1)
+			d.store.SetDelay(func(call metastore.Call) metastore.Delay {
+				if call.Verb == "create" || call.Verb == "status" {
+					return metastore.Delay{Before: silentTime}
+				}
+				return metastore.Delay{}
+			})
+			d.nodes[0].signal(syscall.SIGTERM)
+			header := http.Header{"Pathtally-Deadline-Ms": {"15000"}}
+			var calls sync.WaitGroup
+			for number := range jobCalls {
+				calls.Go(func() {
+					id := fmt.Sprintf("late-%d", number)
+					response, err := d.send(d.nodes[0], http.MethodPost, draftHost, "/drafts/"+id, id, d.payload(id, 4, 1), header)
+					if err != nil || response.status != http.StatusGatewayTimeout {
+						t.Errorf("submission %s: status %d, error %v, want 504", id, response.status, err)
+					}
+				})
+				calls.Go(func() {
+					response, err := d.send(d.nodes[0], http.MethodDelete, draftHost, "/-/lots/open", "end", nil, header)
+					if err != nil {
+						t.Errorf("end %d: status %d, error %v, want a response", number, response.status, err)
+					}
+				})
+				time.Sleep(lateInterval)
+			}
+			calls.Wait()
+			<-d.nodes[0].exited
+			if d.nodes[0].find("planned stop closed connections") != nil {
+				t.Error("the node closed connections of requests in progress")
+			}
+		})
+	}
+}
+
+// jobCalls is the number of submissions, and of ends, that are sent while a node may take them all.
+// silentTime is how long the store takes for a write then, which is beyond the grace period.
+const (
+	jobCalls   = 10
+	silentTime = 9 * time.Second
+)
+
 // checkPassedOn checks that each request that ran at one of the replicas has a response, and none
 // that says it has not run.
 func checkPassedOn(t *testing.T, replicas []*replica.Server, responses map[string]callerResponse) {
