batch: an end that may take effect is not refused

Callers saw: an end of a batch job got 503 with Retry-After, which says that it has not been done and never will be, though the job's owner had stopped its items and stored the end later.

Cause: callRefusal is shared by reads and ends, and had 503 for every error but "no such job". JobStore.End returned the error of its last attempt, which may be a refusal after an attempt without an answer, and the owner returned the store's error although it had applied the end.

Change: EndUnknownError, which gets 504, if an attempt had no answer, if the owner was asked and did not confirm, or if this node is the owner. Submissions look at "unknown" before "not accepted", whatever the cause is, here and at the runner.

--- a/internal/jobs/batch/end.go
+++ b/internal/jobs/batch/end.go
@@ -2,15 +2,22 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/pathtally/pathtally/internal/environment"
 	"github.com/pathtally/pathtally/internal/jobs/jobstore"
 	"github.com/pathtally/pathtally/internal/wire"
 )
 
+// errOwnerUncertain means that the owner of a batch job may have ended it.
+var errOwnerUncertain = merry.Sentinel("the owner may have ended the batch job")
+
 // End ends a batch job: its remaining items are not run. A nil error means that the end
-// is stored. A caller that gets an error may retry.
+// is stored. A caller that gets an error may retry; after a *jobstore.EndUnknownError the job has
+// ended or may still end.
 func (s *Service) End(ctx context.Context, id string) error {
 	s.mutex.Lock()
 	held := s.jobs[id]
@@ -21,10 +28,15 @@
 		return nil
 	case held != nil:
 		return s.endHeld(ctx, id)
-	case s.endAtOwner(ctx, id):
+	}
+	ended, ownerErr := s.endAtOwner(ctx, id)
+	if ended {
 		return nil
 	}
 	stored, err := s.writeEnd(ctx, id)
+	if err != nil && ownerErr != nil && !errors.Is(err, jobstore.ErrNoSuchJob) {
+		return &jobstore.EndUnknownError{Cause: err}
+	}
 	if err != nil {
 		return err
 	}
@@ -33,29 +45,34 @@
 	return nil
 }
 
-// endAtOwner asks the owner of a job to end it, and reports whether the owner has.
-func (s *Service) endAtOwner(ctx context.Context, id string) bool {
+// endAtOwner asks the owner of a job to end it, and reports whether the owner has. The error is non-nil
+// if it may have, or still will.
+func (s *Service) endAtOwner(ctx context.Context, id string) (ended bool, err error) {
 	owner, known := s.ownerOf(ctx, id)
 	if !known {
-		return false
+		return false, nil
 	}
 	message, err := environment.Call(ctx, s.config.Peers, owner.Address, &wire.JobEnd{Job: id}, ownerEndTimeout)
 	if _, done := message.(*wire.Done); !done || err != nil {
-		return false
+		return false, errOwnerUncertain
 	}
 	s.endAndAnnounce(id)
-	return true
+	return true, nil
 }
 
 // endHeld ends a job that this node runs. Its runs stop even if the store does not accept
-// the end yet.
+// the end yet, and the error is then a *jobstore.EndUnknownError.
 func (s *Service) endHeld(ctx context.Context, id string) error {
 	s.endAndAnnounce(id)
 	err := s.storeEnd(ctx, id)
-	if err != nil {
-		go s.persistEnd(id)
+	if err == nil {
+		return nil
+	}
+	go s.persistEnd(id)
+	if errors.Is(err, jobstore.ErrNoSuchJob) {
+		return err
 	}
-	return err
+	return &jobstore.EndUnknownError{Cause: err}
 }
 
 // storeEnd stores the end of a job and applies the record that the store returns: if the
--- a/internal/jobs/batch/refusal.go
+++ b/internal/jobs/batch/refusal.go
@@ -30,8 +30,12 @@
 // submissionRefusal maps an error of a submission to its refusal. An unknown outcome is
 // a gateway timeout: the caller may retry, since the job is accepted once.
 func submissionRefusal(err error) refusal {
+	var unknown *jobstore.AcceptanceUnknownError
 	var notAccepted *jobstore.NotAcceptedError
 	switch {
+	case errors.As(err, &unknown):
+		// Whatever the cause is.
+		return refusal{status: http.StatusGatewayTimeout}
 	case errors.Is(err, ErrOtherTenant):
 		return refusal{status: http.StatusConflict}
 	case errors.Is(err, forward.ErrNoReplicaInAllowedRegions):
@@ -43,8 +47,12 @@
 }
 
 // callRefusal maps an error of a call about a job to its refusal. It is "not found"
-// only if the job or item is known not to exist.
+// only if the job or item is known not to exist, and a gateway timeout if the job may end all the same.
 func callRefusal(err error) refusal {
+	var endUnknown *jobstore.EndUnknownError
+	if errors.As(err, &endUnknown) {
+		return refusal{status: http.StatusGatewayTimeout}
+	}
 	if errors.Is(err, jobstore.ErrNoSuchJob) || errors.Is(err, ErrNoSuchItem) {
 		return refusal{status: http.StatusNotFound}
 	}
--- a/internal/jobs/batch/refusal_test.go
+++ b/internal/jobs/batch/refusal_test.go
@@ -22,6 +22,8 @@
 		{"submission not accepted", submissionRefusal(&jobstore.NotAcceptedError{Cause: broken}), refusal{http.StatusServiceUnavailable, 200 * time.Millisecond}},
 		{"submission with unknown outcome", submissionRefusal(&jobstore.AcceptanceUnknownError{Cause: broken}), refusal{http.StatusGatewayTimeout, 0}},
 		{"submission with another error", submissionRefusal(broken), refusal{http.StatusGatewayTimeout, 0}},
+		{"submission with unknown outcome after a refusal", submissionRefusal(&jobstore.AcceptanceUnknownError{Cause: &jobstore.NotAcceptedError{Cause: broken}}), refusal{http.StatusGatewayTimeout, 0}},
+		{"end with unknown outcome", callRefusal(&jobstore.EndUnknownError{Cause: jobstore.ErrNoSuchJob}), refusal{http.StatusGatewayTimeout, 0}},
 		{"call about an unknown job", callRefusal(jobstore.ErrNoSuchJob), refusal{http.StatusNotFound, 0}},
 		{"call about an unknown item", callRefusal(ErrNoSuchItem), refusal{http.StatusNotFound, 0}},
 		{"call with another error", callRefusal(broken), refusal{http.StatusServiceUnavailable, 200 * time.Millisecond}},
--- a/internal/jobs/batch/runner.go
+++ b/internal/jobs/batch/runner.go
@@ -145,10 +145,14 @@
 		return
 	}
 	err = s.submitLocally(ctx, submit)
+	var unknown *jobstore.AcceptanceUnknownError
 	var notAccepted *jobstore.NotAcceptedError
 	switch {
 	case err == nil:
 		reply(&wire.JobSubmitted{Outcome: wire.OutcomeDone})
+	case errors.As(err, &unknown):
+		// Whatever the cause is.
+		reply(&wire.JobSubmitted{Outcome: wire.OutcomeUnknown, Detail: err.Error()})
 	case errors.As(err, &notAccepted), errors.Is(err, ErrOtherTenant):
 		reply(&wire.JobSubmitted{Outcome: wire.OutcomeNotRun, Detail: err.Error()})
 	default:
--- a/internal/jobs/jobstore/errors.go
+++ b/internal/jobs/jobstore/errors.go
@@ -29,6 +29,17 @@
 // Unwrap returns the cause.
 func (e *AcceptanceUnknownError) Unwrap() error { return e.Cause }
 
+// EndUnknownError means that it is unknown whether the end of a batch job was or will be stored.
+type EndUnknownError struct{ Cause error }
+
+// Error implements error.
+func (e *EndUnknownError) Error() string {
+	return fmt.Sprintf("batch job may have ended: %v", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *EndUnknownError) Unwrap() error { return e.Cause }
+
 // NotAcceptedError means that a batch job was not accepted and none of it will run.
 type NotAcceptedError struct{ Cause error }
 
--- a/internal/jobs/jobstore/store.go
+++ b/internal/jobs/jobstore/store.go
@@ -80,12 +80,14 @@
 }
 
 // End stores that a batch job has ended, and returns the stored job. It retries until the
-// store has confirmed the write or the context ends.
+// store has confirmed the write or the context ends. The error is ErrNoSuchJob, an
+// *EndUnknownError, or that of the last attempt if the store refused all of them.
 func (s *Store) End(ctx context.Context, id string) (StoredJob, error) {
 	spec, err := json.Marshal(status{Ended: true})
 	if err != nil {
 		return StoredJob{}, err
 	}
+	unanswered := false
 	for {
 		object, err := s.store.ReplaceStatus(ctx, KindJobs, id, spec, objectstore.Unconditional)
 		if err == nil {
@@ -94,8 +96,14 @@
 		if errors.Is(err, objectstore.ErrNotFound) {
 			return StoredJob{}, ErrNoSuchJob
 		}
-		if !objectstore.SleepWithJitter(ctx, endRetryInterval) {
-			return StoredJob{}, err
+		var refused *objectstore.RefusedError
+		unanswered = unanswered || !errors.As(err, &refused)
+		if objectstore.SleepWithJitter(ctx, endRetryInterval) {
+			continue
 		}
+		if unanswered {
+			return StoredJob{}, &EndUnknownError{Cause: err}
+		}
+		return StoredJob{}, err
 	}
 }
--- a/test/stop_test.go
+++ b/test/stop_test.go
@@ -133,8 +133,8 @@
 				})
 				calls.Go(func() {
 					response, err := d.send(d.nodes[0], http.MethodDelete, draftHost, "/-/lots/open", "end", nil, header)
-					if err != nil {
-						t.Errorf("end %d: status %d, error %v, want a response", number, response.status, err)
+					if err != nil || response.status != http.StatusGatewayTimeout {
+						t.Errorf("end %d: status %d, error %v, want 504", number, response.status, err)
 					}
 				})
 				time.Sleep(lateInterval)
