batch: items of TestPassedOverItemsRunNext have waited equally long

Cause: overdue items are ordered by the time that they have waited, longest first, and equals by their rank in the job. The test read the clock once for each of its two items, in the order of a map, so that b1 had waited some nanoseconds longer in some runs and came first, as it should. The product is right and unchanged.

Change: both items get the same time, and a second check makes one of them wait a nanosecond longer and wants it first, so that the order that the test left to chance is checked too.

--- a/internal/jobs/batch/competition_test.go
+++ b/internal/jobs/batch/competition_test.go
@@ -100,13 +100,19 @@
 	service := newCompeting()
 	service.addJob("a", 1, 7*time.Second, 20)
 	old := service.addJob("b", 1, -time.Second, 150, 150)
+	queuedAt := time.Now().Add(-9 * time.Second)
 	for _, waiting := range old.items {
-		waiting.queuedAt = time.Now().Add(-9 * time.Second)
+		waiting.queuedAt = queuedAt
 	}
 	service.scheduler.updateOrder()
 	if got := service.queueOrder(); got[:5] != "b0 b1" || !old.passedOverLogged || !old.items["b1"].passedOver {
 		t.Errorf("order %s, logged %v", got, old.passedOverLogged)
 	}
+	old.items["b1"].queuedAt = queuedAt.Add(-time.Nanosecond)
+	service.scheduler.sortQueue()
+	if got := service.queueOrder(); got[:5] != "b1 b0" {
+		t.Errorf("order %s, want the item that waits longer first", got)
+	}
 }
 
 // Guards against other owners that don't know what this owner's jobs need, and against a
