store: objects can be deleted

Cause: the client of the metadata store had no delete, so that nothing that the system writes was ever removed.

Change: Delete at a revision, in the client of the platform's store, through other nodes (a verb that nodes of earlier releases refuse), in the counts of calls and in the stand-in with its faults. Nothing uses it yet.

--- a/internal/store/objectstore/metered.go
+++ b/internal/store/objectstore/metered.go
@@ -100,3 +100,10 @@
 	m.count("replace_status", kind, err)
 	return object, err
 }
+
+// Delete implements Store.
+func (m *Metered) Delete(ctx context.Context, kind, name string, revision uint64) error {
+	err := m.store.Delete(ctx, kind, name, revision)
+	m.count("delete", kind, err)
+	return err
+}
--- a/internal/store/objectstore/store.go
+++ b/internal/store/objectstore/store.go
@@ -26,4 +26,6 @@
 	// ReplaceStatus replaces the status of an object if the object is still at the given
 	// revision.
 	ReplaceStatus(ctx context.Context, kind, name string, status json.RawMessage, revision uint64) (Object, error)
+	// Delete deletes an object if the object is still at the given revision.
+	Delete(ctx context.Context, kind, name string, revision uint64) error
 }
--- a/internal/store/storerelay/handle_call.go
+++ b/internal/store/storerelay/handle_call.go
@@ -32,6 +32,8 @@
 		object, err = direct.Replace(ctx, call.Kind, call.Name, call.Content, call.Revision)
 	case wire.StoreReplaceStatus:
 		object, err = direct.ReplaceStatus(ctx, call.Kind, call.Name, call.Content, call.Revision)
+	case wire.StoreDelete:
+		return replyTo(direct.Delete(ctx, call.Kind, call.Name, call.Revision))
 	default:
 		return &wire.StoreReply{Outcome: uint8(wire.StoreRefused)}
 	}
--- a/internal/store/storerelay/relay.go
+++ b/internal/store/storerelay/relay.go
@@ -81,6 +81,13 @@
 	})
 }
 
+// Delete implements objectstore.Store.
+func (r *Relay) Delete(ctx context.Context, kind, name string, revision uint64) error {
+	call := &wire.StoreCall{Verb: uint8(wire.StoreDelete), Kind: kind, Name: name, Revision: revision}
+	_, err := r.do(ctx, call, func() error { return r.config.Direct.Delete(ctx, kind, name, revision) })
+	return err
+}
+
 // doForObject makes a call that returns one object.
 func (r *Relay) doForObject(ctx context.Context, call *wire.StoreCall, direct func() (objectstore.Object, error)) (objectstore.Object, error) {
 	var object objectstore.Object
--- a/internal/wire/storecall.go
+++ b/internal/wire/storecall.go
@@ -9,6 +9,8 @@
 	StoreCreate
 	StoreReplace
 	StoreReplaceStatus
+	// StoreDelete is refused by nodes of earlier releases.
+	StoreDelete
 )
 
 // StoreCall asks a node to make a call to the metadata store on behalf of the sender.
--- a/standin/metastore/fault.go
+++ b/standin/metastore/fault.go
@@ -30,7 +30,7 @@
 
 // Call describes a call for the choice of its fault and delay.
 type Call struct {
-	// Verb is list, get, watch, create, replace or status.
+	// Verb is list, get, watch, create, replace, status or delete.
 	Verb string
 	Kind string
 	Name string
--- a/standin/metastore/server.go
+++ b/standin/metastore/server.go
@@ -93,6 +93,9 @@
 	case request.Method == http.MethodGet:
 		object, err := s.Store.Get(ctx, kind, name, objectstore.Linearizable)
 		writeResponse(writer, toWire(object), err)
+	case request.Method == http.MethodDelete:
+		revision, _ := strconv.ParseUint(query.Get("revision"), 10, 64)
+		writeResponse(writer, wireObject{}, s.Store.Delete(ctx, kind, name, revision))
 	default:
 		s.handleWrite(ctx, writer, request, kind, name, part)
 	}
--- a/standin/metastore/writes.go
+++ b/standin/metastore/writes.go
@@ -41,6 +41,21 @@
 	})
 }
 
+// Delete implements objectstore.Store.
+func (s *Store) Delete(ctx context.Context, kind, name string, revision uint64) error {
+	_, err := s.write(ctx, "delete", kind, name, func() (objectstore.Object, error) {
+		existing, err := s.getAtRevision(kind, name, revision)
+		if err != nil {
+			return objectstore.Object{}, err
+		}
+		delete(s.objects[kind], name)
+		s.revision++
+		s.record(kind, objectstore.Change{Object: existing, Deleted: true})
+		return existing, nil
+	})
+	return err
+}
+
 // getAtRevision returns an object. It returns a ConflictError if the object is not at the
 // given revision. The mutex must be held.
 func (s *Store) getAtRevision(kind, name string, revision uint64) (objectstore.Object, error) {
