cleanup: ended batch jobs are deleted from the store

Cause: nothing deleted them.

Change: package cleanup. The holder of the duty lease deletes jobs that it has seen as ended for jobRetention (10 minutes): the record first, at its revision, then chunks and parts. A ledger object, replaced conditionally, has the next holder complete what a lost one began. Writes are sent under the lease, at most 40 a second.

--- a/internal/instance/assemble.go
+++ b/internal/instance/assemble.go
@@ -19,6 +19,7 @@
 	"github.com/pathtally/pathtally/internal/duties/lease"
 	"github.com/pathtally/pathtally/internal/duties/weightorders"
 	"github.com/pathtally/pathtally/internal/jobs/batch"
+	"github.com/pathtally/pathtally/internal/jobs/cleanup"
 	"github.com/pathtally/pathtally/internal/jobs/jobstore"
 	"github.com/pathtally/pathtally/internal/replicas/directory"
 	"github.com/pathtally/pathtally/internal/store/storerelay"
@@ -39,7 +40,7 @@
 	c.assembleQuarantine(ctx)
 	dispatcher.SetGuard(c.quarantine)
 	jobJournal := jobstore.New(c.store)
-	jobJournal.ReadByNameWhile(func() bool { return c.directory.View().Configuration.RestrictsRegions() })
+	jobJournal.ReadByNameWhile(c.restrictsRegions)
 	c.jobs = batch.NewService(ctx, batch.Config{
 		Self: c.self, JobStore: jobJournal, Codec: c.adapter.Jobs, Directory: c.directory, Dispatcher: dispatcher,
 		Forwarder: c.forwarder, Peers: c.transport, PeerTable: c.peers, Region: c.settings.Region, Clock: c.clock, Logger: c.logger, Registry: c.registry,
@@ -49,6 +50,11 @@
 	close(c.assembled)
 }
 
+// restrictsRegions reports whether some bodies may be held in some regions only.
+func (c *components) restrictsRegions() bool {
+	return c.directory.View().Configuration.RestrictsRegions()
+}
+
 // assembleForwarding creates the components that forward requests to replicas.
 func (c *components) assembleForwarding() *dispatch.Dispatcher {
 	c.directory = directory.NewTable(c.settings.Node, c.settings.Zone, c.settings.Regions, c.logger)
@@ -130,6 +136,10 @@
 			Registry: c.registry, Work: c.jobs.ItemCounts,
 		})
 	}
+	c.cleanup = cleanup.NewService(cleanup.Config{
+		Node: c.self.Node, Retention: c.settings.JobRetention.Std(), Holder: cleanup.NewLeaseHolder(c.elector, c.clock, c.settings.JobRetention.Std()), Suspended: c.restrictsRegions,
+		Store: c.store, JobStore: jobstore.New(c.store), Logger: c.logger, Registry: c.registry, Clock: c.clock,
+	})
 	if c.settings.WarmUpOverage > 0 {
 		c.slowStart = c.newSlowStart()
 		c.directory.SetSlowStart(c.slowStart.client)
--- a/internal/instance/components.go
+++ b/internal/instance/components.go
@@ -21,6 +21,7 @@
 	"github.com/pathtally/pathtally/internal/duties/usage"
 	"github.com/pathtally/pathtally/internal/duties/weightorders"
 	"github.com/pathtally/pathtally/internal/jobs/batch"
+	"github.com/pathtally/pathtally/internal/jobs/cleanup"
 	"github.com/pathtally/pathtally/internal/jobs/jobstore"
 	"github.com/pathtally/pathtally/internal/replicas/directory"
 	"github.com/pathtally/pathtally/internal/settings"
@@ -70,6 +71,7 @@
 	lease   *lease.Lease
 	elector *lease.Elector
 	weights *weightorders.Coordinator
+	cleanup *cleanup.Service
 	// usage is nil if the platform takes no usage reports.
 	usage *usage.Service
 	// autoscale is nil if this system orders no replicas.
--- a/internal/instance/run.go
+++ b/internal/instance/run.go
@@ -37,7 +37,7 @@
 func (c *components) loops() []func(context.Context) {
 	limiter := &connectionLimiter{directory: c.directory, peers: c.peers, pool: c.pool}
 	loops := []func(context.Context){
-		c.source.Run, c.peers.Join, limiter.run, c.logCatchUp, c.logEvacuations, c.quarantine.Run, c.jobs.Run, c.weights.Run,
+		c.source.Run, c.peers.Join, limiter.run, c.logCatchUp, c.logEvacuations, c.quarantine.Run, c.jobs.Run, c.weights.Run, c.cleanup.Run,
 	}
 	if c.autoscale != nil {
 		loops = append(loops, c.autoscale.Run)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -89,7 +89,7 @@
 	}{
 		{"dutyLease", s.DutyLease}, {"drain", s.Drain}, {"catchUp", s.CatchUp}, {"keyBound", s.KeyBound},
 		{"usageWindow", s.UsageWindow}, {"usageLate", s.UsageLate}, {"evacuationBound", s.EvacuationBound},
-		{"quarantine", s.Quarantine},
+		{"quarantine", s.Quarantine}, {"jobRetention", s.JobRetention},
 	} {
 		if duration.value < 0 {
 			errs = append(errs, &Error{Setting: duration.setting, Found: duration.value.Std().String(), Allowed: allowedDuration})
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -69,6 +69,8 @@
 	// Quarantine is how long a request that crashes replicas is not sent to another replica;
 	// zero means the default.
 	Quarantine v1.Duration `json:"quarantine"`
+	// JobRetention is how long an ended batch job stays in the store; zero means the default.
+	JobRetention v1.Duration `json:"jobRetention"`
 	// WarmUpOverage and WarmUpSlack limit the requests that a warming replica gets in any
 	// second to WarmUpOverage times its warm-up rate plus WarmUpSlack. An overage of zero
 	// means that replicas need no warm-up.
--- a/test/platform_deployment_test.go
+++ b/test/platform_deployment_test.go
@@ -47,6 +47,7 @@
 	links map[int]*nodeLinks
 	// memoryMB and maxDescriptors are those of the deploymentSpec.
 	memoryMB, maxDescriptors int
+	jobRetention             time.Duration
 }
 
 // platformNode is one node process.
@@ -77,6 +78,8 @@
 	// memoryMB is the memory in the settings of the nodes, and maxDescriptors the limit on the
 	// descriptors of each node; 0 for none.
 	memoryMB, maxDescriptors int
+	// jobRetention is the setting of the nodes, 0 for the default.
+	jobRetention time.Duration
 	// wrapStore returns the handler that serves the metadata store in place of the given one; nil for
 	// none.
 	wrapStore func(http.Handler) http.Handler
@@ -85,7 +88,7 @@
 // deployPlatform starts stand-ins and nodes and waits until every node is ready.
 func deployPlatform(t *testing.T, spec deploymentSpec) *platformDeployment {
 	t.Helper()
-	d := &platformDeployment{t: t, store: metastore.New(), folder: t.TempDir(), tenants: spec.tenants, regions: spec.regions, allowedRegions: spec.allowedRegions, links: map[int]*nodeLinks{}, memoryMB: spec.memoryMB, maxDescriptors: spec.maxDescriptors}
+	d := &platformDeployment{t: t, store: metastore.New(), folder: t.TempDir(), tenants: spec.tenants, regions: spec.regions, allowedRegions: spec.allowedRegions, links: map[int]*nodeLinks{}, memoryMB: spec.memoryMB, maxDescriptors: spec.maxDescriptors, jobRetention: spec.jobRetention}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -179,6 +182,9 @@
 	if d.memoryMB > 0 {
 		settings += fmt.Sprintf("memoryMB: %d\n", d.memoryMB)
 	}
+	if d.jobRetention > 0 {
+		settings += fmt.Sprintf("jobRetention: %s\n", d.jobRetention)
+	}
 	if d.dutyAPI != nil {
 		settings += fmt.Sprintf("dutyAPI: %s\nduties: [metering]\nusageWindow: %s\nusageLate: %s\n", d.dutyAPI.Address(), d.usageWindow, usageLate)
 	}
