test: the soak begins with the store of an old deployment

Cause: each run of the soak began with an empty store, so that no fault met a start or a takeover beside the jobs of the past.

Change: 400 ended jobs, whose names lie between those of the run, and a record that can't be decoded.

--- a/test/soak_run_test.go
+++ b/test/soak_run_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/pathtally/pathtally/internal/jobs/jobstore"
 	"github.com/pathtally/pathtally/standin/metastore"
 	"github.com/pathtally/pathtally/standin/replica"
 )
@@ -111,6 +112,7 @@
 	go server.Serve(listener)
 	t.Cleanup(func() { server.Close() })
 	s.storeAddress = listener.Addr().String()
+	s.writeHistory()
 	for range soakEngines {
 		s.addReplica("engines")
 	}
@@ -131,6 +133,24 @@
 }
 
 // startNodes starts several nodes at once.
+// soakHistory is the number of batch jobs that ended before a run, some pages of a listing.
+const soakHistory = 400
+
+// writeHistory stores what an old deployment has: jobs that ended long ago, and a record that can't be
+// decoded. Their names lie between those of the run's jobs.
+func (s *soakRun) writeHistory() {
+	s.t.Helper()
+	jobs := jobstore.New(s.store)
+	for number := range soakHistory {
+		id := fmt.Sprintf("%c-old-%04d", 'a'+rune(number%26), number)
+		s.store.Write(jobstore.KindJobs, id, jobstore.Record{Epoch: 1, Route: "drafts", Host: draftHost, Owner: jobstore.Owner{Node: "gone", Incarnation: 1}})
+		if _, err := jobs.End(s.t.Context(), id); err != nil {
+			s.t.Fatal(err)
+		}
+	}
+	s.store.WriteRaw(jobstore.KindJobs, "invalid", []byte(`{"owner":7}`))
+}
+
 func (s *soakRun) startNodes(nodes []*soakNode) {
 	var all sync.WaitGroup
 	for _, node := range nodes {
