batch: a submission with an ended context is unknown while an earlier one is pending

Since a submission whose context has ended is reported as not accepted, also while an earlier submission of the same job is still being written, and may succeed. Likewise the node that deletes ended jobs did so before it knew whether regions are restricted.

Change: such a submission is reported as unknown. Deletion waits for the configuration.

TestSubmissionWithEndedContext failed on the parent (not accepted, want unknown).

--- a/internal/instance/assemble.go
+++ b/internal/instance/assemble.go
@@ -55,6 +55,11 @@
 	return c.directory.View().Configuration.RestrictsRegions()
 }
 
+// suspendsCleanup reports whether ended batch jobs must not be deleted by this node now.
+func (c *components) suspendsCleanup() bool {
+	return c.directory.View().Configuration == nil || c.restrictsRegions()
+}
+
 // assembleForwarding creates the components that forward requests to replicas.
 func (c *components) assembleForwarding() *dispatch.Dispatcher {
 	c.directory = directory.NewTable(c.settings.Node, c.settings.Zone, c.settings.Regions, c.logger)
@@ -137,7 +142,7 @@
 		})
 	}
 	c.cleanup = cleanup.NewService(cleanup.Config{
-		Node: c.self.Node, Retention: c.settings.JobRetention.Std(), Holder: cleanup.NewLeaseHolder(c.elector, c.clock, c.settings.JobRetention.Std()), Suspended: c.restrictsRegions,
+		Node: c.self.Node, Retention: c.settings.JobRetention.Std(), Holder: cleanup.NewLeaseHolder(c.elector, c.clock, c.settings.JobRetention.Std()), Suspended: c.suspendsCleanup,
 		Store: c.store, JobStore: jobstore.New(c.store), Logger: c.logger, Registry: c.registry, Clock: c.clock,
 	})
 	if c.settings.WarmUpOverage > 0 {
--- a/internal/jobs/batch/accept.go
+++ b/internal/jobs/batch/accept.go
@@ -50,12 +50,20 @@
 	return s.jobs[id] != nil || s.remoteJobs[id] != nil
 }
 
+// isPending reports whether an earlier submission of a job is being written, so that the job may still be
+// accepted.
+func (s *Service) isPending(id string) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.acceptances[id] != nil
+}
+
 // submitLocally stores a batch job and runs it on this node.
 func (s *Service) submitLocally(ctx context.Context, request *SubmitRequest) error {
 	if s.isKnown(request.ID) {
 		return s.authorizeResubmission(ctx, request)
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil && !s.isPending(request.ID) {
 		return &jobstore.NotAcceptedError{Cause: context.Cause(ctx)}
 	}
 	pending := s.startAcceptance(ctx, request)
