exchange: a reset that a write was told of reaches the reader

Callers saw: a replica answered a long upload at once without a length, sent part of its body and reset the connection; the part arrived as a complete response (MIXED).

Cause: a body of more than 32 KiB is written while the response is read. The kernel reports a reset once. When the write got it, the next read found the end of the stream, and a response without a length or chunks ends there.

Evidence: TestResetReachesTheReader fixes the order of events with a real socket: the write returns ECONNRESET, then the read returns EOF. Ruled out: that the replica's end arrives in order (the write would get EPIPE).

Change: the connection keeps the error of a write and returns it to a read that finds the end of the stream. EPIPE follows an end in order and is no loss, so a replica that ends its side during the upload is read as before. All readers of replicas use this connection.

TestResetReachesTheReader and TestResetDuringUploadIsBroken (49 of 50 responses) fail without the change in duplexConn.Read.

Not affected, with tests that passed before: the clients of the store, the API for duties and the standalone stack, which write a request to its end before they read.

--- a/internal/callers/exchange/connection.go
+++ b/internal/callers/exchange/connection.go
@@ -15,6 +15,8 @@
 // connection is a persistent connection to a replica.
 type connection struct {
 	net.Conn
+	// socket is what Conn reads from and writes to.
+	socket  net.Conn
 	address string
 	reader  *bufio.Reader
 	limiter *headLimiter
@@ -31,9 +33,10 @@
 }
 
 func newConnection(address string, raw net.Conn) *connection {
-	limiter := &headLimiter{source: raw}
+	conn := &duplexConn{Conn: raw}
+	limiter := &headLimiter{source: conn}
 	return &connection{
-		Conn: raw, address: address, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), writer: bufio.NewWriterSize(raw, writeBufferBytes),
+		Conn: conn, socket: raw, address: address, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), writer: bufio.NewWriterSize(conn, writeBufferBytes),
 	}
 }
 
@@ -63,7 +66,7 @@
 	if !c.idleUntil.IsZero() && time.Now().After(c.idleUntil) {
 		return ErrClosedByPeer
 	}
-	socket, isSocket := c.Conn.(syscall.Conn)
+	socket, isSocket := c.socket.(syscall.Conn)
 	if !isSocket {
 		return nil
 	}
