httpconn: a response with an invalid status is an error for all clients

Callers saw: a replica in trouble sent a response with the status 000 whose body held a response; callers got that one, signature included.

Cause: the loop that skips informational responses passed over every status below 200 but 101, and net/http reads 000, 099, +20 and -00 as numbers below 100. fasthttp reads 000 as 200, because 0 means "not set" there: a write that the store had not confirmed counted as done, likewise for the duties and all clients of the standalone stack.

Change: one function reads the heads of responses for all clients, and a status outside 100 to 599 is an error after which the request may have run. Clients of fasthttp read from a connection on which each head is checked before, since fasthttp does not tell 000 from 200.

--- a/internal/callers/exchange/response.go
+++ b/internal/callers/exchange/response.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"net/http"
+
+	"github.com/pathtally/pathtally/internal/httpconn"
 )
 
 // maxInlineBodyBytes is the size up to which a request body is written before the response is
@@ -84,20 +86,12 @@
 	return writeResult, nil
 }
 
-// readHead reads the head of the response, skipping informational (1xx) responses other than
-// 101. It returns ErrHeadTooLarge if these heads exceed maxHeadBytes.
+// readHead reads the head of the response. It returns ErrHeadTooLarge if the heads of this and of
+// informational responses exceed maxHeadBytes.
 func readHead(c *connection, method string) (*http.Response, error) {
 	c.limiter.beginHead()
 	defer c.limiter.endHead()
-	for {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
-			return response, nil
-		}
-	}
+	return httpconn.ReadHead(c.reader, method)
 }
 
 // Read reads from the body. It returns io.EOF at the end of the body, and a *BrokenError if
--- a/internal/command/clusterstatus.go
+++ b/internal/command/clusterstatus.go
@@ -17,7 +17,7 @@
 // nodeStatus requests the status of one node. Its error is a *StatusError.
 func nodeStatus(address string) (process.Status, error) {
 	var status process.Status
-	code, body, err := fasthttp.GetTimeout(nil, "http://"+address+"/status", statusTimeout)
+	code, body, err := nodeClient.GetTimeout(nil, "http://"+address+"/status", statusTimeout)
 	if err == nil && code != fasthttp.StatusOK {
 		err = &httpStatusError{code: code}
 	}
--- a/internal/command/drain.go
+++ b/internal/command/drain.go
@@ -38,7 +38,7 @@
 		if member.ID != name {
 			continue
 		}
-		code, _, err := fasthttp.Post(nil, "http://"+member.HTTP+"/drain", nil)
+		code, _, err := nodeClient.Post(nil, "http://"+member.HTTP+"/drain", nil)
 		if err == nil && code != fasthttp.StatusOK {
 			err = &httpStatusError{code: code}
 		}
--- /dev/null
+++ b/internal/httpconn/errors.go
@@ -0,0 +1,11 @@
+package httpconn
+
+import "fmt"
+
+// InvalidStatusError reports a response whose status code is outside the range of HTTP.
+type InvalidStatusError struct{ Code int }
+
+// Error implements error.
+func (e *InvalidStatusError) Error() string {
+	return fmt.Sprintf("response has the invalid status %03d", e.Code)
+}
--- /dev/null
+++ b/internal/httpconn/head_test.go
@@ -0,0 +1,40 @@
+package httpconn
+
+import (
+	"bufio"
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+const sound = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func readHead(text string) (*http.Response, error) {
+	return ReadHead(bufio.NewReader(strings.NewReader(text)), http.MethodGet)
+}
+
+// Guards against passing over a status below 100 like an informational one, and against statuses that
+// HTTP does not have.
+func TestInvalidStatusIsAnError(t *testing.T) {
+	for _, status := range []string{"000", "001", "050", "099", "+20", "-00", "600", "999"} {
+		response, err := readHead("HTTP/1.1 " + status + " Trouble\r\nContent-Length: 60\r\n\r\n" + sound)
+		var invalid *InvalidStatusError
+		if !errors.As(err, &invalid) {
+			t.Errorf("%s: response %v, error %v, want an *InvalidStatusError", status, response, err)
+		}
+	}
+}
+
+func TestValidHeadIsRead(t *testing.T) {
+	for text, status := range map[string]int{
+		sound: 200,
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + sound: 200,
+		"HTTP/1.1 599 Trouble\r\n\r\n":            599,
+		"HTTP/1.0 404\r\nX: a\r\n folded\r\n\r\n": 404,
+	} {
+		if response, err := readHead(text); err != nil || response.StatusCode != status {
+			t.Errorf("%q: response %v, error %v, want status %d", text, response, err, status)
+		}
+	}
+}
--- a/internal/standalone/broken_response_test.go
+++ b/internal/standalone/broken_response_test.go
@@ -78,3 +78,13 @@
 func TestResetResponseIsUnanswered(t *testing.T) {
 	checkUnanswered(t, strings.Repeat("x", longText), rawserver.ResetAfter("HTTP/1.1 200 OK\r\n\r\n{}"))
 }
+
+// Guards against taking a response with an invalid status for a success.
+func TestInvalidStatusIsUnanswered(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 000 Trouble\r\n",
+		"HTTP/1.1 000 Trouble\r\n\r\nHTTP/1.1 200 OK\r\n",
+	} {
+		checkUnanswered(t, "text", rawserver.Text(head+"Content-Length: 2\r\n\r\n{}"))
+	}
+}
--- a/internal/standalone/engine/httpclient.go
+++ b/internal/standalone/engine/httpclient.go
@@ -12,6 +12,8 @@
 	"github.com/panjf2000/ants/v2"
 	"github.com/valyala/fasthttp"
 	"k8s.io/klog/v2"
+
+	"github.com/pathtally/pathtally/internal/httpconn"
 )
 
 const (
@@ -49,7 +51,7 @@
 		MaxIdleConnDuration:       idleConnection,
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		Dial:                      func(address string) (net.Conn, error) { return fasthttp.DialTimeout(address, dialTimeout) },
+		Dial:                      httpconn.Dial(func(address string) (net.Conn, error) { return fasthttp.DialTimeout(address, dialTimeout) }),
 	}
 	return &HTTPClient{client: client, pool: pool}, nil
 }
--- a/internal/standalone/objectapi/client.go
+++ b/internal/standalone/objectapi/client.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"strings"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/pathtally/pathtally/internal/environment"
+	"github.com/pathtally/pathtally/internal/httpconn"
 )
 
 const (
@@ -38,6 +40,7 @@
 	client := &fasthttp.Client{
 		MaxIdemponentCallAttempts: 1,
 		MaxConnsPerHost:           poolSize,
+		Dial:                      httpconn.Dial(func(address string) (net.Conn, error) { return fasthttp.DialTimeout(address, callTimeout) }),
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}
 	return &Client{address: address, client: client, pool: pool, post: post}, nil
--- a/internal/standalone/scorer/client.go
+++ b/internal/standalone/scorer/client.go
@@ -3,10 +3,13 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"time"
 
 	"github.com/panjf2000/ants/v2"
 	"github.com/valyala/fasthttp"
+
+	"github.com/pathtally/pathtally/internal/httpconn"
 )
 
 const (
@@ -48,7 +51,11 @@
 	if err != nil {
 		return nil, &Error{Cause: err}
 	}
-	return &Client{client: &fasthttp.Client{MaxConnsPerHost: poolSize}, pool: pool, post: post}, nil
+	client := &fasthttp.Client{
+		MaxConnsPerHost: poolSize,
+		Dial:            httpconn.Dial(func(address string) (net.Conn, error) { return fasthttp.DialTimeout(address, callTimeout) }),
+	}
+	return &Client{client: client, pool: pool, post: post}, nil
 }
 
 // Close ends the worker pool.
