httpconn: a response with an invalid field name is an error for all clients

Callers saw: a replica in trouble sent a response with a blank in the name of a field. It arrived without that line; with "Content-Length :" it ran to the close of the connection, with "Transfer-Encoding :" its chunks arrived raw.

Cause: net/http keeps a name with a blank and leaves the field out of framing; fasthttp removes a blank behind a name and applies the field. No reader checked the names.

Evidence: the parsed head holds the name with its blank; net/http drops it when it writes the response to the caller. Control bytes, separators and empty names are rejected already, and are in the tests.

Change: a head with a field name that is no token is an error after which the request may have run, for all clients and also in informational responses. The check of tokens moves from exchange, which keeps using it for requests.

--- a/internal/callers/exchange/validate.go
+++ b/internal/callers/exchange/validate.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/http"
 	"strings"
+
+	"github.com/pathtally/pathtally/internal/httpconn"
 )
 
 // connectionHeaders apply to a single connection (hop-by-hop) or describe the body on it, and are never
@@ -43,7 +45,7 @@
 // anything but themselves, or if a header concerns the connection.
 func (r *Request) Validate() error {
 	switch {
-	case !isToken(r.Method):
+	case !httpconn.IsToken(r.Method):
 		return &InvalidRequestError{Field: "method"}
 	case r.Target == "" || !isVisible(r.Target):
 		return &InvalidRequestError{Field: "target"}
@@ -56,7 +58,7 @@
 // ValidateHeader returns an *InvalidRequestError for a header that must not be forwarded.
 func ValidateHeader(header http.Header) error {
 	for name, values := range header {
-		if !isToken(name) || isConnectionHeader(name) {
+		if !httpconn.IsToken(name) || isConnectionHeader(name) {
 			return &InvalidRequestError{Field: name}
 		}
 		for _, value := range values {
@@ -89,21 +91,8 @@
 const (
 	lastControl = 0x20
 	deleteChar  = 0x7f
-	// tokenSeparators are the printable ASCII characters that a token (RFC 9110, section 5.6.2) must
-	// not contain.
-	tokenSeparators = "\"(),/:;<=>?@[\\]{}"
 )
 
-// isToken reports whether a text is a token as of RFC 9110.
-func isToken(text string) bool {
-	for i := range len(text) {
-		if char := text[i]; char <= lastControl || char >= deleteChar || strings.IndexByte(tokenSeparators, char) >= 0 {
-			return false
-		}
-	}
-	return text != ""
-}
-
 // isVisible reports whether a text has neither spaces nor control characters.
 func isVisible(text string) bool {
 	for i := range len(text) {
--- a/internal/httpconn/head.go
+++ b/internal/httpconn/head.go
@@ -12,8 +12,8 @@
 )
 
 // ReadHead reads the head of the response to a request with a method. It skips informational (1xx)
-// responses other than 101. The error is an *InvalidStatusError if net/http accepts a head that is
-// invalid.
+// responses other than 101. The error is an *InvalidStatusError or an *InvalidFieldNameError if net/http
+// accepts a head that is invalid.
 func ReadHead(reader *bufio.Reader, method string) (*http.Response, error) {
 	for {
 		response, err := http.ReadResponse(reader, &http.Request{Method: method})
@@ -34,5 +34,11 @@
 	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
 		return &InvalidStatusError{Code: response.StatusCode}
 	}
+	// net/http accepts blanks in a name, but does not apply a field such as "Content-Length ".
+	for name := range response.Header {
+		if !IsToken(name) {
+			return &InvalidFieldNameError{Name: name}
+		}
+	}
 	return nil
 }
--- a/internal/httpconn/head_test.go
+++ b/internal/httpconn/head_test.go
@@ -26,6 +26,26 @@
 	}
 }
 
+// Guards against a field that one reader drops and another one applies.
+func TestInvalidFieldNameIsAnError(t *testing.T) {
+	const rest = ": 2\r\nContent-Length: 2\r\n\r\nok"
+	for _, name := range []string{
+		"X Name", "X-Name ", "X-Name  ", "Content-Length ", "Transfer-Encoding ", "Connection ", "X-Name\t", "X\x01Name", "X\x00Name", "X\x7fName",
+		"X\xe9Name", "X(Name", "",
+	} {
+		for _, head := range []string{"HTTP/1.1 200 OK\r\n" + name + rest, "HTTP/1.1 103 Early Hints\r\n" + name + ": 2\r\n\r\n" + sound} {
+			if response, err := readHead(head); err == nil {
+				t.Errorf("%q: response %v, want an error", head, response)
+			}
+		}
+	}
+	_, err := readHead("HTTP/1.1 200 OK\r\nX Name" + rest)
+	var invalid *InvalidFieldNameError
+	if !errors.As(err, &invalid) || invalid.Name != "X Name" {
+		t.Errorf("error %v, want an *InvalidFieldNameError", err)
+	}
+}
+
 func TestValidHeadIsRead(t *testing.T) {
 	for text, status := range map[string]int{
 		sound: 200,
--- a/internal/standalone/broken_response_test.go
+++ b/internal/standalone/broken_response_test.go
@@ -88,3 +88,10 @@
 		checkUnanswered(t, "text", rawserver.Text(head+"Content-Length: 2\r\n\r\n{}"))
 	}
 }
+
+// Guards against taking a response with an invalid field name for a success.
+func TestInvalidFieldNameIsUnanswered(t *testing.T) {
+	for _, head := range []string{"X Name: value\r\nContent-Length: 2", "Content-Length : 2", "X\x01Name: value\r\nContent-Length: 2"} {
+		checkUnanswered(t, "text", rawserver.Text("HTTP/1.1 200 OK\r\n"+head+"\r\n\r\n{}"))
+	}
+}
