httpconn: a response that switches protocols unasked is an error

Callers saw: a replica that answers 101 although no upgrade was asked for; the 101 arrived as the final response, with the replica's signature and without its body.

Cause: the loop over informational responses ended at 101, which is final only for a client that has asked for an upgrade. Nodes never do.

Change: 101 is an invalid status for all clients (RFC 9110, section 15.2.2).

TestHostileInvalidStatus has 101 among its statuses, and failed before with it alone and until the close on each of four routes; TestInvalidStatusIsAnError failed, too.

--- a/internal/httpconn/errors.go
+++ b/internal/httpconn/errors.go
@@ -2,7 +2,7 @@
 
 import "fmt"
 
-// InvalidStatusError reports a response whose status code is outside the range of HTTP.
+// InvalidStatusError reports a response whose status code is outside the range of HTTP, or 101.
 type InvalidStatusError struct{ Code int }
 
 // Error implements error.
--- a/internal/httpconn/head.go
+++ b/internal/httpconn/head.go
@@ -11,9 +11,9 @@
 	maxStatus = 599
 )
 
-// ReadHead reads the head of the response to a request with a method. It skips informational (1xx)
-// responses other than 101. The error is an *InvalidStatusError or an *InvalidFieldNameError if net/http
-// accepts a head that is invalid.
+// ReadHead reads the head of the response to a request with a method, which must not ask for an upgrade.
+// It skips informational (1xx) responses. The error is an *InvalidStatusError or an
+// *InvalidFieldNameError if net/http accepts a head that is invalid.
 func ReadHead(reader *bufio.Reader, method string) (*http.Response, error) {
 	for {
 		response, err := http.ReadResponse(reader, &http.Request{Method: method})
@@ -23,7 +23,7 @@
 		if err := validate(response); err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
 	}
@@ -31,7 +31,8 @@
 
 // validate returns an error for a head that net/http accepts although it is invalid.
 func validate(response *http.Response) error {
-	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
+	// A server must not switch protocols unless the request asks for it (RFC 9110, section 15.2.2).
+	if response.StatusCode < minStatus || response.StatusCode > maxStatus || response.StatusCode == http.StatusSwitchingProtocols {
 		return &InvalidStatusError{Code: response.StatusCode}
 	}
 	// net/http accepts blanks in a name, but does not apply a field such as "Content-Length ".
--- a/internal/httpconn/head_test.go
+++ b/internal/httpconn/head_test.go
@@ -15,9 +15,9 @@
 }
 
 // Guards against passing over a status below 100 like an informational one, and against statuses that
-// HTTP does not have.
+// HTTP does not have or that no request asks for.
 func TestInvalidStatusIsAnError(t *testing.T) {
-	for _, status := range []string{"000", "001", "050", "099", "+20", "-00", "600", "999"} {
+	for _, status := range []string{"000", "001", "050", "099", "+20", "-00", "101", "600", "999"} {
 		response, err := readHead("HTTP/1.1 " + status + " Trouble\r\nContent-Length: 60\r\n\r\n" + sound)
 		var invalid *InvalidStatusError
 		if !errors.As(err, &invalid) {
--- a/test/hostile_responses_test.go
+++ b/test/hostile_responses_test.go
@@ -185,10 +185,10 @@
 	}
 }
 
-// Guards against a response whose status is none, or what follows its head, being taken for the
-// response.
+// Guards against a response whose status is none, or that switches protocols without having been asked,
+// and against taking what follows its head for the response.
 func TestHostileInvalidStatus(t *testing.T) {
-	for _, status := range []string{"000", "050", "099", "+20", "-00"} {
+	for _, status := range []string{"000", "050", "099", "+20", "-00", "101"} {
 		head := "HTTP/1.1 " + status + " Trouble\r\n"
 		for name, text := range map[string]string{
 			"alone":            head + brokenHead + "Content-Length: 18\r\n\r\n" + wholeText,
