--- a/internal/callers/exchange/duplex.go
+++ b/internal/callers/exchange/duplex.go
@@ -9,11 +9,11 @@
 	"time"
 )
 
-// duplexConn is a connection that is written and read at the same time. It reports its loss to the
-// reader also if a write was told first.
+// duplexConn is a connection that is written and read at the same time. A reader gets the error of a lost
+// connection even if a write got it first.
 //
-// The kernel reports a reset only once. If a write gets the error, the next read finds the end of the
-// stream, and a response that ends with its connection looks complete.
+// The kernel reports a reset only once. After a write has got the error, a read finds the end of the
+// stream, so that a response that ends with its connection looks complete.
 type duplexConn struct {
 	net.Conn
 	// writing is held during a write.
--- a/internal/callers/exchange/duplex_test.go
+++ b/internal/callers/exchange/duplex_test.go
@@ -100,7 +100,7 @@
 	return string(read), readErr, writeErr
 }
 
-// Guards against the end of a stream in place of a reset that a write was told of.
+// Guards against the end of a stream in place of a reset of which a write got the error.
 func TestResetReachesTheReader(t *testing.T) {
 	for name, returnsLate := range map[string]bool{"write returned": false, "write returning": true} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/command/clusterstatus_test.go
+++ b/internal/command/clusterstatus_test.go
@@ -11,7 +11,7 @@
 func TestInvalidResponseIsNoNodeStatus(t *testing.T) {
 	const rest = "\r\nContent-Length: 2\r\n\r\n{}"
 	if _, err := nodeStatus(rawserver.Start(t, rawserver.Text("HTTP/1.1 200 OK"+rest))); err != nil {
-		t.Errorf("sound response: %v", err)
+		t.Errorf("valid response: %v", err)
 	}
 	var failed *StatusError
 	if _, err := nodeStatus(rawserver.Start(t, rawserver.Text("HTTP/1.1 000 Trouble"+rest))); !errors.As(err, &failed) {
--- a/internal/httpconn/checked_conn_test.go
+++ b/internal/httpconn/checked_conn_test.go
@@ -38,8 +38,8 @@
 // What is received is read unchanged, however it is divided into reads.
 func TestValidResponseIsUnchanged(t *testing.T) {
 	for _, text := range []string{
-		sound,
-		"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + sound,
+		validResponse,
+		"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + validResponse,
 		"HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("body\r\n\r\nHTTP/1.1 000 \r\n", 1000),
 	} {
 		for name, reader := range map[string]io.Reader{"at once": strings.NewReader(text), "by bytes": iotest.OneByteReader(strings.NewReader(text))} {
@@ -51,7 +51,7 @@
 }
 
 func TestInvalidResponseIsAnError(t *testing.T) {
-	read, err := receive(strings.NewReader("HTTP/1.1 000 Trouble\r\n\r\n" + sound))
+	read, err := receive(strings.NewReader("HTTP/1.1 000 Trouble\r\n\r\n" + validResponse))
 	var invalid *InvalidStatusError
 	if read != "H" || !errors.As(err, &invalid) {
 		t.Errorf("read %q, error %v, want an *InvalidStatusError", read, err)
@@ -60,9 +60,9 @@
 
 // The head of each response is checked, and what follows a response belongs to the next head.
 func TestEachHeadIsChecked(t *testing.T) {
-	conn := &checkedConn{Conn: &scriptedConn{received: strings.NewReader(sound + "HTTP/1.1 000 Trouble\r\n\r\n")}}
+	conn := &checkedConn{Conn: &scriptedConn{received: strings.NewReader(validResponse + "HTTP/1.1 000 Trouble\r\n\r\n")}}
 	io.WriteString(conn, "request")
-	if _, err := io.ReadFull(conn, make([]byte, len(sound))); err != nil {
+	if _, err := io.ReadFull(conn, make([]byte, len(validResponse))); err != nil {
 		t.Fatal(err)
 	}
 	io.WriteString(conn, "request")
--- a/internal/standalone/broken_response_test.go
+++ b/internal/standalone/broken_response_test.go
@@ -65,7 +65,7 @@
 	}
 }
 
-// A sound response to each client, for the tests below.
+// Shows that the requests of the tests below succeed with a valid response.
 func TestResponseIsAccepted(t *testing.T) {
 	for name, send := range sends {
 		if err := send(t, rawserver.Start(t, rawserver.Text("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")), "text"); err != nil {
--- a/test/hostile_responses_test.go
+++ b/test/hostile_responses_test.go
@@ -3,7 +3,6 @@
 package test
 
 import (
-	"bufio"
 	"bytes"
 	"fmt"
 	"io"
@@ -12,6 +11,8 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+
+	"github.com/pathtally/pathtally/standin/rawserver"
 )
 
 const (
@@ -23,10 +24,10 @@
 	// brokenStamp is the stamp of the responses below. No caller may get it.
 	brokenStamp = "broken"
 	brokenHead  = "Pathtally-Request-Id: ID\r\nPathtally-Server-Stamp: " + brokenStamp + "\r\nPathtally-Weight-Versions: 1\r\n"
-	// wholeText is the body of the responses below, on streaming routes one event.
-	wholeText = "id: 1\ndata: text\n\n"
+	// completeText is the body of the responses below, on streaming routes one event.
+	completeText = "id: 1\ndata: text\n\n"
 	// innerResponse is a complete response.
-	innerResponse = "HTTP/1.1 200 OK\r\n" + brokenHead + "Content-Length: 18\r\n\r\n" + wholeText
+	innerResponse = "HTTP/1.1 200 OK\r\n" + brokenHead + "Content-Length: 18\r\n\r\n" + completeText
 )
 
 // liveRoutes are the paths of routes whose requests may be repeated, must not be repeated, or are
@@ -46,34 +47,17 @@
 	return d, responses
 }
 
-// addBrokenReplica adds a replica to both services, next to the sound ones. It returns the number of
+// addBrokenReplica adds a replica to both services, next to the other ones. It returns the number of
 // requests that it responded to.
 func (d *platformDeployment) addBrokenReplica(respond func(connection *net.TCPConn, id string)) *atomic.Int64 {
 	d.t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		d.t.Fatal(err)
-	}
-	d.t.Cleanup(func() { listener.Close() })
 	responses := &atomic.Int64{}
-	go func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer connection.Close()
-				request, err := http.ReadRequest(bufio.NewReader(connection))
-				if err != nil || request.Method == http.MethodGet {
-					return
-				}
-				responses.Add(1)
-				respond(connection.(*net.TCPConn), request.Header.Get("Pathtally-Request-Id"))
-			}()
+	raw := &rawReplica{id: "broken", address: rawserver.Start(d.t, func(connection *net.TCPConn, request *http.Request) {
+		if request.Method != http.MethodGet {
+			responses.Add(1)
+			respond(connection, request.Header.Get("Pathtally-Request-Id"))
 		}
-	}()
-	raw := &rawReplica{id: "broken", listener: listener}
+	})}
 	d.store.Write("servers", "broken-app", raw.entry("apps", d.zone(0)))
 	d.store.Write("servers", "broken-engine", raw.entry("engines", d.zone(0)))
 	return responses
@@ -103,7 +87,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			d, responses := deployBrokenReplicas(t, func(connection *net.TCPConn, id string) {
-				respondText(head+brokenHead+"\r\n"+wholeText)(connection, id)
+				respondText(head+brokenHead+"\r\n"+completeText)(connection, id)
 				connection.SetLinger(0)
 			})
 			for _, route := range liveRoutes {
@@ -127,13 +111,13 @@
 }
 
 // A response without a length whose replica ends its side in order is complete, whether or not the
-// replica goes on reading the request.
+// replica keeps reading the request.
 func TestHostileOrderlyEndDuringUpload(t *testing.T) {
 	for name, reads := range map[string]bool{"not reading": false, "reading": true} {
 		t.Run(name, func(t *testing.T) {
 			ended := make(chan struct{})
 			d, _ := deployBrokenReplicas(t, func(connection *net.TCPConn, id string) {
-				respondText("HTTP/1.1 200 OK\r\n"+brokenHead+"\r\n"+wholeText)(connection, id)
+				respondText("HTTP/1.1 200 OK\r\n"+brokenHead+"\r\n"+completeText)(connection, id)
 				connection.CloseWrite()
 				if reads {
 					io.Copy(io.Discard, connection)
@@ -142,7 +126,7 @@
 			})
 			for _, route := range []string{"/live/x", "/once/x", "/chat-once/x"} {
 				response, err := d.send(d.nodes[0], http.MethodPost, liveHost, route, "orderly"+strings.ReplaceAll(route, "/", "."), bytes.Repeat([]byte("x"), longUpload), nil)
-				if !isReplicas(response, err) || response.status != http.StatusOK || response.body != wholeText {
+				if !isReplicas(response, err) || response.status != http.StatusOK || response.body != completeText {
 					t.Errorf("%s: status %d, body %q, error %v", route, response.status, response.body, err)
 				}
 			}
@@ -191,8 +175,8 @@
 	for _, status := range []string{"000", "050", "099", "+20", "-00", "101"} {
 		head := "HTTP/1.1 " + status + " Trouble\r\n"
 		for name, text := range map[string]string{
-			"alone":            head + brokenHead + "Content-Length: 18\r\n\r\n" + wholeText,
-			"until the close":  head + brokenHead + "\r\n" + wholeText,
+			"alone":            head + brokenHead + "Content-Length: 18\r\n\r\n" + completeText,
+			"until the close":  head + brokenHead + "\r\n" + completeText,
 			"holds a response": head + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(innerResponse)) + innerResponse,
 		} {
 			t.Run(status+" "+name, func(t *testing.T) { checkNotForwarded(t, text) })
@@ -206,21 +190,21 @@
 func TestHostileInvalidFieldName(t *testing.T) {
 	const start = "HTTP/1.1 200 OK\r\n" + brokenHead
 	for name, text := range map[string]string{
-		"blank in the name":       start + "X Name: value\r\nContent-Length: 18\r\n\r\n" + wholeText,
-		"blank after the name":    start + "X-Name : value\r\nContent-Length: 18\r\n\r\n" + wholeText,
-		"tab after the name":      start + "X-Name\t: value\r\nContent-Length: 18\r\n\r\n" + wholeText,
-		"control byte":            start + "X\x01Name: value\r\nContent-Length: 18\r\n\r\n" + wholeText,
-		"NUL":                     start + "X\x00Name: value\r\nContent-Length: 18\r\n\r\n" + wholeText,
-		"delete":                  start + "X\x7fName: value\r\nContent-Length: 18\r\n\r\n" + wholeText,
-		"separator":               start + "X(Name: value\r\nContent-Length: 18\r\n\r\n" + wholeText,
-		"no name":                 start + ": value\r\nContent-Length: 18\r\n\r\n" + wholeText,
-		"length":                  start + "Content-Length : 18\r\n\r\n" + wholeText + "surplus",
-		"chunks":                  start + "Transfer-Encoding : chunked\r\n\r\n12\r\n" + wholeText + "\r\n0\r\n\r\n",
+		"blank in the name":       start + "X Name: value\r\nContent-Length: 18\r\n\r\n" + completeText,
+		"blank after the name":    start + "X-Name : value\r\nContent-Length: 18\r\n\r\n" + completeText,
+		"tab after the name":      start + "X-Name\t: value\r\nContent-Length: 18\r\n\r\n" + completeText,
+		"control byte":            start + "X\x01Name: value\r\nContent-Length: 18\r\n\r\n" + completeText,
+		"NUL":                     start + "X\x00Name: value\r\nContent-Length: 18\r\n\r\n" + completeText,
+		"delete":                  start + "X\x7fName: value\r\nContent-Length: 18\r\n\r\n" + completeText,
+		"separator":               start + "X(Name: value\r\nContent-Length: 18\r\n\r\n" + completeText,
+		"no name":                 start + ": value\r\nContent-Length: 18\r\n\r\n" + completeText,
+		"length":                  start + "Content-Length : 18\r\n\r\n" + completeText + "surplus",
+		"chunks":                  start + "Transfer-Encoding : chunked\r\n\r\n12\r\n" + completeText + "\r\n0\r\n\r\n",
 		"informational response":  "HTTP/1.1 103 Early Hints\r\nX Name: value\r\n\r\n" + innerResponse,
-		"first line of the head":  "HTTP/1.1 200 OK\r\nX Name: value\r\n" + brokenHead + "Content-Length: 18\r\n\r\n" + wholeText,
-		"an error of the replica": "HTTP/1.1 500 Internal Server Error\r\nX Name: value\r\n" + brokenHead + "Content-Length: 18\r\n\r\n" + wholeText,
+		"first line of the head":  "HTTP/1.1 200 OK\r\nX Name: value\r\n" + brokenHead + "Content-Length: 18\r\n\r\n" + completeText,
+		"an error of the replica": "HTTP/1.1 500 Internal Server Error\r\nX Name: value\r\n" + brokenHead + "Content-Length: 18\r\n\r\n" + completeText,
 	} {
 		t.Run(name, func(t *testing.T) { checkNotForwarded(t, text) })
 	}
-	t.Run("batch job", func(t *testing.T) { checkNotUsed(t, start+"X Name: value\r\nContent-Length: 18\r\n\r\n"+wholeText) })
+	t.Run("batch job", func(t *testing.T) { checkNotUsed(t, start+"X Name: value\r\nContent-Length: 18\r\n\r\n"+completeText) })
 }
--- a/test/raw_replica_test.go
+++ b/test/raw_replica_test.go
@@ -10,10 +10,7 @@
 )
 
 // rawReplica is a replica of which a test writes the bytes of each response.
-type rawReplica struct {
-	id       string
-	listener net.Listener
-}
+type rawReplica struct{ id, address string }
 
 // startRawReplica starts a replica. respond writes the response to a request, and returns whether
 // the connection is kept open.
@@ -33,7 +30,7 @@
 			go serveRaw(connection, respond)
 		}
 	}()
-	return &rawReplica{id: id, listener: listener}
+	return &rawReplica{id: id, address: listener.Addr().String()}
 }
 
 // serveRaw responds to the requests of a connection.
@@ -59,7 +56,7 @@
 // entry returns the replica's entry in the metadata store.
 func (r *rawReplica) entry(service, zone string) map[string]any {
 	return map[string]any{
-		"service": service, "address": r.listener.Addr().String(), "zone": zone, "version": "v1", "slots": 64, "state": "ready",
+		"service": service, "address": r.address, "zone": zone, "version": "v1", "slots": 64, "state": "ready",
 		"stage": "both", "models": []map[string]any{{"name": draftModel, "version": 1, "adapters": []string{}}},
 	}
 }
