httpconn: an idle connection keeps no buffer

Cause: the slice of received bytes kept its array, 4 KiB and more, until the next response on the connection. Change: it is dropped once it has been read.

--- a/internal/httpconn/checked_conn.go
+++ b/internal/httpconn/checked_conn.go
@@ -48,7 +48,9 @@
 func (c *checkedConn) next(buffer []byte) (int, error) {
 	if len(c.received) > 0 {
 		n := copy(buffer, c.received)
-		c.received = c.received[n:]
+		if c.received = c.received[n:]; len(c.received) == 0 {
+			c.received = nil
+		}
 		return n, nil
 	}
 	return c.Conn.Read(buffer)
