--- a/test/hostile_responses_test.go
+++ b/test/hostile_responses_test.go
@@ -19,7 +19,7 @@
 	// resetPlays is the number of uploads for each route and response: whether a reset is lost depends
 	// on the order in which the node reads and writes.
 	resetPlays = 24
-	// longUpload is more than the buffers of two sockets hold while the replica does not read.
+	// longUpload is the size of a body that is still being written when the replica responds.
 	longUpload = 1_000_000
 	// brokenStamp is the stamp of the responses below. No caller may get it.
 	brokenStamp = "broken"
